--- /dev/null
+++ b/dispatch/plan.go
@@ -0,0 +1,170 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+// planner is the working copy of one decision.
+type planner struct {
+	now    time.Duration
+	limits Limits
+	// byService holds the workers of a pool; their Free shrinks as the plan grows.
+	byService map[string][]*Worker
+	plan      Plan
+}
+
+// Decide plans starts and questions for steps on workers. Steps are taken in
+// order of lateness, priority and objective; what a step takes or reserves is
+// gone for those after it. The workers' Free is changed.
+func Decide(now time.Duration, steps []Step, workers []Worker, limits Limits) Plan {
+	p := &planner{now: now, limits: limits, byService: map[string][]*Worker{}}
+	for i := range workers {
+		w := &workers[i]
+		p.byService[w.Service] = append(p.byService[w.Service], w)
+	}
+	slices.SortFunc(steps, compareSteps)
+	for i := range steps {
+		p.step(&steps[i])
+	}
+	return p.plan
+}
+
+func compareSteps(a, b Step) int {
+	return cmp.Or(cmp.Compare(a.Late, b.Late), cmp.Compare(a.Priority, b.Priority),
+		cmp.Compare(a.Due, b.Due), workflow.CompareSteps(a.Key, b.Key))
+}
+
+func (p *planner) step(s *Step) {
+	suitable := filter(p.byService[s.Service], s)
+	if len(suitable) == 0 {
+		p.wait(s, len(s.Pending), ReasonNoWorker)
+		return
+	}
+	var left int
+	if s.Spec.Gang {
+		left = p.startGang(s, suitable)
+	} else {
+		left = p.startTasks(s, suitable)
+	}
+	if left == 0 {
+		return
+	}
+	p.wait(s, left, p.seekPermits(s, suitable, left))
+}
+
+func (p *planner) wait(s *Step, tasks int, reason Reason) {
+	p.plan.Waiting = append(p.plan.Waiting, Waiting{Step: s.Key, Tasks: tasks, Reason: reason})
+}
+
+// usable reports whether a start of s on w would be accepted now.
+func (p *planner) usable(s *Step, w *Worker) bool {
+	if !s.NeedsPermit {
+		return true
+	}
+	permit := s.Permits[w.ID]
+	return permit.Granted && permit.Expires >= p.now+p.limits.TicketMargin
+}
+
+// copies returns how many further tasks of s fit on w.
+func copies(s *Step, w *Worker) int {
+	n := s.Spec.Room().Copies(w.Free)
+	if s.Spec.MaxPerWorker > 0 {
+		n = min(n, s.Spec.MaxPerWorker-s.Placed[w.ID])
+	}
+	return max(n, 0)
+}
+
+// startTasks starts what it can, one task after the other, and returns how many
+// are left.
+func (p *planner) startTasks(s *Step, suitable []*Worker) int {
+	for i, index := range s.Pending {
+		w := best(s, suitable, func(w *Worker) bool { return p.usable(s, w) && copies(s, w) > 0 })
+		if w == nil {
+			return len(s.Pending) - i
+		}
+		p.start(s, index, w)
+	}
+	return 0
+}
+
+// startGang starts all tasks or none and returns how many are left.
+func (p *planner) startGang(s *Step, suitable []*Worker) int {
+	usable := slices.DeleteFunc(slices.Clone(suitable), func(w *Worker) bool { return !p.usable(s, w) })
+	chosen := gangWorkers(s, usable, len(s.Pending))
+	if chosen == nil {
+		return len(s.Pending)
+	}
+	for i, index := range s.Pending {
+		p.start(s, index, chosen[i])
+	}
+	return 0
+}
+
+// gangWorkers returns a worker for each of n tasks, nil when they don't all fit.
+func gangWorkers(s *Step, usable []*Worker, n int) []*Worker {
+	if s.Spec.SameRack {
+		if chosen := oneRack(s, usable, n); chosen != nil {
+			return chosen
+		}
+	}
+	order := byRoom(s, usable)
+	var chosen []*Worker
+	for _, w := range order {
+		for range min(copies(s, w), n-len(chosen)) {
+			chosen = append(chosen, w)
+		}
+		if len(chosen) == n {
+			return chosen
+		}
+	}
+	return nil
+}
+
+// oneRack looks for a rack that holds all n tasks.
+func oneRack(s *Step, usable []*Worker, n int) []*Worker {
+	racks := map[string][]*Worker{}
+	var names []string
+	for _, w := range usable {
+		if racks[w.Rack] == nil {
+			names = append(names, w.Rack)
+		}
+		racks[w.Rack] = append(racks[w.Rack], w)
+	}
+	for _, name := range names {
+		spread := *s
+		spec := *s.Spec
+		spec.SameRack = false
+		spread.Spec = &spec
+		if chosen := gangWorkers(&spread, racks[name], n); chosen != nil {
+			return chosen
+		}
+	}
+	return nil
+}
+
+func (p *planner) start(s *Step, index int, w *Worker) {
+	w.Free = w.Free.Minus(s.Spec.Room())
+	if s.Placed == nil {
+		s.Placed = map[string]int{}
+	}
+	s.Placed[w.ID]++
+	p.plan.Starts = append(p.plan.Starts, Start{
+		Task:   workflow.TaskKey{StepKey: s.Key, Index: index},
+		Worker: w.ID,
+		Ticket: s.Permits[w.ID].Ticket,
+	})
+}
+
+// reserve keeps room for n tasks of s away from the steps after it.
+func (p *planner) reserve(s *Step, workers []*Worker, n int) {
+	room := s.Spec.Room()
+	for _, w := range workers {
+		take := min(copies(s, w), n)
+		w.Free = w.Free.Minus(room.Times(int64(take)))
+		n -= take
+	}
+}
--- /dev/null
+++ b/dispatch/select.go
@@ -0,0 +1,59 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+)
+
+// filter returns the workers that could run tasks of s if they were empty.
+func filter(workers []*Worker, s *Step) []*Worker {
+	var out []*Worker
+	for _, w := range workers {
+		if s.Spec.Label != "" && !slices.Contains(w.Labels, s.Spec.Label) {
+			continue
+		}
+		if !s.Spec.Room().Fits(w.Capacity) {
+			continue
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+// best returns the worker that suits one task of s best: sound ones first, then
+// those near the data, then the one that is left with the least room, which
+// keeps whole workers free for gangs.
+func best(s *Step, workers []*Worker, ok func(*Worker) bool) *Worker {
+	var chosen *Worker
+	for _, w := range workers {
+		if ok(w) && (chosen == nil || prefer(s, w, chosen) < 0) {
+			chosen = w
+		}
+	}
+	return chosen
+}
+
+func prefer(s *Step, a, b *Worker) int {
+	return cmp.Or(cmp.Compare(a.Penalty, b.Penalty), cmp.Compare(distance(s, a), distance(s, b)),
+		cmp.Compare(a.Free.MilliCPU, b.Free.MilliCPU), cmp.Compare(a.ID, b.ID))
+}
+
+// distance is 0 near the data of s, 1 elsewhere.
+func distance(s *Step, w *Worker) int {
+	if s.Spec.DataRack == "" || s.Spec.DataRack == w.Rack {
+		return 0
+	}
+	return 1
+}
+
+// byRoom orders workers by how many tasks of s fit now, most first, so that a
+// gang spreads over few workers.
+func byRoom(s *Step, workers []*Worker) []*Worker {
+	out := slices.Clone(workers)
+	slices.SortStableFunc(out, func(a, b *Worker) int {
+		return cmp.Or(cmp.Compare(a.Penalty, b.Penalty), cmp.Compare(distance(s, a), distance(s, b)),
+			cmp.Compare(copies(s, b), copies(s, a)), cmp.Compare(b.Free.MilliCPU, a.Free.MilliCPU),
+			cmp.Compare(a.ID, b.ID))
+	})
+	return out
+}
--- /dev/null
+++ b/dispatch/types.go
@@ -0,0 +1,107 @@
+// Package dispatch decides which ready tasks start on which worker and which
+// permits are to be asked for. Plan is a function of a snapshot; it reads no
+// clock and keeps nothing between calls. The caller commits the starts, which
+// checks them again, and then sends them.
+package dispatch
+
+import (
+	"time"
+
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+// Worker is a worker that may be given tasks now.
+type Worker struct {
+	workflow.Worker
+	// Free is the capacity that no run takes, not even one that may be alive.
+	Free workflow.Resources
+	// Penalty sets back workers that failed or stood still lately; 0 is sound.
+	Penalty int
+}
+
+// Permit is what is known of a step's permission to run on a worker.
+type Permit struct {
+	// Granted never changes for a step and a worker.
+	Granted bool
+	Ticket  string
+	// Expires is when the ticket ends, on the caller's steady clock.
+	Expires time.Duration
+}
+
+// Step is a step whose turn has come.
+type Step struct {
+	Key  workflow.StepKey
+	Spec *workflow.Step
+	// Service is the pool whose workers may run the step.
+	Service string
+	// Priority comes from the queue; 0 goes first.
+	Priority int
+	// Late is 0 while the job can meet its objective, 1 while it is late but still
+	// worth something, and 2 after that.
+	Late int
+	// Due is when the job's objective ends, on the caller's steady clock.
+	Due time.Duration
+	// Pending are the tasks that may be started.
+	Pending []int
+	// NeedsPermit says that workers are permitted by an adviser.
+	NeedsPermit bool
+	Permits     map[string]Permit
+	// Asking says that an answer of the adviser is awaited; Renewing names the
+	// workers asked about whose grant is already known.
+	Asking   bool
+	Renewing []string
+	// Placed counts the step's live runs on each worker.
+	Placed map[string]int
+}
+
+// Start is one task to be started.
+type Start struct {
+	Task   workflow.TaskKey
+	Worker string
+	Ticket string
+}
+
+// Ask is a question to the adviser.
+type Ask struct {
+	Step    workflow.StepKey
+	Workers []string
+	// Renewal says that all grants are known and only tickets are needed.
+	Renewal bool
+}
+
+// Reason says why tasks of a step were not started.
+type Reason string
+
+// Reasons, as explanations show them.
+const (
+	ReasonNoWorker Reason = "no worker of the service meets the requirements"
+	ReasonNoRoom   Reason = "no room on a worker that may run the step"
+	ReasonPermit   Reason = "waiting for the adviser"
+	ReasonRefused  Reason = "the adviser permits no suitable worker"
+	ReasonAffinity Reason = "each worker has as many tasks of the step as allowed"
+)
+
+// Waiting is a step with tasks that were not started.
+type Waiting struct {
+	Step   workflow.StepKey
+	Tasks  int
+	Reason Reason
+}
+
+// Limits bound one plan.
+type Limits struct {
+	// AskWorkers is how many workers one question names.
+	AskWorkers int
+	// Asks is how many questions may be put now.
+	Asks int
+	// TicketMargin is how long a ticket must be valid still when a start is
+	// planned, so that it reaches the worker in time.
+	TicketMargin time.Duration
+}
+
+// Plan is the outcome of one decision.
+type Plan struct {
+	Starts  []Start
+	Asks    []Ask
+	Waiting []Waiting
+}
--- /dev/null
+++ b/internal/control/calls.go
@@ -0,0 +1,102 @@
+package control
+
+import (
+	"time"
+
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+// Place is where a caller's request was sent.
+type Place struct {
+	Host string `cbor:"1,keyasint"`
+	Path string `cbor:"2,keyasint"`
+}
+
+// SubmitCall hands a job in. The queue and the job's ID follow from Place.
+type SubmitCall struct {
+	Place    Place             `cbor:"1,keyasint"`
+	Payload  string            `cbor:"2,keyasint"`
+	Steps    []workflow.Step   `cbor:"3,keyasint"`
+	Schedule workflow.Schedule `cbor:"4,keyasint"`
+}
+
+// SubmitReply says that the job is stored.
+type SubmitReply struct {
+	Known bool `cbor:"1,keyasint,omitempty"`
+}
+
+// StateCall asks for a job, or for a queue when the path names no job.
+type StateCall struct {
+	Place Place `cbor:"1,keyasint"`
+}
+
+// StateReply is how far a job has come, or how many jobs of a queue wait.
+type StateReply struct {
+	Queue   bool           `cbor:"1,keyasint,omitempty"`
+	Waiting int            `cbor:"2,keyasint,omitempty"`
+	Phase   workflow.Phase `cbor:"3,keyasint,omitempty"`
+}
+
+// CancelCall cancels a job.
+type CancelCall struct {
+	Place Place `cbor:"1,keyasint"`
+}
+
+// Empty is a reply without content.
+type Empty struct{}
+
+// Announcement is a worker's heartbeat.
+type Announcement struct {
+	Worker workflow.Worker `cbor:"1,keyasint"`
+	// Sequence grows with each heartbeat of the incarnation.
+	Sequence uint64 `cbor:"2,keyasint"`
+	// Remaining is the least time that a draining worker still runs.
+	Remaining time.Duration `cbor:"3,keyasint,omitempty"`
+}
+
+// AnnouncementReply names the control address of the leader.
+type AnnouncementReply struct {
+	Leader string `cbor:"1,keyasint,omitempty"`
+}
+
+// LeaveCall says that an incarnation ends.
+type LeaveCall struct {
+	Worker string `cbor:"1,keyasint"`
+}
+
+// ConfigureCall hands in a version of the configuration.
+type ConfigureCall struct {
+	Document workflow.Document `cbor:"1,keyasint"`
+}
+
+// ConfigurationReply is the newest configuration.
+type ConfigurationReply struct {
+	Version uint64 `cbor:"1,keyasint"`
+	Source  []byte `cbor:"2,keyasint"`
+}
+
+// FollowCall is how an instance that faces callers stays in touch with the
+// leader, and offers itself for questions to the adviser.
+type FollowCall struct {
+	Address string `cbor:"1,keyasint"`
+}
+
+// FollowReply names the core's members, and the version of the configuration
+// that is in force.
+type FollowReply struct {
+	Members []string `cbor:"1,keyasint"`
+	Version uint64   `cbor:"2,keyasint"`
+}
+
+// Names of the calls between instances.
+const (
+	MethodSubmit        = "submit"
+	MethodState         = "state"
+	MethodCancel        = "cancel"
+	MethodAnnounce      = "announce"
+	MethodLeave         = "leave"
+	MethodConfigure     = "configure"
+	MethodConfiguration = "configuration"
+	MethodFollow        = "follow"
+	MethodAsk           = "ask"
+)
--- /dev/null
+++ b/internal/control/controller.go
@@ -0,0 +1,176 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+
+	"github.com/bilberryferry/bilberryferry/fault"
+	"github.com/bilberryferry/bilberryferry/internal/link"
+	"github.com/bilberryferry/bilberryferry/internal/node"
+	"github.com/bilberryferry/bilberryferry/replica"
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+// Bounds are the deployment's times that the leader derives its own from.
+type Bounds struct {
+	// LeaseMax is the longest lease that a worker grants.
+	LeaseMax time.Duration
+	// Contact is how long after the last disruption everything must be right again.
+	Contact time.Duration
+	// StopMax is how long a worker takes at most to end a run.
+	StopMax time.Duration
+	// Shown is how long an ended job is shown at least.
+	Shown time.Duration
+}
+
+// Config is the fixed part of a Controller.
+type Config struct {
+	// Address is where other instances reach this one, Public is where workers
+	// and operators do.
+	Address, Public string
+	Bounds          Bounds
+	Workers         Workers
+	Adviser         Adviser
+	Client          *link.Client
+	Logger          log.Logger
+	Counters        Counters
+	// Leader returns the address of the present leader, Members those of all.
+	Leader  func() string
+	Members func() []string
+}
+
+// Counters counts events by name.
+type Counters interface {
+	Add(name string, n int64)
+	Observe(name string, d time.Duration)
+}
+
+// Controller serves calls on a core instance and leads when the log lets it.
+type Controller struct {
+	cfg     Config
+	machine *Machine
+	log     node.Log
+
+	mu     sync.Mutex
+	tenure *tenure
+}
+
+// New returns a controller over a log whose state machine is machine.
+func New(cfg Config, machine *Machine, replicated node.Log) *Controller {
+	return &Controller{cfg: cfg, machine: machine, log: replicated}
+}
+
+// Run leads whenever this member may decide, until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		changed := c.log.Changed()
+		status := c.log.Status()
+		if status.CanDecide {
+			c.lead(ctx, status.Term)
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-time.After(idlePause):
+			// CanDecide also ends by the passing of time alone.
+		}
+	}
+	return nil
+}
+
+// idlePause bounds how late a change of CanDecide is noticed.
+const idlePause = 200 * time.Millisecond
+
+// lead runs one tenure until the leadership ends.
+func (c *Controller) lead(ctx context.Context, term uint64) {
+	tenureCtx, end := context.WithCancel(ctx)
+	defer end()
+	if err := c.log.Barrier(tenureCtx); err != nil {
+		_ = c.cfg.Logger.Log("event", "tenure", "outcome", "not begun", "term", term, "err", err)
+		sleep(ctx, idlePause)
+		return
+	}
+	t := newTenure(tenureCtx, c, term)
+	c.setTenure(t)
+	_ = c.cfg.Logger.Log("event", "tenure", "outcome", "begun", "term", term, "workers", len(t.sessions))
+	go c.watch(tenureCtx, term, end)
+	t.run()
+	c.setTenure(nil)
+	_ = c.cfg.Logger.Log("event", "tenure", "outcome", "ended", "term", term)
+}
+
+// watch ends the tenure when the leadership does.
+func (c *Controller) watch(ctx context.Context, term uint64, end func()) {
+	defer end()
+	for ctx.Err() == nil {
+		changed := c.log.Changed()
+		status := c.log.Status()
+		if status.Term != term || status.Role != replica.Leader {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-time.After(idlePause):
+		}
+	}
+}
+
+func (c *Controller) setTenure(t *tenure) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tenure = t
+	if t == nil {
+		c.machine.onApply(func() {})
+		return
+	}
+	c.machine.onApply(t.kick)
+}
+
+// leading returns the tenure in which this member may decide now.
+func (c *Controller) leading() (*tenure, error) {
+	c.mu.Lock()
+	t := c.tenure
+	c.mu.Unlock()
+	if t == nil || !c.log.Status().CanDecide {
+		return nil, link.NotLeader(c.cfg.Leader())
+	}
+	return t, nil
+}
+
+// propose commits one command. ErrFateOpen becomes a fault of kind Unknown, so
+// that no caller is told that the command wasn't carried out.
+func (c *Controller) propose(ctx context.Context, command *workflow.Command) (workflow.Result, error) {
+	data, err := command.Encode()
+	if err != nil {
+		return workflow.Result{}, err
+	}
+	begun := time.Now()
+	value, err := c.log.Propose(ctx, data)
+	switch {
+	case errors.Is(err, node.ErrNotLeader):
+		return workflow.Result{}, link.NotLeader(c.cfg.Leader())
+	case errors.Is(err, node.ErrFateOpen):
+		return workflow.Result{}, fault.New(fault.Unknown, "%v", err)
+	case err != nil:
+		return workflow.Result{}, err
+	}
+	c.cfg.Counters.Observe("commit", time.Since(begun))
+	return value.(workflow.Result), nil
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/control/orders.go
@@ -0,0 +1,152 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+// startTries is how often a start is sent before its run is stopped instead.
+const startTries = 2
+
+// order is a start that this tenure has committed and sends.
+type order struct {
+	run    workflow.Run
+	step   *workflow.Step
+	ticket string
+	// unanswered says that a call ended without an answer and that no list of the
+	// worker has shown the run since.
+	unanswered bool
+	// listed says that the worker has listed the run as alive.
+	listed bool
+	// open counts calls that may be carried out later.
+	open int
+	// stopSent is the last stop, stopAcked its acknowledgement.
+	stopSent, stopAcked time.Time
+	startedAt           time.Time
+}
+
+// sendStart sends a committed start until the worker has answered, and stops the
+// run when it doesn't.
+func (s *session) sendStart(o *order, payload, checkpoint string) {
+	for try := 1; try <= startTries && s.t.ctx.Err() == nil; try++ {
+		err := s.callStart(o, payload, checkpoint)
+		var refused *RefusedError
+		switch {
+		case err == nil:
+			return
+		case errors.Is(err, ErrOtherIncarnation):
+			s.t.mu.Lock()
+			s.hurry()
+			s.t.mu.Unlock()
+			return
+		case errors.As(err, &refused):
+			s.startRefused(o, refused.Reason)
+			return
+		}
+		s.t.mu.Lock()
+		o.open++
+		o.unanswered = true
+		listed := o.listed
+		s.t.mu.Unlock()
+		s.t.logger.Log("event", "start", "task", o.run.Task, "run", o.run.Number, "worker", s.worker.ID,
+			"outcome", "no answer", "try", try, "err", err)
+		if listed {
+			return
+		}
+	}
+	s.t.kick()
+}
+
+func (s *session) callStart(o *order, payload, checkpoint string) error {
+	t := s.t
+	t.mu.Lock()
+	start := StartOrder{
+		Run: o.run, Payload: payload, LeaseEndMS: s.leaseEndMS(time.Now()), Fence: t.fence,
+		Checkpoint: checkpoint, Ticket: o.ticket,
+	}
+	target := s.target()
+	t.mu.Unlock()
+	ctx, cancel := context.WithTimeout(t.ctx, callTimeout)
+	defer cancel()
+	begun := time.Now()
+	clockMS, err := t.c.cfg.Workers.Start(ctx, target, start)
+	now := time.Now()
+	t.c.cfg.Counters.Observe("start", now.Sub(begun))
+	if err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s.noteClock(clockMS, now)
+	o.unanswered = false
+	o.startedAt = now
+	return nil
+}
+
+// startRefused ends a run that the worker refused to begin, unless an earlier
+// call without an answer may still be carried out; then a stop settles it.
+func (s *session) startRefused(o *order, reason Refusal) {
+	t := s.t
+	t.c.cfg.Counters.Add("starts_refused_"+string(reason), 1)
+	t.logger.Log("event", "start", "task", o.run.Task, "run", o.run.Number, "worker", s.worker.ID,
+		"outcome", "refused", "reason", reason)
+	t.mu.Lock()
+	if reason == RefusedTicket {
+		t.forgetTicket(o.run.Task.StepKey, s.worker.ID)
+	}
+	open := o.open > 0
+	if open {
+		o.unanswered = true
+	}
+	t.mu.Unlock()
+	if open || reason == RefusedFence {
+		return
+	}
+	s.commitEnds(0, []workflow.RunEnd{{Task: o.run.Task, Number: o.run.Number, Outcome: workflow.OutcomeNotStarted}})
+}
+
+// sendStop tells the worker to end a run, or never to begin it.
+func (s *session) sendStop(run workflow.Run) {
+	clockMS, err := s.callStop(run)
+	t := s.t
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err != nil {
+		t.logger.Log("event", "stop", "task", run.Task, "run", run.Number, "worker", s.worker.ID,
+			"outcome", "no answer", "err", err)
+		return
+	}
+	now := time.Now()
+	s.noteClock(clockMS, now)
+	o := s.orders[run.Task]
+	if o != nil && o.run.Number == run.Number && o.stopAcked.IsZero() {
+		o.stopAcked = now
+		o.unanswered = false
+		// The held look began before the acknowledgement and settles nothing.
+		if !o.listed {
+			s.hurry()
+		}
+	}
+}
+
+// stopStranger stops a run that the log doesn't have.
+func (s *session) stopStranger(run workflow.Run) {
+	_, err := s.callStop(run)
+	s.t.logger.Log("event", "stop", "task", run.Task, "run", run.Number, "worker", s.worker.ID,
+		"cause", "not in the log", "err", err)
+}
+
+func (s *session) callStop(run workflow.Run) (int64, error) {
+	t := s.t
+	t.mu.Lock()
+	target := s.target()
+	t.mu.Unlock()
+	ctx, cancel := context.WithTimeout(t.ctx, callTimeout)
+	defer cancel()
+	t.c.cfg.Counters.Add("stops", 1)
+	return t.c.cfg.Workers.Stop(ctx, target, StopOrder{Run: run, Fence: t.fence})
+}
--- /dev/null
+++ b/internal/control/permits.go
@@ -0,0 +1,213 @@
+package control
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/bilberryferry/bilberryferry/dispatch"
+	"github.com/bilberryferry/bilberryferry/internal/link"
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+const (
+	// laneFor is how long an instance is asked to put questions after it was last
+	// heard from: three of its announcements.
+	laneFor = time.Second
+	// laneRest is how long a lane is left alone after a question without an answer.
+	laneRest = time.Second
+	// askSlack is added to the time that the adviser says a question takes.
+	askSlack = 800 * time.Millisecond
+	// longAsk is the length from which on a question keeps to the lanes for long
+	// ones, so that no short question waits behind it.
+	longAsk = 150 * time.Millisecond
+	// laneDepth bounds the questions under way on one lane.
+	laneDepth = 3
+)
+
+// stepPermits is what is known of the permissions of one step.
+type stepPermits struct {
+	known    map[string]dispatch.Permit
+	asking   bool
+	renewing []string
+}
+
+// lane is one instance that puts questions to the adviser, which serves the
+// questions of one machine one after the other.
+type lane struct {
+	address string
+	heard   time.Time
+	// restUntil keeps a lane unused that failed.
+	restUntil time.Time
+	// busyUntil is when the questions under way will have been answered.
+	busyUntil time.Time
+	underWay  int
+}
+
+// lanes spreads questions over the instances.
+type lanes struct {
+	own     string
+	adviser Adviser
+	client  *link.Client
+
+	mu  sync.Mutex
+	all map[string]*lane
+}
+
+func newLanes(own string, adviser Adviser, client *link.Client) *lanes {
+	return &lanes{own: own, adviser: adviser, client: client, all: map[string]*lane{own: {address: own}}}
+}
+
+// note takes in that an instance is there.
+func (l *lanes) note(address string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.all[address]
+	if known == nil {
+		known = &lane{address: address}
+		l.all[address] = known
+	}
+	known.heard = now
+}
+
+// live returns the lanes that can be used, in a fixed order. l.mu is held.
+func (l *lanes) live(now time.Time) []*lane {
+	var live []*lane
+	for _, candidate := range l.all {
+		present := candidate.address == l.own || now.Sub(candidate.heard) < laneFor
+		if present && now.After(candidate.restUntil) && candidate.underWay < laneDepth {
+			live = append(live, candidate)
+		}
+	}
+	slices.SortFunc(live, func(a, b *lane) int { return cmp.Compare(a.address, b.address) })
+	return live
+}
+
+// free returns how many questions may be put now.
+func (l *lanes) free(now time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.live(now))
+}
+
+// take picks the lane that will be free first. Long questions use the second
+// half of the lanes only and short ones prefer the first.
+func (l *lanes) take(now time.Time, length time.Duration) *lane {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	live := l.live(now)
+	if length > longAsk && len(live) > 1 {
+		live = live[len(live)/2:]
+	}
+	if len(live) == 0 {
+		return nil
+	}
+	chosen := slices.MinFunc(live, func(a, b *lane) int { return a.busyUntil.Compare(b.busyUntil) })
+	if chosen.busyUntil.Before(now) {
+		chosen.busyUntil = now
+	}
+	chosen.busyUntil = chosen.busyUntil.Add(length)
+	chosen.underWay++
+	return chosen
+}
+
+func (l *lanes) give(used *lane, now time.Time, failed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	used.underWay--
+	if used.underWay == 0 {
+		used.busyUntil = now
+	}
+	if failed {
+		used.restUntil = now.Add(laneRest)
+	}
+}
+
+func (l *lanes) ask(ctx context.Context, through *lane, call AskCall) (AskReply, error) {
+	if through.address == l.own {
+		return l.adviser.Ask(ctx, call)
+	}
+	var reply AskReply
+	err := l.client.Call(ctx, through.address, MethodAsk, &call, &reply)
+	return reply, err
+}
+
+// askLength is how long the adviser takes to answer.
+func askLength(policy *workflow.AdvicePolicy, workers int) time.Duration {
+	return time.Duration((policy.DecideMS + policy.EachMS*float64(workers)) * float64(time.Millisecond))
+}
+
+// permitsOf returns what is known of a step's permissions. t.mu is held.
+func (t *tenure) permitsOf(key workflow.StepKey) *stepPermits {
+	p := t.permits[key]
+	if p == nil {
+		p = &stepPermits{known: map[string]dispatch.Permit{}}
+		t.permits[key] = p
+	}
+	return p
+}
+
+// forgetTicket makes the next start of the step on the worker ask again. t.mu is held.
+func (t *tenure) forgetTicket(key workflow.StepKey, worker string) {
+	p := t.permitsOf(key)
+	if permit, ok := p.known[worker]; ok {
+		permit.Expires = 0
+		p.known[worker] = permit
+	}
+}
+
+// ask puts a question to the adviser and takes in the answer.
+func (t *tenure) ask(question dispatch.Ask, policy *workflow.AdvicePolicy) {
+	length := askLength(policy, len(question.Workers))
+	used := t.lanes.take(time.Now(), length)
+	if used == nil {
+		return
+	}
+	t.mu.Lock()
+	p := t.permitsOf(question.Step)
+	p.asking = true
+	if question.Renewal {
+		p.renewing = question.Workers
+	}
+	t.mu.Unlock()
+	valid := time.Duration(policy.ValidMS) * time.Millisecond
+	t.goTask(func() { t.askThrough(used, question, valid, time.Until(used.busyUntil)+askSlack) })
+}
+
+// askThrough asks on a lane; valid is how long a ticket holds by the policy,
+// where the answer doesn't say.
+func (t *tenure) askThrough(used *lane, question dispatch.Ask, valid, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(t.ctx, limit)
+	defer cancel()
+	begun := time.Now()
+	reply, err := t.lanes.ask(ctx, used, AskCall{Step: question.Step, Workers: question.Workers})
+	now := time.Now()
+	if reply.Valid == 0 {
+		reply.Valid = valid
+	}
+	t.lanes.give(used, now, err != nil)
+	t.c.cfg.Counters.Add("asks", 1)
+	t.c.cfg.Counters.Observe("ask", now.Sub(begun))
+	t.logger.Log("event", "permit", "step", question.Step, "through", used.address, "asked", len(question.Workers),
+		"granted", len(reply.Granted), "renewal", question.Renewal, "ms", now.Sub(begun).Milliseconds(), "err", err)
+	t.mu.Lock()
+	p := t.permitsOf(question.Step)
+	p.asking, p.renewing = false, nil
+	if err == nil {
+		p.takeIn(question.Workers, reply, now.Add(reply.Valid).Sub(t.started))
+	}
+	t.mu.Unlock()
+	t.kick()
+}
+
+// takeIn remembers an answer: whoever was asked about and isn't in it is refused.
+func (p *stepPermits) takeIn(asked []string, reply AskReply, expires time.Duration) {
+	for _, worker := range asked {
+		p.known[worker] = dispatch.Permit{}
+	}
+	for _, grant := range reply.Granted {
+		p.known[grant.Worker] = dispatch.Permit{Granted: true, Ticket: grant.Ticket, Expires: expires}
+	}
+}
--- /dev/null
+++ b/internal/control/planner.go
@@ -0,0 +1,286 @@
+package control
+
+import (
+	"time"
+
+	"github.com/bilberryferry/bilberryferry/dispatch"
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+const (
+	// askWorkers is how many workers one question names: objectives allow for a
+	// question about 30 a step.
+	askWorkers = 30
+	// ticketMargin is what a ticket must hold still when a start is planned: the
+	// commit of the start and its way to the worker.
+	ticketMargin = 150 * time.Millisecond
+	// lateFactor times its objective after acceptance a job is worth nothing more.
+	lateFactor = 3
+	// planBusy is the least time between two decisions, so that what comes up
+	// together is decided together.
+	planBusy = 2 * time.Millisecond
+)
+
+// planLoop decides whenever something has changed, until the tenure ends.
+func (t *tenure) planLoop() {
+	for t.ctx.Err() == nil {
+		timer := time.NewTimer(planPause)
+		select {
+		case <-t.ctx.Done():
+		case <-t.kicked:
+		case <-timer.C:
+		}
+		timer.Stop()
+		if t.ctx.Err() != nil {
+			return
+		}
+		t.decide()
+		sleep(t.ctx, planBusy)
+	}
+}
+
+// decide makes one plan, commits its starts and sends them.
+func (t *tenure) decide() {
+	begun := time.Now()
+	steps, workers, policies, stops := t.snapshot(begun)
+	for _, stop := range stops {
+		t.goTask(func() { stop.session.sendStop(stop.run) })
+	}
+	plan := dispatch.Decide(begun.Sub(t.started), steps, workers, dispatch.Limits{
+		AskWorkers: askWorkers, Asks: t.lanes.free(begun), TicketMargin: ticketMargin,
+	})
+	t.c.cfg.Counters.Observe("decide", time.Since(begun))
+	for _, question := range plan.Asks {
+		t.ask(question, policies[question.Step])
+	}
+	if len(plan.Starts) > 0 {
+		t.start(plan.Starts)
+	}
+}
+
+// start commits starts and then sends them.
+func (t *tenure) start(starts []dispatch.Start) {
+	command := &workflow.Command{}
+	tickets := make(map[workflow.TaskKey]string, len(starts))
+	for _, s := range starts {
+		command.Start = append(command.Start, workflow.Run{Task: s.Task, Worker: s.Worker})
+		tickets[s.Task] = s.Ticket
+	}
+	result, err := t.propose(command)
+	if err != nil {
+		return
+	}
+	for _, run := range result.Started {
+		t.sendStarted(run, tickets[run.Task])
+	}
+}
+
+func (t *tenure) sendStarted(run workflow.Run, ticket string) {
+	var payload, checkpoint string
+	var step *workflow.Step
+	t.c.machine.read(func(s *workflow.State) {
+		job := s.Jobs[run.Task.Job]
+		if job == nil {
+			return
+		}
+		payload = job.Payload
+		step = &job.Steps[run.Task.Step]
+		checkpoint = s.Task(run.Task).Checkpoint
+	})
+	t.mu.Lock()
+	s := t.sessions[run.Worker]
+	o := &order{run: run, step: step, ticket: ticket}
+	if s != nil {
+		s.orders[run.Task] = o
+	}
+	t.mu.Unlock()
+	t.logger.Log("event", "run_started", "task", run.Task, "run", run.Number, "worker", run.Worker,
+		"ticket", ticket != "", "resumed", checkpoint != "")
+	if s == nil {
+		// The worker went away while the start was being committed; its end, which
+		// is committed as well, covers the run.
+		_, _ = t.propose(&workflow.Command{Ends: &workflow.WorkerEnds{Worker: run.Worker, Ends: []workflow.RunEnd{
+			{Task: run.Task, Number: run.Number, Outcome: workflow.OutcomeNotStarted},
+		}}})
+		return
+	}
+	t.goTask(func() { s.sendStart(o, payload, checkpoint) })
+}
+
+// stopping is a run that is to be stopped.
+type stopping struct {
+	session *session
+	run     workflow.Run
+}
+
+// snapshot gathers what a decision needs. Everything in it is a copy.
+func (t *tenure) snapshot(now time.Time) (steps []dispatch.Step, workers []dispatch.Worker,
+	policies map[workflow.StepKey]*workflow.AdvicePolicy, stops []stopping) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	policies = map[workflow.StepKey]*workflow.AdvicePolicy{}
+	t.c.machine.read(func(s *workflow.State) {
+		placed := t.gatherRuns(s, now, &stops)
+		workers = t.gatherWorkers(s, now)
+		for _, job := range s.Open() {
+			steps = t.gatherSteps(steps, job, now, placed)
+		}
+		for i := range steps {
+			policies[steps[i].Key] = s.Jobs[steps[i].Key.Job].Policy.Advice
+		}
+	})
+	return steps, workers, policies, stops
+}
+
+// gatherRuns counts the runs of each step on each worker and finds those that
+// are to be stopped.
+func (t *tenure) gatherRuns(s *workflow.State, now time.Time, stops *[]stopping) map[workflow.StepKey]map[string]int {
+	placed := map[workflow.StepKey]map[string]int{}
+	for id, runs := range s.Runs {
+		session := t.sessions[id]
+		for task, run := range runs {
+			if placed[task.StepKey] == nil {
+				placed[task.StepKey] = map[string]int{}
+			}
+			placed[task.StepKey][id]++
+			if session != nil && t.unwanted(s, run, session) && session.stopDue(run, now) {
+				*stops = append(*stops, stopping{session, run})
+			}
+		}
+	}
+	return placed
+}
+
+// unwanted reports whether a run serves nobody: its job has ended, another
+// member of its gang has, or its start got no answer.
+func (t *tenure) unwanted(s *workflow.State, run workflow.Run, session *session) bool {
+	job := s.Jobs[run.Task.Job]
+	if job == nil || job.Cancelled || job.Failed {
+		return true
+	}
+	step := &job.Occurrences[run.Task.Occurrence][run.Task.Step]
+	if job.Steps[run.Task.Step].Gang && step.GangEndedRun >= run.Number {
+		return true
+	}
+	o := session.orders[run.Task]
+	return o != nil && o.unanswered && o.open >= startTries
+}
+
+// stopDue reports whether a stop is to be sent now, and notes that it is.
+func (s *session) stopDue(run workflow.Run, now time.Time) bool {
+	o := s.orders[run.Task]
+	if o == nil || o.run.Number != run.Number {
+		if s.inherited[run.Task] != run.Number {
+			return false
+		}
+		o = &order{run: run, listed: true}
+		s.orders[run.Task] = o
+	}
+	if now.Sub(o.stopSent) < stopAgain {
+		return false
+	}
+	o.stopSent = now
+	return true
+}
+
+func (t *tenure) gatherWorkers(s *workflow.State, now time.Time) []dispatch.Worker {
+	var workers []dispatch.Worker
+	for id, session := range t.sessions {
+		state := s.Workers[id]
+		if state == nil || state.Gone || state.Draining || !session.usable(now) {
+			continue
+		}
+		free := state.Capacity
+		for task := range s.Runs[id] {
+			if job := s.Jobs[task.Job]; job != nil {
+				free = free.Minus(job.Steps[task.Step].Room())
+			}
+		}
+		workers = append(workers, dispatch.Worker{Worker: state.Worker, Free: free, Penalty: session.failures})
+	}
+	return workers
+}
+
+func (t *tenure) gatherSteps(steps []dispatch.Step, job *workflow.Job, now time.Time,
+	placed map[workflow.StepKey]map[string]int) []dispatch.Step {
+	accepted, ok := t.accepted[job.ID]
+	if !ok {
+		accepted = t.started
+		t.accepted[job.ID] = accepted
+	}
+	objective := objectiveOf(job)
+	for occurrence := range job.Occurrences {
+		begin := accepted
+		if job.Schedule.Times > 0 {
+			due := time.UnixMilli(job.Schedule.DueMS(occurrence))
+			if now.Round(0).Before(due) {
+				continue
+			}
+			begin = now.Add(-now.Round(0).Sub(due))
+		}
+		for step := range job.Steps {
+			key := workflow.StepKey{Job: job.ID, Occurrence: occurrence, Step: step}
+			state := &job.Occurrences[occurrence][step]
+			pending := pendingTasks(&job.Steps[step], state)
+			if len(pending) == 0 || !job.StepReady(occurrence, step) {
+				continue
+			}
+			steps = append(steps, t.step(job, key, pending, begin, objective, now, placed[key]))
+		}
+	}
+	return steps
+}
+
+func (t *tenure) step(job *workflow.Job, key workflow.StepKey, pending []int, begin time.Time,
+	objective time.Duration, now time.Time, placed map[string]int) dispatch.Step {
+	step := dispatch.Step{
+		Key: key, Spec: &job.Steps[key.Step], Service: job.Policy.Service, Priority: job.Policy.Priority,
+		Due: begin.Add(objective).Sub(t.started), Pending: pending, Placed: placed,
+	}
+	switch age := now.Sub(begin); {
+	case age > lateFactor*objective:
+		step.Late = 2
+	case age > objective:
+		step.Late = 1
+	}
+	if job.Policy.Advice == nil {
+		return step
+	}
+	p := t.permitsOf(key)
+	step.NeedsPermit = true
+	step.Asking, step.Renewing = p.asking, p.renewing
+	step.Permits = make(map[string]dispatch.Permit, len(p.known))
+	for worker, permit := range p.known {
+		step.Permits[worker] = permit
+	}
+	return step
+}
+
+// pendingTasks returns the tasks that may be started; of a gang all or none.
+func pendingTasks(spec *workflow.Step, state *workflow.StepState) []int {
+	if spec.Gang && (state.Live() > 0 || state.Done > 0) {
+		return nil
+	}
+	var pending []int
+	for i := range state.Tasks {
+		if task := &state.Tasks[i]; !task.Done && task.Live == 0 {
+			pending = append(pending, i)
+		}
+	}
+	return pending
+}
+
+// objectiveOf is how long after its acceptance a job should have ended.
+func objectiveOf(job *workflow.Job) time.Duration {
+	longest := make([]int64, len(job.Steps))
+	chain := int64(0)
+	for i := range job.Steps {
+		for _, before := range job.Steps[i].DependsOn {
+			longest[i] = max(longest[i], longest[before])
+		}
+		longest[i] += job.Steps[i].EstimateMS
+		chain = max(chain, longest[i])
+	}
+	ms := job.Policy.Stretch*float64(chain) + float64(job.Policy.ObjectiveMS)
+	return time.Duration(ms * float64(time.Millisecond))
+}
--- /dev/null
+++ b/internal/control/ports.go
@@ -0,0 +1,140 @@
+// Package control is what the leader of the core does: it takes in jobs and
+// announcements of workers, decides which tasks start where, commits that and
+// only then sends orders, holds the workers under leases and takes in how
+// tasks ended. A tenure of the leadership is one value of type tenure; nothing
+// of it outlives the leadership, and everything that must is in the log.
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+// Target is the incarnation of a worker that an order is meant for.
+type Target struct {
+	Worker  string
+	Address string
+}
+
+// StartOrder tells a worker to begin a run.
+type StartOrder struct {
+	Run     workflow.Run
+	Payload string
+	// LeaseEndMS is on the worker's own clock and holds for all that runs there.
+	LeaseEndMS int64
+	// Fence grows from one leader to the next; workers refuse lower ones.
+	Fence      uint64
+	Checkpoint string
+	// Ticket is the adviser's, empty where none is needed.
+	Ticket string
+}
+
+// StopOrder tells a worker to end a run, or never to begin it.
+type StopOrder struct {
+	Run   workflow.Run
+	Fence uint64
+}
+
+// LookOrder asks a worker what runs and what has ended.
+type LookOrder struct {
+	Fence uint64
+	// Seen is the last end that needn't be listed any more.
+	Seen uint64
+	// LeaseEndMS prolongs the lease, on the worker's own clock; 0 leaves it.
+	LeaseEndMS int64
+	// Wait is how long the worker may hold the answer back until a run ends.
+	Wait time.Duration
+}
+
+// Running is a run that a worker lists as alive.
+type Running struct {
+	Task       workflow.TaskKey
+	Number     int
+	Checkpoint string
+	// Percent is the share of the work that is done.
+	Percent int
+}
+
+// Ended is an end that a worker lists.
+type Ended struct {
+	// Position counts the ends of the incarnation from 1.
+	Position uint64
+	workflow.RunEnd
+}
+
+// Report is a worker's answer to a LookOrder.
+type Report struct {
+	ClockMS int64
+	Running []Running
+	Ended   []Ended
+	// Partial says that more ends are waiting than one answer lists.
+	Partial bool
+}
+
+// Refusal is why a worker didn't carry out an order.
+type Refusal string
+
+// Refusals.
+const (
+	// RefusedFence: the worker has seen a later leader.
+	RefusedFence Refusal = "fence"
+	// RefusedOld: a run as high was stopped or has ended there.
+	RefusedOld Refusal = "old"
+	// RefusedLate: the lease in the order had ended.
+	RefusedLate Refusal = "late"
+	// RefusedRoom: the worker has no room.
+	RefusedRoom Refusal = "room"
+	// RefusedTicket: the ticket isn't valid.
+	RefusedTicket Refusal = "ticket"
+	// RefusedInvalid: the worker can't read the order.
+	RefusedInvalid Refusal = "invalid"
+	// RefusedUnhealthy: the worker takes nothing at present.
+	RefusedUnhealthy Refusal = "unhealthy"
+)
+
+// RefusedError says that a worker refused an order and did nothing.
+type RefusedError struct{ Reason Refusal }
+
+// Error names the reason.
+func (e *RefusedError) Error() string { return "refused: " + string(e.Reason) }
+
+// ErrOtherIncarnation says that the target's incarnation is over.
+var ErrOtherIncarnation = errors.New("another incarnation answers")
+
+// Workers sends orders to workers. Start and Stop return the worker's clock.
+// An error that is neither a RefusedError nor ErrOtherIncarnation leaves open
+// whether, and when, the order is carried out.
+type Workers interface {
+	Start(ctx context.Context, to Target, order StartOrder) (clockMS int64, err error)
+	Stop(ctx context.Context, to Target, order StopOrder) (clockMS int64, err error)
+	Look(ctx context.Context, to Target, order LookOrder) (Report, error)
+}
+
+// Grant permits a step to run on a worker.
+type Grant struct {
+	Worker string `cbor:"1,keyasint"`
+	Ticket string `cbor:"2,keyasint"`
+}
+
+// AskCall is a question to the adviser, put by any instance.
+type AskCall struct {
+	Step    workflow.StepKey `cbor:"1,keyasint"`
+	Workers []string         `cbor:"2,keyasint"`
+}
+
+// AskReply lists the workers that may run the step.
+type AskReply struct {
+	Granted []Grant `cbor:"1,keyasint"`
+	// Valid is how long the tickets hold from the answer on.
+	Valid time.Duration `cbor:"2,keyasint"`
+}
+
+// Adviser permits steps to run on workers. It serves the calls of one machine
+// one after the other.
+type Adviser interface {
+	Ask(ctx context.Context, call AskCall) (AskReply, error)
+}
--- /dev/null
+++ b/internal/control/report.go
@@ -0,0 +1,146 @@
+package control
+
+import (
+	"time"
+
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+const (
+	// stopAgain is the time between two stops of the same run.
+	stopAgain = 400 * time.Millisecond
+	// quarantineAfter is how many runs of different jobs must fail in a row before
+	// a worker is set aside; a job that always fails doesn't count twice.
+	quarantineAfter = 3
+	// quarantineFor is how long it is then given nothing.
+	quarantineFor = 4 * time.Second
+)
+
+// takeIn works through a worker's lists. A run that is in the log and in
+// neither list is settled as never started when it can't start any more.
+func (s *session) takeIn(report Report, sent time.Time) {
+	t := s.t
+	now := time.Now()
+	t.mu.Lock()
+	first := !s.ready
+	s.ready = true
+	s.answeredAt = now
+	s.noteClock(report.ClockMS, now)
+	ends, seen := s.listedEnds(report)
+	ends = append(ends, s.neverStarted(report, ends, sent)...)
+	strangers := s.noteRunning(report, now)
+	t.mu.Unlock()
+	if first {
+		t.logger.Log("event", "worker_contact", "worker", s.worker.ID, "outcome", "ready",
+			"running", len(report.Running), "ended", len(report.Ended))
+	}
+	for _, run := range strangers {
+		t.goTask(func() { s.stopStranger(run) })
+	}
+	if seen > 0 || len(ends) > 0 {
+		s.logEnds(ends)
+		s.commitEnds(seen, ends)
+	} else if first {
+		t.kick()
+	}
+}
+
+func (s *session) logEnds(ends []workflow.RunEnd) {
+	for _, end := range ends {
+		s.t.c.cfg.Counters.Add("ends_"+end.Outcome.String(), 1)
+		s.t.logger.Log("event", "run_ended", "task", end.Task, "run", end.Number, "worker", s.worker.ID,
+			"outcome", end.Outcome)
+	}
+}
+
+// listedEnds returns the ends that are new. t.mu is held.
+func (s *session) listedEnds(report Report) (ends []workflow.RunEnd, seen uint64) {
+	for _, e := range report.Ended {
+		seen = max(seen, e.Position)
+		ends = append(ends, e.RunEnd)
+		s.noteHealth(e.RunEnd)
+	}
+	return ends, seen
+}
+
+// noteHealth sets a worker aside that fails whatever it is given.
+func (s *session) noteHealth(end workflow.RunEnd) {
+	switch end.Outcome {
+	case workflow.OutcomeDone:
+		s.failures, s.failedJob = 0, ""
+	case workflow.OutcomeFailed:
+		if end.Task.Job == s.failedJob {
+			return
+		}
+		s.failures++
+		s.failedJob = end.Task.Job
+		if s.failures >= quarantineAfter {
+			s.quarantine = time.Now().Add(quarantineFor)
+			s.t.logger.Log("event", "quarantine", "worker", s.worker.ID, "failures", s.failures)
+		}
+	}
+}
+
+// noteRunning takes in checkpoints of the runs that are alive, and returns those
+// that the log doesn't have. t.mu is held.
+func (s *session) noteRunning(report Report, now time.Time) []workflow.Run {
+	var strangers []workflow.Run
+	s.t.c.machine.read(func(state *workflow.State) {
+		for _, r := range report.Running {
+			run, ok := state.Runs[s.worker.ID][r.Task]
+			if !ok || run.Number != r.Number {
+				stranger := workflow.Run{Task: r.Task, Number: r.Number, Worker: s.worker.ID}
+				if now.Sub(s.strangers[stranger]) > stopAgain {
+					s.strangers[stranger] = now
+					strangers = append(strangers, stranger)
+				}
+				continue
+			}
+			if r.Checkpoint != "" {
+				s.t.checkpoints[r.Task] = r.Checkpoint
+			}
+			if o := s.orders[r.Task]; o != nil {
+				o.unanswered = false
+				o.listed = true
+			}
+		}
+	})
+	return strangers
+}
+
+// neverStarted returns the runs that this report proves never to have begun and
+// never to begin. t.mu is held.
+//
+// Failure guarded against: an order without an answer may be carried out seconds
+// later; taking its run for not begun would start the task twice. An inherited
+// run is settled because the worker has taken this tenure's fence before it
+// made the lists, and refuses the older order from then on. An own run is
+// settled when the worker had acknowledged a stop before the look was sent: it
+// refuses the run from then on.
+func (s *session) neverStarted(report Report, ends []workflow.RunEnd, sent time.Time) []workflow.RunEnd {
+	if report.Partial {
+		return nil
+	}
+	listed := map[workflow.TaskKey]int{}
+	for _, r := range report.Running {
+		listed[r.Task] = r.Number
+	}
+	for _, e := range ends {
+		listed[e.Task] = max(listed[e.Task], e.Number)
+	}
+	var settled []workflow.RunEnd
+	s.t.c.machine.read(func(state *workflow.State) {
+		for task, run := range state.Runs[s.worker.ID] {
+			if listed[task] >= run.Number {
+				continue
+			}
+			o := s.orders[task]
+			stopped := o != nil && o.run.Number == run.Number && !o.stopAcked.IsZero() && o.stopAcked.Before(sent)
+			inherited := o == nil && s.inherited[task] == run.Number
+			if stopped || inherited {
+				settled = append(settled, workflow.RunEnd{Task: task, Number: run.Number, Outcome: workflow.OutcomeNotStarted})
+			}
+		}
+	})
+	return settled
+}
--- /dev/null
+++ b/internal/control/serve.go
@@ -0,0 +1,265 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/bilberryferry/bilberryferry/fault"
+	"github.com/bilberryferry/bilberryferry/internal/link"
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+// commitTimeout bounds a call that waits for the log. A commit takes one sync,
+// and a client waits for 3 s in all.
+const commitTimeout = 2 * time.Second
+
+// retryLater is when a caller is told to come back that met no configuration:
+// the first version is sent again until it is accepted.
+const retryLater = time.Second
+
+// Register serves the controller's calls on mux.
+func (c *Controller) Register(mux *link.Mux) {
+	link.Handle(mux, MethodSubmit, c.Submit)
+	link.Handle(mux, MethodState, c.State)
+	link.Handle(mux, MethodCancel, c.Cancel)
+	link.Handle(mux, MethodAnnounce, c.Announce)
+	link.Handle(mux, MethodLeave, c.Leave)
+	link.Handle(mux, MethodConfigure, c.Configure)
+	link.Handle(mux, MethodConfiguration, c.Configuration)
+	link.Handle(mux, MethodFollow, c.Follow)
+}
+
+// resolve finds the queue of a place. NotFound is said only after the log has
+// shown that the configuration here is the newest.
+func (c *Controller) resolve(ctx context.Context, place Place) (workflow.Queue, string, error) {
+	queue, rest, err := c.lookUp(place)
+	if !fault.Is(err, fault.NotFound) {
+		return queue, rest, err
+	}
+	if err := c.log.Barrier(ctx); err != nil {
+		return workflow.Queue{}, "", link.NotLeader(c.cfg.Leader())
+	}
+	return c.lookUp(place)
+}
+
+func (c *Controller) lookUp(place Place) (found workflow.Queue, rest string, err error) {
+	c.machine.read(func(s *workflow.State) {
+		if s.Configuration.Source == nil {
+			err = fault.Retry(fault.Unavailable, retryLater, "no configuration yet")
+			return
+		}
+		queue, after, ok := s.Configuration.Resolve(place.Host, place.Path)
+		if !ok {
+			err = fault.New(fault.NotFound, "no queue at %s%s", place.Host, place.Path)
+			return
+		}
+		found, rest = *queue, after
+	})
+	return found, rest, err
+}
+
+// Submit stores a job. It returns once a majority of the disks has it.
+func (c *Controller) Submit(ctx context.Context, r *SubmitCall) (SubmitReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	t, err := c.leading()
+	if err != nil {
+		return SubmitReply{}, err
+	}
+	queue, id, err := c.resolve(ctx, r.Place)
+	if err != nil {
+		return SubmitReply{}, err
+	}
+	if id == "" {
+		return SubmitReply{}, fault.Field("id", "a job needs an id")
+	}
+	begun := time.Now()
+	submission := workflow.Submission{
+		ID: id, Queue: queue.Identity(), Payload: r.Payload, Steps: r.Steps, Schedule: r.Schedule, Policy: queue.Policy,
+	}
+	result, err := c.propose(ctx, &workflow.Command{Submit: &submission})
+	if err != nil {
+		t.logger.Log("event", "submit", "job", id, "queue", queue.Name, "outcome", fault.KindOf(err), "err", err)
+		return SubmitReply{}, err
+	}
+	if result.Submit == workflow.SubmitConflict {
+		return SubmitReply{}, fault.New(fault.Conflict, "job %s belongs to another queue", id)
+	}
+	known := result.Submit == workflow.SubmitKnown
+	if !known {
+		t.noteAccepted(id, begun)
+		c.cfg.Counters.Add("jobs_accepted", 1)
+	}
+	t.logger.Log("event", "submit", "job", id, "queue", queue.Name, "outcome", "accepted", "known", known,
+		"steps", len(r.Steps), "commit_ms", time.Since(begun).Milliseconds())
+	return SubmitReply{Known: known}, nil
+}
+
+// State returns the phase of a job, or how many jobs of a queue wait. That a
+// job isn't known is said only after the log has shown that nothing is missing here.
+func (c *Controller) State(ctx context.Context, r *StateCall) (StateReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	if _, err := c.leading(); err != nil {
+		return StateReply{}, err
+	}
+	queue, id, err := c.resolve(ctx, r.Place)
+	if err != nil {
+		return StateReply{}, err
+	}
+	if id == "" {
+		return StateReply{Queue: true, Waiting: c.waiting(queue.Identity())}, nil
+	}
+	if phase, ok := c.phase(id, queue.Identity()); ok {
+		return StateReply{Phase: phase}, nil
+	}
+	if err := c.log.Barrier(ctx); err != nil {
+		return StateReply{}, link.NotLeader(c.cfg.Leader())
+	}
+	phase, ok := c.phase(id, queue.Identity())
+	if !ok {
+		return StateReply{}, fault.New(fault.Cancelled, "no job %s", id)
+	}
+	return StateReply{Phase: phase}, nil
+}
+
+func (c *Controller) phase(id, queue string) (phase workflow.Phase, ok bool) {
+	c.machine.read(func(s *workflow.State) {
+		job := s.Jobs[id]
+		if job != nil && job.Queue == queue {
+			phase, ok = job.Phase(), true
+		}
+	})
+	return phase, ok
+}
+
+func (c *Controller) waiting(queue string) (n int) {
+	c.machine.read(func(s *workflow.State) {
+		for _, job := range s.Open() {
+			if job.Queue == queue && !job.Begun {
+				n++
+			}
+		}
+	})
+	return n
+}
+
+// Cancel ends a job. The answer comes after the commit; runs are stopped then.
+func (c *Controller) Cancel(ctx context.Context, r *CancelCall) (Empty, error) {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	t, err := c.leading()
+	if err != nil {
+		return Empty{}, err
+	}
+	queue, id, err := c.resolve(ctx, r.Place)
+	if err != nil {
+		return Empty{}, err
+	}
+	if _, ok := c.phase(id, queue.Identity()); !ok {
+		if err := c.log.Barrier(ctx); err != nil {
+			return Empty{}, link.NotLeader(c.cfg.Leader())
+		}
+		if _, ok := c.phase(id, queue.Identity()); !ok {
+			return Empty{}, fault.New(fault.Cancelled, "no job %s", id)
+		}
+	}
+	_, err = c.propose(ctx, &workflow.Command{Cancel: id})
+	t.logger.Log("event", "cancel", "job", id, "err", err)
+	return Empty{}, err
+}
+
+// Announce takes in a worker's heartbeat. One that says something new is
+// acknowledged only once that is committed, so that the next leader knows it.
+func (c *Controller) Announce(ctx context.Context, r *Announcement) (AnnouncementReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	t, err := c.leading()
+	if err != nil {
+		return AnnouncementReply{}, err
+	}
+	if c.news(&r.Worker) {
+		if _, err := c.propose(ctx, &workflow.Command{Worker: &r.Worker}); err != nil {
+			return AnnouncementReply{}, err
+		}
+		t.logger.Log("event", "worker", "worker", r.Worker.ID, "address", r.Worker.Address,
+			"draining", r.Worker.Draining, "sequence", r.Sequence)
+	}
+	t.heard(&r.Worker, r.Remaining)
+	return AnnouncementReply{Leader: c.cfg.Public}, nil
+}
+
+// news reports whether the log doesn't have the worker as it announces itself.
+// An incarnation that is over stays over, and one that drains doesn't come back:
+// such a heartbeat was delayed on its way.
+func (c *Controller) news(w *workflow.Worker) (isNew bool) {
+	c.machine.read(func(s *workflow.State) {
+		known := s.Workers[w.ID]
+		switch {
+		case known == nil:
+			isNew = true
+		case known.Gone || known.Draining:
+		default:
+			isNew = known.Draining != w.Draining || known.Address != w.Address
+		}
+	})
+	return isNew
+}
+
+// Leave takes note that an incarnation has ended.
+func (c *Controller) Leave(ctx context.Context, r *LeaveCall) (Empty, error) {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	t, err := c.leading()
+	if err != nil {
+		return Empty{}, err
+	}
+	t.logger.Log("event", "worker_left", "worker", r.Worker)
+	t.probe(r.Worker)
+	return Empty{}, nil
+}
+
+// Configure stores a version of the configuration.
+func (c *Controller) Configure(ctx context.Context, r *ConfigureCall) (Empty, error) {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	t, err := c.leading()
+	if err != nil {
+		return Empty{}, err
+	}
+	result, err := c.propose(ctx, &workflow.Command{Configuration: &r.Document})
+	t.logger.Log("event", "configuration", "version", r.Document.Version, "in_force", result.InForce.Version, "err", err)
+	return Empty{}, err
+}
+
+// Configuration returns the newest version, after the log has shown that it is.
+func (c *Controller) Configuration(ctx context.Context, _ *Empty) (ConfigurationReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	if _, err := c.leading(); err != nil {
+		return ConfigurationReply{}, err
+	}
+	if err := c.log.Barrier(ctx); err != nil {
+		return ConfigurationReply{}, link.NotLeader(c.cfg.Leader())
+	}
+	var reply ConfigurationReply
+	c.machine.read(func(s *workflow.State) {
+		reply = ConfigurationReply{Version: s.Configuration.Version, Source: s.Configuration.Source}
+	})
+	if reply.Source == nil {
+		return ConfigurationReply{}, fault.Retry(fault.Unavailable, retryLater, "no configuration yet")
+	}
+	return reply, nil
+}
+
+// Follow answers an instance that stays in touch.
+func (c *Controller) Follow(_ context.Context, r *FollowCall) (FollowReply, error) {
+	t, err := c.leading()
+	if err != nil {
+		return FollowReply{}, err
+	}
+	t.lanes.note(r.Address, time.Now())
+	reply := FollowReply{Members: c.cfg.Members()}
+	c.machine.read(func(s *workflow.State) { reply.Version = s.Configuration.Version })
+	return reply, nil
+}
--- /dev/null
+++ b/internal/control/session.go
@@ -0,0 +1,265 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+const (
+	// lookWait is how long a worker may hold a look back until a run ends. Longer
+	// saves looks, shorter notices a silent worker earlier.
+	lookWait = 1500 * time.Millisecond
+	// callTimeout bounds an order's round trip: a few milliseconds on a calm link,
+	// and one repeated packet on a lossy one.
+	callTimeout = 600 * time.Millisecond
+	// freshFor is how long after its last answer a worker still gets new tasks:
+	// one held look and the time of a call.
+	freshFor = lookWait + callTimeout
+	// retryPause is the time between two looks at a worker that doesn't answer.
+	retryPause = 300 * time.Millisecond
+	// forgetWorker is how long a silent worker without runs is looked for.
+	forgetWorker = 15 * time.Second
+)
+
+// session is what a tenure knows of one incarnation of a worker. Its own
+// goroutine looks at the worker all the time; fields are guarded by t.mu.
+type session struct {
+	t      *tenure
+	worker workflow.Worker
+	// ready says that the worker has answered under this tenure's fence and that
+	// its lists have been taken in. Nothing is started before.
+	ready bool
+	// leaving says that the worker has said goodbye.
+	leaving  bool
+	leavesAt time.Time
+	// heardAt is the last heartbeat, answeredAt the last answer to a look.
+	heardAt, answeredAt time.Time
+	// clockMS is what the worker's clock showed at or before clockAt here.
+	clockMS int64
+	clockAt time.Time
+	// leaseEnd is when, by this process's clock, whatever runs there has ended,
+	// unless it answers and is given a longer lease.
+	leaseEnd time.Time
+	// inherited are the runs that an earlier leader may have ordered.
+	inherited map[workflow.TaskKey]int
+	orders    map[workflow.TaskKey]*order
+	// strangers are runs that the worker lists and the log doesn't have, with the
+	// time of the last stop.
+	strangers map[workflow.Run]time.Time
+	// failures counts runs that failed in a row, of different jobs.
+	failures   int
+	failedJob  string
+	quarantine time.Time
+	cancelLook context.CancelFunc
+	// hurried says that the look under way was ended on purpose.
+	hurried bool
+}
+
+func (s *session) target() Target { return Target{Worker: s.worker.ID, Address: s.worker.Address} }
+
+// usable reports whether new tasks may be given to the worker. t.mu is held.
+func (s *session) usable(now time.Time) bool {
+	return s.ready && !s.leaving && !s.worker.Draining && now.Sub(s.answeredAt) < freshFor &&
+		!s.doubtful() && now.After(s.quarantine)
+}
+
+// doubtful reports whether an order is without an answer: the worker may be
+// cut off, and what it is given now may be as well.
+func (s *session) doubtful() bool {
+	for _, o := range s.orders {
+		if o.unanswered {
+			return true
+		}
+	}
+	return false
+}
+
+// leaseEndMS returns the end of a lease that begins now, on the worker's clock,
+// and notes when it will have ended. t.mu is held.
+func (s *session) leaseEndMS(now time.Time) int64 {
+	elapsed := now.Sub(s.clockAt)
+	end := s.clockMS + (elapsed + s.t.lease).Milliseconds()
+	here := s.clockAt.Add(time.Duration(float64(elapsed+s.t.lease)*driftFactor) + leaseSlack)
+	if here.After(s.leaseEnd) {
+		s.leaseEnd = here
+	}
+	return end
+}
+
+// noteClock takes in what the worker's clock showed in an answer that has just
+// come in. t.mu is held.
+func (s *session) noteClock(clockMS int64, now time.Time) {
+	if clockMS > 0 {
+		s.clockMS, s.clockAt = clockMS, now
+	}
+}
+
+// hurry ends a look that is held, so that the next one begins at once.
+func (s *session) hurry() {
+	if s.cancelLook != nil {
+		s.hurried = true
+		s.cancelLook()
+	}
+}
+
+// takeHurried reports whether the last look was ended on purpose.
+func (s *session) takeHurried() bool {
+	s.t.mu.Lock()
+	defer s.t.mu.Unlock()
+	hurried := s.hurried
+	s.hurried = false
+	return hurried
+}
+
+// run looks at the worker until the tenure or the incarnation ends.
+func (s *session) run() {
+	for s.t.ctx.Err() == nil {
+		sent := time.Now()
+		report, err := s.look(sent)
+		switch {
+		case s.t.ctx.Err() != nil:
+			return
+		case errors.Is(err, ErrOtherIncarnation):
+			s.end("another incarnation answers")
+			return
+		case err != nil && s.takeHurried():
+		case err != nil:
+			if s.silent(err) {
+				return
+			}
+			sleep(s.t.ctx, retryPause)
+		default:
+			s.takeIn(report, sent)
+		}
+	}
+}
+
+// look asks the worker for its lists. The lease is prolonged only while the
+// worker answers: a worker that gets looks but whose answers are lost would
+// otherwise hold its runs for ever, and nobody could tell when they end.
+func (s *session) look(now time.Time) (Report, error) {
+	t := s.t
+	order := LookOrder{Fence: t.fence}
+	t.c.machine.read(func(state *workflow.State) {
+		if w := state.Workers[s.worker.ID]; w != nil {
+			order.Seen = w.Seen
+		}
+	})
+	t.mu.Lock()
+	if s.ready && now.Sub(s.answeredAt) < callTimeout {
+		order.LeaseEndMS = s.leaseEndMS(now)
+		order.Wait = lookWait
+	}
+	ctx, cancel := context.WithTimeout(t.ctx, order.Wait+callTimeout)
+	s.cancelLook, s.hurried = cancel, false
+	target := s.target()
+	t.mu.Unlock()
+	defer cancel()
+	t.c.cfg.Counters.Add("looks", 1)
+	return t.c.cfg.Workers.Look(ctx, target, order)
+}
+
+// silent handles a look without an answer, and reports whether the session is
+// over. Once the lease has ended, nothing runs there any more.
+func (s *session) silent(cause error) bool {
+	t := s.t
+	now := time.Now()
+	t.mu.Lock()
+	wasReady, leaving := s.ready, s.leaving
+	lapsed := now.After(s.leaseEnd)
+	quiet := now.Sub(s.heardAt) > forgetWorker
+	if now.Sub(s.answeredAt) > freshFor {
+		s.ready = false
+	}
+	nowReady := s.ready
+	t.mu.Unlock()
+	if wasReady && !nowReady {
+		t.logger.Log("event", "worker_contact", "worker", s.worker.ID, "outcome", "lost", "err", cause)
+	}
+	if leaving {
+		s.end("the worker left")
+		return true
+	}
+	if !lapsed {
+		return false
+	}
+	s.loseRuns()
+	if !quiet {
+		return false
+	}
+	t.mu.Lock()
+	delete(t.sessions, s.worker.ID)
+	t.mu.Unlock()
+	t.logger.Log("event", "worker_contact", "worker", s.worker.ID, "outcome", "given up")
+	return true
+}
+
+// end takes note that the incarnation is over: nothing runs there.
+func (s *session) end(why string) {
+	t := s.t
+	t.logger.Log("event", "worker_gone", "worker", s.worker.ID, "cause", why)
+	s.keepCheckpoints()
+	if _, err := t.propose(&workflow.Command{Gone: s.worker.ID}); err != nil {
+		// Whether it was committed is open; the next leader, or the next look, repeats it.
+		sleep(t.ctx, retryPause)
+		if t.ctx.Err() == nil {
+			_, _ = t.propose(&workflow.Command{Gone: s.worker.ID})
+		}
+	}
+	t.mu.Lock()
+	delete(t.sessions, s.worker.ID)
+	t.mu.Unlock()
+	t.kick()
+}
+
+// loseRuns ends all runs of a worker whose lease has ended.
+func (s *session) loseRuns() {
+	ends := s.lostEnds()
+	if len(ends) == 0 {
+		return
+	}
+	s.t.logger.Log("event", "runs_lost", "worker", s.worker.ID, "runs", len(ends), "cause", "lease ended without an answer")
+	s.commitEnds(0, ends)
+}
+
+func (s *session) lostEnds() []workflow.RunEnd {
+	var ends []workflow.RunEnd
+	s.t.mu.Lock()
+	defer s.t.mu.Unlock()
+	s.t.c.machine.read(func(state *workflow.State) {
+		for task, run := range state.Runs[s.worker.ID] {
+			ends = append(ends, workflow.RunEnd{
+				Task: task, Number: run.Number, Outcome: workflow.OutcomeLost, Checkpoint: s.t.checkpoints[task],
+			})
+		}
+	})
+	return ends
+}
+
+// keepCheckpoints commits what runs of an incarnation that is over had saved.
+func (s *session) keepCheckpoints() {
+	ends := s.lostEnds()
+	if len(ends) > 0 {
+		s.commitEnds(0, ends)
+	}
+}
+
+func (s *session) commitEnds(seen uint64, ends []workflow.RunEnd) {
+	command := &workflow.Command{Ends: &workflow.WorkerEnds{Worker: s.worker.ID, Seen: seen, Ends: ends}}
+	if _, err := s.t.propose(command); err != nil {
+		// The worker lists the ends again until they are committed.
+		return
+	}
+	s.t.mu.Lock()
+	for _, end := range ends {
+		delete(s.orders, end.Task)
+		delete(s.inherited, end.Task)
+		delete(s.t.checkpoints, end.Task)
+	}
+	s.t.mu.Unlock()
+	s.t.kick()
+}
--- /dev/null
+++ b/internal/control/tenure.go
@@ -0,0 +1,221 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+const (
+	// driftFactor is how much slower than this process's a worker's steady clock
+	// may run: 2 %.
+	driftFactor = 1 / 0.98
+	// leaseSlack is added to every lease of a worker before it counts as ended: a
+	// call's round trip and the scheduling of both processes.
+	leaseSlack = 300 * time.Millisecond
+	// predecessorSlack is how long a predecessor may have gone on giving leases
+	// after this tenure began: until its own right to decide ended, which is
+	// within one election timeout.
+	predecessorSlack = 1500 * time.Millisecond
+	// planPause is the longest time between two decisions; due times and leases
+	// change without an event.
+	planPause = 100 * time.Millisecond
+	// forgetPause is the time between two looks for ended jobs to forget.
+	forgetPause = 5 * time.Second
+)
+
+// tenure is one leadership of this member.
+type tenure struct {
+	c       *Controller
+	ctx     context.Context
+	fence   uint64
+	started time.Time
+	lease   time.Duration
+	logger  log.Logger
+	lanes   *lanes
+	kicked  chan struct{}
+	// tasks counts the goroutines of this tenure.
+	tasks sync.WaitGroup
+
+	mu       sync.Mutex
+	sessions map[string]*session
+	permits  map[workflow.StepKey]*stepPermits
+	// accepted is when jobs were accepted; those of earlier tenures count from
+	// the start of this one, in the order of the log.
+	accepted map[string]time.Time
+	// ended is when this tenure first saw that a job had ended.
+	ended map[string]time.Time
+	// checkpoints are the latest that running tasks reported.
+	checkpoints map[workflow.TaskKey]string
+}
+
+func newTenure(ctx context.Context, c *Controller, term uint64) *tenure {
+	t := &tenure{
+		c: c, ctx: ctx, fence: term, started: time.Now(),
+		logger:      log.With(c.cfg.Logger, "term", term),
+		kicked:      make(chan struct{}, 1),
+		sessions:    map[string]*session{},
+		permits:     map[workflow.StepKey]*stepPermits{},
+		accepted:    map[string]time.Time{},
+		ended:       map[string]time.Time{},
+		checkpoints: map[workflow.TaskKey]string{},
+	}
+	t.lease = leaseLength(c.cfg.Bounds)
+	t.lanes = newLanes(c.cfg.Address, c.cfg.Adviser, c.cfg.Client)
+	c.machine.read(func(s *workflow.State) {
+		for id, worker := range s.Workers {
+			if !worker.Gone {
+				t.addSession(worker.Worker, s.Runs[id])
+			}
+		}
+	})
+	return t
+}
+
+// leaseLength: a lease must outlive a cut of some seconds, so that work goes on
+// through it, and end soon enough that the work of a dead worker is not blocked
+// for longer than that.
+func leaseLength(b Bounds) time.Duration {
+	return min(b.LeaseMax-leaseSlack, 2*b.Contact)
+}
+
+// run works until the tenure ends.
+func (t *tenure) run() {
+	t.mu.Lock()
+	for _, s := range t.sessions {
+		t.goTask(s.run)
+	}
+	t.mu.Unlock()
+	t.goTask(t.forgetLoop)
+	t.planLoop()
+	t.tasks.Wait()
+}
+
+func (t *tenure) goTask(f func()) {
+	t.tasks.Add(1)
+	go func() {
+		defer t.tasks.Done()
+		f()
+	}()
+}
+
+// kick wakes the planner.
+func (t *tenure) kick() {
+	select {
+	case t.kicked <- struct{}{}:
+	default:
+	}
+}
+
+// addSession begins to look after a worker. inherited are the runs that earlier
+// leaders may have ordered. t.mu is held, or t isn't shared yet.
+func (t *tenure) addSession(w workflow.Worker, inherited map[workflow.TaskKey]workflow.Run) *session {
+	s := &session{
+		t: t, worker: w,
+		inherited: map[workflow.TaskKey]int{},
+		orders:    map[workflow.TaskKey]*order{},
+		strangers: map[workflow.Run]time.Time{},
+		heardAt:   time.Now(),
+		// A predecessor may have given a whole lease just before its right ended.
+		leaseEnd: t.started.Add(time.Duration(float64(t.lease)*driftFactor) + leaseSlack + predecessorSlack),
+	}
+	for task, run := range inherited {
+		s.inherited[task] = run.Number
+	}
+	t.sessions[w.ID] = s
+	return s
+}
+
+// heard takes in an acknowledged heartbeat.
+func (t *tenure) heard(w *workflow.Worker, remaining time.Duration) {
+	gone := false
+	t.c.machine.read(func(s *workflow.State) { gone = s.Workers[w.ID] != nil && s.Workers[w.ID].Gone })
+	if gone || t.ctx.Err() != nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.sessions[w.ID]
+	if s == nil {
+		s = t.addSession(*w, nil)
+		t.goTask(s.run)
+		t.probeAddress(w)
+	}
+	s.heardAt = time.Now()
+	s.worker.Draining = s.worker.Draining || w.Draining
+	if remaining > 0 {
+		s.leavesAt = s.heardAt.Add(remaining)
+	}
+	t.kick()
+}
+
+// probeAddress lets sessions with other incarnations at the same address find
+// out at once that theirs is over. t.mu is held.
+func (t *tenure) probeAddress(w *workflow.Worker) {
+	for _, other := range t.sessions {
+		if other.worker.Address == w.Address && other.worker.ID != w.ID {
+			other.hurry()
+		}
+	}
+}
+
+// probe looks at a worker that says that it ends.
+func (t *tenure) probe(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.sessions[id]; s != nil {
+		s.leaving = true
+		s.hurry()
+	}
+}
+
+func (t *tenure) noteAccepted(job string, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.accepted[job] = at
+}
+
+// propose commits a command of this tenure. A failure ends nothing here: the
+// tenure ends by itself when the leadership does.
+func (t *tenure) propose(command *workflow.Command) (workflow.Result, error) {
+	result, err := t.c.propose(t.ctx, command)
+	if err != nil && t.ctx.Err() == nil {
+		t.logger.Log("event", "commit", "outcome", "failed", "err", err)
+	}
+	return result, err
+}
+
+// forgetLoop drops jobs that ended long enough ago.
+func (t *tenure) forgetLoop() {
+	for sleep(t.ctx, forgetPause) {
+		var old []string
+		now := time.Now()
+		t.mu.Lock()
+		t.c.machine.read(func(s *workflow.State) {
+			for id, job := range s.Jobs {
+				if !job.Ended() {
+					continue
+				}
+				if t.ended[id].IsZero() {
+					t.ended[id] = now
+				}
+				if now.Sub(t.ended[id]) > t.c.cfg.Bounds.Shown+forgetPause {
+					old = append(old, id)
+				}
+			}
+		})
+		for _, id := range old {
+			delete(t.ended, id)
+			delete(t.accepted, id)
+		}
+		t.mu.Unlock()
+		if len(old) > 0 {
+			// A failure is logged by propose; the jobs are found again next time.
+			_, _ = t.propose(&workflow.Command{Forget: old})
+		}
+	}
+}
--- /dev/null
+++ b/internal/instance/operations.go
@@ -0,0 +1,76 @@
+package instance
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bilberryferry/bilberryferry/fault"
+	"github.com/bilberryferry/bilberryferry/internal/control"
+	"github.com/bilberryferry/bilberryferry/internal/gateway"
+	"github.com/bilberryferry/bilberryferry/internal/link"
+)
+
+// Operations makes the calls of the leader: directly where this instance leads,
+// through the gateway elsewhere.
+type Operations struct {
+	gateway *gateway.Gateway
+	own     atomic.Pointer[control.Controller]
+}
+
+// lead lets calls go to this instance's own controller.
+func (o *Operations) lead(c *control.Controller) { o.own.Store(c) }
+
+// call tries the own controller first; it refuses at once where it doesn't lead.
+func call[Request, Reply any](ctx context.Context, o *Operations, method string, request *Request,
+	own func(*control.Controller, context.Context, *Request) (Reply, error)) (Reply, error) {
+	if c := o.own.Load(); c != nil {
+		reply, err := own(c, ctx, request)
+		if !errors.Is(err, link.ErrNotLeader) {
+			return reply, err
+		}
+	}
+	return gateway.Call[Reply](ctx, o.gateway, method, request)
+}
+
+// Submit hands a job in. Without contact to the leader it refuses at once.
+func (o *Operations) Submit(ctx context.Context, r *control.SubmitCall) (control.SubmitReply, error) {
+	if !o.gateway.InTouch() {
+		return control.SubmitReply{}, fault.Retry(fault.Unavailable, gateway.RetryAfter, "no leader is reached")
+	}
+	return call(ctx, o, control.MethodSubmit, r, (*control.Controller).Submit)
+}
+
+// State asks for a job or a queue.
+func (o *Operations) State(ctx context.Context, r *control.StateCall) (control.StateReply, error) {
+	return call(ctx, o, control.MethodState, r, (*control.Controller).State)
+}
+
+// Cancel cancels a job.
+func (o *Operations) Cancel(ctx context.Context, r *control.CancelCall) error {
+	_, err := call(ctx, o, control.MethodCancel, r, (*control.Controller).Cancel)
+	return err
+}
+
+// Announce passes a worker's heartbeat on.
+func (o *Operations) Announce(ctx context.Context, r *control.Announcement) (control.AnnouncementReply, error) {
+	return call(ctx, o, control.MethodAnnounce, r, (*control.Controller).Announce)
+}
+
+// Leave passes on that a worker ends.
+func (o *Operations) Leave(ctx context.Context, r *control.LeaveCall) error {
+	_, err := call(ctx, o, control.MethodLeave, r, (*control.Controller).Leave)
+	return err
+}
+
+// Configure hands a configuration in.
+func (o *Operations) Configure(ctx context.Context, r *control.ConfigureCall) error {
+	_, err := call(ctx, o, control.MethodConfigure, r, (*control.Controller).Configure)
+	return err
+}
+
+// Configuration returns the newest configuration.
+func (o *Operations) Configuration(ctx context.Context) (control.ConfigurationReply, error) {
+	return call(ctx, o, control.MethodConfiguration, &control.Empty{}, (*control.Controller).Configuration)
+}
--- /dev/null
+++ b/internal/instance/process.go
@@ -0,0 +1,150 @@
+package instance
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/go-kit/log"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bilberryferry/bilberryferry/internal/oplog"
+	"github.com/bilberryferry/bilberryferry/internal/rpc"
+)
+
+const (
+	headerTimeout = 3 * time.Second
+	idleTimeout   = 60 * time.Second
+	// reloadPause is how often the settings file is looked at; it may change
+	// without a signal.
+	reloadPause = time.Second
+	// memoryLimit makes the collector work harder before the machine's limit of
+	// 280 MB is near.
+	memoryLimit = 160 << 20
+	// collectPercent collects less often than the default: memory is cheaper here
+	// than processor time.
+	collectPercent = 200
+)
+
+// Exit codes of the daemons.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1
+	ExitSettings = 2
+)
+
+// process is what both daemons have.
+type process struct {
+	settings *Settings
+	path     string
+	sink     *oplog.Sink
+	logger   log.Logger
+	metrics  *oplog.Metrics
+}
+
+// Main loads the settings, runs a daemon until SIGTERM and returns the exit code.
+func Main(role string, run func(context.Context, *process) error) int {
+	path := os.Getenv(SettingsEnv)
+	if len(os.Args) > 1 {
+		path = os.Args[1]
+	}
+	settings, err := Load(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return ExitSettings
+	}
+	debug.SetMemoryLimit(memoryLimit)
+	debug.SetGCPercent(collectPercent)
+	sink := oplog.NewSink(os.Stdout)
+	p := &process{settings: settings, path: path, sink: sink, metrics: oplog.NewMetrics()}
+	p.logger = oplog.NewLogger(sink, settings.Instance)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	_ = p.logger.Log("event", "start", "role", role, "address", settings.Address, "data_centre", settings.DataCentre,
+		"seeds", len(settings.Seeds), "first_start", settings.FirstStart)
+	err = run(ctx, p)
+	_ = p.logger.Log("event", "stop", "role", role, "err", err)
+	sink.Close()
+	if err != nil {
+		return ExitFailed
+	}
+	return ExitOK
+}
+
+func newServer(address string, handler http.Handler) *http.Server {
+	return &http.Server{
+		Addr: address, Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+	}
+}
+
+// newInternalServer serves other instances, whose log messages come by HTTP/2.
+func newInternalServer(address string, handler http.Handler) *http.Server {
+	server := rpc.NewServer(handler)
+	server.Addr = address
+	return server
+}
+
+// serve runs a server in group; it ends when Shutdown or Close is called.
+func serve(group *errgroup.Group, server *http.Server) {
+	group.Go(func() error {
+		if err := server.ListenAndServe(); err != http.ErrServerClosed {
+			return err
+		}
+		return nil
+	})
+}
+
+// serveMetrics serves the metrics, where the settings name an address.
+func (p *process) serveMetrics(group *errgroup.Group) *http.Server {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", p.metrics)
+	server := newServer(p.settings.MetricsAddress, mux)
+	if p.settings.MetricsAddress != "" {
+		serve(group, server)
+	}
+	return server
+}
+
+// watchSettings calls changed with new settings, at SIGHUP and whenever the file
+// has changed. A file that can't be read or is wrong changes nothing.
+func (p *process) watchSettings(ctx context.Context, changed func(*Settings)) error {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	last, err := os.ReadFile(p.path)
+	if err != nil {
+		_ = p.logger.Log("event", "reload", "outcome", "unreadable", "err", err)
+	}
+	ticker := time.NewTicker(reloadPause)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-hangups:
+		case <-ticker.C:
+		}
+		p.logDropped()
+		data, err := os.ReadFile(p.path)
+		if err != nil || string(data) == string(last) {
+			continue
+		}
+		last = data
+		settings, err := Parse(string(data))
+		_ = p.logger.Log("event", "reload", "err", err)
+		if err == nil {
+			changed(settings)
+		}
+	}
+}
+
+func (p *process) logDropped() {
+	if n := p.sink.TakeDropped(); n > 0 {
+		_ = p.logger.Log("event", "log_lines_dropped", "lines", n)
+	}
+}
--- /dev/null
+++ b/internal/link/link.go
@@ -0,0 +1,196 @@
+// Package link carries calls between the system's own processes: one POST a
+// call, requests and replies as CBOR, over kept HTTP/1.1 connections. A call
+// that gets no answer in time closes its connection, so a connection that has
+// gone silent costs one call.
+package link
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/bilberryferry/bilberryferry/fault"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection; a way within a region takes
+	// a few milliseconds, and the platform repeats a lost first packet after 1 s.
+	dialTimeout = 500 * time.Millisecond
+	// maxBody bounds a request or reply: a configuration of some thousand routes.
+	maxBody = 8 << 20
+	// idlePerHost keeps as many connections as calls usually run side by side.
+	idlePerHost = 16
+	idleTimeout = 30 * time.Second
+	pathPrefix  = "/link/"
+	contentType = "application/cbor"
+)
+
+// ErrUnsent marks the error of a call that can't have reached the other side.
+var ErrUnsent = errors.New("not sent")
+
+// ErrNotLeader marks the refusal of an instance that doesn't lead. Nothing was
+// done; see LeaderOf.
+var ErrNotLeader = errors.New("not the leader")
+
+// Client makes calls. It is safe for concurrent use.
+type Client struct{ http *http.Client }
+
+// NewClient returns a client without connections.
+func NewClient() *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Client{http: &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idlePerHost,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}}}
+}
+
+// envelope is the body of every reply.
+type envelope struct {
+	Kind       fault.Kind      `cbor:"1,keyasint,omitempty"`
+	Failed     bool            `cbor:"2,keyasint,omitempty"`
+	Message    string          `cbor:"3,keyasint,omitempty"`
+	RetryAfter time.Duration   `cbor:"4,keyasint,omitempty"`
+	NotLeader  bool            `cbor:"5,keyasint,omitempty"`
+	Leader     string          `cbor:"6,keyasint,omitempty"`
+	Value      cbor.RawMessage `cbor:"7,keyasint,omitempty"`
+}
+
+// Call makes a call and decodes the reply into reply. Errors are faults; those
+// marked ErrUnsent or ErrNotLeader say that nothing was done.
+func (c *Client) Call(ctx context.Context, address, method string, request, reply any) error {
+	body, err := cbor.Marshal(request)
+	if err != nil {
+		return errors.Wrapf(err, "encode a call of %s", method)
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+pathPrefix+method, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrapf(err, "call %s", method)
+	}
+	r.Header.Set("Content-Type", contentType)
+	response, err := c.http.Do(r)
+	if err != nil {
+		return callError(method, err)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxBody))
+	if err != nil {
+		return fault.New(fault.Unknown, "%s: the answer broke off: %v", method, err)
+	}
+	var e envelope
+	if err := cbor.Unmarshal(data, &e); err != nil {
+		return fault.New(fault.Unknown, "%s: answer %d can't be read: %v", method, response.StatusCode, err)
+	}
+	if e.Failed {
+		return e.err()
+	}
+	return errors.Wrapf(cbor.Unmarshal(e.Value, reply), "decode the answer of %s", method)
+}
+
+func callError(method string, err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return errors.Mark(fault.New(fault.Unavailable, "%s: %v", method, err), ErrUnsent)
+	}
+	return fault.New(fault.Unknown, "%s: no answer: %v", method, err)
+}
+
+func (e *envelope) err() error {
+	err := errors.WithStack(&fault.Error{Kind: e.Kind, Message: e.Message, RetryAfter: e.RetryAfter})
+	if e.NotLeader {
+		return errors.Mark(&notLeaderError{leader: e.Leader, cause: err}, ErrNotLeader)
+	}
+	return err
+}
+
+type notLeaderError struct {
+	leader string
+	cause  error
+}
+
+func (e *notLeaderError) Error() string { return e.cause.Error() }
+func (e *notLeaderError) Unwrap() error { return e.cause }
+
+// NotLeader returns the error of an instance that doesn't lead; leader is the
+// address of the one that does, empty when it isn't known.
+func NotLeader(leader string) error {
+	return errors.Mark(&notLeaderError{leader: leader, cause: fault.New(fault.Unavailable, "not the leader")}, ErrNotLeader)
+}
+
+// LeaderOf returns the leader's address that a refusal named.
+func LeaderOf(err error) string {
+	var e *notLeaderError
+	if errors.As(err, &e) {
+		return e.leader
+	}
+	return ""
+}
+
+// Mux serves calls.
+type Mux struct{ http *http.ServeMux }
+
+// NewMux returns a Mux without methods.
+func NewMux() *Mux { return &Mux{http: http.NewServeMux()} }
+
+// ServeHTTP serves a call.
+func (m *Mux) ServeHTTP(w http.ResponseWriter, r *http.Request) { m.http.ServeHTTP(w, r) }
+
+// HandleHTTP serves other requests that arrive at the same address.
+func (m *Mux) HandleHTTP(pattern string, handler http.Handler) { m.http.Handle(pattern, handler) }
+
+// Handle serves a method by serve.
+func Handle[Request, Reply any](m *Mux, method string, serve func(context.Context, *Request) (Reply, error)) {
+	m.http.HandleFunc("POST "+pathPrefix+method, func(w http.ResponseWriter, r *http.Request) {
+		answer(w, serveOne(r, serve))
+	})
+}
+
+func serveOne[Request, Reply any](r *http.Request, serve func(context.Context, *Request) (Reply, error)) envelope {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+	if err != nil {
+		return failure(fault.Field("body", "%v", err))
+	}
+	request := new(Request)
+	if err := cbor.Unmarshal(data, request); err != nil {
+		return failure(fault.Field("body", "%v", err))
+	}
+	reply, err := serve(r.Context(), request)
+	if err != nil {
+		return failure(err)
+	}
+	value, err := cbor.Marshal(reply)
+	if err != nil {
+		return failure(fault.New(fault.Internal, "encode the answer: %v", err))
+	}
+	return envelope{Value: value}
+}
+
+func failure(err error) envelope {
+	e := envelope{Failed: true, Kind: fault.Internal, Message: err.Error()}
+	var known *fault.Error
+	if errors.As(err, &known) {
+		e.Kind, e.Message, e.RetryAfter = known.Kind, known.Message, known.RetryAfter
+	}
+	if errors.Is(err, ErrNotLeader) {
+		e.NotLeader, e.Leader = true, LeaderOf(err)
+	}
+	return e
+}
+
+func answer(w http.ResponseWriter, e envelope) {
+	w.Header().Set("Content-Type", contentType)
+	data, err := cbor.Marshal(&e)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	// A write error means that the caller is gone; it learns nothing from us.
+	_, _ = w.Write(data)
+}
--- /dev/null
+++ b/internal/member/host.go
@@ -0,0 +1,294 @@
+// Package member runs one member of the log that all core instances share. The
+// instances are not listed anywhere: a new one asks its seeds for the leader,
+// the leader adds it to the membership, and the committed membership tells the
+// rest.
+package member
+
+import (
+	"context"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-kit/log"
+	"github.com/twitchtv/twirp"
+	"golang.org/x/sync/errgroup"
+
+	apiv1 "github.com/bilberryferry/bilberryferry/api/v1"
+	"github.com/bilberryferry/bilberryferry/internal/link"
+	"github.com/bilberryferry/bilberryferry/internal/node"
+	"github.com/bilberryferry/bilberryferry/internal/peer"
+	"github.com/bilberryferry/bilberryferry/replica"
+)
+
+// GroupName names the log.
+const GroupName = "core"
+
+// Timing of the log. A commit takes one sync of the slowest disk of the faster
+// majority; elections must end well within the 3 s in which calm instances have
+// to be right again, so two rounds of them (2 x 1.2 s) fit in.
+const (
+	tickInterval   = 50 * time.Millisecond
+	electionTicks  = 12
+	heartbeatTicks = 3
+	// snapshotEntries bounds how many entries a restart applies again.
+	snapshotEntries = 20_000
+	// joinPause is the time between two announcements to the leader.
+	joinPause = 400 * time.Millisecond
+	// joinTimeout bounds one announcement.
+	joinTimeout = 600 * time.Millisecond
+	// transferTimeout bounds the handing over of the leadership at a stop.
+	transferTimeout = 1500 * time.Millisecond
+)
+
+const membersFile = "members"
+
+// Config is the fixed part of a Host.
+type Config struct {
+	// ID is the instance's IP address; peers reach it at ID:Port.
+	ID   string
+	Port string
+	// Seeds are IP addresses of core instances.
+	Seeds []string
+	// First says that the whole system starts for the first time.
+	First bool
+	// Folder is on a disk of the instance.
+	Folder string
+	// Voters is how many members vote once enough have joined.
+	Voters  int
+	Machine node.Machine
+	Logger  log.Logger
+}
+
+// Host is one member with its connections to the others.
+type Host struct {
+	cfg       Config
+	client    *link.Client
+	transport *peer.Transport
+	mux       *peer.Mux
+	group     *node.Group
+	roster    roster
+
+	mu       sync.Mutex
+	stopping bool
+}
+
+// New returns a host that doesn't run yet, and registers what its peers call.
+func New(cfg Config, client *link.Client, mux *link.Mux) *Host {
+	config := peer.Config{ID: cfg.ID}
+	h := &Host{cfg: cfg, client: client, transport: peer.New(config), mux: peer.NewMux(config)}
+	h.roster.seen = map[string]time.Time{}
+	mux.HandleHTTP(apiv1.PeerPathPrefix, apiv1.NewPeerServer(exchangeOnly{h.mux}))
+	link.Handle(mux, "join", h.serveJoin)
+	return h
+}
+
+// Open waits until the initial membership is known, which for an instance that
+// isn't a first one takes a leader, and opens the log.
+func (h *Host) Open(ctx context.Context) (*node.Group, error) {
+	members, err := h.initialMembers(ctx)
+	if err != nil {
+		return nil, err
+	}
+	group, err := node.Open(node.Config{
+		Group: GroupName, ID: h.cfg.ID, Members: members, Machine: h.cfg.Machine,
+		Transport:    h,
+		Folder:       filepath.Join(h.cfg.Folder, "log"),
+		TickInterval: tickInterval, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
+		SnapshotEvery: snapshotEntries,
+		Seed:          xxhash.Sum64String(h.cfg.ID),
+		Logger:        h.cfg.Logger,
+	})
+	if err != nil {
+		return nil, err
+	}
+	h.mu.Lock()
+	h.group = group
+	h.mu.Unlock()
+	h.mux.Register(GroupName, group.Step)
+	status := group.Status()
+	_ = h.cfg.Logger.Log("event", "log_opened", "members", len(status.Members), "last", status.Last, "term", status.Term)
+	return group, nil
+}
+
+// Send hands a payload for a member to its connection. Members are named by
+// their IP addresses, so no list of them is needed.
+func (h *Host) Send(group, to string, payload []byte) {
+	h.transport.SetPeer(to, h.address(to))
+	h.transport.Send(group, to, payload)
+}
+
+func (h *Host) address(id string) string { return net.JoinHostPort(id, h.cfg.Port) }
+
+// Run works until ctx ends.
+func (h *Host) Run(ctx context.Context) error {
+	running, ctx := errgroup.WithContext(ctx)
+	running.Go(func() error { return h.transport.Run(ctx) })
+	running.Go(func() error { return h.group.Run(ctx) })
+	running.Go(func() error { return h.announce(ctx) })
+	running.Go(func() error { return h.manage(ctx) })
+	return running.Wait()
+}
+
+// HandOver moves the leadership to another member, as far as one can take it.
+func (h *Host) HandOver(ctx context.Context) {
+	h.mu.Lock()
+	h.stopping = true
+	group := h.group
+	h.mu.Unlock()
+	if group == nil || group.Status().Role != replica.Leader {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
+	defer cancel()
+	if err := group.Transfer(ctx); err != nil {
+		_ = h.cfg.Logger.Log("event", "handover", "outcome", "failed", "err", err)
+	}
+}
+
+// Leader returns the address of the leader, empty while none is known.
+func (h *Host) Leader() string {
+	group := h.opened()
+	if group == nil {
+		return ""
+	}
+	leader := group.Status().Leader
+	if leader == "" {
+		return ""
+	}
+	return h.address(leader)
+}
+
+// Addresses returns where the members are reached that are known here.
+func (h *Host) Addresses() []string {
+	var list []string
+	if group := h.opened(); group != nil {
+		for _, m := range group.Status().Members {
+			list = append(list, m.Address)
+		}
+	}
+	if len(list) == 0 {
+		for _, seed := range h.cfg.Seeds {
+			list = append(list, h.address(seed))
+		}
+	}
+	return list
+}
+
+func (h *Host) opened() *node.Group {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.group
+}
+
+// initialMembers returns the membership that the log begins with. It is kept in
+// a file: settings name other seeds at a later start, and the log on disk would
+// then be read under a membership that was never in force.
+func (h *Host) initialMembers(ctx context.Context) ([]replica.Member, error) {
+	path := filepath.Join(h.cfg.Folder, membersFile)
+	if data, err := os.ReadFile(path); err == nil {
+		var members []replica.Member
+		if err := cbor.Unmarshal(data, &members); err == nil && len(members) > 0 {
+			return members, nil
+		}
+		_ = h.cfg.Logger.Log("event", "members_file", "outcome", "unreadable, joining anew")
+	}
+	members := h.firstMembers()
+	if members == nil {
+		var err error
+		if members, err = h.join(ctx); err != nil {
+			return nil, err
+		}
+	}
+	return members, h.saveMembers(path, members)
+}
+
+// firstMembers are the seeds, on a seed at the very first start.
+func (h *Host) firstMembers() []replica.Member {
+	if !h.cfg.First {
+		return nil
+	}
+	var members []replica.Member
+	own := false
+	for _, seed := range h.cfg.Seeds {
+		members = append(members, h.member(seed))
+		own = own || seed == h.cfg.ID
+	}
+	if !own {
+		return nil
+	}
+	return members
+}
+
+func (h *Host) member(id string) replica.Member {
+	return replica.Member{ID: id, Address: h.address(id), HasDisk: true}
+}
+
+// saveMembers makes the file durable before the log is opened.
+func (h *Host) saveMembers(path string, members []replica.Member) error {
+	if err := os.MkdirAll(h.cfg.Folder, 0o750); err != nil {
+		return errors.Wrap(err, "create the data folder")
+	}
+	data, err := cbor.Marshal(members)
+	if err != nil {
+		return errors.Wrap(err, "encode the members")
+	}
+	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o640)
+	if err != nil {
+		return errors.Wrap(err, "create the file of members")
+	}
+	if _, err := f.Write(data); err != nil {
+		return errors.CombineErrors(errors.Wrap(err, "write the file of members"), f.Close())
+	}
+	if err := f.Sync(); err != nil {
+		return errors.CombineErrors(errors.Wrap(err, "sync the file of members"), f.Close())
+	}
+	return errors.Wrap(f.Close(), "close the file of members")
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// exchangeOnly serves the messages of the log. The other calls between
+// instances belong to data centres with logs of their own.
+type exchangeOnly struct{ mux *peer.Mux }
+
+var errNotServed = twirp.NewError(twirp.Unimplemented, "not served by an instance of a shared log")
+
+// Exchange takes in messages of the log.
+func (e exchangeOnly) Exchange(ctx context.Context, r *apiv1.ExchangeRequest) (*apiv1.ExchangeResponse, error) {
+	return e.mux.Exchange(ctx, r)
+}
+
+// Offer is not served.
+func (exchangeOnly) Offer(context.Context, *apiv1.OfferRequest) (*apiv1.OfferResponse, error) {
+	return nil, errNotServed
+}
+
+// FetchConfig is not served.
+func (exchangeOnly) FetchConfig(context.Context, *apiv1.FetchConfigRequest) (*apiv1.Config, error) {
+	return nil, errNotServed
+}
+
+// MoveQuota is not served.
+func (exchangeOnly) MoveQuota(context.Context, *apiv1.MoveQuotaRequest) (*apiv1.MoveQuotaResponse, error) {
+	return nil, errNotServed
+}
+
+// ShareSlots is not served.
+func (exchangeOnly) ShareSlots(context.Context, *apiv1.ShareSlotsRequest) (*apiv1.ShareSlotsResponse, error) {
+	return nil, errNotServed
+}
--- /dev/null
+++ b/internal/oplog/metrics.go
@@ -0,0 +1,96 @@
+package oplog
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Bounds of the latency histograms, in microseconds: 10 µs to a minute with two
+// digits, about 20 KB each.
+const (
+	lowestMicros  = 10
+	highestMicros = 60_000_000
+	digits        = 2
+)
+
+// Metrics counts events and keeps latency histograms by name. It is safe for
+// concurrent use.
+type Metrics struct {
+	mu         sync.Mutex
+	counters   map[string]int64
+	histograms map[string]*hdrhistogram.Histogram
+}
+
+// NewMetrics returns empty metrics.
+func NewMetrics() *Metrics {
+	return &Metrics{counters: map[string]int64{}, histograms: map[string]*hdrhistogram.Histogram{}}
+}
+
+// Add adds n to a counter.
+func (m *Metrics) Add(name string, n int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.counters[name] += n
+}
+
+// Observe adds a duration to a histogram.
+func (m *Metrics) Observe(name string, d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h := m.histograms[name]
+	if h == nil {
+		h = hdrhistogram.New(lowestMicros, highestMicros, digits)
+		m.histograms[name] = h
+	}
+	// The value is within the bounds, so recording can't fail.
+	_ = h.RecordValue(min(max(d.Microseconds(), lowestMicros), highestMicros))
+}
+
+var quantiles = []float64{50, 90, 99, 100}
+
+// WriteTo writes all metrics as text, one a line.
+func (m *Metrics) write(w io.Writer) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, name := range sortedKeys(m.counters) {
+		if _, err := fmt.Fprintf(w, "bilberry_%s_total %d\n", name, m.counters[name]); err != nil {
+			return err
+		}
+	}
+	for _, name := range sortedKeys(m.histograms) {
+		h := m.histograms[name]
+		for _, q := range quantiles {
+			_, err := fmt.Fprintf(w, "bilberry_%s_seconds{quantile=\"%g\"} %g\n", name, q/100,
+				float64(h.ValueAtQuantile(q))/1e6)
+			if err != nil {
+				return err
+			}
+		}
+		if _, err := fmt.Fprintf(w, "bilberry_%s_seconds_count %d\n", name, h.TotalCount()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// ServeHTTP serves the metrics as text.
+func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	// A write error means that the reader is gone.
+	_ = m.write(w)
+}
--- /dev/null
+++ b/internal/oplog/oplog.go
@@ -0,0 +1,101 @@
+// Package oplog writes a process's structured lines to standard output without
+// ever blocking who logs, within a budget of lines a second. Lines that don't
+// fit are dropped and counted, and the count is logged.
+package oplog
+
+import (
+	"io"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+)
+
+const (
+	// queueLines bounds the lines that wait for the writer: half a second of the
+	// budget.
+	queueLines = 1024
+	// linesPerSecond is the budget. A leader logs about six lines a job, so it
+	// covers 300 jobs a second; a line costs about 5 µs.
+	linesPerSecond = 2000
+)
+
+// Sink is an io.Writer that hands lines to a writer of its own. It is safe for
+// concurrent use.
+type Sink struct {
+	lines chan []byte
+	done  chan struct{}
+
+	mu      sync.Mutex
+	window  time.Time
+	used    int
+	dropped int
+	closed  bool
+}
+
+// NewSink returns a sink that writes to w. Close ends it.
+func NewSink(w io.Writer) *Sink {
+	s := &Sink{lines: make(chan []byte, queueLines), done: make(chan struct{})}
+	go s.drain(w)
+	return s
+}
+
+// drain writes what is queued. An error of the writer can't be logged anywhere.
+func (s *Sink) drain(w io.Writer) {
+	defer close(s.done)
+	for line := range s.lines {
+		_, _ = w.Write(line)
+	}
+}
+
+// Write queues one line, or drops it when the budget is spent or the queue full.
+func (s *Sink) Write(line []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if now.Sub(s.window) >= time.Second {
+		s.window, s.used = now, 0
+	}
+	if s.closed || s.used >= linesPerSecond {
+		s.dropped++
+		return len(line), nil
+	}
+	select {
+	case s.lines <- append([]byte(nil), line...):
+		s.used++
+	default:
+		s.dropped++
+	}
+	return len(line), nil
+}
+
+// TakeDropped returns how many lines were dropped since it was last called.
+func (s *Sink) TakeDropped() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.dropped
+	s.dropped = 0
+	return n
+}
+
+// closeTimeout bounds how long Close waits for a reader that stands still.
+const closeTimeout = 200 * time.Millisecond
+
+// Close writes what is queued, as far as the writer takes it in time.
+func (s *Sink) Close() {
+	s.mu.Lock()
+	if !s.closed {
+		s.closed = true
+		close(s.lines)
+	}
+	s.mu.Unlock()
+	select {
+	case <-s.done:
+	case <-time.After(closeTimeout):
+	}
+}
+
+// NewLogger returns a logger of logfmt lines on s.
+func NewLogger(s *Sink, instance string) log.Logger {
+	return log.With(log.NewLogfmtLogger(s), "ts", log.DefaultTimestampUTC, "instance", instance)
+}
--- /dev/null
+++ b/workflow/apply.go
@@ -0,0 +1,327 @@
+package workflow
+
+import (
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Command is one change of the state. Exactly one field is set.
+type Command struct {
+	Submit *Submission `cbor:"1,keyasint,omitempty"`
+	// Cancel is the ID of a job.
+	Cancel string `cbor:"2,keyasint,omitempty"`
+	// Start holds runs to begin; Number is chosen by Apply.
+	Start []Run       `cbor:"3,keyasint,omitempty"`
+	Ends  *WorkerEnds `cbor:"4,keyasint,omitempty"`
+	// Worker announces an incarnation.
+	Worker *Worker `cbor:"5,keyasint,omitempty"`
+	// Gone is the incarnation of a worker that has ended.
+	Gone string `cbor:"6,keyasint,omitempty"`
+	// Forget lists jobs that need no longer be shown.
+	Forget        []string  `cbor:"7,keyasint,omitempty"`
+	Configuration *Document `cbor:"8,keyasint,omitempty"`
+}
+
+// WorkerEnds are ends of runs on one worker.
+type WorkerEnds struct {
+	Worker string `cbor:"1,keyasint"`
+	// Seen is the number of the last end listed by the worker that is contained.
+	Seen uint64   `cbor:"2,keyasint,omitempty"`
+	Ends []RunEnd `cbor:"3,keyasint"`
+}
+
+// Encode returns the command as the log carries it.
+func (c *Command) Encode() ([]byte, error) {
+	data, err := cbor.Marshal(c)
+	return data, errors.Wrap(err, "encode a command")
+}
+
+// Decode reads a command.
+func Decode(data []byte) (Command, error) {
+	var c Command
+	err := cbor.Unmarshal(data, &c)
+	return c, errors.Wrap(err, "decode a command")
+}
+
+// SubmitResult tells what became of a submission.
+type SubmitResult uint8
+
+// Results of a submission.
+const (
+	SubmitAccepted SubmitResult = iota + 1
+	// SubmitKnown: the same job was accepted before.
+	SubmitKnown
+	// SubmitConflict: the ID belongs to another queue's job.
+	SubmitConflict
+)
+
+// Result is what Apply returns to whoever proposed the command.
+type Result struct {
+	Submit SubmitResult
+	// Started are the runs that were begun, with their numbers. Those that the
+	// state no longer allows are left out.
+	Started []Run
+	// Found says that the job to cancel is known.
+	Found bool
+	// InForce is the configuration after the command.
+	InForce Document
+}
+
+// Apply carries out one committed command.
+func (s *State) Apply(index uint64, c *Command) Result {
+	switch {
+	case c.Submit != nil:
+		return Result{Submit: s.submit(index, c.Submit)}
+	case c.Cancel != "":
+		return Result{Found: s.cancel(c.Cancel)}
+	case len(c.Start) > 0:
+		return Result{Started: s.start(c.Start)}
+	case c.Ends != nil:
+		s.end(c.Ends)
+	case c.Worker != nil:
+		s.announce(c.Worker)
+	case c.Gone != "":
+		s.workerGone(c.Gone)
+	case len(c.Forget) > 0:
+		s.forget(c.Forget)
+	case c.Configuration != nil:
+		s.configure(c.Configuration)
+		return Result{InForce: s.Configuration}
+	}
+	return Result{}
+}
+
+func (s *State) submit(index uint64, sub *Submission) SubmitResult {
+	if known := s.Jobs[sub.ID]; known != nil {
+		if known.Queue != sub.Queue {
+			return SubmitConflict
+		}
+		return SubmitKnown
+	}
+	job := &Job{Submission: *sub, Index: index}
+	for range max(sub.Schedule.Times, 1) {
+		steps := make([]StepState, len(sub.Steps))
+		for i := range sub.Steps {
+			steps[i].Tasks = make([]Task, sub.Steps[i].Count)
+			job.Unfinished += sub.Steps[i].Count
+		}
+		job.Occurrences = append(job.Occurrences, steps)
+	}
+	s.Jobs[sub.ID] = job
+	s.open[sub.ID] = job
+	return SubmitAccepted
+}
+
+func (s *State) cancel(id string) bool {
+	job := s.Jobs[id]
+	if job == nil {
+		return false
+	}
+	if !job.Ended() {
+		job.Cancelled = true
+		s.close(job)
+	}
+	return true
+}
+
+// close drops what an ended job no longer needs.
+func (s *State) close(job *Job) {
+	delete(s.open, job.ID)
+	job.Payload = ""
+}
+
+// start begins the runs that the state still allows. A gang is begun whole or
+// not at all.
+func (s *State) start(runs []Run) []Run {
+	var started []Run
+	for len(runs) > 0 {
+		n := 1
+		for n < len(runs) && runs[n].Task.StepKey == runs[0].Task.StepKey {
+			n++
+		}
+		started = append(started, s.startStep(runs[:n])...)
+		runs = runs[n:]
+	}
+	return started
+}
+
+func (s *State) startStep(runs []Run) []Run {
+	key := runs[0].Task.StepKey
+	job, step := s.step(key)
+	if job == nil || job.Ended() || !job.StepReady(key.Occurrence, key.Step) {
+		return nil
+	}
+	gang := job.Steps[key.Step].Gang
+	if gang && (len(runs) != len(step.Tasks) || step.Live() > 0 || step.Done > 0) {
+		return nil
+	}
+	if gang && slices.ContainsFunc(runs, func(r Run) bool { return !s.mayStart(step, r) }) {
+		return nil
+	}
+	var started []Run
+	for _, run := range runs {
+		if !s.mayStart(step, run) {
+			continue
+		}
+		task := &step.Tasks[run.Task.Index]
+		task.Runs++
+		run.Number = task.Runs
+		if gang {
+			run.Number = step.GangRun + 1
+		}
+		task.Live++
+		s.addRun(run)
+		started = append(started, run)
+	}
+	if gang && len(started) > 0 {
+		step.GangRun++
+	}
+	job.Begun = job.Begun || len(started) > 0
+	return started
+}
+
+// mayStart refuses a second run of a task beside one that may be alive, and a
+// start on a worker that is gone.
+func (s *State) mayStart(step *StepState, run Run) bool {
+	worker := s.Workers[run.Worker]
+	if worker == nil || worker.Gone || run.Task.Index >= len(step.Tasks) {
+		return false
+	}
+	task := &step.Tasks[run.Task.Index]
+	return !task.Done && task.Live == 0
+}
+
+func (s *State) end(e *WorkerEnds) {
+	if worker := s.Workers[e.Worker]; worker != nil {
+		worker.Seen = max(worker.Seen, e.Seen)
+	}
+	for _, end := range e.Ends {
+		s.endRun(e.Worker, end)
+	}
+}
+
+// endRun takes in the end of a run that may be alive. Ends of other runs are
+// repeats, or of runs whose lease had ended before and that count as lost.
+func (s *State) endRun(worker string, end RunEnd) {
+	run, ok := s.Runs[worker][end.Task]
+	if !ok || run.Number != end.Number {
+		return
+	}
+	delete(s.Runs[worker], end.Task)
+	job, step := s.step(end.Task.StepKey)
+	if job == nil {
+		return
+	}
+	task := &step.Tasks[end.Task.Index]
+	task.Live--
+	spec := &job.Steps[end.Task.Step]
+	if end.Checkpoint != "" {
+		task.Checkpoint = end.Checkpoint
+	}
+	if spec.Gang {
+		s.endMember(job, spec, step, end)
+		return
+	}
+	switch {
+	case spec.LongRunning:
+	case end.Outcome == OutcomeDone:
+		s.finish(job, step, task)
+	case end.Outcome == OutcomeFailed:
+		task.Failures++
+		s.checkBudget(job, task.Failures)
+	}
+}
+
+// endMember takes in the end of a gang's member: one done member stands for all,
+// and a run that failed counts once, however many members say so.
+func (s *State) endMember(job *Job, spec *Step, step *StepState, end RunEnd) {
+	if end.Outcome != OutcomeDone {
+		step.GangEndedRun = max(step.GangEndedRun, end.Number)
+	}
+	if end.Checkpoint != "" {
+		for i := range step.Tasks {
+			step.Tasks[i].Checkpoint = end.Checkpoint
+		}
+	}
+	switch {
+	case spec.LongRunning:
+	case end.Outcome == OutcomeDone:
+		for i := range step.Tasks {
+			s.finish(job, step, &step.Tasks[i])
+		}
+	case end.Outcome == OutcomeFailed && step.GangFailedRun < end.Number:
+		step.GangFailedRun = end.Number
+		step.GangFailures++
+		s.checkBudget(job, step.GangFailures)
+	}
+}
+
+func (s *State) finish(job *Job, step *StepState, task *Task) {
+	if task.Done {
+		return
+	}
+	task.Done = true
+	step.Done++
+	job.Unfinished--
+	if job.Unfinished == 0 {
+		s.close(job)
+	}
+}
+
+func (s *State) checkBudget(job *Job, failures int) {
+	budget := job.Policy.MaxAttempts
+	if budget > 0 && failures >= budget && !job.Ended() {
+		job.Failed = true
+		s.close(job)
+	}
+}
+
+// announce takes in a worker. Another incarnation at the same address takes the
+// place of the one before only when that one is said to be gone.
+func (s *State) announce(w *Worker) {
+	known := s.Workers[w.ID]
+	if known == nil {
+		s.Workers[w.ID] = &WorkerState{Worker: *w}
+		return
+	}
+	known.Worker = *w
+}
+
+// workerGone ends every run of a worker that runs nothing any more.
+func (s *State) workerGone(id string) {
+	worker := s.Workers[id]
+	if worker == nil {
+		return
+	}
+	worker.Gone = true
+	for _, run := range sortedRuns(s.Runs[id]) {
+		s.endRun(id, RunEnd{Task: run.Task, Number: run.Number, Outcome: OutcomeLost})
+	}
+	delete(s.Runs, id)
+}
+
+func sortedRuns(runs map[TaskKey]Run) []Run {
+	list := make([]Run, 0, len(runs))
+	for _, run := range runs {
+		list = append(list, run)
+	}
+	slices.SortFunc(list, func(a, b Run) int { return CompareTasks(a.Task, b.Task) })
+	return list
+}
+
+func (s *State) forget(ids []string) {
+	for _, id := range ids {
+		if job := s.Jobs[id]; job != nil && job.Ended() {
+			delete(s.Jobs, id)
+		}
+	}
+}
+
+// configure keeps the highest version; an older one changes nothing.
+func (s *State) configure(d *Document) {
+	if s.Configuration.Source == nil || d.Version > s.Configuration.Version {
+		s.Configuration = *d
+	}
+}
--- /dev/null
+++ b/workflow/configuration.go
@@ -0,0 +1,61 @@
+package workflow
+
+import "strings"
+
+// AdvicePolicy describes the adviser of a queue: its answer takes Decide and
+// Each for each worker named, and a ticket holds for Valid.
+type AdvicePolicy struct {
+	DecideMS float64 `cbor:"1,keyasint"`
+	EachMS   float64 `cbor:"2,keyasint"`
+	ValidMS  int64   `cbor:"3,keyasint"`
+}
+
+// Policy is how the jobs of a queue are treated.
+type Policy struct {
+	// Service is the pool of workers that run the tasks.
+	Service string `cbor:"1,keyasint"`
+	// Priority 0 goes first.
+	Priority int `cbor:"2,keyasint,omitempty"`
+	// MaxAttempts is how many runs of a task may fail before the job does.
+	MaxAttempts int `cbor:"3,keyasint,omitempty"`
+	// The objective of a job is Stretch times its longest chain of work and
+	// ObjectiveMS more.
+	Stretch     float64 `cbor:"4,keyasint,omitempty"`
+	ObjectiveMS int64   `cbor:"5,keyasint,omitempty"`
+	// Advice is nil when any worker of the service may run any step.
+	Advice *AdvicePolicy `cbor:"6,keyasint,omitempty"`
+}
+
+// Queue takes in the jobs that are submitted under a host and a path.
+type Queue struct {
+	Name   string `cbor:"1,keyasint"`
+	Host   string `cbor:"2,keyasint"`
+	Prefix string `cbor:"3,keyasint"`
+	Policy Policy `cbor:"4,keyasint"`
+}
+
+// Identity names the queue for as long as its host and path stay the same.
+func (q *Queue) Identity() string { return q.Host + q.Prefix }
+
+// Document is a version of the configuration.
+type Document struct {
+	Version uint64 `cbor:"1,keyasint"`
+	// Source is the document as it was handed in, nil before the first one.
+	Source []byte  `cbor:"2,keyasint"`
+	Queues []Queue `cbor:"3,keyasint"`
+}
+
+// Resolve finds the queue with the longest prefix of path, and the rest of the
+// path after it.
+func (d *Document) Resolve(host, path string) (queue *Queue, rest string, ok bool) {
+	for i := range d.Queues {
+		q := &d.Queues[i]
+		if q.Host == host && strings.HasPrefix(path, q.Prefix) && (queue == nil || len(q.Prefix) > len(queue.Prefix)) {
+			queue = q
+		}
+	}
+	if queue == nil {
+		return nil, "", false
+	}
+	return queue, path[len(queue.Prefix):], true
+}
