Send nothing of a job that ended while its start was being committed

Ruled out: a mixed-up payload (the log shows the right job's task); a wrong checkpoint (none was sent).

Change: a committed start whose job has ended, or whose worker has gone, is settled as not started and never sent.

--- /dev/null
+++ b/internal/control/fake_test.go
@@ -0,0 +1,286 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/shoenig/test/must"
+
+	"github.com/bilberryferry/bilberryferry/internal/link"
+	"github.com/bilberryferry/bilberryferry/replica"
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+// fakeLog commits every command at once on one member that always leads.
+type fakeLog struct {
+	machine *Machine
+	mu      sync.Mutex
+	index   uint64
+	// applied is called after each command, outside the lock.
+	applied func(workflow.Command)
+}
+
+func (l *fakeLog) Propose(_ context.Context, data []byte) (any, error) {
+	l.mu.Lock()
+	l.index++
+	value := l.machine.Apply(l.index, data)
+	hook := l.applied
+	l.mu.Unlock()
+	if hook != nil {
+		command, err := workflow.Decode(data)
+		if err != nil {
+			return nil, err
+		}
+		hook(command)
+	}
+	return value, nil
+}
+
+func (l *fakeLog) Barrier(context.Context) error { return nil }
+
+func (l *fakeLog) Status() replica.Status {
+	return replica.Status{Role: replica.Leader, Term: 7, CanDecide: true}
+}
+
+func (l *fakeLog) Changed() <-chan struct{} { return make(chan struct{}) }
+
+var errNoAnswer = errors.New("no answer")
+
+// fakeWorker is one incarnation of a worker, with its lists.
+type fakeWorker struct {
+	id      string
+	fence   uint64
+	running map[workflow.TaskKey]Running
+	ended   []Ended
+	// stopped is the highest run stopped or ended of each task.
+	stopped map[workflow.TaskKey]int
+	// cut says that calls arrive and their answers are lost.
+	cut bool
+	// delay holds starts back: they get no answer and are kept in late.
+	delay bool
+	late  []StartOrder
+	// starts are the orders that were carried out.
+	starts []StartOrder
+	// leases are the lease ends that looks carried.
+	leases []int64
+	// replaced says that another incarnation answers.
+	replaced bool
+}
+
+// fakeWorkers serves all workers.
+type fakeWorkers struct {
+	mu  sync.Mutex
+	all map[string]*fakeWorker
+}
+
+func (f *fakeWorkers) add(id string) *fakeWorker {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := &fakeWorker{id: id, running: map[workflow.TaskKey]Running{}, stopped: map[workflow.TaskKey]int{}}
+	f.all[id] = w
+	return w
+}
+
+func (f *fakeWorkers) Start(_ context.Context, to Target, order StartOrder) (int64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.all[to.Worker]
+	if w.replaced {
+		return 0, ErrOtherIncarnation
+	}
+	if w.delay {
+		w.late = append(w.late, order)
+		return 0, errNoAnswer
+	}
+	if err := w.begin(order); err != nil {
+		return 0, err
+	}
+	if w.cut {
+		return 0, errNoAnswer
+	}
+	return 1000, nil
+}
+
+func (w *fakeWorker) begin(order StartOrder) error {
+	if order.Fence < w.fence {
+		return &RefusedError{RefusedFence}
+	}
+	w.fence = order.Fence
+	if order.Run.Number <= w.stopped[order.Run.Task] {
+		return &RefusedError{RefusedOld}
+	}
+	if w.running[order.Run.Task].Number == order.Run.Number {
+		return nil
+	}
+	w.starts = append(w.starts, order)
+	w.running[order.Run.Task] = Running{Task: order.Run.Task, Number: order.Run.Number}
+	return nil
+}
+
+func (f *fakeWorkers) Stop(_ context.Context, to Target, order StopOrder) (int64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.all[to.Worker]
+	w.stopped[order.Run.Task] = max(w.stopped[order.Run.Task], order.Run.Number)
+	if running, ok := w.running[order.Run.Task]; ok && running.Number == order.Run.Number {
+		w.finish(order.Run.Task, workflow.OutcomeStopped)
+	}
+	if w.cut {
+		return 0, errNoAnswer
+	}
+	return 1000, nil
+}
+
+func (w *fakeWorker) finish(task workflow.TaskKey, outcome workflow.Outcome) {
+	running := w.running[task]
+	delete(w.running, task)
+	w.stopped[task] = max(w.stopped[task], running.Number)
+	w.ended = append(w.ended, Ended{
+		Position: uint64(len(w.ended) + 1),
+		RunEnd:   workflow.RunEnd{Task: task, Number: running.Number, Outcome: outcome},
+	})
+}
+
+// fakeHold is how long a look is held at most in tests.
+const fakeHold = 5 * time.Millisecond
+
+func (f *fakeWorkers) Look(ctx context.Context, to Target, order LookOrder) (Report, error) {
+	sleep(ctx, fakeHold)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.all[to.Worker]
+	if w.replaced {
+		return Report{}, ErrOtherIncarnation
+	}
+	w.fence = max(w.fence, order.Fence)
+	if order.LeaseEndMS > 0 {
+		w.leases = append(w.leases, order.LeaseEndMS)
+	}
+	if w.cut {
+		return Report{}, errNoAnswer
+	}
+	report := Report{ClockMS: 1000}
+	for _, running := range w.running {
+		report.Running = append(report.Running, running)
+	}
+	for _, ended := range w.ended {
+		if ended.Position > order.Seen {
+			report.Ended = append(report.Ended, ended)
+		}
+	}
+	return report, nil
+}
+
+func (f *fakeWorkers) Ask(_ context.Context, call AskCall) (AskReply, error) {
+	reply := AskReply{Valid: time.Minute}
+	for _, worker := range call.Workers {
+		reply.Granted = append(reply.Granted, Grant{Worker: worker, Ticket: "t"})
+	}
+	return reply, nil
+}
+
+type noCounters struct{}
+
+func (noCounters) Add(string, int64)             {}
+func (noCounters) Observe(string, time.Duration) {}
+
+// world is one controller that leads, with its fakes.
+type world struct {
+	t       *testing.T
+	log     *fakeLog
+	workers *fakeWorkers
+	c       *Controller
+}
+
+// newWorld starts a controller once prepare has filled the log.
+func newWorld(t *testing.T, prepare func(w *world)) *world {
+	machine := NewMachine()
+	w := &world{t: t, log: &fakeLog{machine: machine}, workers: &fakeWorkers{all: map[string]*fakeWorker{}}}
+	bounds := Bounds{LeaseMax: 700 * time.Millisecond, Contact: 200 * time.Millisecond, Shown: time.Minute}
+	w.c = New(Config{
+		Address: "own", Bounds: bounds, Workers: w.workers, Adviser: w.workers, Client: link.NewClient(),
+		Logger: log.NewNopLogger(), Counters: noCounters{},
+		Leader: func() string { return "own" }, Members: func() []string { return nil },
+	}, machine, w.log)
+	w.commit(&workflow.Command{Configuration: &workflow.Document{Version: 1, Source: []byte("{}"), Queues: []workflow.Queue{
+		{Name: "q", Host: "h", Prefix: "/q/", Policy: workflow.Policy{Service: "s", MaxAttempts: 3, Stretch: 2, ObjectiveMS: 100}},
+	}}})
+	if prepare != nil {
+		prepare(w)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		must.NoError(t, w.c.Run(ctx))
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	w.eventually("a tenure begins", func() bool { _, err := w.c.leading(); return err == nil })
+	return w
+}
+
+func (w *world) commit(c *workflow.Command) {
+	data, err := c.Encode()
+	must.NoError(w.t, err)
+	_, err = w.log.Propose(context.Background(), data)
+	must.NoError(w.t, err)
+}
+
+var tenCores = workflow.Resources{MilliCPU: 10_000, MemoryMB: 1000}
+
+func worker(id string) workflow.Worker {
+	return workflow.Worker{ID: id, Service: "s", Address: id, Capacity: tenCores}
+}
+
+// announce sends a heartbeat of a worker.
+func (w *world) announce(id string) {
+	_, err := w.c.Announce(context.Background(), &Announcement{Worker: worker(id)})
+	must.NoError(w.t, err)
+}
+
+// submit hands in a job of one step.
+func (w *world) submit(id string, step workflow.Step) {
+	_, err := w.c.Submit(context.Background(), &SubmitCall{
+		Place: Place{Host: "h", Path: "/q/" + id}, Payload: "payload", Steps: []workflow.Step{step},
+	})
+	must.NoError(w.t, err)
+}
+
+func (w *world) eventually(what string, ok func() bool) {
+	w.t.Helper()
+	for range 2000 {
+		if ok() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	w.t.Fatalf("never: %s", what)
+}
+
+// with looks at a worker under the lock.
+func (w *world) with(id string, f func(*fakeWorker)) {
+	w.workers.mu.Lock()
+	defer w.workers.mu.Unlock()
+	f(w.workers.all[id])
+}
+
+func (w *world) started(id string) (n int) {
+	w.with(id, func(f *fakeWorker) { n = len(f.starts) })
+	return n
+}
+
+func (w *world) phase(id string) workflow.Phase {
+	phase, _ := w.c.phase(id, "h/q/")
+	return phase
+}
+
+func task(job string, index int) workflow.TaskKey {
+	return workflow.TaskKey{StepKey: workflow.StepKey{Job: job}, Index: index}
+}
+
+// oneTask is a step of one small task.
+var oneTask = workflow.Step{Count: 1, Need: workflow.Resources{MilliCPU: 1000, MemoryMB: 10}, EstimateMS: 50}
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -15,7 +15,6 @@
 // order is a start that this tenure has committed and sends.
 type order struct {
 	run    workflow.Run
-	step   *workflow.Step
 	ticket string
 	// unanswered says that a call ended without an answer and that no list of the
 	// worker has shown the run since.
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -75,38 +75,46 @@
 	}
 }
 
+// sendStarted sends a committed start, unless it serves nobody any more.
+//
+// Failure guarded against: a job ends while its start is being committed. Its
+// payload is dropped with it, and the worker would be told to run a task with
+// an empty one.
 func (t *tenure) sendStarted(run workflow.Run, ticket string) {
-	var payload, checkpoint string
-	var step *workflow.Step
-	t.c.machine.read(func(s *workflow.State) {
-		job := s.Jobs[run.Task.Job]
-		if job == nil {
-			return
-		}
-		payload = job.Payload
-		step = &job.Steps[run.Task.Step]
-		checkpoint = s.Task(run.Task).Checkpoint
-	})
+	o, payload, checkpoint := t.newOrder(run, ticket)
 	t.mu.Lock()
 	s := t.sessions[run.Worker]
-	o := &order{run: run, step: step, ticket: ticket}
-	if s != nil {
+	if o != nil && s != nil {
 		s.orders[run.Task] = o
 	}
 	t.mu.Unlock()
-	t.logger.Log("event", "run_started", "task", run.Task, "run", run.Number, "worker", run.Worker,
-		"ticket", ticket != "", "resumed", checkpoint != "")
-	if s == nil {
-		// The worker went away while the start was being committed; its end, which
-		// is committed as well, covers the run.
+	if o == nil || s == nil {
+		t.logger.Log("event", "start", "task", run.Task, "run", run.Number, "worker", run.Worker,
+			"outcome", "not sent", "job_ended", o == nil, "worker_gone", s == nil)
 		_, _ = t.propose(&workflow.Command{Ends: &workflow.WorkerEnds{Worker: run.Worker, Ends: []workflow.RunEnd{
 			{Task: run.Task, Number: run.Number, Outcome: workflow.OutcomeNotStarted},
 		}}})
 		return
 	}
+	t.logger.Log("event", "run_started", "task", run.Task, "run", run.Number, "worker", run.Worker,
+		"ticket", ticket != "", "resumed", checkpoint != "")
 	t.goTask(func() { s.sendStart(o, payload, checkpoint) })
 }
 
+// newOrder makes up the order of a committed start; nil when its job has ended.
+func (t *tenure) newOrder(run workflow.Run, ticket string) (o *order, payload, checkpoint string) {
+	t.c.machine.read(func(s *workflow.State) {
+		job := s.Jobs[run.Task.Job]
+		if job == nil || job.Ended() {
+			return
+		}
+		payload = job.Payload
+		checkpoint = s.Task(run.Task).Checkpoint
+		o = &order{run: run, ticket: ticket}
+	})
+	return o, payload, checkpoint
+}
+
 // stopping is a run that is to be stopped.
 type stopping struct {
 	session *session
--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -58,7 +58,9 @@
 	public := newServer(s.Control, adapters.Control(operations, p.logger))
 	serve(group, public)
 	metrics := p.serveMetrics(group)
-	group.Go(func() error { return p.watchSettings(groupCtx, func(next *Settings) { leader.SetSeeds(next.seedAddresses()) }) })
+	group.Go(func() error {
+		return p.watchSettings(groupCtx, func(next *Settings) { leader.SetSeeds(next.seedAddresses()) })
+	})
 	group.Go(func() error {
 		// Opening waits for a leader on an instance that joins; it must not keep the
 		// process from stopping.
--- a/internal/instance/edge.go
+++ b/internal/instance/edge.go
@@ -58,7 +58,9 @@
 	serve(group, readiness)
 	metrics := p.serveMetrics(group)
 	group.Go(func() error { return leader.Follow(groupCtx) })
-	group.Go(func() error { return p.watchSettings(groupCtx, func(next *Settings) { leader.SetSeeds(next.seedAddresses()) }) })
+	group.Go(func() error {
+		return p.watchSettings(groupCtx, func(next *Settings) { leader.SetSeeds(next.seedAddresses()) })
+	})
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
