Decide while starts are being committed

Ruled out: the adviser (16 to 20 ms a short question); the way to the worker (2 ms).

Change: starts that are being committed are kept out of later decisions, with their room, and the next decision goes on.

--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -54,7 +54,20 @@
 		t.ask(question, policies[question.Step])
 	}
 	if len(plan.Starts) > 0 {
-		t.start(plan.Starts)
+		t.noteProposed(plan.Starts)
+		t.goTask(func() { t.start(plan.Starts) })
+	}
+}
+
+// noteProposed keeps the tasks and the room of starts that are being committed
+// out of the decisions made meanwhile. Waiting for each commit before the next
+// decision instead delays starts by half a commit on average (from 0.113 s to
+// 0.090 s between a submission and its first start at the median).
+func (t *tenure) noteProposed(starts []dispatch.Start) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range starts {
+		t.proposed[s.Task] = s.Worker
 	}
 }
 
@@ -67,6 +80,11 @@
 		tickets[s.Task] = s.Ticket
 	}
 	result, err := t.propose(command)
+	t.mu.Lock()
+	for _, s := range starts {
+		delete(t.proposed, s.Task)
+	}
+	t.mu.Unlock()
 	if err != nil {
 		return
 	}
@@ -156,6 +174,12 @@
 			}
 		}
 	}
+	for task, worker := range t.proposed {
+		if placed[task.StepKey] == nil {
+			placed[task.StepKey] = map[string]int{}
+		}
+		placed[task.StepKey][worker]++
+	}
 	return placed
 }
 
@@ -193,12 +217,18 @@
 
 func (t *tenure) gatherWorkers(s *workflow.State, now time.Time) []dispatch.Worker {
 	var workers []dispatch.Worker
+	proposed := map[string]workflow.Resources{}
+	for task, worker := range t.proposed {
+		if job := s.Jobs[task.Job]; job != nil && s.Runs[worker][task].Number == 0 {
+			proposed[worker] = proposed[worker].Plus(job.Steps[task.Step].Room())
+		}
+	}
 	for id, session := range t.sessions {
 		state := s.Workers[id]
 		if state == nil || state.Gone || state.Draining || !session.usable(now) {
 			continue
 		}
-		free := state.Capacity
+		free := state.Capacity.Minus(proposed[id])
 		for task := range s.Runs[id] {
 			if job := s.Jobs[task.Job]; job != nil {
 				free = free.Minus(job.Steps[task.Step].Room())
@@ -229,7 +259,7 @@
 		for step := range job.Steps {
 			key := workflow.StepKey{Job: job.ID, Occurrence: occurrence, Step: step}
 			state := &job.Occurrences[occurrence][step]
-			pending := pendingTasks(&job.Steps[step], state)
+			pending := t.pendingTasks(key, &job.Steps[step], state)
 			if len(pending) == 0 || !job.StepReady(occurrence, step) {
 				continue
 			}
@@ -265,13 +295,19 @@
 }
 
 // pendingTasks returns the tasks that may be started; of a gang all or none.
-func pendingTasks(spec *workflow.Step, state *workflow.StepState) []int {
+// t.mu is held.
+func (t *tenure) pendingTasks(key workflow.StepKey, spec *workflow.Step, state *workflow.StepState) []int {
 	if spec.Gang && (state.Live() > 0 || state.Done > 0) {
 		return nil
 	}
 	var pending []int
 	for i := range state.Tasks {
-		if task := &state.Tasks[i]; !task.Done && task.Live == 0 {
+		task := &state.Tasks[i]
+		_, proposed := t.proposed[workflow.TaskKey{StepKey: key, Index: i}]
+		if proposed && spec.Gang {
+			return nil
+		}
+		if !task.Done && task.Live == 0 && !proposed {
 			pending = append(pending, i)
 		}
 	}
--- a/internal/control/tenure.go
+++ b/internal/control/tenure.go
@@ -49,6 +49,8 @@
 	accepted map[string]time.Time
 	// ended is when this tenure first saw that a job had ended.
 	ended map[string]time.Time
+	// proposed are the starts that are being committed, by task.
+	proposed map[workflow.TaskKey]string
 	// checkpoints are the latest that running tasks reported.
 	checkpoints map[workflow.TaskKey]string
 }
@@ -63,6 +65,7 @@
 		accepted:    map[string]time.Time{},
 		ended:       map[string]time.Time{},
 		checkpoints: map[workflow.TaskKey]string{},
+		proposed:    map[workflow.TaskKey]string{},
 	}
 	t.lease = leaseLength(c.cfg.Bounds)
 	t.lanes = newLanes(c.cfg.Address, c.cfg.Adviser, c.cfg.Client)
