Give nothing new to a worker whose answer to an order is overdue

Cause: a worker that is cut off kept getting tasks for 0.6 s after the cut, and each is then blocked until its lease has ended.

Ruled out: shorter leases (they end the work that goes on behind the cut).

Change: an order without an answer for 100 ms makes its worker unusable until it answers. A calm worker answers in 2 to 4 ms.

--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -16,6 +16,8 @@
 type order struct {
 	run    workflow.Run
 	ticket string
+	// sentAt is when the call under way was sent, zero while there is none.
+	sentAt time.Time
 	// unanswered says that a call ended without an answer and that no list of the
 	// worker has shown the run since.
 	unanswered bool
@@ -71,18 +73,20 @@
 		Checkpoint: checkpoint, Ticket: o.ticket,
 	}
 	target := s.target()
+	begun := time.Now()
+	o.sentAt = begun
 	t.mu.Unlock()
 	ctx, cancel := context.WithTimeout(t.ctx, callTimeout)
 	defer cancel()
-	begun := time.Now()
 	clockMS, err := t.c.cfg.Workers.Start(ctx, target, start)
 	now := time.Now()
 	t.c.cfg.Counters.Observe("start", now.Sub(begun))
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	o.sentAt = time.Time{}
 	if err != nil {
 		return err
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	s.noteClock(clockMS, now)
 	o.unanswered = false
 	o.startedAt = now
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -16,6 +16,9 @@
 	// callTimeout bounds an order's round trip: a few milliseconds on a calm link,
 	// and one repeated packet on a lossy one.
 	callTimeout = 600 * time.Millisecond
+	// promptAnswer is how long a worker in reach takes at most to answer an order:
+	// some round trips of 2 ms and its own scheduling.
+	promptAnswer = 100 * time.Millisecond
 	// freshFor is how long after its last answer a worker still gets new tasks:
 	// one held look and the time of a call.
 	freshFor = lookWait + callTimeout
@@ -64,14 +67,15 @@
 // usable reports whether new tasks may be given to the worker. t.mu is held.
 func (s *session) usable(now time.Time) bool {
 	return s.ready && !s.leaving && !s.worker.Draining && now.Sub(s.answeredAt) < freshFor &&
-		!s.doubtful() && now.After(s.quarantine)
+		!s.doubtful(now) && now.After(s.quarantine)
 }
 
-// doubtful reports whether an order is without an answer: the worker may be
-// cut off, and what it is given now may be as well.
-func (s *session) doubtful() bool {
+// doubtful reports whether an order is without an answer for longer than a
+// calm worker takes: it may be cut off, and what it is given now would be
+// blocked with it until the lease ends.
+func (s *session) doubtful(now time.Time) bool {
 	for _, o := range s.orders {
-		if o.unanswered {
+		if o.unanswered || !o.sentAt.IsZero() && now.Sub(o.sentAt) > promptAnswer {
 			return true
 		}
 	}
