Rank workers once a step instead of at each comparison

In a profile of one decision, 60 % went to counting how many tasks fit, again at each comparison of a sort.

Change: permits are shared, not copied; workers are sorted only where a question needs an order, by keys worked out once; a task that doesn't fit at all takes no division.

--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -78,7 +78,7 @@
 // split separates the workers that are known to be permitted from those that
 // nothing is known of.
 func (p *planner) split(s *Step, suitable []*Worker) (granted, unknown []*Worker) {
-	for _, w := range byRoom(s, suitable) {
+	for _, w := range suitable {
 		permit, known := s.Permits[w.ID]
 		switch {
 		case !known:
@@ -95,11 +95,8 @@
 func toRenew(s *Step, granted []*Worker, left int) []*Worker {
 	var renew []*Worker
 	room := 0
-	for _, w := range granted {
+	for _, w := range byRoom(s, withRoom(s, granted)) {
 		n := copies(s, w)
-		if n == 0 {
-			continue
-		}
 		renew = append(renew, w)
 		room += n
 		if room >= left {
@@ -109,6 +106,17 @@
 	return renew
 }
 
+// withRoom returns the workers on which a task of s fits now.
+func withRoom(s *Step, workers []*Worker) []*Worker {
+	var out []*Worker
+	for _, w := range workers {
+		if copies(s, w) > 0 {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
 // wantsMore reports whether workers of unknown permission are worth a question.
 func wantsMore(s *Step, unknown []*Worker) bool {
 	if len(s.Permits) == 0 {
@@ -136,13 +144,13 @@
 func (p *planner) toLearn(s *Step, granted, unknown []*Worker, left, most int) []*Worker {
 	var ask []*Worker
 	room := 0
-	for _, w := range granted {
-		if n := copies(s, w); n > 0 && room < left {
+	for _, w := range byRoom(s, withRoom(s, granted)) {
+		if room < left {
 			ask = append(ask, w)
-			room += n
+			room += copies(s, w)
 		}
 	}
-	for _, w := range unknown {
+	for _, w := range byRoom(s, unknown) {
 		if len(ask) >= most {
 			break
 		}
@@ -182,7 +190,10 @@
 		return nil, 0
 	}
 	slices.SortStableFunc(openings, func(a, b opening) int {
-		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.worker.Penalty, b.worker.Penalty))
+		if a.at != b.at {
+			return cmp.Compare(a.at, b.at)
+		}
+		return a.worker.Penalty - b.worker.Penalty
 	})
 	var chosen []*Worker
 	for _, o := range openings[:n] {
--- a/dispatch/select.go
+++ b/dispatch/select.go
@@ -46,14 +46,34 @@
 	return 1
 }
 
+// ranked is a worker with what it is ordered by.
+type ranked struct {
+	worker           *Worker
+	copies, distance int
+}
+
 // byRoom orders workers by how many tasks of s fit now, most first, so that a
 // gang spreads over few workers.
 func byRoom(s *Step, workers []*Worker) []*Worker {
-	out := slices.Clone(workers)
-	slices.SortStableFunc(out, func(a, b *Worker) int {
-		return cmp.Or(cmp.Compare(a.Penalty, b.Penalty), cmp.Compare(distance(s, a), distance(s, b)),
-			cmp.Compare(copies(s, b), copies(s, a)), cmp.Compare(b.Free.MilliCPU, a.Free.MilliCPU),
-			cmp.Compare(a.ID, b.ID))
+	order := make([]ranked, len(workers))
+	for i, w := range workers {
+		order[i] = ranked{w, copies(s, w), distance(s, w)}
+	}
+	slices.SortFunc(order, func(a, b ranked) int {
+		if a.worker.Penalty != b.worker.Penalty {
+			return a.worker.Penalty - b.worker.Penalty
+		}
+		if a.distance != b.distance {
+			return a.distance - b.distance
+		}
+		if a.copies != b.copies {
+			return b.copies - a.copies
+		}
+		return cmp.Or(cmp.Compare(b.worker.Free.MilliCPU, a.worker.Free.MilliCPU), cmp.Compare(a.worker.ID, b.worker.ID))
 	})
+	out := make([]*Worker, len(order))
+	for i, r := range order {
+		out[i] = r.worker
+	}
 	return out
 }
--- a/internal/control/permits.go
+++ b/internal/control/permits.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -29,6 +30,7 @@
 
 // stepPermits is what is known of the permissions of one step.
 type stepPermits struct {
+	// known is replaced, never changed: decisions read it without the lock.
 	known    map[string]dispatch.Permit
 	asking   bool
 	renewing []string
@@ -154,7 +156,9 @@
 	p := t.permitsOf(key)
 	if permit, ok := p.known[worker]; ok {
 		permit.Expires = 0
-		p.known[worker] = permit
+		known := maps.Clone(p.known)
+		known[worker] = permit
+		p.known = known
 	}
 }
 
@@ -204,10 +208,12 @@
 
 // takeIn remembers an answer: whoever was asked about and isn't in it is refused.
 func (p *stepPermits) takeIn(asked []string, reply AskReply, expires time.Duration) {
+	known := maps.Clone(p.known)
 	for _, worker := range asked {
-		p.known[worker] = dispatch.Permit{}
+		known[worker] = dispatch.Permit{}
 	}
 	for _, grant := range reply.Granted {
-		p.known[grant.Worker] = dispatch.Permit{Granted: true, Ticket: grant.Ticket, Expires: expires}
+		known[grant.Worker] = dispatch.Permit{Granted: true, Ticket: grant.Ticket, Expires: expires}
 	}
+	p.known = known
 }
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -323,10 +323,7 @@
 	advice := *job.Policy.Advice
 	step.AskTime = func(n int) time.Duration { return askLength(&advice, n) }
 	step.Asking, step.Renewing = p.asking, p.renewing
-	step.Permits = make(map[string]dispatch.Permit, len(p.known))
-	for worker, permit := range p.known {
-		step.Permits[worker] = permit
-	}
+	step.Permits = p.known
 	return step
 }
 
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -37,17 +37,25 @@
 
 // Copies returns how many tasks that need r fit into room.
 func (r Resources) Copies(room Resources) int {
-	copies := int64(1 << 20)
-	for _, pair := range [][2]int64{
-		{r.MilliCPU, room.MilliCPU}, {r.MemoryMB, room.MemoryMB}, {r.Accelerators, room.Accelerators},
-	} {
-		if pair[0] > 0 {
-			copies = min(copies, max(pair[1], 0)/pair[0])
-		}
+	if !r.Fits(room) {
+		return 0
+	}
+	copies := int64(maxCopies)
+	if r.MilliCPU > 0 {
+		copies = min(copies, room.MilliCPU/r.MilliCPU)
+	}
+	if r.MemoryMB > 0 {
+		copies = min(copies, room.MemoryMB/r.MemoryMB)
+	}
+	if r.Accelerators > 0 {
+		copies = min(copies, room.Accelerators/r.Accelerators)
 	}
 	return int(copies)
 }
 
+// maxCopies bounds the copies of a task that needs nothing.
+const maxCopies = 1 << 20
+
 // Step is one part of a job: tasks that are alike and may start once the steps
 // that it depends on have ended.
 type Step struct {
