--- /dev/null
+++ b/dispatch/plan_test.go
@@ -0,0 +1,176 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+func cores(n int64) workflow.Resources { return workflow.Resources{MilliCPU: n * 1000, MemoryMB: 1000} }
+
+func workers(free ...int64) []Worker {
+	var list []Worker
+	for i, f := range free {
+		list = append(list, Worker{
+			Worker: workflow.Worker{ID: fmt.Sprint("w", i), Service: "s", Rack: fmt.Sprint("r", i/2), Capacity: workflow.Resources{MilliCPU: 16_000, MemoryMB: 64_000}},
+			Free:   workflow.Resources{MilliCPU: f * 1000, MemoryMB: 64_000},
+		})
+	}
+	return list
+}
+
+func step(job string, count int, need int64) Step {
+	s := Step{
+		Key:  workflow.StepKey{Job: job},
+		Spec: &workflow.Step{Count: count, Need: cores(need)}, Service: "s",
+		AskTime: func(int) time.Duration { return 500 * time.Millisecond },
+	}
+	for i := range count {
+		s.Pending = append(s.Pending, i)
+	}
+	return s
+}
+
+var limits = Limits{AskWorkers: 4, GangAskWorkers: 8, Asks: 8, TicketMargin: 100 * time.Millisecond}
+
+// started lists JOB/INDEX@WORKER of each start.
+func started(p Plan) []string {
+	var list []string
+	for _, s := range p.Starts {
+		list = append(list, fmt.Sprintf("%s/%d@%s", s.Task.Job, s.Task.Index, s.Worker))
+	}
+	return list
+}
+
+func TestDecide(t *testing.T) {
+	gang := func(s Step) Step { s.Spec.Gang = true; return s }
+	with := func(s Step, change func(*Step)) Step { change(&s); return s }
+	for _, c := range []struct {
+		name    string
+		steps   []Step
+		workers []Worker
+		want    []string
+		reason  Reason
+	}{
+		{name: "the fullest worker that fits", steps: []Step{step("a", 1, 2)}, workers: workers(16, 3), want: []string{"a/0@w1"}},
+		{name: "never over the free room", steps: []Step{step("a", 3, 2)}, workers: workers(4), want: []string{"a/0@w0", "a/1@w0"}, reason: ReasonNoRoom},
+		{name: "urgent work first", steps: []Step{
+			with(step("a", 1, 4), func(s *Step) { s.Priority = 1 }), step("b", 1, 4),
+		}, workers: workers(4), want: []string{"b/0@w0"}, reason: ReasonNoRoom},
+		{name: "late work last", steps: []Step{
+			with(step("a", 1, 4), func(s *Step) { s.Late = 1 }), with(step("b", 1, 4), func(s *Step) { s.Priority = 2 }),
+		}, workers: workers(4), want: []string{"b/0@w0"}, reason: ReasonNoRoom},
+		{name: "a gang whole", steps: []Step{gang(step("a", 3, 4))}, workers: workers(8, 4), want: []string{"a/0@w0", "a/1@w0", "a/2@w1"}},
+		{name: "a gang not in part", steps: []Step{gang(step("a", 3, 4))}, workers: workers(8), reason: ReasonNoRoom},
+		{name: "a gang within one rack", steps: []Step{with(gang(step("a", 2, 8)), func(s *Step) { s.Spec.SameRack = true })},
+			workers: workers(16, 0, 8, 8), want: []string{"a/0@w0", "a/1@w0"}},
+		{name: "a bound of tasks on a worker", steps: []Step{with(step("a", 2, 1), func(s *Step) { s.Spec.MaxPerWorker = 1 })},
+			workers: workers(8, 9), want: []string{"a/0@w0", "a/1@w1"}},
+		{name: "near the data", steps: []Step{with(step("a", 1, 1), func(s *Step) { s.Spec.DataRack = "r1" })},
+			workers: workers(2, 2, 9), want: []string{"a/0@w2"}},
+		{name: "a label that nobody has", steps: []Step{with(step("a", 1, 1), func(s *Step) { s.Spec.Label = "gpu" })},
+			workers: workers(9), reason: ReasonNoWorker},
+		{name: "another service's workers", steps: []Step{with(step("a", 1, 1), func(s *Step) { s.Service = "t" })},
+			workers: workers(9), reason: ReasonNoWorker},
+		{name: "more than any worker has", steps: []Step{step("a", 1, 17)}, workers: workers(16), reason: ReasonNoWorker},
+		{name: "spare processors cost none", steps: []Step{with(step("a", 1, 9), func(s *Step) { s.Spec.UsesSpare = true })},
+			workers: workers(0), want: []string{"a/0@w0"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			plan := Decide(0, c.steps, c.workers, limits)
+			must.Eq(t, c.want, started(plan))
+			if c.reason != "" {
+				must.SliceLen(t, 1, plan.Waiting)
+				must.Eq(t, c.reason, plan.Waiting[0].Reason)
+			}
+		})
+	}
+}
+
+func needsPermit(s Step, permits map[string]Permit) Step {
+	s.NeedsPermit, s.Permits = true, permits
+	return s
+}
+
+func TestPermits(t *testing.T) {
+	valid := Permit{Granted: true, Ticket: "t", Expires: time.Second}
+	ended := Permit{Granted: true, Ticket: "t"}
+	for _, c := range []struct {
+		name    string
+		step    Step
+		workers []Worker
+		want    []string
+		ask     []string
+		renewal bool
+	}{
+		{name: "nothing known: ask about those with room first", step: needsPermit(step("a", 1, 2), nil),
+			workers: workers(0, 4, 8), ask: []string{"w2", "w1", "w0"}},
+		{name: "a valid ticket is used", step: needsPermit(step("a", 1, 2), map[string]Permit{"w0": valid}),
+			workers: workers(4, 9), want: []string{"a/0@w0"}},
+		{name: "a refused worker is never used", step: needsPermit(step("a", 1, 2), map[string]Permit{"w0": {}, "w1": {}}),
+			workers: workers(4, 9)},
+		{name: "an ended ticket is renewed where there is room", step: needsPermit(step("a", 1, 2), map[string]Permit{"w0": ended, "w1": ended}),
+			workers: workers(1, 9), ask: []string{"w1"}, renewal: true},
+		{name: "no ticket is renewed without room", step: needsPermit(step("a", 1, 2), map[string]Permit{"w0": ended}),
+			workers: workers(1)},
+		{name: "unknown workers are asked about when they have room", step: needsPermit(step("a", 1, 2), map[string]Permit{"w0": ended}),
+			workers: workers(1, 5), ask: []string{"w1"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			plan := Decide(0, []Step{c.step}, c.workers, limits)
+			must.Eq(t, c.want, started(plan))
+			if c.ask == nil {
+				must.SliceEmpty(t, plan.Asks)
+				return
+			}
+			must.SliceLen(t, 1, plan.Asks)
+			must.Eq(t, c.ask, plan.Asks[0].Workers)
+			must.Eq(t, c.renewal, plan.Asks[0].Renewal)
+		})
+	}
+}
+
+// What a user sees: an all-or-nothing job waits for ever beside small ones.
+// Order: the gang needs two workers; one is free, the other is soon; small
+// tasks arrive all the time and take each piece of room.
+// Cause: room for a gang wasn't kept while it came together.
+func TestRoomIsKeptForAWaitingGang(t *testing.T) {
+	list := workers(4, 0)
+	list[1].Releases = []Release{{At: time.Second, Room: cores(4)}}
+	gang := step("gang", 2, 4)
+	gang.Spec.Gang = true
+	batch := step("small", 4, 1)
+	batch.Priority = 1
+	must.SliceEmpty(t, started(Decide(0, []Step{gang, batch}, list, limits)))
+}
+
+// What a user sees: a worker stands idle for half a second before each gang.
+// Order: a gang's last piece of room comes free in a second; its tickets have
+// ended; the adviser takes half a second to give new ones.
+// Cause: tickets were asked for only once there was room.
+func TestTicketsOfAGangAreThereWhenItFits(t *testing.T) {
+	gang := needsPermit(step("gang", 2, 4), map[string]Permit{"w0": {Granted: true}, "w1": {Granted: true}})
+	gang.Spec.Gang = true
+	asks := func(now time.Duration) int {
+		list := workers(4, 0)
+		list[1].Releases = []Release{{At: time.Second, Room: cores(4)}}
+		return len(Decide(now, []Step{gang}, list, limits).Asks)
+	}
+	must.Eq(t, 0, asks(0))
+	must.Eq(t, 1, asks(500*time.Millisecond))
+}
+
+// BenchmarkFullCluster measures a decision in which nothing fits.
+func BenchmarkFullCluster(b *testing.B) {
+	for b.Loop() {
+		var steps []Step
+		for i := range 500 {
+			steps = append(steps, step(fmt.Sprint("j", i), 4, 4))
+		}
+		Decide(0, steps, workers(make([]int64, 48)...), limits)
+	}
+}
--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -183,6 +184,14 @@
 	return reply, nil
 }
 
+// testWriter shows the lines of a test that fails.
+type testWriter struct{ t *testing.T }
+
+func (w testWriter) Write(line []byte) (int, error) {
+	w.t.Log(strings.TrimSpace(string(line)))
+	return len(line), nil
+}
+
 type noCounters struct{}
 
 func (noCounters) Add(string, int64)             {}
@@ -203,7 +212,7 @@
 	bounds := Bounds{LeaseMax: 700 * time.Millisecond, Contact: 200 * time.Millisecond, Shown: time.Minute}
 	w.c = New(Config{
 		Address: "own", Bounds: bounds, Workers: w.workers, Adviser: w.workers, Client: link.NewClient(),
-		Logger: log.NewNopLogger(), Counters: noCounters{},
+		Logger: log.NewLogfmtLogger(testWriter{t}), Counters: noCounters{},
 		Leader: func() string { return "own" }, Members: func() []string { return nil },
 	}, machine, w.log)
 	w.commit(&workflow.Command{Configuration: &workflow.Document{Version: 1, Source: []byte("{}"), Queues: []workflow.Queue{
--- /dev/null
+++ b/internal/control/guard_test.go
@@ -0,0 +1,209 @@
+package control
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+// What a user sees: a report is issued twice.
+// Order: a worker doesn't answer a start; the task is given to another worker;
+// the first one carries the order out after all.
+// Cause: no answer was taken for not carried out.
+func TestAnUnansweredStartIsSettledBeforeTheTaskRunsElsewhere(t *testing.T) {
+	w := newWorld(t, nil)
+	w.workers.add("w1").delay = true
+	w.announce("w1")
+	w.submit("a", oneTask)
+	w.eventually("the start is sent twice", func() bool {
+		late := 0
+		w.with("w1", func(f *fakeWorker) { late = len(f.late) })
+		return late == startTries
+	})
+	w.workers.add("w2")
+	w.announce("w2")
+	w.eventually("the task runs on the other worker", func() bool { return w.started("w2") == 1 })
+	w.with("w1", func(f *fakeWorker) {
+		for _, order := range f.late {
+			must.Error(t, f.begin(order), must.Sprint("carried out late, beside the run on w2"))
+		}
+	})
+}
+
+// What a user sees: a task runs on two workers.
+// Order: a worker takes looks but its answers are lost; its runs count as ended
+// when the lease has; the task starts elsewhere.
+// Cause: looks that nobody answers went on prolonging the lease.
+func TestNoLeaseIsProlongedForAWorkerThatDoesNotAnswer(t *testing.T) {
+	w := newWorld(t, nil)
+	w.workers.add("w1")
+	w.announce("w1")
+	w.submit("a", oneTask)
+	w.eventually("the task starts", func() bool { return w.started("w1") == 1 })
+	w.with("w1", func(f *fakeWorker) { f.cut = true })
+	w.workers.add("w2")
+	w.announce("w2")
+	w.eventually("the task runs elsewhere", func() bool { return w.started("w2") == 1 })
+	var before int
+	w.with("w1", func(f *fakeWorker) { before = len(f.leases) })
+	time.Sleep(callTimeout + 50*time.Millisecond)
+	w.with("w1", func(f *fakeWorker) { must.Eq(t, before, len(f.leases)) })
+}
+
+// What a user sees: a job is stuck, or issued twice, after a change of leader.
+// Order: a leader commits a start and loses the leadership before the worker has
+// the order; the next leader looks at the worker.
+// Cause: the new leader can't know whether the order is under way. Its look
+// takes the fence to the worker, which refuses the old order from then on.
+func TestAnInheritedRunThatNeverBeganRunsAgain(t *testing.T) {
+	w := newWorld(t, func(w *world) {
+		one := worker("w1")
+		w.commit(&workflow.Command{Worker: &one})
+		w.commit(&workflow.Command{Submit: &workflow.Submission{
+			ID: "a", Queue: "h/q/", Payload: "p", Steps: []workflow.Step{oneTask}, Policy: workflow.Policy{Service: "s", MaxAttempts: 3},
+		}})
+		w.commit(&workflow.Command{Start: []workflow.Run{{Task: task("a", 0), Worker: "w1"}}})
+		w.workers.add("w1")
+	})
+	w.eventually("the task starts", func() bool { return w.started("w1") == 1 })
+	w.with("w1", func(f *fakeWorker) {
+		must.Eq(t, 2, f.starts[0].Run.Number)
+		must.Error(t, f.begin(StartOrder{Run: workflow.Run{Task: task("a", 0), Number: 1, Worker: "w1"}, Fence: 6}))
+	})
+}
+
+// What a user sees: work goes on over a change of leader.
+// Order: a run is under way when the leadership changes; the next leader finds
+// it in the worker's list.
+func TestAnInheritedRunThatIsAliveGoesOn(t *testing.T) {
+	w := newWorld(t, func(w *world) {
+		one := worker("w1")
+		w.commit(&workflow.Command{Worker: &one})
+		w.commit(&workflow.Command{Submit: &workflow.Submission{
+			ID: "a", Queue: "h/q/", Steps: []workflow.Step{oneTask}, Policy: workflow.Policy{Service: "s", MaxAttempts: 3},
+		}})
+		w.commit(&workflow.Command{Start: []workflow.Run{{Task: task("a", 0), Worker: "w1"}}})
+		f := w.workers.add("w1")
+		f.running[task("a", 0)] = Running{Task: task("a", 0), Number: 1}
+	})
+	time.Sleep(50 * time.Millisecond)
+	w.with("w1", func(f *fakeWorker) { f.finish(task("a", 0), workflow.OutcomeDone) })
+	w.eventually("the job is done", func() bool { return w.phase("a") == workflow.PhaseDone })
+	must.Eq(t, 0, w.started("w1"))
+}
+
+// What a user sees: a worker that crashed and came back blocks its tasks for the
+// time of a lease.
+// Order: a worker's next incarnation answers at its address.
+// Cause: that another incarnation answers is proof that the old one is over.
+func TestTasksOfAnOverIncarnationRunAgainAtOnce(t *testing.T) {
+	w := newWorld(t, nil)
+	w.workers.add("w1")
+	w.announce("w1")
+	w.submit("a", oneTask)
+	w.eventually("the task starts", func() bool { return w.started("w1") == 1 })
+	w.workers.add("w2")
+	w.announce("w2")
+	begun := time.Now()
+	w.with("w1", func(f *fakeWorker) { f.replaced = true })
+	w.eventually("the task runs again", func() bool { return w.started("w2") == 1 })
+	must.Less(t, 400*time.Millisecond, time.Since(begun), must.Sprint("a lease is 400 ms"))
+}
+
+// What a user sees: a job that was cancelled goes on taking room.
+// Order: cancelled while its task runs.
+func TestRunsOfACancelledJobAreStopped(t *testing.T) {
+	w := newWorld(t, nil)
+	w.workers.add("w1")
+	w.announce("w1")
+	w.submit("a", oneTask)
+	w.eventually("the task starts", func() bool { return w.started("w1") == 1 })
+	_, err := w.c.Cancel(context.Background(), &CancelCall{Place: Place{Host: "h", Path: "/q/a"}})
+	must.NoError(t, err)
+	w.eventually("the run has ended", func() bool {
+		n := 1
+		w.c.machine.read(func(s *workflow.State) { n = len(s.Runs["w1"]) })
+		return n == 0
+	})
+	must.Eq(t, workflow.PhaseCancelled, w.phase("a"))
+}
+
+// What a user sees: a gang's members wait for one that never comes.
+// Order: a gang starts on two workers; one of them refuses its member.
+// Cause: the others' runs serve nobody once one has ended.
+func TestTheOtherMembersOfAGangAreStoppedWhenOneEnds(t *testing.T) {
+	w := newWorld(t, nil)
+	w.workers.add("w1")
+	w.workers.add("w2").fence = 99
+	w.announce("w1")
+	w.announce("w2")
+	gang := workflow.Step{Count: 2, Need: workflow.Resources{MilliCPU: 6000, MemoryMB: 10}, EstimateMS: 50, Gang: true}
+	w.submit("a", gang)
+	w.eventually("the members start", func() bool { return w.started("w1") == 1 })
+	w.with("w1", func(f *fakeWorker) {
+		for task := range f.running {
+			f.finish(task, workflow.OutcomeBroken)
+		}
+	})
+	w.eventually("the run of the other is asked to stop", func() bool {
+		stopped := 0
+		w.with("w2", func(f *fakeWorker) { stopped = len(f.stopped) })
+		return stopped == 1
+	})
+}
+
+// What a user sees: a task is started on a worker that is about to leave.
+// Order: a worker says that it drains; a job comes; an older heartbeat arrives
+// late and says that it doesn't.
+func TestADrainingWorkerGetsNothingNew(t *testing.T) {
+	w := newWorld(t, nil)
+	w.workers.add("w1")
+	w.announce("w1")
+	draining := worker("w1")
+	draining.Draining = true
+	_, err := w.c.Announce(context.Background(), &Announcement{Worker: draining, Sequence: 9})
+	must.NoError(t, err)
+	w.announce("w1")
+	w.submit("a", oneTask)
+	time.Sleep(100 * time.Millisecond)
+	must.Eq(t, 0, w.started("w1"))
+	w.workers.add("w2")
+	w.announce("w2")
+	w.eventually("the task starts elsewhere", func() bool { return w.started("w2") == 1 })
+}
+
+// What a user sees: one bad machine fails job after job.
+// Order: a worker fails whatever it is given, another one is sound.
+func TestAWorkerThatFailsEverythingIsSetAside(t *testing.T) {
+	w := newWorld(t, nil)
+	w.workers.add("w1")
+	w.announce("w1")
+	for _, job := range []string{"a", "b", "c"} {
+		w.submit(job, oneTask)
+		w.eventually("the task starts", func() bool { return w.started("w1") >= 1 })
+		w.eventually("it fails", func() bool {
+			failed := false
+			w.with("w1", func(f *fakeWorker) {
+				if _, ok := f.running[task(job, 0)]; ok {
+					f.finish(task(job, 0), workflow.OutcomeFailed)
+					failed = true
+				}
+			})
+			return failed
+		})
+	}
+	w.workers.add("w2")
+	w.announce("w2")
+	onSound := func(job string) bool {
+		found := false
+		w.with("w2", func(f *fakeWorker) { found = f.running[task(job, 0)].Number > 0 })
+		return found
+	}
+	w.eventually("the third job runs on the sound worker", func() bool { return onSound("c") })
+	w.submit("d", oneTask)
+	w.eventually("and so does a new one", func() bool { return onSound("d") })
+}
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -54,6 +54,9 @@
 		s.t.mu.Lock()
 		o.open++
 		o.unanswered = true
+		// Without it, a worker that takes no starts but answers looks would be
+		// given the same task again and again.
+		s.failures++
 		listed := o.listed
 		s.t.mu.Unlock()
 		s.t.logger.Log("event", "start", "task", o.run.Task, "run", o.run.Number, "worker", s.worker.ID,
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -53,7 +53,8 @@
 	// strangers are runs that the worker lists and the log doesn't have, with the
 	// time of the last stop.
 	strangers map[workflow.Run]time.Time
-	// failures counts runs that failed in a row, of different jobs.
+	// failures counts what went wrong in a row: runs of different jobs that failed,
+	// and starts without an answer.
 	failures   int
 	failedJob  string
 	quarantine time.Time
--- /dev/null
+++ b/internal/member/member_test.go
@@ -0,0 +1,75 @@
+package member
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/shoenig/test/must"
+
+	"github.com/bilberryferry/bilberryferry/internal/link"
+	"github.com/bilberryferry/bilberryferry/replica"
+)
+
+func voter(id string) replica.Member { return replica.Member{ID: id} }
+
+func learner(id string) replica.Member { return replica.Member{ID: id, Learner: true} }
+
+func TestNextMembership(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		members []replica.Member
+		silent  map[string]time.Duration
+		want    []replica.Member
+	}{
+		{"nothing to do", []replica.Member{voter("own"), voter("b"), voter("c"), learner("d")}, nil, nil},
+		{"a learner takes the place of a silent voter", []replica.Member{voter("own"), voter("b"), voter("c"), learner("d")},
+			map[string]time.Duration{"b": 3 * time.Second}, []replica.Member{voter("own"), voter("b"), voter("c"), voter("d")}},
+		{"then the silent voter goes", []replica.Member{voter("own"), voter("b"), voter("c"), voter("d")},
+			map[string]time.Duration{"b": 3 * time.Second}, []replica.Member{voter("own"), voter("c"), voter("d")}},
+		{"a silent voter stays while nobody can take its place", []replica.Member{voter("own"), voter("b"), voter("c")},
+			map[string]time.Duration{"b": time.Minute}, nil},
+		{"too few voters", []replica.Member{voter("own"), learner("b")}, nil, []replica.Member{voter("own"), voter("b")}},
+		{"a silent learner doesn't vote", []replica.Member{voter("own"), learner("b")}, map[string]time.Duration{"b": 3 * time.Second}, nil},
+		{"a learner that is gone is dropped", []replica.Member{voter("own"), voter("b"), voter("c"), learner("d")},
+			map[string]time.Duration{"d": 11 * time.Second}, []replica.Member{voter("own"), voter("b"), voter("c")}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Now()
+			h := New(Config{ID: "own", Voters: 3, Logger: log.NewNopLogger()}, link.NewClient(), link.NewMux())
+			h.roster.lead(true, now.Add(-time.Hour))
+			for _, m := range c.members {
+				h.roster.note(m.ID, now.Add(-c.silent[m.ID]))
+			}
+			before := slices.Clone(c.members)
+			members, _ := h.nextMembership(replica.Status{Members: c.members}, now)
+			must.Eq(t, c.want, members)
+			must.Eq(t, before, c.members)
+		})
+	}
+}
+
+// What a user sees: the core changes its members although nothing is wrong.
+// Order: an instance has just become the leader; it hasn't heard from anybody
+// yet.
+// Cause: silence counted from before the tenure.
+func TestSilenceCountsFromTheBeginningOfTheTenure(t *testing.T) {
+	h := New(Config{ID: "own", Voters: 3, Logger: log.NewNopLogger()}, link.NewClient(), link.NewMux())
+	now := time.Now()
+	h.roster.lead(true, now)
+	members, _ := h.nextMembership(replica.Status{Members: []replica.Member{voter("own"), voter("b"), voter("c"), learner("d")}}, now)
+	must.Nil(t, members)
+}
+
+func TestInitialMembersAreKept(t *testing.T) {
+	folder := t.TempDir()
+	first := New(Config{ID: "10.0.0.1", Port: "7", Seeds: []string{"10.0.0.1", "10.0.0.2"}, First: true, Folder: folder, Logger: log.NewNopLogger()}, link.NewClient(), link.NewMux())
+	members, err := first.initialMembers(t.Context())
+	must.NoError(t, err)
+	must.Eq(t, "10.0.0.1:7", members[0].Address)
+	again := New(Config{ID: "10.0.0.1", Port: "7", Seeds: []string{"10.0.0.9"}, Folder: folder, Logger: log.NewNopLogger()}, link.NewClient(), link.NewMux())
+	kept, err := again.initialMembers(t.Context())
+	must.NoError(t, err)
+	must.Eq(t, members, kept)
+}
--- /dev/null
+++ b/internal/oplog/oplog_test.go
@@ -0,0 +1,68 @@
+package oplog
+
+import (
+	"bytes"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// stuckWriter takes nothing until it is released.
+type stuckWriter struct{ release chan struct{} }
+
+func (w *stuckWriter) Write(p []byte) (int, error) {
+	<-w.release
+	return len(p), nil
+}
+
+// What a user sees: requests hang although the system is idle.
+// Order: whoever reads the process's output stands still; the pipe fills; a
+// request logs its outcome.
+// Cause: a log line that waits for its reader.
+func TestAReaderThatStandsStillBlocksNobody(t *testing.T) {
+	w := &stuckWriter{make(chan struct{})}
+	s := NewSink(w)
+	logger := NewLogger(s, "i")
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 3 * queueLines {
+			must.NoError(t, logger.Log("event", "x"))
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("a line waited for its reader")
+	}
+	must.Positive(t, s.TakeDropped())
+	must.Eq(t, 0, s.TakeDropped())
+	s.Close()
+	close(w.release)
+}
+
+func TestLinesAreWrittenInOrder(t *testing.T) {
+	var out bytes.Buffer
+	s := NewSink(&out)
+	logger := NewLogger(s, "i")
+	must.NoError(t, logger.Log("event", "a"))
+	must.NoError(t, logger.Log("event", "b"))
+	s.Close()
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	must.SliceLen(t, 2, lines)
+	must.StrContains(t, lines[0], "instance=i event=a")
+}
+
+func TestMetricsAsText(t *testing.T) {
+	m := NewMetrics()
+	m.Add("jobs", 2)
+	m.Observe("commit", 12*time.Millisecond)
+	w := httptest.NewRecorder()
+	m.ServeHTTP(w, nil)
+	must.StrContains(t, w.Body.String(), "bilberry_jobs_total 2")
+	must.StrContains(t, w.Body.String(), `bilberry_commit_seconds_count 1`)
+	must.StrContains(t, w.Body.String(), `bilberry_commit_seconds{quantile="0.5"} 0.012`)
+}
--- /dev/null
+++ b/workflow/workflow_test.go
@@ -0,0 +1,231 @@
+package workflow
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+func small(count int) Step {
+	return Step{Count: count, Need: Resources{MilliCPU: 1000, MemoryMB: 10}, EstimateMS: 100}
+}
+
+func newState(t testing.TB, steps ...Step) *State {
+	s := NewState()
+	for _, id := range []string{"w1", "w2"} {
+		s.Apply(1, &Command{Worker: &Worker{ID: id, Service: "s", Address: id, Capacity: Resources{MilliCPU: 8000, MemoryMB: 800}}})
+	}
+	result := s.Apply(2, &Command{Submit: &Submission{ID: "j", Queue: "q", Payload: "p", Steps: steps, Policy: Policy{MaxAttempts: 2}}})
+	must.Eq(t, SubmitAccepted, result.Submit)
+	return s
+}
+
+func key(step, index int) TaskKey {
+	return TaskKey{StepKey: StepKey{Job: "j", Step: step}, Index: index}
+}
+
+func (s *State) begin(worker string, keys ...TaskKey) []Run {
+	var runs []Run
+	for _, k := range keys {
+		runs = append(runs, Run{Task: k, Worker: worker})
+	}
+	return s.Apply(3, &Command{Start: runs}).Started
+}
+
+func (s *State) finishRun(run Run, outcome Outcome) {
+	s.Apply(4, &Command{Ends: &WorkerEnds{Worker: run.Worker, Ends: []RunEnd{{Task: run.Task, Number: run.Number, Outcome: outcome}}}})
+}
+
+func TestTheSameSubmissionIsOneJob(t *testing.T) {
+	s := newState(t, small(1))
+	again := Submission{ID: "j", Queue: "q", Steps: []Step{small(1)}}
+	must.Eq(t, SubmitKnown, s.Apply(5, &Command{Submit: &again}).Submit)
+	again.Queue = "other"
+	must.Eq(t, SubmitConflict, s.Apply(6, &Command{Submit: &again}).Submit)
+}
+
+func TestStepWaitsForTheStepsItDependsOn(t *testing.T) {
+	second := small(1)
+	second.DependsOn = []int{0}
+	s := newState(t, small(2), second)
+	must.SliceEmpty(t, s.begin("w1", key(1, 0)))
+	for _, run := range s.begin("w1", key(0, 0), key(0, 1)) {
+		must.SliceEmpty(t, s.begin("w2", key(1, 0)))
+		s.finishRun(run, OutcomeDone)
+	}
+	must.SliceLen(t, 1, s.begin("w2", key(1, 0)))
+}
+
+// What a user sees: a report is issued twice.
+// Order: a task's start is committed; before it has ended, a second decision
+// made from an older view starts it elsewhere.
+// Cause: a start that isn't checked again when it is applied.
+func TestNoSecondRunBesideOneThatMayBeAlive(t *testing.T) {
+	s := newState(t, small(1))
+	first := s.begin("w1", key(0, 0))
+	must.SliceLen(t, 1, first)
+	must.SliceEmpty(t, s.begin("w2", key(0, 0)))
+	s.finishRun(first[0], OutcomeDone)
+	must.SliceEmpty(t, s.begin("w2", key(0, 0)))
+	must.Eq(t, PhaseDone, s.Jobs["j"].Phase())
+}
+
+// What a user sees: a task ends as done, and then as not done.
+// Order: a run is given up because its worker's lease has ended; the task runs
+// again elsewhere; then the first worker comes back and lists its end.
+// Cause: an end of a run that no longer counts was taken in.
+func TestEndOfALostRunIsIgnored(t *testing.T) {
+	s := newState(t, small(1))
+	first := s.begin("w1", key(0, 0))[0]
+	s.finishRun(first, OutcomeLost)
+	second := s.begin("w2", key(0, 0))[0]
+	must.Eq(t, 2, second.Number)
+	s.finishRun(first, OutcomeDone)
+	must.Eq(t, PhaseActive, s.Jobs["j"].Phase())
+	s.finishRun(second, OutcomeDone)
+	must.Eq(t, PhaseDone, s.Jobs["j"].Phase())
+}
+
+func TestOnlyFailedRunsCountAsAttempts(t *testing.T) {
+	s := newState(t, small(1))
+	for _, outcome := range []Outcome{OutcomeStopped, OutcomeLapsed, OutcomeLost, OutcomeNotStarted, OutcomeFailed} {
+		s.finishRun(s.begin("w1", key(0, 0))[0], outcome)
+		must.Eq(t, PhaseActive, s.Jobs["j"].Phase(), must.Sprint(outcome))
+	}
+	s.finishRun(s.begin("w1", key(0, 0))[0], OutcomeFailed)
+	must.Eq(t, PhaseFailed, s.Jobs["j"].Phase())
+	must.SliceEmpty(t, s.begin("w1", key(0, 0)))
+}
+
+func TestGangStartsWholeAndEndsOnce(t *testing.T) {
+	gang := small(2)
+	gang.Gang = true
+	s := newState(t, gang)
+	must.SliceEmpty(t, s.begin("w1", key(0, 0)))
+	runs := s.begin("w1", key(0, 0), key(0, 1))
+	must.SliceLen(t, 2, runs)
+	must.Eq(t, runs[0].Number, runs[1].Number)
+	s.finishRun(runs[0], OutcomeFailed)
+	must.SliceEmpty(t, s.begin("w2", key(0, 0), key(0, 1)), must.Sprint("a member may be alive"))
+	s.finishRun(runs[1], OutcomeFailed)
+	must.Eq(t, 1, s.Jobs["j"].Occurrences[0][0].GangFailures)
+	runs = s.begin("w2", key(0, 0), key(0, 1))
+	must.Eq(t, 2, runs[0].Number)
+	s.finishRun(runs[0], OutcomeDone)
+	must.Eq(t, PhaseDone, s.Jobs["j"].Phase())
+}
+
+func TestLongRunningTasksStartAgainHoweverTheyEnd(t *testing.T) {
+	lasting := small(1)
+	lasting.LongRunning = true
+	s := newState(t, lasting)
+	for range 4 {
+		s.finishRun(s.begin("w1", key(0, 0))[0], OutcomeFailed)
+	}
+	must.Eq(t, PhaseActive, s.Jobs["j"].Phase())
+	must.True(t, s.Apply(9, &Command{Cancel: "j"}).Found)
+	must.Eq(t, PhaseCancelled, s.Jobs["j"].Phase())
+}
+
+// What a user sees: a cancelled job is shown as done.
+// Order: cancelled while its last task runs; the task ends as done.
+// Cause: the count of unfinished tasks reaching zero overrode the cancellation.
+func TestCancelledJobStaysCancelled(t *testing.T) {
+	s := newState(t, small(1))
+	run := s.begin("w1", key(0, 0))[0]
+	s.Apply(5, &Command{Cancel: "j"})
+	s.finishRun(run, OutcomeDone)
+	must.Eq(t, PhaseCancelled, s.Jobs["j"].Phase())
+}
+
+func TestHighestConfigurationStays(t *testing.T) {
+	s := NewState()
+	for _, version := range []uint64{3, 7, 5, 7} {
+		s.Apply(version, &Command{Configuration: &Document{Version: version, Source: []byte(fmt.Sprint(version))}})
+	}
+	must.Eq(t, uint64(7), s.Configuration.Version)
+	must.Eq(t, "7", string(s.Configuration.Source))
+}
+
+func TestLongestPrefixWins(t *testing.T) {
+	d := Document{Queues: []Queue{{Name: "a", Host: "h", Prefix: "/x/"}, {Name: "b", Host: "h", Prefix: "/x/y/"}}}
+	queue, rest, ok := d.Resolve("h", "/x/y/1")
+	must.True(t, ok)
+	must.Eq(t, "b", queue.Name)
+	must.Eq(t, "1", rest)
+	_, _, ok = d.Resolve("other", "/x/1")
+	must.False(t, ok)
+}
+
+// The rules of the state hold after any sequence of commands, and a snapshot
+// gives back the same state.
+func TestRandomCommands(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		gang := small(2)
+		gang.Gang = true
+		after := small(1)
+		after.DependsOn = []int{0}
+		s := newState(t, small(2), gang, after)
+		var live []Run
+		for range rapid.IntRange(1, 60).Draw(rt, "commands") {
+			worker := rapid.SampledFrom([]string{"w1", "w2"}).Draw(rt, "worker")
+			switch rapid.IntRange(0, 5).Draw(rt, "what") {
+			case 0, 1:
+				step := rapid.IntRange(0, 2).Draw(rt, "step")
+				keys := []TaskKey{key(step, 0)}
+				if step < 2 {
+					keys = append(keys, key(step, 1))
+				}
+				live = append(live, s.begin(worker, keys...)...)
+			case 2, 3:
+				if len(live) > 0 {
+					run := rapid.SampledFrom(live).Draw(rt, "run")
+					s.finishRun(run, Outcome(rapid.IntRange(1, 8).Draw(rt, "outcome")))
+				}
+			case 4:
+				s.Apply(9, &Command{Gone: worker})
+				s.Apply(9, &Command{Worker: &Worker{ID: worker + "'", Service: "s"}})
+			case 5:
+				data, err := s.Snapshot()
+				must.NoError(t, err)
+				s, err = Restore(data)
+				must.NoError(t, err)
+			}
+			s.checkCounts(rt)
+		}
+	})
+}
+
+// checkCounts compares the counters with what they count.
+func (s *State) checkCounts(t *rapid.T) {
+	live := map[TaskKey]int{}
+	for worker, runs := range s.Runs {
+		for task, run := range runs {
+			if run.Worker != worker || s.Workers[worker].Gone {
+				t.Fatalf("run %v on %s", run, worker)
+			}
+			live[task]++
+		}
+	}
+	for id, job := range s.Jobs {
+		unfinished := 0
+		for occurrence, steps := range job.Occurrences {
+			for i := range steps {
+				for index, task := range steps[i].Tasks {
+					k := TaskKey{StepKey{id, occurrence, i}, index}
+					if task.Live != live[k] || task.Live > 1 || task.Live < 0 {
+						t.Fatalf("task %s counts %d runs, %d are there", k, task.Live, live[k])
+					}
+					if !task.Done {
+						unfinished++
+					}
+				}
+			}
+		}
+		if unfinished != job.Unfinished {
+			t.Fatalf("job %s counts %d unfinished tasks, there are %d", id, job.Unfinished, unfinished)
+		}
+	}
+}
