Count a job as begun once a worker has begun it, not once its order is committed

A job counted as begun from the commit of its start on.

Ruled out: a stale reader (the answers came from the leader).

Change: the log's mark is set by an end that proves a run; the leader adds what workers have acknowledged or listed. Tests red first: the state machine's (pending after runs that never began) and the leader's (waiting 0 instead of 1 while the order is unanswered).

--- a/internal/control/guard_test.go
+++ b/internal/control/guard_test.go
@@ -207,3 +207,27 @@
 	w.submit("d", oneTask)
 	w.eventually("and so does a new one", func() bool { return onSound("d") })
 }
+
+// What a user sees: a queue says that nobody waits while jobs wait.
+// Order: a start is committed and sent; the worker doesn't answer, and carries
+// the order out later or never.
+// Cause: a job counted as begun from the commit of its start on.
+func TestAJobWaitsUntilAWorkerHasBegunIt(t *testing.T) {
+	w := newWorld(t, nil)
+	w.workers.add("w1").delay = true
+	w.announce("w1")
+	w.submit("a", oneTask)
+	w.eventually("the start is sent", func() bool {
+		late := 0
+		w.with("w1", func(f *fakeWorker) { late = len(f.late) })
+		return late > 0
+	})
+	reply, err := w.c.State(context.Background(), &StateCall{Place: Place{Host: "h", Path: "/q/"}})
+	must.NoError(t, err)
+	must.Eq(t, 1, reply.Waiting)
+	w.with("w1", func(f *fakeWorker) { f.delay = false })
+	w.eventually("nobody waits", func() bool {
+		reply, err := w.c.State(context.Background(), &StateCall{Place: Place{Host: "h", Path: "/q/"}})
+		return err == nil && reply.Waiting == 0
+	})
+}
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -93,6 +93,7 @@
 	s.noteClock(clockMS, now)
 	o.unanswered = false
 	o.startedAt = now
+	t.begun[o.run.Task.Job] = true
 	return nil
 }
 
--- a/internal/control/report.go
+++ b/internal/control/report.go
@@ -96,6 +96,7 @@
 				}
 				continue
 			}
+			s.t.begun[r.Task.Job] = true
 			if r.Checkpoint != "" {
 				s.t.checkpoints[r.Task] = r.Checkpoint
 			}
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -100,7 +100,8 @@
 func (c *Controller) State(ctx context.Context, r *StateCall) (StateReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	if _, err := c.leading(); err != nil {
+	t, err := c.leading()
+	if err != nil {
 		return StateReply{}, err
 	}
 	queue, id, err := c.resolve(ctx, r.Place)
@@ -108,17 +109,19 @@
 		return StateReply{}, err
 	}
 	if id == "" {
-		return StateReply{Queue: true, Waiting: c.waiting(queue.Identity())}, nil
-	}
-	if phase, ok := c.phase(id, queue.Identity()); ok {
-		return StateReply{Phase: phase}, nil
-	}
-	if err := c.log.Barrier(ctx); err != nil {
-		return StateReply{}, link.NotLeader(c.cfg.Leader())
+		return StateReply{Queue: true, Waiting: c.waiting(t, queue.Identity())}, nil
 	}
 	phase, ok := c.phase(id, queue.Identity())
 	if !ok {
-		return StateReply{}, fault.New(fault.Cancelled, "no job %s", id)
+		if err := c.log.Barrier(ctx); err != nil {
+			return StateReply{}, link.NotLeader(c.cfg.Leader())
+		}
+		if phase, ok = c.phase(id, queue.Identity()); !ok {
+			return StateReply{}, fault.New(fault.Cancelled, "no job %s", id)
+		}
+	}
+	if phase == workflow.PhasePending && t.hasBegun(id) {
+		phase = workflow.PhaseActive
 	}
 	return StateReply{Phase: phase}, nil
 }
@@ -133,10 +136,13 @@
 	return phase, ok
 }
 
-func (c *Controller) waiting(queue string) (n int) {
+// waiting counts the accepted jobs of a queue of which no worker has begun a task.
+func (c *Controller) waiting(t *tenure, queue string) (n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	c.machine.read(func(s *workflow.State) {
-		for _, job := range s.Open() {
-			if job.Queue == queue && !job.Begun {
+		for id, job := range s.Open() {
+			if job.Queue == queue && !job.Begun && !t.begun[id] {
 				n++
 			}
 		}
--- a/internal/control/tenure.go
+++ b/internal/control/tenure.go
@@ -47,6 +47,8 @@
 	// accepted is when jobs were accepted; those of earlier tenures count from
 	// the start of this one, in the order of the log.
 	accepted map[string]time.Time
+	// begun are jobs of which a worker has acknowledged or listed a run.
+	begun map[string]bool
 	// ended is when this tenure first saw that a job had ended.
 	ended map[string]time.Time
 	// proposed are the starts that are being committed, by task.
@@ -63,6 +65,7 @@
 		sessions:    map[string]*session{},
 		permits:     map[workflow.StepKey]*stepPermits{},
 		accepted:    map[string]time.Time{},
+		begun:       map[string]bool{},
 		ended:       map[string]time.Time{},
 		checkpoints: map[workflow.TaskKey]string{},
 		proposed:    map[workflow.TaskKey]string{},
@@ -176,6 +179,13 @@
 	}
 }
 
+// hasBegun reports whether a worker has shown that a run of the job is alive.
+func (t *tenure) hasBegun(job string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.begun[job]
+}
+
 func (t *tenure) noteAccepted(job string, at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -214,6 +224,7 @@
 		for _, id := range old {
 			delete(t.ended, id)
 			delete(t.accepted, id)
+			delete(t.begun, id)
 		}
 		t.mu.Unlock()
 		if len(old) > 0 {
--- a/workflow/apply.go
+++ b/workflow/apply.go
@@ -178,7 +178,6 @@
 	if gang && len(started) > 0 {
 		step.GangRun++
 	}
-	job.Begun = job.Begun || len(started) > 0
 	return started
 }
 
@@ -220,6 +219,7 @@
 	if end.Checkpoint != "" {
 		task.Checkpoint = end.Checkpoint
 	}
+	job.Begun = job.Begun || end.Outcome.begun()
 	if spec.Gang {
 		s.endMember(job, spec, step, end)
 		return
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -193,6 +193,9 @@
 	return "unknown"
 }
 
+// begun reports whether the outcome proves that a worker had begun the run.
+func (o Outcome) begun() bool { return o != OutcomeNotStarted && o != OutcomeLost }
+
 // RunEnd is the end of one run.
 type RunEnd struct {
 	Task    TaskKey `cbor:"1,keyasint"`
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -48,7 +48,8 @@
 	Occurrences [][]StepState `cbor:"6,keyasint"`
 	Cancelled   bool          `cbor:"7,keyasint,omitempty"`
 	Failed      bool          `cbor:"8,keyasint,omitempty"`
-	// Begun says that a task was started.
+	// Begun says that a run has ended, so a worker had begun it. That a start was
+	// committed doesn't say so: the order may never have been carried out.
 	Begun bool `cbor:"9,keyasint,omitempty"`
 	// Unfinished counts the tasks that aren't done.
 	Unfinished int `cbor:"10,keyasint,omitempty"`
--- a/workflow/workflow_test.go
+++ b/workflow/workflow_test.go
@@ -83,7 +83,7 @@
 	second := s.begin("w2", key(0, 0))[0]
 	must.Eq(t, 2, second.Number)
 	s.finishRun(first, OutcomeDone)
-	must.Eq(t, PhaseActive, s.Jobs["j"].Phase())
+	must.Eq(t, PhasePending, s.Jobs["j"].Phase())
 	s.finishRun(second, OutcomeDone)
 	must.Eq(t, PhaseDone, s.Jobs["j"].Phase())
 }
@@ -229,3 +229,16 @@
 		}
 	}
 }
+
+// What a user sees: a queue says that nobody waits while jobs wait.
+// Order: a start is committed; the worker never carries the order out.
+// Cause: a job counted as begun from the commit of its start on.
+func TestAJobBeginsWithARunNotWithItsOrder(t *testing.T) {
+	s := newState(t, small(1))
+	for _, outcome := range []Outcome{OutcomeNotStarted, OutcomeLost} {
+		s.finishRun(s.begin("w1", key(0, 0))[0], outcome)
+		must.Eq(t, PhasePending, s.Jobs["j"].Phase(), must.Sprint(outcome))
+	}
+	s.finishRun(s.begin("w1", key(0, 0))[0], OutcomeStopped)
+	must.Eq(t, PhaseActive, s.Jobs["j"].Phase())
+}
