Take a silent data centre for cut off after 0.2 s

Cause: when a data centre is cut off, each of its workers swallows a task before its own answer is 0.1 s overdue; the tasks are then blocked until the leases end.

Ruled out: shorter looks at each worker (they cost a probe each).

Change: when one worker of a data centre is overdue and none of the others has answered for 0.2 s, none of them gets new tasks until one answers.

--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -228,9 +228,10 @@
 			proposed[worker] = proposed[worker].Plus(job.Steps[task.Step].Room())
 		}
 	}
+	suspects := t.suspects(now)
 	for id, session := range t.sessions {
 		state := s.Workers[id]
-		if state == nil || state.Gone || state.Draining || !session.usable(now) {
+		if state == nil || state.Gone || state.Draining || !session.usable(now) || suspects[state.DataCentre] {
 			continue
 		}
 		free := state.Capacity.Minus(proposed[id])
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -98,6 +98,7 @@
 // noteClock takes in what the worker's clock showed in an answer that has just
 // come in. t.mu is held.
 func (s *session) noteClock(clockMS int64, now time.Time) {
+	s.noteAnswer(now)
 	if clockMS > 0 {
 		s.clockMS, s.clockAt = clockMS, now
 	}
--- a/internal/control/tenure.go
+++ b/internal/control/tenure.go
@@ -44,6 +44,8 @@
 	mu       sync.Mutex
 	sessions map[string]*session
 	permits  map[workflow.StepKey]*stepPermits
+	// answered is when a worker of each data centre last answered.
+	answered map[string]time.Time
 	// accepted is when jobs were accepted; those of earlier tenures count from
 	// the start of this one, in the order of the log.
 	accepted map[string]time.Time
@@ -64,6 +66,7 @@
 		kicked:      make(chan struct{}, 1),
 		sessions:    map[string]*session{},
 		permits:     map[workflow.StepKey]*stepPermits{},
+		answered:    map[string]time.Time{},
 		accepted:    map[string]time.Time{},
 		begun:       map[string]bool{},
 		ended:       map[string]time.Time{},
