Find workers that stand still or are slow by their own reports

Cause: a worker whose tasks stand still answers every look, so it was given tasks until it was full; a worker that takes several times as long as others was used like any other.

Ruled out: shorter looks at all workers (each costs a probe; only a worker that seems to stand still is looked at each 0.3 s).

Change: a worker none of whose runs has advanced between two reports 0.7 s apart gets nothing new until one does; a task without a gang that stands still for 3 s is moved; a worker whose runs take 2.5 times as long as the others', against their estimates, gets one run at a time. Tests red first, the second one twice: the moved task went back to the same worker, which was idle then.

--- /dev/null
+++ b/internal/control/health.go
@@ -0,0 +1,131 @@
+package control
+
+import (
+	"time"
+
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+const (
+	// quarantineAfter is how many runs of different jobs must fail in a row before
+	// a worker is set aside; a job that always fails doesn't count twice.
+	quarantineAfter = 3
+	// quarantineFor is how long it is then given nothing.
+	quarantineFor = 4 * time.Second
+	// stillAfter is how long no run of a worker may advance by a percent before it
+	// counts as standing still. The longest tasks take 16 s, a percent 0.16 s.
+	stillAfter = 700 * time.Millisecond
+	// stillWait holds a look at such a worker: it shows whether a run advances.
+	stillWait = 300 * time.Millisecond
+	// moveAfter is how long a run may stand still before it is stopped and started
+	// elsewhere: longer than a worker's short pause, shorter than most tasks.
+	moveAfter = 3 * time.Second
+	// slowFactor is how much longer than others a worker's runs must take, against
+	// their estimates, for it to count as slow. Estimates are off by up to half.
+	slowFactor = 2.5
+	// slowSamples is how many runs are needed for that.
+	slowSamples = 3
+	// Weights of the latest run in the moving means of one worker and of all.
+	workerWeight = 0.3
+	allWeight    = 0.02
+)
+
+// pace is a moving mean of how long runs took, in multiples of their estimates.
+type pace struct {
+	mean    float64
+	samples int
+}
+
+func (p *pace) add(ratio, weight float64) {
+	p.samples++
+	if p.samples == 1 {
+		p.mean = ratio
+		return
+	}
+	p.mean += weight * (ratio - p.mean)
+}
+
+// noteHealth takes in what an end says of the worker. t.mu is held.
+func (s *session) noteHealth(end workflow.RunEnd, now time.Time) {
+	switch end.Outcome {
+	case workflow.OutcomeDone:
+		s.failures, s.failedJob = 0, ""
+		s.notePace(end, now)
+	case workflow.OutcomeFailed:
+		s.noteFailure(end, now)
+	}
+}
+
+// noteFailure sets a worker aside that fails whatever it is given.
+func (s *session) noteFailure(end workflow.RunEnd, now time.Time) {
+	if end.Task.Job == s.failedJob {
+		return
+	}
+	s.failures++
+	s.failedJob = end.Task.Job
+	if s.failures >= quarantineAfter {
+		s.quarantine = now.Add(quarantineFor)
+		s.t.logger.Log("event", "quarantine", "worker", s.worker.ID, "failures", s.failures)
+	}
+}
+
+func (s *session) notePace(end workflow.RunEnd, now time.Time) {
+	o := s.orders[end.Task]
+	if o == nil || o.run.Number != end.Number || o.startedAt.IsZero() || o.estimate <= 0 || o.resumed {
+		return
+	}
+	ratio := float64(now.Sub(o.startedAt)) / float64(o.estimate)
+	wasSlow := s.slow()
+	s.pace.add(ratio, workerWeight)
+	s.t.pace.add(ratio, allWeight)
+	if slow := s.slow(); slow != wasSlow {
+		s.t.logger.Log("event", "worker_pace", "worker", s.worker.ID, "slow", slow, "pace", s.pace.mean, "all", s.t.pace.mean)
+	}
+}
+
+// slow reports whether the worker's runs take much longer than those of others.
+func (s *session) slow() bool {
+	return s.pace.samples >= slowSamples && s.pace.mean > slowFactor*s.t.pace.mean
+}
+
+// still reports whether the worker answers but none of its runs advances: its
+// last report showed the same percentages as one that is stillAfter older. The
+// time of the reports counts, not the present: between two looks nothing can be
+// seen to advance. t.mu is held.
+func (s *session) still() bool {
+	return s.busy && s.answeredAt.Sub(s.advancedAt) > stillAfter
+}
+
+// noteAdvance takes in whether a report showed that something goes on. t.mu is held.
+func (s *session) noteAdvance(report Report, advanced bool, now time.Time) {
+	s.busy = len(report.Running) > 0
+	if advanced || len(report.Ended) > 0 || !s.busy {
+		s.advancedAt = now
+	}
+}
+
+// noteProgress takes in how far a run is, and reports whether it has advanced.
+// t.mu is held.
+func (o *order) noteProgress(percent int, now time.Time) bool {
+	advanced := !o.listed || percent > o.percent
+	if advanced {
+		o.advancedAt = now
+	}
+	o.listed = true
+	o.percent, o.progressAt = percent, now
+	return advanced
+}
+
+// stuck reports whether a run stands still for so long that it is better begun
+// again elsewhere. A gang's run moves as a whole only and is left alone.
+func (o *order) stuck(step *workflow.Step) bool {
+	return o.listed && !step.Gang && !step.LongRunning && o.progressAt.Sub(o.advancedAt) > moveAfter
+}
+
+// noteStuck sets back the worker of a run that stands still, once a run: with
+// nothing else running there it would be the first choice for the same task.
+func (s *session) noteStuck(o *order) {
+	if o.stopSent.IsZero() {
+		s.failures++
+	}
+}
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -31,6 +31,11 @@
 	// percent is the share of the work that was done at progressAt.
 	percent    int
 	progressAt time.Time
+	// advancedAt is when the percentage last rose.
+	advancedAt time.Time
+	// estimate is the job's own, resumed says that only the rest is to be done.
+	estimate time.Duration
+	resumed  bool
 }
 
 // sendStart sends a committed start until the worker has answered, and stops the
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -133,7 +133,8 @@
 		}
 		payload = job.Payload
 		checkpoint = s.Task(run.Task).Checkpoint
-		o = &order{run: run, ticket: ticket}
+		estimate := time.Duration(job.Steps[run.Task.Step].EstimateMS) * time.Millisecond
+		o = &order{run: run, ticket: ticket, estimate: estimate, resumed: checkpoint != ""}
 	})
 	return o, payload, checkpoint
 }
@@ -189,7 +190,7 @@
 }
 
 // unwanted reports whether a run serves nobody: its job has ended, another
-// member of its gang has, or its start got no answer.
+// member of its gang has, its start got no answer, or it stands still.
 func (t *tenure) unwanted(s *workflow.State, run workflow.Run, session *session) bool {
 	job := s.Jobs[run.Task.Job]
 	if job == nil || job.Cancelled || job.Failed {
@@ -200,7 +201,14 @@
 		return true
 	}
 	o := session.orders[run.Task]
-	return o != nil && o.unanswered && o.open >= startTries
+	if o == nil {
+		return false
+	}
+	if o.stuck(&job.Steps[run.Task.Step]) {
+		session.noteStuck(o)
+		return true
+	}
+	return o.unanswered && o.open >= startTries
 }
 
 // stopDue reports whether a stop is to be sent now, and notes that it is.
@@ -234,6 +242,10 @@
 		if state == nil || state.Gone || state.Draining || !session.usable(now) || suspects[state.DataCentre] {
 			continue
 		}
+		if session.slow() && len(s.Runs[id]) > 0 {
+			// A slow worker gets one run at a time, which shows whether it still is.
+			continue
+		}
 		free := state.Capacity.Minus(proposed[id])
 		var releases []dispatch.Release
 		for task, run := range s.Runs[id] {
--- a/internal/control/report.go
+++ b/internal/control/report.go
@@ -6,15 +6,8 @@
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
 
-const (
-	// stopAgain is the time between two stops of the same run.
-	stopAgain = 400 * time.Millisecond
-	// quarantineAfter is how many runs of different jobs must fail in a row before
-	// a worker is set aside; a job that always fails doesn't count twice.
-	quarantineAfter = 3
-	// quarantineFor is how long it is then given nothing.
-	quarantineFor = 4 * time.Second
-)
+// stopAgain is the time between two stops of the same run.
+const stopAgain = 400 * time.Millisecond
 
 // takeIn works through a worker's lists. A run that is in the log and in
 // neither list is settled as never started when it can't start any more.
@@ -26,7 +19,7 @@
 	s.ready = true
 	s.answeredAt = now
 	s.noteClock(report.ClockMS, now)
-	ends, seen := s.listedEnds(report)
+	ends, seen := s.listedEnds(report, now)
 	ends = append(ends, s.neverStarted(report, ends, sent)...)
 	strangers := s.noteRunning(report, now)
 	t.mu.Unlock()
@@ -54,37 +47,20 @@
 }
 
 // listedEnds returns the ends that are new. t.mu is held.
-func (s *session) listedEnds(report Report) (ends []workflow.RunEnd, seen uint64) {
+func (s *session) listedEnds(report Report, now time.Time) (ends []workflow.RunEnd, seen uint64) {
 	for _, e := range report.Ended {
 		seen = max(seen, e.Position)
 		ends = append(ends, e.RunEnd)
-		s.noteHealth(e.RunEnd)
+		s.noteHealth(e.RunEnd, now)
 	}
 	return ends, seen
 }
 
-// noteHealth sets a worker aside that fails whatever it is given.
-func (s *session) noteHealth(end workflow.RunEnd) {
-	switch end.Outcome {
-	case workflow.OutcomeDone:
-		s.failures, s.failedJob = 0, ""
-	case workflow.OutcomeFailed:
-		if end.Task.Job == s.failedJob {
-			return
-		}
-		s.failures++
-		s.failedJob = end.Task.Job
-		if s.failures >= quarantineAfter {
-			s.quarantine = time.Now().Add(quarantineFor)
-			s.t.logger.Log("event", "quarantine", "worker", s.worker.ID, "failures", s.failures)
-		}
-	}
-}
-
 // noteRunning takes in checkpoints of the runs that are alive, and returns those
 // that the log doesn't have. t.mu is held.
 func (s *session) noteRunning(report Report, now time.Time) []workflow.Run {
 	var strangers []workflow.Run
+	advanced := false
 	s.t.c.machine.read(func(state *workflow.State) {
 		for _, r := range report.Running {
 			run, ok := state.Runs[s.worker.ID][r.Task]
@@ -102,11 +78,11 @@
 			}
 			if o := s.orders[r.Task]; o != nil {
 				o.unanswered = false
-				o.listed = true
-				o.percent, o.progressAt = r.Percent, now
+				advanced = o.noteProgress(r.Percent, now) || advanced
 			}
 		}
 	})
+	s.noteAdvance(report, advanced, now)
 	return strangers
 }
 
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -58,6 +58,11 @@
 	failures   int
 	failedJob  string
 	quarantine time.Time
+	pace       pace
+	// busy says that the last report listed runs; advancedAt is the last report
+	// that showed that something goes on.
+	busy       bool
+	advancedAt time.Time
 	cancelLook context.CancelFunc
 	// hurried says that the look under way was ended on purpose.
 	hurried bool
@@ -68,7 +73,7 @@
 // usable reports whether new tasks may be given to the worker. t.mu is held.
 func (s *session) usable(now time.Time) bool {
 	return s.ready && !s.leaving && !s.worker.Draining && now.Sub(s.answeredAt) < freshFor &&
-		!s.doubtful(now) && now.After(s.quarantine)
+		!s.doubtful(now) && now.After(s.quarantine) && !s.still()
 }
 
 // doubtful reports whether an order is without an answer for longer than a
@@ -159,6 +164,9 @@
 	if s.ready && now.Sub(s.answeredAt) < callTimeout {
 		order.LeaseEndMS = s.leaseEndMS(now)
 		order.Wait = lookWait
+		if s.still() {
+			order.Wait = stillWait
+		}
 	}
 	ctx, cancel := context.WithTimeout(t.ctx, order.Wait+callTimeout)
 	s.cancelLook, s.hurried = cancel, false
--- a/internal/control/tenure.go
+++ b/internal/control/tenure.go
@@ -53,6 +53,8 @@
 	begun map[string]bool
 	// ended is when this tenure first saw that a job had ended.
 	ended map[string]time.Time
+	// pace is that of all workers.
+	pace pace
 	// proposed are the starts that are being committed, by task.
 	proposed map[workflow.TaskKey]string
 	// checkpoints are the latest that running tasks reported.
