--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -79,6 +79,10 @@
 		{name: "more than any worker has", steps: []Step{step("a", 1, 17)}, workers: workers(16), reason: ReasonNoWorker},
 		{name: "spare processors cost none", steps: []Step{with(step("a", 1, 9), func(s *Step) { s.Spec.UsesSpare = true })},
 			workers: workers(0), want: []string{"a/0@w0"}},
+		{name: "spare processors not beside serving tasks", steps: []Step{
+			with(step("a", 1, 1), func(s *Step) { s.Spec.LatencyObjectiveMS = 50 }),
+			with(step("b", 1, 1), func(s *Step) { s.Spec.UsesSpare = true }),
+		}, workers: workers(9), want: []string{"a/0@w0"}, reason: ReasonNoWorker},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			plan := Decide(0, c.steps, c.workers, limits)
--- a/dispatch/select.go
+++ b/dispatch/select.go
@@ -12,7 +12,7 @@
 		if s.Spec.Label != "" && !slices.Contains(w.Labels, s.Spec.Label) {
 			continue
 		}
-		if !s.Spec.Room().Fits(w.Capacity) {
+		if !s.Spec.Room().Fits(w.Capacity) || !compatible(s, w) {
 			continue
 		}
 		out = append(out, w)
@@ -20,6 +20,16 @@
 	return out
 }
 
+// compatible keeps tasks that use spare processors off workers whose tasks have
+// a latency objective, and the other way round. They disturb each other by
+// amounts that nobody knows beforehand, and nothing paces them down.
+func compatible(s *Step, w *Worker) bool {
+	if s.Spec.UsesSpare {
+		return !w.Serving
+	}
+	return s.Spec.LatencyObjectiveMS == 0 || !w.Spare
+}
+
 // best returns the worker that suits one task of s best: sound ones first, then
 // those near the data, then the one that is left with the least room, which
 // keeps whole workers free for gangs.
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -17,6 +17,9 @@
 	Free workflow.Resources
 	// Releases are the expected ends of the runs on the worker, the soonest first.
 	Releases []Release
+	// Serving and Spare say that tasks with a latency objective, or tasks that use
+	// spare processors, run there.
+	Serving, Spare bool
 	// Penalty sets back workers that failed or stood still lately; 0 is sound.
 	Penalty int
 }
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -248,10 +248,13 @@
 		}
 		free := state.Capacity.Minus(proposed[id])
 		var releases []dispatch.Release
+		serving, spare := false, false
 		for task, run := range s.Runs[id] {
 			if job := s.Jobs[task.Job]; job != nil {
 				step := &job.Steps[task.Step]
 				free = free.Minus(step.Room())
+				serving = serving || step.LatencyObjectiveMS > 0
+				spare = spare || step.UsesSpare
 				releases = append(releases, dispatch.Release{
 					At: session.expectedEnd(run, step, now).Sub(t.started), Room: step.Room(),
 				})
@@ -260,6 +263,7 @@
 		slices.SortFunc(releases, func(a, b dispatch.Release) int { return cmp.Compare(a.At, b.At) })
 		workers = append(workers, dispatch.Worker{
 			Worker: state.Worker, Free: free, Releases: releases, Penalty: session.failures,
+			Serving: serving, Spare: spare,
 		})
 	}
 	return workers
