--- a/cmd/bilberry-edged/main.go
+++ b/cmd/bilberry-edged/main.go
@@ -3,21 +3,10 @@
 package main
 
 import (
-	"net/http"
 	"os"
 
-	"github.com/go-kit/log"
-
 	"github.com/bilberryferry/bilberryferry/internal/instance"
 	"github.com/bilberryferry/bilberryferry/platform"
 )
 
-func main() {
-	os.Exit(instance.Main("edge", instance.RunEdge(instance.EdgeAdapters{
-		Outside: func(adviser string) instance.Outside { return platform.NewClient(adviser) },
-		Entry: func(operations *instance.Operations, logger log.Logger) http.Handler {
-			return platform.NewFront(operations, logger)
-		},
-		ReadinessPath: platform.ReadinessPath,
-	})))
-}
+func main() { os.Exit(instance.Main(platform.NewEdge())) }
--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -28,9 +28,9 @@
 	Control func(operations *Operations, logger log.Logger) http.Handler
 }
 
-// RunCore returns the daemon of a core instance.
-func RunCore(adapters CoreAdapters) func(context.Context, *process) error {
-	return func(ctx context.Context, p *process) error { return p.runCore(ctx, adapters) }
+// NewCore returns the daemon of a core instance.
+func NewCore(adapters CoreAdapters) Daemon {
+	return Daemon{"core", func(ctx context.Context, p *process) error { return p.runCore(ctx, adapters) }}
 }
 
 func (p *process) runCore(ctx context.Context, adapters CoreAdapters) error {
--- a/internal/instance/edge.go
+++ b/internal/instance/edge.go
@@ -27,9 +27,9 @@
 	ReadinessPath string
 }
 
-// RunEdge returns the daemon of an instance that faces callers.
-func RunEdge(adapters EdgeAdapters) func(context.Context, *process) error {
-	return func(ctx context.Context, p *process) error { return p.runEdge(ctx, adapters) }
+// NewEdge returns the daemon of an instance that faces callers.
+func NewEdge(adapters EdgeAdapters) Daemon {
+	return Daemon{"edge", func(ctx context.Context, p *process) error { return p.runEdge(ctx, adapters) }}
 }
 
 func (p *process) runEdge(ctx context.Context, adapters EdgeAdapters) error {
--- a/internal/instance/process.go
+++ b/internal/instance/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/signal"
@@ -10,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 	"golang.org/x/sync/errgroup"
 
@@ -47,33 +49,52 @@
 	metrics  *oplog.Metrics
 }
 
+// Daemon is one of the two daemons.
+type Daemon struct {
+	role string
+	run  func(context.Context, *process) error
+}
+
 // Main loads the settings, runs a daemon until SIGTERM and returns the exit code.
-func Main(role string, run func(context.Context, *process) error) int {
+func Main(d Daemon) int {
 	path := os.Getenv(SettingsEnv)
 	if len(os.Args) > 1 {
 		path = os.Args[1]
 	}
-	settings, err := Load(path)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return ExitSettings
-	}
 	debug.SetMemoryLimit(memoryLimit)
 	debug.SetGCPercent(collectPercent)
-	sink := oplog.NewSink(os.Stdout)
-	p := &process{settings: settings, path: path, sink: sink, metrics: oplog.NewMetrics()}
-	p.logger = oplog.NewLogger(sink, settings.Instance)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	_ = p.logger.Log("event", "start", "role", role, "address", settings.Address, "data_centre", settings.DataCentre,
-		"seeds", len(settings.Seeds), "first_start", settings.FirstStart)
-	err = run(ctx, p)
-	_ = p.logger.Log("event", "stop", "role", role, "err", err)
-	sink.Close()
-	if err != nil {
+	err := d.Run(ctx, path, os.Stdout)
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.Is(err, errSettings):
+		fmt.Fprintln(os.Stderr, err)
+		return ExitSettings
+	default:
 		return ExitFailed
 	}
-	return ExitOK
+}
+
+var errSettings = errors.New("settings")
+
+// Run runs a daemon with the settings file at path until ctx ends. Its lines go
+// to out.
+func (d Daemon) Run(ctx context.Context, path string, out io.Writer) error {
+	settings, err := Load(path)
+	if err != nil {
+		return errors.Mark(err, errSettings)
+	}
+	sink := oplog.NewSink(out)
+	defer sink.Close()
+	p := &process{settings: settings, path: path, sink: sink, metrics: oplog.NewMetrics()}
+	p.logger = oplog.NewLogger(sink, settings.Instance)
+	_ = p.logger.Log("event", "start", "role", d.role, "address", settings.Address, "data_centre", settings.DataCentre,
+		"seeds", len(settings.Seeds), "first_start", settings.FirstStart)
+	err = d.run(ctx, p)
+	_ = p.logger.Log("event", "stop", "role", d.role, "err", err)
+	return err
 }
 
 func newServer(address string, handler http.Handler) *http.Server {
