Keep the order of a run when an earlier run's end is listed late

Cause: found by reading: an end dropped the order of its task whatever the run, so a later run could no longer be stopped (a cancelled job's task would run on).

Ruled out: the state machine, which compares run numbers.

Change: an end drops the order of its own run or an earlier one. Test red first: the second run was never stopped.

--- a/internal/control/guard_test.go
+++ b/internal/control/guard_test.go
@@ -254,3 +254,30 @@
 	ten.answered["c"] = now.Add(-2 * dataCentreSilence)
 	must.Eq(t, map[string]bool{"a": true}, ten.suspects(now))
 }
+
+// What a user sees: a cancelled job's task runs on.
+// Order: a second run of a task is under way on a worker that lists the end of
+// the first one late; the job is cancelled.
+// Cause: the late end made the leader forget the order of the second run.
+func TestALateEndOfAnEarlierRunLeavesTheOrderOfTheNextOne(t *testing.T) {
+	w := newWorld(t, nil)
+	w.workers.add("w1")
+	w.announce("w1")
+	w.submit("a", oneTask)
+	w.eventually("the first run starts", func() bool { return w.started("w1") == 1 })
+	w.with("w1", func(f *fakeWorker) { f.finish(task("a", 0), workflow.OutcomeFailed) })
+	w.eventually("the second run starts", func() bool { return w.started("w1") == 2 })
+	ten, err := w.c.leading()
+	must.NoError(t, err)
+	ten.mu.Lock()
+	s := ten.sessions["w1"]
+	ten.mu.Unlock()
+	s.commitEnds(0, []workflow.RunEnd{{Task: task("a", 0), Number: 1, Outcome: workflow.OutcomeLapsed}})
+	_, err = w.c.Cancel(context.Background(), &CancelCall{Place: Place{Host: "h", Path: "/q/a"}})
+	must.NoError(t, err)
+	w.eventually("the second run is stopped", func() bool {
+		running := 1
+		w.with("w1", func(f *fakeWorker) { running = len(f.running) })
+		return running == 0
+	})
+}
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -270,11 +270,21 @@
 	}
 	s.t.mu.Lock()
 	for _, end := range ends {
-		delete(s.orders, end.Task)
-		delete(s.inherited, end.Task)
-		delete(s.t.checkpoints, end.Task)
+		s.forgetRun(end)
 	}
 	s.t.mu.Unlock()
 	s.t.logEndedJobs(ends)
 	s.t.kick()
 }
+
+// forgetRun drops what is known of a run that has ended. A worker may list an
+// end while a later run of the task is under way; that one's order stays, or
+// nobody could stop the run any more. t.mu is held.
+func (s *session) forgetRun(end workflow.RunEnd) {
+	if o := s.orders[end.Task]; o != nil && o.run.Number > end.Number {
+		return
+	}
+	delete(s.orders, end.Task)
+	delete(s.inherited, end.Task)
+	delete(s.t.checkpoints, end.Task)
+}
