End a tenure when the leader's machine was suspended

Ruled out: the log's own check (it counts steady time as well); starts (they need a commit, which fails).

Change: before each look the two steady clocks are compared, one of which counts suspensions; a difference ends the tenure, and the next one begins with a round of the log. Test red first (the tenure went on).

--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -47,7 +47,7 @@
 		}
 	}
 	apply(&workflow.Command{Start: runs})
-	t := newTenure(context.Background(), c, 7)
+	t := newTenure(context.Background(), func() {}, c, 7)
 	for _, s := range t.sessions {
 		s.ready, s.answeredAt = true, time.Now().Add(time.Hour)
 	}
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -95,7 +95,7 @@
 		sleep(ctx, idlePause)
 		return
 	}
-	t := newTenure(tenureCtx, c, term)
+	t := newTenure(tenureCtx, end, c, term)
 	c.setTenure(t)
 	_ = c.cfg.Logger.Log("event", "tenure", "outcome", "begun", "term", term, "workers", len(t.sessions))
 	go c.watch(tenureCtx, term, end)
--- a/internal/control/guard_test.go
+++ b/internal/control/guard_test.go
@@ -281,3 +281,21 @@
 		return running == 0
 	})
 }
+
+// What a user sees: a task runs in two places.
+// Order: a leader's machine is suspended; another leader takes over and waits
+// for a lease that it knows; the first one wakes and prolongs it.
+// Cause: the steady clock doesn't count the time of a suspension.
+func TestATenureEndsWhenTheMachineWasSuspended(t *testing.T) {
+	ended := false
+	w := newWorld(t, nil)
+	ten := newTenure(context.Background(), func() { ended = true }, w.c, 7)
+	s := ten.addSession(worker("w1"), nil)
+	w.workers.add("w1")
+	_, err := s.look(time.Now())
+	must.NoError(t, err)
+	must.False(t, ended)
+	ten.sleepTime = func() (time.Duration, error) { return ten.sleptBefore + 2*time.Second, nil }
+	_, _ = s.look(time.Now())
+	must.True(t, ended)
+}
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -154,6 +154,10 @@
 // otherwise hold its runs for ever, and nobody could tell when they end.
 func (s *session) look(now time.Time) (Report, error) {
 	t := s.t
+	if t.suspended() {
+		t.logger.Log("event", "tenure", "outcome", "given up", "cause", "the machine was suspended")
+		t.end()
+	}
 	order := LookOrder{Fence: t.fence}
 	t.c.machine.read(func(state *workflow.State) {
 		if w := state.Workers[s.worker.ID]; w != nil {
--- a/internal/control/tenure.go
+++ b/internal/control/tenure.go
@@ -32,8 +32,12 @@
 type tenure struct {
 	c       *Controller
 	ctx     context.Context
+	end     func()
 	fence   uint64
 	started time.Time
+	// sleptBefore is how long the machine had been suspended when the tenure began.
+	sleptBefore time.Duration
+	sleepTime   func() (time.Duration, error)
 	lease   time.Duration
 	logger  log.Logger
 	lanes   *lanes
@@ -63,9 +67,9 @@
 	checkpoints map[workflow.TaskKey]string
 }
 
-func newTenure(ctx context.Context, c *Controller, term uint64) *tenure {
+func newTenure(ctx context.Context, end func(), c *Controller, term uint64) *tenure {
 	t := &tenure{
-		c: c, ctx: ctx, fence: term, started: time.Now(),
+		c: c, ctx: ctx, end: end, fence: term, started: time.Now(), sleepTime: sleepTime,
 		logger:      log.With(c.cfg.Logger, "term", term),
 		kicked:      make(chan struct{}, 1),
 		sessions:    map[string]*session{},
@@ -78,6 +82,9 @@
 		checkpoints: map[workflow.TaskKey]string{},
 		proposed:    map[workflow.TaskKey]string{},
 	}
+	if slept, err := t.sleepTime(); err == nil {
+		t.sleptBefore = slept
+	}
 	t.lease = leaseLength(c.cfg.Bounds)
 	t.lanes = newLanes(c.cfg.Address, c.cfg.Adviser, c.cfg.Client)
 	c.machine.read(func(s *workflow.State) {
