--- a/internal/control/tenure.go
+++ b/internal/control/tenure.go
@@ -38,10 +38,10 @@
 	// sleptBefore is how long the machine had been suspended when the tenure began.
 	sleptBefore time.Duration
 	sleepTime   func() (time.Duration, error)
-	lease   time.Duration
-	logger  log.Logger
-	lanes   *lanes
-	kicked  chan struct{}
+	lease       time.Duration
+	logger      log.Logger
+	lanes       *lanes
+	kicked      chan struct{}
 	// tasks counts the goroutines of this tenure.
 	tasks sync.WaitGroup
 
