--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -212,10 +212,9 @@
 	return isNew
 }
 
-// Leave takes note that an incarnation has ended.
-func (c *Controller) Leave(ctx context.Context, r *LeaveCall) (Empty, error) {
-	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
-	defer cancel()
+// Leave takes note that an incarnation says that it ends. It counts as ended once
+// a look shows it.
+func (c *Controller) Leave(_ context.Context, r *LeaveCall) (Empty, error) {
 	t, err := c.leading()
 	if err != nil {
 		return Empty{}, err
