--- /dev/null
+++ b/internal/instance/settings_test.go
@@ -0,0 +1,73 @@
+package instance
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/bilberryferry/bilberryferry/fault"
+)
+
+const goodSettings = `instance = "core-1"
+data_centre = "naas-hall"
+address = "10.1.0.16"
+internal_port = "7720"
+control = "10.1.0.16:8166"
+seeds = ["10.1.0.16:8166","10.2.0.32:8166","10.2.0.32:8167"]
+first_start = true
+data_folder = "/data"
+adviser = "10.200.1.9:8169"
+instances_lost = 1
+[bounds]
+lease_max = "10000ms"
+`
+
+func TestSettingsAreRead(t *testing.T) {
+	s, err := Parse(goodSettings)
+	must.NoError(t, err)
+	must.Eq(t, 10*time.Second, s.Bounds.LeaseMax.Std())
+	must.Eq(t, defaultBounds.Shown, s.Bounds.Shown)
+	must.Eq(t, []string{"10.1.0.16", "10.2.0.32"}, s.seedHosts())
+	must.Eq(t, []string{"10.1.0.16:7720", "10.2.0.32:7720"}, s.seedAddresses())
+}
+
+func TestWrongSettingsNameTheField(t *testing.T) {
+	for _, c := range []struct{ old, replacement, field string }{
+		{`instance = "core-1"`, ``, "instance"},
+		{`address = "10.1.0.16"`, `address = "core"`, "address"},
+		{`internal_port = "7720"`, ``, "internal_port"},
+		{`control = "10.1.0.16:8166"`, `control = "10.1.0.16"`, "control"},
+		{`"10.2.0.32:8166"`, `"x"`, "seeds"},
+		{`instances_lost = 1`, `instances_lost = -1`, "instances_lost"},
+		{`first_start = true`, `first = true`, "first"},
+		{`lease_max = "10000ms"`, `lease_max = "10000"`, "settings"},
+		{`lease_max = "10000ms"`, `lease_max =`, "settings"},
+	} {
+		_, err := Parse(strings.Replace(goodSettings, c.old, c.replacement, 1))
+		must.Error(t, err, must.Sprint(c))
+		must.Eq(t, fault.Invalid, fault.KindOf(err))
+		must.StrContains(t, err.Error(), c.field)
+	}
+}
+
+func TestVotersBearTheLosses(t *testing.T) {
+	must.Eq(t, 3, votersFor(0))
+	must.Eq(t, 3, votersFor(1))
+	must.Eq(t, 5, votersFor(2))
+}
+
+// The template that the deploy file names has every setting, so that what the
+// platform says isn't lost by a name that nobody reads.
+func TestTheTemplateHasEverySetting(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/settings.toml.tmpl")
+	must.NoError(t, err)
+	for _, name := range []string{
+		"instance", "data_centre", "address", "internal_port", "metrics_address", "entry", "readiness", "control", "seeds",
+		"first_start", "data_folder", "adviser", "instances_lost", "lease_max", "contact", "stop_max", "shown", "shutdown",
+	} {
+		must.StrContains(t, string(text), name+" = ")
+	}
+}
