Log why steps wait, at each new reason

Cause: on a trial deployment derived from a site file 203 short jobs never started, and no line said why. (The derived site asked for a label that none of its workers has: an artefact of the derivation, traced by these lines.)

Ruled out: timed jobs, data racks.

Change: step_waiting names step, tasks, reason and label, once a reason; a worker's line names its labels.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -57,7 +57,7 @@
 }
 
 func (p *planner) wait(s *Step, tasks int, reason Reason) {
-	p.plan.Waiting = append(p.plan.Waiting, Waiting{Step: s.Key, Tasks: tasks, Reason: reason})
+	p.plan.Waiting = append(p.plan.Waiting, Waiting{Step: s.Key, Tasks: tasks, Reason: reason, Label: s.Spec.Label})
 }
 
 // usable reports whether a start of s on w would be accepted now.
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -100,6 +100,8 @@
 	Step   workflow.StepKey
 	Tasks  int
 	Reason Reason
+	// Label is the one that the step requires.
+	Label string
 }
 
 // Limits bound one plan.
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -55,6 +55,7 @@
 		AskWorkers: askWorkers, GangAskWorkers: gangAskWorkers, Asks: t.lanes.free(begun), TicketMargin: ticketMargin,
 	})
 	t.c.cfg.Counters.Observe("decide", time.Since(begun))
+	t.logWaiting(plan.Waiting)
 	for _, question := range plan.Asks {
 		t.ask(question, policies[question.Step])
 	}
@@ -64,6 +65,19 @@
 	}
 }
 
+// logWaiting logs why steps wait, once for each new reason of a step. Waiting for
+// the adviser isn't logged: each question is.
+func (t *tenure) logWaiting(waiting []dispatch.Waiting) {
+	before := t.waiting
+	t.waiting = make(map[workflow.StepKey]dispatch.Reason, len(waiting))
+	for _, w := range waiting {
+		t.waiting[w.Step] = w.Reason
+		if w.Reason != dispatch.ReasonPermit && before[w.Step] != w.Reason {
+			t.logger.Log("event", "step_waiting", "step", w.Step, "tasks", w.Tasks, "reason", w.Reason, "label", w.Label)
+		}
+	}
+}
+
 // noteProposed keeps the tasks and the room of starts that are being committed
 // out of the decisions made meanwhile. Waiting for each commit before the next
 // decision instead delays starts by half a commit on average (from 0.113 s to
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/bilberryferry/bilberryferry/fault"
@@ -189,7 +190,7 @@
 			return AnnouncementReply{}, err
 		}
 		t.logger.Log("event", "worker", "worker", r.Worker.ID, "address", r.Worker.Address,
-			"draining", r.Worker.Draining, "sequence", r.Sequence)
+			"draining", r.Worker.Draining, "sequence", r.Sequence, "labels", strings.Join(r.Worker.Labels, ","))
 	}
 	t.heard(&r.Worker, r.Remaining)
 	return AnnouncementReply{Leader: c.cfg.Public}, nil
--- a/internal/control/tenure.go
+++ b/internal/control/tenure.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log"
 
+	"github.com/bilberryferry/bilberryferry/dispatch"
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
 
@@ -45,6 +46,9 @@
 	// tasks counts the goroutines of this tenure.
 	tasks sync.WaitGroup
 
+	// waiting is why steps waited at the last decision; it belongs to planLoop.
+	waiting map[workflow.StepKey]dispatch.Reason
+
 	mu       sync.Mutex
 	sessions map[string]*session
 	permits  map[workflow.StepKey]*stepPermits
