Model the runs of a task under orders that are carried out late

Cause: the state machine of one run was argued in comments and tested, not searched.

Ruled out: the lease model, which has one attempt a worker and a lease of its own; here starts stay in the network for good and are carried out at any time.

Change: spec/order.pml with five mutants, in the quick checks. The test of the fence passed by another refusal and compares the reason now.

--- a/internal/control/guard_test.go
+++ b/internal/control/guard_test.go
@@ -355,7 +355,8 @@
 		return runs > 1
 	})
 	w.with("w1", func(f *fakeWorker) {
-		must.Error(t, f.begin(StartOrder{Run: workflow.Run{Task: task("a", 0), Number: 1, Worker: "w1"}, Fence: 6}))
+		err := f.begin(StartOrder{Run: workflow.Run{Task: task("a", 0), Number: 1, Worker: "w1"}, Fence: 6})
+		must.ErrorContains(t, err, string(RefusedFence))
 	})
 }
 
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -102,6 +102,11 @@
 		echo "quick|handover|$mutant|-DHOPS=5"
 	done
 
+	echo "quick|order|-|-DRUNS=2"
+	for mutant in NO_FENCE_IN_LOOK SETTLE_WITHOUT_STOP STOP_AFTER_SENDING NO_TOMBSTONE SETTLE_WITHOUT_LEASE; do
+		echo "quick|order|$mutant|-DRUNS=2"
+	done
+
 	echo "quick|config|-|-DVERSIONS=3 -DRESTARTS=2"
 	echo "full|config|-|-DVERSIONS=4 -DRESTARTS=3"
 	for mutant in NO_COMPARISON APPLY_BEFORE_ADOPTION ADOPT_OLDER OLD_ANSWER SERVE_AT_ONCE STALE_LEADER_ANSWERS; do
--- /dev/null
+++ b/spec/order.pml
@@ -0,0 +1,226 @@
+/* order.pml: the runs of one task under orders that may be carried out late.
+ *
+ * Two workers, two leaders one after the other, RUNS runs of one task. A start
+ * that was sent stays in the network for good: it may be carried out at any
+ * later time, also after newer calls, and more than once. A leader begins a run
+ * only when every earlier one is settled. A run is settled by
+ *  - an end that the worker lists,
+ *  - a look that lists it nowhere, when the look was sent after the worker had
+ *    acknowledged a stop of the run,
+ *  - a look that lists it nowhere, when the run is an earlier leader's: the look
+ *    carries the fence, and the worker refuses lower ones from then on,
+ *  - the end of the worker's lease, after which it refuses orders made up before.
+ *
+ * Safety: the task never runs on both workers, and no run begins after another has
+ * ended as done, unless the lease of that one's worker has lapsed since.
+ *
+ * Mutants: NO_FENCE_IN_LOOK, SETTLE_WITHOUT_STOP, STOP_AFTER_SENDING, NO_TOMBSTONE,
+ * SETTLE_WITHOUT_LEASE.
+ */
+#ifndef RUNS
+#define RUNS 3
+#endif
+#define WORKERS 2
+
+/* The leader: its fence, and what it knows of each run (numbered from 1). */
+byte fence = 1;
+byte begun = 0;                 /* runs committed so far */
+byte at[RUNS + 1];              /* worker of a run */
+bool settled[RUNS + 1];
+bool own[RUNS + 1];             /* begun by the present leader */
+bool acked[RUNS + 1];           /* its stop was acknowledged */
+bool taken = false;             /* an end as done was taken in */
+
+/* A look under way: none, sent, or answered. */
+byte look[WORKERS];
+byte lookFence[WORKERS];
+bool lookAcked[WORKERS * (RUNS + 1)];   /* stops acknowledged when it was sent */
+byte listed[WORKERS];                   /* the run that the answer lists */
+byte listedDone[WORKERS];               /* the run that the answer lists as done */
+
+/* Orders in the network: the fence that a start carries, 0 for none. */
+byte order[RUNS + 1];
+
+/* Workers. */
+byte seen[WORKERS];             /* highest fence */
+byte running[WORKERS];          /* run that is alive, 0 for none */
+byte barred[WORKERS];           /* highest run stopped or ended */
+byte done[WORKERS];             /* run that ended as done */
+bool counts[WORKERS];           /* ghost: that end counts, its lease hasn't lapsed */
+
+inline check() {
+	assert(!(running[0] != 0 && running[1] != 0));
+	assert(!(taken && (running[0] != 0 || running[1] != 0)));
+}
+
+inline begin(w) {
+	begun++;
+	at[begun] = w;
+	settled[begun] = false;
+	own[begun] = true;
+	acked[begun] = false;
+	order[begun] = fence;
+}
+
+/* carryOut is what a worker does with a start. */
+inline carryOut(r) {
+	if
+	:: order[r] >= seen[at[r]] ->
+		seen[at[r]] = order[r];
+		if
+		:: r > barred[at[r]] && running[at[r]] != r ->
+			assert(!counts[0] && !counts[1]);
+			running[at[r]] = r
+		:: else -> skip
+		fi
+	:: else -> skip
+	fi
+}
+
+inline stop(r, answered) {
+	if
+	:: fence >= seen[at[r]] ->
+		seen[at[r]] = fence;
+#ifndef MUTANT_NO_TOMBSTONE
+		if :: r > barred[at[r]] -> barred[at[r]] = r :: else -> skip fi;
+#endif
+		if :: running[at[r]] == r -> running[at[r]] = 0 :: else -> skip fi;
+		if :: answered -> acked[r] = true :: else -> skip fi
+	:: else -> skip
+	fi
+}
+
+inline finish(w) {
+	if
+	:: running[w] != 0 ->
+		done[w] = running[w];
+		counts[w] = true;
+		if :: running[w] > barred[w] -> barred[w] = running[w] :: else -> skip fi;
+		running[w] = 0
+	:: else -> skip
+	fi
+}
+
+inline answerLook(w) {
+	if
+	:: lookFence[w] >= seen[w] ->
+#ifndef MUTANT_NO_FENCE_IN_LOOK
+		seen[w] = lookFence[w];
+#endif
+		listed[w] = running[w];
+		listedDone[w] = done[w];
+		look[w] = 2
+	:: else -> look[w] = 0
+	fi
+}
+
+inline takeIn(w) {
+	i = 1;
+	do
+	:: i <= begun && at[i] == w && !settled[i] ->
+		if
+		:: listedDone[w] == i -> settled[i] = true; taken = true
+		:: listedDone[w] != i && listed[w] != i ->
+#ifdef MUTANT_SETTLE_WITHOUT_STOP
+			settled[i] = true
+#else
+			if
+			:: !own[i] -> settled[i] = true
+#ifdef MUTANT_STOP_AFTER_SENDING
+			:: own[i] && acked[i] -> settled[i] = true
+#else
+			:: own[i] && lookAcked[w * (RUNS + 1) + i] -> settled[i] = true
+#endif
+			:: else -> skip
+			fi
+#endif
+		:: else -> skip
+		fi;
+		i++
+	:: i <= begun && !(at[i] == w && !settled[i]) -> i++
+	:: i > begun -> break
+	od;
+	look[w] = 0
+}
+
+/* lapse: the lease of a worker has ended; it refuses what was made up before. */
+inline lapse(w) {
+#ifndef MUTANT_SETTLE_WITHOUT_LEASE
+	running[w] = 0;
+#endif
+	look[w] = 0;
+	counts[w] = false;
+	i = 1;
+	do
+	:: i <= begun && at[i] == w ->
+#ifndef MUTANT_SETTLE_WITHOUT_LEASE
+		order[i] = 0;
+#endif
+		settled[i] = true;
+		i++
+	:: i <= begun && at[i] != w -> i++
+	:: i > begun -> break
+	od
+}
+
+inline sendLook(w) {
+	look[w] = 1;
+	lookFence[w] = fence;
+	i = 1;
+	do
+	:: i <= RUNS -> lookAcked[w * (RUNS + 1) + i] = acked[i]; i++
+	:: else -> break
+	od
+}
+
+inline newLeader() {
+	fence = 2;
+	look[0] = 0;
+	look[1] = 0;
+	i = 1;
+	do
+	:: i <= RUNS -> own[i] = false; acked[i] = false; i++
+	:: else -> break
+	od
+}
+
+inline mayBegin(ok) {
+	ok = (begun < RUNS && !taken);
+	i = 1;
+	do
+	:: i <= begun -> ok = ok && settled[i]; i++
+	:: else -> break
+	od
+}
+
+active proctype system() {
+	byte i;
+	byte w;
+	byte r;
+	bool ok;
+	do
+	:: atomic {
+		mayBegin(ok);
+		if
+		:: ok -> if :: begin(0) :: begin(1) fi
+		:: else -> skip
+		fi }
+	:: atomic { begun > 0; select(r : 1 .. RUNS);
+		if :: r <= begun && order[r] != 0 -> carryOut(r); check() :: else -> skip fi }
+	:: atomic { begun > 0; select(r : 1 .. RUNS);
+		if
+		:: r <= begun && !settled[r] -> stop(r, true)
+		:: r <= begun && !settled[r] -> stop(r, false)
+		:: else -> skip
+		fi; check() }
+	:: atomic { select(w : 0 .. 1);
+		if
+		:: look[w] == 0 -> sendLook(w)
+		:: look[w] == 1 -> answerLook(w)
+		:: look[w] == 2 -> takeIn(w); check()
+		fi }
+	:: atomic { select(w : 0 .. 1); finish(w) }
+	:: atomic { select(w : 0 .. 1); lapse(w); check() }
+	:: atomic { fence == 1; newLeader() }
+	od
+}
