One wait for all, one set of parts for both daemons; unused settings dropped

Cause: nine packages had a function that waits for a time or a context, and the two daemons put the same parts together in long functions; two bounds of the settings were read and used nowhere since the lease follows the longest grant.

Ruled out: leaving them (a newcomer finds nine names for one thing).

--- a/internal/cell/adopt.go
+++ b/internal/cell/adopt.go
@@ -10,6 +10,7 @@
 	"github.com/bilberryferry/bilberryferry/internal/rpc"
 	"github.com/bilberryferry/bilberryferry/internal/settings"
 	"github.com/bilberryferry/bilberryferry/internal/state"
+	"github.com/bilberryferry/bilberryferry/internal/wait"
 )
 
 // Pace of adoption.
@@ -36,7 +37,7 @@
 		}
 		version, err := c.fetchConfig(ctx, &voters[i%len(voters)])
 		if err != nil {
-			sleep(ctx, fetchPause)
+			wait.For(ctx, fetchPause)
 			continue
 		}
 		if version.Version <= c.adopted().ConfigVersion {
@@ -45,7 +46,7 @@
 		limits, err := quotaOf(version.Version, version.Document)
 		if err != nil {
 			c.base.Logger.Log("msg", "configuration can't be read", "version", version.Version, "err", err)
-			sleep(ctx, fetchPause)
+			wait.For(ctx, fetchPause)
 			continue
 		}
 		adopt := &state.AdoptConfig{
@@ -53,7 +54,7 @@
 			Author: version.Author, Accepted: version.AcceptedUnixMs,
 		}
 		if _, err := c.propose(ctx, &state.Command{AdoptConfig: adopt}); err != nil {
-			sleep(ctx, fetchPause)
+			wait.For(ctx, fetchPause)
 		}
 	}
 }
--- a/internal/cell/decide.go
+++ b/internal/cell/decide.go
@@ -8,6 +8,7 @@
 
 	"github.com/bilberryferry/bilberryferry/fault"
 	"github.com/bilberryferry/bilberryferry/internal/state"
+	"github.com/bilberryferry/bilberryferry/internal/wait"
 	"github.com/bilberryferry/bilberryferry/placement"
 	"github.com/bilberryferry/bilberryferry/replica"
 )
@@ -196,7 +197,7 @@
 // prune forgets ended jobs, answers and records that are older than a day.
 func (c *Cell) prune(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, pruneEvery)
+		wait.For(ctx, pruneEvery)
 		before := c.now().Add(-keepEnded).UnixMilli()
 		if _, err := c.propose(ctx, &state.Command{Prune: &state.Prune{Before: before}}); err != nil && ctx.Err() == nil {
 			c.base.Logger.Log("msg", "nothing pruned", "err", err)
--- a/internal/cell/handover.go
+++ b/internal/cell/handover.go
@@ -13,6 +13,7 @@
 	"github.com/bilberryferry/bilberryferry/internal/rpc"
 	"github.com/bilberryferry/bilberryferry/internal/settings"
 	"github.com/bilberryferry/bilberryferry/internal/state"
+	"github.com/bilberryferry/bilberryferry/internal/wait"
 	"github.com/bilberryferry/bilberryferry/internal/wire"
 )
 
@@ -82,7 +83,7 @@
 	for ctx.Err() == nil {
 		changed := c.machine.Changed()
 		if !c.settleOffers(ctx, t) {
-			sleep(ctx, offerPause)
+			wait.For(ctx, offerPause)
 			continue
 		}
 		select {
@@ -116,13 +117,6 @@
 	return !failed.Load()
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 func (c *Cell) openOffers() []*state.Job {
 	var open []*state.Job
 	c.machine.View(func(s *state.State) {
--- a/internal/cell/replace.go
+++ b/internal/cell/replace.go
@@ -11,6 +11,7 @@
 	"github.com/bilberryferry/bilberryferry/fault"
 	"github.com/bilberryferry/bilberryferry/internal/rpc"
 	"github.com/bilberryferry/bilberryferry/internal/settings"
+	"github.com/bilberryferry/bilberryferry/internal/wait"
 	"github.com/bilberryferry/bilberryferry/replica"
 )
 
@@ -74,7 +75,7 @@
 		if !errors.Is(err, replica.ErrNotCaughtUp) || ctx.Err() != nil {
 			return err
 		}
-		sleep(ctx, catchUpPause)
+		wait.For(ctx, catchUpPause)
 	}
 }
 
--- a/internal/cell/serve.go
+++ b/internal/cell/serve.go
@@ -16,6 +16,7 @@
 	"github.com/bilberryferry/bilberryferry/internal/node"
 	"github.com/bilberryferry/bilberryferry/internal/peer"
 	"github.com/bilberryferry/bilberryferry/internal/settings"
+	"github.com/bilberryferry/bilberryferry/internal/wait"
 	"github.com/bilberryferry/bilberryferry/replica"
 )
 
@@ -158,7 +159,7 @@
 		if ctx.Err() != nil || time.Now().After(deadline) {
 			return errors.Wrap(err, "forced start")
 		}
-		sleep(ctx, memberCheck)
+		wait.For(ctx, memberCheck)
 	}
 	p.base.Events.Record("forced start", "", p.base.Instance.DataCentre, p.base.Instance.ID)
 	p.base.Logger.Log("msg", "forced to start alone", "data_centre", p.base.Instance.DataCentre)
@@ -182,7 +183,7 @@
 				}
 			}
 		}
-		sleep(ctx, memberCheck)
+		wait.For(ctx, memberCheck)
 	}
 	return nil
 }
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -10,6 +10,7 @@
 
 	apiv1 "github.com/bilberryferry/bilberryferry/api/v1"
 	"github.com/bilberryferry/bilberryferry/fault"
+	"github.com/bilberryferry/bilberryferry/internal/wait"
 )
 
 const (
@@ -162,7 +163,7 @@
 			silentSince = s.app.Now()
 		case !fault.Is(err, fault.Unavailable) || s.app.Now().Sub(silentSince) >= s.globals.timeout:
 			return err
-		case !pause(ctx, watchPause):
+		case !wait.For(ctx, watchPause):
 			return fault.New(fault.Unavailable, "interrupted; the job goes on")
 		default:
 			continue
@@ -176,7 +177,7 @@
 			s.endProgress()
 			return outcome(job)
 		}
-		if job.GetRevision() <= request.AfterRevision && !pause(ctx, watchPause) {
+		if job.GetRevision() <= request.AfterRevision && !wait.For(ctx, watchPause) {
 			return fault.New(fault.Unavailable, "interrupted; the job goes on")
 		}
 		request.AfterRevision = max(request.AfterRevision, job.GetRevision())
@@ -196,18 +197,6 @@
 	return answer.GetJobs()[0], nil
 }
 
-// pause waits and returns false when the context ends meanwhile.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // showProgress writes one line for each revision; on a terminal the line is
 // written over.
 func (s *session) showProgress(job *apiv1.Job) error {
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -11,6 +11,7 @@
 	"github.com/bilberryferry/bilberryferry/fault"
 	"github.com/bilberryferry/bilberryferry/internal/link"
 	"github.com/bilberryferry/bilberryferry/internal/node"
+	"github.com/bilberryferry/bilberryferry/internal/wait"
 	"github.com/bilberryferry/bilberryferry/replica"
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
@@ -19,10 +20,6 @@
 type Bounds struct {
 	// LeaseMax is the longest lease that a worker grants.
 	LeaseMax time.Duration
-	// Contact is how long after the last disruption everything must be right again.
-	Contact time.Duration
-	// StopMax is how long a worker takes at most to end a run.
-	StopMax time.Duration
 	// Shown is how long an ended job is shown at least.
 	Shown time.Duration
 }
@@ -92,7 +89,7 @@
 	defer end()
 	if err := c.log.Barrier(tenureCtx); err != nil {
 		_ = c.cfg.Logger.Log("event", "tenure", "outcome", "not begun", "term", term, "err", err)
-		sleep(ctx, idlePause)
+		wait.For(ctx, idlePause)
 		return
 	}
 	t := newTenure(tenureCtx, end, c, term)
@@ -163,14 +160,3 @@
 	c.cfg.Counters.Observe("commit", time.Since(begun))
 	return value.(workflow.Result), nil
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -12,6 +12,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/bilberryferry/bilberryferry/internal/link"
+	"github.com/bilberryferry/bilberryferry/internal/wait"
 	"github.com/bilberryferry/bilberryferry/replica"
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
@@ -152,7 +153,7 @@
 const fakeHold = 5 * time.Millisecond
 
 func (f *fakeWorkers) Look(ctx context.Context, to Target, order LookOrder) (Report, error) {
-	sleep(ctx, fakeHold)
+	wait.For(ctx, fakeHold)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w := f.all[to.Worker]
@@ -211,7 +212,7 @@
 func newWorld(t *testing.T, prepare func(w *world)) *world {
 	machine := NewMachine()
 	w := &world{t: t, log: &fakeLog{machine: machine}, workers: &fakeWorkers{all: map[string]*fakeWorker{}}}
-	bounds := Bounds{LeaseMax: 700 * time.Millisecond, Contact: 200 * time.Millisecond, Shown: time.Minute}
+	bounds := Bounds{LeaseMax: 700 * time.Millisecond, Shown: time.Minute}
 	w.c = New(Config{
 		Address: "own", Bounds: bounds, Workers: w.workers, Adviser: w.workers, Client: link.NewClient(),
 		Logger: log.NewLogfmtLogger(testWriter{t}), Counters: noCounters{},
--- a/internal/control/guard_test.go
+++ b/internal/control/guard_test.go
@@ -60,15 +60,7 @@
 // Cause: the new leader can't know whether the order is under way. Its look
 // takes the fence to the worker, which refuses the old order from then on.
 func TestAnInheritedRunThatNeverBeganRunsAgain(t *testing.T) {
-	w := newWorld(t, func(w *world) {
-		one := worker("w1")
-		w.commit(&workflow.Command{Worker: &one})
-		w.commit(&workflow.Command{Submit: &workflow.Submission{
-			ID: "a", Queue: "h/q/", Payload: "p", Steps: []workflow.Step{oneTask}, Policy: workflow.Policy{Service: "s", MaxAttempts: 3},
-		}})
-		w.commit(&workflow.Command{Start: []workflow.Run{{Task: task("a", 0), Worker: "w1"}}})
-		w.workers.add("w1")
-	})
+	w := inheritedWorld(t, func(*fakeWorker) {})
 	w.eventually("the task starts", func() bool { return w.started("w1") == 1 })
 	w.with("w1", func(f *fakeWorker) {
 		must.Eq(t, 2, f.starts[0].Run.Number)
@@ -80,14 +72,7 @@
 // Order: a run is under way when the leadership changes; the next leader finds
 // it in the worker's list.
 func TestAnInheritedRunThatIsAliveGoesOn(t *testing.T) {
-	w := newWorld(t, func(w *world) {
-		one := worker("w1")
-		w.commit(&workflow.Command{Worker: &one})
-		w.commit(&workflow.Command{Submit: &workflow.Submission{
-			ID: "a", Queue: "h/q/", Steps: []workflow.Step{oneTask}, Policy: workflow.Policy{Service: "s", MaxAttempts: 3},
-		}})
-		w.commit(&workflow.Command{Start: []workflow.Run{{Task: task("a", 0), Worker: "w1"}}})
-		f := w.workers.add("w1")
+	w := inheritedWorld(t, func(f *fakeWorker) {
 		f.running[task("a", 0)] = Running{Task: task("a", 0), Number: 1}
 	})
 	time.Sleep(50 * time.Millisecond)
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bilberryferry/bilberryferry/dispatch"
+	"github.com/bilberryferry/bilberryferry/internal/wait"
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
 
@@ -40,7 +41,7 @@
 			return
 		}
 		t.decide()
-		sleep(t.ctx, planBusy)
+		wait.For(t.ctx, planBusy)
 	}
 }
 
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bilberryferry/bilberryferry/internal/wait"
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
 
@@ -142,7 +143,7 @@
 			if s.silent(err) {
 				return
 			}
-			sleep(s.t.ctx, retryPause)
+			wait.For(s.t.ctx, retryPause)
 		default:
 			s.takeIn(report, sent)
 		}
@@ -223,7 +224,7 @@
 	s.keepCheckpoints()
 	if _, err := t.propose(&workflow.Command{Gone: s.worker.ID}); err != nil {
 		// Whether it was committed is open; the next leader, or the next look, repeats it.
-		sleep(t.ctx, retryPause)
+		wait.For(t.ctx, retryPause)
 		if t.ctx.Err() == nil {
 			_, _ = t.propose(&workflow.Command{Gone: s.worker.ID})
 		}
--- a/internal/control/tenure.go
+++ b/internal/control/tenure.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log"
 
 	"github.com/bilberryferry/bilberryferry/dispatch"
+	"github.com/bilberryferry/bilberryferry/internal/wait"
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
 
@@ -223,7 +224,7 @@
 
 // forgetLoop drops what ended jobs no longer need.
 func (t *tenure) forgetLoop() {
-	for sleep(t.ctx, forgetPause) {
+	for wait.For(t.ctx, forgetPause) {
 		if old := t.forget(time.Now()); len(old) > 0 {
 			// A failure is logged by propose; the jobs are found again next time.
 			_, _ = t.propose(&workflow.Command{Forget: old})
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/bilberryferry/bilberryferry/internal/proxy"
 	"github.com/bilberryferry/bilberryferry/internal/rpc"
 	"github.com/bilberryferry/bilberryferry/internal/settings"
+	"github.com/bilberryferry/bilberryferry/internal/wait"
 	"github.com/bilberryferry/bilberryferry/routing"
 )
 
@@ -212,7 +213,7 @@
 			return err
 		})
 		if err != nil {
-			pause(ctx, configPause)
+			wait.For(ctx, configPause)
 			continue
 		}
 		e.apply(adopted)
@@ -222,13 +223,6 @@
 // configPause is the wait after no leader could be asked for the configuration.
 const configPause = 200 * time.Millisecond
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 func (e *Entry) apply(adopted *apiv1.Config) {
 	if adopted.Version > e.config.Current().Version {
 		e.setConfig(adopted)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/bilberryferry/bilberryferry/fault"
 	"github.com/bilberryferry/bilberryferry/internal/control"
 	"github.com/bilberryferry/bilberryferry/internal/link"
+	"github.com/bilberryferry/bilberryferry/internal/wait"
 )
 
 const (
@@ -118,7 +119,7 @@
 				return reply, outOfTime(method, open)
 			}
 		}
-		if !pause(ctx) {
+		if !wait.For(ctx, tryPause) {
 			return reply, outOfTime(method, open)
 		}
 	}
@@ -147,17 +148,6 @@
 	return g.client.Call(ctx, address, method, request, reply)
 }
 
-func pause(ctx context.Context) bool {
-	timer := time.NewTimer(tryPause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // Follow announces this instance to the leader until ctx ends, and so learns
 // who leads and who the members are.
 func (g *Gateway) Follow(ctx context.Context) error {
--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -3,14 +3,11 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/go-kit/log"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/bilberryferry/bilberryferry/internal/control"
-	"github.com/bilberryferry/bilberryferry/internal/gateway"
-	"github.com/bilberryferry/bilberryferry/internal/link"
 	"github.com/bilberryferry/bilberryferry/internal/member"
 )
 
@@ -35,74 +32,60 @@
 
 func (p *process) runCore(ctx context.Context, adapters CoreAdapters) error {
 	s := p.settings
-	own := s.internal(s.Address)
-	client := link.NewClient()
-	mux := link.NewMux()
+	n := p.openNode(adapters.Outside)
 	machine := control.NewMachine()
 	host := member.New(member.Config{
 		ID: s.Address, Port: s.InternalPort, Seeds: s.seedHosts(), First: s.FirstStart,
 		Folder: s.DataFolder, Voters: votersFor(s.InstancesLost), Machine: machine, Logger: p.logger,
-	}, client, mux)
-	outside := adapters.Outside(s.Adviser)
-	link.Handle(mux, control.MethodAsk, func(ctx context.Context, call *control.AskCall) (control.AskReply, error) {
-		return outside.Ask(ctx, *call)
-	})
-	leader := gateway.New(client, own, s.seedAddresses(), p.logger)
-	operations := &Operations{gateway: leader}
+	}, n.client, n.mux)
+	public := newServer(s.Control, adapters.Control(n.operations, p.logger))
 
 	working, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 	group, groupCtx := errgroup.WithContext(working)
-	internal := newInternalServer(own, mux)
-	serve(group, internal)
-	public := newServer(s.Control, adapters.Control(operations, p.logger))
+	p.serveNode(groupCtx, group, n)
 	serve(group, public)
-	metrics := p.serveMetrics(group)
-	group.Go(func() error {
-		return p.watchSettings(groupCtx, func(next *Settings) { leader.SetSeeds(next.seedAddresses()) })
-	})
-	group.Go(func() error {
-		// Opening waits for a leader on an instance that joins; it must not keep the
-		// process from stopping.
-		opening, cancel := context.WithCancel(groupCtx)
-		defer cancel()
-		stopOpening := context.AfterFunc(ctx, cancel)
-		replicated, err := host.Open(opening)
-		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
-			return err
-		}
-		stopOpening()
-		controller := control.New(control.Config{
-			Address: own, Public: s.Control, Workers: outside, Adviser: outside, Client: client,
-			Logger: p.logger, Counters: p.metrics, Leader: host.Leader, Members: host.Addresses,
-			Bounds: control.Bounds{
-				LeaseMax: s.Bounds.LeaseMax.Std(), Contact: s.Bounds.Contact.Std(),
-				StopMax: s.Bounds.StopMax.Std(), Shown: s.Bounds.Shown.Std(),
-			},
-		}, machine, replicated)
-		controller.Register(mux)
-		operations.lead(controller)
-		group.Go(func() error { return controller.Run(groupCtx) })
-		group.Go(func() error { return leader.Follow(groupCtx) })
-		return host.Run(groupCtx)
-	})
+	group.Go(func() error { return p.takePart(ctx, groupCtx, n, host, machine) })
 	group.Go(func() error {
-		select {
-		case <-ctx.Done():
-		case <-groupCtx.Done():
-		}
-		p.stopCore(host, public, internal, metrics, stopWork)
+		awaitStop(ctx, groupCtx)
+		p.stopCore(host, public, n, stopWork)
 		return nil
 	})
 	return group.Wait()
 }
 
+// takePart opens the log and runs this member of it until working ends. Opening
+// waits for a leader on an instance that joins; stopping ends the wait.
+func (p *process) takePart(stopping, working context.Context, n *node, host *member.Host, machine *control.Machine) error {
+	opening, cancel := context.WithCancel(working)
+	defer cancel()
+	keepOpening := context.AfterFunc(stopping, cancel)
+	replicated, err := host.Open(opening)
+	if err != nil {
+		if stopping.Err() != nil {
+			return nil
+		}
+		return err
+	}
+	keepOpening()
+	s := p.settings
+	controller := control.New(control.Config{
+		Address: n.own, Public: s.Control, Workers: n.outside, Adviser: n.outside, Client: n.client,
+		Logger: p.logger, Counters: p.metrics, Leader: host.Leader, Members: host.Addresses,
+		Bounds: control.Bounds{LeaseMax: s.Bounds.LeaseMax.Std(), Shown: s.Bounds.Shown.Std()},
+	}, machine, replicated)
+	controller.Register(n.mux)
+	n.operations.lead(controller)
+	running, ctx := errgroup.WithContext(working)
+	running.Go(func() error { return controller.Run(ctx) })
+	running.Go(func() error { return n.gateway.Follow(ctx) })
+	running.Go(func() error { return host.Run(ctx) })
+	return running.Wait()
+}
+
 // stopCore hands the leadership over while the others are still answered, and
 // then ends the servers.
-func (p *process) stopCore(host *member.Host, public, internal, metrics *http.Server, stopWork func()) {
+func (p *process) stopCore(host *member.Host, public *http.Server, n *node, stopWork func()) {
 	limit, cancel := context.WithTimeout(context.Background(), p.settings.Bounds.Shutdown.Std()/2)
 	defer cancel()
 	host.HandOver(limit)
@@ -110,16 +93,5 @@
 	// end of the process would do.
 	_ = public.Shutdown(limit)
 	stopWork()
-	_ = internal.Close()
-	_ = metrics.Close()
-}
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	n.close()
 }
--- a/internal/instance/edge.go
+++ b/internal/instance/edge.go
@@ -9,15 +9,17 @@
 	"github.com/go-kit/log"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/bilberryferry/bilberryferry/internal/control"
-	"github.com/bilberryferry/bilberryferry/internal/gateway"
-	"github.com/bilberryferry/bilberryferry/internal/link"
+	"github.com/bilberryferry/bilberryferry/internal/wait"
 )
 
 // unreadyGrace is how long an instance that stops goes on taking connections:
 // the balancer needs two misses of a check a second.
 const unreadyGrace = 2200 * time.Millisecond
 
+// exitReserve is kept of the time for a shutdown, for what comes after the last
+// answer.
+const exitReserve = time.Second
+
 // EdgeAdapters translate between a deployment's own protocol and the product.
 type EdgeAdapters struct {
 	Outside func(adviser string) Outside
@@ -34,56 +36,44 @@
 
 func (p *process) runEdge(ctx context.Context, adapters EdgeAdapters) error {
 	s := p.settings
-	own := s.internal(s.Address)
-	client := link.NewClient()
-	mux := link.NewMux()
-	outside := adapters.Outside(s.Adviser)
-	link.Handle(mux, control.MethodAsk, func(ctx context.Context, call *control.AskCall) (control.AskReply, error) {
-		return outside.Ask(ctx, *call)
-	})
-	leader := gateway.New(client, own, s.seedAddresses(), p.logger)
-	operations := &Operations{gateway: leader}
+	n := p.openNode(adapters.Outside)
 	var stopping atomic.Bool
+	entry := newServer(s.Entry, adapters.Entry(n.operations, p.logger))
+	readiness := newServer(s.Readiness, readinessHandler(adapters.ReadinessPath, func() bool {
+		return !stopping.Load() && n.gateway.InTouch()
+	}))
 
 	working, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 	group, groupCtx := errgroup.WithContext(working)
-	internal := newInternalServer(own, mux)
-	serve(group, internal)
-	entry := newServer(s.Entry, adapters.Entry(operations, p.logger))
+	p.serveNode(groupCtx, group, n)
 	serve(group, entry)
-	readiness := newServer(s.Readiness, readinessHandler(adapters.ReadinessPath, func() bool {
-		return !stopping.Load() && leader.InTouch()
-	}))
 	serve(group, readiness)
-	metrics := p.serveMetrics(group)
-	group.Go(func() error { return leader.Follow(groupCtx) })
+	group.Go(func() error { return n.gateway.Follow(groupCtx) })
 	group.Go(func() error {
-		return p.watchSettings(groupCtx, func(next *Settings) { leader.SetSeeds(next.seedAddresses()) })
-	})
-	group.Go(func() error {
-		select {
-		case <-ctx.Done():
-		case <-groupCtx.Done():
-		}
+		awaitStop(ctx, groupCtx)
 		stopping.Store(true)
 		_ = p.logger.Log("event", "unready", "cause", "stopping")
-		entry.SetKeepAlivesEnabled(true)
-		sleep(groupCtx, unreadyGrace)
-		limit, cancel := context.WithTimeout(context.Background(), p.settings.Bounds.Shutdown.Std()-unreadyGrace-time.Second)
-		defer cancel()
-		// Shutdown fails when the time is over; what is open then is cut off, as the
-		// end of the process would do.
-		_ = entry.Shutdown(limit)
+		wait.For(groupCtx, unreadyGrace)
+		p.stopEdge(entry)
 		stopWork()
-		_ = internal.Close()
 		_ = readiness.Close()
-		_ = metrics.Close()
+		n.close()
 		return nil
 	})
 	return group.Wait()
 }
 
+// stopEdge answers the requests in progress.
+func (p *process) stopEdge(entry *http.Server) {
+	left := p.settings.Bounds.Shutdown.Std() - unreadyGrace - exitReserve
+	limit, cancel := context.WithTimeout(context.Background(), left)
+	defer cancel()
+	// Shutdown fails when the time is over; what is open then is cut off, as the
+	// end of the process would do.
+	_ = entry.Shutdown(limit)
+}
+
 func readinessHandler(path string, ready func() bool) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+path, func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/instance/process.go
+++ b/internal/instance/process.go
@@ -15,6 +15,9 @@
 	"github.com/go-kit/log"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/bilberryferry/bilberryferry/internal/control"
+	"github.com/bilberryferry/bilberryferry/internal/gateway"
+	"github.com/bilberryferry/bilberryferry/internal/link"
 	"github.com/bilberryferry/bilberryferry/internal/oplog"
 	"github.com/bilberryferry/bilberryferry/internal/rpc"
 )
@@ -131,6 +134,56 @@
 	return server
 }
 
+// node is what both daemons are made of.
+type node struct {
+	// own is where other instances reach this one.
+	own        string
+	client     *link.Client
+	mux        *link.Mux
+	outside    Outside
+	gateway    *gateway.Gateway
+	operations *Operations
+	internal   *http.Server
+	metrics    *http.Server
+}
+
+// openNode makes what both daemons are made of. Every instance puts questions to
+// the adviser for the leader.
+func (p *process) openNode(outside func(adviser string) Outside) *node {
+	s := p.settings
+	n := &node{own: s.internal(s.Address), client: link.NewClient(), mux: link.NewMux(), outside: outside(s.Adviser)}
+	link.Handle(n.mux, control.MethodAsk, func(ctx context.Context, call *control.AskCall) (control.AskReply, error) {
+		return n.outside.Ask(ctx, *call)
+	})
+	n.gateway = gateway.New(n.client, n.own, s.seedAddresses(), p.logger)
+	n.operations = &Operations{gateway: n.gateway}
+	n.internal = newInternalServer(n.own, n.mux)
+	return n
+}
+
+// serveNode serves other instances and the metrics, and follows the settings.
+func (p *process) serveNode(ctx context.Context, group *errgroup.Group, n *node) {
+	serve(group, n.internal)
+	n.metrics = p.serveMetrics(group)
+	group.Go(func() error {
+		return p.watchSettings(ctx, func(next *Settings) { n.gateway.SetSeeds(next.seedAddresses()) })
+	})
+}
+
+// close ends what serveNode serves.
+func (n *node) close() {
+	_ = n.internal.Close()
+	_ = n.metrics.Close()
+}
+
+// awaitStop returns when the process is told to stop or a part of it has failed.
+func awaitStop(ctx, working context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-working.Done():
+	}
+}
+
 // watchSettings calls changed with new settings, at SIGHUP and whenever the file
 // has changed. A file that can't be read or is wrong changes nothing.
 func (p *process) watchSettings(ctx context.Context, changed func(*Settings)) error {
--- a/internal/instance/settings.go
+++ b/internal/instance/settings.go
@@ -52,10 +52,6 @@
 type Bounds struct {
 	// LeaseMax is the longest lease that a worker grants.
 	LeaseMax settings.Duration `toml:"lease_max"`
-	// Contact is how long after the last disruption all must be right again.
-	Contact settings.Duration `toml:"contact"`
-	// StopMax is how long a worker takes at most to end a run.
-	StopMax settings.Duration `toml:"stop_max"`
 	// Shown is how long an ended job is shown at least.
 	Shown settings.Duration `toml:"shown"`
 	// Shutdown is how long a process that is told to stop may go on.
@@ -65,8 +61,6 @@
 // defaultBounds hold where the settings name nothing.
 var defaultBounds = Bounds{
 	LeaseMax: settings.Duration(6 * time.Second),
-	Contact:  settings.Duration(3 * time.Second),
-	StopMax:  settings.Duration(400 * time.Millisecond),
 	Shown:    settings.Duration(120 * time.Second),
 	Shutdown: settings.Duration(6 * time.Second),
 }
--- a/internal/member/host.go
+++ b/internal/member/host.go
@@ -253,17 +253,6 @@
 	return errors.Wrap(f.Close(), "close the file of members")
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // exchangeOnly serves the messages of the log. The other calls between
 // instances belong to data centres with logs of their own.
 type exchangeOnly struct{ mux *peer.Mux }
--- a/internal/member/join.go
+++ b/internal/member/join.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bilberryferry/bilberryferry/internal/link"
+	"github.com/bilberryferry/bilberryferry/internal/wait"
 	"github.com/bilberryferry/bilberryferry/replica"
 )
 
@@ -111,7 +112,7 @@
 			}
 		}
 		if i%len(targets) == len(targets)-1 {
-			sleep(ctx, joinPause)
+			wait.For(ctx, joinPause)
 		}
 	}
 	return nil, errors.Wrap(ctx.Err(), "stopped before a leader was found")
@@ -127,7 +128,7 @@
 // announce tells the leader that this instance is there, so that it is added
 // again after it was removed while it was cut off.
 func (h *Host) announce(ctx context.Context) error {
-	for sleep(ctx, joinPause) {
+	for wait.For(ctx, joinPause) {
 		targets := []string{h.Leader()}
 		if targets[0] == "" {
 			targets = h.Addresses()
@@ -149,7 +150,7 @@
 // manage keeps Voters voters, on the leader: a member that has fallen silent
 // is replaced by a learner that has caught up.
 func (h *Host) manage(ctx context.Context) error {
-	for sleep(ctx, managePause) {
+	for wait.For(ctx, managePause) {
 		status := h.group.Status()
 		h.roster.lead(status.CanDecide, time.Now())
 		if !status.CanDecide {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -10,6 +10,7 @@
 
 	apiv1 "github.com/bilberryferry/bilberryferry/api/v1"
 	"github.com/bilberryferry/bilberryferry/internal/rpc"
+	"github.com/bilberryferry/bilberryferry/internal/wait"
 )
 
 // item is one payload in a queue.
@@ -136,7 +137,7 @@
 			}
 			l.drain()
 			backoff = min(max(2*backoff, minBackoff), maxBackoff)
-			if !sleep(ctx, backoff) {
+			if !wait.For(ctx, backoff) {
 				return nil
 			}
 		}
@@ -190,14 +191,3 @@
 	l.counters.payloads.Add(uint64(payloads))
 	return true
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -9,6 +9,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/go-kit/log"
+
+	"github.com/bilberryferry/bilberryferry/internal/wait"
 )
 
 // Defaults of CallersConfig.
@@ -205,7 +207,7 @@
 // sleepUntil waits for a time and reports whether the context outlived it.
 func sleepUntil(ctx context.Context, at time.Time) bool {
 	if d := time.Until(at); d > 0 {
-		sleep(ctx, d)
+		wait.For(ctx, d)
 	}
 	return ctx.Err() == nil
 }
--- a/internal/standin/changes.go
+++ b/internal/standin/changes.go
@@ -10,6 +10,7 @@
 
 	apiv1 "github.com/bilberryferry/bilberryferry/api/v1"
 	"github.com/bilberryferry/bilberryferry/fault"
+	"github.com/bilberryferry/bilberryferry/internal/wait"
 )
 
 // ChangesConfig describes a load of configuration changes.
@@ -153,7 +154,7 @@
 		if fault.KindOf(err).Advice() != fault.SameRequestID {
 			break
 		}
-		sleep(ctx, backoffFirst)
+		wait.For(ctx, backoffFirst)
 	}
 	c.report.Failed++
 	c.report.LastError = err.Error()
@@ -177,7 +178,7 @@
 		if err == nil {
 			c.take(status, time.Now())
 		}
-		sleep(ctx, c.cfg.Poll)
+		wait.For(ctx, c.cfg.Poll)
 	}
 }
 
@@ -215,6 +216,6 @@
 		if left == 0 {
 			return
 		}
-		sleep(ctx, c.cfg.Poll)
+		wait.For(ctx, c.cfg.Poll)
 	}
 }
--- a/internal/standin/reports.go
+++ b/internal/standin/reports.go
@@ -6,6 +6,7 @@
 	"time"
 
 	apiv1 "github.com/bilberryferry/bilberryferry/api/v1"
+	"github.com/bilberryferry/bilberryferry/internal/wait"
 	"github.com/bilberryferry/bilberryferry/lease"
 )
 
@@ -124,7 +125,7 @@
 			return
 		}
 		if !s.reportOnce(ctx) {
-			sleep(ctx, s.worker.jitter(reportRepeat))
+			wait.For(ctx, s.worker.jitter(reportRepeat))
 		}
 	}
 }
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/bilberryferry/bilberryferry/internal/wait"
 )
 
 // excessGrace is how long a minion waits before it counts requests above its
@@ -49,7 +51,7 @@
 	case faults.Hang:
 		<-r.Context().Done()
 	default:
-		sleep(r.Context(), work)
+		wait.For(r.Context(), work)
 	}
 	if r.Context().Err() != nil {
 		f.giveUp(m)
--- a/internal/standin/session.go
+++ b/internal/standin/session.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log"
 
 	apiv1 "github.com/bilberryferry/bilberryferry/api/v1"
+	"github.com/bilberryferry/bilberryferry/internal/wait"
 	"github.com/bilberryferry/bilberryferry/lease"
 )
 
@@ -125,7 +126,7 @@
 			backoff = backoffFirst
 			continue
 		}
-		sleep(ctx, s.worker.jitter(backoff))
+		wait.For(ctx, s.worker.jitter(backoff))
 		backoff = min(2*backoff, backoffLast)
 	}
 }
@@ -304,12 +305,3 @@
 	}
 	clear(s.running)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/standin/submit.go
+++ b/internal/standin/submit.go
@@ -11,6 +11,7 @@
 
 	apiv1 "github.com/bilberryferry/bilberryferry/api/v1"
 	"github.com/bilberryferry/bilberryferry/fault"
+	"github.com/bilberryferry/bilberryferry/internal/wait"
 )
 
 const (
@@ -41,7 +42,7 @@
 		if ctx.Err() != nil || time.Now().After(giveUp) {
 			return errors.Mark(err, errOpen)
 		}
-		sleep(ctx, backoff)
+		wait.For(ctx, backoff)
 		backoff = min(2*backoff, backoffLast)
 	}
 }
