--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -65,8 +65,8 @@
 	t := loadedTenure(b)
 	now := time.Now()
 	for b.Loop() {
-		steps, workers, _, _ := t.snapshot(now)
-		dispatch.Decide(now.Sub(t.started), steps, workers, dispatch.Limits{
+		v := t.snapshot(now)
+		dispatch.Decide(now.Sub(t.started), v.steps, v.workers, dispatch.Limits{
 			AskWorkers: askWorkers, GangAskWorkers: gangAskWorkers, TicketMargin: ticketMargin,
 		})
 	}
--- a/internal/control/guard_test.go
+++ b/internal/control/guard_test.go
@@ -420,8 +420,7 @@
 	ten, err := w.c.leading()
 	must.NoError(t, err)
 	w.eventually("the worker is ready", func() bool {
-		_, workers, _, _ := ten.snapshot(time.Now())
-		return len(workers) == 1
+		return len(ten.snapshot(time.Now()).workers) == 1
 	})
 	w.commit(&workflow.Command{Submit: &workflow.Submission{
 		ID: "b", Queue: "h/q/", Steps: []workflow.Step{{Count: 2, Need: workflow.Resources{MilliCPU: 8000}, Label: "none"}},
@@ -430,9 +429,9 @@
 	ten.mu.Lock()
 	ten.proposed[task("b", 0)] = "w1"
 	ten.mu.Unlock()
-	steps, workers, _, _ := ten.snapshot(time.Now())
-	must.Eq(t, int64(2000), workers[0].Free.MilliCPU)
-	must.Eq(t, []int{1}, steps[0].Pending)
+	v := ten.snapshot(time.Now())
+	must.Eq(t, int64(2000), v.workers[0].Free.MilliCPU)
+	must.Eq(t, []int{1}, v.steps[0].Pending)
 }
 
 // What a user sees: a worker is given more than it has, right after a change of
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -1,8 +1,6 @@
 package control
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/bilberryferry/bilberryferry/dispatch"
@@ -20,8 +18,6 @@
 	// ticketMargin is what a ticket must hold still when a start is planned: the
 	// commit of the start and its way to the worker.
 	ticketMargin = 150 * time.Millisecond
-	// lateFactor times its objective after acceptance a job is worth nothing more.
-	lateFactor = 3
 	// planBusy is the least time between two decisions, so that what comes up
 	// together is decided together.
 	planBusy = 2 * time.Millisecond
@@ -48,17 +44,17 @@
 // decide makes one plan, commits its starts and sends them.
 func (t *tenure) decide() {
 	begun := time.Now()
-	steps, workers, policies, stops := t.snapshot(begun)
-	for _, stop := range stops {
+	v := t.snapshot(begun)
+	for _, stop := range v.stops {
 		t.goTask(func() { stop.session.sendStop(stop.run) })
 	}
-	plan := dispatch.Decide(begun.Sub(t.started), steps, workers, dispatch.Limits{
+	plan := dispatch.Decide(begun.Sub(t.started), v.steps, v.workers, dispatch.Limits{
 		AskWorkers: askWorkers, GangAskWorkers: gangAskWorkers, Asks: t.lanes.free(begun), TicketMargin: ticketMargin,
 	})
 	t.c.cfg.Counters.Observe("decide", time.Since(begun))
 	t.logWaiting(plan.Waiting)
 	for _, question := range plan.Asks {
-		t.ask(question, policies[question.Step])
+		t.ask(question, v.advice[question.Step])
 	}
 	if len(plan.Starts) > 0 {
 		t.noteProposed(plan.Starts)
@@ -153,253 +149,3 @@
 	})
 	return o, payload, checkpoint
 }
-
-// stopping is a run that is to be stopped.
-type stopping struct {
-	session *session
-	run     workflow.Run
-}
-
-// snapshot gathers what a decision needs. Everything in it is a copy.
-func (t *tenure) snapshot(now time.Time) (steps []dispatch.Step, workers []dispatch.Worker,
-	policies map[workflow.StepKey]*workflow.AdvicePolicy, stops []stopping) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	policies = map[workflow.StepKey]*workflow.AdvicePolicy{}
-	t.c.machine.read(func(s *workflow.State) {
-		placed := t.gatherRuns(s, now, &stops)
-		workers = t.gatherWorkers(s, now)
-		for _, job := range s.Open() {
-			steps = t.gatherSteps(steps, job, now, placed)
-		}
-		for i := range steps {
-			policies[steps[i].Key] = s.Jobs[steps[i].Key.Job].Policy.Advice
-		}
-	})
-	return steps, workers, policies, stops
-}
-
-// gatherRuns counts the runs of each step on each worker and finds those that
-// are to be stopped.
-func (t *tenure) gatherRuns(s *workflow.State, now time.Time, stops *[]stopping) map[workflow.StepKey]map[string]int {
-	placed := map[workflow.StepKey]map[string]int{}
-	for id, runs := range s.Runs {
-		session := t.sessions[id]
-		for task, run := range runs {
-			if placed[task.StepKey] == nil {
-				placed[task.StepKey] = map[string]int{}
-			}
-			placed[task.StepKey][id]++
-			if session != nil && t.unwanted(s, run, session) && session.stopDue(run, now) {
-				*stops = append(*stops, stopping{session, run})
-			}
-		}
-	}
-	for task, worker := range t.proposed {
-		if placed[task.StepKey] == nil {
-			placed[task.StepKey] = map[string]int{}
-		}
-		placed[task.StepKey][worker]++
-	}
-	return placed
-}
-
-// unwanted reports whether a run serves nobody: its job has ended, another
-// member of its gang has, its start got no answer, or it stands still.
-func (t *tenure) unwanted(s *workflow.State, run workflow.Run, session *session) bool {
-	job := s.Jobs[run.Task.Job]
-	if job == nil || job.Cancelled || job.Failed {
-		return true
-	}
-	step := &job.Occurrences[run.Task.Occurrence][run.Task.Step]
-	if job.Steps[run.Task.Step].Gang && step.GangEndedRun >= run.Number {
-		return true
-	}
-	o := session.orders[run.Task]
-	if o == nil {
-		return false
-	}
-	if o.stuck(&job.Steps[run.Task.Step]) {
-		session.noteStuck(o)
-		return true
-	}
-	return o.unanswered && o.open >= startTries
-}
-
-// stopDue reports whether a stop is to be sent now, and notes that it is.
-func (s *session) stopDue(run workflow.Run, now time.Time) bool {
-	o := s.orders[run.Task]
-	if o == nil || o.run.Number != run.Number {
-		if s.inherited[run.Task] != run.Number {
-			return false
-		}
-		o = &order{run: run, listed: true}
-		s.orders[run.Task] = o
-	}
-	if now.Sub(o.stopSent) < stopAgain {
-		return false
-	}
-	o.stopSent = now
-	return true
-}
-
-func (t *tenure) gatherWorkers(s *workflow.State, now time.Time) []dispatch.Worker {
-	var workers []dispatch.Worker
-	proposed := map[string]workflow.Resources{}
-	for task, worker := range t.proposed {
-		if job := s.Jobs[task.Job]; job != nil && s.Runs[worker][task].Number == 0 {
-			proposed[worker] = proposed[worker].Plus(job.Steps[task.Step].Room())
-		}
-	}
-	suspects := t.suspects(now)
-	for id, session := range t.sessions {
-		state := s.Workers[id]
-		if state == nil || state.Gone || state.Draining || !session.usable(now) || suspects[state.DataCentre] {
-			continue
-		}
-		if session.slow() && len(s.Runs[id]) > 0 {
-			// A slow worker gets one run at a time, which shows whether it still is.
-			continue
-		}
-		free := state.Capacity.Minus(proposed[id])
-		var releases []dispatch.Release
-		serving, spare := false, false
-		for task, run := range s.Runs[id] {
-			if job := s.Jobs[task.Job]; job != nil {
-				step := &job.Steps[task.Step]
-				free = free.Minus(step.Room())
-				serving = serving || step.LatencyObjectiveMS > 0
-				spare = spare || step.UsesSpare
-				releases = append(releases, dispatch.Release{
-					At: session.expectedEnd(run, step, now).Sub(t.started), Room: step.Room(),
-				})
-			}
-		}
-		slices.SortFunc(releases, func(a, b dispatch.Release) int { return cmp.Compare(a.At, b.At) })
-		workers = append(workers, dispatch.Worker{
-			Worker: state.Worker, Free: free, Releases: releases, Penalty: session.failures,
-			Serving: serving, Spare: spare,
-		})
-	}
-	return workers
-}
-
-// leastProgress is the share of a run, in percent, from which on its progress
-// tells its end better than the estimate of the job.
-const leastProgress = 10
-
-// expectedEnd estimates when a run ends: by its progress where the worker has
-// reported enough of it, else by the job's estimate. t.mu is held.
-func (s *session) expectedEnd(run workflow.Run, step *workflow.Step, now time.Time) time.Time {
-	estimate := time.Duration(step.EstimateMS) * time.Millisecond
-	o := s.orders[run.Task]
-	if o == nil || o.startedAt.IsZero() {
-		return now.Add(estimate / 2)
-	}
-	elapsed := now.Sub(o.startedAt)
-	if o.percent >= leastProgress {
-		at := o.progressAt.Sub(o.startedAt)
-		whole := time.Duration(float64(at) * 100 / float64(o.percent))
-		return o.startedAt.Add(max(whole, elapsed))
-	}
-	return o.startedAt.Add(max(estimate, elapsed+estimate/10))
-}
-
-func (t *tenure) gatherSteps(steps []dispatch.Step, job *workflow.Job, now time.Time,
-	placed map[workflow.StepKey]map[string]int) []dispatch.Step {
-	accepted, ok := t.accepted[job.ID]
-	if !ok {
-		accepted = t.started
-		t.accepted[job.ID] = accepted
-	}
-	objective := objectiveOf(job)
-	for occurrence := range job.Occurrences {
-		begin := accepted
-		if job.Schedule.Times > 0 {
-			due := time.UnixMilli(job.Schedule.DueMS(occurrence))
-			if now.Round(0).Before(due) {
-				continue
-			}
-			begin = now.Add(-now.Round(0).Sub(due))
-		}
-		for step := range job.Steps {
-			key := workflow.StepKey{Job: job.ID, Occurrence: occurrence, Step: step}
-			state := &job.Occurrences[occurrence][step]
-			pending := t.pendingTasks(key, &job.Steps[step], state)
-			if len(pending) == 0 || !job.StepReady(occurrence, step) {
-				continue
-			}
-			steps = append(steps, t.step(job, key, pending, begin, objective, now, placed[key]))
-		}
-	}
-	return steps
-}
-
-func (t *tenure) step(job *workflow.Job, key workflow.StepKey, pending []int, begin time.Time,
-	objective time.Duration, now time.Time, placed map[string]int) dispatch.Step {
-	step := dispatch.Step{
-		Key: key, Spec: &job.Steps[key.Step], Service: job.Policy.Service, Priority: job.Policy.Priority,
-		Due: begin.Add(objective).Sub(t.started), Pending: pending, Placed: placed,
-	}
-	switch age := now.Sub(begin); {
-	case age > lateFactor*objective:
-		step.Late = 2
-	case age+leastRest(step.Spec) > objective:
-		step.Late = 1
-	}
-	if job.Policy.Advice == nil {
-		return step
-	}
-	p := t.permitsOf(key)
-	step.NeedsPermit = true
-	advice := *job.Policy.Advice
-	step.AskTime = func(n int) time.Duration { return askLength(&advice, n) }
-	step.Asking, step.Renewing = p.asking, p.renewing
-	step.Permits = p.known
-	return step
-}
-
-// leastShare of its estimate a step takes at least: estimates are off by half.
-const leastShare = 0.6
-
-// leastRest is how long a step takes at least. A job that can't meet its
-// objective any more gives way to one that still can: on four days with twice
-// the work that fits, worth rose by 0.010 to 0.043 (0.424 to 0.451 in the mean).
-func leastRest(spec *workflow.Step) time.Duration {
-	return time.Duration(leastShare * float64(spec.EstimateMS) * float64(time.Millisecond))
-}
-
-// pendingTasks returns the tasks that may be started; of a gang all or none.
-// t.mu is held.
-func (t *tenure) pendingTasks(key workflow.StepKey, spec *workflow.Step, state *workflow.StepState) []int {
-	if spec.Gang && (state.Live() > 0 || state.Done > 0) {
-		return nil
-	}
-	var pending []int
-	for i := range state.Tasks {
-		task := &state.Tasks[i]
-		_, proposed := t.proposed[workflow.TaskKey{StepKey: key, Index: i}]
-		if proposed && spec.Gang {
-			return nil
-		}
-		if !task.Done && task.Live == 0 && !proposed {
-			pending = append(pending, i)
-		}
-	}
-	return pending
-}
-
-// objectiveOf is how long after its acceptance a job should have ended.
-func objectiveOf(job *workflow.Job) time.Duration {
-	longest := make([]int64, len(job.Steps))
-	chain := int64(0)
-	for i := range job.Steps {
-		for _, before := range job.Steps[i].DependsOn {
-			longest[i] = max(longest[i], longest[before])
-		}
-		longest[i] += job.Steps[i].EstimateMS
-		chain = max(chain, longest[i])
-	}
-	ms := job.Policy.Stretch*float64(chain) + float64(job.Policy.ObjectiveMS)
-	return time.Duration(ms * float64(time.Millisecond))
-}
--- /dev/null
+++ b/internal/control/tasks_test.go
@@ -0,0 +1,25 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// What a user sees: the leader's process ends by itself at a change of leader.
+// Order: a tenure ends and waits for its goroutines; a worker's heartbeat comes
+// in and begins another one.
+// Cause: a goroutine was added to a group that was being waited for.
+func TestNothingBeginsOnceATenureEnds(t *testing.T) {
+	var running tasks
+	ended := false
+	running.run(func() {
+		time.Sleep(time.Millisecond)
+		ended = true
+	})
+	running.wait()
+	must.True(t, ended)
+	running.run(func() { t.Error("begun after the end") })
+	running.wait()
+}
--- a/internal/control/tenure.go
+++ b/internal/control/tenure.go
@@ -44,8 +44,7 @@
 	logger      log.Logger
 	lanes       *lanes
 	kicked      chan struct{}
-	// tasks counts the goroutines of this tenure.
-	tasks sync.WaitGroup
+	tasks       tasks
 
 	// waiting is why steps waited at the last decision; it belongs to planLoop.
 	waiting map[workflow.StepKey]dispatch.Reason
@@ -118,16 +117,10 @@
 	t.mu.Unlock()
 	t.goTask(t.forgetLoop)
 	t.planLoop()
-	t.tasks.Wait()
+	t.tasks.wait()
 }
 
-func (t *tenure) goTask(f func()) {
-	t.tasks.Add(1)
-	go func() {
-		defer t.tasks.Done()
-		f()
-	}()
-}
+func (t *tenure) goTask(f func()) { t.tasks.run(f) }
 
 // kick wakes the planner.
 func (t *tenure) kick() {
