--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -235,6 +235,16 @@
 	return w
 }
 
+// startedWorld is a leader that has started the one task of job a on worker w1.
+func startedWorld(t *testing.T) *world {
+	w := newWorld(t, nil)
+	w.workers.add("w1")
+	w.announce("w1")
+	w.submit("a", oneTask)
+	w.eventually("the task starts", func() bool { return w.started("w1") == 1 })
+	return w
+}
+
 func (w *world) commit(c *workflow.Command) {
 	data, err := c.Encode()
 	must.NoError(w.t, err)
--- a/internal/control/guard_test.go
+++ b/internal/control/guard_test.go
@@ -39,11 +39,7 @@
 // when the lease has; the task starts elsewhere.
 // Cause: looks that nobody answers went on prolonging the lease.
 func TestNoLeaseIsProlongedForAWorkerThatDoesNotAnswer(t *testing.T) {
-	w := newWorld(t, nil)
-	w.workers.add("w1")
-	w.announce("w1")
-	w.submit("a", oneTask)
-	w.eventually("the task starts", func() bool { return w.started("w1") == 1 })
+	w := startedWorld(t)
 	w.with("w1", func(f *fakeWorker) { f.cut = true })
 	w.workers.add("w2")
 	w.announce("w2")
@@ -86,11 +82,7 @@
 // Order: a worker's next incarnation answers at its address.
 // Cause: that another incarnation answers is proof that the old one is over.
 func TestTasksOfAnOverIncarnationRunAgainAtOnce(t *testing.T) {
-	w := newWorld(t, nil)
-	w.workers.add("w1")
-	w.announce("w1")
-	w.submit("a", oneTask)
-	w.eventually("the task starts", func() bool { return w.started("w1") == 1 })
+	w := startedWorld(t)
 	w.workers.add("w2")
 	w.announce("w2")
 	begun := time.Now()
@@ -102,11 +94,7 @@
 // What a user sees: a job that was cancelled goes on taking room.
 // Order: cancelled while its task runs.
 func TestRunsOfACancelledJobAreStopped(t *testing.T) {
-	w := newWorld(t, nil)
-	w.workers.add("w1")
-	w.announce("w1")
-	w.submit("a", oneTask)
-	w.eventually("the task starts", func() bool { return w.started("w1") == 1 })
+	w := startedWorld(t)
 	_, err := w.c.Cancel(context.Background(), &CancelCall{Place: Place{Host: "h", Path: "/q/a"}})
 	must.NoError(t, err)
 	begun := time.Now()
@@ -250,11 +238,7 @@
 // the first one late; the job is cancelled.
 // Cause: the late end made the leader forget the order of the second run.
 func TestALateEndOfAnEarlierRunLeavesTheOrderOfTheNextOne(t *testing.T) {
-	w := newWorld(t, nil)
-	w.workers.add("w1")
-	w.announce("w1")
-	w.submit("a", oneTask)
-	w.eventually("the first run starts", func() bool { return w.started("w1") == 1 })
+	w := startedWorld(t)
 	w.with("w1", func(f *fakeWorker) { f.finish(task("a", 0), workflow.OutcomeFailed) })
 	w.eventually("the second run starts", func() bool { return w.started("w1") == 2 })
 	ten, err := w.c.leading()
@@ -294,11 +278,7 @@
 // Order: jobs come and end, each with what the adviser said of 48 workers.
 // Cause: what was known of ended jobs was kept for as long as the tenure.
 func TestNothingIsKeptOfJobsThatEndedLongAgo(t *testing.T) {
-	w := newWorld(t, nil)
-	w.workers.add("w1")
-	w.announce("w1")
-	w.submit("a", oneTask)
-	w.eventually("the task starts", func() bool { return w.started("w1") == 1 })
+	w := startedWorld(t)
 	ten, err := w.c.leading()
 	must.NoError(t, err)
 	ten.mu.Lock()
@@ -360,11 +340,7 @@
 // settledBy returns the runs that a report without lists settles, for an order
 // in the state that change gives it, with a look sent at sent.
 func settledBy(t *testing.T, sent time.Time, change func(*order)) int {
-	w := newWorld(t, nil)
-	w.workers.add("w1")
-	w.announce("w1")
-	w.submit("a", oneTask)
-	w.eventually("the task starts", func() bool { return w.started("w1") == 1 })
+	w := startedWorld(t)
 	ten, err := w.c.leading()
 	must.NoError(t, err)
 	ten.mu.Lock()
@@ -393,11 +369,7 @@
 // carried out later.
 // Cause: the refusal was taken to settle both calls.
 func TestARefusalSettlesNothingWhileAnEarlierCallIsOpen(t *testing.T) {
-	w := newWorld(t, nil)
-	w.workers.add("w1")
-	w.announce("w1")
-	w.submit("a", oneTask)
-	w.eventually("the task starts", func() bool { return w.started("w1") == 1 })
+	w := startedWorld(t)
 	ten, err := w.c.leading()
 	must.NoError(t, err)
 	ten.mu.Lock()
--- a/internal/control/health_test.go
+++ b/internal/control/health_test.go
@@ -13,11 +13,7 @@
 // Order: a worker's tasks stand still; it answers every look; it is given more.
 // Cause: only silence and failures counted against a worker.
 func TestAWorkerWhoseRunsStandStillGetsNothingNew(t *testing.T) {
-	w := newWorld(t, nil)
-	w.workers.add("w1")
-	w.announce("w1")
-	w.submit("a", oneTask)
-	w.eventually("the task starts", func() bool { return w.started("w1") == 1 })
+	w := startedWorld(t)
 	time.Sleep(stillAfter + 200*time.Millisecond)
 	w.submit("b", oneTask)
 	time.Sleep(100 * time.Millisecond)
@@ -31,11 +27,7 @@
 // What a user sees: a task hangs for as long as its worker does.
 // Order: a task stands still for seconds; another worker has room.
 func TestATaskThatStandsStillIsMoved(t *testing.T) {
-	w := newWorld(t, nil)
-	w.workers.add("w1")
-	w.announce("w1")
-	w.submit("a", oneTask)
-	w.eventually("the task starts", func() bool { return w.started("w1") == 1 })
+	w := startedWorld(t)
 	w.workers.add("w2")
 	w.announce("w2")
 	w.eventually("it runs elsewhere", func() bool { return w.started("w2") == 1 })
--- a/internal/control/start_test.go
+++ b/internal/control/start_test.go
@@ -11,11 +11,7 @@
 // What a user sees: a job runs and is shown as done.
 // Order: handed in, started on the one worker, ends there, taken in.
 func TestJobRunsToItsEnd(t *testing.T) {
-	w := newWorld(t, nil)
-	w.workers.add("w1")
-	w.announce("w1")
-	w.submit("a", oneTask)
-	w.eventually("the task starts", func() bool { return w.started("w1") == 1 })
+	w := startedWorld(t)
 	w.with("w1", func(f *fakeWorker) {
 		must.Eq(t, "payload", f.starts[0].Payload)
 		must.Eq(t, uint64(7), f.starts[0].Fence)
