Run copies of speculative tasks on idle room

Change: the state lets a second run of such a task be alive on another worker; the leader asks for one when the worker gives no answer, the run stands still, or its rest is expected to take one and a half whole runs; the first that is done ends the other. A copy goes on from the checkpoint that the other run reported. Before and after: the tests of the state and of the leader were red before (no second run was begun).

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -18,8 +18,8 @@
 }
 
 // Decide plans starts and questions for steps on workers. Steps are taken in
-// order of lateness, priority and objective; what a step takes or reserves is
-// gone for those after it. The workers' Free is changed.
+// order of lateness, priority and objective, copies last; what a step takes or
+// reserves is gone for those after it. The workers' Free is changed.
 func Decide(now time.Duration, steps []Step, workers []Worker, limits Limits) Plan {
 	p := &planner{now: now, limits: limits, byService: map[string][]*Worker{}}
 	for i := range workers {
@@ -34,10 +34,22 @@
 }
 
 func compareSteps(a, b Step) int {
-	return cmp.Or(cmp.Compare(a.Late, b.Late), cmp.Compare(a.Priority, b.Priority),
+	return cmp.Or(compareBools(a.Copy, b.Copy), cmp.Compare(a.Late, b.Late), cmp.Compare(a.Priority, b.Priority),
 		cmp.Compare(a.Due, b.Due), workflow.CompareSteps(a.Key, b.Key))
 }
 
+// compareBools puts false before true.
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
 func (p *planner) step(s *Step) {
 	suitable := filter(p.byService[s.Service], s)
 	if len(suitable) == 0 {
@@ -57,6 +69,10 @@
 }
 
 func (p *planner) wait(s *Step, tasks int, reason Reason) {
+	if s.Copy {
+		// Its tasks run; only a second chance waits.
+		return
+	}
 	p.plan.Waiting = append(p.plan.Waiting, Waiting{Step: s.Key, Tasks: tasks, Reason: reason, Label: s.Spec.Label})
 }
 
@@ -82,7 +98,9 @@
 // are left.
 func (p *planner) startTasks(s *Step, suitable []*Worker) int {
 	for i, index := range s.Pending {
-		w := best(s, suitable, func(w *Worker) bool { return p.usable(s, w) && copies(s, w) > 0 })
+		w := best(s, suitable, func(w *Worker) bool {
+			return copies(s, w) > 0 && w.ID != s.Avoid[index] && p.usable(s, w)
+		})
 		if w == nil {
 			return len(s.Pending) - i
 		}
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -77,6 +77,13 @@
 		{name: "another service's workers", steps: []Step{with(step("a", 1, 1), func(s *Step) { s.Service = "t" })},
 			workers: workers(9), reason: ReasonNoWorker},
 		{name: "more than any worker has", steps: []Step{step("a", 1, 17)}, workers: workers(16), reason: ReasonNoWorker},
+		{name: "a copy beside its task on another worker only", steps: []Step{
+			with(step("a", 1, 2), func(s *Step) { s.Copy, s.Avoid = true, map[int]string{0: "w1"} }),
+		}, workers: workers(16, 3), want: []string{"a/0@w0"}},
+		{name: "a copy only in room that nothing else takes", steps: []Step{
+			with(step("a", 1, 4), func(s *Step) { s.Copy = true }),
+			with(step("b", 1, 4), func(s *Step) { s.Priority, s.Late = 9, 2 }),
+		}, workers: workers(4), want: []string{"b/0@w0"}},
 		{name: "spare processors cost none", steps: []Step{with(step("a", 1, 9), func(s *Step) { s.Spec.UsesSpare = true })},
 			workers: workers(0), want: []string{"a/0@w0"}},
 		{name: "spare processors not beside serving tasks", steps: []Step{
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -66,6 +66,10 @@
 	Renewing []string
 	// Placed counts the step's live runs on each worker.
 	Placed map[string]int
+	// Copy says that each pending task is alive already, on the worker that Avoid
+	// names, and that a second run of it is worth some idle room.
+	Copy  bool
+	Avoid map[int]string
 }
 
 // Start is one task to be started.
--- /dev/null
+++ b/internal/control/copies.go
@@ -0,0 +1,112 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bilberryferry/bilberryferry/dispatch"
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+const (
+	// copySilence is how long a worker may give no answer before its tasks count as
+	// out of reach: a held look and a prompt answer.
+	copySilence = lookWait + promptAnswer
+	// copyGain is how many whole runs the rest of a run must be expected to take
+	// before a new run beside it is worth its processors. Estimates are off by half.
+	copyGain = 1.5
+)
+
+// copyCause is why a second run of a task is worth some idle room.
+type copyCause string
+
+const (
+	copyNone   copyCause = ""
+	copySilent copyCause = "the worker gives no answer"
+	copyStill  copyCause = "the run stands still"
+	copySlow   copyCause = "the run is slow"
+)
+
+// copyCauseOf returns why a run is worth a copy of its task, where its step
+// allows copies. t.mu is held.
+//
+// Failure guarded against: a worker is cut off or turns slow, and its tasks wait
+// until its lease has ended, or for as long as it takes. Where the job says that
+// two runs do no harm, the second one needn't wait for proof about the first.
+func (s *session) copyCauseOf(run workflow.Run, step *workflow.Step, now time.Time) copyCause {
+	heard := s.answeredAt
+	if heard.Before(s.t.started) {
+		heard = s.t.started
+	}
+	if now.Sub(heard) > copySilence {
+		return copySilent
+	}
+	o := s.orders[run.Task]
+	switch {
+	case o == nil || !o.listed:
+		return copyNone
+	case o.progressAt.Sub(o.advancedAt) > stillAfter:
+		return copyStill
+	}
+	whole := float64(step.EstimateMS) * float64(time.Millisecond) * max(s.t.pace.mean, 1)
+	if float64(s.expectedEnd(run, step, now).Sub(now)) > copyGain*whole {
+		return copySlow
+	}
+	return copyNone
+}
+
+// noteCopy takes a run in whose task is worth a copy. t.mu is held.
+func (v *view) noteCopy(t *tenure, s *workflow.State, run workflow.Run, session *session, now time.Time) {
+	job := s.Jobs[run.Task.Job]
+	spec := &job.Steps[run.Task.Step]
+	if !spec.MayCopy() || s.Task(run.Task).Live != 1 {
+		return
+	}
+	if _, proposed := t.proposed[run.Task]; proposed {
+		return
+	}
+	if cause := session.copyCauseOf(run, spec, now); cause != copyNone {
+		v.copies[run.Task] = copyOf{worker: run.Worker, cause: cause}
+	}
+}
+
+// copyOf is a run that is worth a copy.
+type copyOf struct {
+	worker string
+	cause  copyCause
+}
+
+// copySteps returns the steps of which tasks are worth a copy. t.mu is held.
+func (t *tenure) copySteps(s *workflow.State, copies map[workflow.TaskKey]copyOf, now time.Time,
+	placed map[workflow.StepKey]map[string]int) []dispatch.Step {
+	avoid := map[workflow.StepKey]map[int]string{}
+	for task, c := range copies {
+		if avoid[task.StepKey] == nil {
+			avoid[task.StepKey] = map[int]string{}
+		}
+		avoid[task.StepKey][task.Index] = c.worker
+	}
+	var steps []dispatch.Step
+	for key, workers := range avoid {
+		job := s.Jobs[key.Job]
+		var pending []int
+		for index := range workers {
+			pending = append(pending, index)
+		}
+		slices.Sort(pending)
+		step := t.step(job, key, pending, t.accepted[job.ID], objectiveOf(job), now, placed[key])
+		step.Copy, step.Avoid = true, workers
+		steps = append(steps, step)
+	}
+	return steps
+}
+
+// logCopies logs which of the planned starts are copies, and why.
+func (t *tenure) logCopies(starts []dispatch.Start, copies map[workflow.TaskKey]copyOf) {
+	for _, start := range starts {
+		if c, ok := copies[start.Task]; ok {
+			t.c.cfg.Counters.Add("copies", 1)
+			t.logger.Log("event", "copy", "task", start.Task, "worker", start.Worker, "beside", c.worker, "cause", c.cause)
+		}
+	}
+}
--- a/internal/control/guard_test.go
+++ b/internal/control/guard_test.go
@@ -91,6 +91,39 @@
 	must.Less(t, 400*time.Millisecond, time.Since(begun), must.Sprint("a lease is 400 ms"))
 }
 
+// What a user sees: a report whose copies are allowed is late by the lease of a
+// worker that was cut off.
+// Order: its task starts; the worker is cut off; another worker is idle; the copy
+// there ends; the first worker comes back.
+// Cause: the second run waited for proof that the first one is over.
+func TestATaskWithCopiesNeedNotWaitForTheLease(t *testing.T) {
+	w := newWorld(t, nil)
+	w.workers.add("w1")
+	w.announce("w1")
+	step := oneTask
+	step.Speculative, step.Count = true, 2
+	w.submit("a", step)
+	w.eventually("the tasks start", func() bool { return w.started("w1") == 2 })
+	ten, err := w.c.leading()
+	must.NoError(t, err)
+	ten.mu.Lock()
+	ten.sessions["w1"].leaseEnd = time.Now().Add(time.Hour)
+	ten.mu.Unlock()
+	w.with("w1", func(f *fakeWorker) { f.cut = true })
+	w.workers.add("w2")
+	w.announce("w2")
+	w.eventually("the copies run", func() bool { return w.started("w2") == 2 })
+	w.with("w2", func(f *fakeWorker) { f.finish(task("a", 0), workflow.OutcomeDone) })
+	w.with("w1", func(f *fakeWorker) { f.cut = false })
+	w.eventually("the run beside the copy that ended is stopped", func() bool {
+		stopped := 0
+		w.with("w1", func(f *fakeWorker) { stopped = f.stopped[task("a", 0)] })
+		return stopped == 1
+	})
+	must.Eq(t, workflow.PhaseActive, w.phase("a"))
+	w.with("w1", func(f *fakeWorker) { must.MapContainsKey(t, f.running, task("a", 1)) })
+}
+
 // What a user sees: a job that was cancelled goes on taking room.
 // Order: cancelled while its task runs.
 func TestRunsOfACancelledJobAreStopped(t *testing.T) {
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/bilberryferry/bilberryferry/dispatch"
@@ -58,6 +59,7 @@
 	}
 	if len(plan.Starts) > 0 {
 		t.noteProposed(plan.Starts)
+		t.logCopies(plan.Starts, v.copies)
 		t.goTask(func() { t.start(plan.Starts) })
 	}
 }
@@ -135,15 +137,19 @@
 	t.goTask(func() { s.sendStart(o, payload, checkpoint) })
 }
 
-// newOrder makes up the order of a committed start; nil when its job has ended.
+// newOrder makes up the order of a committed start; nil when its job has ended, or
+// a copy of its task.
 func (t *tenure) newOrder(run workflow.Run, ticket string) (o *order, payload, checkpoint string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.c.machine.read(func(s *workflow.State) {
 		job := s.Jobs[run.Task.Job]
-		if job == nil || job.Ended() {
+		if job == nil || job.Ended() || s.Task(run.Task).Done {
 			return
 		}
 		payload = job.Payload
-		checkpoint = s.Task(run.Task).Checkpoint
+		// A copy goes on from what the other run has reported.
+		checkpoint = cmp.Or(t.checkpoints[run.Task], s.Task(run.Task).Checkpoint)
 		estimate := time.Duration(job.Steps[run.Task.Step].EstimateMS) * time.Millisecond
 		o = &order{run: run, ticket: ticket, estimate: estimate, resumed: checkpoint != ""}
 	})
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -25,18 +25,21 @@
 	// advice is the adviser's policy of each step that needs permits.
 	advice map[workflow.StepKey]*workflow.AdvicePolicy
 	stops  []stopping
+	// copies are the runs of which a copy is worth some idle room.
+	copies map[workflow.TaskKey]copyOf
 }
 
 func (t *tenure) snapshot(now time.Time) view {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	v := view{advice: map[workflow.StepKey]*workflow.AdvicePolicy{}}
+	v := view{advice: map[workflow.StepKey]*workflow.AdvicePolicy{}, copies: map[workflow.TaskKey]copyOf{}}
 	t.c.machine.read(func(s *workflow.State) {
-		placed := t.gatherRuns(s, now, &v.stops)
+		placed := t.gatherRuns(s, now, &v)
 		v.workers = t.gatherWorkers(s, now)
 		for _, job := range s.Open() {
 			v.steps = t.gatherSteps(v.steps, job, now, placed)
 		}
+		v.steps = append(v.steps, t.copySteps(s, v.copies, now, placed)...)
 		for i := range v.steps {
 			key := v.steps[i].Key
 			v.advice[key] = s.Jobs[key.Job].Policy.Advice
@@ -46,8 +49,8 @@
 }
 
 // gatherRuns counts the runs of each step on each worker and finds those that
-// are to be stopped.
-func (t *tenure) gatherRuns(s *workflow.State, now time.Time, stops *[]stopping) map[workflow.StepKey]map[string]int {
+// are to be stopped or worth a copy.
+func (t *tenure) gatherRuns(s *workflow.State, now time.Time, v *view) map[workflow.StepKey]map[string]int {
 	placed := map[workflow.StepKey]map[string]int{}
 	for id, runs := range s.Runs {
 		session := t.sessions[id]
@@ -56,8 +59,12 @@
 				placed[task.StepKey] = map[string]int{}
 			}
 			placed[task.StepKey][id]++
-			if session != nil && t.unwanted(s, run, session) && session.stopDue(run, now) {
-				*stops = append(*stops, stopping{session, run})
+			switch {
+			case session == nil:
+			case !t.unwanted(s, run, session):
+				v.noteCopy(t, s, run, session, now)
+			case session.stopDue(run, now):
+				v.stops = append(v.stops, stopping{session, run})
 			}
 		}
 	}
@@ -70,22 +77,26 @@
 	return placed
 }
 
-// unwanted reports whether a run serves nobody: its job has ended, another
-// member of its gang has, its start got no answer, or it stands still.
+// unwanted reports whether a run serves nobody: its job has ended, or a copy of
+// it, or another member of its gang; its start got no answer, or it stands still.
 func (t *tenure) unwanted(s *workflow.State, run workflow.Run, session *session) bool {
 	job := s.Jobs[run.Task.Job]
 	if job == nil || job.Cancelled || job.Failed {
 		return true
 	}
 	step := &job.Occurrences[run.Task.Occurrence][run.Task.Step]
-	if job.Steps[run.Task.Step].Gang && step.GangEndedRun >= run.Number {
+	spec := &job.Steps[run.Task.Step]
+	if spec.Gang && step.GangEndedRun >= run.Number {
+		return true
+	}
+	if spec.MayCopy() && step.Tasks[run.Task.Index].Done {
 		return true
 	}
 	o := session.orders[run.Task]
 	if o == nil {
 		return false
 	}
-	if o.stuck(&job.Steps[run.Task.Step]) {
+	if o.stuck(spec) {
 		session.noteStuck(o)
 		return true
 	}
--- a/workflow/apply.go
+++ b/workflow/apply.go
@@ -153,16 +153,17 @@
 	if job == nil || job.Ended() || !job.StepReady(key.Occurrence, key.Step) {
 		return nil
 	}
-	gang := job.Steps[key.Step].Gang
+	spec := &job.Steps[key.Step]
+	gang := spec.Gang
 	if gang && (len(runs) != len(step.Tasks) || step.Live() > 0 || step.Done > 0) {
 		return nil
 	}
-	if gang && slices.ContainsFunc(runs, func(r Run) bool { return !s.mayStart(step, r) }) {
+	if gang && slices.ContainsFunc(runs, func(r Run) bool { return !s.mayStart(spec, step, r) }) {
 		return nil
 	}
 	var started []Run
 	for _, run := range runs {
-		if !s.mayStart(step, run) {
+		if !s.mayStart(spec, step, run) {
 			continue
 		}
 		task := &step.Tasks[run.Task.Index]
@@ -181,15 +182,23 @@
 	return started
 }
 
-// mayStart refuses a second run of a task beside one that may be alive, and a
-// start on a worker that is gone.
-func (s *State) mayStart(step *StepState, run Run) bool {
+// maxLive is how many runs of a task may be alive where copies are allowed.
+const maxLive = 2
+
+// mayStart refuses a second run of a task beside one that may be alive, unless
+// its step allows copies on different workers, and a start on a worker that is
+// gone.
+func (s *State) mayStart(spec *Step, step *StepState, run Run) bool {
 	worker := s.Workers[run.Worker]
 	if worker == nil || worker.Gone || run.Task.Index >= len(step.Tasks) {
 		return false
 	}
 	task := &step.Tasks[run.Task.Index]
-	return !task.Done && task.Live == 0
+	if task.Done {
+		return false
+	}
+	_, there := s.Runs[run.Worker][run.Task]
+	return task.Live == 0 || spec.MayCopy() && task.Live < maxLive && !there
 }
 
 func (s *State) end(e *WorkerEnds) {
@@ -226,6 +235,8 @@
 	}
 	switch {
 	case spec.LongRunning:
+	case task.Done:
+		// A copy ended first.
 	case end.Outcome == OutcomeDone:
 		s.finish(job, step, task)
 	case end.Outcome == OutcomeFailed:
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -94,6 +94,10 @@
 	LatencyObjectiveMS int64 `cbor:"16,keyasint,omitempty"`
 }
 
+// MayCopy reports whether a second run of a task may be alive beside the first.
+// A gang runs as a whole, and a long-running task has one place.
+func (s *Step) MayCopy() bool { return s.Speculative && !s.Gang && !s.LongRunning }
+
 // Room is what a task of the step takes of a worker's capacity.
 func (s *Step) Room() Resources {
 	room := s.Need
