Take machines down for upkeep in waves

Cause: an operator's wave was answered 404. Ruled out: going down at once as the order says (breaks running work off); waiting for machines to be empty without end (a wave has a time). Change: a wave is stored like a job before it is acknowledged. A decision without input or output, package upkeep, takes as few machines as time allows at once, those first that are empty soonest; they get nothing new, their runs are stopped only when time is short, long-running tasks are moved as their step can spare them. Each order is committed before it is sent, counts as down until another incarnation lives on the machine, and is repeated until it is answered, also by a later leader; a new leader gives its first order once its predecessor's pause is over.

--- a/boundary_test.go
+++ b/boundary_test.go
@@ -14,7 +14,7 @@
 )
 
 // cores are the packages that others embed and that tests drive step by step.
-var cores = []string{"dispatch", "hlc", "lease", "placement", "quota", "replica", "routing", "workflow", "internal/state"}
+var cores = []string{"dispatch", "hlc", "lease", "placement", "quota", "replica", "routing", "upkeep", "workflow", "internal/state"}
 
 // forbiddenImports would bring in sockets, files or the daemons.
 var forbiddenImports = []string{"net", "os", "syscall", "io/fs"}
@@ -52,7 +52,8 @@
 // platformNames stand on the platform's wire and nowhere in the product. Names
 // that the product uses for something of its own aren't listed.
 var platformNames = []string{
-	"run-start", "run-stop", "/-/hold", "/-/advise", "/-/config", "/-/instances", "/-/readiness", "wave-start",
+	"run-start", "run-stop", "/-/hold", "/-/advise", "/-/config", "/-/instances", "/-/readiness", "wave-start", "wave-get",
+	"/-/machines", "machine-move", "machine-upkeep", "X-Holder-Id", "max_count", "duration_s", "next_token", "page_token",
 	"X-Expect-Instance", "X-Fencing-Token", "X-Deadline-Ms", "heartbeat_addr", "seq_no", "wall_clock_ms", "last_seen",
 	"depends_on", "anti_affinity", "data_rack", "may_miss", "path_prefix", "stretch_factor", "deadline_ms",
 	"start_at_ms", "repeat_count", "drain_remaining_ms",
--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -88,6 +88,21 @@
 	Version uint64   `cbor:"2,keyasint"`
 }
 
+// WaveCall starts a wave of upkeep.
+type WaveCall struct {
+	Wave workflow.Wave `cbor:"1,keyasint"`
+}
+
+// WaveStateCall asks for a wave.
+type WaveStateCall struct {
+	ID int64 `cbor:"1,keyasint"`
+}
+
+// WaveStateReply is how far a wave has come.
+type WaveStateReply struct {
+	Done bool `cbor:"1,keyasint,omitempty"`
+}
+
 // Names of the calls between instances.
 const (
 	MethodSubmit        = "submit"
@@ -99,4 +114,6 @@
 	MethodConfiguration = "configuration"
 	MethodFollow        = "follow"
 	MethodAsk           = "ask"
+	MethodStartWave     = "start_wave"
+	MethodWaveState     = "wave_state"
 )
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -22,6 +22,11 @@
 	LeaseMax time.Duration
 	// Shown is how long an ended job is shown at least.
 	Shown time.Duration
+	// HolderPause is how long after another instance's last order for a machine
+	// this one may give its first.
+	HolderPause time.Duration
+	// Upkeep is how long a machine is down for its upkeep.
+	Upkeep time.Duration
 }
 
 // Config is the fixed part of a Controller.
@@ -32,9 +37,13 @@
 	Bounds          Bounds
 	Workers         Workers
 	Adviser         Adviser
-	Client          *link.Client
-	Logger          log.Logger
-	Counters        Counters
+	// Machines is nil where the deployment has no list of machines.
+	Machines Machines
+	// Instance names this one in orders for machines.
+	Instance string
+	Client   *link.Client
+	Logger   log.Logger
+	Counters Counters
 	// Leader returns the address of the present leader, Members those of all.
 	Leader  func() string
 	Members func() []string
--- /dev/null
+++ b/internal/control/evacuate.go
@@ -0,0 +1,67 @@
+package control
+
+import (
+	"time"
+
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+// wholePercent is what a long-running task shows that is at work.
+const wholePercent = 100
+
+// evacuated reports whether a run is to be stopped because its machine goes
+// down. A long-running task is moved as soon as its step can spare it, others
+// only once their time is up. t.mu is held.
+func (t *tenure) evacuated(s *workflow.State, run workflow.Run, now time.Time) bool {
+	emptied := t.upkeep.emptied[run.Worker]
+	if emptied == nil {
+		return false
+	}
+	spec := &s.Jobs[run.Task.Job].Steps[run.Task.Step]
+	if spec.LongRunning {
+		return t.spared(s, run, spec)
+	}
+	return emptied.stop
+}
+
+// spared reports whether a long-running task may be interrupted now: fewer others
+// of its step are away than the job allows. t.mu is held.
+//
+// Failure guarded against: tasks that serve users are moved off several machines
+// at once, or off one while another is still starting, and too few of them are at
+// work. A task counts as away until its worker shows it at work, so one that was
+// stopped a moment ago, or whose worker is silent, counts as well.
+func (t *tenure) spared(s *workflow.State, run workflow.Run, spec *workflow.Step) bool {
+	if o := t.sessions[run.Worker].orders[run.Task]; o != nil && !o.stopSent.IsZero() {
+		return true
+	}
+	atWork := t.tasksAtWork(s, run.Task.StepKey)
+	others := spec.Count - 1
+	if atWork[run.Task.Index] {
+		others = spec.Count - len(atWork)
+	} else {
+		others -= len(atWork)
+	}
+	return others < max(spec.MaxUnavailable, 1)
+}
+
+// tasksAtWork returns the tasks of a long-running step that their workers show at
+// work, and that nobody has asked to stop. t.mu is held.
+func (t *tenure) tasksAtWork(s *workflow.State, key workflow.StepKey) map[int]bool {
+	atWork := map[int]bool{}
+	for id, session := range t.sessions {
+		if !session.ready {
+			continue
+		}
+		for task, run := range s.Runs[id] {
+			if task.StepKey != key {
+				continue
+			}
+			o := session.orders[task]
+			if o != nil && o.run.Number == run.Number && o.stopSent.IsZero() && o.percent >= wholePercent {
+				atWork[task.Index] = true
+			}
+		}
+	}
+	return atWork
+}
--- a/internal/control/ports.go
+++ b/internal/control/ports.go
@@ -94,6 +94,12 @@
 	RefusedInvalid Refusal = "invalid"
 	// RefusedUnhealthy: the worker takes nothing at present.
 	RefusedUnhealthy Refusal = "unhealthy"
+	// RefusedBusy: the machine isn't up, or is leaving.
+	RefusedBusy Refusal = "busy"
+	// RefusedWave: the machine doesn't belong to the wave.
+	RefusedWave Refusal = "wave"
+	// RefusedRate: too many calls; this one has done nothing.
+	RefusedRate Refusal = "rate"
 )
 
 // RefusedError says that a worker refused an order and did nothing.
@@ -114,6 +120,54 @@
 	Look(ctx context.Context, to Target, order LookOrder) (Report, error)
 }
 
+// MachineState is what the deployment's list says of a machine.
+type MachineState uint8
+
+// States of a machine.
+const (
+	MachineUp MachineState = iota + 1
+	MachineMoving
+	MachineInUpkeep
+	MachineDown
+)
+
+// ListedMachine is an entry of the deployment's list. A worker is one life of a
+// machine.
+type ListedMachine struct {
+	ID    string
+	Pool  string
+	State MachineState
+	// Worker is the incarnation that lives on the machine, empty for none.
+	Worker   string
+	Capacity workflow.Resources
+}
+
+// MachinePage is a part of the list; Next is empty on the last one.
+type MachinePage struct {
+	Machines []ListedMachine
+	Next     string
+}
+
+// MachineOrder is addressed to the deployment, which carries orders for one
+// machine out in the order of their fences.
+type MachineOrder struct {
+	Machine string
+	// Holder names this instance.
+	Holder string
+	Fence  uint64
+}
+
+// Machines is the deployment's own list of machines. Both orders end whatever
+// runs on the machine, and succeed again when they have been carried out before.
+// An error that isn't a RefusedError leaves open whether they are carried out.
+type Machines interface {
+	List(ctx context.Context, page string) (MachinePage, error)
+	// Upkeep takes a machine down for its upkeep in a wave.
+	Upkeep(ctx context.Context, order MachineOrder, wave int64) error
+	// Move gives a machine to another pool.
+	Move(ctx context.Context, order MachineOrder, pool string) error
+}
+
 // Grant permits a step to run on a worker.
 type Grant struct {
 	Worker string `cbor:"1,keyasint"`
--- a/internal/control/report.go
+++ b/internal/control/report.go
@@ -96,7 +96,13 @@
 			if r.Checkpoint != "" {
 				s.t.checkpoints[r.Task] = r.Checkpoint
 			}
-			if o := s.orders[r.Task]; o != nil {
+			o := s.orders[r.Task]
+			if o == nil && s.inherited[r.Task] == r.Number {
+				// What an earlier leader ordered is watched like an order of this one.
+				o = &order{run: run}
+				s.orders[r.Task] = o
+			}
+			if o != nil {
 				o.unanswered = false
 				advanced = o.noteProgress(r.Percent, now) || advanced
 			}
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -28,6 +28,8 @@
 	link.Handle(mux, MethodConfigure, c.Configure)
 	link.Handle(mux, MethodConfiguration, c.Configuration)
 	link.Handle(mux, MethodFollow, c.Follow)
+	link.Handle(mux, MethodStartWave, c.StartWave)
+	link.Handle(mux, MethodWaveState, c.WaveState)
 }
 
 // resolve finds the queue of a place. NotFound is said only after the log has
@@ -258,6 +260,46 @@
 	return reply, nil
 }
 
+// StartWave stores a wave of upkeep; its machines go down one after the other.
+func (c *Controller) StartWave(ctx context.Context, r *WaveCall) (Empty, error) {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	t, err := c.leading()
+	if err != nil {
+		return Empty{}, err
+	}
+	wave := r.Wave
+	wave.AcceptedAtMS = time.Now().UnixMilli()
+	_, err = c.propose(ctx, &workflow.Command{Wave: &wave})
+	t.logger.Log("event", "wave", "wave", wave.ID, "machines", len(wave.Machines), "at_once", wave.MaxDown,
+		"duration_ms", wave.DurationMS, "err", err)
+	t.noteWave(wave.ID)
+	return Empty{}, err
+}
+
+// WaveState returns how far a wave has come. That it isn't known is said only
+// after the log has shown that nothing is missing here.
+func (c *Controller) WaveState(ctx context.Context, r *WaveStateCall) (WaveStateReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	if _, err := c.leading(); err != nil {
+		return WaveStateReply{}, err
+	}
+	if err := c.log.Barrier(ctx); err != nil {
+		return WaveStateReply{}, link.NotLeader(c.cfg.Leader())
+	}
+	reply, found := WaveStateReply{}, false
+	c.machine.read(func(s *workflow.State) {
+		if wave := s.Wave(r.ID); wave != nil {
+			reply.Done, found = wave.Done(), true
+		}
+	})
+	if !found {
+		return WaveStateReply{}, fault.New(fault.NotFound, "no wave %d", r.ID)
+	}
+	return reply, nil
+}
+
 // Follow answers an instance that stays in touch.
 func (c *Controller) Follow(_ context.Context, r *FollowCall) (FollowReply, error) {
 	t, err := c.leading()
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -61,7 +61,7 @@
 			placed[task.StepKey][id]++
 			switch {
 			case session == nil:
-			case !t.unwanted(s, run, session):
+			case !t.unwanted(s, run, session, now):
 				v.noteCopy(t, s, run, session, now)
 			case session.stopDue(run, now):
 				v.stops = append(v.stops, stopping{session, run})
@@ -78,8 +78,9 @@
 }
 
 // unwanted reports whether a run serves nobody: its job has ended, or a copy of
-// it, or another member of its gang; its start got no answer, or it stands still.
-func (t *tenure) unwanted(s *workflow.State, run workflow.Run, session *session) bool {
+// it, or another member of its gang; its start got no answer, it stands still, or
+// its machine goes down.
+func (t *tenure) unwanted(s *workflow.State, run workflow.Run, session *session, now time.Time) bool {
 	job := s.Jobs[run.Task.Job]
 	if job == nil || job.Cancelled || job.Failed {
 		return true
@@ -92,6 +93,9 @@
 	if spec.MayCopy() && step.Tasks[run.Task.Index].Done {
 		return true
 	}
+	if t.evacuated(s, run, now) {
+		return true
+	}
 	o := session.orders[run.Task]
 	if o == nil {
 		return false
--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -11,16 +11,20 @@
 	"github.com/bilberryferry/bilberryferry/internal/member"
 )
 
-// Outside is how a deployment's workers and adviser are spoken to.
+// Outside is how a deployment's workers, adviser and list of machines are spoken to.
 type Outside interface {
 	control.Workers
 	control.Adviser
+	control.Machines
 }
 
+// OutsideAddresses are those of the deployment's own services, empty for none.
+type OutsideAddresses struct{ Adviser, Machines string }
+
 // CoreAdapters translate between a deployment's own protocol and the core.
 type CoreAdapters struct {
-	// Outside returns the client for workers and the adviser.
-	Outside func(adviser string) Outside
+	// Outside returns the client of the deployment.
+	Outside func(OutsideAddresses) Outside
 	// Control returns the handler of the control address.
 	Control func(operations *Operations, logger log.Logger) http.Handler
 }
@@ -69,11 +73,15 @@
 	}
 	keepOpening()
 	s := p.settings
-	controller := control.New(control.Config{
+	cfg := control.Config{
 		Address: n.own, Public: s.Control, Workers: n.outside, Adviser: n.outside, Client: n.client,
 		Logger: p.logger, Counters: p.metrics, Leader: host.Leader, Members: host.Addresses,
-		Bounds: control.Bounds{LeaseMax: s.Bounds.LeaseMax.Std(), Shown: s.Bounds.Shown.Std()},
-	}, machine, replicated)
+		Bounds: s.controlBounds(), Instance: s.Instance,
+	}
+	if s.MachineList != "" {
+		cfg.Machines = n.outside
+	}
+	controller := control.New(cfg, machine, replicated)
 	controller.Register(n.mux)
 	n.operations.lead(controller)
 	running, ctx := errgroup.WithContext(working)
@@ -83,6 +91,13 @@
 	return running.Wait()
 }
 
+func (s *Settings) controlBounds() control.Bounds {
+	return control.Bounds{
+		LeaseMax: s.Bounds.LeaseMax.Std(), Shown: s.Bounds.Shown.Std(),
+		HolderPause: s.Bounds.HolderPause.Std(), Upkeep: s.Bounds.Upkeep.Std(),
+	}
+}
+
 // stopCore hands the leadership over while the others are still answered, and
 // then ends the servers.
 func (p *process) stopCore(host *member.Host, public *http.Server, n *node, stopWork func()) {
--- a/internal/instance/edge.go
+++ b/internal/instance/edge.go
@@ -22,7 +22,7 @@
 
 // EdgeAdapters translate between a deployment's own protocol and the product.
 type EdgeAdapters struct {
-	Outside func(adviser string) Outside
+	Outside func(OutsideAddresses) Outside
 	// Entry returns the handler of the callers' address.
 	Entry func(operations *Operations, logger log.Logger) http.Handler
 	// ReadinessPath is what the balancer asks for.
--- a/internal/instance/operations.go
+++ b/internal/instance/operations.go
@@ -70,6 +70,17 @@
 	return err
 }
 
+// StartWave starts a wave of upkeep.
+func (o *Operations) StartWave(ctx context.Context, r *control.WaveCall) error {
+	_, err := call(ctx, o, control.MethodStartWave, r, (*control.Controller).StartWave)
+	return err
+}
+
+// WaveState returns how far a wave has come.
+func (o *Operations) WaveState(ctx context.Context, r *control.WaveStateCall) (control.WaveStateReply, error) {
+	return call(ctx, o, control.MethodWaveState, r, (*control.Controller).WaveState)
+}
+
 // Configuration returns the newest configuration.
 func (o *Operations) Configuration(ctx context.Context) (control.ConfigurationReply, error) {
 	return call(ctx, o, control.MethodConfiguration, &control.Empty{}, (*control.Controller).Configuration)
--- a/internal/instance/process.go
+++ b/internal/instance/process.go
@@ -149,9 +149,10 @@
 
 // openNode makes what both daemons are made of. Every instance puts questions to
 // the adviser for the leader.
-func (p *process) openNode(outside func(adviser string) Outside) *node {
+func (p *process) openNode(outside func(OutsideAddresses) Outside) *node {
 	s := p.settings
-	n := &node{own: s.internal(s.Address), client: link.NewClient(), mux: link.NewMux(), outside: outside(s.Adviser)}
+	addresses := OutsideAddresses{Adviser: s.Adviser, Machines: s.MachineList}
+	n := &node{own: s.internal(s.Address), client: link.NewClient(), mux: link.NewMux(), outside: outside(addresses)}
 	link.Handle(n.mux, control.MethodAsk, func(ctx context.Context, call *control.AskCall) (control.AskReply, error) {
 		return n.outside.Ask(ctx, *call)
 	})
--- a/internal/instance/settings.go
+++ b/internal/instance/settings.go
@@ -43,6 +43,8 @@
 	DataFolder string `toml:"data_folder"`
 	// Adviser is where questions about permits go; empty for none.
 	Adviser string `toml:"adviser"`
+	// MachineList is where the deployment's list of machines is; empty for none.
+	MachineList string `toml:"machine_list"`
 	// InstancesLost is how many core instances may be lost at the same time.
 	InstancesLost int    `toml:"instances_lost"`
 	Bounds        Bounds `toml:"bounds"`
@@ -54,15 +56,21 @@
 	LeaseMax settings.Duration `toml:"lease_max"`
 	// Shown is how long an ended job is shown at least.
 	Shown settings.Duration `toml:"shown"`
+	// HolderPause is how long orders of two instances for one machine lie apart.
+	HolderPause settings.Duration `toml:"holder_pause"`
+	// Upkeep is how long a machine is down for its upkeep.
+	Upkeep settings.Duration `toml:"upkeep"`
 	// Shutdown is how long a process that is told to stop may go on.
 	Shutdown settings.Duration `toml:"shutdown"`
 }
 
 // defaultBounds hold where the settings name nothing.
 var defaultBounds = Bounds{
-	LeaseMax: settings.Duration(6 * time.Second),
-	Shown:    settings.Duration(120 * time.Second),
-	Shutdown: settings.Duration(6 * time.Second),
+	LeaseMax:    settings.Duration(6 * time.Second),
+	Shown:       settings.Duration(120 * time.Second),
+	Shutdown:    settings.Duration(6 * time.Second),
+	HolderPause: settings.Duration(3 * time.Second),
+	Upkeep:      settings.Duration(2 * time.Second),
 }
 
 // Load reads and checks a settings file.
@@ -102,6 +110,7 @@
 	}
 	for name, address := range map[string]string{
 		"entry": s.Entry, "readiness": s.Readiness, "control": s.Control, "adviser": s.Adviser,
+		"machine_list": s.MachineList,
 	} {
 		if err := checkAddress(name, address); err != nil {
 			return err
--- a/internal/instance/settings_test.go
+++ b/internal/instance/settings_test.go
@@ -66,7 +66,7 @@
 	must.NoError(t, err)
 	for _, name := range []string{
 		"instance", "data_centre", "address", "internal_port", "metrics_address", "entry", "readiness", "control", "seeds",
-		"first_start", "data_folder", "adviser", "instances_lost", "lease_max", "shown", "shutdown",
+		"first_start", "data_folder", "adviser", "instances_lost", "lease_max", "shown", "shutdown", "machine_list", "holder_pause", "upkeep",
 	} {
 		must.StrContains(t, string(text), name+" = ")
 	}
--- /dev/null
+++ b/upkeep/upkeep_test.go
@@ -0,0 +1,52 @@
+package upkeep
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func idle(id string) Machine { return Machine{ID: id, Up: true, Empty: true} }
+
+func busy(id string, for_ time.Duration) Machine { return Machine{ID: id, Up: true, EmptyIn: for_} }
+
+func chosen(m Machine, since time.Duration) Machine {
+	m.Chosen, m.ChosenFor = true, since
+	return m
+}
+
+func TestDecide(t *testing.T) {
+	long := Wave{Remaining: 60 * time.Second, Length: 2 * time.Second, MaxDown: 3}
+	short := Wave{Remaining: 8 * time.Second, Length: 2 * time.Second, MaxDown: 2}
+	late := Wave{Remaining: -time.Second, Length: 2 * time.Second, MaxDown: 2}
+	down := Machine{ID: "down", Down: true}
+	held := busy("held", time.Second)
+	held.Held = true
+	for _, c := range []struct {
+		name     string
+		wave     Wave
+		machines []Machine
+		want     Plan
+	}{
+		{name: "one at a time while there is time, the one that is empty soonest", wave: long,
+			machines: []Machine{busy("a", 5*time.Second), busy("b", time.Second)}, want: Plan{Empty: []string{"b"}}},
+		{name: "nothing beside one that is down", wave: long, machines: []Machine{down, idle("a")}},
+		{name: "more at once when time is short, never more than allowed", wave: short,
+			machines: []Machine{down, idle("a"), idle("b")}, want: Plan{Empty: []string{"a"}}},
+		{name: "all that is allowed once it is late", wave: late,
+			machines: []Machine{idle("a"), idle("b"), idle("c")}, want: Plan{Empty: []string{"a", "b"}}},
+		{name: "an empty machine goes down", wave: long,
+			machines: []Machine{chosen(idle("a"), time.Second), idle("b")}, want: Plan{Order: []string{"a"}}},
+		{name: "a busy one is waited for", wave: long, machines: []Machine{chosen(busy("a", 5*time.Second), 10*time.Second)}},
+		{name: "its runs are stopped when time is short", wave: short,
+			machines: []Machine{chosen(busy("a", 5*time.Second), 5*time.Second)}, want: Plan{Stop: []string{"a"}}},
+		{name: "a worker that doesn't answer goes down as it is", wave: late,
+			machines: []Machine{chosen(busy("a", 5*time.Second), 2*time.Second)}, want: Plan{Order: []string{"a"}}},
+		{name: "never over a task that can't be interrupted", wave: late,
+			machines: []Machine{chosen(held, 9*time.Second)}, want: Plan{Stop: []string{"held"}}},
+		{name: "machines that aren't up wait", wave: late, machines: []Machine{{ID: "a", Empty: true}}},
+	} {
+		t.Run(c.name, func(t *testing.T) { must.Eq(t, c.want, Decide(c.wave, c.machines)) })
+	}
+}
--- a/workflow/apply.go
+++ b/workflow/apply.go
@@ -22,6 +22,8 @@
 	// Forget lists jobs that need no longer be shown.
 	Forget        []string  `cbor:"7,keyasint,omitempty"`
 	Configuration *Document `cbor:"8,keyasint,omitempty"`
+	Wave          *Wave     `cbor:"9,keyasint,omitempty"`
+	Upkeep        *Upkeep   `cbor:"10,keyasint,omitempty"`
 }
 
 // WorkerEnds are ends of runs on one worker.
@@ -89,6 +91,10 @@
 	case c.Configuration != nil:
 		s.configure(c.Configuration)
 		return Result{InForce: s.Configuration}
+	case c.Wave != nil:
+		s.startWave(c.Wave)
+	case c.Upkeep != nil:
+		s.noteUpkeep(c.Upkeep)
 	}
 	return Result{}
 }
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -116,6 +116,8 @@
 	Runs          map[string]map[TaskKey]Run `cbor:"-"`
 	Configuration Document                   `cbor:"3,keyasint"`
 	RunList       []Run                      `cbor:"4,keyasint"`
+	// Waves are the operator's waves of upkeep.
+	Waves map[int64]*WaveState `cbor:"5,keyasint,omitempty"`
 
 	// open holds the jobs that have not ended.
 	open map[string]*Job
@@ -125,7 +127,7 @@
 func NewState() *State {
 	return &State{
 		Jobs: map[string]*Job{}, Workers: map[string]*WorkerState{},
-		Runs: map[string]map[TaskKey]Run{}, open: map[string]*Job{},
+		Runs: map[string]map[TaskKey]Run{}, Waves: map[int64]*WaveState{}, open: map[string]*Job{},
 	}
 }
 
--- /dev/null
+++ b/workflow/wave_test.go
@@ -0,0 +1,37 @@
+package workflow
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func upkeep(s *State, machine string, stage UpkeepStage) {
+	s.Apply(1, &Command{Upkeep: &Upkeep{Wave: 3, Machine: machine, Stage: stage, Worker: "w-" + machine}})
+}
+
+// What an operator sees: a wave is said to be done while a machine waits.
+// Order: one machine has begun, the other's order was sent and got no answer, and
+// a late copy of an older note arrives.
+// Cause: an order counted as begun, or a stage went back.
+func TestAWaveIsDoneOnceEachMachineHasBegunOrLeft(t *testing.T) {
+	s := NewState()
+	wave := Wave{ID: 3, Machines: []string{"m1", "m2"}, DurationMS: 20_000, MaxDown: 1}
+	s.Apply(1, &Command{Wave: &wave})
+	s.Apply(2, &Command{Wave: &Wave{ID: 3}})
+	must.Eq(t, wave, s.Wave(3).Wave, must.Sprint("the same ID is the same wave"))
+	upkeep(s, "m1", UpkeepBegun)
+	upkeep(s, "m1", UpkeepOrdered)
+	upkeep(s, "m2", UpkeepOrdered)
+	upkeep(s, "stranger", UpkeepBegun)
+	must.False(t, s.Wave(3).Done())
+	data, err := s.Snapshot()
+	must.NoError(t, err)
+	s, err = Restore(data)
+	must.NoError(t, err)
+	must.Eq(t, UpkeepBegun, s.Wave(3).Upkeeps["m1"].Stage)
+	must.MapLen(t, 2, s.Wave(3).Upkeeps)
+	upkeep(s, "m2", UpkeepMoot)
+	must.True(t, s.Wave(3).Done())
+	must.Nil(t, s.Wave(4))
+}
