Settle a run whose start was refused after a call without an answer

Cause: the refusal settles nothing while the first call is open, and a stop was sent only after two calls without an answer; here there was one. Ruled out: the wave (the worker was none of its machines), the lease (the worker answered its looks, so it never ended). Change: an order is given up explicitly, after the last call without an answer and at a refusal beside an open call; a run whose order was given up is stopped. Before and after: the new test waited for ever before and passes now.

--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -65,6 +65,8 @@
 	// delay holds starts back: they get no answer and are kept in late.
 	delay bool
 	late  []StartOrder
+	// refuse answers the next start after a late one with this reason.
+	refuse Refusal
 	// starts are the orders that were carried out.
 	starts []StartOrder
 	// leases are the lease ends that looks carried.
@@ -98,8 +100,13 @@
 	}
 	if w.delay {
 		w.late = append(w.late, order)
+		w.delay = w.refuse == ""
 		return 0, errNoAnswer
 	}
+	if reason := w.refuse; reason != "" {
+		w.refuse = ""
+		return 0, &RefusedError{reason}
+	}
 	if err := w.begin(order); err != nil {
 		return 0, err
 	}
--- a/internal/control/guard_test.go
+++ b/internal/control/guard_test.go
@@ -34,6 +34,24 @@
 	})
 }
 
+// What a user sees: a job never ends, though most workers are idle.
+// Order: a worker doesn't answer a start; the start is sent again, and refused
+// because its ticket has ended.
+// Cause: the refusal settles nothing while the first call is open, and only a
+// second call without an answer led to a stop.
+func TestAStartThatIsRefusedAfterOneWithoutAnAnswerIsSettled(t *testing.T) {
+	w := newWorld(t, nil)
+	first := w.workers.add("w1")
+	first.delay, first.refuse = true, RefusedTicket
+	w.announce("w1")
+	w.submit("a", oneTask)
+	w.eventually("the task runs again", func() bool { return w.started("w1") == 1 })
+	w.with("w1", func(f *fakeWorker) {
+		must.Eq(t, 2, f.starts[0].Run.Number)
+		must.Error(t, f.begin(f.late[0]), must.Sprint("carried out late, beside the second run"))
+	})
+}
+
 // What a user sees: a task runs on two workers.
 // Order: a worker takes looks but its answers are lost; its runs count as ended
 // when the lease has; the task starts elsewhere.
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -25,6 +25,9 @@
 	listed bool
 	// open counts calls that may be carried out later.
 	open int
+	// abandoned says that no further start is sent; a stop settles the run unless
+	// the worker shows it.
+	abandoned bool
 	// stopSent is the last stop, stopAcked its acknowledgement.
 	stopSent, stopAcked time.Time
 	startedAt           time.Time
@@ -70,6 +73,14 @@
 			return
 		}
 	}
+	s.abandon(o)
+}
+
+// abandon lets a run be stopped whose start may be carried out later.
+func (s *session) abandon(o *order) {
+	s.t.mu.Lock()
+	o.abandoned = true
+	s.t.mu.Unlock()
 	s.t.kick()
 }
 
@@ -114,11 +125,12 @@
 		t.forgetTicket(o.run.Task.StepKey, s.worker.ID)
 	}
 	open := o.open > 0
+	t.mu.Unlock()
 	if open {
-		o.unanswered = true
+		s.abandon(o)
+		return
 	}
-	t.mu.Unlock()
-	if open || reason == RefusedFence {
+	if reason == RefusedFence {
 		return
 	}
 	s.commitEnds(0, []workflow.RunEnd{{Task: o.run.Task, Number: o.run.Number, Outcome: workflow.OutcomeNotStarted}})
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -104,7 +104,7 @@
 		session.noteStuck(o)
 		return true
 	}
-	return o.unanswered && o.open >= startTries
+	return o.unanswered && o.abandoned
 }
 
 // stopDue reports whether a stop is to be sent now, and notes that it is.
