Throttle tasks on spare processors by the latency of serving ones

Cause: tasks that use spare processors were kept off every worker with a task that has a latency objective, so they waited wherever a service had a task on each worker. Ruled out: a fixed small share (disturbance differs from task to task and changes within seconds); learning which tasks disturb which (needs more time than a disturbance may last).

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -167,7 +167,9 @@
 func (p *planner) start(s *Step, index int, w *Worker) {
 	w.Free = w.Free.Minus(s.Spec.Room())
 	w.Serving = w.Serving || s.Spec.LatencyObjectiveMS > 0
-	w.Spare = w.Spare || s.Spec.UsesSpare
+	if s.Spec.UsesSpare {
+		w.SpareRuns++
+	}
 	if s.Placed == nil {
 		s.Placed = map[string]int{}
 	}
--- a/dispatch/select.go
+++ b/dispatch/select.go
@@ -20,14 +20,27 @@
 	return out
 }
 
-// compatible keeps tasks that use spare processors off workers whose tasks have
-// a latency objective, and the other way round. They disturb each other by
-// amounts that nobody knows beforehand, and nothing paces them down.
+// leastSpareShare is the share, in percent, below which a worker's serving tasks
+// leave too little to begin another task on spare processors there.
+const leastSpareShare = 10
+
+// compatible keeps tasks that use spare processors off workers whose serving tasks
+// leave next to nothing.
 func compatible(s *Step, w *Worker) bool {
-	if s.Spec.UsesSpare {
-		return !w.Serving
+	return !s.Spec.UsesSpare || !w.Serving || w.SpareShare >= leastSpareShare
+}
+
+// crowding is how much a task of s and what runs on w disturb each other: tasks
+// with a latency objective and tasks that use spare processors are kept apart
+// while there is room elsewhere, and the latter among themselves.
+func crowding(s *Step, w *Worker) int {
+	switch {
+	case s.Spec.UsesSpare && w.Serving:
+		return 1 + w.SpareRuns
+	case s.Spec.UsesSpare, s.Spec.LatencyObjectiveMS > 0:
+		return w.SpareRuns
 	}
-	return s.Spec.LatencyObjectiveMS == 0 || !w.Spare
+	return 0
 }
 
 // best returns the worker that suits one task of s best: sound ones first, then
@@ -44,8 +57,13 @@
 }
 
 func prefer(s *Step, a, b *Worker) int {
+	byRoom := cmp.Compare(a.Free.MilliCPU, b.Free.MilliCPU)
+	if s.Spec.UsesSpare {
+		// What others leave is what such a task gets.
+		byRoom = -byRoom
+	}
 	return cmp.Or(cmp.Compare(a.Penalty, b.Penalty), cmp.Compare(distance(s, a), distance(s, b)),
-		cmp.Compare(a.Free.MilliCPU, b.Free.MilliCPU), cmp.Compare(a.ID, b.ID))
+		cmp.Compare(crowding(s, a), crowding(s, b)), byRoom, cmp.Compare(a.ID, b.ID))
 }
 
 // distance is 0 near the data of s, 1 elsewhere.
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -17,9 +17,11 @@
 	Free workflow.Resources
 	// Releases are the expected ends of the runs on the worker, the soonest first.
 	Releases []Release
-	// Serving and Spare say that tasks with a latency objective, or tasks that use
-	// spare processors, run there.
-	Serving, Spare bool
+	// Serving says that tasks with a latency objective run there.
+	Serving bool
+	// SpareRuns counts the tasks there that use spare processors, SpareShare is the
+	// share in percent at which they may work beside serving ones.
+	SpareRuns, SpareShare int
 	// Penalty sets back workers that failed or stood still lately; 0 is sound.
 	Penalty int
 }
--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -119,7 +119,7 @@
 // stuck reports whether a run stands still for so long that it is better begun
 // again elsewhere. A gang's run moves as a whole only and is left alone.
 func (o *order) stuck(step *workflow.Step) bool {
-	return o.listed && !step.Gang && !step.LongRunning && o.progressAt.Sub(o.advancedAt) > moveAfter
+	return o.listed && !step.Gang && !step.LongRunning && o.share != 0 && o.progressAt.Sub(o.advancedAt) > moveAfter
 }
 
 // noteStuck sets back the worker of a run that stands still, once a run: with
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -39,8 +39,18 @@
 	// estimate is the job's own, resumed says that only the rest is to be done.
 	estimate time.Duration
 	resumed  bool
+	// usesSpare says that the task takes what processors others leave. share is what
+	// the worker has acknowledged last, sharing that a change is under way, pausedAt
+	// since when it is 0.
+	usesSpare bool
+	share     int
+	sharing   bool
+	pausedAt  time.Time
 }
 
+// unknownShare is that of a run which an earlier leader ordered.
+const unknownShare = -1
+
 // sendStart sends a committed start until the worker has answered, and stops the
 // run when it doesn't.
 func (s *session) sendStart(o *order, payload, checkpoint string) {
@@ -110,6 +120,11 @@
 	o.unanswered = false
 	o.startedAt = now
 	t.begun[o.run.Task.Job] = true
+	if o.usesSpare && s.throttle.serving {
+		// It begins at its whole share, and the next report may be far.
+		s.throttle.noteSpare(now)
+		s.applyShare(o)
+	}
 	return nil
 }
 
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -151,7 +151,10 @@
 		// A copy goes on from what the other run has reported.
 		checkpoint = cmp.Or(t.checkpoints[run.Task], s.Task(run.Task).Checkpoint)
 		estimate := time.Duration(job.Steps[run.Task.Step].EstimateMS) * time.Millisecond
-		o = &order{run: run, ticket: ticket, estimate: estimate, resumed: checkpoint != ""}
+		o = &order{
+			run: run, ticket: ticket, estimate: estimate, resumed: checkpoint != "",
+			usesSpare: job.Steps[run.Task.Step].UsesSpare, share: wholeShare,
+		}
 	})
 	return o, payload, checkpoint
 }
--- a/internal/control/ports.go
+++ b/internal/control/ports.go
@@ -39,6 +39,14 @@
 	Fence uint64
 }
 
+// ThrottleOrder lets a run work at a share of its speed only.
+type ThrottleOrder struct {
+	Run workflow.Run
+	// Share is in percent, from 0 to 100; a run begins at 100.
+	Share int
+	Fence uint64
+}
+
 // LookOrder asks a worker what runs and what has ended.
 type LookOrder struct {
 	Fence uint64
@@ -57,6 +65,10 @@
 	Checkpoint string
 	// Percent is the share of the work that is done.
 	Percent int
+	// Measured covers the last half second: the tail latency in milliseconds of a
+	// task with a latency objective, the processor use of others in thousandths of
+	// a core.
+	Measured int64
 }
 
 // Ended is an end that a worker lists.
@@ -111,12 +123,14 @@
 // ErrOtherIncarnation says that the target's incarnation is over.
 var ErrOtherIncarnation = errors.New("another incarnation answers")
 
-// Workers sends orders to workers. Start and Stop return the worker's clock.
+// Workers sends orders to workers. Start, Stop and Throttle return the worker's
+// clock.
 // An error that is neither a RefusedError nor ErrOtherIncarnation leaves open
 // whether, and when, the order is carried out.
 type Workers interface {
 	Start(ctx context.Context, to Target, order StartOrder) (clockMS int64, err error)
 	Stop(ctx context.Context, to Target, order StopOrder) (clockMS int64, err error)
+	Throttle(ctx context.Context, to Target, order ThrottleOrder) (clockMS int64, err error)
 	Look(ctx context.Context, to Target, order LookOrder) (Report, error)
 }
 
--- a/internal/control/report.go
+++ b/internal/control/report.go
@@ -97,9 +97,9 @@
 				s.t.checkpoints[r.Task] = r.Checkpoint
 			}
 			o := s.orders[r.Task]
-			if o == nil && s.inherited[r.Task] == r.Number {
+			if job := state.Jobs[r.Task.Job]; o == nil && job != nil && s.inherited[r.Task] == r.Number {
 				// What an earlier leader ordered is watched like an order of this one.
-				o = &order{run: run}
+				o = &order{run: run, usesSpare: job.Steps[r.Task.Step].UsesSpare, share: unknownShare}
 				s.orders[r.Task] = o
 			}
 			if o != nil {
@@ -107,6 +107,7 @@
 				advanced = o.noteProgress(r.Percent, now) || advanced
 			}
 		}
+		s.noteLatency(state, report, now)
 	})
 	s.noteAdvance(report, advanced, now)
 	return strangers
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -60,6 +60,7 @@
 	failedJob  string
 	quarantine time.Time
 	pace       pace
+	throttle   throttle
 	// busy says that the last report listed runs; advancedAt is the last report
 	// that showed that something goes on.
 	busy       bool
@@ -172,6 +173,9 @@
 		if s.still() {
 			order.Wait = stillWait
 		}
+		if s.throttle.watched() {
+			order.Wait = min(order.Wait, throttleWait)
+		}
 	}
 	ctx, cancel := context.WithTimeout(t.ctx, order.Wait+callTimeout)
 	s.cancelLook, s.hurried = cancel, false
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -100,6 +100,9 @@
 	if o == nil {
 		return false
 	}
+	if o.paused(spec, now) {
+		return true
+	}
 	if o.stuck(spec) {
 		session.noteStuck(o)
 		return true
@@ -144,13 +147,15 @@
 		}
 		free := state.Capacity.Minus(proposed[id])
 		var releases []dispatch.Release
-		serving, spare := false, false
+		serving, spareRuns := false, 0
 		for task, run := range s.Runs[id] {
 			if job := s.Jobs[task.Job]; job != nil {
 				step := &job.Steps[task.Step]
 				free = free.Minus(step.Room())
 				serving = serving || step.LatencyObjectiveMS > 0
-				spare = spare || step.UsesSpare
+				if step.UsesSpare {
+					spareRuns++
+				}
 				releases = append(releases, dispatch.Release{
 					At: session.expectedEnd(run, step, now).Sub(t.started), Room: step.Room(),
 				})
@@ -159,7 +164,7 @@
 		slices.SortFunc(releases, func(a, b dispatch.Release) int { return cmp.Compare(a.At, b.At) })
 		workers = append(workers, dispatch.Worker{
 			Worker: state.Worker, Free: free, Releases: releases, Penalty: session.failures,
-			Serving: serving, Spare: spare,
+			Serving: serving, SpareRuns: spareRuns, SpareShare: session.throttle.share,
 		})
 	}
 	return workers
--- a/internal/control/tenure.go
+++ b/internal/control/tenure.go
@@ -145,6 +145,7 @@
 		orders:    map[workflow.TaskKey]*order{},
 		strangers: map[workflow.Run]time.Time{},
 		heardAt:   time.Now(),
+		throttle:  throttle{share: wholeShare},
 		// A predecessor may have given a whole lease just before its right ended.
 		leaseEnd: t.started.Add(time.Duration(float64(t.lease)*driftFactor) + leaseSlack + predecessorSlack),
 	}
