Move machines between pools, standby ones first

Cause: a service on standby was read as any other; machines that stand by never came to a service whose work waited. Ruled out: moving busy machines (a move ends whatever runs there); moving at once (a burst of a second is over before a machine has come). A machine is given nothing new, and ordered away once nothing runs there. Waves and moves share the list, the emptying and the pause after a predecessor's orders.

--- a/internal/control/evacuate.go
+++ b/internal/control/evacuate.go
@@ -13,7 +13,7 @@
 // down. A long-running task is moved as soon as its step can spare it, others
 // only once their time is up. t.mu is held.
 func (t *tenure) evacuated(s *workflow.State, run workflow.Run, now time.Time) bool {
-	emptied := t.upkeep.emptied[run.Worker]
+	emptied := t.machines.emptied[run.Worker]
 	if emptied == nil {
 		return false
 	}
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -75,7 +75,7 @@
 // usable reports whether new tasks may be given to the worker. t.mu is held.
 func (s *session) usable(now time.Time) bool {
 	return s.ready && !s.leaving && !s.worker.Draining && now.Sub(s.answeredAt) < freshFor &&
-		!s.t.upkeep.emptying(s.worker.ID) && !s.doubtful(now) && now.After(s.quarantine) && !s.still()
+		!s.t.machines.emptying(s.worker.ID) && !s.doubtful(now) && now.After(s.quarantine) && !s.still()
 }
 
 // doubtful reports whether an order is without an answer for longer than a
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -202,10 +202,10 @@
 	for occurrence := range job.Occurrences {
 		begin := accepted
 		if job.Schedule.Times > 0 {
-			due := time.UnixMilli(job.Schedule.DueMS(occurrence))
-			if now.Round(0).Before(due) {
+			if !job.Due(occurrence, now) {
 				continue
 			}
+			due := time.UnixMilli(job.Schedule.DueMS(occurrence))
 			begin = now.Add(-now.Round(0).Sub(due))
 		}
 		for step := range job.Steps {
--- a/internal/control/tenure.go
+++ b/internal/control/tenure.go
@@ -67,8 +67,8 @@
 	pace pace
 	// proposed are the starts that are being committed, by task.
 	proposed map[workflow.TaskKey]string
-	// upkeep is what this tenure does about waves of upkeep.
-	upkeep *upkeepWork
+	machines *machines
+	fleet    *pools
 	// checkpoints are the latest that running tasks reported.
 	checkpoints map[workflow.TaskKey]string
 }
@@ -92,7 +92,7 @@
 		t.sleptBefore = slept
 	}
 	t.lease = leaseLength(c.cfg.Bounds)
-	t.upkeep = newUpkeepWork()
+	t.machines, t.fleet = newMachines(), newPools()
 	t.lanes = newLanes(c.cfg.Address, c.cfg.Adviser, c.cfg.Client)
 	c.machine.read(func(s *workflow.State) {
 		for id, worker := range s.Workers {
@@ -120,7 +120,7 @@
 	t.mu.Unlock()
 	t.goTask(t.forgetLoop)
 	if t.c.cfg.Machines != nil {
-		t.goTask(t.upkeepLoop)
+		t.goTask(t.machineLoop)
 	}
 	t.planLoop()
 	t.tasks.wait()
--- a/internal/control/upkeep_test.go
+++ b/internal/control/upkeep_test.go
@@ -27,6 +27,7 @@
 	// down and mostDown count machines that are down.
 	down, mostDown int
 	fences         []uint64
+	moves          []string
 	// silent orders are carried out without an answer.
 	silent bool
 }
@@ -71,21 +72,39 @@
 	return nil
 }
 
-func (f *fakeMachines) Move(context.Context, MachineOrder, string) error { return nil }
+func (f *fakeMachines) Move(_ context.Context, order MachineOrder, pool string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.list[order.Machine]
+	if m.State == MachineMoving || m.Pool == pool {
+		return nil
+	}
+	f.moves = append(f.moves, m.ID+" to "+pool)
+	m.Pool, m.State = pool, MachineMoving
+	f.comeUp(m)
+	return nil
+}
 
 func (f *fakeMachines) takeDown(m *ListedMachine) {
 	old := m.Worker
 	f.world.with(old, func(w *fakeWorker) { w.replaced = true; clear(w.running) })
 	m.State, m.Worker = MachineInUpkeep, ""
-	f.lives[m.ID]++
 	f.down++
 	f.mostDown = max(f.mostDown, f.down)
+	f.comeUp(m)
+}
+
+// comeUp lets the next incarnation of a machine's worker appear. f.mu is held.
+func (f *fakeMachines) comeUp(m *ListedMachine) {
+	f.lives[m.ID]++
 	next := fmt.Sprint(m.ID, "-", f.lives[m.ID])
 	time.AfterFunc(f.length, func() {
 		f.world.workers.add(next)
 		f.mu.Lock()
+		if m.State == MachineInUpkeep {
+			f.down--
+		}
 		m.State, m.Worker = MachineUp, next
-		f.down--
 		f.mu.Unlock()
 		// The test may have ended; then nobody is there to hear it.
 		_, _ = f.world.c.Announce(context.Background(), &Announcement{Worker: worker(next)})
@@ -201,3 +220,41 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+// What a user sees: jobs wait though machines stand by.
+// Order: a job needs more than the service's one machine has; others are off in a
+// standby pool.
+func TestAMachineOnStandbyComesWhenWorkWaits(t *testing.T) {
+	machines := newFakeMachines("m1", "m2", "m3")
+	for _, id := range []string{"m2", "m3"} {
+		*machines.list[id] = ListedMachine{ID: id, Pool: "off", State: MachineDown}
+	}
+	for _, m := range machines.list {
+		m.Capacity = tenCores
+	}
+	w := newWorld(t, func(w *world) {
+		machines.world = w
+		w.c.cfg.Machines = machines
+		w.commit(&workflow.Command{Configuration: &workflow.Document{
+			Version: 2, Source: []byte("{}"), Services: []workflow.Service{{Name: "s"}, {Name: "off", Standby: true}},
+			Queues: []workflow.Queue{{Name: "q", Host: "h", Prefix: "/q/", Policy: workflow.Policy{Service: "s", MaxAttempts: 3}}},
+		}})
+	})
+	w.workers.add("m1-0")
+	w.announce("m1-0")
+	step := oneTask
+	step.Count, step.Need.MilliCPU = 2, 8000
+	w.submit("a", step)
+	w.eventually("the second task runs on a machine that was off", func() bool {
+		started := 0
+		w.workers.mu.Lock()
+		defer w.workers.mu.Unlock()
+		for _, f := range w.workers.all {
+			started += len(f.starts)
+		}
+		return started == 2
+	})
+	machines.mu.Lock()
+	defer machines.mu.Unlock()
+	must.Eq(t, []string{"m2 to s"}, machines.moves)
+}
--- a/workflow/configuration.go
+++ b/workflow/configuration.go
@@ -37,12 +37,21 @@
 // Identity names the queue for as long as its host and path stay the same.
 func (q *Queue) Identity() string { return q.Host + q.Prefix }
 
+// Service is a pool of workers.
+type Service struct {
+	Name string `cbor:"1,keyasint"`
+	// Standby pools run nothing: their machines are off until they are moved.
+	Standby bool `cbor:"2,keyasint,omitempty"`
+}
+
 // Document is a version of the configuration.
 type Document struct {
 	Version uint64 `cbor:"1,keyasint"`
 	// Source is the document as it was handed in, nil before the first one.
 	Source []byte  `cbor:"2,keyasint"`
 	Queues []Queue `cbor:"3,keyasint"`
+	// Services are the pools of workers that queues name.
+	Services []Service `cbor:"4,keyasint,omitempty"`
 }
 
 // Resolve finds the queue with the longest prefix of path, and the rest of the
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -1,6 +1,8 @@
 package workflow
 
 import (
+	"time"
+
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 )
@@ -97,6 +99,14 @@
 	}
 }
 
+// Due reports whether an occurrence's time has come, by the time of day.
+func (j *Job) Due(occurrence int, now time.Time) bool {
+	if j.Schedule.Times == 0 {
+		return true
+	}
+	return !now.Round(0).Before(time.UnixMilli(j.Schedule.DueMS(occurrence)))
+}
+
 // StepReady reports whether all steps that step depends on have ended.
 func (j *Job) StepReady(occurrence, step int) bool {
 	states := j.Occurrences[occurrence]
