Give orders in the answers to heartbeats where workers aren't called

Cause: deployments may let workers fetch their orders with their heartbeats; the leader only called workers. Ruled out: taking the next heartbeat for proof that an answer arrived (it may come from a broken connection; the answer may be carried out late): two prompt ones in a row are needed, since a worker that hasn't taken an answer waits for a second first; holding the answer for long (ends are seen with the next heartbeat only). Change: a second implementation of the port to workers. A look is answered with lists made under the leader's fence. The setting worker_orders chooses.

--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -52,11 +52,16 @@
 	Sequence uint64 `cbor:"2,keyasint"`
 	// Remaining is the least time that a draining worker still runs.
 	Remaining time.Duration `cbor:"3,keyasint,omitempty"`
+	// Report holds the worker's lists, where orders go out with the answers to
+	// heartbeats.
+	Report *Report `cbor:"4,keyasint,omitempty"`
 }
 
 // AnnouncementReply names the control address of the leader.
 type AnnouncementReply struct {
 	Leader string `cbor:"1,keyasint,omitempty"`
+	// Orders are nil where workers are called.
+	Orders *BeatOrders `cbor:"2,keyasint,omitempty"`
 }
 
 // LeaveCall says that an incarnation ends.
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -36,7 +36,10 @@
 	Address, Public string
 	Bounds          Bounds
 	Workers         Workers
-	Adviser         Adviser
+	// OrdersByHeartbeat says that workers get their orders with the answers to their
+	// heartbeats and aren't called.
+	OrdersByHeartbeat bool
+	Adviser           Adviser
 	// Machines is nil where the deployment has no list of machines.
 	Machines Machines
 	// Instance names this one in orders for machines.
@@ -60,6 +63,8 @@
 	cfg     Config
 	machine *Machine
 	log     node.Log
+	// beats is nil where workers are called.
+	beats *beats
 
 	mu     sync.Mutex
 	tenure *tenure
@@ -67,7 +72,12 @@
 
 // New returns a controller over a log whose state machine is machine.
 func New(cfg Config, machine *Machine, replicated node.Log) *Controller {
-	return &Controller{cfg: cfg, machine: machine, log: replicated}
+	c := &Controller{cfg: cfg, machine: machine, log: replicated}
+	if cfg.OrdersByHeartbeat {
+		c.beats = newBeats(cfg.Workers)
+		c.cfg.Workers = c.beats
+	}
+	return c
 }
 
 // Run leads whenever this member may decide, until ctx ends.
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -195,7 +195,12 @@
 			"draining", r.Worker.Draining, "sequence", r.Sequence, "labels", strings.Join(r.Worker.Labels, ","))
 	}
 	t.heard(&r.Worker, r.Remaining)
-	return AnnouncementReply{Leader: c.cfg.Public}, nil
+	reply := AnnouncementReply{Leader: c.cfg.Public}
+	if c.beats != nil && r.Report != nil && t.looksAfter(r.Worker.ID) {
+		orders := c.beats.take(ctx, r.Worker.ID, t.fence, *r.Report)
+		reply.Orders = &orders
+	}
+	return reply, nil
 }
 
 // news reports whether the log doesn't have the worker as it announces itself.
--- a/internal/control/tenure.go
+++ b/internal/control/tenure.go
@@ -179,6 +179,13 @@
 	t.kick()
 }
 
+// looksAfter reports whether a worker's incarnation is looked after.
+func (t *tenure) looksAfter(worker string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.sessions[worker] != nil
+}
+
 // probeAddress lets sessions with other incarnations at the same address find
 // out at once that theirs is over. t.mu is held.
 func (t *tenure) probeAddress(w *workflow.Worker) {
@@ -225,6 +232,9 @@
 // forgetLoop drops what ended jobs no longer need.
 func (t *tenure) forgetLoop() {
 	for wait.For(t.ctx, forgetPause) {
+		if t.c.beats != nil {
+			t.c.beats.forget(t.looksAfter)
+		}
 		if old := t.forget(time.Now()); len(old) > 0 {
 			// A failure is logged by propose; the jobs are found again next time.
 			_, _ = t.propose(&workflow.Command{Forget: old})
--- a/internal/instance/settings.go
+++ b/internal/instance/settings.go
@@ -43,6 +43,9 @@
 	DataFolder string `toml:"data_folder"`
 	// Adviser is where questions about permits go; empty for none.
 	Adviser string `toml:"adviser"`
+	// WorkerOrders is how workers get their orders: by calls, which is "push", or
+	// with the answers to their heartbeats, which is "heartbeat".
+	WorkerOrders string `toml:"worker_orders"`
 	// MachineList is where the deployment's list of machines is; empty for none.
 	MachineList string `toml:"machine_list"`
 	// InstancesLost is how many core instances may be lost at the same time.
@@ -108,6 +111,9 @@
 	if s.InstancesLost < 0 {
 		return fault.Field("instances_lost", "%d is negative", s.InstancesLost)
 	}
+	if s.WorkerOrders != "" && s.WorkerOrders != ordersPush && s.WorkerOrders != ordersHeartbeat {
+		return fault.Field("worker_orders", "%q is neither %q nor %q", s.WorkerOrders, ordersPush, ordersHeartbeat)
+	}
 	for name, address := range map[string]string{
 		"entry": s.Entry, "readiness": s.Readiness, "control": s.Control, "adviser": s.Adviser,
 		"machine_list": s.MachineList,
@@ -124,6 +130,12 @@
 	return nil
 }
 
+// Ways in which workers get their orders.
+const (
+	ordersPush      = "push"
+	ordersHeartbeat = "heartbeat"
+)
+
 func checkAddress(field, address string) error {
 	if address == "" {
 		return nil
--- a/internal/instance/settings_test.go
+++ b/internal/instance/settings_test.go
@@ -42,6 +42,7 @@
 		{`control = "10.1.0.16:8166"`, `control = "10.1.0.16"`, "control"},
 		{`"10.2.0.32:8166"`, `"x"`, "seeds"},
 		{`instances_lost = 1`, `instances_lost = -1`, "instances_lost"},
+		{`instances_lost = 1`, `worker_orders = "pull"`, "worker_orders"},
 		{`first_start = true`, `first = true`, "first"},
 		{`lease_max = "10000ms"`, `lease_max = "10000"`, "settings"},
 		{`lease_max = "10000ms"`, `lease_max =`, "settings"},
@@ -66,7 +67,7 @@
 	must.NoError(t, err)
 	for _, name := range []string{
 		"instance", "data_centre", "address", "internal_port", "metrics_address", "entry", "readiness", "control", "seeds",
-		"first_start", "data_folder", "adviser", "instances_lost", "lease_max", "shown", "shutdown", "machine_list", "holder_pause", "upkeep",
+		"first_start", "data_folder", "adviser", "instances_lost", "lease_max", "shown", "shutdown", "machine_list", "worker_orders", "holder_pause", "upkeep",
 	} {
 		must.StrContains(t, string(text), name+" = ")
 	}
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -17,3 +17,13 @@
 		return true
 	}
 }
+
+// Closed waits until done is closed or ctx ends, and reports whether done was.
+func Closed(ctx context.Context, done <-chan struct{}) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-done:
+		return true
+	}
+}
