Offer jobs of dependent steps and waves in the product's own interface

Cause: steps, labels, copies, spare processors, repeats and waves could be asked for in the platform's words only; nobody could ask why a step waits. Ruled out: a spec with steps for today's cells (they run one step, and would have to refuse the rest); a second copy of the checks (they moved from the platform's folder into package workflow, which names fields in its own words; the folder maps them).

--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -152,6 +152,24 @@
 	}
 }
 
+func TestExplainCountsTheWorkersByWhatKeepsThem(t *testing.T) {
+	list := workers(0, 0, 9, 9, 9, 9, 9)
+	list[2].Labels = nil
+	list[6].Service = "t"
+	for _, i := range []int{0, 1, 3, 4, 5} {
+		list[i].Labels = []string{"gpu"}
+	}
+	s := needsPermit(step("a", 2, 2), map[string]Permit{
+		"w0": {Granted: true}, "w1": {Granted: true}, "w3": {Granted: true}, "w4": {}, "w2": {Granted: true},
+	})
+	s.Spec.Label = "gpu"
+	must.Eq(t, []Count{
+		{ReasonFull, 2, "w0"}, {ReasonLabel, 1, "w2"}, {ReasonTicket, 1, "w3"}, {ReasonDenied, 1, "w4"}, {ReasonUnasked, 1, "w5"},
+	}, Explain(0, &s, list, limits))
+	s.NeedsPermit = false
+	must.Eq(t, Count{"", 3, "w3"}, Explain(0, &s, list, limits)[0])
+}
+
 // What a user sees: an all-or-nothing job waits for ever beside small ones.
 // Order: the gang needs two workers; one is free, the other is soon; small
 // tasks arrive all the time and take each piece of room.
--- a/dispatch/select.go
+++ b/dispatch/select.go
@@ -5,21 +5,43 @@
 	"slices"
 )
 
+// filters keep workers from a step, whatever else runs there now.
+var filters = []struct {
+	reason Reason
+	passes func(s *Step, w *Worker) bool
+}{
+	{ReasonLabel, hasLabel},
+	{ReasonSize, bigEnough},
+	{ReasonSharing, compatible},
+}
+
 // filter returns the workers that could run tasks of s if they were empty.
 func filter(workers []*Worker, s *Step) []*Worker {
-	var out []*Worker
+	out := make([]*Worker, 0, len(workers))
 	for _, w := range workers {
-		if s.Spec.Label != "" && !slices.Contains(w.Labels, s.Spec.Label) {
-			continue
-		}
-		if !s.Spec.Room().Fits(w.Capacity) || !compatible(s, w) {
-			continue
+		if rejection(s, w) == "" {
+			out = append(out, w)
 		}
-		out = append(out, w)
 	}
 	return out
 }
 
+// rejection returns why w can't run tasks of s at all, empty when it can.
+func rejection(s *Step, w *Worker) Reason {
+	for i := range filters {
+		if !filters[i].passes(s, w) {
+			return filters[i].reason
+		}
+	}
+	return ""
+}
+
+func hasLabel(s *Step, w *Worker) bool {
+	return s.Spec.Label == "" || slices.Contains(w.Labels, s.Spec.Label)
+}
+
+func bigEnough(s *Step, w *Worker) bool { return s.Spec.Room().Fits(w.Capacity) }
+
 // leastSpareShare is the share, in percent, below which a worker's serving tasks
 // leave too little to begin another task on spare processors there.
 const leastSpareShare = 10
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -99,6 +99,14 @@
 	ReasonPermit   Reason = "waiting for the adviser"
 	ReasonRefused  Reason = "the adviser permits no suitable worker"
 	ReasonAffinity Reason = "each worker has as many tasks of the step as allowed"
+	ReasonLabel    Reason = "the worker doesn't carry the label"
+	ReasonSize     Reason = "the worker is too small"
+	ReasonSharing  Reason = "serving tasks leave too little of the worker"
+	ReasonBeside   Reason = "a run of the task is there"
+	ReasonFull     Reason = "no room on the worker now"
+	ReasonDenied   Reason = "the adviser refuses the worker"
+	ReasonUnasked  Reason = "the adviser wasn't asked about the worker"
+	ReasonTicket   Reason = "the ticket for the worker has ended"
 )
 
 // Waiting is a step with tasks that were not started.
--- /dev/null
+++ b/internal/apiserver/apiserver.go
@@ -0,0 +1,201 @@
+// Package apiserver serves the product's own interface of a cell whose log spans
+// its data centres: it checks and translates calls, and passes them on to the
+// leader.
+package apiserver
+
+import (
+	"context"
+	"crypto/subtle"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+
+	apiv1 "github.com/bilberryferry/bilberryferry/api/v1"
+	"github.com/bilberryferry/bilberryferry/fault"
+	"github.com/bilberryferry/bilberryferry/internal/control"
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+const (
+	// callTimeout bounds one call; a commit takes some tens of milliseconds, an
+	// election a second.
+	callTimeout = 5 * time.Second
+	// maxBody bounds a call: the largest job has a thousand steps.
+	maxBody = 1 << 20
+	// maxIDLength bounds the ID of a job in bytes.
+	maxIDLength = 64
+)
+
+// Operations are the calls of the leader.
+type Operations interface {
+	Submit(ctx context.Context, r *control.SubmitCall) (control.SubmitReply, error)
+	State(ctx context.Context, r *control.StateCall) (control.StateReply, error)
+	Cancel(ctx context.Context, r *control.CancelCall) error
+	Explain(ctx context.Context, r *control.ExplainCall) (control.ExplainReply, error)
+	StartWave(ctx context.Context, r *control.WaveCall) error
+	WaveState(ctx context.Context, r *control.WaveStateCall) (control.WaveStateReply, error)
+}
+
+// server implements the schema's Workflows.
+type server struct {
+	operations Operations
+	logger     log.Logger
+}
+
+// New returns the handler of the interface for callers that show token.
+func New(operations Operations, token string, logger log.Logger) http.Handler {
+	api := apiv1.NewWorkflowsServer(&server{operations: operations, logger: logger})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		shown := []byte(r.Header.Get("Authorization"))
+		if subtle.ConstantTimeCompare(shown, []byte("Bearer "+token)) != 1 {
+			w.WriteHeader(http.StatusUnauthorized)
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, maxBody)
+		ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+		defer cancel()
+		api.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
+
+// answer logs a refused call and turns its error into one of the schema's.
+func (s *server) answer(call, queue, id string, err error) error {
+	if err != nil {
+		_ = s.logger.Log("event", "api_request", "call", call, "queue", queue, "job", id, "outcome", fault.KindOf(err), "err", err)
+	}
+	return fault.ToTwirp(err)
+}
+
+func place(queue, id string) control.Place { return control.Place{Queue: queue, ID: id} }
+
+func checkRef(queue, id string) error {
+	switch {
+	case queue == "":
+		return fault.Field("queue", "missing")
+	case id == "" || len(id) > maxIDLength:
+		return fault.Field("id", "must have 1 to %d bytes", maxIDLength)
+	}
+	return nil
+}
+
+func (s *server) SubmitWorkflow(ctx context.Context, r *apiv1.SubmitWorkflowRequest) (*apiv1.SubmitWorkflowResponse, error) {
+	reply, err := s.submit(ctx, r)
+	return &apiv1.SubmitWorkflowResponse{Known: reply.Known}, s.answer("submit", r.GetQueue(), r.GetId(), err)
+}
+
+func (s *server) submit(ctx context.Context, r *apiv1.SubmitWorkflowRequest) (control.SubmitReply, error) {
+	if err := checkRef(r.GetQueue(), r.GetId()); err != nil {
+		return control.SubmitReply{}, err
+	}
+	call := &control.SubmitCall{Place: place(r.GetQueue(), r.GetId()), Payload: r.GetPayload(), Schedule: workflow.Schedule{
+		FirstAtMS: r.GetRepeat().GetFirstUnixMs(), EveryMS: r.GetRepeat().GetEveryMs(), Times: int(r.GetRepeat().GetTimes()),
+	}}
+	for _, step := range r.GetSteps() {
+		call.Steps = append(call.Steps, stepFromAPI(step))
+	}
+	var wrong *workflow.CheckError
+	if errors.As(workflow.Check(call.Payload, call.Steps, call.Schedule), &wrong) {
+		return control.SubmitReply{}, fault.Field(string(wrong.Field), "%s", wrong.Message)
+	}
+	return s.operations.Submit(ctx, call)
+}
+
+func stepFromAPI(s *apiv1.Step) workflow.Step {
+	step := workflow.Step{
+		Count: int(s.GetTasks()), EstimateMS: s.GetEstimateMs(), Gang: s.GetGang(), SameRack: s.GetSameRack(),
+		Need: workflow.Resources{
+			MilliCPU: s.GetNeed().GetCpuMilli(), MemoryMB: s.GetNeed().GetMemoryMib(), Accelerators: s.GetNeed().GetAccelerators(),
+		},
+		Label: s.GetLabel(), DataRack: s.GetNearRack(), MaxPerWorker: int(s.GetMaxPerWorker()), Speculative: s.GetCopies(),
+		LongRunning: s.GetLongRunning(), Checkpointing: s.GetCheckpointing(), UsesSpare: s.GetSpareProcessors(),
+		MaxUnavailable: int(s.GetMaxUnavailable()), Image: s.GetImage(), LatencyObjectiveMS: s.GetLatencyObjectiveMs(),
+	}
+	for _, before := range s.GetAfter() {
+		step.DependsOn = append(step.DependsOn, int(before))
+	}
+	return step
+}
+
+func (s *server) CancelWorkflow(ctx context.Context, r *apiv1.WorkflowRef) (*apiv1.CancelWorkflowResponse, error) {
+	err := checkRef(r.GetQueue(), r.GetId())
+	if err == nil {
+		err = s.operations.Cancel(ctx, &control.CancelCall{Place: place(r.GetQueue(), r.GetId())})
+	}
+	return &apiv1.CancelWorkflowResponse{}, s.answer("cancel", r.GetQueue(), r.GetId(), err)
+}
+
+func (s *server) GetWorkflow(ctx context.Context, r *apiv1.WorkflowRef) (*apiv1.WorkflowStatus, error) {
+	reply, err := s.explain(ctx, r)
+	return statusToAPI(&reply), s.answer("get", r.GetQueue(), r.GetId(), err)
+}
+
+func (s *server) ExplainWorkflow(ctx context.Context, r *apiv1.WorkflowRef) (*apiv1.ExplainWorkflowResponse, error) {
+	reply, err := s.explain(ctx, r)
+	return explanationToAPI(&reply), s.answer("explain", r.GetQueue(), r.GetId(), err)
+}
+
+func (s *server) explain(ctx context.Context, r *apiv1.WorkflowRef) (control.ExplainReply, error) {
+	if err := checkRef(r.GetQueue(), r.GetId()); err != nil {
+		return control.ExplainReply{}, err
+	}
+	return s.operations.Explain(ctx, &control.ExplainCall{Place: place(r.GetQueue(), r.GetId())})
+}
+
+func statusToAPI(reply *control.ExplainReply) *apiv1.WorkflowStatus {
+	status := &apiv1.WorkflowStatus{Queue: reply.Queue, Id: reply.ID, Phase: reply.Phase.String()}
+	for _, step := range reply.Steps {
+		status.Steps = append(status.Steps, &apiv1.StepStatus{
+			Occurrence: int32(step.Key.Occurrence), Step: int32(step.Key.Step), Tasks: int32(step.Tasks),
+			Done: int32(step.Done), Running: int32(step.Running), Failures: int32(step.Failures),
+		})
+	}
+	return status
+}
+
+func explanationToAPI(reply *control.ExplainReply) *apiv1.ExplainWorkflowResponse {
+	answer := &apiv1.ExplainWorkflowResponse{Status: statusToAPI(reply)}
+	for _, waiting := range reply.Waiting {
+		step := &apiv1.StepExplanation{
+			Occurrence: int32(waiting.Key.Occurrence), Step: int32(waiting.Key.Step), Tasks: int32(waiting.Tasks),
+			Reason: string(waiting.Reason), Permitted: int32(waiting.Permitted), Refused: int32(waiting.Refused),
+			Unknown: int32(waiting.Unknown),
+		}
+		for _, count := range waiting.Workers {
+			step.Workers = append(step.Workers, &apiv1.FilterCount{
+				Filter: string(count.Reason), Workers: int32(count.Workers), ExampleWorker: count.Example,
+			})
+		}
+		answer.Steps = append(answer.Steps, step)
+	}
+	return answer
+}
+
+func (s *server) GetQueue(ctx context.Context, r *apiv1.QueueRef) (*apiv1.QueueStatus, error) {
+	if r.GetQueue() == "" {
+		return nil, s.answer("queue", "", "", fault.Field("queue", "missing"))
+	}
+	reply, err := s.operations.State(ctx, &control.StateCall{Place: place(r.GetQueue(), "")})
+	return &apiv1.QueueStatus{Waiting: int32(reply.Waiting)}, s.answer("queue", r.GetQueue(), "", err)
+}
+
+func (s *server) StartWave(ctx context.Context, r *apiv1.Wave) (*apiv1.WaveStatus, error) {
+	wave := workflow.Wave{ID: r.GetId(), Machines: r.GetMachines(), DurationMS: r.GetDurationMs(), MaxDown: int(r.GetMaxDown())}
+	if err := workflow.CheckWave(&wave); err != nil {
+		return nil, s.answer("start wave", "", "", fault.Field(string(err.Field), "%s", err.Message))
+	}
+	if err := s.operations.StartWave(ctx, &control.WaveCall{Wave: wave}); err != nil {
+		return nil, s.answer("start wave", "", "", err)
+	}
+	return s.GetWave(ctx, &apiv1.WaveRef{Id: r.GetId()})
+}
+
+func (s *server) GetWave(ctx context.Context, r *apiv1.WaveRef) (*apiv1.WaveStatus, error) {
+	reply, err := s.operations.WaveState(ctx, &control.WaveStateCall{ID: r.GetId()})
+	status := &apiv1.WaveStatus{Id: r.GetId(), Done: reply.Done}
+	for _, upkeep := range reply.Upkeeps {
+		status.Machines = append(status.Machines, &apiv1.MachineUpkeep{Machine: upkeep.Machine, Stage: upkeep.Stage.String()})
+	}
+	return status, s.answer("wave", "", "", err)
+}
--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -155,6 +155,6 @@
 	return []*command{
 		submitCommand(), statusCommand(), watchCommand(), cancelCommand(), scaleCommand(), explainCommand(),
 		drainCommand(), undrainCommand(), configCommand(), quotaCommand(), workersCommand(), instancesCommand(),
-		replaceInstanceCommand(), timelineCommand(), checkSettingsCommand(), versionCommand(), completionCommand(),
+		replaceInstanceCommand(), workflowCommand(), waveCommand(), timelineCommand(), checkSettingsCommand(), versionCommand(), completionCommand(),
 	}
 }
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -26,6 +26,7 @@
 	address    string
 	scheduler  apiv1.Scheduler
 	operations apiv1.Operations
+	workflows  apiv1.Workflows
 }
 
 // client calls entry instances, one after the other until one answers.
@@ -54,6 +55,7 @@
 			address:    entry,
 			scheduler:  apiv1.NewSchedulerProtobufClient(base, httpClient),
 			operations: apiv1.NewOperationsProtobufClient(base, httpClient),
+			workflows:  apiv1.NewWorkflowsProtobufClient(base, httpClient),
 		})
 	}
 	return c
--- a/internal/cli/completion.go
+++ b/internal/cli/completion.go
@@ -28,6 +28,9 @@
 	}
 }
 
+// actionsOf are the words that follow commands which have some.
+var actionsOf = map[string][]string{"config": configActions, "workflow": workflowActions, "wave": waveActions}
+
 // writeBash writes a script that completes commands, flags and, behind them, files.
 func (s *session) writeBash(out io.Writer) error {
 	var names, cases strings.Builder
@@ -36,8 +39,8 @@
 		f := flag.NewFlagSet(c.Name(), flag.ContinueOnError)
 		newSession(s.app).prepare(c, f)
 		words := flagNames(f)
-		if c.Name() == "config" {
-			words += " " + strings.Join(configActions, " ")
+		if actions := actionsOf[c.Name()]; actions != nil {
+			words += " " + strings.Join(actions, " ")
 		}
 		fmt.Fprintf(&cases, "    %s) words=\"%s\" ;;\n", c.Name(), words)
 	}
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -12,7 +12,6 @@
 	apiv1 "github.com/bilberryferry/bilberryferry/api/v1"
 	"github.com/bilberryferry/bilberryferry/fault"
 	"github.com/bilberryferry/bilberryferry/internal/conf"
-	"github.com/bilberryferry/bilberryferry/internal/tomlfile"
 )
 
 // configActions are the words that may follow "bilberry config".
@@ -65,11 +64,7 @@
 	}
 	run, ok := actions[action]
 	if !ok {
-		err := fault.New(fault.Invalid, "unknown action %q", shorten(action))
-		if near := tomlfile.Nearest(action, configActions); near != "" {
-			return withNext(err, "did you mean \"bilberry config "+near+"\"?")
-		}
-		return err
+		return unknownAction("config", action, configActions)
 	}
 	if err := wantArgs(args); err != nil {
 		return err
--- /dev/null
+++ b/internal/cli/workflow.go
@@ -0,0 +1,288 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+
+	apiv1 "github.com/bilberryferry/bilberryferry/api/v1"
+	"github.com/bilberryferry/bilberryferry/fault"
+	"github.com/bilberryferry/bilberryferry/internal/jobfile"
+	"github.com/bilberryferry/bilberryferry/internal/tomlfile"
+	"github.com/bilberryferry/bilberryferry/internal/units"
+)
+
+// workflowsCall is call for the interface of a cell whose log spans its data centres.
+func workflowsCall[Q, A any](ctx context.Context, s *session, q Q, method func(apiv1.Workflows) func(context.Context, Q) (A, error)) (A, error) {
+	var none A
+	c, err := s.client()
+	if err != nil {
+		return none, err
+	}
+	ctx, cancel := s.bounded(ctx)
+	defer cancel()
+	return call(ctx, c, attemptTimeout, q, func(e *endpoint) func(context.Context, Q) (A, error) { return method(e.workflows) })
+}
+
+// workflowActions are the words that may follow "bilberry workflow".
+var workflowActions = []string{"submit", "status", "cancel", "explain", "waiting"}
+
+func workflowCommand() *command {
+	return &command{
+		name:     "workflow",
+		synopsis: "Submit, follow and cancel jobs of dependent steps",
+		usage:    "submit file... | status queue id | cancel queue id | explain queue id | waiting queue",
+		about: "For cells whose log spans their data centres; --entry names their api addresses.\n" +
+			"A file names queue, id and steps; the same id is the same job, so a submission\n" +
+			"without an answer is simply sent again.",
+		example: "bilberry workflow submit reports.toml\nbilberry workflow explain reports reports-7",
+		run: func(ctx context.Context, s *session, args []string) error {
+			if len(args) == 0 {
+				return fault.New(fault.Invalid, "give one of: %s", strings.Join(workflowActions, ", "))
+			}
+			return s.workflow(ctx, args[0], args[1:])
+		},
+	}
+}
+
+func (s *session) workflow(ctx context.Context, action string, args []string) error {
+	switch action {
+	case "submit":
+		return s.submitWorkflows(ctx, args)
+	case "waiting":
+		return s.queueStatus(ctx, args)
+	}
+	runs := map[string]func(context.Context, *apiv1.WorkflowRef) error{
+		"status": s.workflowStatus, "cancel": s.cancelWorkflow, "explain": s.explainWorkflow,
+	}
+	run, ok := runs[action]
+	if !ok {
+		return unknownAction("workflow", action, workflowActions)
+	}
+	if err := wantArgs(args, "queue", "id"); err != nil {
+		return err
+	}
+	return run(ctx, &apiv1.WorkflowRef{Queue: args[0], Id: args[1]})
+}
+
+func unknownAction(command, action string, known []string) error {
+	err := fault.New(fault.Invalid, "unknown action %q", shorten(action))
+	if near := tomlfile.Nearest(action, known); near != "" {
+		return withNext(err, fmt.Sprintf("did you mean \"%s %s %s\"?", programName, command, near))
+	}
+	return err
+}
+
+// submitWorkflows reads and checks all files before anything is sent.
+func (s *session) submitWorkflows(ctx context.Context, files []string) error {
+	if len(files) == 0 {
+		return fault.Field("file", "is missing")
+	}
+	var requests []*apiv1.SubmitWorkflowRequest
+	for _, file := range files {
+		data, err := s.readInput(file, maxJobFile)
+		if err != nil {
+			return err
+		}
+		request, err := jobfile.ParseWorkflow(file, data)
+		if err != nil {
+			return err
+		}
+		requests = append(requests, request)
+	}
+	for i, request := range requests {
+		answer, err := workflowsCall(ctx, s, request, func(api apiv1.Workflows) func(context.Context, *apiv1.SubmitWorkflowRequest) (*apiv1.SubmitWorkflowResponse, error) {
+			return api.SubmitWorkflow
+		})
+		if fault.Is(err, fault.Unavailable) || fault.Is(err, fault.Unknown) {
+			err = withNext(err, "the job may have been accepted; the same file may be sent again, its id makes it one job")
+		}
+		if err != nil {
+			return s.partly(err, i, len(requests))
+		}
+		if err := s.show(answer, func(out io.Writer) { showSubmitted(out, request, answer) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func showSubmitted(out io.Writer, request *apiv1.SubmitWorkflowRequest, answer *apiv1.SubmitWorkflowResponse) {
+	what := "accepted"
+	if answer.GetKnown() {
+		what = "was accepted before"
+	}
+	fmt.Fprintln(out, oneLine(fmt.Sprintf("%s in %s: %s", request.GetId(), request.GetQueue(), what)))
+}
+
+func (s *session) workflowStatus(ctx context.Context, ref *apiv1.WorkflowRef) error {
+	answer, err := workflowsCall(ctx, s, ref, func(api apiv1.Workflows) func(context.Context, *apiv1.WorkflowRef) (*apiv1.WorkflowStatus, error) {
+		return api.GetWorkflow
+	})
+	if err != nil {
+		return err
+	}
+	return s.show(answer, func(out io.Writer) { s.showWorkflow(out, answer) })
+}
+
+func (s *session) showWorkflow(out io.Writer, status *apiv1.WorkflowStatus) {
+	fmt.Fprintln(out, oneLine(fmt.Sprintf("%s in %s: %s", status.GetId(), status.GetQueue(), status.GetPhase())))
+	t := newTable("TIME", "STEP", "TASKS", "DONE", "RUNNING", "FAILURES")
+	for _, step := range status.GetSteps() {
+		t.add(text("%d", step.GetOccurrence()), text("%d", step.GetStep()), text("%d", step.GetTasks()),
+			text("%d", step.GetDone()), text("%d", step.GetRunning()), text("%d", step.GetFailures()))
+	}
+	t.print(s)
+}
+
+func (s *session) cancelWorkflow(ctx context.Context, ref *apiv1.WorkflowRef) error {
+	answer, err := workflowsCall(ctx, s, ref, func(api apiv1.Workflows) func(context.Context, *apiv1.WorkflowRef) (*apiv1.CancelWorkflowResponse, error) {
+		return api.CancelWorkflow
+	})
+	if err != nil {
+		return err
+	}
+	return s.show(answer, func(out io.Writer) { fmt.Fprintln(out, oneLine(ref.GetId()), "cancelled") })
+}
+
+func (s *session) explainWorkflow(ctx context.Context, ref *apiv1.WorkflowRef) error {
+	answer, err := workflowsCall(ctx, s, ref, func(api apiv1.Workflows) func(context.Context, *apiv1.WorkflowRef) (*apiv1.ExplainWorkflowResponse, error) {
+		return api.ExplainWorkflow
+	})
+	if err != nil {
+		return err
+	}
+	return s.show(answer, func(out io.Writer) { s.showWaiting(out, answer) })
+}
+
+// showWaiting shows, for each step that could go on, what keeps the workers.
+func (s *session) showWaiting(out io.Writer, answer *apiv1.ExplainWorkflowResponse) {
+	s.showWorkflow(out, answer.GetStatus())
+	if len(answer.GetSteps()) == 0 {
+		fmt.Fprintln(out, "no step waits")
+	}
+	for _, step := range answer.GetSteps() {
+		fmt.Fprintln(out, oneLine(fmt.Sprintf("\nstep %d: %d tasks could start; %s", step.GetStep(), step.GetTasks(), orNone(step.GetReason()))))
+		if step.GetPermitted()+step.GetRefused() > 0 {
+			fmt.Fprintf(out, "adviser: %d workers permitted, %d refused, %d not asked about\n", step.GetPermitted(), step.GetRefused(), step.GetUnknown())
+		}
+		t := newTable("WORKERS", "KEPT BY", "FOR EXAMPLE")
+		for _, count := range step.GetWorkers() {
+			t.add(text("%d", count.GetWorkers()), text("%s", orNone(count.GetFilter())), text("%s", count.GetExampleWorker()))
+		}
+		t.print(s)
+	}
+}
+
+// orNone names an empty reason.
+func orNone(reason string) string {
+	if reason == "" {
+		return "nothing"
+	}
+	return reason
+}
+
+func (s *session) queueStatus(ctx context.Context, args []string) error {
+	if err := wantArgs(args, "queue"); err != nil {
+		return err
+	}
+	answer, err := workflowsCall(ctx, s, &apiv1.QueueRef{Queue: args[0]}, func(api apiv1.Workflows) func(context.Context, *apiv1.QueueRef) (*apiv1.QueueStatus, error) {
+		return api.GetQueue
+	})
+	if err != nil {
+		return err
+	}
+	return s.show(answer, func(out io.Writer) { fmt.Fprintf(out, "%d jobs wait\n", answer.GetWaiting()) })
+}
+
+// waveActions are the words that may follow "bilberry wave".
+var waveActions = []string{"start", "status"}
+
+// waveFlags are the flags of "bilberry wave start".
+type waveFlags struct {
+	machines, duration string
+	maxDown            int
+}
+
+func waveCommand() *command {
+	var flags waveFlags
+	return &command{
+		name:     "wave",
+		synopsis: "Take machines down for upkeep, a few at a time",
+		usage:    "start [flags] number | status number",
+		about: "Machines are emptied first: they get nothing new, and what runs there ends or is\n" +
+			"moved while there is time. The same number is the same wave.",
+		example: "bilberry wave start --machines m-0a3f1,m-141e8 --duration 20m --max-down 1 7\nbilberry wave status 7",
+		flags: func(f *flag.FlagSet) {
+			f.StringVar(&flags.machines, "machines", "", "start: the `names` of the machines, with commas between")
+			f.StringVar(&flags.duration, "duration", "", "start: the `time` that the whole wave may take, such as 20m")
+			f.IntVar(&flags.maxDown, "max-down", 1, "start: at most this `number` of machines are down at a time")
+		},
+		run: func(ctx context.Context, s *session, args []string) error {
+			if len(args) == 0 {
+				return fault.New(fault.Invalid, "give one of: %s", strings.Join(waveActions, ", "))
+			}
+			return s.wave(ctx, &flags, args[0], args[1:])
+		},
+	}
+}
+
+func (s *session) wave(ctx context.Context, flags *waveFlags, action string, args []string) error {
+	if action != "start" && action != "status" {
+		return unknownAction("wave", action, waveActions)
+	}
+	if err := wantArgs(args, "number"); err != nil {
+		return err
+	}
+	id, err := strconv.ParseInt(args[0], 10, 64)
+	if err != nil || id < 1 {
+		return fault.Field("number", "%q isn't a number above 0", shorten(args[0]))
+	}
+	if action == "status" {
+		return s.showWave(workflowsCall(ctx, s, &apiv1.WaveRef{Id: id}, func(api apiv1.Workflows) func(context.Context, *apiv1.WaveRef) (*apiv1.WaveStatus, error) {
+			return api.GetWave
+		}))
+	}
+	wave, err := flags.wave(id)
+	if err != nil {
+		return err
+	}
+	return s.showWave(workflowsCall(ctx, s, wave, func(api apiv1.Workflows) func(context.Context, *apiv1.Wave) (*apiv1.WaveStatus, error) {
+		return api.StartWave
+	}))
+}
+
+func (f *waveFlags) wave(id int64) (*apiv1.Wave, error) {
+	if f.machines == "" {
+		return nil, fault.Field("--machines", "is missing; name the machines")
+	}
+	duration, err := units.ParseDuration(f.duration)
+	if err != nil {
+		return nil, fault.Field("--duration", "%v", err)
+	}
+	if f.maxDown < 1 || f.maxDown > maxScale {
+		return nil, fault.Field("--max-down", "must be from 1 to %d, is %d", maxScale, f.maxDown)
+	}
+	return &apiv1.Wave{Id: id, Machines: strings.Split(f.machines, ","), DurationMs: duration.Milliseconds(), MaxDown: int32(f.maxDown)}, nil
+}
+
+func (s *session) showWave(status *apiv1.WaveStatus, err error) error {
+	if err != nil {
+		return err
+	}
+	return s.show(status, func(out io.Writer) {
+		what := "active"
+		if status.GetDone() {
+			what = "done"
+		}
+		fmt.Fprintf(out, "wave %d: %s\n", status.GetId(), what)
+		t := newTable("MACHINE", "UPKEEP")
+		for _, m := range status.GetMachines() {
+			t.add(text("%s", m.GetMachine()), text("%s", m.GetStage()))
+		}
+		t.print(s)
+	})
+}
--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -3,13 +3,17 @@
 import (
 	"time"
 
+	"github.com/bilberryferry/bilberryferry/dispatch"
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
 
-// Place is where a caller's request was sent.
+// Place is where a caller's request was sent: a host and a path, or the name of
+// a queue and the ID of a job.
 type Place struct {
-	Host string `cbor:"1,keyasint"`
-	Path string `cbor:"2,keyasint"`
+	Host  string `cbor:"1,keyasint,omitempty"`
+	Path  string `cbor:"2,keyasint,omitempty"`
+	Queue string `cbor:"3,keyasint,omitempty"`
+	ID    string `cbor:"4,keyasint,omitempty"`
 }
 
 // SubmitCall hands a job in. The queue and the job's ID follow from Place.
@@ -93,6 +97,44 @@
 	Version uint64   `cbor:"2,keyasint"`
 }
 
+// ExplainCall asks what a job waits for.
+type ExplainCall struct {
+	Place Place `cbor:"1,keyasint"`
+}
+
+// ExplainReply is how far each step of a job is, and what keeps the ready ones
+// from going on.
+type ExplainReply struct {
+	Queue   string            `cbor:"1,keyasint"`
+	ID      string            `cbor:"2,keyasint"`
+	Phase   workflow.Phase    `cbor:"3,keyasint"`
+	Steps   []StepProgress    `cbor:"4,keyasint"`
+	Waiting []StepExplanation `cbor:"5,keyasint,omitempty"`
+}
+
+// StepProgress counts the tasks of one step of one occurrence.
+type StepProgress struct {
+	Key      workflow.StepKey `cbor:"1,keyasint"`
+	Tasks    int              `cbor:"2,keyasint"`
+	Done     int              `cbor:"3,keyasint"`
+	Running  int              `cbor:"4,keyasint"`
+	Failures int              `cbor:"5,keyasint"`
+}
+
+// StepExplanation is what a ready step's tasks wait for.
+type StepExplanation struct {
+	Key workflow.StepKey `cbor:"1,keyasint"`
+	// Tasks is how many of its tasks could start.
+	Tasks  int             `cbor:"2,keyasint"`
+	Reason dispatch.Reason `cbor:"3,keyasint"`
+	// Workers counts the service's workers by what keeps each from a task.
+	Workers []dispatch.Count `cbor:"4,keyasint"`
+	// Permitted, Refused and Unknown count workers by the adviser's word.
+	Permitted int `cbor:"5,keyasint"`
+	Refused   int `cbor:"6,keyasint"`
+	Unknown   int `cbor:"7,keyasint"`
+}
+
 // WaveCall starts a wave of upkeep.
 type WaveCall struct {
 	Wave workflow.Wave `cbor:"1,keyasint"`
@@ -106,6 +148,8 @@
 // WaveStateReply is how far a wave has come.
 type WaveStateReply struct {
 	Done bool `cbor:"1,keyasint,omitempty"`
+	// Upkeeps are the stages of its machines, in the order of the wave.
+	Upkeeps []workflow.Upkeep `cbor:"2,keyasint,omitempty"`
 }
 
 // Names of the calls between instances.
@@ -121,4 +165,5 @@
 	MethodAsk           = "ask"
 	MethodStartWave     = "start_wave"
 	MethodWaveState     = "wave_state"
+	MethodExplain       = "explain"
 )
--- /dev/null
+++ b/internal/control/explain.go
@@ -0,0 +1,119 @@
+package control
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/bilberryferry/bilberryferry/dispatch"
+	"github.com/bilberryferry/bilberryferry/fault"
+	"github.com/bilberryferry/bilberryferry/internal/link"
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+// Explain tells how far a job is and what its ready steps wait for, by the same
+// snapshot and the same filters that the next decision uses.
+func (c *Controller) Explain(ctx context.Context, r *ExplainCall) (ExplainReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	t, err := c.leading()
+	if err != nil {
+		return ExplainReply{}, err
+	}
+	queue, id, err := c.resolve(ctx, r.Place)
+	if err != nil {
+		return ExplainReply{}, err
+	}
+	if err := c.log.Barrier(ctx); err != nil {
+		return ExplainReply{}, link.NotLeader(c.cfg.Leader())
+	}
+	reply := ExplainReply{Queue: queue.Name, ID: id}
+	found := false
+	c.machine.read(func(s *workflow.State) {
+		job := s.Jobs[id]
+		if found = job != nil && job.Queue == queue.Identity(); found {
+			reply.Phase, reply.Steps = job.Phase(), progressOf(job)
+		}
+	})
+	if !found {
+		return ExplainReply{}, fault.New(fault.Cancelled, "no job %s", id)
+	}
+	reply.Waiting = t.explain(id, time.Now())
+	return reply, nil
+}
+
+func progressOf(job *workflow.Job) []StepProgress {
+	var steps []StepProgress
+	for occurrence, states := range job.Occurrences {
+		for step := range states {
+			state := &states[step]
+			failures := state.GangFailures
+			for i := range state.Tasks {
+				failures += state.Tasks[i].Failures
+			}
+			steps = append(steps, StepProgress{
+				Key:   workflow.StepKey{Job: job.ID, Occurrence: occurrence, Step: step},
+				Tasks: len(state.Tasks), Done: state.Done, Running: state.Live(), Failures: failures,
+			})
+		}
+	}
+	return steps
+}
+
+// explain explains the ready steps of a job that have tasks left to start.
+func (t *tenure) explain(id string, now time.Time) []StepExplanation {
+	v := t.snapshot(now)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []StepExplanation
+	for i := range v.steps {
+		step := &v.steps[i]
+		if step.Key.Job != id || step.Copy {
+			continue
+		}
+		e := StepExplanation{Key: step.Key, Tasks: len(step.Pending), Reason: t.waiting[step.Key]}
+		e.Workers = append(t.obstacles(step.Service, now), dispatch.Explain(now.Sub(t.started), step, v.workers, planLimits)...)
+		for _, permit := range step.Permits {
+			if permit.Granted {
+				e.Permitted++
+			} else {
+				e.Refused++
+			}
+		}
+		if step.NeedsPermit {
+			e.Unknown = max(len(v.workers)-e.Permitted-e.Refused, 0)
+		}
+		list = append(list, e)
+	}
+	return list
+}
+
+// obstacles counts the workers of a service that get nothing new, by why. t.mu is
+// held.
+func (t *tenure) obstacles(service string, now time.Time) []dispatch.Count {
+	counts := map[dispatch.Reason]*dispatch.Count{}
+	suspects := t.suspects(now)
+	runs := map[string]int{}
+	t.c.machine.read(func(s *workflow.State) {
+		for id := range t.sessions {
+			runs[id] = len(s.Runs[id])
+		}
+	})
+	for id, session := range t.sessions {
+		reason := session.obstacle(now, suspects, runs[id])
+		if reason == "" || session.worker.Service != service {
+			continue
+		}
+		if counts[reason] == nil {
+			counts[reason] = &dispatch.Count{Reason: reason, Example: id}
+		}
+		counts[reason].Workers++
+	}
+	var list []dispatch.Count
+	for _, count := range counts {
+		list = append(list, *count)
+	}
+	slices.SortFunc(list, func(a, b dispatch.Count) int { return cmp.Compare(a.Reason, b.Reason) })
+	return list
+}
--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -121,11 +121,3 @@
 func (o *order) stuck(step *workflow.Step) bool {
 	return o.listed && !step.Gang && !step.LongRunning && o.share != 0 && o.progressAt.Sub(o.advancedAt) > moveAfter
 }
-
-// noteStuck sets back the worker of a run that stands still, once a run: with
-// nothing else running there it would be the first choice for the same task.
-func (s *session) noteStuck(o *order) {
-	if o.stopSent.IsZero() {
-		s.failures++
-	}
-}
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -24,6 +24,9 @@
 	planBusy = 2 * time.Millisecond
 )
 
+// planLimits bound one plan but for the questions that may be put.
+var planLimits = dispatch.Limits{AskWorkers: askWorkers, GangAskWorkers: gangAskWorkers, TicketMargin: ticketMargin}
+
 // planLoop decides whenever something has changed, until the tenure ends.
 func (t *tenure) planLoop() {
 	for t.ctx.Err() == nil {
@@ -46,12 +49,10 @@
 func (t *tenure) decide() {
 	begun := time.Now()
 	v := t.snapshot(begun)
-	for _, stop := range v.stops {
-		t.goTask(func() { stop.session.sendStop(stop.run) })
-	}
-	plan := dispatch.Decide(begun.Sub(t.started), v.steps, v.workers, dispatch.Limits{
-		AskWorkers: askWorkers, GangAskWorkers: gangAskWorkers, Asks: t.lanes.free(begun), TicketMargin: ticketMargin,
-	})
+	t.sendStops(v.stops, begun)
+	limits := planLimits
+	limits.Asks = t.lanes.free(begun)
+	plan := dispatch.Decide(begun.Sub(t.started), v.steps, v.workers, limits)
 	t.c.cfg.Counters.Observe("decide", time.Since(begun))
 	t.logWaiting(plan.Waiting)
 	for _, question := range plan.Asks {
@@ -67,6 +68,8 @@
 // logWaiting logs why steps wait, once for each new reason of a step. Waiting for
 // the adviser isn't logged: each question is.
 func (t *tenure) logWaiting(waiting []dispatch.Waiting) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	before := t.waiting
 	t.waiting = make(map[workflow.StepKey]dispatch.Reason, len(waiting))
 	for _, w := range waiting {
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -30,6 +30,7 @@
 	link.Handle(mux, MethodFollow, c.Follow)
 	link.Handle(mux, MethodStartWave, c.StartWave)
 	link.Handle(mux, MethodWaveState, c.WaveState)
+	link.Handle(mux, MethodExplain, c.Explain)
 }
 
 // resolve finds the queue of a place. NotFound is said only after the log has
@@ -52,8 +53,12 @@
 			return
 		}
 		queue, after, ok := s.Configuration.Resolve(place.Host, place.Path)
+		if place.Queue != "" {
+			queue, ok = s.Configuration.Queue(place.Queue)
+			after = place.ID
+		}
 		if !ok {
-			err = fault.New(fault.NotFound, "no queue at %s%s", place.Host, place.Path)
+			err = fault.New(fault.NotFound, "no queue at %s%s%s", place.Host, place.Path, place.Queue)
 			return
 		}
 		found, rest = *queue, after
@@ -297,6 +302,11 @@
 	c.machine.read(func(s *workflow.State) {
 		if wave := s.Wave(r.ID); wave != nil {
 			reply.Done, found = wave.Done(), true
+			for _, machine := range wave.Machines {
+				upkeep := wave.Upkeeps[machine]
+				upkeep.Machine = machine
+				reply.Upkeeps = append(reply.Upkeeps, upkeep)
+			}
 		}
 	})
 	if !found {
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bilberryferry/bilberryferry/dispatch"
 	"github.com/bilberryferry/bilberryferry/internal/wait"
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
@@ -72,10 +73,41 @@
 
 func (s *session) target() Target { return Target{Worker: s.worker.ID, Address: s.worker.Address} }
 
-// usable reports whether new tasks may be given to the worker. t.mu is held.
-func (s *session) usable(now time.Time) bool {
-	return s.ready && !s.leaving && !s.worker.Draining && now.Sub(s.answeredAt) < freshFor &&
-		!s.t.machines.emptying(s.worker.ID) && !s.doubtful(now) && now.After(s.quarantine) && !s.still()
+// Reasons why a worker gets nothing new.
+const (
+	reasonSilent   dispatch.Reason = "the worker hasn't answered lately"
+	reasonLeaving  dispatch.Reason = "the worker leaves"
+	reasonEmptied  dispatch.Reason = "the worker's machine is to go down"
+	reasonDoubtful dispatch.Reason = "an order to the worker has no answer"
+	reasonSetAside dispatch.Reason = "the worker failed several jobs in a row"
+	reasonStill    dispatch.Reason = "nothing advances on the worker"
+	reasonSlow     dispatch.Reason = "the worker is slow and has a run"
+	reasonCut      dispatch.Reason = "the worker's data centre seems to be cut off"
+)
+
+// obstacle returns why no new task is given to the worker, on which runs may be
+// alive; empty when one may be. t.mu is held.
+func (s *session) obstacle(now time.Time, suspects map[string]bool, runs int) dispatch.Reason {
+	switch {
+	case s.leaving || s.worker.Draining:
+		return reasonLeaving
+	case !s.ready || now.Sub(s.answeredAt) >= freshFor:
+		return reasonSilent
+	case s.t.machines.emptying(s.worker.ID):
+		return reasonEmptied
+	case s.doubtful(now):
+		return reasonDoubtful
+	case !now.After(s.quarantine):
+		return reasonSetAside
+	case s.still():
+		return reasonStill
+	case s.slow() && runs > 0:
+		// A slow worker gets one run at a time, which shows whether it still is.
+		return reasonSlow
+	case suspects[s.worker.DataCentre]:
+		return reasonCut
+	}
+	return ""
 }
 
 // doubtful reports whether an order is without an answer for longer than a
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -12,12 +12,6 @@
 // lateFactor times its objective after acceptance a job is worth nothing more.
 const lateFactor = 3
 
-// stopping is a run that is to be stopped.
-type stopping struct {
-	session *session
-	run     workflow.Run
-}
-
 // view is what a decision needs. Everything in it is a copy.
 type view struct {
 	steps   []dispatch.Step
@@ -59,12 +53,14 @@
 				placed[task.StepKey] = map[string]int{}
 			}
 			placed[task.StepKey][id]++
-			switch {
-			case session == nil:
-			case !t.unwanted(s, run, session, now):
+			if session == nil {
+				continue
+			}
+			cause := t.stopCauseOf(s, run, session, now)
+			if cause == stopNone {
 				v.noteCopy(t, s, run, session, now)
-			case session.stopDue(run, now):
-				v.stops = append(v.stops, stopping{session, run})
+			} else if session.stopDue(run, now) {
+				v.stops = append(v.stops, stopping{session, run, cause})
 			}
 		}
 	}
@@ -77,56 +73,6 @@
 	return placed
 }
 
-// unwanted reports whether a run serves nobody: its job has ended, or a copy of
-// it, or another member of its gang; its start got no answer, it stands still, or
-// its machine goes down.
-func (t *tenure) unwanted(s *workflow.State, run workflow.Run, session *session, now time.Time) bool {
-	job := s.Jobs[run.Task.Job]
-	if job == nil || job.Cancelled || job.Failed {
-		return true
-	}
-	step := &job.Occurrences[run.Task.Occurrence][run.Task.Step]
-	spec := &job.Steps[run.Task.Step]
-	if spec.Gang && step.GangEndedRun >= run.Number {
-		return true
-	}
-	if spec.MayCopy() && step.Tasks[run.Task.Index].Done {
-		return true
-	}
-	if t.evacuated(s, run, now) {
-		return true
-	}
-	o := session.orders[run.Task]
-	if o == nil {
-		return false
-	}
-	if o.paused(spec, now) {
-		return true
-	}
-	if o.stuck(spec) {
-		session.noteStuck(o)
-		return true
-	}
-	return o.unanswered && o.abandoned
-}
-
-// stopDue reports whether a stop is to be sent now, and notes that it is.
-func (s *session) stopDue(run workflow.Run, now time.Time) bool {
-	o := s.orders[run.Task]
-	if o == nil || o.run.Number != run.Number {
-		if s.inherited[run.Task] != run.Number {
-			return false
-		}
-		o = &order{run: run, listed: true}
-		s.orders[run.Task] = o
-	}
-	if now.Sub(o.stopSent) < stopAgain {
-		return false
-	}
-	o.stopSent = now
-	return true
-}
-
 func (t *tenure) gatherWorkers(s *workflow.State, now time.Time) []dispatch.Worker {
 	var workers []dispatch.Worker
 	proposed := map[string]workflow.Resources{}
@@ -138,11 +84,7 @@
 	suspects := t.suspects(now)
 	for id, session := range t.sessions {
 		state := s.Workers[id]
-		if state == nil || state.Gone || state.Draining || !session.usable(now) || suspects[state.DataCentre] {
-			continue
-		}
-		if session.slow() && len(s.Runs[id]) > 0 {
-			// A slow worker gets one run at a time, which shows whether it still is.
+		if state == nil || state.Gone || session.obstacle(now, suspects, len(s.Runs[id])) != "" {
 			continue
 		}
 		free := state.Capacity.Minus(proposed[id])
--- /dev/null
+++ b/internal/control/stops.go
@@ -0,0 +1,99 @@
+package control
+
+import (
+	"time"
+
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+// stopCause is why a run is stopped.
+type stopCause string
+
+const (
+	stopNone       stopCause = ""
+	stopJobEnded   stopCause = "the job has ended"
+	stopGangEnded  stopCause = "another member of the gang has ended"
+	stopCopyDone   stopCause = "a copy is done"
+	stopMachine    stopCause = "the machine goes down"
+	stopPaused     stopCause = "paused for long"
+	stopStill      stopCause = "stands still"
+	stopUnanswered stopCause = "its start got no answer"
+)
+
+// stopping is a run that is to be stopped.
+type stopping struct {
+	session *session
+	run     workflow.Run
+	cause   stopCause
+}
+
+// stopCauseOf returns why a run serves nobody. t.mu is held.
+func (t *tenure) stopCauseOf(s *workflow.State, run workflow.Run, session *session, now time.Time) stopCause {
+	job := s.Jobs[run.Task.Job]
+	if job == nil || job.Cancelled || job.Failed {
+		return stopJobEnded
+	}
+	step := &job.Occurrences[run.Task.Occurrence][run.Task.Step]
+	spec := &job.Steps[run.Task.Step]
+	switch {
+	case spec.Gang && step.GangEndedRun >= run.Number:
+		return stopGangEnded
+	case spec.MayCopy() && step.Tasks[run.Task.Index].Done:
+		return stopCopyDone
+	case t.evacuated(s, run, now):
+		return stopMachine
+	}
+	o := session.orders[run.Task]
+	switch {
+	case o == nil:
+		return stopNone
+	case o.paused(spec, now):
+		return stopPaused
+	case o.stuck(spec):
+		return stopStill
+	case o.unanswered && o.abandoned:
+		return stopUnanswered
+	}
+	return stopNone
+}
+
+// stopDue reports whether a stop of a run that is known to this tenure is to be
+// sent now. t.mu is held.
+func (s *session) stopDue(run workflow.Run, now time.Time) bool {
+	o := s.orders[run.Task]
+	if o == nil || o.run.Number != run.Number {
+		return s.inherited[run.Task] == run.Number
+	}
+	return now.Sub(o.stopSent) >= stopAgain
+}
+
+// noteStop notes that a stop is sent. A run that stands still sets its worker
+// back once: with nothing else running there it would be the first choice for
+// the same task. t.mu is held.
+func (s *session) noteStop(stop stopping, now time.Time) {
+	o := s.orders[stop.run.Task]
+	if o == nil || o.run.Number != stop.run.Number {
+		o = &order{run: stop.run, listed: true}
+		s.orders[stop.run.Task] = o
+	}
+	if o.stopSent.IsZero() {
+		s.t.logger.Log("event", "stop", "task", stop.run.Task, "run", stop.run.Number, "worker", s.worker.ID, "cause", stop.cause)
+		if stop.cause == stopStill {
+			s.failures++
+		}
+	}
+	o.stopSent = now
+}
+
+// sendStops notes and sends the stops that a decision found due.
+func (t *tenure) sendStops(stops []stopping, now time.Time) {
+	if len(stops) == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, stop := range stops {
+		stop.session.noteStop(stop, now)
+		t.goTask(func() { stop.session.sendStop(stop.run) })
+	}
+}
--- a/internal/control/tenure.go
+++ b/internal/control/tenure.go
@@ -46,10 +46,9 @@
 	kicked      chan struct{}
 	tasks       tasks
 
-	// waiting is why steps waited at the last decision; it belongs to planLoop.
-	waiting map[workflow.StepKey]dispatch.Reason
-
-	mu       sync.Mutex
+	mu sync.Mutex
+	// waiting is why steps waited at the last decision.
+	waiting  map[workflow.StepKey]dispatch.Reason
 	sessions map[string]*session
 	permits  map[workflow.StepKey]*stepPermits
 	// answered is when a worker of each data centre last answered.
--- a/internal/instance/operations.go
+++ b/internal/instance/operations.go
@@ -70,6 +70,11 @@
 	return err
 }
 
+// Explain tells what a job waits for.
+func (o *Operations) Explain(ctx context.Context, r *control.ExplainCall) (control.ExplainReply, error) {
+	return call(ctx, o, control.MethodExplain, r, (*control.Controller).Explain)
+}
+
 // StartWave starts a wave of upkeep.
 func (o *Operations) StartWave(ctx context.Context, r *control.WaveCall) error {
 	_, err := call(ctx, o, control.MethodStartWave, r, (*control.Controller).StartWave)
--- a/internal/instance/process.go
+++ b/internal/instance/process.go
@@ -15,11 +15,13 @@
 	"github.com/go-kit/log"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/bilberryferry/bilberryferry/internal/apiserver"
 	"github.com/bilberryferry/bilberryferry/internal/control"
 	"github.com/bilberryferry/bilberryferry/internal/gateway"
 	"github.com/bilberryferry/bilberryferry/internal/link"
 	"github.com/bilberryferry/bilberryferry/internal/oplog"
 	"github.com/bilberryferry/bilberryferry/internal/rpc"
+	"github.com/bilberryferry/bilberryferry/internal/settings"
 )
 
 const (
@@ -134,6 +136,21 @@
 	return server
 }
 
+// serveAPI serves the product's own interface, where the settings name an address.
+func (p *process) serveAPI(group *errgroup.Group, n *node) {
+	n.api = newInternalServer(p.settings.API, nil)
+	if p.settings.API == "" {
+		return
+	}
+	token, err := settings.ReadToken(p.settings.APIToken)
+	if err != nil {
+		group.Go(func() error { return err })
+		return
+	}
+	n.api.Handler = apiserver.New(n.operations, token, p.logger)
+	serve(group, n.api)
+}
+
 // node is what both daemons are made of.
 type node struct {
 	// own is where other instances reach this one.
@@ -145,6 +162,7 @@
 	operations *Operations
 	internal   *http.Server
 	metrics    *http.Server
+	api        *http.Server
 }
 
 // openNode makes what both daemons are made of. Every instance puts questions to
@@ -166,6 +184,7 @@
 func (p *process) serveNode(ctx context.Context, group *errgroup.Group, n *node) {
 	serve(group, n.internal)
 	n.metrics = p.serveMetrics(group)
+	p.serveAPI(group, n)
 	group.Go(func() error {
 		return p.watchSettings(ctx, func(next *Settings) { n.gateway.SetSeeds(next.seedAddresses()) })
 	})
@@ -175,6 +194,7 @@
 func (n *node) close() {
 	_ = n.internal.Close()
 	_ = n.metrics.Close()
+	_ = n.api.Close()
 }
 
 // awaitStop returns when the process is told to stop or a part of it has failed.
--- a/internal/instance/settings.go
+++ b/internal/instance/settings.go
@@ -35,6 +35,10 @@
 	Entry     string `toml:"entry"`
 	Readiness string `toml:"readiness"`
 	Control   string `toml:"control"`
+	// API serves the product's own interface, empty for none; its callers show the
+	// token in the file APIToken.
+	API      string `toml:"api"`
+	APIToken string `toml:"api_token"`
 	// Seeds are control addresses of core instances.
 	Seeds []string `toml:"seeds"`
 	// FirstStart is true when the whole system starts for the first time.
@@ -114,9 +118,12 @@
 	if s.WorkerOrders != "" && s.WorkerOrders != ordersPush && s.WorkerOrders != ordersHeartbeat {
 		return fault.Field("worker_orders", "%q is neither %q nor %q", s.WorkerOrders, ordersPush, ordersHeartbeat)
 	}
+	if s.API != "" && s.APIToken == "" {
+		return fault.Field("api_token", "missing: the file that holds the token of those who call the interface")
+	}
 	for name, address := range map[string]string{
 		"entry": s.Entry, "readiness": s.Readiness, "control": s.Control, "adviser": s.Adviser,
-		"machine_list": s.MachineList,
+		"machine_list": s.MachineList, "api": s.API,
 	} {
 		if err := checkAddress(name, address); err != nil {
 			return err
--- a/internal/instance/settings_test.go
+++ b/internal/instance/settings_test.go
@@ -42,6 +42,7 @@
 		{`control = "10.1.0.16:8166"`, `control = "10.1.0.16"`, "control"},
 		{`"10.2.0.32:8166"`, `"x"`, "seeds"},
 		{`instances_lost = 1`, `instances_lost = -1`, "instances_lost"},
+		{`instances_lost = 1`, `api = "10.1.0.16:7400"`, "api_token"},
 		{`instances_lost = 1`, `worker_orders = "pull"`, "worker_orders"},
 		{`first_start = true`, `first = true`, "first"},
 		{`lease_max = "10000ms"`, `lease_max = "10000"`, "settings"},
--- a/workflow/configuration.go
+++ b/workflow/configuration.go
@@ -54,6 +54,16 @@
 	Services []Service `cbor:"4,keyasint,omitempty"`
 }
 
+// Queue finds a queue by its name.
+func (d *Document) Queue(name string) (queue *Queue, ok bool) {
+	for i := range d.Queues {
+		if d.Queues[i].Name == name {
+			return &d.Queues[i], true
+		}
+	}
+	return nil, false
+}
+
 // Resolve finds the queue with the longest prefix of path, and the rest of the
 // path after it.
 func (d *Document) Resolve(host, path string) (queue *Queue, rest string, ok bool) {
--- a/workflow/wave.go
+++ b/workflow/wave.go
@@ -34,7 +34,7 @@
 
 // String returns the stage as logs show it.
 func (s UpkeepStage) String() string {
-	names := [...]string{"none", "ordered", "begun", "moot"}
+	names := [...]string{"waiting", "ordered", "begun", "moot"}
 	if int(s) < len(names) {
 		return names[s]
 	}
