--- a/internal/jobfile/workflow_test.go
+++ b/internal/jobfile/workflow_test.go
@@ -60,10 +60,10 @@
 	for _, c := range []struct{ old, replacement, want string }{
 		{`id = "reports-7"`, ``, "id"},
 		{`queue = "reports"`, ``, "queue"},
-		{`after = [0]`, `after = [1]`, "line 20"},
-		{`estimate = "900ms"`, `estimate = "900"`, "line 15"},
+		{`after = [0]`, `after = [1]`, "line 19"},
+		{`estimate = "900ms"`, `estimate = "900"`, "line 14"},
 		{`estimate = "900ms"`, ``, "estimate"},
-		{`tasks = 4`, `tasks = -1`, "line 12"},
+		{`tasks = 4`, `tasks = -1`, "line 11"},
 		{`cpu = "0.5"`, `cpu = "x"`, "cpu"},
 		{`first = "2030-01-02T06:00:00Z"`, `first = "soon"`, "repeat.first"},
 		{`times = 3`, `times = 0`, "repeat.times"},
