Explain a job from the lines of all instances, and stop less urgent runs for gangs

1. explain and timeline read lines from files. Cause: the on-call engineer followed an id by hand through greps. Tests: a refused, a late and a failed job, time without a leader.

Cause: gangs of urgent queues waited for room that less urgent tasks with checkpoints held; a stop saves their work. Ruled out: stopping tasks without checkpoints (work is thrown away), tasks near their end, or for a gang that is late anyway.

--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -10,7 +10,7 @@
 // started, reserves room for them where that helps, and says what they wait for.
 func (p *planner) seekPermits(s *Step, suitable []*Worker, left int) Reason {
 	if !s.NeedsPermit {
-		if s.Spec.Gang {
+		if s.Spec.Gang && !p.gangFitsSoon(s, suitable, left) && !p.preemptForGang(s, suitable, left) {
 			p.reserveGang(s, suitable, left)
 		}
 		return ReasonNoRoom
@@ -53,6 +53,9 @@
 		return reasonFor(granted)
 	}
 	p.reserved[s.Service]++
+	if !p.gangFitsSoon(s, granted, left) && p.preemptForGang(s, granted, left) {
+		return ReasonNoRoom
+	}
 	chosen, when := p.reserveGang(s, granted, left)
 	switch {
 	case s.Asking:
@@ -185,17 +188,41 @@
 	worker *Worker
 }
 
+// earmarkAhead is how long before a gang is expected to fit other steps begin to
+// avoid its workers.
+const earmarkAhead = time.Second
+
 // reserveGang picks the workers on which n tasks will fit first, by the expected
 // ends of what runs there, keeps that room from the steps after s, and returns
 // the workers and the time. Without it, small tasks take each piece of room as
 // it comes free, and the gang never finds enough at once.
 func (p *planner) reserveGang(s *Step, workers []*Worker, n int) ([]*Worker, time.Duration) {
+	openings := p.gangOpenings(s, workers, n)
+	if openings == nil {
+		return nil, 0
+	}
+	var chosen []*Worker
+	for _, o := range openings {
+		p.takeRoom(o.worker, s.Spec.Room())
+		if !slices.Contains(chosen, o.worker) {
+			chosen = append(chosen, o.worker)
+		}
+	}
+	if openings[n-1].at <= p.now+earmarkAhead {
+		p.earmark(chosen)
+	}
+	return chosen, openings[n-1].at
+}
+
+// gangOpenings lists when and where each of n tasks of s will fit, the soonest
+// first; nil when that can't be told of all.
+func (p *planner) gangOpenings(s *Step, workers []*Worker, n int) []opening {
 	var openings []opening
 	for _, w := range workers {
 		openings = append(openings, p.openings(s, w, n)...)
 	}
 	if len(openings) < n {
-		return nil, 0
+		return nil
 	}
 	slices.SortStableFunc(openings, func(a, b opening) int {
 		if a.at != b.at {
@@ -203,14 +230,14 @@
 		}
 		return a.worker.Penalty - b.worker.Penalty
 	})
-	var chosen []*Worker
-	for _, o := range openings[:n] {
-		p.takeRoom(o.worker, s.Spec.Room())
-		if !slices.Contains(chosen, o.worker) {
-			chosen = append(chosen, o.worker)
-		}
-	}
-	return chosen, openings[n-1].at
+	return openings[:n]
+}
+
+// gangFitsSoon reports whether all n tasks of s are expected to fit without any
+// stop before long.
+func (p *planner) gangFitsSoon(s *Step, workers []*Worker, n int) bool {
+	openings := p.gangOpenings(s, workers, n)
+	return openings != nil && openings[n-1].at <= p.now+preemptWait
 }
 
 // openings lists when each of up to n tasks of s will fit on w.
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -200,6 +200,74 @@
 	must.Eq(t, 1, asks(500*time.Millisecond))
 }
 
+// What a user sees: a gang waits on though runs were stopped for it.
+// Order: room for a gang comes free bit by bit; small urgent tasks come meanwhile
+// and fit there best; another worker has room for them too.
+// Cause: they were placed as if nobody waited.
+func TestSmallTasksLeaveTheWorkersOfAGangAlone(t *testing.T) {
+	list := workers(3, 9)
+	must.Eq(t, []string{"a/0@w0"}, started(Decide(0, []Step{step("a", 1, 2)}, list, limits)))
+	list = workers(3, 9)
+	list[0].Earmarked = true
+	must.Eq(t, []string{"a/0@w1"}, started(Decide(0, []Step{step("a", 1, 2)}, list, limits)))
+	gang := step("gang", 2, 4)
+	gang.Spec.Gang = true
+	list = workers(4, 0, 0)
+	list[2].Releases = []Release{{At: time.Second, Room: cores(4)}}
+	must.Eq(t, []string{"w0", "w2"}, Decide(0, []Step{gang}, list, limits).Earmarks)
+	list[2].Releases[0].At += time.Millisecond
+	must.SliceEmpty(t, Decide(0, []Step{gang}, list, limits).Earmarks, must.Sprint("too far off"))
+}
+
+// What a user sees: an urgent all-or-nothing job waits for many seconds while a
+// batch job that could go on later holds the room.
+// Order: a gang needs three tasks' worth; one fits; two workers are full of runs
+// with checkpoints, one of them ends by itself at once.
+// Cause: nothing was stopped for it.
+func TestRunsWithCheckpointsGiveWayToAGang(t *testing.T) {
+	full := func(change func(*Release)) []Worker {
+		list := workers(4, 0, 0)
+		for i := range list[1:] {
+			for k := range 4 {
+				r := Release{At: 9 * time.Second, Room: cores(4), Priority: 2, Yields: true,
+					Task: workflow.TaskKey{StepKey: workflow.StepKey{Job: fmt.Sprint("v", i+1)}, Index: k}}
+				change(&r)
+				list[i+1].Releases = append(list[i+1].Releases, r)
+			}
+		}
+		return list
+	}
+	gang := func(change func(*Step)) Step {
+		s := step("gang", 3, 4)
+		s.Spec.Gang, s.Priority = true, 1
+		change(&s)
+		return s
+	}
+	same, asIs := func(*Release) {}, func(*Step) {}
+	stopped := func(s Step, list []Worker) []string {
+		var got []string
+		for _, v := range Decide(0, []Step{s}, list, limits).Preempts {
+			got = append(got, fmt.Sprintf("%s/%d@%s for %s", v.Task.Job, v.Task.Index, v.Worker, v.For.Job))
+		}
+		return got
+	}
+	must.Eq(t, []string{"v1/0@w1 for gang", "v1/1@w1 for gang"}, stopped(gang(asIs), full(same)))
+	must.SliceEmpty(t, stopped(gang(asIs), full(func(r *Release) { r.Yields = false })), must.Sprint("without checkpoints"))
+	must.SliceEmpty(t, stopped(gang(asIs), full(func(r *Release) { r.Priority = 1 })), must.Sprint("as urgent"))
+	must.SliceEmpty(t, stopped(gang(asIs), full(func(r *Release) { r.At = preemptWait })), must.Sprint("ending soon"))
+	must.SliceEmpty(t, stopped(gang(func(s *Step) { s.Late = 1 }), full(same)), must.Sprint("late anyway"))
+	must.SliceEmpty(t, stopped(gang(func(s *Step) { s.Pending = append(s.Pending, 3, 4, 5, 6, 7, 8, 9) }), full(same)), must.Sprint("not enough"))
+	must.Eq(t, []string{"v1/0@w1 for gang", "v2/0@w2 for gang"}, stopped(gang(func(s *Step) { s.Spec.MaxPerWorker = 1 }), full(same)))
+
+	ended := Permit{Granted: true}
+	plan := Decide(0, []Step{needsPermit(gang(asIs), map[string]Permit{"w0": ended, "w1": ended, "w2": {}})}, full(same), limits)
+	must.SliceEmpty(t, plan.Preempts, must.Sprint("its tickets would have ended"))
+	must.Eq(t, []string{"w0", "w1"}, plan.Asks[0].Workers)
+	valid := Permit{Granted: true, Expires: time.Second}
+	plan = Decide(0, []Step{needsPermit(gang(asIs), map[string]Permit{"w0": valid, "w1": valid, "w2": {}})}, full(same), limits)
+	must.SliceLen(t, 2, plan.Preempts)
+}
+
 // BenchmarkFullCluster measures a decision in which nothing fits.
 func BenchmarkFullCluster(b *testing.B) {
 	for b.Loop() {
--- a/dispatch/select.go
+++ b/dispatch/select.go
@@ -66,8 +66,8 @@
 }
 
 // best returns the worker that suits one task of s best: sound ones first, then
-// those near the data, then the one that is left with the least room, which
-// keeps whole workers free for gangs.
+// those near the data, then those that no gang is about to fill, then the one that
+// is left with the least room, which keeps whole workers free for gangs.
 func best(s *Step, workers []*Worker, ok func(*Worker) bool) *Worker {
 	var chosen *Worker
 	for _, w := range workers {
@@ -85,7 +85,7 @@
 		byRoom = -byRoom
 	}
 	return cmp.Or(cmp.Compare(a.Penalty, b.Penalty), cmp.Compare(distance(s, a), distance(s, b)),
-		cmp.Compare(crowding(s, a), crowding(s, b)), byRoom, cmp.Compare(a.ID, b.ID))
+		cmp.Compare(crowding(s, a), crowding(s, b)), compareBools(a.Earmarked, b.Earmarked), byRoom, cmp.Compare(a.ID, b.ID))
 }
 
 // distance is 0 near the data of s, 1 elsewhere.
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -22,6 +22,9 @@
 	// SpareRuns counts the tasks there that use spare processors, SpareShare is the
 	// share in percent at which they may work beside serving ones.
 	SpareRuns, SpareShare int
+	// Earmarked says that the last decision kept room there for a gang that is about
+	// to fit.
+	Earmarked bool
 	// Penalty sets back workers that failed or stood still lately; 0 is sound.
 	Penalty int
 }
@@ -31,6 +34,12 @@
 	// At is on the caller's steady clock.
 	At   time.Duration
 	Room workflow.Resources
+	Task workflow.TaskKey
+	// Priority is that of the run's queue.
+	Priority int
+	// Yields says that the run may be stopped for a more urgent step: it goes on
+	// later from a checkpoint.
+	Yields bool
 }
 
 // Permit is what is known of a step's permission to run on a worker.
@@ -136,4 +145,8 @@
 	Starts  []Start
 	Asks    []Ask
 	Waiting []Waiting
+	// Earmarks are the workers on which room is kept for a gang that is about to fit.
+	Earmarks []string
+	// Preempts are runs to be stopped.
+	Preempts []Preempt
 }
--- /dev/null
+++ b/internal/cli/logs.go
@@ -0,0 +1,74 @@
+package cli
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	apiv1 "github.com/bilberryferry/bilberryferry/api/v1"
+	"github.com/bilberryferry/bilberryferry/fault"
+	"github.com/bilberryferry/bilberryferry/internal/event"
+	"github.com/bilberryferry/bilberryferry/internal/jobtrace"
+)
+
+// readLogs reads the lines of all files in order of time.
+func readLogs(files string) ([]jobtrace.Line, error) {
+	var lines []jobtrace.Line
+	for _, name := range strings.Split(files, ",") {
+		more, err := readLog(name)
+		if err != nil {
+			return nil, fault.Field("--log", "%v", err)
+		}
+		lines = append(lines, more...)
+	}
+	jobtrace.Sort(lines)
+	return lines, nil
+}
+
+func readLog(name string) ([]jobtrace.Line, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	return jobtrace.Read(file)
+}
+
+// explainFromLogs tells what became of a job, and where its time went.
+func (s *session) explainFromLogs(files, job string) error {
+	lines, err := readLogs(files)
+	if err != nil {
+		return err
+	}
+	trace := jobtrace.Of(lines, job)
+	out := s.app.Stdout
+	fmt.Fprintln(out, oneLine(trace.Verdict))
+	if len(trace.Spans) > 0 {
+		t := newTable("TIME", "SPENT")
+		for _, span := range trace.Spans {
+			t.add(text("%s", span.Took.Round(time.Millisecond)), text("%s", span.What))
+		}
+		t.print(s)
+	}
+	s.writeEvents(out, jobtrace.Events(trace.Lines))
+	return nil
+}
+
+// timelineOfLogs shows the events that the lines of files tell of.
+func (s *session) timelineOfLogs(files string, request *apiv1.EventsRequest, subject, htmlFile string) error {
+	lines, err := readLogs(files)
+	if err != nil {
+		return err
+	}
+	var chosen []event.Event
+	for _, e := range jobtrace.Events(lines) {
+		if e.Concerns(request.GetSubject()) && e.Stamp.Wall >= request.GetSinceUnixMs() {
+			chosen = append(chosen, e)
+		}
+	}
+	if limit := int(request.GetLimit()); len(chosen) > limit {
+		chosen = chosen[len(chosen)-limit:]
+	}
+	return s.showTimeline(&apiv1.EventsResponse{Events: event.ListToAPI(chosen)}, subject, htmlFile)
+}
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -271,16 +271,24 @@
 }
 
 func explainCommand() *command {
+	var logs string
 	return &command{
 		name:     "explain",
 		synopsis: "Tell why a job waits or was refused",
-		usage:    "id",
-		about:    "It names the reasons that ruled workers out, and how many each.",
-		example:  "bilberry explain naas-hall-1a2b",
+		usage:    "[--log files] id",
+		about: "It names the reasons that ruled workers out, and how many each. With --log it tells from\n" +
+			"the instances' lines what became of a job and where its time went.",
+		example: "bilberry explain naas-hall-1a2b\nbilberry explain --log day.log 5c0e7a21d94b36f8",
+		flags: func(f *flag.FlagSet) {
+			f.StringVar(&logs, "log", "", "read the lines in these `files`, with commas between, and call no instance")
+		},
 		run: func(ctx context.Context, s *session, args []string) error {
 			if err := wantArgs(args, "id"); err != nil {
 				return err
 			}
+			if logs != "" {
+				return s.explainFromLogs(logs, args[0])
+			}
 			c, err := s.client()
 			if err != nil {
 				return err
--- a/internal/cli/timeline.go
+++ b/internal/cli/timeline.go
@@ -23,6 +23,8 @@
 	since                time.Duration
 	limit                int
 	html                 string
+	// logs are files of lines that stand in for the instances.
+	logs string
 }
 
 // defaultTimelineLimit is the number of events shown when --limit is left out.
@@ -33,7 +35,7 @@
 	return &command{
 		name:     "timeline",
 		synopsis: "Show what happened on all instances, in causal order",
-		usage:    "[--job id | --request id | --worker id] [--since span] [--html file]",
+		usage:    "[--job id | --request id | --worker id] [--since span] [--html file] [--log files]",
 		about:    "It names the instances that couldn't be reached; their events are missing.",
 		example:  "bilberry timeline --since 10m --html line.html\nbilberry timeline --job naas-hall-1a2b",
 		flags: func(f *flag.FlagSet) {
@@ -42,6 +44,7 @@
 			f.StringVar(&flags.worker, "worker", "", "only events of this worker (`id`)")
 			f.DurationVar(&flags.since, "since", 0, "only events of this last `span`, such as 10m")
 			f.IntVar(&flags.limit, "limit", defaultTimelineLimit, "the newest events, at most this `number` from each instance")
+			f.StringVar(&flags.logs, "log", "", "read the lines in these `files`, with commas between, and call no instance")
 			f.StringVar(&flags.html, "html", "", "write one self-contained page to this `file` instead")
 		},
 		run: func(ctx context.Context, s *session, args []string) error {
@@ -52,6 +55,9 @@
 			if err != nil {
 				return err
 			}
+			if flags.logs != "" {
+				return s.timelineOfLogs(flags.logs, request, subject, flags.html)
+			}
 			return s.timeline(ctx, request, subject, flags.html)
 		},
 	}
@@ -94,13 +100,18 @@
 		return err
 	}
 	s.warnUnreachable("instances", answer.GetUnreachableInstances())
+	return s.showTimeline(answer, subject, htmlFile)
+}
+
+// showTimeline shows the events of an answer in causal order, or writes them to a page.
+func (s *session) showTimeline(answer *apiv1.EventsResponse, subject, htmlFile string) error {
 	events := event.Merge(event.ListFromAPI(answer.GetEvents()))
 	if htmlFile == "" {
 		answer.Events = event.ListToAPI(events)
 		return s.show(answer, func(out io.Writer) { s.writeEvents(out, events) })
 	}
 	page := event.Page{Title: strings.TrimSpace("Time line " + subject), Unreachable: answer.GetUnreachableInstances()}
-	err = replaceFile(htmlFile, func(w io.Writer) error { return event.WriteHTML(w, page, events) })
+	err := replaceFile(htmlFile, func(w io.Writer) error { return event.WriteHTML(w, page, events) })
 	if err != nil {
 		return fault.Field("--html", "%v", err)
 	}
--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -75,6 +75,8 @@
 	leases []int64
 	// partial says that the lists aren't whole.
 	partial bool
+	// deaf is how many stops get lost.
+	deaf int
 	// replaced says that another incarnation answers.
 	replaced bool
 }
@@ -138,6 +140,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w := f.all[to.Worker]
+	if w.deaf > 0 {
+		w.deaf--
+		return 0, errNoAnswer
+	}
 	w.stopped[order.Run.Task] = max(w.stopped[order.Run.Task], order.Run.Number)
 	if running, ok := w.running[order.Run.Task]; ok && running.Number == order.Run.Number {
 		w.finish(order.Run.Task, workflow.OutcomeStopped)
@@ -154,7 +160,7 @@
 	w.stopped[task] = max(w.stopped[task], running.Number)
 	w.ended = append(w.ended, Ended{
 		Position: uint64(len(w.ended) + 1),
-		RunEnd:   workflow.RunEnd{Task: task, Number: running.Number, Outcome: outcome},
+		RunEnd:   workflow.RunEnd{Task: task, Number: running.Number, Outcome: outcome, Checkpoint: running.Checkpoint},
 	})
 }
 
--- a/internal/control/guard_test.go
+++ b/internal/control/guard_test.go
@@ -142,6 +142,46 @@
 	w.with("w1", func(f *fakeWorker) { must.MapContainsKey(t, f.running, task("a", 1)) })
 }
 
+// What a user sees: an urgent all-or-nothing job waits behind a batch job, or the
+// batch job begins again from nothing.
+// Order: a batch task with checkpoints fills the worker; a gang of a more urgent
+// queue comes; the stop's first answer is lost; both jobs end.
+// Cause: room was made by nobody, or a stop without an answer wasn't repeated.
+func TestABatchTaskGivesWayToAGangAndGoesOnLater(t *testing.T) {
+	w := newWorld(t, func(w *world) {
+		w.commit(&workflow.Command{Configuration: &workflow.Document{Version: 2, Source: []byte("{}"), Queues: []workflow.Queue{
+			{Name: "q", Host: "h", Prefix: "/q/", Policy: workflow.Policy{Service: "s", Priority: 2, Stretch: 2}},
+			{Name: "u", Host: "h", Prefix: "/u/", Policy: workflow.Policy{Service: "s", Priority: 1, Stretch: 9, ObjectiveMS: 9000}},
+		}}})
+	})
+	w.workers.add("w1")
+	w.announce("w1")
+	batch := workflow.Step{Count: 1, Need: workflow.Resources{MilliCPU: 9000, MemoryMB: 10}, EstimateMS: 60_000, Checkpointing: true}
+	w.submit("a", batch)
+	w.eventually("the batch task runs", func() bool { return w.started("w1") == 1 })
+	w.with("w1", func(f *fakeWorker) {
+		f.running[task("a", 0)] = Running{Task: task("a", 0), Number: 1, Checkpoint: "half"}
+		f.deaf = 1
+	})
+	w.eventually("its checkpoint is known", func() bool {
+		ten, err := w.c.leading()
+		must.NoError(t, err)
+		ten.mu.Lock()
+		defer ten.mu.Unlock()
+		return ten.checkpoints[task("a", 0)] == "half"
+	})
+	gang := workflow.Step{Count: 2, Need: workflow.Resources{MilliCPU: 4000, MemoryMB: 10}, EstimateMS: 1000, Gang: true}
+	_, err := w.c.Submit(context.Background(), &SubmitCall{Place: Place{Queue: "u", ID: "g"}, Payload: "payload", Steps: []workflow.Step{gang}})
+	must.NoError(t, err)
+	w.eventually("the gang runs", func() bool { return w.started("w1") == 3 })
+	w.with("w1", func(f *fakeWorker) {
+		f.finish(task("g", 0), workflow.OutcomeDone)
+		f.finish(task("g", 1), workflow.OutcomeDone)
+	})
+	w.eventually("the batch task goes on", func() bool { return w.started("w1") == 4 })
+	w.with("w1", func(f *fakeWorker) { must.Eq(t, "half", f.starts[3].Checkpoint) })
+}
+
 // What a user sees: a job that was cancelled goes on taking room.
 // Order: cancelled while its task runs.
 func TestRunsOfACancelledJobAreStopped(t *testing.T) {
--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -111,6 +111,9 @@
 	if advanced {
 		o.advancedAt = now
 	}
+	if !o.listed {
+		o.firstPercent, o.firstAt = percent, now
+	}
 	o.listed = true
 	o.percent, o.progressAt = percent, now
 	return advanced
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -28,12 +28,17 @@
 	// abandoned says that no further start is sent; a stop settles the run unless
 	// the worker shows it.
 	abandoned bool
+	// preempted says that the run gives way to more urgent work.
+	preempted bool
 	// stopSent is the last stop, stopAcked its acknowledgement.
 	stopSent, stopAcked time.Time
 	startedAt           time.Time
-	// percent is the share of the work that was done at progressAt.
-	percent    int
-	progressAt time.Time
+	// percent is the share of the work that was done at progressAt, firstPercent and
+	// firstAt are those of the first report: a resumed run doesn't begin at 0.
+	percent      int
+	progressAt   time.Time
+	firstPercent int
+	firstAt      time.Time
 	// advancedAt is when the percentage last rose.
 	advancedAt time.Time
 	// estimate is the job's own, resumed says that only the rest is to be done.
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -54,6 +54,10 @@
 	limits.Asks = t.lanes.free(begun)
 	plan := dispatch.Decide(begun.Sub(t.started), v.steps, v.workers, limits)
 	t.c.cfg.Counters.Observe("decide", time.Since(begun))
+	if len(plan.Preempts) > 0 {
+		t.preempt(plan.Preempts, begun)
+	}
+	t.noteEarmarks(plan.Earmarks)
 	t.logWaiting(plan.Waiting)
 	for _, question := range plan.Asks {
 		t.ask(question, v.advice[question.Step])
@@ -65,6 +69,15 @@
 	}
 }
 
+func (t *tenure) noteEarmarks(workers []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.earmarked = make(map[string]bool, len(workers))
+	for _, id := range workers {
+		t.earmarked[id] = true
+	}
+}
+
 // logWaiting logs why steps wait, once for each new reason of a step. Waiting for
 // the adviser isn't logged: each question is.
 func (t *tenure) logWaiting(waiting []dispatch.Waiting) {
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -98,20 +98,40 @@
 				if step.UsesSpare {
 					spareRuns++
 				}
-				releases = append(releases, dispatch.Release{
-					At: session.expectedEnd(run, step, now).Sub(t.started), Room: step.Room(),
-				})
+				releases = append(releases, t.release(session, job, run, now))
 			}
 		}
 		slices.SortFunc(releases, func(a, b dispatch.Release) int { return cmp.Compare(a.At, b.At) })
 		workers = append(workers, dispatch.Worker{
-			Worker: state.Worker, Free: free, Releases: releases, Penalty: session.failures,
+			Worker: state.Worker, Free: free, Releases: releases, Penalty: session.failures, Earmarked: t.earmarked[id],
 			Serving: serving, SpareRuns: spareRuns, SpareShare: session.throttle.share,
 		})
 	}
 	return workers
 }
 
+// maxPreempted is the run of a task from which on it isn't stopped for others any
+// more, so that it ends some time.
+const maxPreempted = 4
+
+// release is what a decision needs to know of a run. t.mu is held.
+func (t *tenure) release(session *session, job *workflow.Job, run workflow.Run, now time.Time) dispatch.Release {
+	spec := &job.Steps[run.Task.Step]
+	r := dispatch.Release{
+		At: session.expectedEnd(run, spec, now).Sub(t.started), Room: spec.Room(), Task: run.Task, Priority: job.Policy.Priority,
+	}
+	o := session.orders[run.Task]
+	if o == nil {
+		return r
+	}
+	if !o.stopSent.IsZero() {
+		r.At = now.Add(dispatch.StopTime / 2).Sub(t.started)
+		return r
+	}
+	r.Yields = o.listed && spec.Checkpointing && !spec.Gang && !spec.LongRunning && run.Number < maxPreempted
+	return r
+}
+
 // leastProgress is the share of a run, in percent, from which on its progress
 // tells its end better than the estimate of the job.
 const leastProgress = 10
@@ -124,13 +144,14 @@
 	if o == nil || o.startedAt.IsZero() {
 		return now.Add(estimate / 2)
 	}
-	elapsed := now.Sub(o.startedAt)
-	if o.percent >= leastProgress {
-		at := o.progressAt.Sub(o.startedAt)
-		whole := time.Duration(float64(at) * 100 / float64(o.percent))
-		return o.startedAt.Add(max(whole, elapsed))
+	if done := o.percent - o.firstPercent; done >= leastProgress {
+		each := float64(o.progressAt.Sub(o.firstAt)) / float64(done)
+		return o.progressAt.Add(max(time.Duration(each*float64(wholePercent-o.percent)), now.Sub(o.progressAt)))
 	}
-	return o.startedAt.Add(max(estimate, elapsed+estimate/10))
+	// What a resumed run has done already counts from its first report on.
+	rest := estimate * time.Duration(wholePercent-o.firstPercent) / wholePercent
+	elapsed := now.Sub(o.startedAt)
+	return o.startedAt.Add(max(rest, elapsed+estimate/10))
 }
 
 func (t *tenure) gatherSteps(steps []dispatch.Step, job *workflow.Job, now time.Time,
--- a/internal/control/stops.go
+++ b/internal/control/stops.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bilberryferry/bilberryferry/dispatch"
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
 
@@ -18,6 +19,7 @@
 	stopPaused     stopCause = "paused for long"
 	stopStill      stopCause = "stands still"
 	stopUnanswered stopCause = "its start got no answer"
+	stopPreempted  stopCause = "gives way to more urgent work"
 )
 
 // stopping is a run that is to be stopped.
@@ -47,6 +49,8 @@
 	switch {
 	case o == nil:
 		return stopNone
+	case o.preempted:
+		return stopPreempted
 	case o.paused(spec, now):
 		return stopPaused
 	case o.stuck(spec):
@@ -85,6 +89,24 @@
 	o.stopSent = now
 }
 
+// preempt stops the runs that a decision takes room from.
+func (t *tenure) preempt(preempts []dispatch.Preempt, now time.Time) {
+	t.mu.Lock()
+	var stops []stopping
+	for _, p := range preempts {
+		session := t.sessions[p.Worker]
+		if session == nil || session.orders[p.Task] == nil {
+			continue
+		}
+		session.orders[p.Task].preempted = true
+		stops = append(stops, stopping{session, session.orders[p.Task].run, stopPreempted})
+		t.logger.Log("event", "preempt", "task", p.Task, "worker", p.Worker, "for", p.For)
+	}
+	t.mu.Unlock()
+	t.c.cfg.Counters.Add("preempted", int64(len(stops)))
+	t.sendStops(stops, now)
+}
+
 // sendStops notes and sends the stops that a decision found due.
 func (t *tenure) sendStops(stops []stopping, now time.Time) {
 	if len(stops) == 0 {
--- a/internal/control/tenure.go
+++ b/internal/control/tenure.go
@@ -58,6 +58,8 @@
 	accepted map[string]time.Time
 	// reported are jobs whose end was logged.
 	reported map[string]bool
+	// earmarked are the workers on which the last decision kept room for a gang.
+	earmarked map[string]bool
 	// begun are jobs of which a worker has acknowledged or listed a run.
 	begun map[string]bool
 	// ended is when this tenure first saw that a job had ended.
--- /dev/null
+++ b/internal/jobtrace/trace_test.go
@@ -0,0 +1,85 @@
+package jobtrace
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// day is a collection of lines, with a collector's prefix and out of order.
+const day = `
+ 1.0 edge-1 ts=2026-07-06T09:00:01.000Z instance=edge-1 event=leader_contact in_touch=false leader=
+ 1.1 core-1 ts=2026-07-06T09:00:01.500Z instance=core-1 event=tenure outcome=ended term=6
+ 1.2 edge-1 ts=2026-07-06T09:00:02.000Z instance=edge-1 event=request method=POST path=/q/refused1 outcome=Unavailable err="Unavailable: no leader is reached"
+ 2.0 core-2 ts=2026-07-06T09:00:03.500Z instance=core-2 event=tenure outcome=begun term=7
+ 2.0 core-2 ts=2026-07-06T09:00:04.000Z instance=core-2 event=submit job=late1 queue=r outcome=accepted known=false commit_ms=20
+ 2.1 core-2 ts=2026-07-06T09:00:04.100Z instance=core-2 event=permit step=late1/0/0 asked=30 granted=9 ms=90
+ 2.1 core-2 ts=2026-07-06T09:00:04.150Z instance=core-2 event=run_started task=late1/0/0/0 run=1 worker=i-1
+ 2.2 core-2 ts=2026-07-06T09:00:05.150Z instance=core-2 event=run_ended task=late1/0/0/0 run=1 worker=i-1 outcome=failed
+ 2.2 core-2 ts=2026-07-06T09:00:05.160Z instance=core-2 event=step_waiting step=late1/0/0 reason="no room"
+ 2.3 core-2 ts=2026-07-06T09:00:08.150Z instance=core-2 event=run_started task=late1/0/0/0 run=2 worker=i-2
+ 2.4 core-2 ts=2026-07-06T09:00:09.150Z instance=core-2 event=run_ended task=late1/0/0/0 run=2 worker=i-2 outcome=done
+ 2.4 core-2 ts=2026-07-06T09:00:09.160Z instance=core-2 event=job_ended job=late1 phase=done age_ms=5160 objective_ms=1500
+ 3.0 core-2 ts=2026-07-06T09:00:10.000Z instance=core-2 event=submit job=bad1 queue=r outcome=accepted known=false commit_ms=20
+ 3.1 core-2 ts=2026-07-06T09:00:10.200Z instance=core-2 event=run_ended task=bad1/0/0/0 run=1 worker=i-1 outcome=failed
+ 3.2 core-2 ts=2026-07-06T09:00:10.400Z instance=core-2 event=run_ended task=bad1/0/0/0 run=2 worker=i-3 outcome=failed
+ 3.3 core-2 ts=2026-07-06T09:00:10.410Z instance=core-2 event=job_ended job=bad1 phase=failed objective_ms=1500
+ 0.1 core-1 ts=2026-07-06T09:00:00.100Z instance=core-1 event=tenure outcome=begun term=6
+no line of ours
+`
+
+func trace(t *testing.T, job string) Trace {
+	lines, err := Read(strings.NewReader(day))
+	must.NoError(t, err)
+	must.SliceLen(t, 17, lines)
+	must.Eq(t, "tenure", lines[0].Event)
+	return Of(lines, job)
+}
+
+func TestARefusedJob(t *testing.T) {
+	got := trace(t, "refused1")
+	must.Eq(t, "not accepted: edge-1 answered Unavailable (Unavailable: no leader is reached); "+
+		"that instance had had no contact to a leader since 09:00:01", got.Verdict)
+}
+
+func TestALateJob(t *testing.T) {
+	got := trace(t, "late1")
+	must.Eq(t, "done after 5.16s, objective 1500 ms; longest: 2.99s waiting: no room", got.Verdict)
+	total := time.Duration(0)
+	spans := map[string]time.Duration{}
+	for _, span := range got.Spans {
+		spans[span.What] = span.Took
+		total += span.Took
+	}
+	must.Eq(t, 5160*time.Millisecond+20*time.Millisecond, total)
+	must.Eq(t, time.Second, spans[spanLost])
+	must.Eq(t, time.Second, spans[spanWork])
+	must.Eq(t, 100*time.Millisecond, spans[spanAdviser])
+	must.SliceLen(t, 8, got.Lines)
+}
+
+func TestAFailedJob(t *testing.T) {
+	must.StrContains(t, trace(t, "bad1").Verdict, "task bad1/0/0/0 failed 2 times on 2 workers (i-1, i-3): the job itself")
+	must.Eq(t, "no line names the job", trace(t, "unknown").Verdict)
+}
+
+func TestTimeWithoutALeader(t *testing.T) {
+	lines, err := Read(strings.NewReader(`
+ts=2026-07-06T09:00:00.000Z instance=core-1 event=submit job=a outcome=accepted
+ts=2026-07-06T09:00:01.000Z instance=core-1 event=tenure outcome=ended
+ts=2026-07-06T09:00:03.000Z instance=core-2 event=tenure outcome=begun
+ts=2026-07-06T09:00:04.000Z instance=core-2 event=permit step=a/0/0
+`))
+	must.NoError(t, err)
+	must.Eq(t, []Span{{spanAdviser, 2 * time.Second}, {spanNoLeader, 2 * time.Second}}, Of(lines, "a").Spans)
+}
+
+func TestLinesAsEvents(t *testing.T) {
+	lines, err := Read(strings.NewReader(day))
+	must.NoError(t, err)
+	events := Events(lines)
+	must.Eq(t, []string{"late1", "i-1"}, events[7].Subjects)
+	must.Eq(t, "task=late1/0/0/0 run=1 worker=i-1", events[7].Detail)
+}
