--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -52,9 +52,11 @@
 	Members func() []string
 }
 
-// Counters counts events by name.
+// Counters counts events and keeps gauges by name.
 type Counters interface {
 	Add(name string, n int64)
+	// Set sets a gauge.
+	Set(name string, n int64)
 	Observe(name string, d time.Duration)
 }
 
--- a/internal/control/explain.go
+++ b/internal/control/explain.go
@@ -89,6 +89,9 @@
 	return list
 }
 
+// anyService stands for the workers of all services.
+const anyService = ""
+
 // obstacles counts the workers of a service that get nothing new, by why. t.mu is
 // held.
 func (t *tenure) obstacles(service string, now time.Time) []dispatch.Count {
@@ -102,7 +105,7 @@
 	})
 	for id, session := range t.sessions {
 		reason := session.obstacle(now, suspects, runs[id])
-		if reason == "" || session.worker.Service != service {
+		if reason == "" || service != anyService && session.worker.Service != service {
 			continue
 		}
 		if counts[reason] == nil {
--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -220,6 +220,7 @@
 type noCounters struct{}
 
 func (noCounters) Add(string, int64)             {}
+func (noCounters) Set(string, int64)             {}
 func (noCounters) Observe(string, time.Duration) {}
 
 // world is one controller that leads, with its fakes.
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -58,6 +58,7 @@
 		t.preempt(plan.Preempts, begun)
 	}
 	t.noteEarmarks(plan.Earmarks)
+	t.noteLoad(&v, &plan, begun)
 	t.logWaiting(plan.Waiting)
 	for _, question := range plan.Asks {
 		t.ask(question, v.advice[question.Step])
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -103,7 +103,7 @@
 		}
 		slices.SortFunc(releases, func(a, b dispatch.Release) int { return cmp.Compare(a.At, b.At) })
 		workers = append(workers, dispatch.Worker{
-			Worker: state.Worker, Free: free, Releases: releases, Penalty: session.failures, Earmarked: t.earmarked[id],
+			Worker: state.Worker, Free: free, Unplanned: free, Releases: releases, Penalty: session.failures, Earmarked: t.earmarked[id],
 			Serving: serving, SpareRuns: spareRuns, SpareShare: session.throttle.share,
 		})
 	}
--- a/internal/control/tenure.go
+++ b/internal/control/tenure.go
@@ -45,6 +45,8 @@
 	lanes       *lanes
 	kicked      chan struct{}
 	tasks       tasks
+	// loadAt is when the load was logged last; it belongs to planLoop.
+	loadAt time.Time
 
 	mu sync.Mutex
 	// waiting is why steps waited at the last decision.
--- a/internal/oplog/metrics.go
+++ b/internal/oplog/metrics.go
@@ -24,12 +24,13 @@
 type Metrics struct {
 	mu         sync.Mutex
 	counters   map[string]int64
+	gauges     map[string]int64
 	histograms map[string]*hdrhistogram.Histogram
 }
 
 // NewMetrics returns empty metrics.
 func NewMetrics() *Metrics {
-	return &Metrics{counters: map[string]int64{}, histograms: map[string]*hdrhistogram.Histogram{}}
+	return &Metrics{counters: map[string]int64{}, gauges: map[string]int64{}, histograms: map[string]*hdrhistogram.Histogram{}}
 }
 
 // Add adds n to a counter.
@@ -39,6 +40,13 @@
 	m.counters[name] += n
 }
 
+// Set sets a gauge.
+func (m *Metrics) Set(name string, n int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.gauges[name] = n
+}
+
 // Observe adds a duration to a histogram.
 func (m *Metrics) Observe(name string, d time.Duration) {
 	m.mu.Lock()
@@ -63,6 +71,11 @@
 			return err
 		}
 	}
+	for _, name := range sortedKeys(m.gauges) {
+		if _, err := fmt.Fprintf(w, "bilberry_%s %d\n", name, m.gauges[name]); err != nil {
+			return err
+		}
+	}
 	for _, name := range sortedKeys(m.histograms) {
 		h := m.histograms[name]
 		for _, q := range quantiles {
