Save tasks before a draining worker leaves

Cause: a draining worker's tasks ran until it went; work since the last checkpoint was lost, long-running tasks stayed to the end, and the time that the worker named was read and used nowhere. Change: a task with checkpoints that will not have ended is stopped 0.7 s before the worker may go, and goes on elsewhere; a long-running one moves as soon as its step can spare it. The two ways in which lost runs were committed are one.

--- a/internal/control/evacuate.go
+++ b/internal/control/evacuate.go
@@ -6,6 +6,26 @@
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
 
+// saveLead is how long before its worker leaves a run is stopped so that it saves
+// where it is: a stop takes up to 400 ms, and the heartbeat that tells the time may
+// be old.
+const saveLead = 700 * time.Millisecond
+
+// leaves reports whether a run is to be stopped because its worker leaves. A
+// long-running task moves as soon as its step can spare it; one with checkpoints
+// just before the worker may go, unless it will have ended. t.mu is held.
+func (t *tenure) leaves(s *workflow.State, session *session, run workflow.Run, now time.Time) bool {
+	if !session.worker.Draining {
+		return false
+	}
+	spec := &s.Jobs[run.Task.Job].Steps[run.Task.Step]
+	if spec.LongRunning {
+		return t.spared(s, run, spec)
+	}
+	last := session.leavesAt
+	return spec.Checkpointing && !last.IsZero() && now.After(last.Add(-saveLead)) && session.expectedEnd(run, spec, now).After(last)
+}
+
 // wholePercent is what a long-running task shows that is at work.
 const wholePercent = 100
 
--- a/internal/control/guard_test.go
+++ b/internal/control/guard_test.go
@@ -245,6 +245,39 @@
 	w.eventually("the task starts elsewhere", func() bool { return w.started("w2") == 1 })
 }
 
+// What a user sees: a batch job begins again from nothing when its worker leaves.
+// Order: a task with checkpoints runs on a worker that drains and may go in a
+// moment; its end is far off; one without checkpoints runs beside it.
+// Cause: nobody asked the task to save before the worker went.
+func TestATaskIsSavedBeforeItsWorkerLeaves(t *testing.T) {
+	w := newWorld(t, nil)
+	w.workers.add("w1")
+	w.announce("w1")
+	saves := oneTask
+	saves.Checkpointing, saves.EstimateMS = true, 60_000
+	plain := oneTask
+	plain.EstimateMS = 60_000
+	w.submit("a", saves)
+	w.submit("b", plain)
+	w.eventually("both run", func() bool { return w.started("w1") == 2 })
+	leave := func(remaining time.Duration) {
+		draining := worker("w1")
+		draining.Draining = true
+		_, err := w.c.Announce(context.Background(), &Announcement{Worker: draining, Remaining: remaining})
+		must.NoError(t, err)
+	}
+	leave(time.Hour)
+	time.Sleep(50 * time.Millisecond)
+	w.with("w1", func(f *fakeWorker) { must.MapLen(t, 2, f.running) })
+	leave(saveLead)
+	w.eventually("the one with checkpoints is stopped", func() bool {
+		left := 2
+		w.with("w1", func(f *fakeWorker) { left = len(f.running) })
+		return left == 1
+	})
+	w.with("w1", func(f *fakeWorker) { must.MapContainsKey(t, f.running, task("b", 0)) })
+}
+
 // What a user sees: one bad machine fails job after job.
 // Order: a worker fails whatever it is given, another one is sound.
 func TestAWorkerThatFailsEverythingIsSetAside(t *testing.T) {
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -38,7 +38,8 @@
 	// ready says that the worker has answered under this tenure's fence and that
 	// its lists have been taken in. Nothing is started before.
 	ready bool
-	// leaving says that the worker has said goodbye.
+	// leaving says that the worker has announced its end. leavesAt is the earliest
+	// time at which a draining one goes, as it said itself.
 	leaving  bool
 	leavesAt time.Time
 	// heardAt is the last heartbeat, answeredAt the last answer to a look.
@@ -242,7 +243,7 @@
 	if !lapsed {
 		return false
 	}
-	s.loseRuns()
+	s.loseRuns("lease ended without an answer")
 	if !quiet {
 		return false
 	}
@@ -257,7 +258,8 @@
 func (s *session) end(why string) {
 	t := s.t
 	t.logger.Log("event", "worker_gone", "worker", s.worker.ID, "cause", why)
-	s.keepCheckpoints()
+	// What its runs had saved goes into the log first.
+	s.loseRuns(why)
 	if _, err := t.propose(&workflow.Command{Gone: s.worker.ID}); err != nil {
 		// Whether it was committed is open; the next leader, or the next look, repeats it.
 		wait.For(t.ctx, retryPause)
@@ -271,13 +273,13 @@
 	t.kick()
 }
 
-// loseRuns ends all runs of a worker whose lease has ended.
-func (s *session) loseRuns() {
+// loseRuns ends all runs of a worker that can't be alive any more.
+func (s *session) loseRuns(why string) {
 	ends := s.lostEnds()
 	if len(ends) == 0 {
 		return
 	}
-	s.t.logger.Log("event", "runs_lost", "worker", s.worker.ID, "runs", len(ends), "cause", "lease ended without an answer")
+	s.t.logger.Log("event", "runs_lost", "worker", s.worker.ID, "runs", len(ends), "cause", why)
 	s.commitEnds(0, ends)
 }
 
@@ -295,14 +297,6 @@
 	return ends
 }
 
-// keepCheckpoints commits what runs of an incarnation that is over had saved.
-func (s *session) keepCheckpoints() {
-	ends := s.lostEnds()
-	if len(ends) > 0 {
-		s.commitEnds(0, ends)
-	}
-}
-
 func (s *session) commitEnds(seen uint64, ends []workflow.RunEnd) {
 	command := &workflow.Command{Ends: &workflow.WorkerEnds{Worker: s.worker.ID, Seen: seen, Ends: ends}}
 	if _, err := s.t.propose(command); err != nil {
--- a/internal/control/stops.go
+++ b/internal/control/stops.go
@@ -16,6 +16,7 @@
 	stopGangEnded  stopCause = "another member of the gang has ended"
 	stopCopyDone   stopCause = "a copy is done"
 	stopMachine    stopCause = "the machine goes down"
+	stopLeaving    stopCause = "the worker leaves"
 	stopPaused     stopCause = "paused for long"
 	stopStill      stopCause = "stands still"
 	stopUnanswered stopCause = "its start got no answer"
@@ -44,6 +45,8 @@
 		return stopCopyDone
 	case t.evacuated(s, run, now):
 		return stopMachine
+	case t.leaves(s, session, run, now):
+		return stopLeaving
 	}
 	o := session.orders[run.Task]
 	switch {
