Close the room that is kept for gangs to short tasks again

Tried: tasks that end before a gang is expected to fit, counted half longer than estimated, use the room that is kept for it (backfill).

--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -52,7 +52,7 @@
 		return ReasonAffinity
 	case s.Copy && slices.Contains(values(s.Avoid), w.ID):
 		return ReasonBeside
-	case p.copies(s, w) == 0:
+	case copies(s, w) == 0:
 		return ReasonFull
 	case !p.usable(s, w):
 		return ReasonTicket
--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -23,12 +23,12 @@
 		p.reserve(s, named(granted, s.Renewing), left)
 		return ReasonPermit
 	}
-	if renew := p.toRenew(s, granted, left); len(renew) > 0 {
+	if renew := toRenew(s, granted, left); len(renew) > 0 {
 		p.reserve(s, renew, left)
 		p.ask(s, renew, true)
 		return ReasonPermit
 	}
-	if p.wantsMore(s, unknown) {
+	if wantsMore(s, unknown) {
 		p.ask(s, p.toLearn(s, granted, unknown, left, p.limits.AskWorkers), false)
 		return ReasonPermit
 	}
@@ -103,11 +103,11 @@
 
 // toRenew returns permitted workers with room for the tasks left whose tickets
 // have ended.
-func (p *planner) toRenew(s *Step, granted []*Worker, left int) []*Worker {
+func toRenew(s *Step, granted []*Worker, left int) []*Worker {
 	var renew []*Worker
 	room := 0
-	for _, w := range p.byRoom(s, p.withRoom(s, granted)) {
-		n := p.copies(s, w)
+	for _, w := range byRoom(s, withRoom(s, granted)) {
+		n := copies(s, w)
 		renew = append(renew, w)
 		room += n
 		if room >= left {
@@ -118,10 +118,10 @@
 }
 
 // withRoom returns the workers on which a task of s fits now.
-func (p *planner) withRoom(s *Step, workers []*Worker) []*Worker {
+func withRoom(s *Step, workers []*Worker) []*Worker {
 	var out []*Worker
 	for _, w := range workers {
-		if p.copies(s, w) > 0 {
+		if copies(s, w) > 0 {
 			out = append(out, w)
 		}
 	}
@@ -129,11 +129,11 @@
 }
 
 // wantsMore reports whether workers of unknown permission are worth a question.
-func (p *planner) wantsMore(s *Step, unknown []*Worker) bool {
+func wantsMore(s *Step, unknown []*Worker) bool {
 	if len(s.Permits) == 0 {
 		return len(unknown) > 0
 	}
-	return slices.ContainsFunc(unknown, func(w *Worker) bool { return p.copies(s, w) > 0 })
+	return slices.ContainsFunc(unknown, func(w *Worker) bool { return copies(s, w) > 0 })
 }
 
 // emptyRoom returns how many tasks of s the workers would hold if they ran
@@ -155,13 +155,13 @@
 func (p *planner) toLearn(s *Step, granted, unknown []*Worker, left, most int) []*Worker {
 	var ask []*Worker
 	room := 0
-	for _, w := range p.byRoom(s, p.withRoom(s, granted)) {
+	for _, w := range byRoom(s, withRoom(s, granted)) {
 		if room < left {
 			ask = append(ask, w)
-			room += p.copies(s, w)
+			room += copies(s, w)
 		}
 	}
-	for _, w := range p.byRoom(s, unknown) {
+	for _, w := range byRoom(s, unknown) {
 		if len(ask) >= most {
 			break
 		}
@@ -204,7 +204,6 @@
 	var chosen []*Worker
 	for _, o := range openings {
 		p.takeRoom(o.worker, s.Spec.Room())
-		o.worker.holds = append(o.worker.holds, hold{from: openings[n-1].at, room: s.Spec.Room()})
 		if !slices.Contains(chosen, o.worker) {
 			chosen = append(chosen, o.worker)
 		}
@@ -246,7 +245,7 @@
 	var list []opening
 	free := *w
 	add := func(at time.Duration) {
-		for len(list) < min(copiesIn(s, &free, free.Free), n) {
+		for len(list) < min(copies(s, &free), n) {
 			list = append(list, opening{at: at, worker: w})
 		}
 	}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -101,11 +101,7 @@
 		return headroom
 	}
 	for _, w := range p.byService[service] {
-		room := w.Free
-		for _, h := range w.holds {
-			room = room.Plus(h.room)
-		}
-		headroom = headroom.Max(room)
+		headroom = headroom.Max(w.Free)
 	}
 	p.headroom[service] = headroom
 	return headroom
@@ -151,35 +147,9 @@
 	return permit.Granted && permit.Expires >= p.now+p.limits.TicketMargin
 }
 
-// roomFor returns the room on w that a task of s may use: what is free, and what is
-// kept for gangs that fit only after the task has ended. Estimates are off by half,
-// so it counts half longer.
-//
-// Without it, room that comes together for a gang lies idle until the last piece is
-// there.
-func (p *planner) roomFor(s *Step, w *Worker) workflow.Resources {
-	room := w.Free
-	if len(w.holds) == 0 || s.Spec.Gang || s.Spec.LongRunning || s.Spec.EstimateMS == 0 {
-		return room
-	}
-	ends := p.now + time.Duration(longerBy*float64(s.Spec.EstimateMS)*float64(time.Millisecond))
-	for _, h := range w.holds {
-		if ends <= h.from {
-			room = room.Plus(h.room)
-		}
-	}
-	return room
-}
-
-// longerBy is how much longer than estimated a task may take.
-const longerBy = 1.5
-
 // copies returns how many further tasks of s fit on w.
-func (p *planner) copies(s *Step, w *Worker) int { return copiesIn(s, w, p.roomFor(s, w)) }
-
-// copiesIn returns how many further tasks of s fit into room on w.
-func copiesIn(s *Step, w *Worker, room workflow.Resources) int {
-	n := s.Spec.Room().Copies(room)
+func copies(s *Step, w *Worker) int {
+	n := s.Spec.Room().Copies(w.Free)
 	if s.Spec.MaxPerWorker > 0 {
 		n = min(n, s.Spec.MaxPerWorker-s.Placed[w.ID])
 	}
@@ -191,7 +161,7 @@
 func (p *planner) startTasks(s *Step, suitable []*Worker) int {
 	for i, index := range s.Pending {
 		w := best(s, suitable, func(w *Worker) bool {
-			return p.copies(s, w) > 0 && w.ID != s.Avoid[index] && p.usable(s, w)
+			return copies(s, w) > 0 && w.ID != s.Avoid[index] && p.usable(s, w)
 		})
 		if w == nil {
 			return len(s.Pending) - i
@@ -206,8 +176,8 @@
 	if !s.Spec.Room().Fits(p.headroomOf(s.Service)) {
 		return len(s.Pending)
 	}
-	usable := slices.DeleteFunc(slices.Clone(suitable), func(w *Worker) bool { return p.copies(s, w) == 0 || !p.usable(s, w) })
-	chosen := p.gangWorkers(s, usable, len(s.Pending))
+	usable := slices.DeleteFunc(slices.Clone(suitable), func(w *Worker) bool { return copies(s, w) == 0 || !p.usable(s, w) })
+	chosen := gangWorkers(s, usable, len(s.Pending))
 	if chosen == nil {
 		return len(s.Pending)
 	}
@@ -218,20 +188,20 @@
 }
 
 // gangWorkers returns a worker for each of n tasks, nil when they don't all fit.
-func (p *planner) gangWorkers(s *Step, usable []*Worker, n int) []*Worker {
+func gangWorkers(s *Step, usable []*Worker, n int) []*Worker {
 	if s.Spec.SameRack {
-		if chosen := p.oneRack(s, usable, n); chosen != nil {
+		if chosen := oneRack(s, usable, n); chosen != nil {
 			return chosen
 		}
 	}
-	return p.greedy(s, usable, n)
+	return greedy(s, usable, n)
 }
 
 // greedy fills the workers with most room first.
-func (p *planner) greedy(s *Step, usable []*Worker, n int) []*Worker {
+func greedy(s *Step, usable []*Worker, n int) []*Worker {
 	var chosen []*Worker
-	for _, w := range p.byRoom(s, usable) {
-		for range min(p.copies(s, w), n-len(chosen)) {
+	for _, w := range byRoom(s, usable) {
+		for range min(copies(s, w), n-len(chosen)) {
 			chosen = append(chosen, w)
 		}
 		if len(chosen) == n {
@@ -242,7 +212,7 @@
 }
 
 // oneRack looks for a rack that holds all n tasks.
-func (p *planner) oneRack(s *Step, usable []*Worker, n int) []*Worker {
+func oneRack(s *Step, usable []*Worker, n int) []*Worker {
 	racks := map[string][]*Worker{}
 	var names []string
 	for _, w := range usable {
@@ -252,7 +222,7 @@
 		racks[w.Rack] = append(racks[w.Rack], w)
 	}
 	for _, name := range names {
-		if chosen := p.greedy(s, racks[name], n); chosen != nil {
+		if chosen := greedy(s, racks[name], n); chosen != nil {
 			return chosen
 		}
 	}
@@ -286,7 +256,7 @@
 func (p *planner) reserve(s *Step, workers []*Worker, n int) {
 	room := s.Spec.Room()
 	for _, w := range workers {
-		take := min(p.copies(s, w), n)
+		take := min(copies(s, w), n)
 		p.takeRoom(w, room.Times(int64(take)))
 		n -= take
 	}
--- a/dispatch/select.go
+++ b/dispatch/select.go
@@ -104,10 +104,10 @@
 
 // byRoom orders workers by how many tasks of s fit now, most first, so that a
 // gang spreads over few workers.
-func (p *planner) byRoom(s *Step, workers []*Worker) []*Worker {
+func byRoom(s *Step, workers []*Worker) []*Worker {
 	order := make([]ranked, len(workers))
 	for i, w := range workers {
-		order[i] = ranked{w, p.copies(s, w), distance(s, w)}
+		order[i] = ranked{w, copies(s, w), distance(s, w)}
 	}
 	slices.SortFunc(order, func(a, b ranked) int {
 		if a.worker.Penalty != b.worker.Penalty {
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -16,8 +16,6 @@
 	// Free is the capacity that no run takes, not even one that may be alive; a plan
 	// takes from it. Unplanned is the same before the plan.
 	Free, Unplanned workflow.Resources
-	// holds are what a plan keeps for gangs that fit later.
-	holds []hold
 	// Releases are the expected ends of the runs on the worker, the soonest first.
 	Releases []Release
 	// Serving says that tasks with a latency objective run there.
@@ -32,13 +30,6 @@
 	Penalty int
 }
 
-// hold is room that is kept for a gang from a time on. Until then shorter tasks may
-// use what of it is free.
-type hold struct {
-	from time.Duration
-	room workflow.Resources
-}
-
 // Release is room that a run is expected to give back.
 type Release struct {
 	// At is on the caller's steady clock.
