Move the measuring of daemons out of the stand-ins

The package of stand-ins had three jobs; sampling what processes use, and fitting how that grows, is now package measure. Behaviour is unchanged; the tests moved with it.

--- a/internal/standin/fit_test.go
+++ b/internal/measure/fit_test.go
@@ -1,4 +1,4 @@
-package standin
+package measure
 
 import (
 	"strings"
--- a/internal/standin/measure.go
+++ b/internal/measure/measure.go
@@ -1,4 +1,6 @@
-package standin
+// Package measure samples what running daemons use, from the outside, and fits how
+// that grows with the size of a deployment.
+package measure
 
 import (
 	"bytes"
@@ -16,19 +18,21 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/bilberryferry/bilberryferry/internal/wait"
 )
 
-// MeasureTarget is one process to be measured.
-type MeasureTarget struct {
+// Target is one process to be measured.
+type Target struct {
 	Name string
 	PID  int
 	// Admin is the address that serves /debug/vars; empty: no counters are read.
 	Admin string
 }
 
-// MeasureConfig describes a measurement of running daemons.
-type MeasureConfig struct {
-	Targets []MeasureTarget
+// Config describes a measurement of running daemons.
+type Config struct {
+	Targets []Target
 	// Interval is the time between samples; 0 means DefaultInterval.
 	Interval time.Duration
 	// Duration is the time from the first to the last sample.
@@ -80,8 +84,8 @@
 
 const adminTimeout = 2 * time.Second
 
-// Measure samples the targets and returns what each used, in their order.
-func Measure(ctx context.Context, cfg MeasureConfig) ([]Usage, error) {
+// Run samples the targets and returns what each used, in their order.
+func Run(ctx context.Context, cfg Config) ([]Usage, error) {
 	if cfg.Interval == 0 {
 		cfg.Interval = DefaultInterval
 	}
@@ -96,14 +100,14 @@
 				return nil, errors.Wrapf(err, "process %s (%d)", target.Name, target.PID)
 			}
 		}
-		if !time.Now().Before(end) || !sleepUntil(ctx, time.Now().Add(min(cfg.Interval, time.Until(end)))) {
+		if !time.Now().Before(end) || !wait.For(ctx, min(cfg.Interval, time.Until(end))) {
 			break
 		}
 	}
 	return cfg.usages(samples), nil
 }
 
-func (cfg MeasureConfig) usages(samples [][]sample) []Usage {
+func (cfg Config) usages(samples [][]sample) []Usage {
 	most := 0
 	for _, list := range samples {
 		most = max(most, len(list))
@@ -151,7 +155,7 @@
 	return 100 * float64(to.ticks-from.ticks) / ticksPerSecond / seconds
 }
 
-func (cfg MeasureConfig) sample(ctx context.Context, target MeasureTarget) (sample, error) {
+func (cfg Config) sample(ctx context.Context, target Target) (sample, error) {
 	folder := filepath.Join("/proc", strconv.Itoa(target.PID))
 	s := sample{at: time.Now()}
 	var err error
@@ -218,7 +222,7 @@
 func readVars(ctx context.Context, address string) map[string]any {
 	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, baseURL(address)+"/debug/vars", nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/debug/vars", nil)
 	if err != nil {
 		return nil
 	}
--- a/internal/standin/measure_test.go
+++ b/internal/measure/measure_test.go
@@ -1,8 +1,9 @@
-package standin
+package measure
 
 import (
 	"context"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strconv"
 	"strings"
@@ -14,12 +15,13 @@
 
 func TestMeasureOwnProcess(t *testing.T) {
 	count := 0
-	address := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		count++
 		_, _ = w.Write([]byte(`{"calls": ` + strings.Repeat("1", count) + `, "peers": {"a": {"sent": ` + strconv.Itoa(count) + `}, "b": {"sent": 5}, "c": 1}, "name": "x"}`))
 	}))
-	usages, err := Measure(t.Context(), MeasureConfig{
-		Targets:  []MeasureTarget{{Name: "self", PID: os.Getpid(), Admin: address}},
+	t.Cleanup(server.Close)
+	usages, err := Run(t.Context(), Config{
+		Targets:  []Target{{Name: "self", PID: os.Getpid(), Admin: strings.TrimPrefix(server.URL, "http://")}},
 		Interval: 5 * time.Millisecond,
 		Duration: 20 * time.Millisecond,
 		Counters: []string{"calls", "peers.*.sent", "name", "missing"},
@@ -37,6 +39,6 @@
 }
 
 func TestMeasureNamesMissingProcess(t *testing.T) {
-	_, err := Measure(context.Background(), MeasureConfig{Targets: []MeasureTarget{{Name: "ghost", PID: -1}}})
+	_, err := Run(context.Background(), Config{Targets: []Target{{Name: "ghost", PID: -1}}})
 	must.ErrorContains(t, err, "ghost")
 }
--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -34,7 +34,7 @@
 	commander.Register(&minions{base: base}, "")
 	commander.Register(&callers{base: base}, "")
 	commander.Register(&jobs{base: base}, "")
-	commander.Register(&measure{base: base}, "")
+	commander.Register(&measureCommand{base: base}, "")
 	commander.Register(&changes{base: base}, "")
 	commander.Register(&fit{base: base}, "")
 	if err := flags.Parse(args); err != nil {
--- a/internal/standin/command/fit.go
+++ b/internal/standin/command/fit.go
@@ -12,7 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/subcommands"
 
-	"github.com/bilberryferry/bilberryferry/internal/standin"
+	"github.com/bilberryferry/bilberryferry/internal/measure"
 )
 
 // fit lays lines through measurements at several sizes.
@@ -32,7 +32,7 @@
 }
 
 func (c *fit) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	var sized []standin.Sized
+	var sized []measure.Sized
 	for _, arg := range f.Args() {
 		one, err := readSized(arg)
 		if err != nil {
@@ -43,30 +43,30 @@
 	if len(sized) == 0 {
 		return c.wrong(errors.New("no measurement is named"))
 	}
-	class := standin.Usage.CellClass
+	class := measure.Usage.CellClass
 	if c.configuration {
-		class = standin.Usage.ConfigClass
+		class = measure.Usage.ConfigClass
 	}
-	if err := standin.WriteFit(c.out, sized, class); err != nil {
+	if err := measure.WriteFit(c.out, sized, class); err != nil {
 		fmt.Fprintln(c.problems, err)
 		return subcommands.ExitFailure
 	}
 	return subcommands.ExitSuccess
 }
 
-func readSized(arg string) (standin.Sized, error) {
+func readSized(arg string) (measure.Sized, error) {
 	size, path, _ := strings.Cut(arg, "=")
 	number, err := strconv.ParseFloat(size, 64)
 	if err != nil {
-		return standin.Sized{}, errors.Newf("%q isn't SIZE=FILE", arg)
+		return measure.Sized{}, errors.Newf("%q isn't SIZE=FILE", arg)
 	}
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return standin.Sized{}, err
+		return measure.Sized{}, err
 	}
-	one := standin.Sized{Size: number}
+	one := measure.Sized{Size: number}
 	if err := json.Unmarshal(text, &one.Usages); err != nil {
-		return standin.Sized{}, errors.Wrapf(err, "%s", path)
+		return measure.Sized{}, errors.Wrapf(err, "%s", path)
 	}
 	return one, nil
 }
--- a/internal/standin/command/measure.go
+++ b/internal/standin/command/measure.go
@@ -13,35 +13,35 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/subcommands"
 
-	"github.com/bilberryferry/bilberryferry/internal/standin"
+	"github.com/bilberryferry/bilberryferry/internal/measure"
 )
 
 // measure measures what daemons use.
-type measure struct {
+type measureCommand struct {
 	*base
-	cfg       standin.MeasureConfig
+	cfg       measure.Config
 	processes string
 	counters  string
 	json      bool
 }
 
-func (*measure) Name() string { return "measure" }
-func (*measure) Synopsis() string {
+func (*measureCommand) Name() string { return "measure" }
+func (*measureCommand) Synopsis() string {
 	return "measure processor time, memory and bytes of running daemons"
 }
-func (*measure) Usage() string {
+func (*measureCommand) Usage() string {
 	return "measure [flags] [NAME=PID[@ADMIN] ...]:\n  Sample processes and print what each used. With -processes they are read from a\n  file with lines NAME PID [ADMIN], as scripts/cluster.sh writes it.\n"
 }
 
-func (c *measure) SetFlags(f *flag.FlagSet) {
+func (c *measureCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.processes, "processes", "", "`file` with one process a line")
-	f.DurationVar(&c.cfg.Interval, "interval", standin.DefaultInterval, "time between samples")
+	f.DurationVar(&c.cfg.Interval, "interval", measure.DefaultInterval, "time between samples")
 	f.DurationVar(&c.cfg.Duration, "duration", 10*time.Second, "time from first to last sample")
 	f.StringVar(&c.counters, "counters", "", "`names` of expvar counters whose rates are wanted, comma-separated, levels joined by dots, * for all keys of a level")
 	f.BoolVar(&c.json, "json", false, "print JSON")
 }
 
-func (c *measure) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *measureCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	targets, err := c.targets(f.Args())
 	if err != nil {
 		return c.wrong(err)
@@ -50,7 +50,7 @@
 	if c.counters != "" {
 		c.cfg.Counters = strings.Split(c.counters, ",")
 	}
-	usages, err := standin.Measure(ctx, c.cfg)
+	usages, err := measure.Run(ctx, c.cfg)
 	if err == nil {
 		err = c.print(usages)
 	}
@@ -61,17 +61,17 @@
 	return subcommands.ExitSuccess
 }
 
-func (c *measure) print(usages []standin.Usage) error {
+func (c *measureCommand) print(usages []measure.Usage) error {
 	if !c.json {
-		return standin.WriteUsages(c.out, usages)
+		return measure.WriteUsages(c.out, usages)
 	}
 	encoder := json.NewEncoder(c.out)
 	encoder.SetIndent("", "  ")
 	return encoder.Encode(usages)
 }
 
-func (c *measure) targets(args []string) ([]standin.MeasureTarget, error) {
-	var targets []standin.MeasureTarget
+func (c *measureCommand) targets(args []string) ([]measure.Target, error) {
+	var targets []measure.Target
 	for _, arg := range args {
 		name, rest, _ := strings.Cut(arg, "=")
 		pid, admin, _ := strings.Cut(rest, "@")
@@ -94,20 +94,20 @@
 	return targets, nil
 }
 
-func newTarget(name, pid, admin string) (standin.MeasureTarget, error) {
+func newTarget(name, pid, admin string) (measure.Target, error) {
 	number, err := strconv.Atoi(pid)
 	if err != nil || number <= 0 {
-		return standin.MeasureTarget{}, errors.Newf("process %q: %q isn't a process id", name, pid)
+		return measure.Target{}, errors.Newf("process %q: %q isn't a process id", name, pid)
 	}
-	return standin.MeasureTarget{Name: name, PID: number, Admin: admin}, nil
+	return measure.Target{Name: name, PID: number, Admin: admin}, nil
 }
 
-func readProcesses(path string) ([]standin.MeasureTarget, error) {
+func readProcesses(path string) ([]measure.Target, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, err
 	}
-	var targets []standin.MeasureTarget
+	var targets []measure.Target
 	for line := range strings.Lines(string(text)) {
 		fields := append(strings.Fields(line), "", "")
 		if fields[0] == "" {
