Share what the command line's changes do alike

cancel, scale and drain each took a request id, opened a client, bounded the call and explained an open fate; one function does that now. Output and exit codes are unchanged.

--- a/internal/cli/change.go
+++ b/internal/cli/change.go
@@ -23,6 +23,24 @@
 	return withNext(err, "the call may have been carried out; send it again with --request-id "+id)
 }
 
+// change makes a call that changes something, under a request id with which it can
+// be sent again when its answer gets lost.
+func change[A any](ctx context.Context, s *session, givenID string, send func(ctx context.Context, c *client, id string) (A, error)) (A, error) {
+	var none A
+	id, err := requestID(givenID)
+	if err != nil {
+		return none, err
+	}
+	c, err := s.client()
+	if err != nil {
+		return none, err
+	}
+	ctx, stop := s.bounded(ctx)
+	defer stop()
+	answer, err := send(ctx, c, id)
+	return answer, openFate(err, id)
+}
+
 func cancelCommand() *command {
 	var name, id string
 	var all, dryRun bool
@@ -67,29 +85,21 @@
 }
 
 func (s *session) cancel(ctx context.Context, request *apiv1.CancelRequest, givenID string) error {
-	id, err := requestID(givenID)
-	if err != nil {
-		return err
-	}
-	request.RequestId = id
-	c, err := s.client()
-	if err != nil {
-		return err
-	}
-	ctx, stop := s.bounded(ctx)
-	defer stop()
-	answer, err := schedulerCall(ctx, c, request, func(api apiv1.Scheduler) func(context.Context, *apiv1.CancelRequest) (*apiv1.CancelResponse, error) {
-		return api.Cancel
+	answer, err := change(ctx, s, givenID, func(ctx context.Context, c *client, id string) (*apiv1.CancelResponse, error) {
+		request.RequestId = id
+		return schedulerCall(ctx, c, request, func(api apiv1.Scheduler) func(context.Context, *apiv1.CancelRequest) (*apiv1.CancelResponse, error) {
+			return api.Cancel
+		})
 	})
 	if err != nil {
-		return openFate(err, id)
+		return err
 	}
 	err = s.show(answer, func(out io.Writer) { showCancelled(out, answer, request.DryRun) })
 	if err != nil || len(answer.GetUnreachableDataCentres()) == 0 {
 		return err
 	}
 	return openFate(fault.New(fault.Unavailable, "not cancelled in data centres that weren't reached: %s",
-		strings.Join(answer.GetUnreachableDataCentres(), ", ")), id)
+		strings.Join(answer.GetUnreachableDataCentres(), ", ")), request.RequestId)
 }
 
 func showCancelled(out io.Writer, answer *apiv1.CancelResponse, dryRun bool) {
@@ -129,22 +139,14 @@
 }
 
 func (s *session) scale(ctx context.Context, request *apiv1.ScaleRequest, givenID string) error {
-	id, err := requestID(givenID)
-	if err != nil {
-		return err
-	}
-	request.RequestId = id
-	c, err := s.client()
-	if err != nil {
-		return err
-	}
-	ctx, stop := s.bounded(ctx)
-	defer stop()
-	answer, err := schedulerCall(ctx, c, request, func(api apiv1.Scheduler) func(context.Context, *apiv1.ScaleRequest) (*apiv1.ScaleResponse, error) {
-		return api.Scale
+	answer, err := change(ctx, s, givenID, func(ctx context.Context, c *client, id string) (*apiv1.ScaleResponse, error) {
+		request.RequestId = id
+		return schedulerCall(ctx, c, request, func(api apiv1.Scheduler) func(context.Context, *apiv1.ScaleRequest) (*apiv1.ScaleResponse, error) {
+			return api.Scale
+		})
 	})
 	if err != nil {
-		return openFate(err, id)
+		return err
 	}
 	return s.show(answer, func(out io.Writer) { s.showJobs(out, []*apiv1.Job{answer.GetJob()}, false) })
 }
@@ -178,22 +180,14 @@
 }
 
 func (s *session) drain(ctx context.Context, request *apiv1.DrainRequest, givenID string) error {
-	id, err := requestID(givenID)
-	if err != nil {
-		return err
-	}
-	request.RequestId = id
-	c, err := s.client()
-	if err != nil {
-		return err
-	}
-	ctx, stop := s.bounded(ctx)
-	defer stop()
-	answer, err := operationsCall(ctx, c, request, func(api apiv1.Operations) func(context.Context, *apiv1.DrainRequest) (*apiv1.DrainResponse, error) {
-		return api.Drain
+	answer, err := change(ctx, s, givenID, func(ctx context.Context, c *client, id string) (*apiv1.DrainResponse, error) {
+		request.RequestId = id
+		return operationsCall(ctx, c, request, func(api apiv1.Operations) func(context.Context, *apiv1.DrainRequest) (*apiv1.DrainResponse, error) {
+			return api.Drain
+		})
 	})
 	if err != nil {
-		return openFate(err, id)
+		return err
 	}
 	return s.show(answer, func(io.Writer) { s.showWorkers([]*apiv1.WorkerInfo{answer.GetWorker()}) })
 }
