--- /dev/null
+++ b/replica/sim_checks_test.go
@@ -0,0 +1,107 @@
+package replica
+
+import (
+	"fmt"
+)
+
+// observe checks what a member says of itself.
+func (n *simNode) observe() {
+	if n.core == nil {
+		return
+	}
+	st := n.core.Status()
+	if st.Role == Leader {
+		if other, ok := n.s.leaders[st.Term]; ok && other != n.id {
+			n.s.failf("%s and %s lead in term %d", other, n.id, st.Term)
+		}
+		n.s.leaders[st.Term] = n.id
+		if st.Commit > n.commit && !st.Degraded {
+			n.s.strong = max(n.s.strong, st.Commit)
+		}
+	}
+	n.commit = st.Commit
+}
+
+// checkLease: an old leader decides nothing any more once another one does.
+func (s *sim) checkLease() {
+	var deciding []string
+	for _, n := range s.nodes {
+		if n.core != nil && !n.paused && !n.frozen && n.core.Status().CanDecide {
+			deciding = append(deciding, n.id)
+		}
+	}
+	if len(deciding) > 1 {
+		s.failf("%v decide at once", deciding)
+	}
+}
+
+// forgetful counts the members that have forgotten, or will have at their
+// next start, what they promised.
+func (s *sim) forgetful() int {
+	count := 0
+	for _, n := range s.nodes {
+		if !s.votesAnywhere(n.id) {
+			continue
+		}
+		hs := n.stored.HardState
+		lost := (n.core == nil || n.disk) && (hs.Incarnation == 0 || hs.Recovering)
+		if lost || n.core != nil && n.core.role == Recovering {
+			count++
+		}
+	}
+	return count
+}
+
+// votesAnywhere reports whether any live member takes id for a voter.
+func (s *sim) votesAnywhere(id string) bool {
+	for _, n := range s.nodes {
+		if n.core != nil && isVoter(n.core.members.current(), id) {
+			return true
+		}
+	}
+	return isVoter(s.initial(), id)
+}
+
+// checkAlive: after the faults, the group has a leader that commits.
+func (s *sim) checkAlive() {
+	before := s.counts["committed"]
+	s.heal()
+	s.run(600)
+	if s.leader() == nil || s.counts["committed"] == before {
+		s.failf("no progress after the faults:%s", s.describe())
+	}
+	s.checkLogs()
+}
+
+func (s *sim) describe() string {
+	out := ""
+	for _, n := range s.nodes {
+		if n.core == nil {
+			out += fmt.Sprintf("\n%s down", n.id)
+			continue
+		}
+		st := n.core.Status()
+		out += fmt.Sprintf("\n%s disk=%t role=%d term=%d leader=%s commit=%d last=%d members=%v", n.id, n.disk, st.Role, st.Term, st.Leader, st.Commit, st.Last, st.Members)
+	}
+	return out
+}
+
+// checkLogs: two logs with the same term at an index are equal up to there.
+func (s *sim) checkLogs() {
+	for _, a := range s.nodes {
+		for _, b := range s.nodes {
+			if a.core == nil || b.core == nil {
+				continue
+			}
+			same := false
+			for i := min(a.core.log.last(), b.core.log.last()); i >= max(a.core.log.first(), b.core.log.first()); i-- {
+				x, y := a.core.log.slice(i, i)[0], b.core.log.slice(i, i)[0]
+				equal := x.Term == y.Term && string(x.Data) == string(y.Data)
+				if same && !equal {
+					s.failf("%s and %s differ at %d", a.id, b.id, i)
+				}
+				same = same || x.Term == y.Term
+			}
+		}
+	}
+}
--- /dev/null
+++ b/replica/sim_faults_test.go
@@ -0,0 +1,105 @@
+package replica
+
+import (
+	"slices"
+)
+
+// fault lets something fail, within what the group promises to survive.
+func (s *sim) fault() {
+	n := s.nodes[s.rand.IntN(len(s.nodes))]
+	quorum := s.opt.voters/2 + 1
+	switch kind := s.rand.IntN(s.opt.faultEvery); {
+	case kind < 8 && n.core != nil:
+		forgets := !n.disk
+		loseDisk := n.disk && s.chance(0.2) && !s.opt.powerLoss
+		if forgets || loseDisk {
+			if s.forgetful()+1 >= quorum {
+				return
+			}
+		}
+		s.counts["crashes"]++
+		if loseDisk {
+			s.counts["disk losses"]++
+		}
+		n.crash(loseDisk)
+	case kind < 12 && n.core != nil && !n.paused:
+		s.counts["pauses"]++
+		n.paused = true
+	case kind < 24 && n.paused:
+		n.resume()
+	case kind < 30:
+		s.counts["cuts"]++
+		for _, o := range s.nodes {
+			s.cut[[2]string{n.id, o.id}] = true
+			s.cut[[2]string{o.id, n.id}] = s.chance(0.8)
+		}
+	case kind < 45:
+		clear(s.cut)
+	case kind < 48:
+		s.loss = s.rand.Float64() * 0.3
+	case kind < 52:
+		s.loss = 0
+	case kind < 58:
+		if l := s.leader(); l != nil && !l.paused && l.core.Transfer(n.id) == nil {
+			s.counts["transfers"]++
+		}
+	case kind < 68 && s.opt.changes:
+		s.change()
+	case kind == 100 && s.opt.powerLoss:
+		s.losePower()
+	}
+}
+
+// change proposes a random change of one member. Without a disk among the voters
+// nothing would be promised in a loss of power.
+func (s *sim) change() {
+	l := s.leader()
+	if l == nil || l.paused {
+		return
+	}
+	n := s.nodes[s.rand.IntN(len(s.nodes))]
+	if s.opt.powerLoss && n.disk {
+		return
+	}
+	list := slices.Clone(l.core.members.current())
+	i := slices.IndexFunc(list, func(m Member) bool { return m.ID == n.id })
+	switch {
+	case i < 0:
+		list = append(list, Member{ID: n.id, HasDisk: n.disk, Learner: true})
+	case list[i].Learner:
+		list[i].Learner = false
+	case len(voters(list)) > 3:
+		list = slices.Delete(list, i, i+1)
+	}
+	if _, _, err := l.core.ProposeMembership(list); err == nil {
+		s.counts["changes"]++
+	}
+}
+
+// losePower stops everything at once. What was committed while no disk voter
+// answered may be lost.
+func (s *sim) losePower() {
+	s.counts["power losses"]++
+	s.wire = nil
+	for _, n := range s.nodes {
+		n.crash(false)
+	}
+	for index := range s.states {
+		if index > s.strong {
+			delete(s.states, index)
+		}
+	}
+	s.last = min(s.last, s.strong)
+}
+
+// heal ends all faults and lets the group come to rest.
+func (s *sim) heal() {
+	s.opt.faults = false
+	s.loss = 0
+	clear(s.cut)
+	for _, n := range s.nodes {
+		if n.paused {
+			n.resume()
+		}
+	}
+}
