Tests for guards that none covered

Twenty-four guards of the new code were broken one by one; eight were seen green: what was asked to stop counted as at work, an open order as up, a list that lags as proof, a stop without an answer as repeated, a task as near its worker's end, orders for one machine as apart, a predecessor's pause, a copy of a done task. Each has a test now, and all eight are seen red again with the guard broken.

--- a/internal/control/guard_test.go
+++ b/internal/control/guard_test.go
@@ -173,7 +173,9 @@
 	gang := workflow.Step{Count: 2, Need: workflow.Resources{MilliCPU: 4000, MemoryMB: 10}, EstimateMS: 1000, Gang: true}
 	_, err := w.c.Submit(context.Background(), &SubmitCall{Place: Place{Queue: "u", ID: "g"}, Payload: "payload", Steps: []workflow.Step{gang}})
 	must.NoError(t, err)
+	begun := time.Now()
 	w.eventually("the gang runs", func() bool { return w.started("w1") == 3 })
+	must.Less(t, moveAfter, time.Since(begun), must.Sprint("not stopped for standing still"))
 	w.with("w1", func(f *fakeWorker) {
 		f.finish(task("g", 0), workflow.OutcomeDone)
 		f.finish(task("g", 1), workflow.OutcomeDone)
@@ -182,6 +184,33 @@
 	w.with("w1", func(f *fakeWorker) { must.Eq(t, "half", f.starts[3].Checkpoint) })
 }
 
+// What a user sees: a task begins again after it was done.
+// Order: a copy's start is being committed; the other run's end is; the start is
+// sent.
+// Cause: only the job's end was looked at.
+func TestNoCopyIsSentOfATaskThatIsDone(t *testing.T) {
+	w := newWorld(t, nil)
+	w.workers.add("w1")
+	w.announce("w1")
+	step := oneTask
+	step.Count, step.Speculative = 2, true
+	w.submit("a", step)
+	w.eventually("the tasks start", func() bool { return w.started("w1") == 2 })
+	ten, err := w.c.leading()
+	must.NoError(t, err)
+	copied := workflow.Run{Task: task("a", 0), Number: 2, Worker: "w2"}
+	o, _, _ := ten.newOrder(copied, "")
+	must.NotNil(t, o)
+	w.with("w1", func(f *fakeWorker) { f.finish(task("a", 0), workflow.OutcomeDone) })
+	w.eventually("it is done", func() bool {
+		done := false
+		w.c.machine.read(func(s *workflow.State) { done = s.Task(task("a", 0)).Done })
+		return done
+	})
+	o, _, _ = ten.newOrder(copied, "")
+	must.Nil(t, o)
+}
+
 // What a user sees: a job that was cancelled goes on taking room.
 // Order: cancelled while its task runs.
 func TestRunsOfACancelledJobAreStopped(t *testing.T) {
@@ -266,7 +295,7 @@
 		_, err := w.c.Announce(context.Background(), &Announcement{Worker: draining, Remaining: remaining})
 		must.NoError(t, err)
 	}
-	leave(time.Hour)
+	leave(30 * time.Second)
 	time.Sleep(50 * time.Millisecond)
 	w.with("w1", func(f *fakeWorker) { must.MapLen(t, 2, f.running) })
 	leave(saveLead)
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -62,7 +62,9 @@
 	failedJob  string
 	quarantine time.Time
 	pace       pace
-	throttle   throttle
+	// speed is pace over many more runs.
+	speed    pace
+	throttle throttle
 	// busy says that the last report listed runs; advancedAt is the last report
 	// that showed that something goes on.
 	busy       bool
--- a/internal/control/upkeep_test.go
+++ b/internal/control/upkeep_test.go
@@ -17,8 +17,13 @@
 // with another incarnation of their worker.
 type fakeMachines struct {
 	world *world
-	// length is how long a machine is down.
-	length time.Duration
+	// length is how long a machine is down, lag how long the list shows it as before.
+	length, lag time.Duration
+	// slow is how long a call takes; calls and mostCalls count those under way for
+	// one machine.
+	slow      time.Duration
+	calls     map[string]int
+	mostCalls int
 
 	mu   sync.Mutex
 	list map[string]*ListedMachine
@@ -33,7 +38,7 @@
 }
 
 func newFakeMachines(ids ...string) *fakeMachines {
-	f := &fakeMachines{length: 30 * time.Millisecond, list: map[string]*ListedMachine{}, lives: map[string]int{}}
+	f := &fakeMachines{length: 30 * time.Millisecond, list: map[string]*ListedMachine{}, lives: map[string]int{}, calls: map[string]int{}}
 	for _, id := range ids {
 		f.list[id] = &ListedMachine{ID: id, Pool: "s", State: MachineUp, Worker: id + "-0"}
 	}
@@ -58,6 +63,8 @@
 }
 
 func (f *fakeMachines) Upkeep(_ context.Context, order MachineOrder, _ int64) error {
+	f.enter(order.Machine)
+	defer f.leave(order.Machine)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.fences = append(f.fences, order.Fence)
@@ -85,10 +92,31 @@
 	return nil
 }
 
+// enter counts a call under way and takes its time.
+func (f *fakeMachines) enter(machine string) {
+	f.mu.Lock()
+	f.calls[machine]++
+	f.mostCalls = max(f.mostCalls, f.calls[machine])
+	f.mu.Unlock()
+	time.Sleep(f.slow)
+}
+
+func (f *fakeMachines) leave(machine string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls[machine]--
+}
+
 func (f *fakeMachines) takeDown(m *ListedMachine) {
 	old := m.Worker
 	f.world.with(old, func(w *fakeWorker) { w.replaced = true; clear(w.running) })
-	m.State, m.Worker = MachineInUpkeep, ""
+	time.AfterFunc(f.lag, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if m.Worker == old {
+			m.State, m.Worker = MachineInUpkeep, ""
+		}
+	})
 	f.down++
 	f.mostDown = max(f.mostDown, f.down)
 	f.comeUp(m)
@@ -101,7 +129,7 @@
 	time.AfterFunc(f.length, func() {
 		f.world.workers.add(next)
 		f.mu.Lock()
-		if m.State == MachineInUpkeep {
+		if m.State != MachineMoving {
 			f.down--
 		}
 		m.State, m.Worker = MachineUp, next
@@ -172,13 +200,78 @@
 // Cause: a machine counted as up while its order was open.
 func TestAnUnansweredOrderCountsAsDown(t *testing.T) {
 	machines := newFakeMachines("m1", "m2", "m3")
-	machines.silent = true
+	machines.silent, machines.length, machines.lag = true, 600*time.Millisecond, 300*time.Millisecond
 	w := machineWorld(t, machines)
 	w.startWave(workflow.Wave{ID: 1, Machines: []string{"m1", "m2", "m3"}, DurationMS: 60_000, MaxDown: 1})
 	w.eventually("the wave is done", func() bool { return w.waveDone(1) })
 	must.Eq(t, 1, machines.mostDown)
 }
 
+// What an operator sees: one machine gets orders twice, or from two instances.
+// Order: an order takes long, and the next decision comes before its answer; a
+// leader begins right after another one gave orders.
+// Cause: nothing held orders for one machine apart.
+func TestOrdersForOneMachineLieApart(t *testing.T) {
+	machines := newFakeMachines("m1", "m2")
+	machines.slow = 3 * machinesPause
+	w := machineWorld(t, machines)
+	ten, err := w.c.leading()
+	must.NoError(t, err)
+	must.True(t, ten.beginOrder("m9"))
+	must.False(t, ten.beginOrder("m9"))
+	ten.c.cfg.Bounds.HolderPause = time.Hour
+	must.False(t, ten.beginOrder("m8"), must.Sprint("the predecessor's orders may be on their way"))
+	ten.c.cfg.Bounds.HolderPause = 0
+	w.startWave(workflow.Wave{ID: 1, Machines: []string{"m1", "m2"}, DurationMS: 60_000, MaxDown: 1})
+	w.eventually("the wave is done", func() bool { return w.waveDone(1) })
+	must.Eq(t, 1, machines.mostCalls)
+}
+
+// What a user sees: a service with too few of its tasks at work.
+// Order: two machines are emptied by one decision; a task of the same step runs on
+// each; one of them may be away.
+// Cause: the first stop didn't count before it was carried out.
+func TestATaskThatIsAskedToStopCountsAsAway(t *testing.T) {
+	w := newWorld(t, nil)
+	for _, id := range []string{"w1", "w2"} {
+		w.workers.add(id)
+		w.announce(id)
+	}
+	step := workflow.Step{Count: 2, Need: workflow.Resources{MilliCPU: 6000}, LongRunning: true, MaxUnavailable: 1}
+	w.submit("a", step)
+	w.eventually("both tasks run", func() bool { return w.started("w1") == 1 && w.started("w2") == 1 })
+	ten, err := w.c.leading()
+	must.NoError(t, err)
+	ten.mu.Lock()
+	defer ten.mu.Unlock()
+	w.c.machine.read(func(s *workflow.State) {
+		var runs []workflow.Run
+		for _, id := range []string{"w1", "w2"} {
+			for key, run := range s.Runs[id] {
+				ten.sessions[id].orders[key] = &order{run: run, listed: true, percent: wholePercent}
+				runs = append(runs, run)
+			}
+		}
+		must.True(t, ten.spared(s, runs[1], &step))
+		ten.sessions["w1"].orders[runs[0].Task].stopSent = time.Now()
+		must.False(t, ten.spared(s, runs[1], &step))
+	})
+}
+
+// What a user sees: a machine is taken from under a task.
+// Order: a machine is chosen for a move; a start on it is being committed.
+// Cause: only committed runs were looked at.
+func TestAMachineOnWhichATaskBeginsIsNotEmpty(t *testing.T) {
+	w := newWorld(t, nil)
+	ten, err := w.c.leading()
+	must.NoError(t, err)
+	must.True(t, ten.isEmpty("w1"))
+	ten.mu.Lock()
+	ten.proposed[task("a", 0)] = "w1"
+	ten.mu.Unlock()
+	must.False(t, ten.isEmpty("w1"))
+}
+
 // What a user sees: a service with too few of its tasks at work.
 // Order: two tasks serve on two machines; one of them may be away; both machines
 // are to go down; the moved task takes its time to be at work again.
