Place tight work by room again, not by the workers' speed

Tried: steps of queues with a stretch under 2 prefer workers that aren't slower than all by 12 % over twenty runs, those over 3 the slower ones.

--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -200,21 +200,6 @@
 	must.Eq(t, 1, asks(500*time.Millisecond))
 }
 
-func TestTightWorkGoesToFastWorkers(t *testing.T) {
-	for slack, want := range map[float64]string{0: "a/0@w0", 1.5: "a/0@w1", 2.2: "a/0@w0", 4: "a/0@w0"} {
-		list := workers(3, 9)
-		list[0].Slow = true
-		s := step("a", 1, 2)
-		s.Slack = slack
-		must.Eq(t, []string{want}, started(Decide(0, []Step{s}, list, limits)), must.Sprint(slack))
-	}
-	list := workers(9, 3)
-	list[0].Slow = true
-	s := step("a", 1, 2)
-	s.Slack = 4
-	must.Eq(t, []string{"a/0@w0"}, started(Decide(0, []Step{s}, list, limits)))
-}
-
 // What a user sees: a gang waits on though runs were stopped for it.
 // Order: room for a gang comes free bit by bit; small urgent tasks come meanwhile
 // and fit there best; another worker has room for them too.
--- a/dispatch/select.go
+++ b/dispatch/select.go
@@ -85,24 +85,7 @@
 		byRoom = -byRoom
 	}
 	return cmp.Or(cmp.Compare(a.Penalty, b.Penalty), cmp.Compare(distance(s, a), distance(s, b)),
-		cmp.Compare(crowding(s, a), crowding(s, b)), compareBools(a.Earmarked, b.Earmarked),
-		cmp.Compare(mismatch(s, a), mismatch(s, b)), byRoom, cmp.Compare(a.ID, b.ID))
-}
-
-// Steps with less slack than tightSlack go to fast workers, those with more than
-// looseSlack to slow ones, which keeps the fast ones free.
-const (
-	tightSlack = 2
-	looseSlack = 3
-)
-
-// mismatch is 1 where the worker's speed suits other steps better.
-func mismatch(s *Step, w *Worker) int {
-	switch {
-	case s.Slack > 0 && s.Slack < tightSlack && w.Slow, s.Slack > looseSlack && !w.Slow:
-		return 1
-	}
-	return 0
+		cmp.Compare(crowding(s, a), crowding(s, b)), compareBools(a.Earmarked, b.Earmarked), byRoom, cmp.Compare(a.ID, b.ID))
 }
 
 // distance is 0 near the data of s, 1 elsewhere.
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -26,9 +26,6 @@
 	// Earmarked says that the last decision kept room there for a gang that is about
 	// to fit.
 	Earmarked bool
-	// Slow says that tasks take clearly longer there than on most workers, though not
-	// so long that it is set back.
-	Slow bool
 	// Penalty sets back workers that failed or stood still lately; 0 is sound.
 	Penalty int
 }
@@ -66,8 +63,6 @@
 	// Late is 0 while the job can meet its objective, 1 while it is late but still
 	// worth something, and 2 after that.
 	Late int
-	// Slack is how much longer than its work the job may take, as a multiple.
-	Slack float64
 	// Due is when the job's objective ends, on the caller's steady clock.
 	Due time.Duration
 	// Pending are the tasks that may be started.
--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -25,13 +25,6 @@
 	slowFactor = 2.5
 	// slowSamples is how many runs are needed for that.
 	slowSamples = 3
-	// slowerFactor is how much longer than on all workers runs must take on one for
-	// tight work to avoid it, over slowerSamples runs. Estimates are off by half, so
-	// the mean of 20 is off by a tenth.
-	slowerFactor  = 1.12
-	slowerSamples = 20
-	// speedWeight is the weight of the latest run in that mean.
-	speedWeight = 0.05
 	// Weights of the latest run in the moving means of one worker and of all.
 	workerWeight = 0.3
 	allWeight    = 0.02
@@ -84,7 +77,6 @@
 	ratio := float64(now.Sub(o.startedAt)) / float64(o.estimate)
 	wasSlow := s.slow()
 	s.pace.add(ratio, workerWeight)
-	s.speed.add(ratio, speedWeight)
 	s.t.pace.add(ratio, allWeight)
 	if slow := s.slow(); slow != wasSlow {
 		s.t.logger.Log("event", "worker_pace", "worker", s.worker.ID, "slow", slow, "pace", s.pace.mean, "all", s.t.pace.mean)
@@ -96,11 +88,6 @@
 	return s.pace.samples >= slowSamples && s.pace.mean > slowFactor*s.t.pace.mean
 }
 
-// slower reports whether the worker's runs take clearly longer than those of others.
-func (s *session) slower() bool {
-	return s.speed.samples >= slowerSamples && s.speed.mean > slowerFactor*s.t.pace.mean
-}
-
 // still reports whether the worker answers but none of its runs advances: its
 // last report showed the same percentages as one that is stillAfter older. The
 // time of the reports counts, not the present: between two looks nothing can be
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -62,9 +62,7 @@
 	failedJob  string
 	quarantine time.Time
 	pace       pace
-	// speed is pace over many more runs.
-	speed    pace
-	throttle throttle
+	throttle   throttle
 	// busy says that the last report listed runs; advancedAt is the last report
 	// that showed that something goes on.
 	busy       bool
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -104,7 +104,6 @@
 		slices.SortFunc(releases, func(a, b dispatch.Release) int { return cmp.Compare(a.At, b.At) })
 		workers = append(workers, dispatch.Worker{
 			Worker: state.Worker, Free: free, Unplanned: free, Releases: releases, Penalty: session.failures, Earmarked: t.earmarked[id],
-			Slow:    session.slower(),
 			Serving: serving, SpareRuns: spareRuns, SpareShare: session.throttle.share,
 		})
 	}
@@ -188,7 +187,7 @@
 func (t *tenure) step(job *workflow.Job, key workflow.StepKey, pending []int, begin time.Time,
 	objective time.Duration, now time.Time, placed map[string]int) dispatch.Step {
 	step := dispatch.Step{
-		Key: key, Spec: &job.Steps[key.Step], Service: job.Policy.Service, Priority: job.Policy.Priority, Slack: job.Policy.Stretch,
+		Key: key, Spec: &job.Steps[key.Step], Service: job.Policy.Service, Priority: job.Policy.Priority,
 		Due: begin.Add(objective).Sub(t.started), Pending: pending, Placed: placed,
 	}
 	switch age := now.Sub(begin); {
