--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -10,8 +10,8 @@
 // started, reserves room for them where that helps, and says what they wait for.
 func (p *planner) seekPermits(s *Step, suitable []*Worker, left int) Reason {
 	if !s.NeedsPermit {
-		if s.Spec.Gang && !p.gangFitsSoon(s, suitable, left) && !p.preemptForGang(s, suitable, left) {
-			p.reserveGang(s, suitable, left)
+		if s.Spec.Gang {
+			p.makeRoom(s, suitable, left)
 		}
 		return ReasonNoRoom
 	}
@@ -53,11 +53,10 @@
 		return reasonFor(granted)
 	}
 	p.reserved[s.Service]++
-	if !p.gangFitsSoon(s, granted, left) && p.preemptForGang(s, granted, left) {
-		return ReasonNoRoom
-	}
-	chosen, when := p.reserveGang(s, granted, left)
+	chosen, when, preempted := p.makeRoom(s, granted, left)
 	switch {
+	case preempted:
+		return ReasonNoRoom
 	case s.Asking:
 		return ReasonPermit
 	case len(unknown) > 0 && (len(s.Permits) == 0 || emptyRoom(s, granted) < 2*left):
@@ -192,15 +191,26 @@
 // avoid its workers.
 const earmarkAhead = time.Second
 
-// reserveGang picks the workers on which n tasks will fit first, by the expected
-// ends of what runs there, keeps that room from the steps after s, and returns
-// the workers and the time. Without it, small tasks take each piece of room as
-// it comes free, and the gang never finds enough at once.
-func (p *planner) reserveGang(s *Step, workers []*Worker, n int) ([]*Worker, time.Duration) {
+// makeRoom sees to it that a gang of n tasks finds room on workers: by stops when
+// it won't fit before long, else by keeping the room that comes free first.
+func (p *planner) makeRoom(s *Step, workers []*Worker, n int) (chosen []*Worker, when time.Duration, preempted bool) {
 	openings := p.gangOpenings(s, workers, n)
+	soon := openings != nil && openings[n-1].at <= p.now+preemptWait
+	if !soon && p.preemptForGang(s, workers, n) {
+		return nil, 0, true
+	}
 	if openings == nil {
-		return nil, 0
+		return nil, 0, false
 	}
+	chosen, when = p.reserveGang(s, openings)
+	return chosen, when, false
+}
+
+// reserveGang keeps room for a gang, by the expected ends of what runs there, from
+// the steps after s, and returns the workers and the time. Without it, small tasks
+// take each piece of room as it comes free, and the gang never finds enough at once.
+func (p *planner) reserveGang(s *Step, openings []opening) ([]*Worker, time.Duration) {
+	n := len(openings)
 	var chosen []*Worker
 	for _, o := range openings {
 		p.takeRoom(o.worker, s.Spec.Room())
@@ -233,13 +243,6 @@
 	return openings[:n]
 }
 
-// gangFitsSoon reports whether all n tasks of s are expected to fit without any
-// stop before long.
-func (p *planner) gangFitsSoon(s *Step, workers []*Worker, n int) bool {
-	openings := p.gangOpenings(s, workers, n)
-	return openings != nil && openings[n-1].at <= p.now+preemptWait
-}
-
 // openings lists when each of up to n tasks of s will fit on w.
 func (p *planner) openings(s *Step, w *Worker, n int) []opening {
 	var list []opening
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -19,6 +19,8 @@
 	headroom map[string]workflow.Resources
 	// reserved counts the gangs of a pool that room is kept for.
 	reserved map[string]int
+	// yielding is the least urgent priority of a pool's runs that may be stopped.
+	yielding map[string]int
 	plan     Plan
 }
 
@@ -28,10 +30,11 @@
 func Decide(now time.Duration, steps []Step, workers []Worker, limits Limits) Plan {
 	p := &planner{
 		now: now, limits: limits, byService: map[string][]*Worker{}, headroom: map[string]workflow.Resources{},
-		reserved: map[string]int{},
+		reserved: map[string]int{}, yielding: map[string]int{},
 	}
 	for i := range workers {
 		w := &workers[i]
+		p.noteYielding(w)
 		p.byService[w.Service] = append(p.byService[w.Service], w)
 	}
 	order := make([]*Step, len(steps))
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -122,11 +122,21 @@
 	return v
 }
 
+// noteYielding remembers whether the pool has runs that could be stopped, so that
+// nothing is searched where it has none.
+func (p *planner) noteYielding(w *Worker) {
+	for i := range w.Releases {
+		if r := &w.Releases[i]; r.Yields {
+			p.yielding[w.Service] = max(p.yielding[w.Service], r.Priority)
+		}
+	}
+}
+
 // preemptForGang stops less urgent runs for a gang whose room is far off, and
 // keeps the room that they leave. It asks for tickets first where they would not
 // last until then. It reports whether it has taken care of the gang.
 func (p *planner) preemptForGang(s *Step, granted []*Worker, n int) bool {
-	if s.Late > 0 || s.Asking {
+	if s.Late > 0 || s.Asking || p.yielding[s.Service] <= s.Priority {
 		return false
 	}
 	chosen := p.preemption(s, granted, n)
