--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -42,6 +42,7 @@
 		order[i] = &steps[i]
 	}
 	slices.SortFunc(order, compareSteps)
+	p.plan.Waiting = make([]Waiting, 0, len(steps))
 	for _, s := range order {
 		p.step(s)
 	}
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -61,7 +61,9 @@
 	t.noteLoad(&v, &plan, begun)
 	t.logWaiting(plan.Waiting)
 	for _, question := range plan.Asks {
-		t.ask(question, v.advice[question.Step])
+		if policy := t.adviceOf(question.Step); policy != nil {
+			t.ask(question, policy)
+		}
 	}
 	if len(plan.Starts) > 0 {
 		t.noteProposed(plan.Starts)
@@ -94,6 +96,17 @@
 	}
 }
 
+// adviceOf returns the adviser's policy of a step's queue, nil when its job has been
+// forgotten meanwhile.
+func (t *tenure) adviceOf(step workflow.StepKey) (policy *workflow.AdvicePolicy) {
+	t.c.machine.read(func(s *workflow.State) {
+		if job := s.Jobs[step.Job]; job != nil {
+			policy = job.Policy.Advice
+		}
+	})
+	return policy
+}
+
 // noteProposed keeps the tasks and the room of starts that are being committed
 // out of the decisions made meanwhile. Waiting for each commit before the next
 // decision instead delays starts by half a commit on average (from 0.113 s to
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -16,17 +16,19 @@
 type view struct {
 	steps   []dispatch.Step
 	workers []dispatch.Worker
-	// advice is the adviser's policy of each step that needs permits.
-	advice map[workflow.StepKey]*workflow.AdvicePolicy
-	stops  []stopping
+	stops   []stopping
 	// copies are the runs of which a copy is worth some idle room.
 	copies map[workflow.TaskKey]copyOf
 }
 
+// moreSteps is how many steps more than at the last decision are allowed for.
+const moreSteps = 64
+
 func (t *tenure) snapshot(now time.Time) view {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	v := view{advice: map[workflow.StepKey]*workflow.AdvicePolicy{}, copies: map[workflow.TaskKey]copyOf{}}
+	// The steps of the last decision are the best guess at how many there are now.
+	v := view{copies: map[workflow.TaskKey]copyOf{}, steps: make([]dispatch.Step, 0, len(t.waiting)+moreSteps)}
 	t.c.machine.read(func(s *workflow.State) {
 		placed := t.gatherRuns(s, now, &v)
 		v.workers = t.gatherWorkers(s, now)
@@ -34,10 +36,6 @@
 			v.steps = t.gatherSteps(v.steps, job, now, placed)
 		}
 		v.steps = append(v.steps, t.copySteps(s, v.copies, now, placed)...)
-		for i := range v.steps {
-			key := v.steps[i].Key
-			v.advice[key] = s.Jobs[key.Job].Policy.Advice
-		}
 	})
 	return v
 }
