--- a/internal/control/copies.go
+++ b/internal/control/copies.go
@@ -95,7 +95,7 @@
 			pending = append(pending, index)
 		}
 		slices.Sort(pending)
-		step := t.step(job, key, pending, t.acceptedAt(job, now), objectiveOf(job), now, placed[key])
+		step := t.step(job, key, pending, t.accepted[job.ID], objectiveOf(job), now, placed[key])
 		step.Copy, step.Avoid = true, workers
 		steps = append(steps, step)
 	}
--- a/internal/control/guard_test.go
+++ b/internal/control/guard_test.go
@@ -227,30 +227,6 @@
 	must.Eq(t, workflow.PhaseCancelled, w.phase("a"))
 }
 
-// What a user sees: jobs that could be in time are late after an outage.
-// Order: jobs are accepted; the leader is gone for long; the next one begins, and
-// new jobs come.
-// Cause: it took all that it found for new.
-func TestALaterLeaderKnowsRoughlyHowOldAJobIs(t *testing.T) {
-	for _, c := range []struct {
-		name string
-		age  time.Duration
-		late int
-	}{{"fresh", 0, 0}, {"old", 30 * time.Second, 2}, {"by a clock that is behind", -time.Hour, 0}} {
-		t.Run(c.name, func(t *testing.T) {
-			w := newWorld(t, func(w *world) {
-				w.commit(&workflow.Command{Submit: &workflow.Submission{
-					ID: "a", Queue: "h/q/", Steps: []workflow.Step{{Count: 1, EstimateMS: 1000}},
-					Policy: workflow.Policy{Service: "s", Stretch: 2, ObjectiveMS: 2000}, AcceptedAtMS: time.Now().Add(-c.age).UnixMilli(),
-				}})
-			})
-			ten, err := w.c.leading()
-			must.NoError(t, err)
-			must.Eq(t, c.late, ten.snapshot(time.Now()).steps[0].Late)
-		})
-	}
-}
-
 // What a user sees: a gang's members wait for one that never comes.
 // Order: a gang starts on two workers; one of them refuses its member.
 // Cause: the others' runs serve nobody once one has ended.
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -84,7 +84,6 @@
 	begun := time.Now()
 	submission := workflow.Submission{
 		ID: id, Queue: queue.Identity(), Payload: r.Payload, Steps: r.Steps, Schedule: r.Schedule, Policy: queue.Policy,
-		AcceptedAtMS: begun.UnixMilli(),
 	}
 	result, err := c.propose(ctx, &workflow.Command{Submit: &submission})
 	if err != nil {
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -152,32 +152,13 @@
 	return o.startedAt.Add(max(rest, elapsed+estimate/10))
 }
 
-// oldestInherited bounds what the time of day may say of a job's age: it may have
-// jumped.
-const oldestInherited = time.Minute
-
-// acceptedAt returns when a job was accepted. For jobs of earlier tenures that is
-// as the time of day tells, and not after this one began. Taken for new, those that
-// came before an outage would go before the ones that can still be in time.
-// t.mu is held.
-func (t *tenure) acceptedAt(job *workflow.Job, now time.Time) time.Time {
-	if at, known := t.accepted[job.ID]; known {
-		return at
-	}
-	at := t.started
-	if job.AcceptedAtMS > 0 {
-		age := time.Duration(now.UnixMilli()-job.AcceptedAtMS) * time.Millisecond
-		if told := now.Add(-min(age, oldestInherited)); told.Before(at) {
-			at = told
-		}
-	}
-	t.accepted[job.ID] = at
-	return at
-}
-
 func (t *tenure) gatherSteps(steps []dispatch.Step, job *workflow.Job, now time.Time,
 	placed map[workflow.StepKey]map[string]int) []dispatch.Step {
-	accepted := t.acceptedAt(job, now)
+	accepted, ok := t.accepted[job.ID]
+	if !ok {
+		accepted = t.started
+		t.accepted[job.ID] = accepted
+	}
 	objective := objectiveOf(job)
 	for occurrence := range job.Occurrences {
 		begin := accepted
--- a/internal/control/tenure.go
+++ b/internal/control/tenure.go
@@ -55,8 +55,8 @@
 	permits  map[workflow.StepKey]*stepPermits
 	// answered is when a worker of each data centre last answered.
 	answered map[string]time.Time
-	// accepted is when jobs were accepted; see acceptedAt for those of earlier
-	// tenures.
+	// accepted is when jobs were accepted; those of earlier tenures count from
+	// the start of this one, in the order of the log.
 	accepted map[string]time.Time
 	// reported are jobs whose end was logged.
 	reported map[string]bool
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -140,9 +140,6 @@
 	Schedule Schedule `cbor:"5,keyasint,omitempty"`
 	// Policy is that of the queue when the job was accepted.
 	Policy Policy `cbor:"12,keyasint"`
-	// AcceptedAtMS is the accepting leader's time of day, in Unix milliseconds; 0 is
-	// unknown. It tells later leaders roughly how old the job is.
-	AcceptedAtMS int64 `cbor:"13,keyasint,omitempty"`
 }
 
 // StepKey names one step of one occurrence of a job.
