--- a/internal/jobtrace/trace.go
+++ b/internal/jobtrace/trace.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -32,6 +33,9 @@
 	spanLost     = "in runs that came to nothing"
 	spanWork     = "in runs that did the work"
 	spanBetween  = "between decisions and their commits"
+	// spanWaiting begins the name of a time in which a step waited for the reason
+	// that follows.
+	spanWaiting = "waiting: "
 )
 
 // Of returns the trace of a job. Lines are those of all instances, in order of
@@ -59,6 +63,9 @@
 	}
 	t.Spans = spans(lines, own[begun:end+1])
 	t.Verdict = verdict(own, begun, ended, t.Spans)
+	if len(t.Spans) > 0 && strings.HasPrefix(t.Spans[0].What, spanWaiting) {
+		t.Verdict += loadDuring(lines, own[begun].Time, own[end].Time)
+	}
 	return t
 }
 
@@ -70,30 +77,48 @@
 	return slices.IndexFunc(lines, func(l Line) bool { return l.Event == event })
 }
 
-// refusal explains a request that was never accepted: by the last instance that
-// answered it, and what that instance knew of the leader then.
+// refusal explains a request that no leader said to have accepted: by the last
+// instance that answered it, and what that instance knew of the leader then. A
+// job that is worked on was stored all the same.
 func refusal(all, own []Line) string {
-	at := slices.IndexFunc(own, func(l Line) bool { return l.Event == "request" || l.Event == "submit" })
-	if at < 0 {
+	var last *Line
+	for i := range own {
+		if own[i].Event == "request" {
+			last = &own[i]
+		}
+	}
+	stored := findEvent(own, "permit") >= 0 || findEvent(own, "run_started") >= 0
+	switch {
+	case last == nil && stored:
+		return "stored, as later lines show; none shows who handed it in"
+	case last == nil:
 		return "no line shows that the job was handed in"
 	}
-	last := own[at]
-	text := fmt.Sprintf("not accepted: %s answered %s (%s)", last.Instance, last.Get("outcome"), last.Get("err"))
+	text := fmt.Sprintf("%s answered %s (%s)", last.Instance, last.Get("outcome"), last.Get("err"))
+	if stored {
+		return "stored, as later lines show, though its caller wasn't told: " + text
+	}
+	return "not accepted: " + text + contact(all, last)
+}
+
+// contact tells since when the instance of a line had had no contact to a leader.
+func contact(all []Line, last *Line) string {
 	for i := len(all) - 1; i >= 0; i-- {
 		l := &all[i]
-		if l.Event == "leader_contact" && l.Instance == last.Instance && !l.Time.After(last.Time) {
-			if l.Get("in_touch") == "false" {
-				text += fmt.Sprintf("; that instance had had no contact to a leader since %s", l.Time.Format(time.TimeOnly))
-			}
-			break
+		if l.Event != "leader_contact" || l.Instance != last.Instance || l.Time.After(last.Time) {
+			continue
+		}
+		if l.Get("in_touch") != "false" {
+			return ""
 		}
+		return fmt.Sprintf("; that instance had had no contact to a leader since %s", l.Time.Format(time.TimeOnly))
 	}
-	return text
+	return ""
 }
 
 func verdict(own []Line, begun, ended int, spans []Span) string {
 	if ended < 0 {
-		return "accepted; no line shows its end; last: " + own[len(own)-1].Event
+		return unended(own, begun)
 	}
 	end := own[ended]
 	took := end.Time.Sub(own[begun].Time).Round(time.Millisecond)
@@ -101,12 +126,69 @@
 	if end.Get("phase") == "failed" {
 		return text + "; " + failures(own)
 	}
-	if len(spans) > 0 {
-		text += fmt.Sprintf("; longest: %s %s", spans[0].Took.Round(time.Millisecond), spans[0].What)
+	if len(spans) == 0 {
+		return text
+	}
+	text += fmt.Sprintf("; longest: %s %s", spans[0].Took.Round(time.Millisecond), spans[0].What)
+	if spans[0].What == spanWork {
+		text += longestRun(own)
+	}
+	return text
+}
+
+// unended tells what is known of a job whose end no line shows.
+func unended(own []Line, begun int) string {
+	for i := range own {
+		if own[i].Event == "cancel" && own[i].Get("err") == "null" {
+			return fmt.Sprintf("cancelled by its caller %s after it was accepted", own[i].Time.Sub(own[begun].Time).Round(time.Millisecond))
+		}
+	}
+	return "accepted; no line shows its end; last: " + own[len(own)-1].Event
+}
+
+// loadDuring tells the load at its worst while a job waited: the line with the
+// most tasks waiting.
+func loadDuring(all []Line, from, to time.Time) string {
+	var worst *Line
+	most := -1
+	for i := range all {
+		l := &all[i]
+		if l.Event != "load" || l.Time.Before(from) || l.Time.After(to) {
+			continue
+		}
+		if tasks, err := strconv.Atoi(l.Get("tasks")); err == nil && tasks > most {
+			worst, most = l, tasks
+		}
+	}
+	if worst == nil {
+		return ""
+	}
+	text := fmt.Sprintf("; meanwhile up to %d tasks waited for %s workers", most, worst.Get("usable_workers"))
+	if kept := worst.Get("kept_back"); kept != "" {
+		text += " (kept back: " + kept + ")"
 	}
 	return text
 }
 
+// longestRun names the worker of the run that took longest and was done.
+func longestRun(own []Line) string {
+	begun := map[string]time.Time{}
+	worker, longest := "", time.Duration(0)
+	for i := range own {
+		l := &own[i]
+		switch {
+		case l.Event == "run_started":
+			begun[runKey(l)] = l.Time
+		case l.Event == "run_ended" && l.Get("outcome") == "done" && l.Time.Sub(begun[runKey(l)]) > longest && !begun[runKey(l)].IsZero():
+			worker, longest = l.Get("worker"), l.Time.Sub(begun[runKey(l)])
+		}
+	}
+	if worker == "" {
+		return ""
+	}
+	return fmt.Sprintf(", %s of it on %s: see that worker's time line", longest.Round(time.Millisecond), worker)
+}
+
 // failures names the task that failed most often, and where.
 func failures(own []Line) string {
 	workers := map[string][]string{}
@@ -264,7 +346,7 @@
 	case len(s.running) > 0:
 		return spanLost
 	case s.waiting != "":
-		return "waiting: " + s.waiting
+		return spanWaiting + s.waiting
 	case !s.stored:
 		return spanAdviser
 	}
--- a/internal/jobtrace/trace_test.go
+++ b/internal/jobtrace/trace_test.go
@@ -65,6 +65,37 @@
 	must.Eq(t, "no line names the job", trace(t, "unknown").Verdict)
 }
 
+func TestAJobThatWasStoredThoughItsCallerWasNotTold(t *testing.T) {
+	lines, err := Read(strings.NewReader(`
+ts=2026-07-06T09:00:00.000Z instance=edge-1 event=request path=/q/a outcome=Unavailable err="no leader"
+ts=2026-07-06T09:00:00.500Z instance=edge-2 event=request path=/q/a outcome=Unknown err="no answer"
+ts=2026-07-06T09:00:01.000Z instance=core-1 event=permit step=a/0/0
+ts=2026-07-06T09:00:02.000Z instance=core-1 event=submit job=b outcome=accepted
+ts=2026-07-06T09:00:02.100Z instance=core-1 event=run_started task=b/0/0/0 run=1 worker=i-7
+ts=2026-07-06T09:00:08.100Z instance=core-1 event=run_ended task=b/0/0/0 run=1 worker=i-7 outcome=done
+ts=2026-07-06T09:00:08.200Z instance=core-1 event=job_ended job=b phase=done objective_ms=1500
+`))
+	must.NoError(t, err)
+	must.Eq(t, "stored, as later lines show, though its caller wasn't told: edge-2 answered Unknown (no answer)", Of(lines, "a").Verdict)
+	must.Eq(t, "done after 6.2s, objective 1500 ms; longest: 6s in runs that did the work, 6s of it on i-7: see that worker's time line", Of(lines, "b").Verdict)
+}
+
+func TestACancelledJobAndALoad(t *testing.T) {
+	lines, err := Read(strings.NewReader(`
+ts=2026-07-06T09:00:00.000Z instance=core-1 event=submit job=a outcome=accepted
+ts=2026-07-06T09:00:00.500Z instance=core-1 event=cancel job=a err=null
+ts=2026-07-06T09:00:01.000Z instance=core-1 event=submit job=b outcome=accepted
+ts=2026-07-06T09:00:01.001Z instance=core-1 event=step_waiting step=b/0/0 reason="no room"
+ts=2026-07-06T09:00:02.000Z instance=core-1 event=load usable_workers=36 tasks=90 kept_back="2: the worker leaves"
+ts=2026-07-06T09:00:03.000Z instance=core-1 event=load usable_workers=38 tasks=40
+ts=2026-07-06T09:00:04.000Z instance=core-1 event=job_ended job=b phase=done objective_ms=1500
+`))
+	must.NoError(t, err)
+	must.Eq(t, "cancelled by its caller 500ms after it was accepted", Of(lines, "a").Verdict)
+	must.Eq(t, "done after 3s, objective 1500 ms; longest: 2.999s waiting: no room; "+
+		"meanwhile up to 90 tasks waited for 36 workers (kept back: 2: the worker leaves)", Of(lines, "b").Verdict)
+}
+
 func TestTimeWithoutALeader(t *testing.T) {
 	lines, err := Read(strings.NewReader(`
 ts=2026-07-06T09:00:00.000Z instance=core-1 event=submit job=a outcome=accepted
