Say when a data centre counts as cut off; name the state machine

A late job's trace ended at a worker whose data centre was cut off, and only the load line of each second told so. The leader logs once when it begins and once when it ends to take a data centre for cut off. The replicated state machine of package control was called Machine beside the deployment's machines; it is StateMachine now.

--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -17,8 +17,8 @@
 // loadedTenure is a tenure with 48 busy workers and queued steps, a fifth of them
 // gangs, all permitted on a third of the workers.
 func loadedTenure(b *testing.B, queued int) *tenure {
-	machine := NewMachine()
-	l := &fakeLog{machine: machine}
+	machine := NewStateMachine()
+	l := &fakeLog{state: machine}
 	workers := &fakeWorkers{all: map[string]*fakeWorker{}}
 	c := New(Config{Address: "own", Workers: workers, Adviser: workers, Logger: log.NewNopLogger(), Counters: noCounters{}}, machine, l)
 	apply := func(command *workflow.Command) {
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -62,9 +62,9 @@
 
 // Controller serves calls on a core instance and leads when the log lets it.
 type Controller struct {
-	cfg     Config
-	machine *Machine
-	log     node.Log
+	cfg   Config
+	state *StateMachine
+	log   node.Log
 	// beats is nil where workers are called.
 	beats *beats
 
@@ -72,9 +72,9 @@
 	tenure *tenure
 }
 
-// New returns a controller over a log whose state machine is machine.
-func New(cfg Config, machine *Machine, replicated node.Log) *Controller {
-	c := &Controller{cfg: cfg, machine: machine, log: replicated}
+// New returns a controller over a log whose state machine is state.
+func New(cfg Config, state *StateMachine, replicated node.Log) *Controller {
+	c := &Controller{cfg: cfg, state: state, log: replicated}
 	if cfg.OrdersByHeartbeat {
 		c.beats = newBeats(cfg.Workers)
 		c.cfg.Workers = c.beats
@@ -144,10 +144,10 @@
 	defer c.mu.Unlock()
 	c.tenure = t
 	if t == nil {
-		c.machine.onApply(func() {})
+		c.state.onApply(func() {})
 		return
 	}
-	c.machine.onApply(t.kick)
+	c.state.onApply(t.kick)
 }
 
 // leading returns the tenure in which this member may decide now.
--- a/internal/control/explain.go
+++ b/internal/control/explain.go
@@ -30,7 +30,7 @@
 	}
 	reply := ExplainReply{Queue: queue.Name, ID: id}
 	found := false
-	c.machine.read(func(s *workflow.State) {
+	c.state.read(func(s *workflow.State) {
 		job := s.Jobs[id]
 		if found = job != nil && job.Queue == queue.Identity(); found {
 			reply.Phase, reply.Steps = job.Phase(), progressOf(job)
@@ -98,7 +98,7 @@
 	counts := map[dispatch.Reason]*dispatch.Count{}
 	suspects := t.suspects(now)
 	runs := map[string]int{}
-	t.c.machine.read(func(s *workflow.State) {
+	t.c.state.read(func(s *workflow.State) {
 		for id := range t.sessions {
 			runs[id] = len(s.Runs[id])
 		}
--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -19,9 +19,9 @@
 
 // fakeLog commits every command at once on one member that always leads.
 type fakeLog struct {
-	machine *Machine
-	mu      sync.Mutex
-	index   uint64
+	state *StateMachine
+	mu    sync.Mutex
+	index uint64
 	// applied is called after each command, outside the lock.
 	applied func(workflow.Command)
 }
@@ -29,7 +29,7 @@
 func (l *fakeLog) Propose(_ context.Context, data []byte) (any, error) {
 	l.mu.Lock()
 	l.index++
-	value := l.machine.Apply(l.index, data)
+	value := l.state.Apply(l.index, data)
 	hook := l.applied
 	l.mu.Unlock()
 	if hook != nil {
@@ -233,8 +233,8 @@
 
 // newWorld starts a controller once prepare has filled the log.
 func newWorld(t *testing.T, prepare func(w *world)) *world {
-	machine := NewMachine()
-	w := &world{t: t, log: &fakeLog{machine: machine}, workers: &fakeWorkers{all: map[string]*fakeWorker{}}}
+	machine := NewStateMachine()
+	w := &world{t: t, log: &fakeLog{state: machine}, workers: &fakeWorkers{all: map[string]*fakeWorker{}}}
 	bounds := Bounds{LeaseMax: 700 * time.Millisecond, Shown: time.Minute}
 	w.c = New(Config{
 		Address: "own", Bounds: bounds, Workers: w.workers, Adviser: w.workers, Client: link.NewClient(),
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -35,7 +35,7 @@
 // services returns the pools that the configuration names, nil when none of them
 // is on standby: then no machine is to be moved.
 func (t *tenure) services() (services []workflow.Service) {
-	t.c.machine.read(func(s *workflow.State) {
+	t.c.state.read(func(s *workflow.State) {
 		for _, service := range s.Configuration.Services {
 			if service.Standby {
 				services = s.Configuration.Services
@@ -92,7 +92,7 @@
 	for _, proposed := range t.proposed {
 		empty = empty && proposed != worker
 	}
-	t.c.machine.read(func(s *workflow.State) { empty = empty && len(s.Runs[worker]) == 0 })
+	t.c.state.read(func(s *workflow.State) { empty = empty && len(s.Runs[worker]) == 0 })
 	return empty
 }
 
@@ -104,7 +104,7 @@
 	for _, service := range services {
 		views = append(views, fleet.Pool{Name: service.Name, Standby: service.Standby})
 	}
-	t.c.machine.read(func(s *workflow.State) {
+	t.c.state.read(func(s *workflow.State) {
 		wanted := t.wanted(s, now)
 		for i := range views {
 			t.fillPool(&views[i], s, wanted[views[i].Name])
--- a/internal/control/guard_test.go
+++ b/internal/control/guard_test.go
@@ -1,10 +1,12 @@
 package control
 
 import (
+	"bytes"
 	"context"
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/shoenig/test/must"
 
 	"github.com/bilberryferry/bilberryferry/workflow"
@@ -204,7 +206,7 @@
 	w.with("w1", func(f *fakeWorker) { f.finish(task("a", 0), workflow.OutcomeDone) })
 	w.eventually("it is done", func() bool {
 		done := false
-		w.c.machine.read(func(s *workflow.State) { done = s.Task(task("a", 0)).Done })
+		w.c.state.read(func(s *workflow.State) { done = s.Task(task("a", 0)).Done })
 		return done
 	})
 	o, _, _ = ten.newOrder(copied, "")
@@ -220,7 +222,7 @@
 	begun := time.Now()
 	w.eventually("the run has ended", func() bool {
 		n := 1
-		w.c.machine.read(func(s *workflow.State) { n = len(s.Runs["w1"]) })
+		w.c.state.read(func(s *workflow.State) { n = len(s.Runs["w1"]) })
 		return n == 0
 	})
 	must.Less(t, time.Second, time.Since(begun), must.Sprint("its stop is sent at once"))
@@ -265,7 +267,7 @@
 	_, err := w.c.Announce(context.Background(), &Announcement{Worker: draining, Sequence: 9})
 	must.NoError(t, err)
 	w.announce("w1")
-	w.c.machine.read(func(s *workflow.State) { must.True(t, s.Workers["w1"].Draining) })
+	w.c.state.read(func(s *workflow.State) { must.True(t, s.Workers["w1"].Draining) })
 	w.submit("a", oneTask)
 	time.Sleep(100 * time.Millisecond)
 	must.Eq(t, 0, w.started("w1"))
@@ -386,6 +388,21 @@
 	must.Eq(t, map[string]bool{"a": true}, ten.suspects(now))
 }
 
+func TestACutOffDataCentreIsSaidOnceEachWay(t *testing.T) {
+	var lines bytes.Buffer
+	now := time.Now()
+	ten := &tenure{suspected: map[string]time.Time{}, answered: map[string]time.Time{"a": now}, logger: log.NewLogfmtLogger(&lines)}
+	cut := map[string]bool{"a": true}
+	for _, step := range []struct {
+		at       time.Duration
+		suspects map[string]bool
+	}{{0, cut}, {200 * time.Millisecond, nil}, {400 * time.Millisecond, cut}, {time.Second, nil}, {3 * time.Second, nil}, {4 * time.Second, nil}} {
+		ten.noteSuspects(step.suspects, now.Add(step.at))
+	}
+	must.Eq(t, "event=data_centre_contact data_centre=a outcome=lost silent_ms=0\n"+
+		"event=data_centre_contact data_centre=a outcome=regained silent_ms=3000\n", lines.String())
+}
+
 // What a user sees: a cancelled job's task runs on.
 // Order: a second run of a task is under way on a worker that lists the end of
 // the first one late; the job is cancelled.
@@ -469,7 +486,7 @@
 	w := inheritedWorld(t, func(f *fakeWorker) { f.delay = true })
 	w.eventually("the run is settled", func() bool {
 		runs := 0
-		w.c.machine.read(func(s *workflow.State) { runs = s.Task(task("a", 0)).Runs })
+		w.c.state.read(func(s *workflow.State) { runs = s.Task(task("a", 0)).Runs })
 		return runs > 1
 	})
 	w.with("w1", func(f *fakeWorker) {
@@ -531,7 +548,7 @@
 	ten.mu.Unlock()
 	s.startRefused(o, RefusedRoom)
 	runs := 0
-	w.c.machine.read(func(s *workflow.State) { runs = len(s.Runs["w1"]) })
+	w.c.state.read(func(s *workflow.State) { runs = len(s.Runs["w1"]) })
 	must.Eq(t, 1, runs)
 }
 
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -99,7 +99,7 @@
 // adviceOf returns the adviser's policy of a step's queue, nil when its job has been
 // forgotten meanwhile.
 func (t *tenure) adviceOf(step workflow.StepKey) (policy *workflow.AdvicePolicy) {
-	t.c.machine.read(func(s *workflow.State) {
+	t.c.state.read(func(s *workflow.State) {
 		if job := s.Jobs[step.Job]; job != nil {
 			policy = job.Policy.Advice
 		}
@@ -172,7 +172,7 @@
 func (t *tenure) newOrder(run workflow.Run, ticket string) (o *order, payload, checkpoint string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.c.machine.read(func(s *workflow.State) {
+	t.c.state.read(func(s *workflow.State) {
 		job := s.Jobs[run.Task.Job]
 		if job == nil || job.Ended() || s.Task(run.Task).Done {
 			return
--- a/internal/control/random_test.go
+++ b/internal/control/random_test.go
@@ -310,7 +310,7 @@
 type rough struct {
 	t       *testing.T
 	random  *rand.Rand
-	machine *Machine
+	state   *StateMachine
 	workers *roughWorkers
 	term    uint64
 	lives   int
@@ -320,12 +320,12 @@
 
 func (x *rough) lead() {
 	x.term++
-	replicated := &termedLog{fakeLog: fakeLog{machine: x.machine}, term: x.term}
+	replicated := &termedLog{fakeLog: fakeLog{state: x.state}, term: x.term}
 	x.c = New(Config{
 		Address: "own", Bounds: Bounds{LeaseMax: 700 * time.Millisecond, Shown: time.Minute}, Workers: x.workers, Adviser: x.workers,
 		Client: link.NewClient(), Logger: log.NewNopLogger(), Counters: noCounters{},
 		Leader: func() string { return "own" }, Members: func() []string { return nil },
-	}, x.machine, replicated)
+	}, x.state, replicated)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -429,7 +429,7 @@
 
 func randomFaults(t *testing.T, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 1))
-	x := &rough{t: t, random: random, machine: NewMachine(), workers: &roughWorkers{
+	x := &rough{t: t, random: random, state: NewStateMachine(), workers: &roughWorkers{
 		t: t, random: rand.New(rand.NewPCG(seed, 2)), all: map[string]*roughWorker{}, specs: map[string]workflow.Step{},
 		startedAt: map[workflow.TaskKey][]time.Time{}, doneAt: map[workflow.TaskKey]time.Time{},
 	}}
@@ -495,7 +495,7 @@
 			x.announce(id)
 		}
 		open = nil
-		x.machine.read(func(s *workflow.State) {
+		x.state.read(func(s *workflow.State) {
 			for id, job := range s.Open() {
 				open = append(open, fmt.Sprint(id, " ", job.Unfinished))
 			}
--- a/internal/control/report.go
+++ b/internal/control/report.go
@@ -52,7 +52,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	t.c.machine.read(func(s *workflow.State) {
+	t.c.state.read(func(s *workflow.State) {
 		for _, end := range ends {
 			job := s.Jobs[end.Task.Job]
 			if job == nil || !job.Ended() || t.reported[job.ID] {
@@ -81,7 +81,7 @@
 func (s *session) noteRunning(report Report, now time.Time) []workflow.Run {
 	var strangers []workflow.Run
 	advanced := false
-	s.t.c.machine.read(func(state *workflow.State) {
+	s.t.c.state.read(func(state *workflow.State) {
 		for _, r := range report.Running {
 			run, ok := state.Runs[s.worker.ID][r.Task]
 			if !ok || run.Number != r.Number {
@@ -134,7 +134,7 @@
 		listed[e.Task] = max(listed[e.Task], e.Number)
 	}
 	var settled []workflow.RunEnd
-	s.t.c.machine.read(func(state *workflow.State) {
+	s.t.c.state.read(func(state *workflow.State) {
 		for task, run := range state.Runs[s.worker.ID] {
 			if listed[task] >= run.Number {
 				continue
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -47,7 +47,7 @@
 }
 
 func (c *Controller) lookUp(place Place) (found workflow.Queue, rest string, err error) {
-	c.machine.read(func(s *workflow.State) {
+	c.state.read(func(s *workflow.State) {
 		if s.Configuration.Source == nil {
 			err = fault.Retry(fault.Unavailable, retryLater, "no configuration yet")
 			return
@@ -135,7 +135,7 @@
 }
 
 func (c *Controller) phase(id, queue string) (phase workflow.Phase, ok bool) {
-	c.machine.read(func(s *workflow.State) {
+	c.state.read(func(s *workflow.State) {
 		job := s.Jobs[id]
 		if job != nil && job.Queue == queue {
 			phase, ok = job.Phase(), true
@@ -148,7 +148,7 @@
 func (c *Controller) waiting(t *tenure, queue string) (n int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c.machine.read(func(s *workflow.State) {
+	c.state.read(func(s *workflow.State) {
 		for id, job := range s.Open() {
 			if job.Queue == queue && !job.Begun && !t.begun[id] {
 				n++
@@ -212,7 +212,7 @@
 // An incarnation that is over stays over, and one that drains doesn't come back:
 // such a heartbeat was delayed on its way.
 func (c *Controller) news(w *workflow.Worker) (isNew bool) {
-	c.machine.read(func(s *workflow.State) {
+	c.state.read(func(s *workflow.State) {
 		known := s.Workers[w.ID]
 		switch {
 		case known == nil:
@@ -261,7 +261,7 @@
 		return ConfigurationReply{}, link.NotLeader(c.cfg.Leader())
 	}
 	var reply ConfigurationReply
-	c.machine.read(func(s *workflow.State) {
+	c.state.read(func(s *workflow.State) {
 		reply = ConfigurationReply{Version: s.Configuration.Version, Source: s.Configuration.Source}
 	})
 	if reply.Source == nil {
@@ -299,7 +299,7 @@
 		return WaveStateReply{}, link.NotLeader(c.cfg.Leader())
 	}
 	reply, found := WaveStateReply{}, false
-	c.machine.read(func(s *workflow.State) {
+	c.state.read(func(s *workflow.State) {
 		if wave := s.Wave(r.ID); wave != nil {
 			reply.Done, found = wave.Done(), true
 			for _, machine := range wave.Machines {
@@ -323,6 +323,6 @@
 	}
 	t.lanes.note(r.Address, time.Now())
 	reply := FollowReply{Members: c.cfg.Members()}
-	c.machine.read(func(s *workflow.State) { reply.Version = s.Configuration.Version })
+	c.state.read(func(s *workflow.State) { reply.Version = s.Configuration.Version })
 	return reply, nil
 }
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -194,7 +194,7 @@
 		t.end()
 	}
 	order := LookOrder{Fence: t.fence}
-	t.c.machine.read(func(state *workflow.State) {
+	t.c.state.read(func(state *workflow.State) {
 		if w := state.Workers[s.worker.ID]; w != nil {
 			order.Seen = w.Seen
 		}
@@ -287,7 +287,7 @@
 	var ends []workflow.RunEnd
 	s.t.mu.Lock()
 	defer s.t.mu.Unlock()
-	s.t.c.machine.read(func(state *workflow.State) {
+	s.t.c.state.read(func(state *workflow.State) {
 		for task, run := range state.Runs[s.worker.ID] {
 			ends = append(ends, workflow.RunEnd{
 				Task: task, Number: run.Number, Outcome: workflow.OutcomeLost, Checkpoint: s.t.checkpoints[task],
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -29,7 +29,7 @@
 	defer t.mu.Unlock()
 	// The steps of the last decision are the best guess at how many there are now.
 	v := view{copies: map[workflow.TaskKey]copyOf{}, steps: make([]dispatch.Step, 0, len(t.waiting)+moreSteps)}
-	t.c.machine.read(func(s *workflow.State) {
+	t.c.state.read(func(s *workflow.State) {
 		placed := t.gatherRuns(s, now, &v)
 		v.workers = t.gatherWorkers(s, now)
 		for _, job := range s.Open() {
@@ -80,6 +80,7 @@
 		}
 	}
 	suspects := t.suspects(now)
+	t.noteSuspects(suspects, now)
 	for id, session := range t.sessions {
 		state := s.Workers[id]
 		if state == nil || state.Gone || session.obstacle(now, suspects, len(s.Runs[id])) != "" {
--- a/internal/control/start_test.go
+++ b/internal/control/start_test.go
@@ -38,7 +38,7 @@
 	w.submit("a", oneTask)
 	w.eventually("the run is settled", func() bool {
 		settled := false
-		w.c.machine.read(func(s *workflow.State) {
+		w.c.state.read(func(s *workflow.State) {
 			settled = s.Task(task("a", 0)).Runs == 1 && len(s.Runs["w1"]) == 0
 		})
 		return settled
--- a/internal/control/machine.go
+++ b/internal/control/statemachine.go
@@ -7,21 +7,21 @@
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
 
-// Machine is the replicated state with the lock that lets readers in.
-type Machine struct {
+// StateMachine is the replicated state with the lock that lets readers in.
+type StateMachine struct {
 	mu    sync.Mutex
 	state *workflow.State
 	// applied is called without the lock after each command; it must not block.
 	applied func()
 }
 
-// NewMachine returns an empty state.
-func NewMachine() *Machine {
-	return &Machine{state: workflow.NewState(), applied: func() {}}
+// NewStateMachine returns an empty state.
+func NewStateMachine() *StateMachine {
+	return &StateMachine{state: workflow.NewState(), applied: func() {}}
 }
 
 // Apply takes in one committed command.
-func (m *Machine) Apply(index uint64, data []byte) any {
+func (m *StateMachine) Apply(index uint64, data []byte) any {
 	command, err := workflow.Decode(data)
 	if err != nil {
 		// Every member applies the same bytes; one that goes on without them
@@ -37,21 +37,21 @@
 }
 
 // onApply sets what is called after each command.
-func (m *Machine) onApply(f func()) {
+func (m *StateMachine) onApply(f func()) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.applied = f
 }
 
 // Snapshot encodes the state.
-func (m *Machine) Snapshot() ([]byte, error) {
+func (m *StateMachine) Snapshot() ([]byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.state.Snapshot()
 }
 
 // Restore replaces the state.
-func (m *Machine) Restore(data []byte) error {
+func (m *StateMachine) Restore(data []byte) error {
 	state, err := workflow.Restore(data)
 	if err != nil {
 		return err
@@ -63,7 +63,7 @@
 }
 
 // read calls f with the state, which must not be changed or kept.
-func (m *Machine) read(f func(*workflow.State)) {
+func (m *StateMachine) read(f func(*workflow.State)) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	f(m.state)
--- a/internal/control/suspect.go
+++ b/internal/control/suspect.go
@@ -28,3 +28,26 @@
 	}
 	return suspects
 }
+
+// suspectMemory is how long a data centre must not be suspected before that is
+// said: between two overdue answers it isn't for moments.
+const suspectMemory = time.Second
+
+// noteSuspects logs which data centres the leader begins or ends to take for cut
+// off. t.mu is held.
+func (t *tenure) noteSuspects(suspects map[string]bool, now time.Time) {
+	for dataCentre := range suspects {
+		if t.suspected[dataCentre].IsZero() {
+			t.logger.Log("event", "data_centre_contact", "data_centre", dataCentre, "outcome", "lost",
+				"silent_ms", now.Sub(t.answered[dataCentre]).Milliseconds())
+		}
+		t.suspected[dataCentre] = now
+	}
+	for dataCentre, last := range t.suspected {
+		if now.Sub(last) > suspectMemory {
+			delete(t.suspected, dataCentre)
+			t.logger.Log("event", "data_centre_contact", "data_centre", dataCentre, "outcome", "regained",
+				"silent_ms", now.Sub(t.answered[dataCentre]).Milliseconds())
+		}
+	}
+}
--- a/internal/control/tenure.go
+++ b/internal/control/tenure.go
@@ -55,6 +55,9 @@
 	permits  map[workflow.StepKey]*stepPermits
 	// answered is when a worker of each data centre last answered.
 	answered map[string]time.Time
+	// suspected is when a data centre was last taken for cut off, of those that the
+	// last line on it said so.
+	suspected map[string]time.Time
 	// accepted is when jobs were accepted; those of earlier tenures count from
 	// the start of this one, in the order of the log.
 	accepted map[string]time.Time
@@ -84,6 +87,7 @@
 		sessions:    map[string]*session{},
 		permits:     map[workflow.StepKey]*stepPermits{},
 		answered:    map[string]time.Time{},
+		suspected:   map[string]time.Time{},
 		accepted:    map[string]time.Time{},
 		reported:    map[string]bool{},
 		begun:       map[string]bool{},
@@ -97,7 +101,7 @@
 	t.lease = leaseLength(c.cfg.Bounds)
 	t.machines, t.fleet = newMachines(), newPools()
 	t.lanes = newLanes(c.cfg.Address, c.cfg.Adviser, c.cfg.Client)
-	c.machine.read(func(s *workflow.State) {
+	c.state.read(func(s *workflow.State) {
 		for id, worker := range s.Workers {
 			if !worker.Gone {
 				t.addSession(worker.Worker, s.Runs[id])
@@ -162,7 +166,7 @@
 // heard takes in an acknowledged heartbeat.
 func (t *tenure) heard(w *workflow.Worker, remaining time.Duration) {
 	gone := false
-	t.c.machine.read(func(s *workflow.State) { gone = s.Workers[w.ID] != nil && s.Workers[w.ID].Gone })
+	t.c.state.read(func(s *workflow.State) { gone = s.Workers[w.ID] != nil && s.Workers[w.ID].Gone })
 	if gone || t.ctx.Err() != nil {
 		return
 	}
@@ -251,7 +255,7 @@
 func (t *tenure) forget(now time.Time) (old []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.c.machine.read(func(s *workflow.State) {
+	t.c.state.read(func(s *workflow.State) {
 		for id, job := range s.Jobs {
 			if !job.Ended() {
 				continue
--- a/internal/control/upkeep.go
+++ b/internal/control/upkeep.go
@@ -22,7 +22,7 @@
 // openWaves returns copies of the waves that aren't done.
 func (t *tenure) openWaves() []workflow.WaveState {
 	var open []workflow.WaveState
-	t.c.machine.read(func(s *workflow.State) {
+	t.c.state.read(func(s *workflow.State) {
 		for _, wave := range s.Waves {
 			if !wave.Done() {
 				open = append(open, wave.Clone())
@@ -92,7 +92,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var view waveMachines
-	t.c.machine.read(func(s *workflow.State) {
+	t.c.state.read(func(s *workflow.State) {
 		for _, id := range w.Machines {
 			listed, there := t.machines.list[id]
 			done := w.Upkeeps[id]
--- a/internal/control/upkeep_test.go
+++ b/internal/control/upkeep_test.go
@@ -244,7 +244,7 @@
 	must.NoError(t, err)
 	ten.mu.Lock()
 	defer ten.mu.Unlock()
-	w.c.machine.read(func(s *workflow.State) {
+	w.c.state.read(func(s *workflow.State) {
 		var runs []workflow.Run
 		for _, id := range []string{"w1", "w2"} {
 			for key, run := range s.Runs[id] {
--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -37,7 +37,7 @@
 func (p *process) runCore(ctx context.Context, adapters CoreAdapters) error {
 	s := p.settings
 	n := p.openNode(adapters.Outside)
-	machine := control.NewMachine()
+	machine := control.NewStateMachine()
 	host := member.New(member.Config{
 		ID: s.Address, Port: s.InternalPort, Seeds: s.seedHosts(), First: s.FirstStart,
 		Folder: s.DataFolder, Voters: votersFor(s.InstancesLost), Machine: machine, Logger: p.logger,
@@ -60,7 +60,7 @@
 
 // takePart opens the log and runs this member of it until working ends. Opening
 // waits for a leader on an instance that joins; stopping ends the wait.
-func (p *process) takePart(stopping, working context.Context, n *node, host *member.Host, machine *control.Machine) error {
+func (p *process) takePart(stopping, working context.Context, n *node, host *member.Host, machine *control.StateMachine) error {
 	opening, cancel := context.WithCancel(working)
 	defer cancel()
 	keepOpening := context.AfterFunc(stopping, cancel)
