--- /dev/null
+++ b/internal/control/copies_test.go
@@ -0,0 +1,70 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+// What a user sees: a report whose copies are allowed is late by the lease of a
+// worker that was cut off.
+// Order: its task starts; the worker is cut off; another worker is idle; the copy
+// there ends; the first worker comes back.
+// Cause: the second run waited for proof that the first one is over.
+func TestATaskWithCopiesNeedNotWaitForTheLease(t *testing.T) {
+	w := newWorld(t, nil)
+	w.workers.add("w1")
+	w.announce("w1")
+	step := oneTask
+	step.Speculative, step.Count = true, 2
+	w.submit("a", step)
+	w.eventually("the tasks start", func() bool { return w.started("w1") == 2 })
+	ten, err := w.c.leading()
+	must.NoError(t, err)
+	ten.mu.Lock()
+	ten.sessions["w1"].leaseEnd = time.Now().Add(time.Hour)
+	ten.mu.Unlock()
+	w.with("w1", func(f *fakeWorker) { f.cut = true })
+	w.workers.add("w2")
+	w.announce("w2")
+	w.eventually("the copies run", func() bool { return w.started("w2") == 2 })
+	w.with("w2", func(f *fakeWorker) { f.finish(task("a", 0), workflow.OutcomeDone) })
+	w.with("w1", func(f *fakeWorker) { f.cut = false })
+	w.eventually("the run beside the copy that ended is stopped", func() bool {
+		stopped := 0
+		w.with("w1", func(f *fakeWorker) { stopped = f.stopped[task("a", 0)] })
+		return stopped == 1
+	})
+	must.Eq(t, workflow.PhaseActive, w.phase("a"))
+	w.with("w1", func(f *fakeWorker) { must.MapContainsKey(t, f.running, task("a", 1)) })
+}
+
+// What a user sees: a task begins again after it was done.
+// Order: a copy's start is being committed; the other run's end is; the start is
+// sent.
+// Cause: only the job's end was looked at.
+func TestNoCopyIsSentOfATaskThatIsDone(t *testing.T) {
+	w := newWorld(t, nil)
+	w.workers.add("w1")
+	w.announce("w1")
+	step := oneTask
+	step.Count, step.Speculative = 2, true
+	w.submit("a", step)
+	w.eventually("the tasks start", func() bool { return w.started("w1") == 2 })
+	ten, err := w.c.leading()
+	must.NoError(t, err)
+	copied := workflow.Run{Task: task("a", 0), Number: 2, Worker: "w2"}
+	o, _, _ := ten.newOrder(copied, "")
+	must.NotNil(t, o)
+	w.with("w1", func(f *fakeWorker) { f.finish(task("a", 0), workflow.OutcomeDone) })
+	w.eventually("it is done", func() bool {
+		done := false
+		w.c.state.read(func(s *workflow.State) { done = s.Task(task("a", 0)).Done })
+		return done
+	})
+	o, _, _ = ten.newOrder(copied, "")
+	must.Nil(t, o)
+}
--- /dev/null
+++ b/internal/control/settle_test.go
@@ -0,0 +1,221 @@
+package control
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+// What a user sees: a report is issued twice.
+// Order: a worker doesn't answer a start; the task is given to another worker;
+// the first one carries the order out after all.
+// Cause: no answer was taken for not carried out.
+func TestAnUnansweredStartIsSettledBeforeTheTaskRunsElsewhere(t *testing.T) {
+	w := newWorld(t, nil)
+	w.workers.add("w1").delay = true
+	w.announce("w1")
+	w.submit("a", oneTask)
+	w.eventually("the start is sent twice", func() bool {
+		late := 0
+		w.with("w1", func(f *fakeWorker) { late = len(f.late) })
+		return late == startTries
+	})
+	w.workers.add("w2")
+	w.announce("w2")
+	w.eventually("the task runs on the other worker", func() bool { return w.started("w2") == 1 })
+	w.with("w1", func(f *fakeWorker) {
+		for _, order := range f.late {
+			must.Error(t, f.begin(order), must.Sprint("carried out late, beside the run on w2"))
+		}
+	})
+}
+
+// What a user sees: a job never ends, though most workers are idle.
+// Order: a worker doesn't answer a start; the start is sent again, and refused
+// because its ticket has ended.
+// Cause: the refusal settles nothing while the first call is open, and only a
+// second call without an answer led to a stop.
+func TestAStartThatIsRefusedAfterOneWithoutAnAnswerIsSettled(t *testing.T) {
+	w := newWorld(t, nil)
+	first := w.workers.add("w1")
+	first.delay, first.refuse = true, RefusedTicket
+	w.announce("w1")
+	w.submit("a", oneTask)
+	w.eventually("the task runs again", func() bool { return w.started("w1") == 1 })
+	w.with("w1", func(f *fakeWorker) {
+		must.Eq(t, 2, f.starts[0].Run.Number)
+		must.Error(t, f.begin(f.late[0]), must.Sprint("carried out late, beside the second run"))
+	})
+}
+
+// What a user sees: a task runs on two workers.
+// Order: a worker takes looks but its answers are lost; its runs count as ended
+// when the lease has; the task starts elsewhere.
+// Cause: looks that nobody answers went on prolonging the lease.
+func TestNoLeaseIsProlongedForAWorkerThatDoesNotAnswer(t *testing.T) {
+	w := startedWorld(t)
+	w.with("w1", func(f *fakeWorker) { f.cut = true })
+	w.workers.add("w2")
+	w.announce("w2")
+	w.eventually("the task runs elsewhere", func() bool { return w.started("w2") == 1 })
+	var before int
+	w.with("w1", func(f *fakeWorker) { before = len(f.leases) })
+	time.Sleep(callTimeout + 50*time.Millisecond)
+	w.with("w1", func(f *fakeWorker) { must.Eq(t, before, len(f.leases)) })
+}
+
+// What a user sees: a job is stuck, or issued twice, after a change of leader.
+// Order: a leader commits a start and loses the leadership before the worker has
+// the order; the next leader looks at the worker.
+// Cause: the new leader can't know whether the order is under way. Its look
+// takes the fence to the worker, which refuses the old order from then on.
+func TestAnInheritedRunThatNeverBeganRunsAgain(t *testing.T) {
+	w := inheritedWorld(t, func(*fakeWorker) {})
+	w.eventually("the task starts", func() bool { return w.started("w1") == 1 })
+	w.with("w1", func(f *fakeWorker) {
+		must.Eq(t, 2, f.starts[0].Run.Number)
+		must.Error(t, f.begin(StartOrder{Run: workflow.Run{Task: task("a", 0), Number: 1, Worker: "w1"}, Fence: 6}))
+	})
+}
+
+// What a user sees: work goes on over a change of leader.
+// Order: a run is under way when the leadership changes; the next leader finds
+// it in the worker's list.
+func TestAnInheritedRunThatIsAliveGoesOn(t *testing.T) {
+	w := inheritedWorld(t, func(f *fakeWorker) {
+		f.running[task("a", 0)] = Running{Task: task("a", 0), Number: 1}
+	})
+	time.Sleep(50 * time.Millisecond)
+	w.with("w1", func(f *fakeWorker) { f.finish(task("a", 0), workflow.OutcomeDone) })
+	w.eventually("the job is done", func() bool { return w.phase("a") == workflow.PhaseDone })
+	must.Eq(t, 0, w.started("w1"))
+}
+
+// What a user sees: a worker that crashed and came back blocks its tasks for the
+// time of a lease.
+// Order: a worker's next incarnation answers at its address.
+// Cause: that another incarnation answers is proof that the old one is over.
+func TestTasksOfAnOverIncarnationRunAgainAtOnce(t *testing.T) {
+	w := startedWorld(t)
+	w.workers.add("w2")
+	w.announce("w2")
+	begun := time.Now()
+	w.with("w1", func(f *fakeWorker) { f.replaced = true })
+	w.eventually("the task runs again", func() bool { return w.started("w2") == 1 })
+	must.Less(t, 400*time.Millisecond, time.Since(begun), must.Sprint("a lease is 400 ms"))
+}
+
+// What a user sees: a cancelled job's task runs on.
+// Order: a second run of a task is under way on a worker that lists the end of
+// the first one late; the job is cancelled.
+// Cause: the late end made the leader forget the order of the second run.
+func TestALateEndOfAnEarlierRunLeavesTheOrderOfTheNextOne(t *testing.T) {
+	w := startedWorld(t)
+	w.with("w1", func(f *fakeWorker) { f.finish(task("a", 0), workflow.OutcomeFailed) })
+	w.eventually("the second run starts", func() bool { return w.started("w1") == 2 })
+	ten, err := w.c.leading()
+	must.NoError(t, err)
+	ten.mu.Lock()
+	s := ten.sessions["w1"]
+	ten.mu.Unlock()
+	s.commitEnds(0, []workflow.RunEnd{{Task: task("a", 0), Number: 1, Outcome: workflow.OutcomeLapsed}})
+	_, err = w.c.Cancel(context.Background(), &CancelCall{Place: Place{Host: "h", Path: "/q/a"}})
+	must.NoError(t, err)
+	w.eventually("the second run is stopped", func() bool {
+		running := 1
+		w.with("w1", func(f *fakeWorker) { running = len(f.running) })
+		return running == 0
+	})
+}
+
+// inheritedWorld is a leader that finds the run of a task committed by another
+// one on worker w1.
+func inheritedWorld(t *testing.T, prepare func(*fakeWorker)) *world {
+	return newWorld(t, func(w *world) {
+		one := worker("w1")
+		w.commit(&workflow.Command{Worker: &one})
+		w.commit(&workflow.Command{Submit: &workflow.Submission{
+			ID: "a", Queue: "h/q/", Payload: "p", Steps: []workflow.Step{oneTask}, Policy: workflow.Policy{Service: "s", MaxAttempts: 3},
+		}})
+		w.commit(&workflow.Command{Start: []workflow.Run{{Task: task("a", 0), Worker: "w1"}}})
+		prepare(w.workers.add("w1"))
+	})
+}
+
+// What a user sees: a task runs twice after a change of leader.
+// Order: the next leader's look lists nothing; the old leader's order arrives
+// after it.
+// Cause: the look didn't carry the fence that bars the old order.
+func TestALookCarriesTheFence(t *testing.T) {
+	w := inheritedWorld(t, func(f *fakeWorker) { f.delay = true })
+	w.eventually("the run is settled", func() bool {
+		runs := 0
+		w.c.state.read(func(s *workflow.State) { runs = s.Task(task("a", 0)).Runs })
+		return runs > 1
+	})
+	w.with("w1", func(f *fakeWorker) {
+		err := f.begin(StartOrder{Run: workflow.Run{Task: task("a", 0), Number: 1, Worker: "w1"}, Fence: 6})
+		must.ErrorContains(t, err, string(RefusedFence))
+	})
+}
+
+// What a user sees: a task runs twice.
+// Order: a worker has more ends to list than one answer holds; a run's end is
+// among those not listed yet.
+// Cause: a run that isn't in a partial list was taken for never begun.
+func TestNothingIsSettledByAPartialList(t *testing.T) {
+	w := inheritedWorld(t, func(f *fakeWorker) { f.partial = true })
+	time.Sleep(100 * time.Millisecond)
+	must.Eq(t, 0, w.started("w1"))
+	w.with("w1", func(f *fakeWorker) { f.partial = false })
+	w.eventually("a whole list settles it", func() bool { return w.started("w1") == 1 })
+}
+
+// settledBy returns the runs that a report without lists settles, for an order
+// in the state that change gives it, with a look sent at sent.
+func settledBy(t *testing.T, sent time.Time, change func(*order)) int {
+	w := startedWorld(t)
+	ten, err := w.c.leading()
+	must.NoError(t, err)
+	ten.mu.Lock()
+	defer ten.mu.Unlock()
+	s := ten.sessions["w1"]
+	o := &order{run: workflow.Run{Task: task("a", 0), Number: 1, Worker: "w1"}}
+	change(o)
+	s.orders[task("a", 0)] = o
+	return len(s.neverStarted(Report{}, nil, sent))
+}
+
+// What a user sees: a task runs twice.
+// Order: a look is under way; a stop is acknowledged; the look's answer, made up
+// before the stop, comes in.
+// Cause: lists older than the acknowledgement were taken for proof.
+func TestOnlyALookSentAfterTheStopSettlesARun(t *testing.T) {
+	now := time.Now()
+	stopped := func(o *order) { o.stopAcked = now }
+	must.Eq(t, 0, settledBy(t, now.Add(-time.Millisecond), stopped))
+	must.Eq(t, 1, settledBy(t, now.Add(time.Millisecond), stopped))
+	must.Eq(t, 0, settledBy(t, now, func(*order) {}), must.Sprint("an order without a stop"))
+}
+
+// What a user sees: a task runs twice.
+// Order: a start gets no answer, is sent again and refused; the first one is
+// carried out later.
+// Cause: the refusal was taken to settle both calls.
+func TestARefusalSettlesNothingWhileAnEarlierCallIsOpen(t *testing.T) {
+	w := startedWorld(t)
+	ten, err := w.c.leading()
+	must.NoError(t, err)
+	ten.mu.Lock()
+	s, o := ten.sessions["w1"], ten.sessions["w1"].orders[task("a", 0)]
+	o.open = 1
+	ten.mu.Unlock()
+	s.startRefused(o, RefusedRoom)
+	runs := 0
+	w.c.state.read(func(s *workflow.State) { runs = len(s.Runs["w1"]) })
+	must.Eq(t, 1, runs)
+}
