Model waves of upkeep; a machine is back only after the time of an upkeep

Cause, found by the model: that another incarnation lives on a machine was proof that it is back. A worker that restarts right before its machine goes down, with a list that lags, gives that proof while the machine is down, and the next one follows: one more down than allowed. Ruled out by the model: orders before their commit, open orders as up, up as back, a wave done when it is ordered; each is a mutant that is caught. Change: the time of an upkeep has to pass as well, counted from the leader's own acknowledgement, or from its beginning. Before and after: a test that was red without the time.

--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -36,6 +36,8 @@
 	emptied map[string]*emptied
 	// ordering are the machines with an order under way.
 	ordering map[string]bool
+	// begunAt is when this tenure learnt that a machine's upkeep has begun.
+	begunAt map[string]time.Time
 	// waveBegun is when this tenure accepted a wave.
 	waveBegun map[int64]time.Time
 
@@ -47,7 +49,9 @@
 }
 
 func newMachines() *machines {
-	return &machines{emptied: map[string]*emptied{}, ordering: map[string]bool{}, waveBegun: map[int64]time.Time{}}
+	return &machines{
+		emptied: map[string]*emptied{}, ordering: map[string]bool{}, begunAt: map[string]time.Time{}, waveBegun: map[int64]time.Time{},
+	}
 }
 
 // emptying reports whether a worker is being emptied. t.mu is held.
--- a/internal/control/upkeep.go
+++ b/internal/control/upkeep.go
@@ -97,7 +97,7 @@
 			listed, there := t.machines.list[id]
 			done := w.Upkeeps[id]
 			switch {
-			case !there || done.Stage == workflow.UpkeepMoot, done.Stage == workflow.UpkeepBegun && isBack(listed, done):
+			case !there || done.Stage == workflow.UpkeepMoot, done.Stage == workflow.UpkeepBegun && t.isBack(listed, done, now):
 			case done.Stage != 0:
 				// An order without an answer may be carried out at any time.
 				view.machines = append(view.machines, upkeep.Machine{ID: id, Down: true})
@@ -117,10 +117,17 @@
 	return view
 }
 
-// isBack reports whether a machine has come back from its upkeep: another
-// incarnation lives on it. The list may lag, so that it is up isn't enough.
-func isBack(m ListedMachine, done workflow.Upkeep) bool {
-	return m.State == MachineUp && m.Worker != "" && m.Worker != done.Worker
+// isBack reports whether a machine has come back from its upkeep: the time of one
+// has passed since it began, and another incarnation lives on the machine. The
+// list may lag, so that it is up isn't enough; and the worker may have restarted
+// before the order was carried out, so that another one is shown isn't either.
+// t.mu is held.
+func (t *tenure) isBack(m ListedMachine, done workflow.Upkeep, now time.Time) bool {
+	begun, known := t.machines.begunAt[m.ID]
+	if !known {
+		begun = t.started
+	}
+	return now.Sub(begun) >= t.c.cfg.Bounds.Upkeep && m.State == MachineUp && m.Worker != "" && m.Worker != done.Worker
 }
 
 // upkeepMachine is the view of a machine that hasn't been ordered down. t.mu is held.
@@ -171,6 +178,9 @@
 	var refused *RefusedError
 	switch {
 	case err == nil:
+		t.mu.Lock()
+		t.machines.begunAt[m.ID] = time.Now()
+		t.mu.Unlock()
 		if t.noteUpkeep(wave, m, workflow.UpkeepBegun) == nil {
 			t.probe(m.Worker)
 		}
--- a/internal/control/upkeep_test.go
+++ b/internal/control/upkeep_test.go
@@ -207,6 +207,28 @@
 	must.Eq(t, 1, machines.mostDown)
 }
 
+// What an operator sees: more machines are down than the wave allows.
+// Order: a worker restarts; its machine is ordered down by a list that shows its
+// earlier incarnation; the next list, which lags, shows the later one as up.
+// Cause: another incarnation was taken for proof that the machine is back.
+func TestAMachineIsBackAfterTheTimeOfAnUpkeepOnly(t *testing.T) {
+	w := newWorld(t, nil)
+	ten, err := w.c.leading()
+	must.NoError(t, err)
+	ten.c.cfg.Bounds.Upkeep = time.Hour
+	listed := ListedMachine{ID: "m1", State: MachineUp, Worker: "m1-1"}
+	done := workflow.Upkeep{Wave: 1, Machine: "m1", Stage: workflow.UpkeepBegun, Worker: "m1-0"}
+	begun := time.Now()
+	ten.mu.Lock()
+	defer ten.mu.Unlock()
+	must.False(t, ten.isBack(listed, done, begun), must.Sprint("begun under an earlier leader"))
+	ten.machines.begunAt["m1"] = begun
+	must.False(t, ten.isBack(listed, done, begun.Add(time.Minute)))
+	must.True(t, ten.isBack(listed, done, begun.Add(time.Hour)))
+	listed.Worker = "m1-0"
+	must.False(t, ten.isBack(listed, done, begun.Add(time.Hour)), must.Sprint("the same incarnation"))
+}
+
 // What an operator sees: one machine gets orders twice, or from two instances.
 // Order: an order takes long, and the next decision comes before its answer; a
 // leader begins right after another one gave orders.
--- a/internal/jobtrace/trace.go
+++ b/internal/jobtrace/trace.go
@@ -223,7 +223,6 @@
 	outcomes   map[string]string
 	took       map[string]time.Duration
 	running    map[string]bool
-	asking     int
 	waiting    string
 	stored     bool
 }
--- /dev/null
+++ b/spec/upkeep.pml
@@ -0,0 +1,189 @@
+/* upkeep.pml: a wave of upkeep of MACHINES machines, of which one may be down at a
+ * time, under two leaders one after the other.
+ *
+ * An order that was sent stays in the network for good: it may be carried out at
+ * any later time, and its answer may be lost. The deployment carries an order for
+ * a machine out once a wave, and answers a repeated one as it did the first. The
+ * list of machines lags: it is read piece by piece, at any time, and a machine that
+ * has just gone down may be shown as up. A machine comes back as another
+ * incarnation; with RESTARTS it may also do so by itself.
+ *
+ * The leader commits an order before it sends it. A machine counts as down from
+ * then on, until its upkeep has begun by an answer, the time of an upkeep has
+ * passed since, and the list shows another incarnation on it.
+ *
+ * Safety: no upkeep begins while another machine of the wave is down for its own;
+ * a wave that is said to be done has begun on each machine.
+ *
+ * Mutants: SEND_BEFORE_COMMIT, ORDERED_IS_UP, UP_IS_BACK, NO_TIME (with RESTARTS),
+ * DONE_WHEN_ORDERED.
+ */
+#ifndef MACHINES
+#define MACHINES 3
+#endif
+#ifndef RESTARTS
+#define RESTARTS 0
+#endif
+
+/* The log: stage of each machine (1 ordered, 2 begun) and the incarnation that the
+ * order was made up for. */
+byte stage[MACHINES];
+byte orderedLife[MACHINES];
+
+/* The leader: an order that was sent and isn't committed (mutant only), 0 for none,
+ * and whether the time of an upkeep has passed since it began. */
+byte uncommitted = 0;
+bool passed[MACHINES];
+bool second = false;
+
+/* The list as the leader read it. */
+bool shownUp[MACHINES];
+byte shownLife[MACHINES];
+
+/* Orders in the network, and the machines. */
+bool sent[MACHINES];
+bool did[MACHINES];
+bool down[MACHINES];
+byte life[MACHINES];
+byte restarts = 0;
+
+inline countDown(n) {
+	n = 0;
+	i = 0;
+	do
+	:: i < MACHINES ->
+		if
+#ifdef MUTANT_ORDERED_IS_UP
+		:: stage[i] == 1 -> skip
+#else
+		:: stage[i] == 1 -> n++
+#endif
+#ifdef MUTANT_UP_IS_BACK
+		:: stage[i] == 2 && !shownUp[i] -> n++
+#else
+#ifdef MUTANT_NO_TIME
+		:: stage[i] == 2 && !(shownUp[i] && shownLife[i] != orderedLife[i]) -> n++
+#else
+		:: stage[i] == 2 && !(passed[i] && shownUp[i] && shownLife[i] != orderedLife[i]) -> n++
+#endif
+#endif
+		:: else -> skip
+		fi;
+		i++
+	:: else -> break
+	od
+}
+
+inline commit(m) {
+	stage[m] = 1;
+	orderedLife[m] = shownLife[m]
+}
+
+/* carryOut is what the deployment does with an order. */
+inline carryOut(m) {
+	if
+	:: !did[m] && !down[m] ->
+		i = 0;
+		do
+		:: i < MACHINES -> assert(!down[i]); i++
+		:: else -> break
+		od;
+		did[m] = true;
+		down[m] = true
+	:: else -> skip
+	fi
+}
+
+inline read(m) {
+	shownUp[m] = !down[m];
+	shownLife[m] = life[m]
+}
+
+inline checkDone() {
+	i = 0;
+	n = 0;
+	do
+	:: i < MACHINES -> if :: stage[i] == 2 -> n++ :: else -> skip fi; i++
+	:: else -> break
+	od;
+	if
+	:: n == MACHINES ->
+		i = 0;
+		do
+		:: i < MACHINES -> assert(did[i]); i++
+		:: else -> break
+		od
+	:: else -> skip
+	fi
+}
+
+init {
+	byte i;
+	byte m;
+	byte n;
+	atomic {
+		i = 0;
+		do
+		:: i < MACHINES -> shownUp[i] = true; i++
+		:: else -> break
+		od
+	}
+	do
+	/* The leader orders a machine that it takes for up. */
+	:: atomic { select(m : 0 .. MACHINES - 1); countDown(n);
+		if
+		:: n == 0 && stage[m] == 0 && shownUp[m] && uncommitted == 0 ->
+#ifdef MUTANT_SEND_BEFORE_COMMIT
+			sent[m] = true;
+			uncommitted = m + 1
+#else
+			commit(m)
+#endif
+		:: else -> skip
+		fi }
+#ifdef MUTANT_SEND_BEFORE_COMMIT
+	:: atomic { uncommitted > 0; commit(uncommitted - 1); uncommitted = 0 }
+#endif
+	/* It sends what is committed, again and again until it is answered. */
+	:: atomic { select(m : 0 .. MACHINES - 1);
+		if
+		:: stage[m] == 1 ->
+			sent[m] = true;
+#ifdef MUTANT_DONE_WHEN_ORDERED
+			stage[m] = 2
+#endif
+		:: else -> skip
+		fi; checkDone() }
+	/* An order is carried out, and answered or not. */
+	:: atomic { select(m : 0 .. MACHINES - 1);
+		if
+		:: sent[m] ->
+			carryOut(m);
+			if
+			:: stage[m] == 1 && did[m] -> stage[m] = 2; passed[m] = false
+			:: skip
+			fi
+		:: else -> skip
+		fi; checkDone() }
+	/* A machine comes back; the time of an upkeep has passed by then, not before. */
+	:: atomic { select(m : 0 .. MACHINES - 1);
+		if
+		:: down[m] -> down[m] = false; life[m] = life[m] + 1
+		:: !down[m] && did[m] && stage[m] == 2 -> passed[m] = true
+		:: else -> skip
+		fi }
+	:: atomic { restarts < RESTARTS; select(m : 0 .. MACHINES - 1);
+		if
+		:: !down[m] -> life[m] = life[m] + 1; restarts++
+		:: else -> skip
+		fi }
+	:: atomic { select(m : 0 .. MACHINES - 1); read(m) }
+	/* Another leader knows the log only, and counts time from its beginning. */
+	:: atomic { !second; second = true; uncommitted = 0;
+		i = 0;
+		do
+		:: i < MACHINES -> passed[i] = false; i++
+		:: else -> break
+		od }
+	od
+}
