--- a/boundary_test.go
+++ b/boundary_test.go
@@ -14,7 +14,7 @@
 )
 
 // cores are the packages that others embed and that tests drive step by step.
-var cores = []string{"dispatch", "fleet", "hlc", "lease", "placement", "quota", "replica", "routing", "upkeep", "workflow", "internal/state"}
+var cores = []string{"dispatch", "fleet", "hlc", "lease", "placement", "quota", "maintenance", "replica", "routing", "workflow", "internal/state"}
 
 // forbiddenImports would bring in sockets, files or the daemons.
 var forbiddenImports = []string{"net", "os", "syscall", "io/fs"}
--- a/internal/apiserver/apiserver.go
+++ b/internal/apiserver/apiserver.go
@@ -194,8 +194,8 @@
 func (s *server) GetWave(ctx context.Context, r *apiv1.WaveRef) (*apiv1.WaveStatus, error) {
 	reply, err := s.operations.WaveState(ctx, &control.WaveStateCall{ID: r.GetId()})
 	status := &apiv1.WaveStatus{Id: r.GetId(), Done: reply.Done}
-	for _, upkeep := range reply.Upkeeps {
-		status.Machines = append(status.Machines, &apiv1.MachineUpkeep{Machine: upkeep.Machine, Stage: upkeep.Stage.String()})
+	for _, maintenance := range reply.Maintenances {
+		status.Machines = append(status.Machines, &apiv1.MachineMaintenance{Machine: maintenance.Machine, Stage: maintenance.Stage.String()})
 	}
 	return status, s.answer("wave", "", "", err)
 }
--- a/internal/cli/workflow.go
+++ b/internal/cli/workflow.go
@@ -211,9 +211,9 @@
 	var flags waveFlags
 	return &command{
 		name:     "wave",
-		synopsis: "Take machines down for upkeep, a few at a time",
+		synopsis: "Take machines down for maintenance, a few at a time",
 		usage:    "start [flags] number | status number",
-		about: "Machines are emptied first: they get nothing new, and what runs there ends or is\n" +
+		about: "Machines are cordoned first: they get nothing new, and what runs there ends or is\n" +
 			"moved while there is time. The same number is the same wave.",
 		example: "bilberry wave start --machines m-0a3f1,m-141e8 --duration 20m --max-down 1 7\nbilberry wave status 7",
 		flags: func(f *flag.FlagSet) {
--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -135,7 +135,7 @@
 	Unknown   int `cbor:"7,keyasint"`
 }
 
-// WaveCall starts a wave of upkeep.
+// WaveCall starts a wave of maintenance.
 type WaveCall struct {
 	Wave workflow.Wave `cbor:"1,keyasint"`
 }
@@ -148,8 +148,8 @@
 // WaveStateReply is how far a wave has come.
 type WaveStateReply struct {
 	Done bool `cbor:"1,keyasint,omitempty"`
-	// Upkeeps are the stages of its machines, in the order of the wave.
-	Upkeeps []workflow.Upkeep `cbor:"2,keyasint,omitempty"`
+	// Maintenances are the stages of its machines, in the order of the wave.
+	Maintenances []workflow.Maintenance `cbor:"2,keyasint,omitempty"`
 }
 
 // Names of the calls between instances.
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -25,8 +25,8 @@
 	// HolderPause is how long after another instance's last order for a machine
 	// this one may give its first.
 	HolderPause time.Duration
-	// Upkeep is how long a machine is down for its upkeep.
-	Upkeep time.Duration
+	// Maintenance is how long a machine is down for its maintenance.
+	Maintenance time.Duration
 }
 
 // Config is the fixed part of a Controller.
--- a/internal/control/evacuate.go
+++ b/internal/control/evacuate.go
@@ -33,15 +33,15 @@
 // down. A long-running task is moved as soon as its step can spare it, others
 // only once their time is up. t.mu is held.
 func (t *tenure) evacuated(s *workflow.State, run workflow.Run, now time.Time) bool {
-	emptied := t.machines.emptied[run.Worker]
-	if emptied == nil {
+	cordoned := t.machines.cordoned[run.Worker]
+	if cordoned == nil {
 		return false
 	}
 	spec := &s.Jobs[run.Task.Job].Steps[run.Task.Step]
 	if spec.LongRunning {
 		return t.spared(s, run, spec)
 	}
-	return emptied.stop
+	return cordoned.stop
 }
 
 // spared reports whether a long-running task may be interrupted now: fewer others
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -16,7 +16,7 @@
 type pools struct {
 	// shortSince and idleSince are when a pool began to have too little or too much.
 	shortSince, idleSince map[string]time.Time
-	// bound are the machines that are being emptied for a move, with its target.
+	// bound are the machines that are cordoned for a move, with its target.
 	bound map[string]fleet.Move
 	// refused are the pairs of pools that don't exchange machines. Guarded by t.mu.
 	refused map[[2]string]bool
@@ -54,7 +54,7 @@
 	for _, move := range fleet.Decide(views, t.mayMove) {
 		if _, known := p.bound[move.Machine]; !known && len(p.bound) < maxBound {
 			p.bound[move.Machine] = move
-			t.logger.Log("event", "move", "machine", move.Machine, "from", move.From, "to", move.To, "outcome", "emptied")
+			t.logger.Log("event", "move", "machine", move.Machine, "from", move.From, "to", move.To, "outcome", "cordoned")
 		}
 	}
 	for id, move := range p.bound {
@@ -68,7 +68,7 @@
 			continue
 		}
 		kept[m.Worker] = true
-		t.empty(m.Worker, now)
+		t.cordon(m.Worker, now)
 		if t.isEmpty(m.Worker) {
 			t.orderMove(m, move)
 		}
@@ -130,7 +130,7 @@
 			continue
 		}
 		idle := m.State == MachineUp && len(s.Runs[m.Worker]) == 0 || view.Standby
-		free := idle && !t.machines.ordering[id] && m.State != MachineMoving && m.State != MachineInUpkeep
+		free := idle && !t.machines.ordering[id] && m.State != MachineMoving && m.State != MachineInMaintenance
 		view.Machines = append(view.Machines, fleet.Machine{ID: id, MilliCPU: m.Capacity.MilliCPU, Free: free})
 	}
 	sortMachines(view.Machines)
--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -22,8 +22,8 @@
 	machineCallTimeout = 2 * time.Second
 )
 
-// emptied is a worker that is given nothing new because its machine goes down.
-type emptied struct {
+// cordoned is a worker that is given nothing new because its machine goes down.
+type cordoned struct {
 	since time.Time
 	// stop says that its runs are to be stopped.
 	stop bool
@@ -32,11 +32,11 @@
 // machines is what a tenure does about machines. Its fields are guarded by t.mu,
 // but for those of the loop.
 type machines struct {
-	// emptied holds the workers that are being emptied, by incarnation.
-	emptied map[string]*emptied
+	// cordoned holds the cordoned workers, by incarnation.
+	cordoned map[string]*cordoned
 	// ordering are the machines with an order under way.
 	ordering map[string]bool
-	// begunAt is when this tenure learnt that a machine's upkeep has begun.
+	// begunAt is when this tenure learnt that a machine's maintenance has begun.
 	begunAt map[string]time.Time
 	// waveBegun is when this tenure accepted a wave.
 	waveBegun map[int64]time.Time
@@ -50,12 +50,12 @@
 
 func newMachines() *machines {
 	return &machines{
-		emptied: map[string]*emptied{}, ordering: map[string]bool{}, begunAt: map[string]time.Time{}, waveBegun: map[int64]time.Time{},
+		cordoned: map[string]*cordoned{}, ordering: map[string]bool{}, begunAt: map[string]time.Time{}, waveBegun: map[int64]time.Time{},
 	}
 }
 
-// emptying reports whether a worker is being emptied. t.mu is held.
-func (m *machines) emptying(worker string) bool { return m != nil && m.emptied[worker] != nil }
+// isCordoned reports whether a worker gets nothing new for its machine's sake. t.mu is held.
+func (m *machines) isCordoned(worker string) bool { return m != nil && m.cordoned[worker] != nil }
 
 // machineLoop works on waves and moves until the tenure ends.
 func (t *tenure) machineLoop() {
@@ -70,7 +70,7 @@
 				}
 			})
 		}
-		t.emptyOnly(kept)
+		t.uncordonOthers(kept)
 	}
 }
 
@@ -118,14 +118,14 @@
 	}
 }
 
-// empty gives a worker nothing new, and reports whether that is a change.
-func (t *tenure) empty(worker string, now time.Time) bool {
+// cordon gives a worker nothing new, and reports whether that is a change.
+func (t *tenure) cordon(worker string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.machines.emptied[worker] != nil {
+	if t.machines.cordoned[worker] != nil {
 		return false
 	}
-	t.machines.emptied[worker] = &emptied{since: now}
+	t.machines.cordoned[worker] = &cordoned{since: now}
 	return true
 }
 
@@ -134,7 +134,7 @@
 func (t *tenure) stopAll(worker string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.machines.emptied[worker]
+	e := t.machines.cordoned[worker]
 	if e == nil || e.stop {
 		return false
 	}
@@ -143,13 +143,13 @@
 	return true
 }
 
-// emptyOnly gives work again to all workers but those kept.
-func (t *tenure) emptyOnly(kept map[string]bool) {
+// uncordonOthers gives work again to all workers but those kept.
+func (t *tenure) uncordonOthers(kept map[string]bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for worker := range t.machines.emptied {
+	for worker := range t.machines.cordoned {
 		if !kept[worker] {
-			delete(t.machines.emptied, worker)
+			delete(t.machines.cordoned, worker)
 		}
 	}
 }
--- a/internal/control/upkeep.go
+++ b/internal/control/maintenance.go
@@ -7,7 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bilberryferry/bilberryferry/internal/wait"
-	"github.com/bilberryferry/bilberryferry/upkeep"
+	"github.com/bilberryferry/bilberryferry/maintenance"
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
 
@@ -37,36 +37,36 @@
 func (t *tenure) workOn(waves []workflow.WaveState, kept map[string]bool, now time.Time) {
 	for _, wave := range waves {
 		view := t.waveMachines(&wave, kept, now)
-		plan := upkeep.Decide(t.waveView(&wave, now), view.machines)
-		for _, id := range plan.Empty {
+		plan := maintenance.Decide(t.waveView(&wave, now), view.machines)
+		for _, id := range plan.Cordon {
 			worker := t.machines.list[id].Worker
 			kept[worker] = true
-			if t.empty(worker, now) {
-				t.logUpkeep(wave.ID, id, worker, "emptied")
+			if t.cordon(worker, now) {
+				t.logMaintenance(wave.ID, id, worker, "cordoned")
 			}
 		}
 		for _, id := range plan.Stop {
 			if worker := t.machines.list[id].Worker; t.stopAll(worker) {
-				t.logUpkeep(wave.ID, id, worker, "runs stopped")
+				t.logMaintenance(wave.ID, id, worker, "runs stopped")
 			}
 		}
 		for _, id := range plan.Order {
-			t.orderUpkeep(wave.ID, t.machines.list[id])
+			t.orderMaintenance(wave.ID, t.machines.list[id])
 		}
 		for _, m := range view.again {
-			t.orderUpkeep(wave.ID, m)
+			t.orderMaintenance(wave.ID, m)
 		}
 		t.dropLeft(&wave)
 	}
 }
 
-func (t *tenure) logUpkeep(wave int64, machine, worker, outcome string) {
-	t.logger.Log("event", "upkeep", "wave", wave, "machine", machine, "worker", worker, "outcome", outcome)
+func (t *tenure) logMaintenance(wave int64, machine, worker, outcome string) {
+	t.logger.Log("event", "maintenance", "wave", wave, "machine", machine, "worker", worker, "outcome", outcome)
 }
 
 // waveView is how much time a wave has left. A leader that didn't accept it goes
 // by the time of day, which may be off by some seconds.
-func (t *tenure) waveView(w *workflow.WaveState, now time.Time) upkeep.Wave {
+func (t *tenure) waveView(w *workflow.WaveState, now time.Time) maintenance.Wave {
 	t.mu.Lock()
 	begun, known := t.machines.waveBegun[w.ID]
 	t.mu.Unlock()
@@ -75,12 +75,12 @@
 	if !known {
 		passed = min(max(time.Duration(now.UnixMilli()-w.AcceptedAtMS)*time.Millisecond, 0), duration)
 	}
-	return upkeep.Wave{Remaining: duration - passed, Length: t.c.cfg.Bounds.Upkeep, MaxDown: w.MaxDown}
+	return maintenance.Wave{Remaining: duration - passed, Length: t.c.cfg.Bounds.Maintenance, MaxDown: w.MaxDown}
 }
 
-// waveMachines are the machines of a wave whose upkeep isn't over.
+// waveMachines are the machines of a wave whose maintenance isn't over.
 type waveMachines struct {
-	machines []upkeep.Machine
+	machines []maintenance.Machine
 	// again are those whose order got no answer. It is repeated, also an order of
 	// an earlier leader: it succeeds when it has been carried out.
 	again []ListedMachine
@@ -95,18 +95,18 @@
 	t.c.state.read(func(s *workflow.State) {
 		for _, id := range w.Machines {
 			listed, there := t.machines.list[id]
-			done := w.Upkeeps[id]
+			done := w.Maintenances[id]
 			switch {
-			case !there || done.Stage == workflow.UpkeepMoot, done.Stage == workflow.UpkeepBegun && t.isBack(listed, done, now):
+			case !there || done.Stage == workflow.MaintenanceMoot, done.Stage == workflow.MaintenanceBegun && t.isBack(listed, done, now):
 			case done.Stage != 0:
 				// An order without an answer may be carried out at any time.
-				view.machines = append(view.machines, upkeep.Machine{ID: id, Down: true})
+				view.machines = append(view.machines, maintenance.Machine{ID: id, Down: true})
 				kept[done.Worker] = true
-				if done.Stage == workflow.UpkeepOrdered {
+				if done.Stage == workflow.MaintenanceOrdered {
 					view.again = append(view.again, ListedMachine{ID: id, Worker: done.Worker})
 				}
 			default:
-				m := t.upkeepMachine(s, listed, now)
+				m := t.maintenanceMachine(s, listed, now)
 				view.machines = append(view.machines, m)
 				if m.Chosen {
 					kept[listed.Worker] = true
@@ -117,25 +117,25 @@
 	return view
 }
 
-// isBack reports whether a machine has come back from its upkeep: the time of one
+// isBack reports whether a machine has come back from its maintenance: the time of one
 // has passed since it began, and another incarnation lives on the machine. The
 // list may lag, so that it is up isn't enough; and the worker may have restarted
 // before the order was carried out, so that another one is shown isn't either.
 // t.mu is held.
-func (t *tenure) isBack(m ListedMachine, done workflow.Upkeep, now time.Time) bool {
+func (t *tenure) isBack(m ListedMachine, done workflow.Maintenance, now time.Time) bool {
 	begun, known := t.machines.begunAt[m.ID]
 	if !known {
 		begun = t.started
 	}
-	return now.Sub(begun) >= t.c.cfg.Bounds.Upkeep && m.State == MachineUp && m.Worker != "" && m.Worker != done.Worker
+	return now.Sub(begun) >= t.c.cfg.Bounds.Maintenance && m.State == MachineUp && m.Worker != "" && m.Worker != done.Worker
 }
 
-// upkeepMachine is the view of a machine that hasn't been ordered down. t.mu is held.
-func (t *tenure) upkeepMachine(s *workflow.State, listed ListedMachine, now time.Time) upkeep.Machine {
-	m := upkeep.Machine{ID: listed.ID, Up: listed.State == MachineUp}
+// maintenanceMachine is the view of a machine that hasn't been ordered down. t.mu is held.
+func (t *tenure) maintenanceMachine(s *workflow.State, listed ListedMachine, now time.Time) maintenance.Machine {
+	m := maintenance.Machine{ID: listed.ID, Up: listed.State == MachineUp}
 	runs := s.Runs[listed.Worker]
 	m.Empty = len(runs) == 0
-	if e := t.machines.emptied[listed.Worker]; e != nil {
+	if e := t.machines.cordoned[listed.Worker]; e != nil {
 		m.Chosen, m.ChosenFor = true, now.Sub(e.since)
 	}
 	session := t.sessions[listed.Worker]
@@ -151,29 +151,29 @@
 	return m
 }
 
-// orderUpkeep commits that a machine goes down and then orders it.
-func (t *tenure) orderUpkeep(wave int64, m ListedMachine) {
+// orderMaintenance commits that a machine goes down and then orders it.
+func (t *tenure) orderMaintenance(wave int64, m ListedMachine) {
 	if !t.beginOrder(m.ID) {
 		return
 	}
 	listAge := time.Since(t.machines.listedAt)
 	t.goTask(func() {
 		defer t.endOrder(m.ID)
-		t.sendUpkeep(wave, m, listAge)
+		t.sendMaintenance(wave, m, listAge)
 		wait.For(t.ctx, retryPause)
 	})
 }
 
-func (t *tenure) sendUpkeep(wave int64, m ListedMachine, listAge time.Duration) {
-	if t.noteUpkeep(wave, m, workflow.UpkeepOrdered) != nil {
+func (t *tenure) sendMaintenance(wave int64, m ListedMachine, listAge time.Duration) {
+	if t.noteMaintenance(wave, m, workflow.MaintenanceOrdered) != nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(t.ctx, machineCallTimeout)
 	defer cancel()
 	order := MachineOrder{Machine: m.ID, Holder: t.c.cfg.Instance, Fence: t.fence}
-	err := t.c.cfg.Machines.Upkeep(ctx, order, wave)
+	err := t.c.cfg.Machines.Maintenance(ctx, order, wave)
 	t.c.cfg.Counters.Add("machine_orders", 1)
-	t.logger.Log("event", "upkeep", "wave", wave, "machine", m.ID, "worker", m.Worker, "outcome", "ordered",
+	t.logger.Log("event", "maintenance", "wave", wave, "machine", m.ID, "worker", m.Worker, "outcome", "ordered",
 		"list_age_ms", listAge.Milliseconds(), "err", err)
 	var refused *RefusedError
 	switch {
@@ -181,19 +181,19 @@
 		t.mu.Lock()
 		t.machines.begunAt[m.ID] = time.Now()
 		t.mu.Unlock()
-		if t.noteUpkeep(wave, m, workflow.UpkeepBegun) == nil {
+		if t.noteMaintenance(wave, m, workflow.MaintenanceBegun) == nil {
 			t.probe(m.Worker)
 		}
 	case !errors.As(err, &refused):
 	case refused.Reason == RefusedWave || refused.Reason == RefusedInvalid:
-		_ = t.noteUpkeep(wave, m, workflow.UpkeepMoot)
+		_ = t.noteMaintenance(wave, m, workflow.MaintenanceMoot)
 	default:
 		t.giveWay(refused)
 	}
 }
 
-func (t *tenure) noteUpkeep(wave int64, m ListedMachine, stage workflow.UpkeepStage) error {
-	_, err := t.propose(&workflow.Command{Upkeep: &workflow.Upkeep{Wave: wave, Machine: m.ID, Stage: stage, Worker: m.Worker}})
+func (t *tenure) noteMaintenance(wave int64, m ListedMachine, stage workflow.MaintenanceStage) error {
+	_, err := t.propose(&workflow.Command{Maintenance: &workflow.Maintenance{Wave: wave, Machine: m.ID, Stage: stage, Worker: m.Worker}})
 	return err
 }
 
@@ -202,9 +202,9 @@
 func (t *tenure) dropLeft(w *workflow.WaveState) {
 	for _, id := range w.Machines {
 		_, there := t.machines.list[id]
-		if !there && w.Upkeeps[id].Stage < workflow.UpkeepBegun {
-			t.logUpkeep(w.ID, id, "", "left")
-			_ = t.noteUpkeep(w.ID, ListedMachine{ID: id}, workflow.UpkeepMoot)
+		if !there && w.Maintenances[id].Stage < workflow.MaintenanceBegun {
+			t.logMaintenance(w.ID, id, "", "left")
+			_ = t.noteMaintenance(w.ID, ListedMachine{ID: id}, workflow.MaintenanceMoot)
 		}
 	}
 }
--- a/internal/control/upkeep_test.go
+++ b/internal/control/maintenance_test.go
@@ -13,7 +13,7 @@
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
 
-// fakeMachines is a deployment whose machines go down for upkeep and come back
+// fakeMachines is a deployment whose machines go down for maintenance and come back
 // with another incarnation of their worker.
 type fakeMachines struct {
 	world *world
@@ -62,7 +62,7 @@
 	return answer, nil
 }
 
-func (f *fakeMachines) Upkeep(_ context.Context, order MachineOrder, _ int64) error {
+func (f *fakeMachines) Maintenance(_ context.Context, order MachineOrder, _ int64) error {
 	f.enter(order.Machine)
 	defer f.leave(order.Machine)
 	f.mu.Lock()
@@ -114,7 +114,7 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		if m.Worker == old {
-			m.State, m.Worker = MachineInUpkeep, ""
+			m.State, m.Worker = MachineInMaintenance, ""
 		}
 	})
 	f.down++
@@ -144,7 +144,7 @@
 	w := newWorld(t, func(w *world) {
 		machines.world = w
 		w.c.cfg.Machines = machines
-		w.c.cfg.Bounds.Upkeep = machines.length
+		w.c.cfg.Bounds.Maintenance = machines.length
 	})
 	for id := range machines.list {
 		w.workers.add(id + "-0")
@@ -164,7 +164,7 @@
 	return reply.Done
 }
 
-// What a user sees: nothing, though all machines have their upkeep: the job that
+// What a user sees: nothing, though all machines have their maintenance: the job that
 // ran when the wave began ends before its machine goes down.
 func TestAWaveTakesMachinesDownOneAfterTheOther(t *testing.T) {
 	machines := newFakeMachines("m1", "m2", "m3")
@@ -211,13 +211,13 @@
 // Order: a worker restarts; its machine is ordered down by a list that shows its
 // earlier incarnation; the next list, which lags, shows the later one as up.
 // Cause: another incarnation was taken for proof that the machine is back.
-func TestAMachineIsBackAfterTheTimeOfAnUpkeepOnly(t *testing.T) {
+func TestAMachineIsBackAfterTheTimeOfAnMaintenanceOnly(t *testing.T) {
 	w := newWorld(t, nil)
 	ten, err := w.c.leading()
 	must.NoError(t, err)
-	ten.c.cfg.Bounds.Upkeep = time.Hour
+	ten.c.cfg.Bounds.Maintenance = time.Hour
 	listed := ListedMachine{ID: "m1", State: MachineUp, Worker: "m1-1"}
-	done := workflow.Upkeep{Wave: 1, Machine: "m1", Stage: workflow.UpkeepBegun, Worker: "m1-0"}
+	done := workflow.Maintenance{Wave: 1, Machine: "m1", Stage: workflow.MaintenanceBegun, Worker: "m1-0"}
 	begun := time.Now()
 	ten.mu.Lock()
 	defer ten.mu.Unlock()
@@ -250,7 +250,7 @@
 }
 
 // What a user sees: a service with too few of its tasks at work.
-// Order: two machines are emptied by one decision; a task of the same step runs on
+// Order: two machines are cordoned by one decision; a task of the same step runs on
 // each; one of them may be away.
 // Cause: the first stop didn't count before it was carried out.
 func TestATaskThatIsAskedToStopCountsAsAway(t *testing.T) {
--- a/internal/control/ports.go
+++ b/internal/control/ports.go
@@ -141,7 +141,7 @@
 const (
 	MachineUp MachineState = iota + 1
 	MachineMoving
-	MachineInUpkeep
+	MachineInMaintenance
 	MachineDown
 )
 
@@ -176,8 +176,8 @@
 // An error that isn't a RefusedError leaves open whether they are carried out.
 type Machines interface {
 	List(ctx context.Context, page string) (MachinePage, error)
-	// Upkeep takes a machine down for its upkeep in a wave.
-	Upkeep(ctx context.Context, order MachineOrder, wave int64) error
+	// Maintenance takes a machine down for its maintenance in a wave.
+	Maintenance(ctx context.Context, order MachineOrder, wave int64) error
 	// Move gives a machine to another pool.
 	Move(ctx context.Context, order MachineOrder, pool string) error
 }
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -270,7 +270,7 @@
 	return reply, nil
 }
 
-// StartWave stores a wave of upkeep; its machines go down one after the other.
+// StartWave stores a wave of maintenance; its machines go down one after the other.
 func (c *Controller) StartWave(ctx context.Context, r *WaveCall) (Empty, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
@@ -303,9 +303,9 @@
 		if wave := s.Wave(r.ID); wave != nil {
 			reply.Done, found = wave.Done(), true
 			for _, machine := range wave.Machines {
-				upkeep := wave.Upkeeps[machine]
-				upkeep.Machine = machine
-				reply.Upkeeps = append(reply.Upkeeps, upkeep)
+				maintenance := wave.Maintenances[machine]
+				maintenance.Machine = machine
+				reply.Maintenances = append(reply.Maintenances, maintenance)
 			}
 		}
 	})
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -78,7 +78,7 @@
 const (
 	reasonSilent   dispatch.Reason = "the worker hasn't answered lately"
 	reasonLeaving  dispatch.Reason = "the worker leaves"
-	reasonEmptied  dispatch.Reason = "the worker's machine is to go down"
+	reasonCordoned dispatch.Reason = "the worker's machine is to go down"
 	reasonDoubtful dispatch.Reason = "an order to the worker has no answer"
 	reasonSetAside dispatch.Reason = "the worker failed several jobs in a row"
 	reasonStill    dispatch.Reason = "nothing advances on the worker"
@@ -94,8 +94,8 @@
 		return reasonLeaving
 	case !s.ready || now.Sub(s.answeredAt) >= freshFor:
 		return reasonSilent
-	case s.t.machines.emptying(s.worker.ID):
-		return reasonEmptied
+	case s.t.machines.isCordoned(s.worker.ID):
+		return reasonCordoned
 	case s.doubtful(now):
 		return reasonDoubtful
 	case !now.After(s.quarantine):
--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -94,7 +94,7 @@
 func (s *Settings) controlBounds() control.Bounds {
 	return control.Bounds{
 		LeaseMax: s.Bounds.LeaseMax.Std(), Shown: s.Bounds.Shown.Std(),
-		HolderPause: s.Bounds.HolderPause.Std(), Upkeep: s.Bounds.Upkeep.Std(),
+		HolderPause: s.Bounds.HolderPause.Std(), Maintenance: s.Bounds.Maintenance.Std(),
 	}
 }
 
--- a/internal/instance/operations.go
+++ b/internal/instance/operations.go
@@ -75,7 +75,7 @@
 	return call(ctx, o, control.MethodExplain, r, (*control.Controller).Explain)
 }
 
-// StartWave starts a wave of upkeep.
+// StartWave starts a wave of maintenance.
 func (o *Operations) StartWave(ctx context.Context, r *control.WaveCall) error {
 	_, err := call(ctx, o, control.MethodStartWave, r, (*control.Controller).StartWave)
 	return err
--- a/internal/instance/settings.go
+++ b/internal/instance/settings.go
@@ -65,8 +65,8 @@
 	Shown settings.Duration `toml:"shown"`
 	// HolderPause is how long orders of two instances for one machine lie apart.
 	HolderPause settings.Duration `toml:"holder_pause"`
-	// Upkeep is how long a machine is down for its upkeep.
-	Upkeep settings.Duration `toml:"upkeep"`
+	// Maintenance is how long a machine is down for its maintenance.
+	Maintenance settings.Duration `toml:"maintenance"`
 	// Shutdown is how long a process that is told to stop may go on.
 	Shutdown settings.Duration `toml:"shutdown"`
 }
@@ -77,7 +77,7 @@
 	Shown:       settings.Duration(120 * time.Second),
 	Shutdown:    settings.Duration(6 * time.Second),
 	HolderPause: settings.Duration(3 * time.Second),
-	Upkeep:      settings.Duration(2 * time.Second),
+	Maintenance: settings.Duration(2 * time.Second),
 }
 
 // Load reads and checks a settings file.
--- a/internal/instance/settings_test.go
+++ b/internal/instance/settings_test.go
@@ -68,7 +68,7 @@
 	must.NoError(t, err)
 	for _, name := range []string{
 		"instance", "data_centre", "address", "internal_port", "metrics_address", "entry", "readiness", "control", "seeds",
-		"first_start", "data_folder", "adviser", "instances_lost", "lease_max", "shown", "shutdown", "machine_list", "worker_orders", "holder_pause", "upkeep",
+		"first_start", "data_folder", "adviser", "instances_lost", "lease_max", "shown", "shutdown", "machine_list", "worker_orders", "holder_pause", "maintenance",
 	} {
 		must.StrContains(t, string(text), name+" = ")
 	}
--- a/upkeep/upkeep.go
+++ b/maintenance/maintenance.go
@@ -1,7 +1,7 @@
-// Package upkeep decides which machines of a wave are emptied and go down now.
+// Package maintenance decides which machines of a wave are cordoned and go down now.
 // Decide is a function of a snapshot; it reads no clock and keeps nothing between
 // calls. The caller commits each order before it sends it.
-package upkeep
+package maintenance
 
 import (
 	"cmp"
@@ -11,9 +11,9 @@
 )
 
 const (
-	// emptyingTime is how long a machine is given for its tasks to end by
+	// drainTime is how long a machine is given for its tasks to end by
 	// themselves while the wave has time to spare: most tasks run for less.
-	emptyingTime = 4 * time.Second
+	drainTime = 4 * time.Second
 	// orderMargin is kept for noticing that a machine is empty or back, for the
 	// commit and for the order: a reading of the list takes up to a second.
 	orderMargin = 1200 * time.Millisecond
@@ -22,14 +22,14 @@
 	stopTime = 1500 * time.Millisecond
 )
 
-// Machine is a machine of a wave whose upkeep isn't over.
+// Machine is a machine of a wave whose maintenance isn't over.
 type Machine struct {
 	ID string
-	// Down says that its upkeep was ordered and it isn't back.
+	// Down says that its maintenance was ordered and it isn't back.
 	Down bool
 	// Up says that it may be ordered down.
 	Up bool
-	// Chosen says that it is being emptied, for ChosenFor by now.
+	// Chosen says that it is cordoned, for ChosenFor by now.
 	Chosen    bool
 	ChosenFor time.Duration
 	// Empty says that no run may be alive there.
@@ -52,8 +52,8 @@
 
 // Plan lists machines by ID.
 type Plan struct {
-	// Empty are to be given nothing new from now on.
-	Empty []string
+	// Cordon are to be given nothing new from now on.
+	Cordon []string
 	// Stop are those whose runs are to be stopped now.
 	Stop []string
 	// Order are to go down now.
@@ -91,7 +91,7 @@
 	})
 	room := min(max(atOnce-down-len(chosen), 0), len(waiting))
 	for _, m := range waiting[:room] {
-		plan.Empty = append(plan.Empty, m.ID)
+		plan.Cordon = append(plan.Cordon, m.ID)
 	}
 	return plan
 }
@@ -102,12 +102,12 @@
 	if w.Remaining <= 0 {
 		return w.MaxDown
 	}
-	each := w.Length + orderMargin + emptyingTime
+	each := w.Length + orderMargin + drainTime
 	needed := int(math.Ceil(float64(n) * float64(each) / float64(w.Remaining)))
 	return min(max(needed, 1), w.MaxDown)
 }
 
-// patience is how long a machine may be emptied before its runs are stopped.
+// patience is how long a machine may stay cordoned before its runs are stopped.
 func (w Wave) patience(n, atOnce int) time.Duration {
 	if n == 0 || atOnce == 0 {
 		return 0
--- a/upkeep/upkeep_test.go
+++ b/maintenance/maintenance_test.go
@@ -1,4 +1,4 @@
-package upkeep
+package maintenance
 
 import (
 	"testing"
@@ -30,12 +30,12 @@
 		want     Plan
 	}{
 		{name: "one at a time while there is time, the one that is empty soonest", wave: long,
-			machines: []Machine{busy("a", 5*time.Second), busy("b", time.Second)}, want: Plan{Empty: []string{"b"}}},
+			machines: []Machine{busy("a", 5*time.Second), busy("b", time.Second)}, want: Plan{Cordon: []string{"b"}}},
 		{name: "nothing beside one that is down", wave: long, machines: []Machine{down, idle("a")}},
 		{name: "more at once when time is short, never more than allowed", wave: short,
-			machines: []Machine{down, idle("a"), idle("b")}, want: Plan{Empty: []string{"a"}}},
+			machines: []Machine{down, idle("a"), idle("b")}, want: Plan{Cordon: []string{"a"}}},
 		{name: "all that is allowed once it is late", wave: late,
-			machines: []Machine{idle("a"), idle("b"), idle("c")}, want: Plan{Empty: []string{"a", "b"}}},
+			machines: []Machine{idle("a"), idle("b"), idle("c")}, want: Plan{Cordon: []string{"a", "b"}}},
 		{name: "an empty machine goes down", wave: long,
 			machines: []Machine{chosen(idle("a"), time.Second), idle("b")}, want: Plan{Order: []string{"a"}}},
 		{name: "a busy one is waited for", wave: long, machines: []Machine{chosen(busy("a", 5*time.Second), 10*time.Second)}},
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -107,12 +107,12 @@
 		echo "quick|order|$mutant|-DRUNS=2"
 	done
 
-	echo "quick|upkeep|-|-DMACHINES=3"
-	echo "quick|upkeep|-|-DMACHINES=3 -DRESTARTS=1"
+	echo "quick|maintenance|-|-DMACHINES=3"
+	echo "quick|maintenance|-|-DMACHINES=3 -DRESTARTS=1"
 	for mutant in SEND_BEFORE_COMMIT ORDERED_IS_UP UP_IS_BACK DONE_WHEN_ORDERED; do
-		echo "quick|upkeep|$mutant|-DMACHINES=3"
+		echo "quick|maintenance|$mutant|-DMACHINES=3"
 	done
-	echo "quick|upkeep|NO_TIME|-DMACHINES=3 -DRESTARTS=1"
+	echo "quick|maintenance|NO_TIME|-DMACHINES=3 -DRESTARTS=1"
 
 	echo "quick|config|-|-DVERSIONS=3 -DRESTARTS=2"
 	echo "full|config|-|-DVERSIONS=4 -DRESTARTS=3"
--- a/spec/upkeep.pml
+++ b/spec/maintenance.pml
@@ -1,4 +1,4 @@
-/* upkeep.pml: a wave of upkeep of MACHINES machines, of which one may be down at a
+/* maintenance.pml: a wave of maintenance of MACHINES machines, of which one may be down at a
  * time, under two leaders one after the other.
  *
  * An order that was sent stays in the network for good: it may be carried out at
@@ -9,10 +9,10 @@
  * incarnation; with RESTARTS it may also do so by itself.
  *
  * The leader commits an order before it sends it. A machine counts as down from
- * then on, until its upkeep has begun by an answer, the time of an upkeep has
+ * then on, until its maintenance has begun by an answer, the time of a maintenance has
  * passed since, and the list shows another incarnation on it.
  *
- * Safety: no upkeep begins while another machine of the wave is down for its own;
+ * Safety: no maintenance begins while another machine of the wave is down for its own;
  * a wave that is said to be done has begun on each machine.
  *
  * Mutants: SEND_BEFORE_COMMIT, ORDERED_IS_UP, UP_IS_BACK, NO_TIME (with RESTARTS),
@@ -31,7 +31,7 @@
 byte orderedLife[MACHINES];
 
 /* The leader: an order that was sent and isn't committed (mutant only), 0 for none,
- * and whether the time of an upkeep has passed since it began. */
+ * and whether the time of a maintenance has passed since it began. */
 byte uncommitted = 0;
 bool passed[MACHINES];
 bool second = false;
@@ -165,7 +165,7 @@
 			fi
 		:: else -> skip
 		fi; checkDone() }
-	/* A machine comes back; the time of an upkeep has passed by then, not before. */
+	/* A machine comes back; the time of a maintenance has passed by then, not before. */
 	:: atomic { select(m : 0 .. MACHINES - 1);
 		if
 		:: down[m] -> down[m] = false; life[m] = life[m] + 1
--- a/workflow/apply.go
+++ b/workflow/apply.go
@@ -20,10 +20,10 @@
 	// Gone is the incarnation of a worker that has ended.
 	Gone string `cbor:"6,keyasint,omitempty"`
 	// Forget lists jobs that need no longer be shown.
-	Forget        []string  `cbor:"7,keyasint,omitempty"`
-	Configuration *Document `cbor:"8,keyasint,omitempty"`
-	Wave          *Wave     `cbor:"9,keyasint,omitempty"`
-	Upkeep        *Upkeep   `cbor:"10,keyasint,omitempty"`
+	Forget        []string     `cbor:"7,keyasint,omitempty"`
+	Configuration *Document    `cbor:"8,keyasint,omitempty"`
+	Wave          *Wave        `cbor:"9,keyasint,omitempty"`
+	Maintenance   *Maintenance `cbor:"10,keyasint,omitempty"`
 }
 
 // WorkerEnds are ends of runs on one worker.
@@ -93,8 +93,8 @@
 		return Result{InForce: s.Configuration}
 	case c.Wave != nil:
 		s.startWave(c.Wave)
-	case c.Upkeep != nil:
-		s.noteUpkeep(c.Upkeep)
+	case c.Maintenance != nil:
+		s.noteMaintenance(c.Maintenance)
 	}
 	return Result{}
 }
--- a/workflow/check.go
+++ b/workflow/check.go
@@ -84,7 +84,7 @@
 	return nil
 }
 
-// Fields of a wave of upkeep.
+// Fields of a wave of maintenance.
 const (
 	FieldWaveID       Field = "id"
 	FieldWaveMachines Field = "machines"
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -126,7 +126,7 @@
 	Runs          map[string]map[TaskKey]Run `cbor:"-"`
 	Configuration Document                   `cbor:"3,keyasint"`
 	RunList       []Run                      `cbor:"4,keyasint"`
-	// Waves are the operator's waves of upkeep.
+	// Waves are the operator's waves of maintenance.
 	Waves map[int64]*WaveState `cbor:"5,keyasint,omitempty"`
 
 	// open holds the jobs that have not ended.
--- a/workflow/wave.go
+++ b/workflow/wave.go
@@ -5,7 +5,7 @@
 	"slices"
 )
 
-// Wave asks that each of some machines is taken down for its upkeep in time.
+// Wave asks that each of some machines is taken down for its maintenance in time.
 type Wave struct {
 	// ID is chosen by the operator; the same ID is the same wave.
 	ID       int64    `cbor:"1,keyasint"`
@@ -19,21 +19,21 @@
 	AcceptedAtMS int64 `cbor:"5,keyasint"`
 }
 
-// UpkeepStage is how far the upkeep of one machine has come.
-type UpkeepStage uint8
+// MaintenanceStage is how far the maintenance of one machine has come.
+type MaintenanceStage uint8
 
-// Stages of an upkeep.
+// Stages of a maintenance.
 const (
-	// UpkeepOrdered: the order may have been sent; whether it is carried out is open.
-	UpkeepOrdered UpkeepStage = iota + 1
-	// UpkeepBegun: the machine has gone down for its upkeep.
-	UpkeepBegun
-	// UpkeepMoot: the machine has left, or the deployment says that it isn't of this wave.
-	UpkeepMoot
+	// MaintenanceOrdered: the order may have been sent; whether it is carried out is open.
+	MaintenanceOrdered MaintenanceStage = iota + 1
+	// MaintenanceBegun: the machine has gone down for its maintenance.
+	MaintenanceBegun
+	// MaintenanceMoot: the machine has left, or the deployment says that it isn't of this wave.
+	MaintenanceMoot
 )
 
 // String returns the stage as logs show it.
-func (s UpkeepStage) String() string {
+func (s MaintenanceStage) String() string {
 	names := [...]string{"waiting", "ordered", "begun", "moot"}
 	if int(s) < len(names) {
 		return names[s]
@@ -41,11 +41,11 @@
 	return "unknown"
 }
 
-// Upkeep is a machine's upkeep in a wave.
-type Upkeep struct {
-	Wave    int64       `cbor:"1,keyasint"`
-	Machine string      `cbor:"2,keyasint"`
-	Stage   UpkeepStage `cbor:"3,keyasint"`
+// Maintenance is a machine's maintenance in a wave.
+type Maintenance struct {
+	Wave    int64            `cbor:"1,keyasint"`
+	Machine string           `cbor:"2,keyasint"`
+	Stage   MaintenanceStage `cbor:"3,keyasint"`
 	// Worker is the incarnation that lived on the machine when it was ordered.
 	Worker string `cbor:"4,keyasint,omitempty"`
 }
@@ -53,13 +53,13 @@
 // WaveState is a wave and what has become of its machines.
 type WaveState struct {
 	Wave
-	Upkeeps map[string]Upkeep `cbor:"6,keyasint,omitempty"`
+	Maintenances map[string]Maintenance `cbor:"6,keyasint,omitempty"`
 }
 
-// Done reports whether no machine's upkeep is outstanding.
+// Done reports whether no machine's maintenance is outstanding.
 func (w *WaveState) Done() bool {
 	return !slices.ContainsFunc(w.Machines, func(machine string) bool {
-		return w.Upkeeps[machine].Stage < UpkeepBegun
+		return w.Maintenances[machine].Stage < MaintenanceBegun
 	})
 }
 
@@ -68,29 +68,29 @@
 
 func (s *State) startWave(w *Wave) {
 	if s.Waves[w.ID] == nil {
-		s.Waves[w.ID] = &WaveState{Wave: *w, Upkeeps: map[string]Upkeep{}}
+		s.Waves[w.ID] = &WaveState{Wave: *w, Maintenances: map[string]Maintenance{}}
 	}
 }
 
-// noteUpkeep takes in how far an upkeep has come; it never goes back.
-func (s *State) noteUpkeep(u *Upkeep) {
+// noteMaintenance takes in how far a maintenance has come; it never goes back.
+func (s *State) noteMaintenance(u *Maintenance) {
 	wave := s.Waves[u.Wave]
-	if wave == nil || !slices.Contains(wave.Machines, u.Machine) || u.Stage <= wave.Upkeeps[u.Machine].Stage {
+	if wave == nil || !slices.Contains(wave.Machines, u.Machine) || u.Stage <= wave.Maintenances[u.Machine].Stage {
 		return
 	}
-	if wave.Upkeeps == nil {
-		wave.Upkeeps = map[string]Upkeep{}
+	if wave.Maintenances == nil {
+		wave.Maintenances = map[string]Maintenance{}
 	}
 	known := *u
 	if known.Worker == "" {
-		known.Worker = wave.Upkeeps[u.Machine].Worker
+		known.Worker = wave.Maintenances[u.Machine].Worker
 	}
-	wave.Upkeeps[u.Machine] = known
+	wave.Maintenances[u.Machine] = known
 }
 
 // Clone returns a copy that the state doesn't change.
 func (w *WaveState) Clone() WaveState {
 	clone := *w
-	clone.Upkeeps = maps.Clone(w.Upkeeps)
+	clone.Maintenances = maps.Clone(w.Maintenances)
 	return clone
 }
--- a/workflow/wave_test.go
+++ b/workflow/wave_test.go
@@ -6,8 +6,8 @@
 	"github.com/shoenig/test/must"
 )
 
-func upkeep(s *State, machine string, stage UpkeepStage) {
-	s.Apply(1, &Command{Upkeep: &Upkeep{Wave: 3, Machine: machine, Stage: stage, Worker: "w-" + machine}})
+func maintenance(s *State, machine string, stage MaintenanceStage) {
+	s.Apply(1, &Command{Maintenance: &Maintenance{Wave: 3, Machine: machine, Stage: stage, Worker: "w-" + machine}})
 }
 
 // What an operator sees: a wave is said to be done while a machine waits.
@@ -20,18 +20,18 @@
 	s.Apply(1, &Command{Wave: &wave})
 	s.Apply(2, &Command{Wave: &Wave{ID: 3}})
 	must.Eq(t, wave, s.Wave(3).Wave, must.Sprint("the same ID is the same wave"))
-	upkeep(s, "m1", UpkeepBegun)
-	upkeep(s, "m1", UpkeepOrdered)
-	upkeep(s, "m2", UpkeepOrdered)
-	upkeep(s, "stranger", UpkeepBegun)
+	maintenance(s, "m1", MaintenanceBegun)
+	maintenance(s, "m1", MaintenanceOrdered)
+	maintenance(s, "m2", MaintenanceOrdered)
+	maintenance(s, "stranger", MaintenanceBegun)
 	must.False(t, s.Wave(3).Done())
 	data, err := s.Snapshot()
 	must.NoError(t, err)
 	s, err = Restore(data)
 	must.NoError(t, err)
-	must.Eq(t, UpkeepBegun, s.Wave(3).Upkeeps["m1"].Stage)
-	must.MapLen(t, 2, s.Wave(3).Upkeeps)
-	upkeep(s, "m2", UpkeepMoot)
+	must.Eq(t, MaintenanceBegun, s.Wave(3).Maintenances["m1"].Stage)
+	must.MapLen(t, 2, s.Wave(3).Maintenances)
+	maintenance(s, "m2", MaintenanceMoot)
 	must.True(t, s.Wave(3).Done())
 	must.Nil(t, s.Wave(4))
 }
