Read a lane's time once, under its lock

Cause: the time was read after the lock; no earlier test asked the adviser of several questions at once. The stand-in's late looks wrote to the lists of one that had returned; they have a copy. Change: taking a lane returns the time.

--- a/internal/control/permits.go
+++ b/internal/control/permits.go
@@ -94,9 +94,10 @@
 	return len(l.live(now))
 }
 
-// take picks the lane that will be free first. Long questions use the second
-// half of the lanes only and short ones prefer the first.
-func (l *lanes) take(now time.Time, length time.Duration) *lane {
+// take picks the lane that will be free first, and returns when the question will
+// have been answered there. Long questions use the second half of the lanes only
+// and short ones prefer the first.
+func (l *lanes) take(now time.Time, length time.Duration) (*lane, time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	live := l.live(now)
@@ -104,7 +105,7 @@
 		live = live[len(live)/2:]
 	}
 	if len(live) == 0 {
-		return nil
+		return nil, now
 	}
 	chosen := slices.MinFunc(live, func(a, b *lane) int { return a.busyUntil.Compare(b.busyUntil) })
 	if chosen.busyUntil.Before(now) {
@@ -112,7 +113,7 @@
 	}
 	chosen.busyUntil = chosen.busyUntil.Add(length)
 	chosen.underWay++
-	return chosen
+	return chosen, chosen.busyUntil
 }
 
 func (l *lanes) give(used *lane, now time.Time, failed bool) {
@@ -165,7 +166,7 @@
 // ask puts a question to the adviser and takes in the answer.
 func (t *tenure) ask(question dispatch.Ask, policy *workflow.AdvicePolicy) {
 	length := askLength(policy, len(question.Workers))
-	used := t.lanes.take(time.Now(), length)
+	used, answered := t.lanes.take(time.Now(), length)
 	if used == nil {
 		return
 	}
@@ -177,7 +178,7 @@
 	}
 	t.mu.Unlock()
 	valid := time.Duration(policy.ValidMS) * time.Millisecond
-	t.goTask(func() { t.askThrough(used, question, valid, time.Until(used.busyUntil)+askSlack) })
+	t.goTask(func() { t.askThrough(used, question, valid, time.Until(answered)+askSlack) })
 }
 
 // askThrough asks on a lane; valid is how long a ticket holds by the policy,
--- a/internal/control/rough_test.go
+++ b/internal/control/rough_test.go
@@ -255,8 +255,12 @@
 		report.Partial = len(report.Ended) == 20
 		return nil
 	})
-	report.ClockMS = clock
-	return report, err
+	// A look that is carried out late makes its lists under the lock as well.
+	r.mu.Lock()
+	answer := report
+	r.mu.Unlock()
+	answer.ClockMS = clock
+	return answer, err
 }
 
 func (r *roughWorkers) Ask(_ context.Context, call AskCall) (AskReply, error) {
