Let a gang ask about idle workers when its own stay busy

The gang was late, so it came after everything else, and new work filled its one worker again and again, while half of the cluster was idle. Ruled out: an unsettled run (its members had ended and were taken in), tickets (renewed once), preemption (not for late gangs, and nothing of the worker's was stopped). Change: a gang that won't fit before long on its permitted workers asks about unknown ones that have room.

--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -59,7 +59,7 @@
 		return ReasonNoRoom
 	case s.Asking:
 		return ReasonPermit
-	case len(unknown) > 0 && (len(s.Permits) == 0 || emptyRoom(s, granted) < 2*left):
+	case p.gangLearns(s, granted, unknown, left, when):
 		p.ask(s, p.toLearn(s, granted, unknown, left, p.limits.GangAskWorkers), false)
 		return ReasonPermit
 	case len(chosen) > 0 && p.ticketsDue(s, chosen, when):
@@ -69,6 +69,19 @@
 	return reasonFor(granted)
 }
 
+// gangLearns reports whether a gang asks about workers that nothing is known of:
+// before anything is known, when its permitted workers would hardly do if they
+// were empty, and when they won't do before long while others have room. Without
+// the last, a gang that was permitted on one worker of the few that had answered a
+// new leader waited for that one for good. when is 0 when it can't be told.
+func (p *planner) gangLearns(s *Step, granted, unknown []*Worker, left int, when time.Duration) bool {
+	if len(unknown) == 0 {
+		return false
+	}
+	late := when == 0 || when > p.now+preemptWait
+	return len(s.Permits) == 0 || emptyRoom(s, granted) < 2*left || late && wantsMore(s, unknown)
+}
+
 // ticketsDue reports whether the tickets of the chosen workers must be asked for
 // now to be there when the gang fits. Asked for later, the room would lie idle
 // for as long as the adviser takes, which is half a second and more.
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -200,6 +200,31 @@
 	must.Eq(t, 1, asks(500*time.Millisecond))
 }
 
+// What a user sees: a late all-or-nothing job never ends, with most workers idle.
+// Order: a new leader's first question names the two workers that have answered
+// it; one is permitted; it is big enough, and never empty.
+// Cause: a gang asked again only when its permitted workers were too small.
+func TestAGangAsksAboutIdleWorkersWhenItsOwnStayBusy(t *testing.T) {
+	gang := func() Step {
+		s := needsPermit(step("gang", 2, 4), map[string]Permit{"w0": {Granted: true}})
+		s.Spec.Gang, s.Late = true, 2
+		return s
+	}
+	busy := workers(0, 16, 0)
+	busy[0].Releases = []Release{{At: time.Minute, Room: cores(16)}}
+	asks := Decide(0, []Step{gang()}, busy, limits).Asks
+	must.SliceLen(t, 1, asks)
+	must.Eq(t, []string{"w1", "w2"}, asks[0].Workers)
+	full := workers(0, 0, 0)
+	full[0].Releases = []Release{{At: time.Minute, Room: cores(16)}}
+	must.SliceEmpty(t, Decide(0, []Step{gang()}, full, limits).Asks, must.Sprint("nobody has room"))
+	soon := workers(0, 16, 0)
+	soon[0].Releases = []Release{{At: preemptWait, Room: cores(16)}}
+	plan := Decide(0, []Step{gang()}, soon, limits)
+	must.SliceLen(t, 1, plan.Asks)
+	must.True(t, plan.Asks[0].Renewal, must.Sprint("it fits before long"))
+}
+
 // What a user sees: a gang waits on though runs were stopped for it.
 // Order: room for a gang comes free bit by bit; small urgent tasks come meanwhile
 // and fit there best; another worker has room for them too.
