--- a/internal/control/maintenance_test.go
+++ b/internal/control/maintenance_test.go
@@ -211,7 +211,7 @@
 // Order: a worker restarts; its machine is ordered down by a list that shows its
 // earlier incarnation; the next list, which lags, shows the later one as up.
 // Cause: another incarnation was taken for proof that the machine is back.
-func TestAMachineIsBackAfterTheTimeOfAnMaintenanceOnly(t *testing.T) {
+func TestAMachineIsBackAfterTheTimeOfAMaintenanceOnly(t *testing.T) {
 	w := newWorld(t, nil)
 	ten, err := w.c.leading()
 	must.NoError(t, err)
