Calls of the controller share their beginning and the check for a missing job

Cause: re-reading. Submit, State, Cancel and Explain each found the tenure and then the queue, State and Cancel each looked a job up, asked the log and looked again, and six places turned a failed barrier into the same answer. Ruled out: one prologue with the timeout for all calls; Leave and Follow have none, and a closure for each handler is longer than what it saves. Change: addressed, confirmedPhase and catchUp. No answer and no log line changes.

--- a/internal/control/explain.go
+++ b/internal/control/explain.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"github.com/bilberryferry/bilberryferry/dispatch"
-	"github.com/bilberryferry/bilberryferry/fault"
-	"github.com/bilberryferry/bilberryferry/internal/link"
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
 
@@ -17,17 +15,13 @@
 func (c *Controller) Explain(ctx context.Context, r *ExplainCall) (ExplainReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	t, err := c.leading()
+	t, queue, id, err := c.addressed(ctx, r.Place)
 	if err != nil {
 		return ExplainReply{}, err
 	}
-	queue, id, err := c.resolve(ctx, r.Place)
-	if err != nil {
+	if err := c.catchUp(ctx); err != nil {
 		return ExplainReply{}, err
 	}
-	if err := c.log.Barrier(ctx); err != nil {
-		return ExplainReply{}, link.NotLeader(c.cfg.Leader())
-	}
 	reply := ExplainReply{Queue: queue.Name, ID: id}
 	found := false
 	c.state.read(func(s *workflow.State) {
@@ -37,7 +31,7 @@
 		}
 	})
 	if !found {
-		return ExplainReply{}, fault.New(fault.Cancelled, "no job %s", id)
+		return ExplainReply{}, unknownJob(id)
 	}
 	reply.Waiting = t.explain(id, time.Now())
 	return reply, nil
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -33,6 +33,25 @@
 	link.Handle(mux, MethodExplain, c.Explain)
 }
 
+// addressed returns the tenure that decides on what a place names, with the queue
+// and the rest of the path, which is a job's id or empty.
+func (c *Controller) addressed(ctx context.Context, place Place) (*tenure, workflow.Queue, string, error) {
+	t, err := c.leading()
+	if err != nil {
+		return nil, workflow.Queue{}, "", err
+	}
+	queue, rest, err := c.resolve(ctx, place)
+	return t, queue, rest, err
+}
+
+// catchUp waits until all that was committed before the call is applied here.
+func (c *Controller) catchUp(ctx context.Context) error {
+	if err := c.log.Barrier(ctx); err != nil {
+		return link.NotLeader(c.cfg.Leader())
+	}
+	return nil
+}
+
 // resolve finds the queue of a place. NotFound is said only after the log has
 // shown that the configuration here is the newest.
 func (c *Controller) resolve(ctx context.Context, place Place) (workflow.Queue, string, error) {
@@ -40,8 +59,8 @@
 	if !fault.Is(err, fault.NotFound) {
 		return queue, rest, err
 	}
-	if err := c.log.Barrier(ctx); err != nil {
-		return workflow.Queue{}, "", link.NotLeader(c.cfg.Leader())
+	if err := c.catchUp(ctx); err != nil {
+		return workflow.Queue{}, "", err
 	}
 	return c.lookUp(place)
 }
@@ -70,11 +89,7 @@
 func (c *Controller) Submit(ctx context.Context, r *SubmitCall) (SubmitReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	t, err := c.leading()
-	if err != nil {
-		return SubmitReply{}, err
-	}
-	queue, id, err := c.resolve(ctx, r.Place)
+	t, queue, id, err := c.addressed(ctx, r.Place)
 	if err != nil {
 		return SubmitReply{}, err
 	}
@@ -103,30 +118,20 @@
 	return SubmitReply{Known: known}, nil
 }
 
-// State returns the phase of a job, or how many jobs of a queue wait. That a
-// job isn't known is said only after the log has shown that nothing is missing here.
+// State returns the phase of a job, or how many jobs of a queue wait.
 func (c *Controller) State(ctx context.Context, r *StateCall) (StateReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	t, err := c.leading()
-	if err != nil {
-		return StateReply{}, err
-	}
-	queue, id, err := c.resolve(ctx, r.Place)
+	t, queue, id, err := c.addressed(ctx, r.Place)
 	if err != nil {
 		return StateReply{}, err
 	}
 	if id == "" {
 		return StateReply{Queue: true, Waiting: c.waiting(t, queue.Identity())}, nil
 	}
-	phase, ok := c.phase(id, queue.Identity())
-	if !ok {
-		if err := c.log.Barrier(ctx); err != nil {
-			return StateReply{}, link.NotLeader(c.cfg.Leader())
-		}
-		if phase, ok = c.phase(id, queue.Identity()); !ok {
-			return StateReply{}, fault.New(fault.Cancelled, "no job %s", id)
-		}
+	phase, err := c.confirmedPhase(ctx, id, queue.Identity())
+	if err != nil {
+		return StateReply{}, err
 	}
 	if phase == workflow.PhasePending && t.hasBegun(id) {
 		phase = workflow.PhaseActive
@@ -134,6 +139,24 @@
 	return StateReply{Phase: phase}, nil
 }
 
+// confirmedPhase returns the phase of a queue's job. That it isn't known is said
+// only after the log has shown that nothing is missing here.
+func (c *Controller) confirmedPhase(ctx context.Context, id, queue string) (workflow.Phase, error) {
+	if phase, ok := c.phase(id, queue); ok {
+		return phase, nil
+	}
+	if err := c.catchUp(ctx); err != nil {
+		return 0, err
+	}
+	phase, ok := c.phase(id, queue)
+	if !ok {
+		return 0, unknownJob(id)
+	}
+	return phase, nil
+}
+
+func unknownJob(id string) error { return fault.New(fault.Cancelled, "no job %s", id) }
+
 func (c *Controller) phase(id, queue string) (phase workflow.Phase, ok bool) {
 	c.state.read(func(s *workflow.State) {
 		job := s.Jobs[id]
@@ -162,22 +185,13 @@
 func (c *Controller) Cancel(ctx context.Context, r *CancelCall) (Empty, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	t, err := c.leading()
+	t, queue, id, err := c.addressed(ctx, r.Place)
 	if err != nil {
 		return Empty{}, err
 	}
-	queue, id, err := c.resolve(ctx, r.Place)
-	if err != nil {
+	if _, err := c.confirmedPhase(ctx, id, queue.Identity()); err != nil {
 		return Empty{}, err
 	}
-	if _, ok := c.phase(id, queue.Identity()); !ok {
-		if err := c.log.Barrier(ctx); err != nil {
-			return Empty{}, link.NotLeader(c.cfg.Leader())
-		}
-		if _, ok := c.phase(id, queue.Identity()); !ok {
-			return Empty{}, fault.New(fault.Cancelled, "no job %s", id)
-		}
-	}
 	_, err = c.propose(ctx, &workflow.Command{Cancel: id})
 	t.logger.Log("event", "cancel", "job", id, "err", err)
 	return Empty{}, err
@@ -257,8 +271,8 @@
 	if _, err := c.leading(); err != nil {
 		return ConfigurationReply{}, err
 	}
-	if err := c.log.Barrier(ctx); err != nil {
-		return ConfigurationReply{}, link.NotLeader(c.cfg.Leader())
+	if err := c.catchUp(ctx); err != nil {
+		return ConfigurationReply{}, err
 	}
 	var reply ConfigurationReply
 	c.state.read(func(s *workflow.State) {
@@ -295,8 +309,8 @@
 	if _, err := c.leading(); err != nil {
 		return WaveStateReply{}, err
 	}
-	if err := c.log.Barrier(ctx); err != nil {
-		return WaveStateReply{}, link.NotLeader(c.cfg.Leader())
+	if err := c.catchUp(ctx); err != nil {
+		return WaveStateReply{}, err
 	}
 	reply, found := WaveStateReply{}, false
 	c.state.read(func(s *workflow.State) {
