Starts and stops in answers to heartbeats are delivered by one function

Cause: re-reading. Start and Stop held the same wait and the same removal, on which it depends that an order given up isn't sent again. Ruled out: one list for both; a start is known by its task and settled by any later run of it, a stop by its run. Change: deliver, over the list that it is given.

--- a/internal/control/beats.go
+++ b/internal/control/beats.go
@@ -224,40 +224,36 @@
 
 // Start returns once a heartbeat lists the run.
 func (b *beats) Start(ctx context.Context, to Target, order StartOrder) (int64, error) {
-	b.mu.Lock()
-	box := b.box(to.Worker)
-	start := &beatOrder{start: order, arrived: make(chan struct{})}
-	box.starts[order.Run.Task] = start
-	box.wake()
-	b.mu.Unlock()
-	if wait.Closed(ctx, start.arrived) {
-		return noClock, nil
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if box.starts[order.Run.Task] == start {
-		delete(box.starts, order.Run.Task)
-	}
-	return 0, errUnconfirmed
+	return noClock, deliver(ctx, b, to, order.Run.Task, &beatOrder{start: order},
+		func(box *beatBox) map[workflow.TaskKey]*beatOrder { return box.starts })
 }
 
 // Stop returns once heartbeats show that the order has arrived.
 func (b *beats) Stop(ctx context.Context, to Target, order StopOrder) (int64, error) {
+	return noClock, deliver(ctx, b, to, order.Run, &beatOrder{},
+		func(box *beatBox) map[workflow.Run]*beatOrder { return box.stops })
+}
+
+// deliver repeats an order under a key of one of a worker's lists until a
+// heartbeat shows that it arrived. One that nobody waits for any more is dropped,
+// unless a newer one has taken its place.
+func deliver[Key comparable](ctx context.Context, b *beats, to Target, key Key, order *beatOrder,
+	list func(*beatBox) map[Key]*beatOrder) error {
+	order.arrived = make(chan struct{})
 	b.mu.Lock()
 	box := b.box(to.Worker)
-	stop := &beatOrder{arrived: make(chan struct{})}
-	box.stops[order.Run] = stop
+	list(box)[key] = order
 	box.wake()
 	b.mu.Unlock()
-	if wait.Closed(ctx, stop.arrived) {
-		return noClock, nil
+	if wait.Closed(ctx, order.arrived) {
+		return nil
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if box.stops[order.Run] == stop {
-		delete(box.stops, order.Run)
+	if list(box)[key] == order {
+		delete(list(box), key)
 	}
-	return 0, errUnconfirmed
+	return errUnconfirmed
 }
 
 // Throttle calls the worker: heartbeats don't carry this order.
