One call for orders to machines, one for orders to workers, and smaller twins

Cause: re-reading. Moves and maintenance built the same order with the same timeout and counter; stops and throttles found the worker's address in the same way; the leader's two loops waited for the log in the same way; the runs of a step were counted in two places. spared counted the others of a step in two branches, and two loops stood for calls of the standard library. Ruled out: session.call for starts as well: a start notes under the same lock when it was sent, and a second lock between the two would let a stop come between. Change: callMachine, session.call, waitForChange, placements, maps and slices instead of loops. Behaviour is the same. Left: Explain counts the workers' obstacles once for each step, which is a call of an operator; the adviser's and the machines' answers are read alike in platform/, with errors of their own.

--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -50,7 +51,7 @@
 		return ReasonDenied
 	case s.Spec.MaxPerWorker > 0 && s.Placed[w.ID] >= s.Spec.MaxPerWorker:
 		return ReasonAffinity
-	case s.Copy && slices.Contains(values(s.Avoid), w.ID):
+	case s.Copy && slices.Contains(slices.Collect(maps.Values(s.Avoid)), w.ID):
 		return ReasonBeside
 	case copies(s, w) == 0:
 		return ReasonFull
@@ -59,11 +60,3 @@
 	}
 	return ""
 }
-
-func values(avoid map[int]string) []string {
-	var list []string
-	for _, worker := range avoid {
-		list = append(list, worker)
-	}
-	return list
-}
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -91,12 +91,7 @@
 			c.lead(ctx, status.Term)
 			continue
 		}
-		select {
-		case <-ctx.Done():
-		case <-changed:
-		case <-time.After(idlePause):
-			// CanDecide also ends by the passing of time alone.
-		}
+		waitForChange(ctx, changed)
 	}
 	return nil
 }
@@ -104,6 +99,14 @@
 // idlePause bounds how late a change of CanDecide is noticed.
 const idlePause = 200 * time.Millisecond
 
+// waitForChange waits until the log's status may have changed. CanDecide also
+// ends by the passing of time alone, which closes no channel.
+func waitForChange(ctx context.Context, changed <-chan struct{}) {
+	ctx, cancel := context.WithTimeout(ctx, idlePause)
+	defer cancel()
+	wait.Closed(ctx, changed)
+}
+
 // lead runs one tenure until the leadership ends.
 func (c *Controller) lead(ctx context.Context, term uint64) {
 	tenureCtx, end := context.WithCancel(ctx)
@@ -131,11 +134,7 @@
 		if status.Term != term || status.Role != replica.Leader {
 			return
 		}
-		select {
-		case <-ctx.Done():
-		case <-changed:
-		case <-time.After(idlePause):
-		}
+		waitForChange(ctx, changed)
 	}
 }
 
--- a/internal/control/copies.go
+++ b/internal/control/copies.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -79,7 +80,7 @@
 
 // copySteps returns the steps of which tasks are worth a copy. t.mu is held.
 func (t *tenure) copySteps(s *workflow.State, copies map[workflow.TaskKey]copyOf, now time.Time,
-	placed map[workflow.StepKey]map[string]int) []dispatch.Step {
+	placed placements) []dispatch.Step {
 	avoid := map[workflow.StepKey]map[int]string{}
 	for task, c := range copies {
 		if avoid[task.StepKey] == nil {
@@ -90,11 +91,7 @@
 	var steps []dispatch.Step
 	for key, workers := range avoid {
 		job := s.Jobs[key.Job]
-		var pending []int
-		for index := range workers {
-			pending = append(pending, index)
-		}
-		slices.Sort(pending)
+		pending := slices.Sorted(maps.Keys(workers))
 		step := t.step(job, key, pending, t.accepted[job.ID], objectiveOf(job), now, placed[key])
 		step.Copy, step.Avoid = true, workers
 		steps = append(steps, step)
--- a/internal/control/evacuate.go
+++ b/internal/control/evacuate.go
@@ -55,14 +55,11 @@
 	if o := t.sessions[run.Worker].orders[run.Task]; o != nil && !o.stopSent.IsZero() {
 		return true
 	}
+	// What matters of this run itself is that it will be away.
 	atWork := t.tasksAtWork(s, run.Task.StepKey)
-	others := spec.Count - 1
-	if atWork[run.Task.Index] {
-		others = spec.Count - len(atWork)
-	} else {
-		others -= len(atWork)
-	}
-	return others < max(spec.MaxUnavailable, 1)
+	delete(atWork, run.Task.Index)
+	away := spec.Count - 1 - len(atWork)
+	return away < max(spec.MaxUnavailable, 1)
 }
 
 // tasksAtWork returns the tasks of a long-running step that their workers show at
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -36,10 +37,8 @@
 // is on standby: then no machine is to be moved.
 func (t *tenure) services() (services []workflow.Service) {
 	t.c.state.read(func(s *workflow.State) {
-		for _, service := range s.Configuration.Services {
-			if service.Standby {
-				services = s.Configuration.Services
-			}
+		if slices.ContainsFunc(s.Configuration.Services, func(service workflow.Service) bool { return service.Standby }) {
+			services = s.Configuration.Services
 		}
 	})
 	return services
@@ -184,11 +183,9 @@
 	}
 	t.goTask(func() {
 		defer t.endOrder(m.ID)
-		ctx, cancel := context.WithTimeout(t.ctx, machineCallTimeout)
-		defer cancel()
-		order := MachineOrder{Machine: m.ID, Holder: t.c.cfg.Instance, Fence: t.fence}
-		err := t.c.cfg.Machines.Move(ctx, order, move.To)
-		t.c.cfg.Counters.Add("machine_orders", 1)
+		err := t.callMachine(m.ID, func(ctx context.Context, order MachineOrder) error {
+			return t.c.cfg.Machines.Move(ctx, order, move.To)
+		})
 		t.logger.Log("event", "move", "machine", m.ID, "worker", m.Worker, "from", move.From, "to", move.To, "outcome", "ordered", "err", err)
 		t.noteMove(m, move, err)
 		wait.For(t.ctx, retryPause)
--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -167,6 +167,15 @@
 	return true
 }
 
+// callMachine makes one call that orders something of a machine.
+func (t *tenure) callMachine(machine string, call func(context.Context, MachineOrder) error) error {
+	ctx, cancel := context.WithTimeout(t.ctx, machineCallTimeout)
+	defer cancel()
+	err := call(ctx, MachineOrder{Machine: machine, Holder: t.c.cfg.Instance, Fence: t.fence})
+	t.c.cfg.Counters.Add("machine_orders", 1)
+	return err
+}
+
 func (t *tenure) endOrder(machine string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/control/maintenance.go
+++ b/internal/control/maintenance.go
@@ -168,11 +168,9 @@
 	if t.noteMaintenance(wave, m, workflow.MaintenanceOrdered) != nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(t.ctx, machineCallTimeout)
-	defer cancel()
-	order := MachineOrder{Machine: m.ID, Holder: t.c.cfg.Instance, Fence: t.fence}
-	err := t.c.cfg.Machines.Maintenance(ctx, order, wave)
-	t.c.cfg.Counters.Add("machine_orders", 1)
+	err := t.callMachine(m.ID, func(ctx context.Context, order MachineOrder) error {
+		return t.c.cfg.Machines.Maintenance(ctx, order, wave)
+	})
 	t.logger.Log("event", "maintenance", "wave", wave, "machine", m.ID, "worker", m.Worker, "outcome", "ordered",
 		"list_age_ms", listAge.Milliseconds(), "err", err)
 	var refused *RefusedError
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -189,11 +189,18 @@
 
 func (s *session) callStop(run workflow.Run) (int64, error) {
 	t := s.t
-	t.mu.Lock()
+	t.c.cfg.Counters.Add("stops", 1)
+	return s.call(func(ctx context.Context, to Target) (int64, error) {
+		return t.c.cfg.Workers.Stop(ctx, to, StopOrder{Run: run, Fence: t.fence})
+	})
+}
+
+// call makes one call of the worker where it is now, within callTimeout.
+func (s *session) call(order func(context.Context, Target) (clockMS int64, err error)) (clockMS int64, err error) {
+	s.t.mu.Lock()
 	target := s.target()
-	t.mu.Unlock()
-	ctx, cancel := context.WithTimeout(t.ctx, callTimeout)
+	s.t.mu.Unlock()
+	ctx, cancel := context.WithTimeout(s.t.ctx, callTimeout)
 	defer cancel()
-	t.c.cfg.Counters.Add("stops", 1)
-	return t.c.cfg.Workers.Stop(ctx, target, StopOrder{Run: run, Fence: t.fence})
+	return order(ctx, target)
 }
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -40,17 +40,24 @@
 	return v
 }
 
+// placements counts the runs of each step by worker, those just proposed included.
+type placements map[workflow.StepKey]map[string]int
+
+func (p placements) add(step workflow.StepKey, worker string) {
+	if p[step] == nil {
+		p[step] = map[string]int{}
+	}
+	p[step][worker]++
+}
+
 // gatherRuns counts the runs of each step on each worker and finds those that
 // are to be stopped or worth a copy.
-func (t *tenure) gatherRuns(s *workflow.State, now time.Time, v *view) map[workflow.StepKey]map[string]int {
-	placed := map[workflow.StepKey]map[string]int{}
+func (t *tenure) gatherRuns(s *workflow.State, now time.Time, v *view) placements {
+	placed := placements{}
 	for id, runs := range s.Runs {
 		session := t.sessions[id]
 		for task, run := range runs {
-			if placed[task.StepKey] == nil {
-				placed[task.StepKey] = map[string]int{}
-			}
-			placed[task.StepKey][id]++
+			placed.add(task.StepKey, id)
 			if session == nil {
 				continue
 			}
@@ -63,10 +70,7 @@
 		}
 	}
 	for task, worker := range t.proposed {
-		if placed[task.StepKey] == nil {
-			placed[task.StepKey] = map[string]int{}
-		}
-		placed[task.StepKey][worker]++
+		placed.add(task.StepKey, worker)
 	}
 	return placed
 }
@@ -154,7 +158,7 @@
 }
 
 func (t *tenure) gatherSteps(steps []dispatch.Step, job *workflow.Job, now time.Time,
-	placed map[workflow.StepKey]map[string]int) []dispatch.Step {
+	placed placements) []dispatch.Step {
 	accepted, ok := t.accepted[job.ID]
 	if !ok {
 		accepted = t.started
--- a/internal/control/throttle.go
+++ b/internal/control/throttle.go
@@ -127,12 +127,9 @@
 
 func (s *session) sendShare(o *order, share int) {
 	t := s.t
-	t.mu.Lock()
-	target := s.target()
-	t.mu.Unlock()
-	ctx, cancel := context.WithTimeout(t.ctx, callTimeout)
-	defer cancel()
-	clockMS, err := t.c.cfg.Workers.Throttle(ctx, target, ThrottleOrder{Run: o.run, Share: share, Fence: t.fence})
+	clockMS, err := s.call(func(ctx context.Context, to Target) (int64, error) {
+		return t.c.cfg.Workers.Throttle(ctx, to, ThrottleOrder{Run: o.run, Share: share, Fence: t.fence})
+	})
 	t.c.cfg.Counters.Add("throttles", 1)
 	t.mu.Lock()
 	defer t.mu.Unlock()
