Followers acknowledge heartbeats that say nothing new

Cause: 350 workers send 233 heartbeats a second to the leader, a seventh of the calls that it serves; its processor is what binds the grown deployment. Change: an instance that follows answers for a worker that the log has as it announces itself, and passes one on every 3 s; the leader names another instance for the next ones. Workers that get orders with the answers still go to the leader.

--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -61,9 +61,10 @@
 	Report *Report `cbor:"4,keyasint,omitempty"`
 }
 
-// AnnouncementReply names the control address of the leader.
+// AnnouncementReply answers a heartbeat.
 type AnnouncementReply struct {
-	Leader string `cbor:"1,keyasint,omitempty"`
+	// HeartbeatAddress is the control address for the worker's next heartbeats.
+	HeartbeatAddress string `cbor:"1,keyasint,omitempty"`
 	// Orders are nil where workers are called.
 	Orders *BeatOrders `cbor:"2,keyasint,omitempty"`
 }
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -66,7 +66,8 @@
 	state *StateMachine
 	log   node.Log
 	// beats is nil where workers are called.
-	beats *beats
+	beats    *beats
+	passedOn passedOn
 
 	mu     sync.Mutex
 	tenure *tenure
--- a/internal/instance/operations.go
+++ b/internal/instance/operations.go
@@ -56,8 +56,13 @@
 	return err
 }
 
-// Announce passes a worker's heartbeat on.
+// Announce passes a worker's heartbeat on, unless it says nothing new.
 func (o *Operations) Announce(ctx context.Context, r *control.Announcement) (control.AnnouncementReply, error) {
+	if c := o.own.Load(); c != nil {
+		if reply, ok := c.AnnounceKnown(r); ok {
+			return reply, nil
+		}
+	}
 	return call(ctx, o, control.MethodAnnounce, r, (*control.Controller).Announce)
 }
 
