A gang in the random test is done only once all its members have begun

Change: members of a gang's run end by themselves once all have been there together; a failure shows the lines about its tasks. The check itself stands as it was.

--- a/internal/control/random_test.go
+++ b/internal/control/random_test.go
@@ -28,12 +28,17 @@
 	stop    func()
 }
 
+// sinceStart stamps lines with the milliseconds since the test program started.
+func sinceStart() any { return time.Since(programStart).Milliseconds() }
+
+var programStart = time.Now()
+
 func (x *rough) lead() {
 	x.term++
 	replicated := &termedLog{fakeLog: fakeLog{state: x.state}, term: x.term}
 	x.c = New(Config{
 		Address: "own", Bounds: Bounds{LeaseMax: 700 * time.Millisecond, Shown: time.Minute}, Workers: x.workers, Adviser: x.workers,
-		Client: link.NewClient(), Logger: log.NewNopLogger(), Counters: noCounters{},
+		Client: link.NewClient(), Logger: log.With(log.NewLogfmtLogger(&x.workers.lines), "ms", log.Valuer(sinceStart), "term", x.term), Counters: noCounters{},
 		Leader: func() string { return "own" }, Members: func() []string { return nil },
 	}, x.state, replicated)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -141,7 +146,7 @@
 	random := rand.New(rand.NewPCG(seed, 1))
 	x := &rough{t: t, random: random, state: NewStateMachine(), workers: &roughWorkers{
 		t: t, random: rand.New(rand.NewPCG(seed, 2)), all: map[string]*roughWorker{}, specs: map[string]workflow.Step{},
-		startedAt: map[workflow.TaskKey][]time.Time{}, doneAt: map[workflow.TaskKey]time.Time{},
+		complete: map[gangRun]bool{}, startedAt: map[workflow.TaskKey][]time.Time{}, doneAt: map[workflow.TaskKey]time.Time{},
 	}}
 	x.lead()
 	defer func() { x.stop() }()
@@ -170,7 +175,7 @@
 	x.awaitEnds()
 	x.workers.mu.Lock()
 	defer x.workers.mu.Unlock()
-	must.SliceEmpty(t, x.workers.broken, must.Sprint(x.workers.broken))
+	must.SliceEmpty(t, x.workers.broken, must.Sprint(x.workers.broken), must.Sprint(x.workers.lines.of(x.workers.broken)))
 }
 
 func (x *rough) propose(c *workflow.Command) error {
--- a/internal/control/rough_test.go
+++ b/internal/control/rough_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -64,6 +65,43 @@
 	doneAt    map[workflow.TaskKey]time.Time
 	// broken lists what must not have happened.
 	broken []string
+	// complete are the runs of gangs all of whose members have been there together.
+	complete map[gangRun]bool
+	// lines are those of the controllers and of the workers.
+	lines roughLines
+}
+
+// roughLines keeps lines until a run has failed.
+type roughLines struct {
+	mu   sync.Mutex
+	text []string
+}
+
+func (l *roughLines) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.text = append(l.text, string(line))
+	return len(line), nil
+}
+
+func (l *roughLines) note(event string, w *roughWorker, task workflow.TaskKey, run int) {
+	_, _ = fmt.Fprintf(l, "ms=%d worker=%s %s task=%s run=%d\n", sinceStart(), w.id, event, task, run)
+}
+
+// of returns the lines about the jobs that the faults name.
+func (l *roughLines) of(broken []string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found strings.Builder
+	for _, line := range l.text {
+		for _, fault := range broken {
+			if job, _, ok := strings.Cut(fault, "/"); ok && strings.Contains(line, job+"/") {
+				found.WriteString(line)
+				break
+			}
+		}
+	}
+	return found.String()
 }
 
 var errRough = fmt.Errorf("no answer: %w", errNoAnswer)
@@ -142,6 +180,7 @@
 	}
 	spec := r.specs[task.Job]
 	w.running[task] = &roughRun{number: o.Run.Number, need: spec.Need, ends: time.Now().Add(time.Duration(10+r.random.IntN(60)) * time.Millisecond)}
+	r.lines.note("begins", w, task, o.Run.Number)
 	r.check(w, task, spec)
 	return nil
 }
@@ -285,8 +324,9 @@
 				switch {
 				case w.gone:
 				case time.Now().After(w.leaseEnd):
+					r.lines.note("lapses", w, task, run.number)
 					w.finish(task, workflow.OutcomeLapsed)
-				case time.Now().After(run.ends):
+				case time.Now().After(run.ends) && r.together(task, run.number):
 					r.end(w, task)
 				}
 			}
@@ -295,11 +335,37 @@
 	}
 }
 
+// together reports whether a run may end by itself: a gang's members work only once
+// all of them have begun, so none is done before.
+func (r *roughWorkers) together(task workflow.TaskKey, run int) bool {
+	spec := r.specs[task.Job]
+	if !spec.Gang || r.complete[gangRun{task.StepKey, run}] {
+		return true
+	}
+	present := map[int]bool{}
+	for _, w := range r.all {
+		for other, theirs := range w.running {
+			if other.StepKey == task.StepKey && theirs.number == run && !w.gone {
+				present[other.Index] = true
+			}
+		}
+	}
+	r.complete[gangRun{task.StepKey, run}] = len(present) == spec.Count
+	return len(present) == spec.Count
+}
+
+// gangRun is one run of a gang.
+type gangRun struct {
+	step   workflow.StepKey
+	number int
+}
+
 // end ends a run by itself; one in twenty fails.
 func (r *roughWorkers) end(w *roughWorker, task workflow.TaskKey) {
 	outcome := workflow.OutcomeDone
 	if r.random.IntN(20) == 0 {
 		outcome = workflow.OutcomeFailed
 	}
+	r.lines.note("ends "+outcome.String(), w, task, w.running[task].number)
 	w.finish(task, outcome)
 }
