--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -44,8 +44,10 @@
 	// list is the deployment's as it was read at listedAt; both belong to the loop.
 	list     map[string]ListedMachine
 	listedAt time.Time
-	// lost says that the last reading failed.
-	lost bool
+	// lost says that the last reading failed, unreadable counts the entries of it that
+	// named no machine to use.
+	lost       bool
+	unreadable int
 }
 
 func newMachines() *machines {
@@ -102,6 +104,7 @@
 	ctx, cancel := context.WithTimeout(t.ctx, machineCallTimeout)
 	defer cancel()
 	list := map[string]ListedMachine{}
+	unreadable := 0
 	for page := ""; ; {
 		t.c.cfg.Counters.Add("machine_lists", 1)
 		answer, err := t.c.cfg.Machines.List(ctx, page)
@@ -111,13 +114,35 @@
 		for _, m := range answer.Machines {
 			list[m.ID] = m
 		}
+		unreadable += answer.Unreadable
 		if answer.Next == "" {
+			t.keepUnread(list, unreadable)
 			return list, nil
 		}
 		page = answer.Next
 	}
 }
 
+// keepUnread keeps what was known of machines that a list doesn't hold, when entries
+// of it couldn't be read: theirs may be among them.
+//
+// Failure guarded against: one entry is damaged, its machine counts as gone for good,
+// and a wave is said to be done without it.
+func (t *tenure) keepUnread(list map[string]ListedMachine, unreadable int) {
+	if unreadable != t.machines.unreadable {
+		t.machines.unreadable = unreadable
+		t.logger.Log("event", "machine_list", "unreadable", unreadable, "read", len(list))
+	}
+	if unreadable == 0 {
+		return
+	}
+	for id, machine := range t.machines.list {
+		if _, listed := list[id]; !listed {
+			list[id] = machine
+		}
+	}
+}
+
 // cordon gives a worker nothing new, and reports whether that is a change.
 func (t *tenure) cordon(worker string, now time.Time) bool {
 	t.mu.Lock()
--- a/internal/control/maintenance_test.go
+++ b/internal/control/maintenance_test.go
@@ -373,3 +373,20 @@
 	defer machines.mu.Unlock()
 	must.Eq(t, []string{"m2 to s"}, machines.moves)
 }
+
+// What a user sees: a wave is said to be done, and a machine of it wasn't taken down.
+// Order: the list is read whole; then an entry of it is damaged.
+// Cause: a machine whose entry couldn't be read counted as gone for good.
+func TestAMachineWhoseEntryCannotBeReadIsNotGone(t *testing.T) {
+	w := newWorld(t, nil)
+	ten, err := w.c.leading(context.Background())
+	must.NoError(t, err)
+	ten.machines.list = map[string]ListedMachine{"m-1": {ID: "m-1"}, "m-2": {ID: "m-2"}}
+	list := map[string]ListedMachine{"m-1": {ID: "m-1", State: MachineUp}}
+	ten.keepUnread(list, 1)
+	must.MapContainsKey(t, list, "m-2")
+	must.Eq(t, MachineUp, list["m-1"].State)
+	list = map[string]ListedMachine{"m-1": {ID: "m-1"}}
+	ten.keepUnread(list, 0)
+	must.MapNotContainsKey(t, list, "m-2")
+}
--- a/internal/control/ports.go
+++ b/internal/control/ports.go
@@ -159,7 +159,9 @@
 // MachinePage is a part of the list; Next is empty on the last one.
 type MachinePage struct {
 	Machines []ListedMachine
-	Next     string
+	// Unreadable counts the entries that name no machine to use.
+	Unreadable int
+	Next       string
 }
 
 // MachineOrder is addressed to the deployment, which carries orders for one
