Looks are held shorter while calls get lost; ended jobs are told by any core instance

A look is held for 1.5 s and given up after 2.1 s; when its answer is lost, the ends of its worker are hidden for as long. Change: for 5 s after a call got lost that a worker in reach should have answered, looks are held for 0.25 s (or 200 a second over all workers); a start's second call needs no goroutine of its own; any core instance that hears a leader tells of ended jobs, by no older configuration than the asking instance has answered by; with more than 16 instances announcements are up to 0.6 s apart; a decision rests for 40 ms at most.

--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -41,6 +41,22 @@
 	Phase   workflow.Phase `cbor:"3,keyasint,omitempty"`
 }
 
+// EndedCall asks an instance that needn't lead whether a job has ended.
+type EndedCall struct {
+	Place Place `cbor:"1,keyasint"`
+	// Version is the highest of the configuration that the asking instance has
+	// answered by. One that has an older one doesn't answer: a caller must not see a
+	// version that was dropped again.
+	Version uint64 `cbor:"2,keyasint,omitempty"`
+}
+
+// EndedReply is the phase of a job that has ended; it never changes. Known is false
+// where the leader has to be asked.
+type EndedReply struct {
+	Known bool           `cbor:"1,keyasint,omitempty"`
+	Phase workflow.Phase `cbor:"2,keyasint,omitempty"`
+}
+
 // CancelCall cancels a job.
 type CancelCall struct {
 	Place Place `cbor:"1,keyasint"`
@@ -96,6 +112,8 @@
 type FollowReply struct {
 	Members []string `cbor:"1,keyasint"`
 	Version uint64   `cbor:"2,keyasint"`
+	// Pause is when the instance is to announce itself next.
+	Pause time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // ExplainCall asks what a job waits for.
@@ -157,6 +175,7 @@
 const (
 	MethodSubmit        = "submit"
 	MethodState         = "state"
+	MethodEnded         = "ended"
 	MethodCancel        = "cancel"
 	MethodAnnounce      = "announce"
 	MethodLeave         = "leave"
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -78,39 +78,41 @@
 		}
 		defer s.endStart()
 	}
-	results := make(chan error, startTries)
-	sent, open := 0, 0
-	send := func() {
-		sent++
-		open++
-		go func() { results <- s.callStart(o, payload, checkpoint) }()
+	second := make(chan error, 1)
+	again := time.AfterFunc(promptAnswer, func() { second <- s.callStart(o, payload, checkpoint) })
+	err := s.callStart(o, payload, checkpoint)
+	beside := !again.Stop()
+	if err == nil || !noAnswer(err) {
+		s.startAnswered(o, err, beside, 1)
+		return
 	}
-	send()
-	again := time.NewTimer(promptAnswer)
-	defer again.Stop()
-	for open > 0 {
-		select {
-		case <-again.C:
-			if sent < startTries && s.t.c.beats == nil {
-				send()
-			}
-			continue
-		case err := <-results:
-			open--
-			if s.startAnswered(o, err, open, sent) {
-				return
-			}
-		}
-		if sent < startTries && s.t.ctx.Err() == nil {
-			send()
-		}
+	next := s.secondTry(o, beside, second, payload, checkpoint)
+	if next == nil {
+		return
+	}
+	if !s.startAnswered(o, err, false, 1) && !s.startAnswered(o, next, false, startTries) {
+		s.abandon(o)
+	}
+}
+
+// secondTry returns the outcome of the second call of a start: that of the one under
+// way beside the first, or of one made now.
+func (s *session) secondTry(o *order, beside bool, second <-chan error, payload, checkpoint string) error {
+	if beside {
+		return <-second
 	}
-	s.abandon(o)
+	return s.callStart(o, payload, checkpoint)
+}
+
+// noAnswer reports whether a call leaves open what the worker did.
+func noAnswer(err error) bool {
+	var refused *RefusedError
+	return !errors.Is(err, ErrOtherIncarnation) && !errors.As(err, &refused)
 }
 
-// startAnswered takes in the outcome of one try of a start, beside which open
-// others are under way, and reports whether it settles the order.
-func (s *session) startAnswered(o *order, err error, open, try int) bool {
+// startAnswered takes in the outcome of one try of a start, beside which another one
+// may be under way, and reports whether it settles the order.
+func (s *session) startAnswered(o *order, err error, beside bool, try int) bool {
 	var refused *RefusedError
 	switch {
 	case err == nil:
@@ -121,9 +123,11 @@
 		s.t.mu.Unlock()
 		return true
 	case errors.As(err, &refused):
-		s.t.mu.Lock()
-		o.open += open
-		s.t.mu.Unlock()
+		if beside {
+			s.t.mu.Lock()
+			o.open++
+			s.t.mu.Unlock()
+		}
 		s.startRefused(o, refused.Reason)
 		return true
 	}
@@ -215,6 +219,9 @@
 	defer t.mu.Unlock()
 	o.sentAt = time.Time{}
 	if err != nil {
+		if noAnswer(err) {
+			s.noteLost(begun, now)
+		}
 		return err
 	}
 	s.noteClock(clockMS, now)
--- a/internal/control/permits.go
+++ b/internal/control/permits.go
@@ -14,9 +14,15 @@
 )
 
 const (
-	// laneFor is how long an instance is asked to put questions after it was last
-	// heard from: three of its announcements.
-	laneFor = time.Second
+	// followPause is the time between two announcements of an instance. From fewAnnounce
+	// instances on it grows with their number, up to longestPause: 49 that announce
+	// themselves every 0.3 s are a sixth of the calls that their leader serves.
+	followPause  = 300 * time.Millisecond
+	fewAnnounce  = 16
+	longestPause = 600 * time.Millisecond
+	// laneAnnouncements is how many announcements an instance may miss before it is
+	// asked no more to put questions.
+	laneAnnouncements = 3
 	// laneRest is how long a lane is left alone after a question without an answer.
 	laneRest = time.Second
 	// askSlack is added to the time that the adviser says a question takes.
@@ -62,6 +68,17 @@
 	return &lanes{own: own, adviser: adviser, client: client, all: map[string]*lane{own: {address: own}}}
 }
 
+// pause is the time between two announcements of an instance.
+func (l *lanes) pause() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.pauseFor(len(l.all))
+}
+
+func (l *lanes) pauseFor(instances int) time.Duration {
+	return min(max(followPause, followPause*time.Duration(instances)/fewAnnounce), longestPause)
+}
+
 // note takes in that an instance is there.
 func (l *lanes) note(address string, now time.Time) {
 	l.mu.Lock()
@@ -77,8 +94,9 @@
 // live returns the lanes that can be used, in a fixed order. l.mu is held.
 func (l *lanes) live(now time.Time) []*lane {
 	var live []*lane
+	fresh := laneAnnouncements * l.pauseFor(len(l.all))
 	for _, candidate := range l.all {
-		present := candidate.address == l.own || now.Sub(candidate.heard) < laneFor
+		present := candidate.address == l.own || now.Sub(candidate.heard) < fresh
 		if present && now.After(candidate.restUntil) && candidate.underWay < laneDepth {
 			live = append(live, candidate)
 		}
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -23,13 +23,14 @@
 	// together is decided together.
 	planBusy = 2 * time.Millisecond
 	// planRest is how many times as long as a decision took the planner rests after
-	// it, so that decisions take a fifth of the time at most.
+	// it, longestRest for how long at most: a decision that others hold up seems long.
 	//
 	// Failure guarded against: with 350 workers and a queue a decision takes 2 to
 	// 20 ms. Made one after the other they held the only processor of the leader for
 	// half of the time, the log's heartbeats came late, and each next leader met a
 	// longer queue.
-	planRest = 4
+	planRest    = 6
+	longestRest = 40 * time.Millisecond
 )
 
 // planSteps is how many queued steps one decision goes into: with 350 workers each
@@ -56,7 +57,7 @@
 		}
 		begun := time.Now()
 		t.decide()
-		wait.For(t.ctx, max(planBusy, planRest*time.Since(begun)))
+		wait.For(t.ctx, max(planBusy, min(planRest*time.Since(begun), longestRest)))
 	}
 }
 
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -29,6 +29,7 @@
 func (c *Controller) Register(mux *link.Mux) {
 	link.Handle(mux, MethodSubmit, c.Submit)
 	link.Handle(mux, MethodState, c.State)
+	link.Handle(mux, MethodEnded, c.Ended)
 	link.Handle(mux, MethodCancel, c.Cancel)
 	link.Handle(mux, MethodAnnounce, c.Announce)
 	link.Handle(mux, MethodLeave, c.Leave)
@@ -38,6 +39,13 @@
 	link.Handle(mux, MethodStartWave, c.StartWave)
 	link.Handle(mux, MethodWaveState, c.WaveState)
 	link.Handle(mux, MethodExplain, c.Explain)
+	mux.SetVersion(c.version)
+}
+
+// version is that of the configuration here.
+func (c *Controller) version() (version uint64) {
+	c.state.read(func(s *workflow.State) { version = s.Configuration.Version })
+	return version
 }
 
 // addressed returns the tenure that decides on what a place names, with the queue
@@ -146,6 +154,28 @@
 	return StateReply{Phase: phase}, nil
 }
 
+// Ended returns the phase of a job that has ended, on any instance that hears a
+// leader: what has ended stays so.
+//
+// Load that it answers: callers ask for their jobs two or three times as often as
+// they hand one in, mostly after the end; with 350 workers that is a fifth of the
+// calls that the leader serves.
+func (c *Controller) Ended(_ context.Context, r *EndedCall) (EndedReply, error) {
+	if c.log.Status().Leader == "" || c.version() < r.Version {
+		return EndedReply{}, nil
+	}
+	queue, id, err := c.lookUp(r.Place)
+	if err != nil || id == "" {
+		// The leader says so, with proof.
+		return EndedReply{}, nil
+	}
+	phase, ok := c.phase(id, queue.Identity())
+	if !ok || phase < workflow.PhaseDone {
+		return EndedReply{}, nil
+	}
+	return EndedReply{Known: true, Phase: phase}, nil
+}
+
 // confirmedPhase returns the phase of a queue's job. That it isn't known is said
 // only after the log has shown that nothing is missing here.
 func (c *Controller) confirmedPhase(ctx context.Context, id, queue string) (workflow.Phase, error) {
@@ -410,7 +440,7 @@
 		return FollowReply{}, err
 	}
 	t.lanes.note(r.Address, time.Now())
-	reply := FollowReply{Members: c.cfg.Members()}
+	reply := FollowReply{Members: c.cfg.Members(), Pause: t.lanes.pause()}
 	c.state.read(func(s *workflow.State) { reply.Version = s.Configuration.Version })
 	return reply, nil
 }
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -15,6 +15,16 @@
 	// lookWait is how long a worker may hold a look back until a run ends. Longer
 	// saves looks, shorter notices a silent worker earlier.
 	lookWait = 1500 * time.Millisecond
+	// losingFor is how long after a call without an answer, from a worker that answers
+	// others, looks are held shorter.
+	losingFor = 5 * time.Second
+	// shortWait is how long they are held then, and shortSlack what is allowed for
+	// their way: the end of a run is noticed that much later at most.
+	shortWait  = 250 * time.Millisecond
+	shortSlack = 200 * time.Millisecond
+	// shortLooks bounds the looks a second at all workers while they are held shorter:
+	// a look takes some 0.3 ms of the leader.
+	shortLooks = 200
 	// callTimeout bounds an order's round trip: a few milliseconds on a calm link,
 	// and one repeated packet on a lossy one.
 	callTimeout = 600 * time.Millisecond
@@ -166,6 +176,7 @@
 
 // run looks at the worker until the tenure or the incarnation ends.
 func (s *session) run() {
+	failed := 0
 	for s.t.ctx.Err() == nil {
 		sent := time.Now()
 		report, err := s.look(sent)
@@ -177,16 +188,59 @@
 			return
 		case err != nil && s.takeHurried():
 		case err != nil:
+			s.t.mu.Lock()
+			s.noteLost(sent, time.Now())
+			s.t.mu.Unlock()
 			if s.silent(err) {
 				return
 			}
-			wait.For(s.t.ctx, retryPause)
+			if failed++; failed > 1 {
+				wait.For(s.t.ctx, retryPause)
+			}
 		default:
+			failed = 0
 			s.takeIn(report, sent)
 		}
 	}
 }
 
+// losing reports whether calls have got lost lately that workers in reach should have
+// answered. t.mu is held.
+//
+// Load that it answers: one call in twenty gets no answer. A look that is held for
+// 1.5 s hides the ends of its worker for 2 s when its answer is lost, with four looks
+// a second and worker for two fifths of the time.
+func (t *tenure) losing(now time.Time) bool { return now.Sub(t.lostAt) < losingFor }
+
+// noteLost takes in that a call got no answer from a worker that has answered since
+// the call was sent. t.mu is held.
+func (s *session) noteLost(sent, now time.Time) {
+	if !s.answeredAt.After(sent) && !s.clockAt.After(sent) {
+		return
+	}
+	if !s.t.losing(now) {
+		s.t.logger.Log("event", "calls_lost", "worker", s.worker.ID, "sent_ms_ago", now.Sub(sent).Milliseconds())
+	}
+	s.t.lostAt = now
+}
+
+// lookTimes returns how long a look is held, and how much longer its answer may
+// take. t.mu is held.
+func (s *session) lookTimes(now time.Time) (hold, slack time.Duration) {
+	hold, slack = lookWait, callTimeout
+	if s.t.losing(now) {
+		fewest := time.Duration(len(s.t.sessions)) * time.Second / shortLooks
+		hold, slack = min(max(shortWait, fewest), lookWait), shortSlack
+	}
+	if s.still() {
+		hold = min(hold, stillWait)
+	}
+	if s.throttle.watched() {
+		hold = min(hold, throttleWait)
+	}
+	return hold, slack
+}
+
 // look asks the worker for its lists. The lease is prolonged only while the
 // worker answers: a worker that gets looks but whose answers are lost would
 // otherwise hold its runs for ever, and nobody could tell when they end.
@@ -203,17 +257,12 @@
 		}
 	})
 	t.mu.Lock()
+	hold, slack := s.lookTimes(now)
 	if s.ready && now.Sub(s.answeredAt) < callTimeout {
 		order.LeaseEndMS = s.leaseEndMS(now)
-		order.Wait = lookWait
-		if s.still() {
-			order.Wait = stillWait
-		}
-		if s.throttle.watched() {
-			order.Wait = min(order.Wait, throttleWait)
-		}
+		order.Wait = hold
 	}
-	ctx, cancel := context.WithTimeout(t.ctx, order.Wait+callTimeout)
+	ctx, cancel := context.WithTimeout(t.ctx, order.Wait+slack)
 	s.cancelLook, s.hurried = cancel, false
 	target := s.target()
 	t.mu.Unlock()
--- a/internal/control/settle_test.go
+++ b/internal/control/settle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -219,3 +220,37 @@
 	w.c.state.read(func(s *workflow.State) { runs = len(s.Runs["w1"]) })
 	must.Eq(t, 1, runs)
 }
+
+// What a user sees: urgent jobs are late though their tasks ran in time.
+// Order: calls of workers get lost, one in some; a worker answers a start while its
+// look, sent before, gets no answer; a run ends on it.
+// Cause: the look was held for 1.5 s and given up after 2 s, and nobody saw the end.
+func TestLooksAreHeldShorterWhileCallsGetLost(t *testing.T) {
+	w := startedWorld(t)
+	ten, err := w.c.leading(context.Background())
+	must.NoError(t, err)
+	ten.mu.Lock()
+	defer ten.mu.Unlock()
+	s, now := ten.sessions["w1"], time.Now()
+	s.advancedAt = now
+	hold, slack := s.lookTimes(now)
+	must.Eq(t, lookWait, hold)
+	must.Eq(t, callTimeout, slack)
+	s.noteLost(now.Add(time.Second), now)
+	must.False(t, ten.losing(now), must.Sprint("a worker that is cut off answers nothing"))
+	s.answeredAt = now
+	s.noteLost(now.Add(-time.Second), now)
+	hold, slack = s.lookTimes(now)
+	must.Eq(t, shortWait, hold)
+	must.Eq(t, shortSlack, slack)
+	for i := range 300 {
+		ten.sessions[fmt.Sprint("other", i)] = s
+	}
+	hold, _ = s.lookTimes(now)
+	must.Eq(t, 301*time.Second/shortLooks, hold, must.Sprint("no more looks a second than the leader can take"))
+	hold, _ = s.lookTimes(now.Add(losingFor))
+	must.Eq(t, lookWait, hold)
+	for i := range 300 {
+		delete(ten.sessions, fmt.Sprint("other", i))
+	}
+}
--- a/internal/control/tenure.go
+++ b/internal/control/tenure.go
@@ -51,6 +51,8 @@
 	turn   int
 
 	mu sync.Mutex
+	// lostAt is when a call was last found to have got lost.
+	lostAt time.Time
 	// sweptAt is when runs to stop or to copy were looked for last.
 	sweptAt time.Time
 	// waiting is why steps waited at the last decision.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,6 +4,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -16,6 +17,7 @@
 	"github.com/bilberryferry/bilberryferry/internal/control"
 	"github.com/bilberryferry/bilberryferry/internal/link"
 	"github.com/bilberryferry/bilberryferry/internal/wait"
+	"github.com/bilberryferry/bilberryferry/workflow"
 )
 
 const (
@@ -30,7 +32,8 @@
 	// slowAfter is how long a call waits before members are asked whether another
 	// one leads: several commits, and half of the shortest election.
 	slowAfter = 200 * time.Millisecond
-	// followPause is the time between two announcements to the leader.
+	// followPause is the time between two announcements to the leader, unless it names
+	// another one.
 	followPause = 300 * time.Millisecond
 	// followTimeout bounds one of them.
 	followTimeout = 500 * time.Millisecond
@@ -67,6 +70,10 @@
 	touch   bool
 	// asking says that a member is being asked who leads.
 	asking bool
+	// turn picks the member that is asked for jobs that have ended; those in
+	// avoidUntil gave no answer lately.
+	turn       int
+	avoidUntil map[string]time.Time
 }
 
 // New returns a gateway for the instance at address own that knows the core's
@@ -75,6 +82,7 @@
 	return &Gateway{
 		client: client, own: own, seeds: seeds, members: seeds, logger: logger,
 		search: make(chan struct{}, 1), changed: make(chan struct{}),
+		avoidUntil: map[string]time.Time{},
 	}
 }
 
@@ -315,6 +323,53 @@
 	return link.LeaderOf(err)
 }
 
+// askTimeout bounds a question to an instance that needn't lead; the leader knows too.
+const askTimeout = 150 * time.Millisecond
+
+// Ended asks a member other than the leader for a job that may have ended. Without
+// an answer the leader has to be asked.
+func (g *Gateway) Ended(ctx context.Context, place control.Place) (phase workflow.Phase, known bool) {
+	member := g.other()
+	if member == "" {
+		return 0, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var reply control.EndedReply
+	call := &control.EndedCall{Place: place, Version: g.client.Version()}
+	if err := g.client.Call(ctx, member, control.MethodEnded, call, &reply); err != nil {
+		g.avoid(member)
+		return 0, false
+	}
+	return reply.Phase, reply.Known
+}
+
+// other returns a member that doesn't lead and has answered lately, another one each
+// time; empty for none.
+func (g *Gateway) other() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	for range g.members {
+		g.turn++
+		member := g.members[g.turn%len(g.members)]
+		if member != g.leader && member != g.own && now.After(g.avoidUntil[member]) {
+			return member
+		}
+	}
+	return ""
+}
+
+// avoidFor is how long a member that gave no answer isn't asked, as long as a
+// data centre's shortest cut.
+const avoidFor = 2 * time.Second
+
+func (g *Gateway) avoid(member string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.avoidUntil[member] = time.Now().Add(avoidFor)
+}
+
 // settled is the error of a call that the leader refused. After a try whose fate
 // is open, a refusal of the next one doesn't say that nothing was done.
 func settled(err error, open bool) error {
@@ -335,31 +390,29 @@
 // Follow announces this instance to the leader until ctx ends, and so learns
 // who leads and who the members are.
 func (g *Gateway) Follow(ctx context.Context) error {
-	ticker := time.NewTicker(followPause)
-	defer ticker.Stop()
 	for {
-		g.followOnce(ctx)
+		pause := g.followOnce(ctx)
 		g.logTouch()
-		select {
-		case <-ctx.Done():
+		if !wait.For(ctx, pause) {
 			return nil
-		case <-ticker.C:
 		}
 	}
 }
 
-func (g *Gateway) followOnce(ctx context.Context) {
+// followOnce announces this instance once, and returns when to do so again.
+func (g *Gateway) followOnce(ctx context.Context) time.Duration {
 	ctx, cancel := context.WithTimeout(ctx, followTimeout)
 	defer cancel()
 	reply, err := Call[control.FollowReply](ctx, g, control.MethodFollow, &control.FollowCall{Address: g.own})
 	if err != nil {
-		return
+		return followPause
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if len(reply.Members) > 0 {
 		g.members = reply.Members
 	}
+	return cmp.Or(reply.Pause, followPause)
 }
 
 // logTouch logs when the leader is lost or found again.
--- a/internal/instance/operations.go
+++ b/internal/instance/operations.go
@@ -10,6 +10,7 @@
 	"github.com/bilberryferry/bilberryferry/internal/control"
 	"github.com/bilberryferry/bilberryferry/internal/gateway"
 	"github.com/bilberryferry/bilberryferry/internal/link"
+	"github.com/bilberryferry/bilberryferry/workflow"
 )
 
 // Operations makes the calls of the leader: directly where this instance leads,
@@ -45,11 +46,24 @@
 	return call(ctx, o, control.MethodSubmit, r, (*control.Controller).Submit)
 }
 
-// State asks for a job or a queue.
+// State asks for a job or a queue: first for one that has ended, which any instance
+// of the core can tell, then the leader.
 func (o *Operations) State(ctx context.Context, r *control.StateCall) (control.StateReply, error) {
+	if phase, known := o.ended(ctx, r.Place); known {
+		return control.StateReply{Phase: phase}, nil
+	}
 	return call(ctx, o, control.MethodState, r, (*control.Controller).State)
 }
 
+func (o *Operations) ended(ctx context.Context, place control.Place) (workflow.Phase, bool) {
+	c := o.own.Load()
+	if c == nil {
+		return o.gateway.Ended(ctx, place)
+	}
+	reply, err := c.Ended(ctx, &control.EndedCall{Place: place})
+	return reply.Phase, err == nil && reply.Known
+}
+
 // Cancel cancels a job.
 func (o *Operations) Cancel(ctx context.Context, r *control.CancelCall) error {
 	_, err := call(ctx, o, control.MethodCancel, r, (*control.Controller).Cancel)
--- a/internal/instance/process.go
+++ b/internal/instance/process.go
@@ -35,7 +35,7 @@
 	memoryShare = 57
 	// collectPercent collects less often than the default: memory is cheaper here
 	// than processor time.
-	collectPercent = 200
+	collectPercent = 300
 )
 
 // Exit codes of the daemons.
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -39,7 +40,24 @@
 var ErrNotLeader = errors.New("not the leader")
 
 // Client makes calls. It is safe for concurrent use.
-type Client struct{ http *http.Client }
+type Client struct {
+	http *http.Client
+	// version is the highest that an answer named.
+	version atomic.Uint64
+}
+
+// Version returns the highest version of the configuration that an answer to this
+// client was made by.
+func (c *Client) Version() uint64 { return c.version.Load() }
+
+func (c *Client) noteVersion(version uint64) {
+	for {
+		known := c.version.Load()
+		if version <= known || c.version.CompareAndSwap(known, version) {
+			return
+		}
+	}
+}
 
 // NewClient returns a client without connections.
 func NewClient() *Client {
@@ -61,6 +79,8 @@
 	NotLeader  bool            `cbor:"5,keyasint,omitempty"`
 	Leader     string          `cbor:"6,keyasint,omitempty"`
 	Value      cbor.RawMessage `cbor:"7,keyasint,omitempty"`
+	// Version is that of the configuration by which the answer was made.
+	Version uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Call makes a call and decodes the reply into reply. Errors are faults; those
@@ -88,6 +108,7 @@
 	if err := cbor.Unmarshal(data, &e); err != nil {
 		return fault.New(fault.Unknown, "%s: answer %d can't be read: %v", method, response.StatusCode, err)
 	}
+	c.noteVersion(e.Version)
 	if e.Failed {
 		return e.err()
 	}
@@ -134,11 +155,26 @@
 }
 
 // Mux serves calls.
-type Mux struct{ http *http.ServeMux }
+type Mux struct {
+	http *http.ServeMux
+	// version is nil until SetVersion is called.
+	version atomic.Pointer[func() uint64]
+}
 
 // NewMux returns a Mux without methods.
 func NewMux() *Mux { return &Mux{http: http.NewServeMux()} }
 
+// SetVersion has each answer name the version of the configuration that it was made
+// by. version is asked before the call is served, so that it is never too high.
+func (m *Mux) SetVersion(version func() uint64) { m.version.Store(&version) }
+
+func (m *Mux) currentVersion() uint64 {
+	if version := m.version.Load(); version != nil {
+		return (*version)()
+	}
+	return 0
+}
+
 // ServeHTTP serves a call.
 func (m *Mux) ServeHTTP(w http.ResponseWriter, r *http.Request) { m.http.ServeHTTP(w, r) }
 
@@ -148,7 +184,10 @@
 // Handle serves a method by serve.
 func Handle[Request, Reply any](m *Mux, method string, serve func(context.Context, *Request) (Reply, error)) {
 	m.http.HandleFunc("POST "+pathPrefix+method, func(w http.ResponseWriter, r *http.Request) {
-		answer(w, serveOne(r, serve))
+		version := m.currentVersion()
+		e := serveOne(r, serve)
+		e.Version = version
+		answer(w, e)
 	})
 }
 
