Settings that switch single mechanisms of deciding off

Cause: an ablation needed an edit for each mechanism. Change: a table [without] of the settings names what is off (copies, preemption, reservation, earmarks, suspicion, health, lateness, second_starts, short_looks); all are on by default. A cut-off data centre is now looked for before a worker's health, which changes only the reason that is told.

--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -226,7 +226,9 @@
 	n := len(openings)
 	var chosen []*Worker
 	for _, o := range openings {
-		p.takeRoom(o.worker, s.Spec.Room())
+		if !p.limits.Without.Reservation {
+			p.takeRoom(o.worker, s.Spec.Room())
+		}
 		if !slices.Contains(chosen, o.worker) {
 			chosen = append(chosen, o.worker)
 		}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -326,6 +326,9 @@
 
 // reserve keeps room for n tasks of s away from the steps after it.
 func (p *planner) reserve(s *Step, workers []*Worker, n int) {
+	if p.limits.Without.Reservation {
+		return
+	}
 	room := s.Spec.Room()
 	for _, w := range workers {
 		take := min(copies(s, w), n)
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -136,7 +136,7 @@
 // keeps the room that they leave. It asks for tickets first where they would not
 // last until then. It reports whether it has taken care of the gang.
 func (p *planner) preemptForGang(s *Step, granted []*Worker, n int) bool {
-	if s.Late > 0 || s.Asking || p.yielding[s.Service] <= s.Priority {
+	if p.limits.Without.Preemption || s.Late > 0 || s.Asking || p.yielding[s.Service] <= s.Priority {
 		return false
 	}
 	chosen := p.preemption(s, granted, n)
@@ -169,6 +169,9 @@
 // small urgent tasks take each piece of room as it comes free, and the gang waits
 // on though runs were stopped for it.
 func (p *planner) earmark(workers []*Worker) {
+	if p.limits.Without.Earmarks {
+		return
+	}
 	for _, w := range workers {
 		p.plan.Earmarks = append(p.plan.Earmarks, w.ID)
 	}
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 
+	"github.com/bilberryferry/bilberryferry/dispatch"
 	"github.com/bilberryferry/bilberryferry/fault"
 	"github.com/bilberryferry/bilberryferry/internal/link"
 	"github.com/bilberryferry/bilberryferry/internal/node"
@@ -35,7 +36,9 @@
 	// and operators do.
 	Address, Public string
 	Bounds          Bounds
-	Workers         Workers
+	// Without names mechanisms that are switched off.
+	Without dispatch.Without
+	Workers Workers
 	// OrdersByHeartbeat says that workers get their orders with the answers to their
 	// heartbeats and aren't called.
 	OrdersByHeartbeat bool
--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -83,6 +83,14 @@
 	}
 }
 
+// penalty is how far decisions set the worker back. t.mu is held.
+func (s *session) penalty() int {
+	if s.t.without.Health {
+		return 0
+	}
+	return s.failures
+}
+
 // slow reports whether the worker's runs take much longer than those of others.
 func (s *session) slow() bool {
 	return s.pace.samples >= slowSamples && s.pace.mean > slowFactor*s.t.pace.mean
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -79,9 +79,15 @@
 		defer s.endStart()
 	}
 	second := make(chan error, 1)
-	again := time.AfterFunc(promptAnswer, func() { second <- s.callStart(o, payload, checkpoint) })
+	beside := false
+	var again *time.Timer
+	if s.t.c.beats == nil && !s.t.without.SecondStarts {
+		again = time.AfterFunc(promptAnswer, func() { second <- s.callStart(o, payload, checkpoint) })
+	}
 	err := s.callStart(o, payload, checkpoint)
-	beside := !again.Stop()
+	if again != nil {
+		beside = !again.Stop()
+	}
 	if err == nil || !noAnswer(err) {
 		s.startAnswered(o, err, beside, 1)
 		return
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -70,6 +70,7 @@
 	limits.Asks = t.lanes.free(begun)
 	t.turn++
 	limits.Turn = t.turn
+	limits.Without = t.without
 	plan := dispatch.Decide(begun.Sub(t.started), v.steps, v.workers, limits)
 	t.c.cfg.Counters.Observe("decide", time.Since(begun))
 	if len(plan.Preempts) > 0 {
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -111,6 +111,10 @@
 		return reasonCordoned
 	case s.doubtful(now):
 		return reasonDoubtful
+	case suspects[s.worker.DataCentre]:
+		return reasonCut
+	case s.t.without.Health:
+		return ""
 	case !now.After(s.quarantine):
 		return reasonSetAside
 	case s.still():
@@ -118,8 +122,6 @@
 	case s.slow() && runs > 0:
 		// A slow worker gets one run at a time, which shows whether it still is.
 		return reasonSlow
-	case suspects[s.worker.DataCentre]:
-		return reasonCut
 	}
 	return ""
 }
@@ -210,7 +212,9 @@
 // Load that it answers: one call in twenty gets no answer. A look that is held for
 // 1.5 s hides the ends of its worker for 2 s when its answer is lost, with four looks
 // a second and worker for two fifths of the time.
-func (t *tenure) losing(now time.Time) bool { return now.Sub(t.lostAt) < losingFor }
+func (t *tenure) losing(now time.Time) bool {
+	return now.Sub(t.lostAt) < losingFor && !t.without.ShortLooks
+}
 
 // noteLost takes in that a call got no answer from a worker that has answered since
 // the call was sent. t.mu is held.
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -67,7 +67,9 @@
 		for _, run := range runs {
 			cause := t.stopCauseOf(s, run, session, now)
 			if cause == stopNone {
-				v.noteCopy(t, s, run, session, now)
+				if !t.without.Copies {
+					v.noteCopy(t, s, run, session, now)
+				}
 			} else if session.stopDue(run, now) {
 				v.stops = append(v.stops, stopping{session, run, cause})
 			}
@@ -115,7 +117,7 @@
 		free := state.Capacity.Minus(used).Minus(proposed[id])
 		row := t.row(s, session, changes, now)
 		workers = append(workers, dispatch.Worker{
-			Worker: state.Worker, Free: free, Unplanned: free, Releases: row.releases, Penalty: session.failures, Earmarked: t.earmarked[id],
+			Worker: state.Worker, Free: free, Unplanned: free, Releases: row.releases, Penalty: session.penalty(), Earmarked: t.earmarked[id],
 			Serving: row.serving, SpareRuns: row.spareRuns, SpareShare: session.throttle.share,
 		})
 	}
@@ -238,7 +240,7 @@
 	switch age := now.Sub(begin); {
 	case age > lateFactor*objective:
 		step.Late = 2
-	case age+leastRest(step.Spec) > objective:
+	case age+leastRest(step.Spec) > objective && !t.without.Lateness:
 		step.Late = 1
 	}
 	if job.Policy.Advice == nil {
--- a/internal/control/suspect.go
+++ b/internal/control/suspect.go
@@ -19,6 +19,9 @@
 // until the leases end.
 func (t *tenure) suspects(now time.Time) map[string]bool {
 	suspects := map[string]bool{}
+	if t.without.Suspicion {
+		return suspects
+	}
 	for _, s := range t.sessions {
 		dataCentre := s.worker.DataCentre
 		silent := now.Sub(t.answered[dataCentre]) > dataCentreSilence
--- a/internal/control/tenure.go
+++ b/internal/control/tenure.go
@@ -42,6 +42,7 @@
 	sleepTime   func() (time.Duration, error)
 	lease       time.Duration
 	logger      log.Logger
+	without     dispatch.Without
 	lanes       *lanes
 	kicked      chan struct{}
 	tasks       tasks
@@ -89,6 +90,7 @@
 	t := &tenure{
 		c: c, ctx: ctx, end: end, fence: term, started: time.Now(), sleepTime: sleepTime,
 		logger:      log.With(c.cfg.Logger, "term", term),
+		without:     c.cfg.Without,
 		kicked:      make(chan struct{}, 1),
 		sessions:    map[string]*session{},
 		permits:     map[workflow.StepKey]*stepPermits{},
--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -76,7 +76,7 @@
 	cfg := control.Config{
 		Address: n.own, Public: s.Control, Workers: n.outside, Adviser: n.outside, Client: n.client,
 		Logger: p.logger, Counters: p.metrics, Leader: host.Leader, Members: host.Addresses,
-		Bounds: s.controlBounds(), Instance: s.Instance, OrdersByHeartbeat: s.WorkerOrders == ordersHeartbeat,
+		Bounds: s.controlBounds(), Without: s.Without, Instance: s.Instance, OrdersByHeartbeat: s.WorkerOrders == ordersHeartbeat,
 	}
 	if s.MachineList != "" {
 		cfg.Machines = n.outside
--- a/internal/instance/settings.go
+++ b/internal/instance/settings.go
@@ -13,6 +13,7 @@
 	"github.com/BurntSushi/toml"
 	"github.com/cockroachdb/errors"
 
+	"github.com/bilberryferry/bilberryferry/dispatch"
 	"github.com/bilberryferry/bilberryferry/fault"
 	"github.com/bilberryferry/bilberryferry/internal/settings"
 )
@@ -57,6 +58,8 @@
 	// InstancesLost is how many core instances may be lost at the same time.
 	InstancesLost int    `toml:"instances_lost"`
 	Bounds        Bounds `toml:"bounds"`
+	// Without switches mechanisms of deciding off, to measure what each is worth.
+	Without dispatch.Without `toml:"without"`
 }
 
 // Bounds are the deployment's times.
