A pause between a report of ends and the next look

Load: looks are dear, and 350 workers cost the leader a look for each end. Change: 80 ms until the next look, so that ends close together share one.

--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -34,6 +34,10 @@
 	// freshFor is how long after its last answer a worker still gets new tasks:
 	// one held look and the time of a call.
 	freshFor = lookWait + callTimeout
+	// lookPause is the time between a report of ends and the next look. Ends that come
+	// up meanwhile share that look: with three ends a second on a worker it spares a
+	// fifth of the looks, and an end is seen 10 ms later on average.
+	lookPause = 80 * time.Millisecond
 	// retryPause is the time between two looks at a worker that doesn't answer.
 	retryPause = 300 * time.Millisecond
 	// forgetWorker is how long a silent worker without runs is looked for.
@@ -202,6 +206,9 @@
 		default:
 			failed = 0
 			s.takeIn(report, sent)
+			if len(report.Ended) > 0 && !report.Partial {
+				wait.For(s.t.ctx, lookPause)
+			}
 		}
 	}
 }
