--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -303,3 +303,43 @@
 		Decide(0, steps, workers(make([]int64, 48)...), limits)
 	}
 }
+
+// What a user sees: after an outage nothing starts any more, though workers are idle.
+// Order: thousands of steps are queued; one decision goes into all of them, each with
+// questions about hundreds of workers; the tickets end before the next decision.
+// Cause: a decision had no bound.
+func TestADecisionIsBounded(t *testing.T) {
+	bounded := limits
+	bounded.Steps = 8
+	var steps []Step
+	for i := range 100 {
+		s := step(fmt.Sprintf("j%02d", i), 1, 4)
+		s.Due = time.Duration(i)
+		steps = append(steps, s)
+	}
+	seen := map[string]bool{}
+	for turn := range 100 {
+		bounded.Turn = turn
+		plan := Decide(0, steps, workers(4), bounded)
+		must.Eq(t, []string{"j00/0@w0"}, started(plan), must.Sprint("the most urgent one first"))
+		must.SliceLen(t, bounded.Steps-1, plan.Waiting)
+		for _, w := range plan.Waiting {
+			seen[w.Step.Job] = true
+		}
+	}
+	must.MapLen(t, 99, seen, must.Sprint("each has its turn"))
+}
+
+// What a user sees: decisions take seconds while the adviser is busy.
+// Order: no question may be put; hundreds of steps have to ask.
+// Cause: each was held against all workers, only to find that it has to wait.
+func TestAStepThatCannotAskIsPassedOver(t *testing.T) {
+	none := limits
+	none.Asks = 0
+	s := needsPermit(step("a", 1, 2), nil)
+	plan := Decide(0, []Step{s}, workers(9), none)
+	must.SliceEmpty(t, plan.Asks)
+	must.Eq(t, ReasonPermit, plan.Waiting[0].Reason)
+	valid := needsPermit(step("b", 1, 2), map[string]Permit{"w0": {Granted: true, Expires: time.Second}})
+	must.Eq(t, []string{"b/0@w0"}, started(Decide(0, []Step{s, valid}, workers(9), none)))
+}
--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -97,6 +97,9 @@
 	deaf int
 	// replaced says that another incarnation answers.
 	replaced bool
+	// hang is how many starts get no answer until their caller gives up; they aren't
+	// carried out.
+	hang int
 }
 
 // fakeWorkers serves all workers.
@@ -113,7 +116,11 @@
 	return w
 }
 
-func (f *fakeWorkers) Start(_ context.Context, to Target, order StartOrder) (int64, error) {
+func (f *fakeWorkers) Start(ctx context.Context, to Target, order StartOrder) (int64, error) {
+	if f.hangs(to.Worker) {
+		<-ctx.Done()
+		return 0, errNoAnswer
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w := f.all[to.Worker]
@@ -138,6 +145,17 @@
 	return 1000, nil
 }
 
+func (f *fakeWorkers) hangs(worker string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.all[worker]
+	if w.hang == 0 {
+		return false
+	}
+	w.hang--
+	return true
+}
+
 func (w *fakeWorker) begin(order StartOrder) error {
 	if order.Fence < w.fence {
 		return &RefusedError{RefusedFence}
--- a/internal/control/start_test.go
+++ b/internal/control/start_test.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -45,3 +47,51 @@
 	})
 	must.Eq(t, 0, w.started("w1"))
 }
+
+// What a user sees: an urgent task is late though its worker is idle.
+// Order: a start gets lost on its way; the next one would be carried out at once.
+// Cause: the second call was made only when the first one was given up.
+func TestAStartIsSentAgainBesideOneThatIsOverdue(t *testing.T) {
+	w := newWorld(t, nil)
+	w.workers.add("w1").hang = 1
+	w.announce("w1")
+	begun := time.Now()
+	w.submit("a", oneTask)
+	w.eventually("the task starts", func() bool { return w.started("w1") == 1 })
+	must.Less(t, callTimeout, time.Since(begun))
+	w.with("w1", func(f *fakeWorker) {
+		must.Eq(t, 1, f.starts[0].Run.Number)
+		f.finish(task("a", 0), workflow.OutcomeDone)
+	})
+	w.eventually("the job is done", func() bool { return w.phase("a") == workflow.PhaseDone })
+	w.c.state.read(func(s *workflow.State) { must.Eq(t, 1, s.Task(task("a", 0)).Runs) })
+}
+
+// What a user sees: tasks wait for the lease of a worker that was cut off before they
+// were sent to it.
+// Order: a step's tasks are given to one worker; it falls silent; the first starts get
+// no answer; the others haven't been sent; another worker is idle.
+// Cause: all were sent, whatever had become of the first.
+func TestStartsBehindAnOverdueOneGoElsewhere(t *testing.T) {
+	w := newWorld(t, nil)
+	w.workers.add("w1").hang = 1000
+	w.announce("w1")
+	w.eventually("the worker is ready", func() bool {
+		ten, err := w.c.leading(context.Background())
+		must.NoError(t, err)
+		ten.mu.Lock()
+		defer ten.mu.Unlock()
+		return ten.sessions["w1"] != nil && ten.sessions["w1"].ready
+	})
+	step := oneTask
+	step.Count = startsAtOnce + 4
+	w.submit("a", step)
+	w.eventually("the starts are under way", func() bool {
+		hung := 0
+		w.with("w1", func(f *fakeWorker) { hung = 1000 - f.hang })
+		return hung >= startsAtOnce
+	})
+	w.workers.add("w2")
+	w.announce("w2")
+	w.eventually("what wasn't sent starts elsewhere", func() bool { return w.started("w2") >= 4 })
+}
