What counts as overdue follows how long answers take

A leader whose processor is full sees answers after 0.2 s; taken for lost, each start is sent again, its worker counts as doubtful, looks are cut off and dial anew, which makes more to do. Change: an order is overdue after 8 times the moving mean of how long starts take, 0.1 s at least and 0.3 s at most; the slack of shorter looks follows it as well.

--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -82,7 +82,7 @@
 	beside := false
 	var again *time.Timer
 	if s.t.c.beats == nil && !s.t.without.SecondStarts {
-		again = time.AfterFunc(promptAnswer, func() { second <- s.callStart(o, payload, checkpoint) })
+		again = time.AfterFunc(s.overdueAfter(), func() { second <- s.callStart(o, payload, checkpoint) })
 	}
 	err := s.callStart(o, payload, checkpoint)
 	if again != nil {
@@ -101,6 +101,12 @@
 	}
 }
 
+func (s *session) overdueAfter() time.Duration {
+	s.t.mu.Lock()
+	defer s.t.mu.Unlock()
+	return s.t.overdueAfter()
+}
+
 // secondTry returns the outcome of the second call of a start: that of the one under
 // way beside the first, or of one made now.
 func (s *session) secondTry(o *order, beside bool, second <-chan error, payload, checkpoint string) error {
@@ -231,6 +237,7 @@
 		return err
 	}
 	s.noteClock(clockMS, now)
+	t.noteAnswerTime(now.Sub(begun))
 	o.unanswered = false
 	if o.startedAt.IsZero() {
 		o.startedAt = now
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -135,7 +135,7 @@
 // blocked with it until the lease ends.
 func (s *session) doubtful(now time.Time) bool {
 	for _, o := range s.orders {
-		if o.unanswered || !o.sentAt.IsZero() && now.Sub(o.sentAt) > promptAnswer {
+		if o.unanswered || !o.sentAt.IsZero() && now.Sub(o.sentAt) > s.t.overdueAfter() {
 			return true
 		}
 	}
@@ -223,6 +223,28 @@
 	return now.Sub(t.lostAt) < losingFor && !t.without.ShortLooks
 }
 
+const (
+	// slowFactorOfAnswers times as long as answers take of late, an answer is overdue.
+	slowFactorOfAnswers = 8
+	// answerWeight is that of the latest answer in their moving mean.
+	answerWeight = 0.05
+)
+
+// noteAnswerTime takes in how long a start took to be answered. t.mu is held.
+func (t *tenure) noteAnswerTime(took time.Duration) {
+	t.answerTime += time.Duration(answerWeight * float64(took-t.answerTime))
+}
+
+// overdueAfter is how long an order may be without an answer before it counts as
+// overdue: longer where answers take long of late. t.mu is held.
+//
+// Failure guarded against: the leader has more to do than it can, and sees answers
+// late. Taken for lost, each order is sent again and its worker given nothing, which
+// makes more to do.
+func (t *tenure) overdueAfter() time.Duration {
+	return min(max(promptAnswer, slowFactorOfAnswers*t.answerTime), callTimeout/2)
+}
+
 // noteLost takes in that a call got no answer from a worker that has answered since
 // the call was sent. t.mu is held.
 func (s *session) noteLost(sent, now time.Time) {
@@ -241,7 +263,8 @@
 	hold, slack = lookWait, callTimeout
 	if s.t.losing(now) {
 		fewest := time.Duration(len(s.t.sessions)) * time.Second / shortLooks
-		hold, slack = min(max(shortWait, fewest), lookWait), shortSlack
+		hold = min(max(shortWait, fewest), lookWait)
+		slack = min(max(shortSlack, slowFactorOfAnswers*s.t.answerTime), callTimeout)
 	}
 	if s.still() {
 		hold = min(hold, stillWait)
--- a/internal/control/tenure.go
+++ b/internal/control/tenure.go
@@ -52,6 +52,8 @@
 	turn   int
 
 	mu sync.Mutex
+	// answerTime is a moving mean of how long starts take to be answered.
+	answerTime time.Duration
 	// lostAt is when a call was last found to have got lost.
 	lostAt time.Time
 	// sweptAt is when runs to stop or to copy were looked for last.
