New jobs are refused at once while the queue is longer than decisions go through

The state is metastable: each accepted job makes all others later. Ruled out: elections; lost calls. Change: a new job is refused with 503 and 2 s while more than 1024 steps are queued; one that is known is answered as such; a decision goes into 128 steps and rests for up to 0.1 s.

--- /dev/null
+++ b/internal/control/admit.go
@@ -0,0 +1,55 @@
+package control
+
+import (
+	"time"
+
+	"github.com/bilberryferry/bilberryferry/fault"
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+const (
+	// mostQueued is how many steps may be queued when a further job is accepted: as
+	// many as eight decisions go into. With 350 workers the queue is below 300 steps
+	// in bursts of twice the usual load.
+	mostQueued = 8 * planSteps
+	// queuedRetry is when a caller is told to come back that was refused for the
+	// queue's sake: most callers wait for 3 s in all, and a leader of 350 workers
+	// starts a thousand steps in that time.
+	queuedRetry = 2 * time.Second
+)
+
+// noteQueue takes in how many steps a decision found.
+func (t *tenure) noteQueue(v *view) {
+	queued := 0
+	for i := range v.steps {
+		if !v.steps[i].Copy {
+			queued++
+		}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.queued = queued
+}
+
+// admit refuses a new job while the queue is longer than decisions can go through.
+// A job that is known already is never refused.
+//
+// Load that it answers: more jobs than the leader can place, after an outage or in
+// a burst. Each job that is accepted then makes decisions longer and all others
+// later, and with 8500 queued steps nothing was served for the rest of the day. A
+// caller that is refused knows at once and may come back.
+func (t *tenure) admit(id string) error {
+	t.mu.Lock()
+	queued := t.queued
+	t.mu.Unlock()
+	if queued < mostQueued {
+		return nil
+	}
+	known := false
+	t.c.state.read(func(s *workflow.State) { known = s.Jobs[id] != nil })
+	if known {
+		return nil
+	}
+	t.c.cfg.Counters.Add("jobs_refused_queue", 1)
+	return fault.Retry(fault.Overloaded, queuedRetry, "%d steps are queued", queued)
+}
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -29,13 +29,13 @@
 	// 20 ms. Made one after the other they held the only processor of the leader for
 	// half of the time, the log's heartbeats came late, and each next leader met a
 	// longer queue.
-	planRest    = 6
-	longestRest = 40 * time.Millisecond
+	planRest    = 5
+	longestRest = 100 * time.Millisecond
 )
 
 // planSteps is how many queued steps one decision goes into: with 350 workers each
-// takes some 40 µs, and a decision 10 ms.
-const planSteps = 256
+// takes some 40 µs, and a decision 5 ms.
+const planSteps = 128
 
 // planLimits bound one plan but for the questions that may be put.
 var planLimits = dispatch.Limits{
@@ -78,6 +78,7 @@
 	}
 	t.noteEarmarks(plan.Earmarks)
 	t.noteLoad(&v, &plan, begun)
+	t.noteQueue(&v)
 	t.logWaiting(plan.Waiting)
 	for _, question := range plan.Asks {
 		if policy := t.adviceOf(question.Step); policy != nil {
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -111,6 +111,10 @@
 	if id == "" {
 		return SubmitReply{}, fault.Field("id", "a job needs an id")
 	}
+	if err := t.admit(id); err != nil {
+		t.logger.Log("event", "submit", "job", id, "queue", queue.Name, "outcome", "refused", "err", err)
+		return SubmitReply{}, err
+	}
 	begun := time.Now()
 	submission := workflow.Submission{
 		ID: id, Queue: queue.Identity(), Payload: r.Payload, Steps: r.Steps, Schedule: r.Schedule, Policy: queue.Policy,
--- a/internal/control/settle_test.go
+++ b/internal/control/settle_test.go
@@ -254,3 +254,23 @@
 		delete(ten.sessions, fmt.Sprint("other", i))
 	}
 }
+
+// What a user sees: a leader with much to do serves less and less.
+// Order: answers take 0.2 s because the leader reads them late; each is taken for lost.
+// Cause: what counts as overdue didn't follow from how long answers take.
+func TestOverdueFollowsHowLongAnswersTake(t *testing.T) {
+	ten := &tenure{}
+	must.Eq(t, promptAnswer, ten.overdueAfter())
+	for range 200 {
+		ten.noteAnswerTime(5 * time.Millisecond)
+	}
+	must.Eq(t, promptAnswer, ten.overdueAfter())
+	for range 200 {
+		ten.noteAnswerTime(25 * time.Millisecond)
+	}
+	must.Greater(t, 190*time.Millisecond, ten.overdueAfter())
+	for range 200 {
+		ten.noteAnswerTime(time.Second)
+	}
+	must.Eq(t, callTimeout/2, ten.overdueAfter())
+}
--- a/internal/control/tenure.go
+++ b/internal/control/tenure.go
@@ -52,6 +52,8 @@
 	turn   int
 
 	mu sync.Mutex
+	// queued is how many steps were ready and not whole at the last decision.
+	queued int
 	// answerTime is a moving mean of how long starts take to be answered.
 	answerTime time.Duration
 	// lostAt is when a call was last found to have got lost.
