--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -108,7 +108,7 @@
 	if left == 0 {
 		return
 	}
-	if p.silent(s) {
+	if p.mustWait(s) {
 		p.wait(s, left, p.reasonWithoutRoom(s))
 		return
 	}
@@ -120,13 +120,13 @@
 	p.wait(s, left, p.seekPermits(s, suitable, left))
 }
 
-// silent reports whether nothing more can be done for s in this decision: it has
+// mustWait reports whether nothing more can be done for s in this decision: it has
 // to ask, no question may be put now, and no room is kept for it.
 //
 // Load that it answers: a queue that grows while all questions are under way.
 // Going through 350 workers for each of 1000 queued steps took 0.4 s a decision,
 // in which nothing started, and the queue grew on; now 3000 steps take 4 ms.
-func (p *planner) silent(s *Step) bool {
+func (p *planner) mustWait(s *Step) bool {
 	keepsRoom := s.Spec.Gang && p.reserved[s.Service] < maxReserved && len(s.Permits) > 0
 	return s.NeedsPermit && p.limits.Asks == 0 && !keepsRoom
 }
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -139,7 +139,8 @@
 	// Steps is how many steps one decision goes into at most; 0 for no bound.
 	Steps int
 	// Turn counts the decisions. It lets each step behind the bound have its turn.
-	Turn    int
+	Turn int
+	// Without names mechanisms that are switched off.
 	Without Without
 	// TicketMargin is how long a ticket must be valid still when a start is
 	// planned, so that it reaches the worker in time.
--- /dev/null
+++ b/internal/control/announce.go
@@ -0,0 +1,137 @@
+package control
+
+import (
+	"context"
+	"maps"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bilberryferry/bilberryferry/replica"
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+// passOnEvery is how often a heartbeat that says nothing new goes on to the leader,
+// which would give a worker up after forgetWorker.
+const passOnEvery = 3 * time.Second
+
+// AnnounceKnown takes in a heartbeat on an instance that doesn't lead, and reports
+// whether that will do: the log has the worker as it announces itself, and a
+// leader is known.
+//
+// Load that it answers: 350 workers send 233 heartbeats a second, a seventh of the
+// calls that the leader serves, and hardly any of them says anything new.
+func (c *Controller) AnnounceKnown(r *Announcement) (AnnouncementReply, bool) {
+	if c.beats != nil || r.Worker.Draining || c.news(&r.Worker) {
+		return AnnouncementReply{}, false
+	}
+	status := c.log.Status()
+	if status.Role != replica.Follower || status.Leader == "" {
+		return AnnouncementReply{}, false
+	}
+	if !c.passedOn.recently(r.Worker.ID, time.Now()) {
+		return AnnouncementReply{}, false
+	}
+	return AnnouncementReply{HeartbeatAddress: c.cfg.Public}, true
+}
+
+// passedOn is when heartbeats of each worker last went on to the leader.
+type passedOn struct {
+	mu sync.Mutex
+	at map[string]time.Time
+}
+
+// recently reports whether a heartbeat of the worker went on lately; else this one
+// is noted as doing so.
+func (p *passedOn) recently(worker string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.at[worker]) < passOnEvery {
+		return true
+	}
+	if p.at == nil {
+		p.at = map[string]time.Time{}
+	}
+	p.at[worker] = now
+	maps.DeleteFunc(p.at, func(_ string, at time.Time) bool { return now.Sub(at) > forgetWorker })
+	return false
+}
+
+// heartbeatAddress is where a worker sends its next heartbeats: to the leader where
+// it gets its orders with the answers, else to any other instance.
+func (c *Controller) heartbeatAddress(worker string) string {
+	if c.beats != nil {
+		return c.cfg.Public
+	}
+	members := slices.DeleteFunc(c.cfg.Members(), func(address string) bool { return address == c.cfg.Address })
+	if len(members) == 0 {
+		return c.cfg.Public
+	}
+	member, _, err := net.SplitHostPort(members[xxhash.Sum64String(worker)%uint64(len(members))])
+	if err != nil {
+		return c.cfg.Public
+	}
+	_, port, err := net.SplitHostPort(c.cfg.Public)
+	if err != nil {
+		return c.cfg.Public
+	}
+	return net.JoinHostPort(member, port)
+}
+
+// Announce takes in a worker's heartbeat. One that says something new is
+// acknowledged only once that is committed, so that the next leader knows it.
+func (c *Controller) Announce(ctx context.Context, r *Announcement) (AnnouncementReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	t, err := c.leading(ctx)
+	if err != nil {
+		return AnnouncementReply{}, err
+	}
+	if c.news(&r.Worker) {
+		if _, err := c.propose(ctx, &workflow.Command{Worker: &r.Worker}); err != nil {
+			return AnnouncementReply{}, err
+		}
+		t.logger.Log("event", "worker", "worker", r.Worker.ID, "address", r.Worker.Address,
+			"draining", r.Worker.Draining, "sequence", r.Sequence, "labels", strings.Join(r.Worker.Labels, ","))
+	}
+	t.heard(&r.Worker, r.Remaining)
+	reply := AnnouncementReply{HeartbeatAddress: c.heartbeatAddress(r.Worker.ID)}
+	if c.beats != nil && r.Report != nil && t.looksAfter(r.Worker.ID) {
+		orders := c.beats.take(ctx, r.Worker.ID, t.fence, *r.Report)
+		reply.Orders = &orders
+	}
+	return reply, nil
+}
+
+// news reports whether the log doesn't have the worker as it announces itself.
+// An incarnation that is over stays over, and one that drains doesn't come back:
+// such a heartbeat was delayed on its way.
+func (c *Controller) news(w *workflow.Worker) (isNew bool) {
+	c.state.read(func(s *workflow.State) {
+		known := s.Workers[w.ID]
+		switch {
+		case known == nil:
+			isNew = true
+		case known.Gone || known.Draining:
+		default:
+			isNew = known.Draining != w.Draining || known.Address != w.Address
+		}
+	})
+	return isNew
+}
+
+// Leave takes note that an incarnation says that it ends. It counts as ended once
+// a look shows it.
+func (c *Controller) Leave(ctx context.Context, r *LeaveCall) (Empty, error) {
+	t, err := c.leading(ctx)
+	if err != nil {
+		return Empty{}, err
+	}
+	t.logger.Log("event", "worker_left", "worker", r.Worker)
+	t.probe(r.Worker)
+	return Empty{}, nil
+}
--- /dev/null
+++ b/internal/control/looks.go
@@ -0,0 +1,77 @@
+package control
+
+import (
+	"time"
+)
+
+const (
+	// losingFor is how long after a call without an answer, from a worker that answers
+	// others, looks are held shorter.
+	losingFor = 5 * time.Second
+	// shortWait is how long they are held then, and shortSlack what is allowed for
+	// their way: the end of a run is noticed that much later at most.
+	shortWait  = 250 * time.Millisecond
+	shortSlack = 200 * time.Millisecond
+	// shortLooks bounds the looks a second at all workers while they are held shorter:
+	// a look takes some 0.3 ms of the leader.
+	shortLooks = 200
+	// overdueFactor times as long as answers take of late, an answer is overdue.
+	overdueFactor = 8
+	// answerWeight is that of the latest answer in their moving mean.
+	answerWeight = 0.05
+)
+
+// losing reports whether calls have got lost lately that workers in reach should have
+// answered. t.mu is held.
+//
+// Load that it answers: one call in twenty gets no answer. A look that is held for
+// 1.5 s hides the ends of its worker for 2 s when its answer is lost, with four looks
+// a second and worker for two fifths of the time.
+func (t *tenure) losing(now time.Time) bool {
+	return now.Sub(t.lostAt) < losingFor && !t.without.ShortLooks
+}
+
+// noteLost takes in that a call got no answer from a worker that has answered since
+// the call was sent. t.mu is held.
+func (s *session) noteLost(sent, now time.Time) {
+	if !s.answeredAt.After(sent) && !s.clockAt.After(sent) {
+		return
+	}
+	if !s.t.losing(now) {
+		s.t.logger.Log("event", "calls_lost", "worker", s.worker.ID, "sent_ms_ago", now.Sub(sent).Milliseconds())
+	}
+	s.t.lostAt = now
+}
+
+// lookTimes returns how long a look is held, and how much longer its answer may
+// take. t.mu is held.
+func (s *session) lookTimes(now time.Time) (hold, slack time.Duration) {
+	hold, slack = lookWait, callTimeout
+	if s.t.losing(now) {
+		fewest := time.Duration(len(s.t.sessions)) * time.Second / shortLooks
+		hold = min(max(shortWait, fewest), lookWait)
+		slack = min(max(shortSlack, overdueFactor*s.t.answerTime), callTimeout)
+	}
+	if s.still() {
+		hold = min(hold, stillWait)
+	}
+	if s.throttle.watched() {
+		hold = min(hold, throttleWait)
+	}
+	return hold, slack
+}
+
+// noteAnswerTime takes in how long a start took to be answered. t.mu is held.
+func (t *tenure) noteAnswerTime(took time.Duration) {
+	t.answerTime += time.Duration(answerWeight * float64(took-t.answerTime))
+}
+
+// overdueAfter is how long an order may be without an answer before it counts as
+// overdue: longer where answers take long of late. t.mu is held.
+//
+// Failure guarded against: the leader has more to do than it can, and sees answers
+// late. Taken for lost, each order is sent again and its worker given nothing, which
+// makes more to do.
+func (t *tenure) overdueAfter() time.Duration {
+	return min(max(promptAnswer, overdueFactor*t.answerTime), callTimeout/2)
+}
--- /dev/null
+++ b/internal/gateway/call.go
@@ -0,0 +1,141 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bilberryferry/bilberryferry/fault"
+	"github.com/bilberryferry/bilberryferry/internal/link"
+	"github.com/bilberryferry/bilberryferry/internal/wait"
+)
+
+// attempt is one call on its way through the tries that it takes.
+type attempt struct {
+	g       *Gateway
+	method  string
+	request any
+	// open says that some try may have been carried out.
+	open bool
+}
+
+// Call makes a call of the leader within the time of ctx. It goes on to other
+// members while no leader answers. The error is of kind Unknown when some try
+// may have been carried out, and otherwise says that none was.
+func Call[Reply any](ctx context.Context, g *Gateway, method string, request any) (Reply, error) {
+	var reply Reply
+	a := &attempt{g: g, method: method, request: request}
+	for {
+		leader, changed := g.known()
+		var done bool
+		var err error
+		if leader != "" {
+			done, err = a.tryLeader(ctx, leader, changed, &reply)
+		} else {
+			done, err = a.find(ctx, changed, &reply)
+		}
+		switch {
+		case done:
+			return reply, err
+		case ctx.Err() != nil:
+			return reply, outOfTime(method, a.open)
+		}
+	}
+}
+
+// tryLeader makes a try at the leader, and reports whether that settles the call.
+// A try without an answer ends when another leader is found.
+func (a *attempt) tryLeader(ctx context.Context, leader string, changed <-chan struct{}, reply any) (done bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	slow := time.AfterFunc(slowAfter, func() {
+		a.g.askAround(ctx, leader)
+		if wait.Closed(ctx, changed) {
+			cancel()
+		}
+	})
+	defer slow.Stop()
+	done, err = a.try(ctx, leader, tryTimeout, reply)
+	if !done {
+		a.follow(leader, err)
+	}
+	return done, err
+}
+
+// follow goes on to the leader that a refusal names, or to a search.
+func (a *attempt) follow(tried string, err error) {
+	hint := link.LeaderOf(err)
+	if hint != "" && hint != tried {
+		a.g.Suggest(hint)
+		return
+	}
+	a.g.lost(tried)
+}
+
+// find goes through the members, if no other call does; else it waits for what
+// that one finds.
+func (a *attempt) find(ctx context.Context, changed <-chan struct{}, reply any) (done bool, err error) {
+	select {
+	case a.g.search <- struct{}{}:
+	case <-changed:
+		return false, nil
+	case <-ctx.Done():
+		return false, nil
+	}
+	defer func() { <-a.g.search }()
+	if leader, _ := a.g.known(); leader != "" {
+		return false, nil
+	}
+	for _, address := range a.g.targets() {
+		done, err := a.try(ctx, address, searchTimeout, reply)
+		hint := link.LeaderOf(err)
+		switch {
+		case done:
+			return true, err
+		case hint != "" && hint != address:
+			a.g.Suggest(hint)
+			return false, nil
+		case ctx.Err() != nil:
+			return false, nil
+		}
+	}
+	wait.For(ctx, searchPause)
+	return false, nil
+}
+
+// try makes one try, and reports whether its outcome settles the call.
+func (a *attempt) try(ctx context.Context, address string, limit time.Duration, reply any) (done bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	err = a.g.client.Call(ctx, address, a.method, a.request, reply)
+	switch {
+	case err == nil:
+		a.g.noteLeader(address)
+		return true, nil
+	case errors.Is(err, link.ErrNotLeader), errors.Is(err, link.ErrUnsent):
+		return false, err
+	case fault.Is(err, fault.Unknown):
+		a.open = true
+		return false, err
+	default:
+		return true, settled(err, a.open)
+	}
+}
+
+// settled is the error of a call that the leader refused. After a try whose fate
+// is open, a refusal of the next one doesn't say that nothing was done.
+func settled(err error, open bool) error {
+	kind := fault.KindOf(err)
+	if open && (kind == fault.Unavailable || kind == fault.Overloaded) {
+		return fault.New(fault.Unknown, "an earlier try may have been carried out: %v", err)
+	}
+	return err
+}
+
+func outOfTime(method string, open bool) error {
+	if open {
+		return fault.New(fault.Unknown, "%s: no answer from the leader", method)
+	}
+	return fault.Retry(fault.Unavailable, RetryAfter, "%s: no leader is reached", method)
+}
