--- a/internal/control/guard_test.go
+++ b/internal/control/guard_test.go
@@ -168,6 +168,7 @@
 // Cause: what wasn't shown to lead was taken for not leading.
 func TestALeaderThatIsHeldUpAnswersOnceItsLogDoes(t *testing.T) {
 	w := newWorld(t, nil)
+	w.workers.add("w1")
 	w.log.hold(100 * time.Millisecond)
 	_, err := w.c.Announce(context.Background(), &Announcement{Worker: worker("w1")})
 	must.NoError(t, err)
