--- a/internal/control/looks.go
+++ b/internal/control/looks.go
@@ -1,8 +1,6 @@
 package control
 
-import (
-	"time"
-)
+import "time"
 
 const (
 	// losingFor is how long after a call without an answer, from a worker that answers
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,10 +24,11 @@
 	// searchTimeout bounds a try while the leader is searched for: a member that
 	// doesn't lead says so within some milliseconds.
 	searchTimeout = 250 * time.Millisecond
-	// searchPause lies between two rounds through the members: a tenth of an election.
+	// searchPause lies between two rounds through the members: a quarter of the shortest
+	// election.
 	searchPause = 60 * time.Millisecond
 	// slowAfter is how long a call waits before members are asked whether another
-	// one leads: several commits, and half of the shortest election.
+	// one leads: several commits, and less than the shortest election.
 	slowAfter = 200 * time.Millisecond
 	// followPause is the time between two announcements to the leader, unless it names
 	// another one.
