--- a/internal/dev/command.go
+++ b/internal/dev/command.go
@@ -52,7 +52,7 @@
 	if c.verbose {
 		logs = os.Stderr
 	}
-	kept, err := Run(ctx, os.Stdout, logs, c.stay)
+	kept, err := Run(ctx, os.Stdout, logs, FullSize(), c.stay)
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "bilberry dev: %v\n", err)
 		return subcommands.ExitFailure
--- a/internal/dev/run.go
+++ b/internal/dev/run.go
@@ -25,9 +25,6 @@
 
 // Shape of the sample run.
 const (
-	sampleMinions = 50
-	sampleWorkers = 50
-	requestRate   = 200.0
 	requestTime   = 8 * time.Second
 	requestBudget = 500 * time.Millisecond
 	runtimeLow    = 0.8
@@ -35,6 +32,17 @@
 	pollEvery     = 50 * time.Millisecond
 )
 
+// Size is how much of each deployment's surroundings a run plays.
+type Size struct {
+	// Workers and Minions are counts in each deployment.
+	Workers, Minions int
+	// RequestRate is in requests a second to each deployment.
+	RequestRate float64
+}
+
+// FullSize is what the command plays.
+func FullSize() Size { return Size{Workers: 50, Minions: 50, RequestRate: 200} }
+
 // sample is what differs between the two deployments.
 type sample struct {
 	name     string
@@ -67,6 +75,7 @@
 // run is one deployment with its stand-ins.
 type run struct {
 	sample
+	size       Size
 	deployment *Deployment
 	ledger     *standin.Ledger
 	workers    *standin.Workers
@@ -76,7 +85,7 @@
 }
 
 // start brings a deployment up, with its stand-ins connected.
-func start(ctx context.Context, group *errgroup.Group, s sample, folder string, logs io.Writer) (*run, error) {
+func start(ctx context.Context, group *errgroup.Group, s sample, size Size, folder string, logs io.Writer) (*run, error) {
 	d, listeners, err := Unpack(s.name, folder)
 	if err != nil {
 		return nil, err
@@ -85,13 +94,13 @@
 		return nil, err
 	}
 	group.Go(d.Wait)
-	r := &run{sample: s, deployment: d, ledger: standin.NewLedger()}
+	r := &run{sample: s, size: size, deployment: d, ledger: standin.NewLedger()}
 	r.workers = standin.NewWorkers(standin.WorkersConfig{
-		Sites: d.Sites(), Count: sampleWorkers, PerRack: s.perRack, Capacity: s.capacity, Prefix: s.name,
+		Sites: d.Sites(), Count: size.Workers, PerRack: s.perRack, Capacity: s.capacity, Prefix: s.name,
 		Token: d.Tokens.Token(settings.Worker), RuntimeLow: runtimeLow, RuntimeHigh: runtimeHigh, Ledger: r.ledger,
 	})
 	r.minions = standin.NewMinions(standin.MinionsConfig{
-		Sites: d.Sites(), Count: sampleMinions, Service: s.service, Prefix: s.name,
+		Sites: d.Sites(), Count: size.Minions, Service: s.service, Prefix: s.name,
 		Token: d.Tokens.Token(settings.Minion), Ledger: r.ledger,
 	})
 	group.Go(func() error { return ended(ctx, r.workers.Run(ctx)) })
@@ -111,11 +120,11 @@
 func (r *run) awaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyWithin)
 	defer cancel()
-	for r.workers.Ready() < sampleWorkers || r.minions.Ready() < sampleMinions {
+	for r.workers.Ready() < r.size.Workers || r.minions.Ready() < r.size.Minions {
 		select {
 		case <-ctx.Done():
 			return errors.Newf("%s: %d of %d workers and %d of %d minions were ready within %s",
-				r.name, r.workers.Ready(), sampleWorkers, r.minions.Ready(), sampleMinions, readyWithin)
+				r.name, r.workers.Ready(), r.size.Workers, r.minions.Ready(), r.size.Minions, readyWithin)
 		case <-time.After(pollEvery):
 		}
 	}
@@ -189,7 +198,7 @@
 	})
 	r.callers = standin.NewCallers(standin.CallersConfig{
 		Entries: r.deployment.Entries(), Service: r.service, Token: tokens[arrivals[0].Customer],
-		Rate: requestRate, Duration: requestTime, Deadline: requestBudget, OnceShare: 0.2, Seed: 1, Ledger: r.ledger,
+		Rate: r.size.RequestRate, Duration: requestTime, Deadline: requestBudget, OnceShare: 0.2, Seed: 1, Ledger: r.ledger,
 	})
 	var work errgroup.Group
 	work.Go(func() error { return r.jobs.Run(ctx) })
@@ -241,7 +250,7 @@
 
 // Run carries the sample work of both deployments through the system and
 // prints what became of it. It returns false when a promise was broken.
-func Run(ctx context.Context, out, logs io.Writer, stay bool) (bool, error) {
+func Run(ctx context.Context, out, logs io.Writer, size Size, stay bool) (bool, error) {
 	folder, err := os.MkdirTemp("", "bilberry-dev-")
 	if err != nil {
 		return false, err
@@ -253,11 +262,11 @@
 	cost := startCost()
 	var runs []*run
 	for _, s := range samples {
-		r, err := start(ctx, group, s, filepath.Join(folder, s.name), logs)
+		r, err := start(ctx, group, s, size, filepath.Join(folder, s.name), logs)
 		if err != nil {
 			return false, err
 		}
-		fmt.Fprintf(out, "%-9s %d instances, %d workers, %d minions are up\n", s.name, len(r.deployment.Settings.Instances), sampleWorkers, sampleMinions)
+		fmt.Fprintf(out, "%-9s %d instances, %d workers, %d minions are up\n", s.name, len(r.deployment.Settings.Instances), size.Workers, size.Minions)
 		runs = append(runs, r)
 	}
 	kept, err := carryAll(ctx, runs, out, cost)
