A gang asks about as many workers as it needs, in parts side by side

One question names 60 of 350 workers, so about 15 are permitted; a gang then renewed its tickets on these, as their expected ends seemed near, for up to 5 s, or asked one question after the other, 0.9 s each. Ruled out: a full cluster; the order of steps; lanes (899 s of 2300). Change: the share that the adviser permits is observed by queue; a gang names as many workers, those with room first, as are expected to hold it, in up to six questions side by side; it asks again while others promise enough room. Where one question covers the pool nothing changes.

--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -29,7 +29,7 @@
 		return ReasonPermit
 	}
 	if wantsMore(s, unknown) {
-		p.ask(s, p.toLearn(s, granted, unknown, left, p.limits.AskWorkers), false)
+		p.ask(s, p.toLearn(s, granted, unknown, left), false)
 		return ReasonPermit
 	}
 	return reasonFor(granted)
@@ -60,7 +60,7 @@
 	case s.Asking:
 		return ReasonPermit
 	case p.gangLearns(s, granted, unknown, left, when):
-		p.ask(s, p.toLearn(s, granted, unknown, left, p.limits.GangAskWorkers), false)
+		p.askInParts(s, p.toLearnForGang(s, granted, unknown, left))
 		return ReasonPermit
 	case len(chosen) > 0 && p.ticketsDue(s, chosen, when):
 		p.ask(s, chosen, true)
@@ -74,12 +74,91 @@
 // were empty, and when they won't do before long while others have room. Without
 // the last, a gang that was permitted on one worker of the few that had answered a
 // new leader waited for that one for good. when is 0 when it can't be told.
+//
+// It also asks when it doesn't fit now and others promise enough room: expected ends
+// are off by half, and a gang that waits for those of the few workers it knows of
+// renews its tickets there over and over while a quarter of the pool is free.
 func (p *planner) gangLearns(s *Step, granted, unknown []*Worker, left int, when time.Duration) bool {
 	if len(unknown) == 0 {
 		return false
 	}
+	if len(s.Permits) == 0 || emptyRoom(s, granted) < emptyMargin*left {
+		return true
+	}
 	late := when == 0 || when > p.now+preemptWait
-	return len(s.Permits) == 0 || emptyRoom(s, granted) < 2*left || late && wantsMore(s, unknown)
+	return late && wantsMore(s, unknown) || when > p.now && promising(s, granted, unknown, left)
+}
+
+// promising reports whether the room that is free now on permitted workers, and is
+// to be expected on unknown ones by the share that is permitted, holds the gang. It
+// isn't while no share is known.
+func promising(s *Step, granted, unknown []*Worker, left int) bool {
+	if s.GrantShare == 0 {
+		return false
+	}
+	room := 0.0
+	for _, w := range granted {
+		room += float64(copies(s, w))
+	}
+	for _, w := range unknown {
+		room += s.GrantShare * float64(copies(s, w))
+	}
+	return room >= float64(left)
+}
+
+const (
+	// emptyMargin times its tasks a gang's permitted workers must hold if they were
+	// empty: others take room there too.
+	emptyMargin = 2
+	// roomMargin times its tasks a gang's questions cover of the room that is free now:
+	// which workers are permitted differs from the average, and some room is taken
+	// until the answer comes.
+	roomMargin = 1.5
+	// gangParts bounds the questions that a gang puts side by side. Each takes a lane
+	// for half a second and more.
+	gangParts = 6
+)
+
+// toLearnForGang names the workers that a gang asks about: permitted ones with room
+// for it, and of the unknown ones, those with room first, as many as are expected
+// to hold it by the share that the adviser permits.
+//
+// Load that it answers: gangs of 20 to 120 tasks among 350 workers, of which a
+// quarter is permitted and a quarter is free. A question names 60 workers, so 15 are
+// permitted, with room for a few tasks: a gang that asks one question after the
+// other, 0.9 s each, finds none of them free together.
+func (p *planner) toLearnForGang(s *Step, granted, unknown []*Worker, left int) []*Worker {
+	var ask []*Worker
+	now, empty := 0.0, float64(emptyRoom(s, granted))
+	for _, w := range byRoom(s, withRoom(s, granted)) {
+		if now < float64(left) {
+			ask = append(ask, w)
+			now += float64(copies(s, w))
+		}
+	}
+	share := s.grantShare()
+	for _, w := range byRoom(s, unknown) {
+		n := copies(s, w)
+		enough := empty >= float64(emptyMargin*left) && (n == 0 || now >= roomMargin*float64(left))
+		if len(ask) >= gangParts*p.limits.GangAskWorkers || len(ask) >= p.limits.GangAskWorkers && enough {
+			break
+		}
+		ask = append(ask, w)
+		now += share * float64(n)
+		empty += share * float64(emptyRoom(s, []*Worker{w}))
+	}
+	return ask
+}
+
+// askInParts puts the question in parts of equal length, side by side.
+func (p *planner) askInParts(s *Step, workers []*Worker) {
+	if len(workers) == 0 {
+		return
+	}
+	parts := (len(workers) + p.limits.GangAskWorkers - 1) / p.limits.GangAskWorkers
+	for part := range slices.Chunk(workers, (len(workers)+parts-1)/parts) {
+		p.ask(s, part, false)
+	}
 }
 
 // ticketsDue reports whether the tickets of the chosen workers must be asked for
@@ -164,7 +243,7 @@
 
 // toLearn names the workers of a question: permitted ones that the tasks left
 // need as well, then unknown ones, those with room first.
-func (p *planner) toLearn(s *Step, granted, unknown []*Worker, left, most int) []*Worker {
+func (p *planner) toLearn(s *Step, granted, unknown []*Worker, left int) []*Worker {
 	var ask []*Worker
 	room := 0
 	for _, w := range byRoom(s, withRoom(s, granted)) {
@@ -174,7 +253,7 @@
 		}
 	}
 	for _, w := range byRoom(s, unknown) {
-		if len(ask) >= most {
+		if len(ask) >= p.limits.AskWorkers {
 			break
 		}
 		ask = append(ask, w)
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -72,6 +72,9 @@
 	Permits     map[string]Permit
 	// AskTime is how long the adviser takes to answer about n workers.
 	AskTime func(n int) time.Duration
+	// GrantShare is the share of the workers asked about that the adviser has permitted
+	// of late for the step's queue; 0 when it isn't known.
+	GrantShare float64
 	// Asking says that an answer of the adviser is awaited; Renewing names the
 	// workers asked about whose grant is already known.
 	Asking   bool
@@ -84,6 +87,15 @@
 	Avoid map[int]string
 }
 
+// grantShare is the share of workers that a question is expected to permit; before
+// anything is known of the queue, all.
+func (s *Step) grantShare() float64 {
+	if s.GrantShare == 0 {
+		return 1
+	}
+	return s.GrantShare
+}
+
 // Start is one task to be started.
 type Start struct {
 	Task   workflow.TaskKey
@@ -131,7 +143,7 @@
 // Limits bound one plan.
 type Limits struct {
 	// AskWorkers is how many workers one question names, GangAskWorkers how many
-	// one about a gang does: it needs many at once.
+	// one about a gang does: it needs many at once, and may put several.
 	AskWorkers     int
 	GangAskWorkers int
 	// Asks is how many questions may be put now.
--- a/internal/control/permits.go
+++ b/internal/control/permits.go
@@ -37,8 +37,9 @@
 // stepPermits is what is known of the permissions of one step.
 type stepPermits struct {
 	// known is replaced, never changed: decisions read it without the lock.
-	known    map[string]dispatch.Permit
-	asking   bool
+	known map[string]dispatch.Permit
+	// asking counts the questions under way.
+	asking   int
 	renewing []string
 }
 
@@ -190,7 +191,7 @@
 	}
 	t.mu.Lock()
 	p := t.permitsOf(question.Step)
-	p.asking = true
+	p.asking++
 	if question.Renewal {
 		p.renewing = question.Workers
 	}
@@ -217,14 +218,56 @@
 		"granted", len(reply.Granted), "renewal", question.Renewal, "ms", now.Sub(begun).Milliseconds(), "err", err)
 	t.mu.Lock()
 	p := t.permitsOf(question.Step)
-	p.asking, p.renewing = false, nil
+	p.asking--
+	p.renewing = nil
 	if err == nil {
+		t.noteGrants(question.Step, p, question.Workers, reply.Granted)
 		p.takeIn(question.Workers, reply, now.Add(reply.Valid).Sub(t.started))
 	}
 	t.mu.Unlock()
 	t.kick()
 }
 
+// grantWeight is that of the latest answer in the moving mean of what the adviser
+// permits: some 20 answers count.
+const grantWeight = 0.05
+
+// noteGrants takes in what share of the workers that nothing was known of has been
+// permitted. t.mu is held.
+func (t *tenure) noteGrants(step workflow.StepKey, p *stepPermits, asked []string, granted []Grant) {
+	unknown := make(map[string]bool, len(asked))
+	for _, worker := range asked {
+		if _, known := p.known[worker]; !known {
+			unknown[worker] = true
+		}
+	}
+	if len(unknown) == 0 {
+		return
+	}
+	permitted := 0
+	for _, grant := range granted {
+		if unknown[grant.Worker] {
+			permitted++
+		}
+	}
+	queue := t.queueOf(step)
+	share := float64(permitted) / float64(len(unknown))
+	if before, ok := t.grantShares[queue]; ok {
+		share = before + grantWeight*(share-before)
+	}
+	t.grantShares[queue] = share
+}
+
+// queueOf returns the queue of a step's job, empty when the job has been forgotten.
+func (t *tenure) queueOf(step workflow.StepKey) (queue string) {
+	t.c.state.read(func(s *workflow.State) {
+		if job := s.Jobs[step.Job]; job != nil {
+			queue = job.Queue
+		}
+	})
+	return queue
+}
+
 // takeIn remembers an answer: whoever was asked about and isn't in it is refused.
 func (p *stepPermits) takeIn(asked []string, reply AskReply, expires time.Duration) {
 	known := maps.Clone(p.known)
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -250,7 +250,8 @@
 	step.NeedsPermit = true
 	advice := *job.Policy.Advice
 	step.AskTime = func(n int) time.Duration { return askLength(&advice, n) }
-	step.Asking, step.Renewing = p.asking, p.renewing
+	step.GrantShare = t.grantShares[job.Queue]
+	step.Asking, step.Renewing = p.asking > 0, p.renewing
 	step.Permits = p.known
 	return step
 }
--- a/internal/control/tenure.go
+++ b/internal/control/tenure.go
@@ -64,6 +64,9 @@
 	waiting  map[workflow.StepKey]dispatch.Reason
 	sessions map[string]*session
 	permits  map[workflow.StepKey]*stepPermits
+	// grantShares is, by queue, the share of workers asked about that the adviser has
+	// permitted of late.
+	grantShares map[string]float64
 	// answered is when a worker of each data centre last answered.
 	answered map[string]time.Time
 	// suspected is when a data centre was last taken for cut off, of those that the
@@ -98,6 +101,7 @@
 		kicked:      make(chan struct{}, 1),
 		sessions:    map[string]*session{},
 		permits:     map[workflow.StepKey]*stepPermits{},
+		grantShares: map[string]float64{},
 		answered:    map[string]time.Time{},
 		suspected:   map[string]time.Time{},
 		accepted:    map[string]time.Time{},
