Stops found in one look count for the runs that are judged after them

Cause: sweepRuns judged all runs, and their stops were noted when they were sent, after the whole decision. Two long-running tasks of a step, both at work by the time of one look, were both found to be spared and stopped together, though one may be away. Change: a stop is noted when it is found. A test that fails first: two tasks at work, both workers leaving, one look (2 stops, now 1).

--- a/internal/control/maintenance_test.go
+++ b/internal/control/maintenance_test.go
@@ -280,6 +280,31 @@
 	})
 }
 
+// What a user sees: a service with none of its tasks at work.
+// Order: both of its workers are to leave; both tasks turn out to be at work between
+// two looks for runs to stop; one of them may be away.
+// Cause: the stops of one look were noted after all its runs had been judged.
+func TestTasksJudgedTogetherCountEachOthersStops(t *testing.T) {
+	ten := loadedTenure(t, load{workers: 2})
+	service := submission("service")
+	service.Submit.Steps[0] = workflow.Step{Count: 2, Need: workflow.Resources{MilliCPU: 6000}, LongRunning: true, MaxUnavailable: 1}
+	starts := &workflow.Command{Start: []workflow.Run{
+		{Task: task("service", 0), Worker: "w0"}, {Task: task("service", 1), Worker: "w1"},
+	}}
+	for _, command := range []*workflow.Command{service, starts} {
+		_, err := ten.propose(command)
+		must.NoError(t, err)
+	}
+	for i, id := range []string{"w0", "w1"} {
+		session := ten.sessions[id]
+		session.worker.Draining = true
+		run := workflow.Run{Task: task("service", i), Worker: id, Number: 1}
+		session.orders[run.Task] = &order{run: run, listed: true, percent: wholePercent}
+	}
+	must.SliceLen(t, 1, ten.snapshot(time.Now()).stops)
+	must.SliceEmpty(t, ten.snapshot(time.Now().Add(stopAgain/2)).stops, must.Sprint("the other one stays until the first is at work elsewhere"))
+}
+
 // What a user sees: a machine is taken from under a task.
 // Order: a machine is chosen for a move; a start on it is being committed.
 // Cause: only committed runs were looked at.
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -65,7 +65,7 @@
 func (t *tenure) decide() {
 	begun := time.Now()
 	v := t.snapshot(begun)
-	t.sendStops(v.stops, begun)
+	t.sendStops(v.stops)
 	limits := planLimits
 	limits.Asks = t.lanes.free(begun)
 	t.turn++
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -72,7 +72,10 @@
 					v.noteCopy(t, s, run, session, now)
 				}
 			} else if session.stopDue(run, now) {
-				v.stops = append(v.stops, stopping{session, run, cause})
+				stop := stopping{session, run, cause}
+				// Noted at once: it counts for the runs that are looked at after it.
+				session.noteStop(stop, now)
+				v.stops = append(v.stops, stop)
 			}
 		}
 	}
--- a/internal/control/stops.go
+++ b/internal/control/stops.go
@@ -103,23 +103,19 @@
 			continue
 		}
 		session.orders[p.Task].preempted = true
-		stops = append(stops, stopping{session, session.orders[p.Task].run, stopPreempted})
+		stop := stopping{session, session.orders[p.Task].run, stopPreempted}
+		session.noteStop(stop, now)
+		stops = append(stops, stop)
 		t.logger.Log("event", "preempt", "task", p.Task, "worker", p.Worker, "for", p.For)
 	}
 	t.mu.Unlock()
 	t.c.cfg.Counters.Add("preempted", int64(len(stops)))
-	t.sendStops(stops, now)
+	t.sendStops(stops)
 }
 
-// sendStops notes and sends the stops that a decision found due.
-func (t *tenure) sendStops(stops []stopping, now time.Time) {
-	if len(stops) == 0 {
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
+// sendStops sends stops that have been noted.
+func (t *tenure) sendStops(stops []stopping) {
 	for _, stop := range stops {
-		stop.session.noteStop(stop, now)
 		t.goTask(func() { stop.session.sendStop(stop.run) })
 	}
 }
