A job that is being committed is never refused for the queue's sake

A call whose commit is under way is unknown to the state; its caller's second try, at another entry, met a queue that had become too long, was told 503, and the job ran. Ruled out: across leaders; a new leader answers after a barrier, so what an earlier one committed is known. Change: the leader counts the calls that commit a job. TestANewJobIsRefusedAtOnceWhileTheQueueIsTooLong set the queue's length beside a running planner, which could reset it at any moment; it now drives a tenure by itself, with the same checks.

--- a/internal/control/admit.go
+++ b/internal/control/admit.go
@@ -31,8 +31,27 @@
 	t.queued = queued
 }
 
+// handIn notes that a job is being committed, until done is called.
+func (t *tenure) handIn(job string) (done func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.handedIn[job]++
+	return func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.handedIn[job]--
+		if t.handedIn[job] == 0 {
+			delete(t.handedIn, job)
+		}
+	}
+}
+
 // admit refuses a new job while the queue is longer than decisions can go through.
-// A job that is known already is never refused.
+// A job that is known already, or that is being committed, is never refused.
+//
+// Failure guarded against: a caller's first call is slow, and it calls again at
+// another entry while the first one's commit is under way. Told that the job was
+// refused, it takes it for one that never runs, and it runs.
 //
 // Load that it answers: more jobs than the leader can place, after an outage or in
 // a burst. Each job that is accepted then makes decisions longer and all others
@@ -40,11 +59,12 @@
 // caller that is refused knows at once and may come back.
 func (t *tenure) admit(id string) error {
 	t.mu.Lock()
-	queued := t.queued
+	queued, beingCommitted := t.queued, t.handedIn[id] > 0
 	t.mu.Unlock()
-	if queued < mostQueued {
+	if queued < mostQueued || beingCommitted {
 		return nil
 	}
+	// What was being committed a moment ago is known by now.
 	known := false
 	t.c.state.read(func(s *workflow.State) { known = s.Jobs[id] != nil })
 	if known {
--- a/internal/control/admit_test.go
+++ b/internal/control/admit_test.go
@@ -15,23 +15,53 @@
 // is accepted can't be in time any more.
 // Cause: every job was accepted, however long the queue.
 func TestANewJobIsRefusedAtOnceWhileTheQueueIsTooLong(t *testing.T) {
-	w := newWorld(t, nil)
-	call := func(id string) error {
-		_, err := w.c.Submit(context.Background(), &SubmitCall{
-			Place: Place{Host: "h", Path: "/q/" + id}, Payload: "payload", Steps: []workflow.Step{oneTask},
-		})
-		return err
-	}
-	must.NoError(t, call("a"))
-	ten, err := w.c.leading(context.Background())
+	ten := loadedTenure(t, load{workers: 1})
+	workers, ok := ten.c.cfg.Workers.(*fakeWorkers)
+	must.True(t, ok)
+	workers.add("w0")
+	_, err := ten.propose(submission("a"))
 	must.NoError(t, err)
-	ten.mu.Lock()
 	ten.queued = mostQueued
-	ten.mu.Unlock()
 	refused := ten.admit("b")
 	must.Eq(t, fault.Overloaded, fault.KindOf(refused))
 	must.Eq(t, queuedRetry, fault.From(refused).RetryAfter)
 	must.NoError(t, ten.admit("a"), must.Sprint("a known job is answered as such"))
-	w.c.state.read(func(s *workflow.State) { must.MapNotContainsKey(t, s.Jobs, "b") })
-	w.eventually("the next decision finds the queue short", func() bool { return ten.admit("b") == nil })
+	ten.c.state.read(func(s *workflow.State) { must.MapNotContainsKey(t, s.Jobs, "b") })
+	ten.decide()
+	must.NoError(t, ten.admit("b"), must.Sprint("the next decision finds the queue short"))
+}
+
+// What a user sees: a job runs that it was told had been refused.
+// Order: a call's commit takes long; the caller calls again, at another entry; the
+// queue has become too long meanwhile; the first commit succeeds.
+// Cause: only jobs that were committed counted as known.
+func TestAJobThatIsBeingCommittedIsNotRefused(t *testing.T) {
+	w := newWorld(t, nil)
+	ten, err := w.c.leading(context.Background())
+	must.NoError(t, err)
+	call := func() error {
+		_, err := w.c.Submit(context.Background(), &SubmitCall{
+			Place: Place{Host: "h", Path: "/q/a"}, Payload: "payload", Steps: []workflow.Step{oneTask},
+		})
+		return err
+	}
+	again := make(chan error, 1)
+	first := true
+	w.log.mu.Lock()
+	w.log.begun = func(c workflow.Command) {
+		if c.Submit == nil || !first {
+			return
+		}
+		first = false
+		ten.mu.Lock()
+		ten.queued = mostQueued
+		ten.mu.Unlock()
+		again <- call()
+	}
+	w.log.mu.Unlock()
+	must.NoError(t, call())
+	must.NoError(t, <-again)
+	ten.mu.Lock()
+	defer ten.mu.Unlock()
+	must.MapEmpty(t, ten.handedIn)
 }
--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -24,6 +24,8 @@
 	index uint64
 	// applied is called after each command, outside the lock.
 	applied func(workflow.Command)
+	// begun is called before each command, outside the lock.
+	begun func(workflow.Command)
 	// heldUntil is when the log's goroutine goes on after it was held up.
 	heldUntil time.Time
 }
@@ -42,6 +44,9 @@
 }
 
 func (l *fakeLog) Propose(_ context.Context, data []byte) (any, error) {
+	if err := l.announce(data); err != nil {
+		return nil, err
+	}
 	l.mu.Lock()
 	l.index++
 	value := l.state.Apply(l.index, data)
@@ -57,6 +62,21 @@
 	return value, nil
 }
 
+// announce calls begun.
+func (l *fakeLog) announce(data []byte) error {
+	l.mu.Lock()
+	hook := l.begun
+	l.mu.Unlock()
+	if hook == nil {
+		return nil
+	}
+	command, err := workflow.Decode(data)
+	if err == nil {
+		hook(command)
+	}
+	return err
+}
+
 func (l *fakeLog) Barrier(ctx context.Context) error {
 	wait.For(ctx, max(l.held(), 0))
 	return ctx.Err()
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -107,6 +107,7 @@
 		t.logger.Log("event", "submit", "job", id, "queue", queue.Name, "outcome", "refused", "err", err)
 		return SubmitReply{}, err
 	}
+	defer t.handIn(id)()
 	begun := time.Now()
 	submission := workflow.Submission{
 		ID: id, Queue: queue.Identity(), Payload: r.Payload, Steps: r.Steps, Schedule: r.Schedule, Policy: queue.Policy,
--- a/internal/control/tenure.go
+++ b/internal/control/tenure.go
@@ -81,6 +81,8 @@
 	// accepted is when jobs were accepted; those of earlier tenures count from
 	// the start of this one, in the order of the log.
 	accepted map[string]time.Time
+	// handedIn counts the calls that commit a job, by its ID.
+	handedIn map[string]int
 	// reported are jobs whose end was logged.
 	reported map[string]bool
 	// fresh are the jobs for which something has come up since the last decision.
@@ -115,6 +117,7 @@
 		answered:    map[string]time.Time{},
 		suspected:   map[string]time.Time{},
 		accepted:    map[string]time.Time{},
+		handedIn:    map[string]int{},
 		reported:    map[string]bool{},
 		begun:       map[string]bool{},
 		ended:       map[string]time.Time{},
