A member whose disk is full waits for room instead of ending

Cause: a write that found no room was a failed write, and the process ended. Ruled out: trying a failed sync again, which is never safe. Change: what was written of the record is cut off and the record is written again every 0.1 s; the member is mute meanwhile, as with a disk that stalls.

Tests: a record in pieces on a full file is read back whole; a log that is closed while full holds what it held.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -7,6 +7,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bilberryferry/bilberryferry/internal/wait"
+	"github.com/bilberryferry/bilberryferry/internal/wal"
 	"github.com/bilberryferry/bilberryferry/replica"
 )
 
@@ -22,6 +24,7 @@
 // or until its disk fails. It may be called once.
 func (g *Group) Run(ctx context.Context) error {
 	g.clock = newClock(time.Now(), g.cfg.TickInterval)
+	g.running = ctx
 	ticker := time.NewTicker(g.cfg.TickInterval)
 	defer ticker.Stop()
 	err := g.loop(ctx, ticker.C)
@@ -30,7 +33,11 @@
 
 func (g *Group) loop(ctx context.Context, ticks <-chan time.Time) error {
 	for {
-		if err := g.round(); err != nil {
+		err := g.round()
+		if errors.Is(err, wal.ErrNoRoom) && ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
 			return err
 		}
 		if g.core.HasReady() {
@@ -136,6 +143,7 @@
 		if err := g.write(r); err != nil {
 			return err
 		}
+		g.noteRoom()
 	}
 	if r.HardState != nil {
 		g.saved = *r.HardState
@@ -167,6 +175,36 @@
 	return g.wal.SaveSnapshot(*r.Snapshot)
 }
 
+// fullPause is the time between two tries to write to a full disk.
+const fullPause = 100 * time.Millisecond
+
+// awaitRoom waits before the next try to write to a full disk, and reports whether
+// there is to be one.
+//
+// Failure guarded against: a disk is full for a while. A member that ends is started
+// again and ends again, ten times in 5 s, and what else its process does ends with it.
+// One that waits is mute: it acknowledges nothing, and the right to lead ends by its
+// own clock, as with a disk that stalls.
+func (g *Group) awaitRoom() bool {
+	if g.running == nil {
+		return false
+	}
+	if g.fullSince.IsZero() {
+		g.fullSince = time.Now()
+		_ = g.logger.Log("event", "disk", "outcome", "full")
+	}
+	return wait.For(g.running, fullPause)
+}
+
+// noteRoom takes in that a write to the disk went through.
+func (g *Group) noteRoom() {
+	if g.fullSince.IsZero() {
+		return
+	}
+	_ = g.logger.Log("event", "disk", "outcome", "room again", "full_ms", time.Since(g.fullSince).Milliseconds())
+	g.fullSince = time.Time{}
+}
+
 // stop ends the member: open calls are answered, the log is synced and closed.
 func (g *Group) stop() error {
 	g.stopOnce.Do(func() { close(g.done) })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -154,6 +154,10 @@
 	core   *replica.Core
 	wal    *wal.WAL
 	logger log.Logger
+	// running ends when the member is to stop; nil until Run. fullSince is when the
+	// disk was found full, zero while it has room. Both belong to Run.
+	running   context.Context
+	fullSince time.Time
 
 	// wake has room for one: a set wake means that calls or inbox hold work.
 	wake  chan struct{}
@@ -205,6 +209,9 @@
 	}
 	w, stored, err := wal.Open(g.cfg.Folder)
 	g.wal = w
+	if err == nil {
+		w.OnFull(g.awaitRoom)
+	}
 	return stored, errors.Wrapf(err, "log of group %s", g.cfg.Group)
 }
 
--- a/internal/node/snapshot.go
+++ b/internal/node/snapshot.go
@@ -2,10 +2,18 @@
 
 import (
 	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
 
 	"github.com/bilberryferry/bilberryferry/replica"
 )
 
+// snapshotRetry is how long after a snapshot that found the disk full the next one
+// is begun at the earliest.
+const snapshotRetry = time.Second
+
 // snapshotter makes one snapshot at a time. Encoding (of a Capturer) and
 // writing happen on a goroutine of their own, so that the log goes on
 // meanwhile; what follows from it happens in Run.
@@ -18,7 +26,9 @@
 
 	running bool
 	done    chan snapshotResult
-	group   sync.WaitGroup
+	// notBefore keeps the next one back after one found the disk full.
+	notBefore time.Time
+	group     sync.WaitGroup
 }
 
 type snapshotResult struct {
@@ -30,7 +40,7 @@
 
 // maybeSnapshot begins a snapshot when enough entries were applied.
 func (g *Group) maybeSnapshot() error {
-	if g.snapshots.running || !g.snapshotDue() {
+	if g.snapshots.running || !g.snapshotDue() || time.Now().Before(g.snapshots.notBefore) {
 		return nil
 	}
 	encode, err := g.capture()
@@ -76,6 +86,12 @@
 // leader's snapshot has overtaken meanwhile is left alone.
 func (g *Group) adoptSnapshot(r snapshotResult) error {
 	g.snapshots.running = false
+	if errors.Is(r.err, syscall.ENOSPC) {
+		// The log goes on without it. A later one needs no more room than this one.
+		_ = g.logger.Log("event", "snapshot", "outcome", "failed", "err", r.err)
+		g.snapshots.notBefore = time.Now().Add(snapshotRetry)
+		return nil
+	}
 	if r.err != nil {
 		return r.err
 	}
--- /dev/null
+++ b/internal/wal/full_test.go
@@ -0,0 +1,77 @@
+package wal
+
+import (
+	"syscall"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+
+	"github.com/bilberryferry/bilberryferry/replica"
+)
+
+// fullFile takes no more than its room, as a file on a full disk.
+type fullFile struct {
+	segmentFile
+	room int
+}
+
+func (f *fullFile) Write(p []byte) (int, error) {
+	if len(p) <= f.room {
+		f.room -= len(p)
+		return f.segmentFile.Write(p)
+	}
+	n, err := f.segmentFile.Write(p[:f.room])
+	f.room = 0
+	if err != nil {
+		return n, err
+	}
+	return n, syscall.ENOSPC
+}
+
+// Story: the disk is full for a while in the middle of a record. The member ended,
+// was started again and ended again. The record is written whole once there is room,
+// and what a restart reads is what was saved.
+func TestARecordWaitsForRoomOnTheDisk(t *testing.T) {
+	folder := t.TempDir()
+	w, _ := mustOpen(t, folder, 1<<20)
+	saveSpread(t, w, &replica.HardState{Term: 1}, run(1, 3, 1))
+	full := &fullFile{segmentFile: w.file, room: 10}
+	w.file = full
+	waits := 0
+	w.OnFull(func() bool {
+		waits++
+		if waits == 3 {
+			full.room = 1 << 20
+		}
+		return true
+	})
+	saveSpread(t, w, nil, run(4, 6, 1))
+	must.Eq(t, 3, waits)
+	must.NoError(t, w.Close())
+	must.Eq(t, run(1, 6, 1), reopen(t, folder).Entries)
+}
+
+// Story: the process is told to stop while its disk is full. It stops cleanly, and
+// nothing of the record that found no room is read back.
+func TestALogOnAFullDiskIsClosedCleanly(t *testing.T) {
+	folder := t.TempDir()
+	w, _ := mustOpen(t, folder, 1<<20)
+	saveSpread(t, w, &replica.HardState{Term: 1}, run(1, 3, 1))
+	w.file = &fullFile{segmentFile: w.file, room: 10}
+	w.OnFull(func() bool { return false })
+	for range 2 {
+		err := w.Save(nil, run(4, 4, 1), true)
+		must.True(t, errors.Is(err, ErrNoRoom), must.Sprint(err))
+	}
+	must.NoError(t, w.Close())
+	must.Eq(t, run(1, 3, 1), reopen(t, folder).Entries)
+}
+
+// Without anybody who waits a full disk is a failed write.
+func TestAFullDiskIsAFailedWriteWithoutOnFull(t *testing.T) {
+	w, _ := mustOpen(t, t.TempDir(), 1<<20)
+	w.file = &fullFile{segmentFile: w.file}
+	must.ErrorIs(t, w.Save(&replica.HardState{Term: 1}, nil, true), syscall.ENOSPC)
+	must.ErrorIs(t, w.Close(), syscall.ENOSPC)
+}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -13,6 +13,7 @@
 	"bytes"
 	"io"
 	"os"
+	"syscall"
 
 	"github.com/bilberryferry/bilberryferry/replica"
 	"github.com/cockroachdb/errors"
@@ -23,7 +24,8 @@
 
 // WAL is an open log. Its methods are not safe for concurrent use, except
 // WriteSnapshot and Counters. After a failed write or sync every further call
-// fails: what the kernel has dropped from its cache can't be synced again.
+// fails: what the kernel has dropped from its cache can't be synced again. A write
+// that finds the disk full is the exception, see OnFull.
 type WAL struct {
 	folder       string
 	segmentBytes int64
@@ -31,16 +33,59 @@
 
 	image    image
 	segments []segment
-	file     *os.File
+	file     segmentFile
 	salt     uint64
 	length   int64
 	synced   int64
 	buffer   bytes.Buffer
 	err      error
+	// onFull is nil until OnFull is called.
+	onFull func() bool
 
 	counters counters
 }
 
+// segmentFile is what the log needs of the file of its last segment.
+type segmentFile interface {
+	io.WriteSeeker
+	io.Closer
+	Truncate(size int64) error
+	Sync() error
+}
+
+// ErrNoRoom marks the error of a write that found the disk full until nobody wanted
+// to wait any longer. What was written before is whole.
+var ErrNoRoom = errors.New("the disk is full")
+
+// OnFull has a record or a segment that finds no room on the disk be written again
+// for as long as wait returns true; wait takes the time between two tries. Then the
+// error is an ErrNoRoom. Without OnFull a full disk is a failed write.
+//
+// Failure guarded against: the disk is full for some seconds. Nothing of the record
+// counts yet and none of it was promised to anybody, so what was written of it is cut
+// off, and the log is as it was before. A failed sync is never tried again.
+func (w *WAL) OnFull(wait func() bool) { w.onFull = wait }
+
+// retry waits after a write that failed, and returns nil if it is to be tried again.
+func (w *WAL) retry(err error) error {
+	switch {
+	case !errors.Is(err, syscall.ENOSPC) || w.onFull == nil:
+		return err
+	case !w.onFull():
+		return errors.Mark(err, ErrNoRoom)
+	}
+	return nil
+}
+
+// takeBack cuts off what a failed write has left after the last whole record.
+func (w *WAL) takeBack() error {
+	if err := w.file.Truncate(w.length); err != nil {
+		return errors.Wrap(err, "cut a record that found no room")
+	}
+	_, err := w.file.Seek(w.length, io.SeekStart)
+	return errors.Wrap(err, "seek to the end of the log")
+}
+
 // Open reads the log in folder, which it creates when it is missing, and makes
 // durable what it returns. A *DamageError means that the files are not what
 // was written; nothing has been changed then.
@@ -174,10 +219,20 @@
 	if err := encodeFrame(&w.buffer, r, w.salt, w.length); err != nil {
 		return w.keep(err)
 	}
-	n, err := w.file.Write(w.buffer.Bytes())
-	w.length += int64(n)
-	w.counters.bytes.Add(uint64(n))
-	return w.keep(errors.Wrap(err, "write to the log"))
+	for {
+		n, err := w.file.Write(w.buffer.Bytes())
+		if err == nil {
+			w.length += int64(n)
+			w.counters.bytes.Add(uint64(n))
+			return nil
+		}
+		if cut := w.takeBack(); cut != nil {
+			return w.keep(errors.CombineErrors(errors.Wrap(err, "write to the log"), cut))
+		}
+		if err := w.retry(err); err != nil {
+			return w.keep(errors.Wrap(err, "write to the log"))
+		}
+	}
 }
 
 func (w *WAL) sync() error {
@@ -219,8 +274,11 @@
 	}
 	path := numbered(w.folder, next, segmentSuffix)
 	f, err := publish(path, head.encode(), w.buffer.Bytes())
-	if err != nil {
-		return err
+	for err != nil {
+		if err := w.retry(err); err != nil {
+			return err
+		}
+		f, err = publish(path, head.encode(), w.buffer.Bytes())
 	}
 	if w.file != nil {
 		_ = w.file.Close()
@@ -244,6 +302,10 @@
 // Close makes all that was saved durable and closes the files.
 func (w *WAL) Close() error {
 	err := w.sync()
+	if errors.Is(err, ErrNoRoom) {
+		// Nothing that found no room was promised to anybody.
+		err = nil
+	}
 	return errors.CombineErrors(err, w.release())
 }
 
