--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -41,8 +41,9 @@
 func (t *tenure) snapshot(now time.Time) view {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	// The steps of the last decision are the best guess at how many there are now.
+	// A whole decision goes into fresh jobs as well.
 	t.takeFresh()
+	// The steps of the last decision are the best guess at how many there are now.
 	v := view{copies: map[workflow.TaskKey]copyOf{}, placed: map[workflow.StepKey]map[string]int{}, steps: make([]dispatch.Step, 0, len(t.waiting)+moreSteps)}
 	t.c.state.read(func(s *workflow.State) {
 		if now.Sub(t.sweptAt) >= sweepEvery {
