One piece each for the room of a question, moving means and limits of a plan

The room that is free was summed in three places; freeRoom. The room of one empty worker needed a slice; emptyCopies. - The share that the adviser permits was a moving mean of its own beside pace; movingMean serves both. Its queue was read from the state again after each answer, and under an empty name where the job had been forgotten; it comes with the question. - Three times that follow how long answers take share asAnswersTake and one factor; overdueFactor and pauseFactor were both 8. - Whole and fresh decisions share the limits of a plan; Follow calls version. - Gateway: who asks members holds a mutex by TryLock instead of a flag and two functions. Node: a local no longer hides the package wait. freshFree is leftoverAge. - Tests: loadedTenure adds its stand-in workers, submission is used again.

--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -23,7 +23,7 @@
 		p.reserve(s, named(granted, s.Renewing), left)
 		return ReasonPermit
 	}
-	if renew := toRenew(s, granted, left); len(renew) > 0 {
+	if renew := roomFor(s, granted, left); len(renew) > 0 {
 		p.reserve(s, renew, left)
 		p.ask(s, renew, true)
 		return ReasonPermit
@@ -96,13 +96,7 @@
 	if s.GrantShare == 0 {
 		return false
 	}
-	room := 0.0
-	for _, w := range granted {
-		room += float64(copies(s, w))
-	}
-	for _, w := range unknown {
-		room += s.GrantShare * float64(copies(s, w))
-	}
+	room := float64(freeRoom(s, granted)) + s.GrantShare*float64(freeRoom(s, unknown))
 	return room >= float64(left)
 }
 
@@ -129,14 +123,8 @@
 // other, 0.9 s each, finds none of them free together. On a calm day 0.70 of the
 // gangs' worth was earned instead of 0.64.
 func (p *planner) toLearnForGang(s *Step, granted, unknown []*Worker, left int) []*Worker {
-	var ask []*Worker
-	now, empty := 0.0, float64(emptyRoom(s, granted))
-	for _, w := range byRoom(s, withRoom(s, granted)) {
-		if now < float64(left) {
-			ask = append(ask, w)
-			now += float64(copies(s, w))
-		}
-	}
+	ask := roomFor(s, granted, left)
+	now, empty := float64(freeRoom(s, ask)), float64(emptyRoom(s, granted))
 	share := s.grantShare()
 	for _, w := range byRoom(s, unknown) {
 		n := copies(s, w)
@@ -146,7 +134,7 @@
 		}
 		ask = append(ask, w)
 		now += share * float64(n)
-		empty += share * float64(emptyRoom(s, []*Worker{w}))
+		empty += share * float64(emptyCopies(s, w))
 	}
 	return ask
 }
@@ -193,20 +181,29 @@
 	return granted, unknown
 }
 
-// toRenew returns permitted workers with room for the tasks left whose tickets
-// have ended.
-func toRenew(s *Step, granted []*Worker, left int) []*Worker {
-	var renew []*Worker
+// roomFor returns permitted workers on which n tasks of s fit now, those with most
+// room first, or all that have room where they don't. A start there needs a valid
+// ticket.
+func roomFor(s *Step, granted []*Worker, n int) []*Worker {
+	var chosen []*Worker
 	room := 0
 	for _, w := range byRoom(s, withRoom(s, granted)) {
-		n := copies(s, w)
-		renew = append(renew, w)
-		room += n
-		if room >= left {
-			return renew
+		chosen = append(chosen, w)
+		room += copies(s, w)
+		if room >= n {
+			return chosen
 		}
 	}
-	return renew
+	return chosen
+}
+
+// freeRoom returns how many tasks of s the workers hold now.
+func freeRoom(s *Step, workers []*Worker) int {
+	total := 0
+	for _, w := range workers {
+		total += copies(s, w)
+	}
+	return total
 }
 
 // withRoom returns the workers on which a task of s fits now.
@@ -233,26 +230,24 @@
 func emptyRoom(s *Step, workers []*Worker) int {
 	total := 0
 	for _, w := range workers {
-		n := s.Spec.Room().Copies(w.Capacity)
-		if s.Spec.MaxPerWorker > 0 {
-			n = min(n, s.Spec.MaxPerWorker)
-		}
-		total += n
+		total += emptyCopies(s, w)
 	}
 	return total
 }
 
+// emptyCopies returns how many tasks of s fit on w when it runs nothing else.
+func emptyCopies(s *Step, w *Worker) int {
+	n := s.Spec.Room().Copies(w.Capacity)
+	if s.Spec.MaxPerWorker > 0 {
+		n = min(n, s.Spec.MaxPerWorker)
+	}
+	return n
+}
+
 // toLearn names the workers of a question: permitted ones that the tasks left
 // need as well, then unknown ones, those with room first.
 func (p *planner) toLearn(s *Step, granted, unknown []*Worker, left int) []*Worker {
-	var ask []*Worker
-	room := 0
-	for _, w := range byRoom(s, withRoom(s, granted)) {
-		if room < left {
-			ask = append(ask, w)
-			room += copies(s, w)
-		}
-	}
+	ask := roomFor(s, granted, left)
 	for _, w := range byRoom(s, unknown) {
 		if len(ask) >= p.limits.AskWorkers {
 			break
--- a/internal/control/admit_test.go
+++ b/internal/control/admit_test.go
@@ -16,9 +16,6 @@
 // Cause: every job was accepted, however long the queue.
 func TestANewJobIsRefusedAtOnceWhileTheQueueIsTooLong(t *testing.T) {
 	ten := loadedTenure(t, load{workers: 1})
-	workers, ok := ten.c.cfg.Workers.(*fakeWorkers)
-	must.True(t, ok)
-	workers.add("w0")
 	_, err := ten.propose(submission("a"))
 	must.NoError(t, err)
 	ten.queued = mostQueued
--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -40,6 +40,7 @@
 	}
 	for i := range size.workers {
 		w := worker(fmt.Sprint("w", i))
+		workers.add(w.ID)
 		w.Capacity = workflow.Resources{MilliCPU: 64_000, MemoryMB: 256_000}
 		apply(&workflow.Command{Worker: &w})
 	}
--- a/internal/control/fresh.go
+++ b/internal/control/fresh.go
@@ -12,10 +12,10 @@
 	// freshRest is how many times as long as a decision about fresh jobs took it is
 	// left alone afterwards.
 	freshRest = 10
-	// freshFree is how old what a decision has left over of the workers' room may be.
+	// leftoverAge is how old what a decision has left over of the workers' room may be.
 	// Room that has come free since isn't in it; a worker that has fallen silent since
 	// is, as it is in any plan whose starts are being committed.
-	freshFree = 200 * time.Millisecond
+	leftoverAge = 200 * time.Millisecond
 )
 
 // noteFresh takes in that something has come up for a job that needn't wait for the
@@ -68,7 +68,7 @@
 // the whole decision couldn't go into all that waits, the room is theirs first.
 // Nothing is stopped here.
 func (t *tenure) decideFresh(now time.Time) {
-	if t.backlog || now.Sub(t.leftAt) > freshFree {
+	if t.backlog || now.Sub(t.leftAt) > leftoverAge {
 		t.kick()
 		return
 	}
@@ -76,9 +76,7 @@
 	if len(v.steps) == 0 {
 		return
 	}
-	limits := planLimits
-	limits.Asks = t.lanes.free(now)
-	limits.Without = t.without
+	limits := t.limits(now)
 	limits.Without.Preemption = true
 	plan := dispatch.Decide(now.Sub(t.started), v.steps, t.left, limits)
 	t.c.cfg.Counters.Observe("decide_fresh", time.Since(now))
--- a/internal/control/fresh_test.go
+++ b/internal/control/fresh_test.go
@@ -16,15 +16,10 @@
 // Cause: each of the two steps waited for the next whole decision.
 func TestAFreshJobDoesNotWaitForTheNextWholeDecision(t *testing.T) {
 	ten := loadedTenure(t, load{workers: 8})
-	fakes, ok := ten.c.cfg.Workers.(*fakeWorkers)
-	must.True(t, ok)
-	for id := range ten.sessions {
-		fakes.add(id)
-	}
 	ten.decide()
 	go ten.rest(time.Minute)
-	command := &workflow.Command{Submit: &workflow.Submission{ID: "a", Queue: "q", Steps: []workflow.Step{oneTask},
-		Policy: workflow.Policy{Service: "s", MaxAttempts: 3, Advice: &workflow.AdvicePolicy{DecideMS: 1, EachMS: 0.1, ValidMS: 2000}}}}
+	command := submission("a")
+	command.Submit.Policy.Advice = &workflow.AdvicePolicy{DecideMS: 1, EachMS: 0.1, ValidMS: 2000}
 	_, err := ten.propose(command)
 	must.NoError(t, err)
 	ten.noteAccepted("a", time.Now())
--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -30,21 +30,6 @@
 	allWeight    = 0.02
 )
 
-// pace is a moving mean of how long runs took, in multiples of their estimates.
-type pace struct {
-	mean    float64
-	samples int
-}
-
-func (p *pace) add(ratio, weight float64) {
-	p.samples++
-	if p.samples == 1 {
-		p.mean = ratio
-		return
-	}
-	p.mean += weight * (ratio - p.mean)
-}
-
 // noteHealth takes in what an end says of the worker. t.mu is held.
 func (s *session) noteHealth(end workflow.RunEnd, now time.Time) {
 	switch end.Outcome {
--- a/internal/control/looks.go
+++ b/internal/control/looks.go
@@ -13,8 +13,9 @@
 	// shortLooks bounds the looks a second at all workers while they are held shorter:
 	// a look takes some 0.3 ms of the leader.
 	shortLooks = 200
-	// overdueFactor times as long as answers take of late, an answer is overdue.
-	overdueFactor = 8
+	// answerFactor times as long as answers take of late, an answer is overdue, and the
+	// next look waits after a report of ends.
+	answerFactor = 8
 	// answerWeight is that of the latest answer in their moving mean.
 	answerWeight = 0.05
 )
@@ -48,7 +49,7 @@
 	if s.t.losing(now) {
 		fewest := time.Duration(len(s.t.sessions)) * time.Second / shortLooks
 		hold = min(max(shortWait, fewest), lookWait)
-		slack = min(max(shortSlack, overdueFactor*s.t.answerTime), callTimeout)
+		slack = s.t.asAnswersTake(shortSlack, callTimeout)
 	}
 	if s.still() {
 		hold = min(hold, stillWait)
@@ -59,12 +60,9 @@
 	return hold, slack
 }
 
-const (
-	// pauseFactor times as long as answers take of late, the next look waits after a
-	// report of ends, longestLookPause at most: a worker has some three ends a second.
-	pauseFactor      = 8
-	longestLookPause = 300 * time.Millisecond
-)
+// longestLookPause is the most that a look waits after a report of ends: a worker has
+// some three a second.
+const longestLookPause = 300 * time.Millisecond
 
 // pauseAfterEnds is the time between a report of ends and the next look: longer where
 // answers take long of late, so that more ends share a look.
@@ -75,7 +73,13 @@
 func (s *session) pauseAfterEnds() time.Duration {
 	s.t.mu.Lock()
 	defer s.t.mu.Unlock()
-	return min(max(lookPause, pauseFactor*s.t.answerTime), longestLookPause)
+	return s.t.asAnswersTake(lookPause, longestLookPause)
+}
+
+// asAnswersTake is a time that grows with how long answers take of late, between
+// bounds. t.mu is held.
+func (t *tenure) asAnswersTake(least, most time.Duration) time.Duration {
+	return min(max(least, answerFactor*t.answerTime), most)
 }
 
 // noteAnswerTime takes in how long a start took to be answered. t.mu is held.
@@ -90,5 +94,5 @@
 // late. Taken for lost, each order is sent again and its worker given nothing, which
 // makes more to do.
 func (t *tenure) overdueAfter() time.Duration {
-	return min(max(promptAnswer, overdueFactor*t.answerTime), callTimeout/2)
+	return t.asAnswersTake(promptAnswer, callTimeout/2)
 }
--- a/internal/control/permits.go
+++ b/internal/control/permits.go
@@ -182,8 +182,9 @@
 	}
 }
 
-// ask puts a question to the adviser and takes in the answer.
-func (t *tenure) ask(question dispatch.Ask, policy *workflow.AdvicePolicy) {
+// ask puts a question about a step of a queue's job to the adviser and takes in the
+// answer.
+func (t *tenure) ask(question dispatch.Ask, queue string, policy *workflow.AdvicePolicy) {
 	length := askLength(policy, len(question.Workers))
 	used, answered := t.lanes.take(time.Now(), length)
 	if used == nil {
@@ -197,12 +198,12 @@
 	}
 	t.mu.Unlock()
 	valid := time.Duration(policy.ValidMS) * time.Millisecond
-	t.goTask(func() { t.askThrough(used, question, valid, time.Until(answered)+askSlack) })
+	t.goTask(func() { t.askThrough(used, question, queue, valid, time.Until(answered)+askSlack) })
 }
 
 // askThrough asks on a lane; valid is how long a ticket holds by the policy,
 // where the answer doesn't say.
-func (t *tenure) askThrough(used *lane, question dispatch.Ask, valid, limit time.Duration) {
+func (t *tenure) askThrough(used *lane, question dispatch.Ask, queue string, valid, limit time.Duration) {
 	ctx, cancel := context.WithTimeout(t.ctx, limit)
 	defer cancel()
 	begun := time.Now()
@@ -221,7 +222,7 @@
 	p.asking--
 	p.renewing = nil
 	if err == nil {
-		t.noteGrants(question.Step, p, question.Workers, reply.Granted)
+		t.noteGrants(queue, p, question.Workers, reply.Granted)
 		p.takeIn(question.Workers, reply, now.Add(reply.Valid).Sub(t.started))
 	}
 	t.noteFresh(question.Step.Job)
@@ -234,7 +235,7 @@
 
 // noteGrants takes in what share of the workers that nothing was known of has been
 // permitted. t.mu is held.
-func (t *tenure) noteGrants(step workflow.StepKey, p *stepPermits, asked []string, granted []Grant) {
+func (t *tenure) noteGrants(queue string, p *stepPermits, asked []string, granted []Grant) {
 	unknown := make(map[string]bool, len(asked))
 	for _, worker := range asked {
 		if _, known := p.known[worker]; !known {
@@ -250,24 +251,11 @@
 			permitted++
 		}
 	}
-	queue := t.queueOf(step)
-	share := float64(permitted) / float64(len(unknown))
-	if before, ok := t.grantShares[queue]; ok {
-		share = before + grantWeight*(share-before)
-	}
+	share := t.grantShares[queue]
+	share.add(float64(permitted)/float64(len(unknown)), grantWeight)
 	t.grantShares[queue] = share
 }
 
-// queueOf returns the queue of a step's job, empty when the job has been forgotten.
-func (t *tenure) queueOf(step workflow.StepKey) (queue string) {
-	t.c.state.read(func(s *workflow.State) {
-		if job := s.Jobs[step.Job]; job != nil {
-			queue = job.Queue
-		}
-	})
-	return queue
-}
-
 // takeIn remembers an answer: whoever was asked about and isn't in it is refused.
 func (p *stepPermits) takeIn(asked []string, reply AskReply, expires time.Duration) {
 	known := maps.Clone(p.known)
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -67,11 +67,9 @@
 	begun := time.Now()
 	v := t.snapshot(begun)
 	t.sendStops(v.stops)
-	limits := planLimits
-	limits.Asks = t.lanes.free(begun)
+	limits := t.limits(begun)
 	t.turn++
 	limits.Turn = t.turn
-	limits.Without = t.without
 	plan := dispatch.Decide(begun.Sub(t.started), v.steps, v.workers, limits)
 	t.left, t.leftAt, t.backlog = v.workers, begun, len(v.steps) > planSteps
 	t.c.cfg.Counters.Observe("decide", time.Since(begun))
@@ -85,11 +83,19 @@
 	t.carryOut(&plan, v.copies)
 }
 
+// limits bound a plan that is made now.
+func (t *tenure) limits(now time.Time) dispatch.Limits {
+	limits := planLimits
+	limits.Asks = t.lanes.free(now)
+	limits.Without = t.without
+	return limits
+}
+
 // carryOut puts the questions of a plan, and commits and sends its starts.
 func (t *tenure) carryOut(plan *dispatch.Plan, copies map[workflow.TaskKey]copyOf) {
 	for _, question := range plan.Asks {
-		if policy := t.adviceOf(question.Step); policy != nil {
-			t.ask(question, policy)
+		if queue, policy := t.adviceOf(question.Step); policy != nil {
+			t.ask(question, queue, policy)
 		}
 	}
 	if len(plan.Starts) > 0 {
@@ -123,15 +129,15 @@
 	}
 }
 
-// adviceOf returns the adviser's policy of a step's queue, nil when its job has been
-// forgotten meanwhile.
-func (t *tenure) adviceOf(step workflow.StepKey) (policy *workflow.AdvicePolicy) {
+// adviceOf returns a step's queue and its policy of the adviser, nil when its job has
+// been forgotten meanwhile.
+func (t *tenure) adviceOf(step workflow.StepKey) (queue string, policy *workflow.AdvicePolicy) {
 	t.c.state.read(func(s *workflow.State) {
 		if job := s.Jobs[step.Job]; job != nil {
-			policy = job.Policy.Advice
+			queue, policy = job.Queue, job.Policy.Advice
 		}
 	})
-	return policy
+	return queue, policy
 }
 
 // noteProposed keeps the tasks and the room of starts that are being committed
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -316,7 +316,5 @@
 		return FollowReply{}, err
 	}
 	t.lanes.note(r.Address, time.Now())
-	reply := FollowReply{Members: c.cfg.Members(), Pause: t.lanes.pause()}
-	c.state.read(func(s *workflow.State) { reply.Version = s.Configuration.Version })
-	return reply, nil
+	return FollowReply{Members: c.cfg.Members(), Version: c.version(), Pause: t.lanes.pause()}, nil
 }
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -65,9 +65,10 @@
 	failures   int
 	failedJob  string
 	quarantine time.Time
-	pace       pace
-	throttle   throttle
-	row        row
+	// pace is how long its runs took, in multiples of their estimates.
+	pace     movingMean
+	throttle throttle
+	row      row
 	// starting has room for the starts that may be under way.
 	starting chan struct{}
 	// busy says that the last report listed runs; advancedAt is the last report
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -255,7 +255,7 @@
 	step.NeedsPermit = true
 	advice := *job.Policy.Advice
 	step.AskTime = func(n int) time.Duration { return askLength(&advice, n) }
-	step.GrantShare = t.grantShares[job.Queue]
+	step.GrantShare = t.grantShares[job.Queue].mean
 	step.Asking, step.Renewing = p.asking > 0, p.renewing
 	step.Permits = p.known
 	return step
--- a/internal/control/tenure.go
+++ b/internal/control/tenure.go
@@ -72,7 +72,7 @@
 	permits  map[workflow.StepKey]*stepPermits
 	// grantShares is, by queue, the share of workers asked about that the adviser has
 	// permitted of late.
-	grantShares map[string]float64
+	grantShares map[string]movingMean
 	// answered is when a worker of each data centre last answered.
 	answered map[string]time.Time
 	// suspected is when a data centre was last taken for cut off, of those that the
@@ -94,7 +94,7 @@
 	// ended is when this tenure first saw that a job had ended.
 	ended map[string]time.Time
 	// pace is that of all workers.
-	pace pace
+	pace movingMean
 	// proposed are the starts that are being committed, by task.
 	proposed map[workflow.TaskKey]string
 	machines *machines
@@ -113,7 +113,7 @@
 		fresh:       map[string]bool{},
 		sessions:    map[string]*session{},
 		permits:     map[workflow.StepKey]*stepPermits{},
-		grantShares: map[string]float64{},
+		grantShares: map[string]movingMean{},
 		answered:    map[string]time.Time{},
 		suspected:   map[string]time.Time{},
 		accepted:    map[string]time.Time{},
--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -16,10 +16,10 @@
 // Failure guarded against: a leader vanishes without a word, and calls wait for
 // it after the others have elected another one.
 func (g *Gateway) askAround(ctx context.Context, leader string) {
-	if !g.beginAsking() {
+	if !g.asking.TryLock() {
 		return
 	}
-	defer g.endAsking()
+	defer g.asking.Unlock()
 	for ctx.Err() == nil {
 		for _, address := range g.targets() {
 			if address == leader {
@@ -36,20 +36,6 @@
 	}
 }
 
-func (g *Gateway) beginAsking() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	free := !g.asking
-	g.asking = true
-	return free
-}
-
-func (g *Gateway) endAsking() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.asking = false
-}
-
 // askWhoLeads returns the leader that a member knows, empty for none.
 func (g *Gateway) askWhoLeads(ctx context.Context, address string) string {
 	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,6 +57,8 @@
 	logger log.Logger
 	// search has room for one: whoever fills it may go through the members.
 	search chan struct{}
+	// asking is held by the one call that asks members who leads.
+	asking sync.Mutex
 
 	mu      sync.Mutex
 	seeds   []string
@@ -66,8 +68,6 @@
 	changed chan struct{}
 	heard   time.Time
 	touch   bool
-	// asking says that a member is being asked who leads.
-	asking bool
 	// turn picks the member that is asked for jobs that have ended; those in
 	// avoidUntil gave no answer lately.
 	turn       int
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -86,8 +86,8 @@
 		return false
 	}
 	gap := gapPerFollower * time.Duration(len(g.core.Status().Members)-1)
-	if wait := gap - now.Sub(g.tookAt); wait > 0 {
-		time.AfterFunc(wait, g.signal)
+	if rest := gap - now.Sub(g.tookAt); rest > 0 {
+		time.AfterFunc(rest, g.signal)
 		return false
 	}
 	g.tookAt = now
