--- /dev/null
+++ b/dispatch/load_test.go
@@ -0,0 +1,107 @@
+package dispatch
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+var replaySeeds = flag.Int("replay.seeds", 0, "how many seeds of the replayed load to play for its figures")
+var replayLoad = flag.Float64("replay.load", 1, "the replayed load, in multiples of the usual one")
+
+// mixedLoad is what a pool of 350 workers gets: large gangs, builds with checkpoints and
+// urgent lookups, 0.88 of its cores on average.
+func mixedLoad(load float64) []*replayKind {
+	ms := time.Millisecond
+	return []*replayKind{
+		{name: "recalc", rate: 3.81 * load, steps: 1.2, width: 20, widthCV: 0.8, maxWidth: 120, cores: 18, coresCV: 0.4, maxCores: 30, gb: 67, gbCV: 0.5, maxGB: 130,
+			work: 6200 * ms, workCV: 0.5, objective: 1000 * ms, stretch: 2.2, priority: 1, gang: 1, checkpointing: 0.5, decide: 702 * ms, each: 10 * ms, valid: 2000 * ms, permitted: 0.3, failing: 0.05},
+		{name: "build", rate: 7.9 * load, steps: 1.5, width: 25, widthCV: 0.8, maxWidth: 150, cores: 6.9, coresCV: 0.45, maxCores: 21, gb: 14, gbCV: 0.6, maxGB: 43,
+			work: 3400 * ms, workCV: 0.5, objective: 3000 * ms, stretch: 4, priority: 2, checkpointing: 0.8, decide: 156 * ms, each: 2340 * time.Microsecond, valid: 2000 * ms, permitted: 0.45, failing: 0.05},
+		{name: "lookup", rate: 110 * load, steps: 1, width: 3.2, widthCV: 0.8, maxWidth: 19, cores: 9.9, coresCV: 0.45, maxCores: 30, gb: 37, gbCV: 0.6, maxGB: 110,
+			work: 800 * ms, workCV: 0.5, objective: 250 * ms, stretch: 1.5, gang: 0.3, decide: 11700 * time.Microsecond, each: 169 * time.Microsecond, valid: 2000 * ms, permitted: 0.7, failing: 0.05},
+	}
+}
+
+// The figures of the mixed load, by seed.
+func TestMixedLoadFigures(t *testing.T) {
+	for seed := range *replaySeeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			kinds := mixedLoad(*replayLoad)
+			r := newReplay(uint64(seed), 350, 44, kinds...)
+			r.decision = 50 * time.Millisecond
+			r.play(40*time.Second, 0)
+			steps, gangs := r.waiting()
+			free := r.freeSum / float64(r.decided)
+			asked := r.asked
+			r.play(40*time.Second, 14*time.Second)
+			stepsLeft, gangsLeft := r.waiting()
+			line := ""
+			for _, k := range kinds {
+				line += fmt.Sprintf("%s %.3f %.3f ", k.name, float64(k.tally.inTime)/float64(k.tally.sent), float64(k.tally.late)/float64(k.tally.sent))
+			}
+			t.Logf("%sfree %.3f wait %d gangs %d left %d %d freeleft %.2f asked %d %d longest %d", line,
+				free, steps, gangs, stepsLeft, gangsLeft, r.freeShare(), asked, r.asked-asked, r.longest.Milliseconds())
+		})
+	}
+}
+
+// A caller hands a job in, a run of it fails, and it doesn't run again while more than a
+// third of the pool is free to the end: 39 gangs waited then with 55 % of the cores free
+// ("event=load free_milli_cpu=11918650 steps=39 tasks=1176 gangs=39"). The first twelve keep
+// room from all others by ends that don't come when they are expected, and those behind
+// them may not renew their tickets.
+func TestGangsDoNotWaitWhileThereIsRoomTwiceOver(t *testing.T) {
+	for seed := range uint64(2) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			r := newReplay(seed, 350, 44, mixedLoad(1)...)
+			r.decision = 50 * time.Millisecond
+			r.play(30*time.Second, 0)
+			longest := time.Duration(0)
+			for r.now < 30*time.Second+restAfterTraffic {
+				r.decide()
+				r.advance()
+				longest = max(longest, r.couldRun())
+			}
+			must.LessEq(t, mayStandIdle, longest)
+		})
+	}
+}
+
+const (
+	// restAfterTraffic is how long after the last job callers expect all that can run to
+	// run, mayStandIdle how long a job may have nothing running beside room for twice its
+	// tasks.
+	restAfterTraffic = 14 * time.Second
+	mayStandIdle     = 3 * time.Second
+)
+
+// Hundreds of steps wait behind others that fit nowhere. Each has its turn every two
+// seconds, asks for its tickets, and has its next turn when they have ended: none of 600
+// starts within a minute on an empty pool, and 19,200 questions are put.
+func TestStepsBehindTheBoundStartBeforeTheirTicketsEnd(t *testing.T) {
+	for _, behind := range []int{40, 600, 900} {
+		kind := &replayKind{name: "behind", priority: 1, steps: 1, width: 1, maxWidth: 1, cores: 1, maxCores: 1, gb: 1, maxGB: 1, work: time.Second,
+			decide: 195 * time.Millisecond, valid: 1500 * time.Millisecond, permitted: 0.25, stretch: 1}
+		huge := &replayKind{name: "ahead", steps: 1, width: 1, maxWidth: 1, cores: 65, maxCores: 65, gb: 1, maxGB: 1, work: time.Second,
+			decide: 195 * time.Millisecond, valid: 1500 * time.Millisecond, permitted: 0.25, stretch: 1, objective: time.Hour}
+		r := newReplay(1, 350, 1000, kind, huge)
+		r.limits.Steps = 128
+		for range 96 {
+			r.submit(huge)
+		}
+		for range behind {
+			r.submit(kind)
+		}
+		for r.now < time.Minute && len(r.jobs) > 96 {
+			r.decide()
+			r.advance()
+		}
+		must.SliceLen(t, 96, r.jobs, must.Sprintf("%d behind: %d questions", behind, r.asked))
+	}
+}
