A plan tells turn, lane, tickets, kept room and lack of room apart

Cause: a gang that waits said "no room" whether there was none, whether it was kept for others, whether its tickets had ended behind the twelve gangs that room is kept for, or whether it wasn't sought for. A question that couldn't be put for want of a lane said "waiting for the adviser", which isn't logged. Steps behind the bound of a decision weren't told at all. Ruled out: an entry for each step behind the bound (thousands a decision; a count does), and a pass over all workers for each reason. Lists that the decision makes anyway are used, and what is kept is added up on the worker as it is kept. Change: reasons Lane, Tickets, Kept, Gangs, Yielding; Turn, with Plan.Behind as its count; Worker.Kept. "No room" is left for real lack. For a task that fits nowhere, Kept goes by the pool's headroom, not by the workers permitted. No decision changes. The bounded decision checks its count.

--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -11,9 +11,11 @@
 func (p *planner) seekPermits(s *Step, suitable []*Worker, left int) Reason {
 	if !s.NeedsPermit {
 		if s.Spec.Gang {
-			p.makeRoom(s, suitable, left)
+			if _, _, preempted := p.makeRoom(s, suitable, left); preempted {
+				return ReasonYielding
+			}
 		}
-		return ReasonNoRoom
+		return heldBy(s, suitable, left)
 	}
 	granted, unknown := p.split(s, suitable)
 	if s.Spec.Gang {
@@ -32,14 +34,14 @@
 		p.ask(s, p.toLearn(s, granted, unknown, left), false)
 		return ReasonPermit
 	}
-	return reasonFor(granted)
+	return reasonFor(s, granted, left)
 }
 
-func reasonFor(granted []*Worker) Reason {
+func reasonFor(s *Step, granted []*Worker, left int) Reason {
 	if len(granted) == 0 {
 		return ReasonRefused
 	}
-	return ReasonNoRoom
+	return heldBy(s, granted, left)
 }
 
 // maxReserved is how many gangs of a pool room is kept for in one decision. Those
@@ -50,13 +52,16 @@
 // and has tickets for them by then.
 func (p *planner) seekForGang(s *Step, granted, unknown []*Worker, left int) Reason {
 	if p.reserved[s.Service] >= maxReserved && len(s.Permits) > 0 {
-		return reasonFor(granted)
+		if len(granted) == 0 {
+			return ReasonRefused
+		}
+		return heldBehind(s, granted, left)
 	}
 	p.reserved[s.Service]++
 	chosen, when, preempted := p.makeRoom(s, granted, left)
 	switch {
 	case preempted:
-		return ReasonNoRoom
+		return ReasonYielding
 	case s.Asking:
 		return ReasonPermit
 	case p.gangLearns(s, granted, unknown, left, when):
@@ -66,7 +71,7 @@
 		p.ask(s, chosen, true)
 		return ReasonPermit
 	}
-	return reasonFor(granted)
+	return reasonFor(s, granted, left)
 }
 
 // gangLearns reports whether a gang asks about workers that nothing is known of:
@@ -302,7 +307,7 @@
 	var chosen []*Worker
 	for _, o := range openings {
 		if !p.limits.Without.Reservation {
-			p.takeRoom(o.worker, s.Spec.Room())
+			p.keepRoom(o.worker, s.Spec.Room())
 		}
 		if !slices.Contains(chosen, o.worker) {
 			chosen = append(chosen, o.worker)
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -18,6 +18,13 @@
 	// headroom is the largest free room of a pool's workers in each resource; a pool
 	// that isn't in it has to be counted anew.
 	headroom map[string]workflow.Resources
+	// unkept is the same if no room were kept for others.
+	unkept map[string]workflow.Resources
+	// keeps says that room is kept for others at all.
+	keeps bool
+	// unticketed says that the step that was looked at last has room on a permitted
+	// worker whose ticket has ended.
+	unticketed bool
 	// reserved counts the gangs of a pool that room is kept for.
 	reserved map[string]int
 	// yielding is the least urgent priority of a pool's runs that may be stopped.
@@ -31,7 +38,7 @@
 func Decide(now time.Duration, steps []Step, workers []Worker, limits Limits) Plan {
 	p := &planner{
 		now: now, limits: limits, byService: map[string][]*Worker{}, byID: make(map[string]*Worker, len(workers)), headroom: map[string]workflow.Resources{},
-		reserved: map[string]int{}, yielding: map[string]int{},
+		unkept: map[string]workflow.Resources{}, reserved: map[string]int{}, yielding: map[string]int{},
 	}
 	for i := range workers {
 		w := &workers[i]
@@ -74,9 +81,21 @@
 	for i := range bound - urgent {
 		chosen = append(chosen, rest[(first+i)%len(rest)])
 	}
+	p.plan.Behind = waitingSteps(order) - waitingSteps(chosen)
 	return chosen
 }
 
+// waitingSteps counts the steps but for copies, whose tasks run.
+func waitingSteps(steps []*Step) int {
+	n := 0
+	for _, s := range steps {
+		if !s.Copy {
+			n++
+		}
+	}
+	return n
+}
+
 func compareSteps(a, b *Step) int {
 	return cmp.Or(compareBools(a.Copy, b.Copy), cmp.Compare(a.Late, b.Late), cmp.Compare(a.Priority, b.Priority),
 		cmp.Compare(a.Due, b.Due), workflow.CompareSteps(a.Key, b.Key))
@@ -96,7 +115,7 @@
 
 func (p *planner) step(s *Step) {
 	if p.hopeless(s) {
-		p.wait(s, len(s.Pending), p.reasonWithoutRoom(s))
+		p.wait(s, len(s.Pending), p.reasonPassedOver(s, len(s.Pending)))
 		return
 	}
 	var left int
@@ -109,7 +128,7 @@
 		return
 	}
 	if p.mustWait(s) {
-		p.wait(s, left, p.reasonWithoutRoom(s))
+		p.wait(s, left, p.reasonPassedOver(s, left))
 		return
 	}
 	suitable := filter(p.byService[s.Service], s)
@@ -117,7 +136,12 @@
 		p.wait(s, left, ReasonNoWorker)
 		return
 	}
-	p.wait(s, left, p.seekPermits(s, suitable, left))
+	put := len(p.plan.Asks)
+	reason := p.seekPermits(s, suitable, left)
+	if reason == ReasonPermit && !s.Asking && len(p.plan.Asks) == put {
+		reason = ReasonLane
+	}
+	p.wait(s, left, reason)
 }
 
 // mustWait reports whether nothing more can be done for s in this decision: it has
@@ -145,9 +169,14 @@
 		}
 		return list
 	}
+	p.unticketed = false
 	for id, permit := range s.Permits {
-		if p.valid(permit) {
+		switch {
+		case p.valid(permit):
 			add(p.byID[id])
+		case permit.Granted && !p.unticketed:
+			w := p.byID[id]
+			p.unticketed = w != nil && w.Service == s.Service && copies(s, w) > 0 && rejection(s, w) == ""
 		}
 	}
 	return list
@@ -177,18 +206,21 @@
 	return headroom
 }
 
-// reasonWithoutRoom says what a hopeless step waits for.
-func (p *planner) reasonWithoutRoom(s *Step) Reason {
+// reasonUnpermitted says why a step has no permitted worker, empty when it has or
+// needs none.
+func (p *planner) reasonUnpermitted(s *Step) Reason {
 	suits := func(w *Worker) bool { return rejection(s, w) == "" }
 	switch {
 	case !slices.ContainsFunc(p.byService[s.Service], suits):
 		return ReasonNoWorker
-	case s.Asking, s.NeedsPermit && len(s.Permits) == 0:
+	case s.Asking:
 		return ReasonPermit
+	case s.NeedsPermit && len(s.Permits) == 0:
+		return ReasonLane
 	case s.NeedsPermit && !anyGranted(s.Permits):
 		return ReasonRefused
 	}
-	return ReasonNoRoom
+	return ""
 }
 
 func anyGranted(permits map[string]Permit) bool {
@@ -219,8 +251,11 @@
 }
 
 // copies returns how many further tasks of s fit on w.
-func copies(s *Step, w *Worker) int {
-	n := s.Spec.Room().Copies(w.Free)
+func copies(s *Step, w *Worker) int { return copiesIn(s, w, w.Free) }
+
+// copiesIn returns how many further tasks of s fit into room of w.
+func copiesIn(s *Step, w *Worker, room workflow.Resources) int {
+	n := s.Spec.Room().Copies(room)
 	if s.Spec.MaxPerWorker > 0 {
 		n = min(n, s.Spec.MaxPerWorker-s.Placed[w.ID])
 	}
@@ -301,6 +336,7 @@
 
 func (p *planner) start(s *Step, index int, w *Worker) {
 	p.takeRoom(w, s.Spec.Room())
+	delete(p.unkept, w.Service)
 	w.Serving = w.Serving || s.Spec.LatencyObjectiveMS > 0
 	if s.Spec.UsesSpare {
 		w.SpareRuns++
@@ -332,7 +368,7 @@
 	room := s.Spec.Room()
 	for _, w := range workers {
 		take := min(copies(s, w), n)
-		p.takeRoom(w, room.Times(int64(take)))
+		p.keepRoom(w, room.Times(int64(take)))
 		n -= take
 	}
 }
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -146,7 +146,7 @@
 	var workers []*Worker
 	ticketed := true
 	for i := range chosen {
-		p.takeRoom(chosen[i].worker, s.Spec.Room())
+		p.keepRoom(chosen[i].worker, s.Spec.Room())
 		ticketed = ticketed && !chosen[i].unticketed && p.lasts(s, chosen[i].worker)
 		if !slices.Contains(workers, chosen[i].worker) {
 			workers = append(workers, chosen[i].worker)
--- /dev/null
+++ b/dispatch/reason_test.go
@@ -0,0 +1,133 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// reasons maps the jobs of a plan's waiting steps to what they wait for.
+func reasons(p Plan) map[string]Reason {
+	found := map[string]Reason{}
+	for _, w := range p.Waiting {
+		found[w.Step.Job] = w.Reason
+	}
+	return found
+}
+
+func waitingGang(job string, count int, need int64, permits map[string]Permit) Step {
+	s := step(job, count, need)
+	s.Spec.Gang = true
+	if permits != nil {
+		s = needsPermit(s, permits)
+	}
+	return s
+}
+
+// gangsBefore are as many gangs as room is kept for, each of which needs two tasks of
+// four cores.
+func gangsBefore(permits map[string]Permit) []Step {
+	var list []Step
+	for i := range maxReserved {
+		s := waitingGang(fmt.Sprintf("before%02d", i), 2, 4, permits)
+		s.Priority = -1
+		list = append(list, s)
+	}
+	return list
+}
+
+func TestWhatHoldsAStepIsTold(t *testing.T) {
+	valid := Permit{Granted: true, Expires: time.Hour}
+	ended := Permit{Granted: true}
+	mute := limits
+	mute.Asks = 0
+	both := map[string]Permit{"w0": valid, "w1": valid}
+	late := map[string]Permit{"w0": ended, "w1": ended}
+	first := waitingGang("first", 3, 4, nil)
+	first.Priority = -1
+	soon := func(list []Worker) []Worker {
+		for i := range list {
+			list[i].Releases = []Release{{At: time.Second, Room: cores(16)}}
+		}
+		return list
+	}
+	asking := waitingGang("a", 2, 4, late)
+	asking.Asking = true
+	for _, c := range []struct {
+		name    string
+		steps   []Step
+		workers []Worker
+		limits  Limits
+		want    Reason
+	}{
+		{"no room for a task", []Step{step("a", 1, 4)}, workers(3, 2), limits, ReasonNoRoom},
+		{"no room for a gang", []Step{waitingGang("a", 3, 4, both)}, workers(4, 4), limits, ReasonNoRoom},
+		{"room for a gang in pieces that are too small", []Step{waitingGang("a", 2, 4, nil)}, workers(3, 3, 3), limits, ReasonNoRoom},
+		{"a task, and the room is kept", []Step{first, step("a", 1, 4)}, soon(workers(4, 4)), limits, ReasonKept},
+		{"a gang, and the room is kept", []Step{first, waitingGang("a", 2, 4, both)}, soon(workers(4, 4)), limits, ReasonKept},
+		{"a gang behind others that doesn't fit", append(gangsBefore(both), waitingGang("a", 9, 4, late)), soon(workers(4, 0)), limits, ReasonGangs},
+		{"a gang behind others that would fit into what is kept", append(gangsBefore(both), waitingGang("a", 1, 4, late)), soon(workers(4, 0)), limits, ReasonKept},
+		{"a gang behind others that fits without tickets", append(gangsBefore(map[string]Permit{"w2": valid}), waitingGang("a", 2, 4, late)),
+			workers(4, 4, 0), limits, ReasonTickets},
+		{"the same while no question may be put", append(gangsBefore(map[string]Permit{"w2": valid}), waitingGang("a", 2, 4, late)),
+			workers(4, 4, 0), mute, ReasonTickets},
+		{"a gang behind others and what is kept", append(gangsBefore(map[string]Permit{"w0": valid}), waitingGang("a", 3, 4, late)),
+			soon(workers(4, 9)), limits, ReasonKept},
+		{"no lane to ask about a task", []Step{needsPermit(step("a", 1, 4), nil)}, workers(9), mute, ReasonLane},
+		{"no lane to renew a task's ticket", []Step{needsPermit(step("a", 1, 4), late)}, workers(9), mute, ReasonLane},
+		{"no lane for a gang", []Step{waitingGang("a", 2, 4, late)}, workers(4, 4), mute, ReasonLane},
+		{"a question is put", []Step{waitingGang("a", 2, 4, late)}, workers(4, 4), limits, ReasonPermit},
+		{"a question is under way", []Step{asking}, workers(4, 4), mute, ReasonPermit},
+		{"refused", []Step{needsPermit(step("a", 1, 4), map[string]Permit{"w0": {}})}, workers(9), limits, ReasonRefused},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			must.Eq(t, c.want, reasons(Decide(0, c.steps, c.workers, c.limits))["a"])
+		})
+	}
+}
+
+func TestRunsThatGiveWayAreTold(t *testing.T) {
+	list := workers(0)
+	for range 4 {
+		list[0].Releases = append(list[0].Releases, Release{At: 9 * time.Second, Room: cores(4), Priority: 2, Yields: true})
+	}
+	for _, permits := range []map[string]Permit{nil, {"w0": {Granted: true, Expires: time.Hour}}} {
+		plan := Decide(0, []Step{waitingGang("a", 2, 4, permits)}, []Worker{list[0]}, limits)
+		must.SliceLen(t, 2, plan.Preempts)
+		must.Eq(t, ReasonYielding, reasons(plan)["a"])
+	}
+}
+
+// The room that a plan keeps is told apart from what it starts.
+func TestKeptRoomIsToldFromTakenRoom(t *testing.T) {
+	list := workers(8, 4)
+	Decide(0, []Step{step("a", 1, 4), waitingGang("gang", 3, 4, nil)}, list, limits)
+	must.Eq(t, int64(0), list[0].Kept.MilliCPU)
+	list[0].Releases = []Release{{At: time.Second, Room: cores(4)}}
+	list = soonFree(workers(8, 4))
+	plan := Decide(0, []Step{step("a", 1, 4), waitingGang("gang", 3, 4, nil)}, list, limits)
+	must.Eq(t, []string{"a/0@w1"}, started(plan))
+	must.Eq(t, int64(12_000), list[0].Kept.MilliCPU+list[1].Kept.MilliCPU)
+	must.Eq(t, int64(8_000), list[0].Free.MilliCPU+list[0].Kept.MilliCPU)
+	must.Eq(t, int64(0), list[1].Free.MilliCPU+list[1].Kept.MilliCPU)
+}
+
+// soonFree lets four cores come free soon on each worker.
+func soonFree(list []Worker) []Worker {
+	for i := range list {
+		list[i].Releases = []Release{{At: time.Second, Room: cores(4)}}
+	}
+	return list
+}
+
+func TestCopiesAreNotCountedBehind(t *testing.T) {
+	bounded := limits
+	bounded.Steps = 2
+	duplicate := step("copy", 1, 4)
+	duplicate.Copy = true
+	plan := Decide(0, []Step{step("a", 1, 4), step("b", 1, 4), step("c", 1, 4), step("d", 1, 4), duplicate}, workers(4), bounded)
+	must.Eq(t, 2, plan.Behind)
+	must.Eq(t, 0, Decide(0, []Step{step("a", 1, 4)}, workers(4), bounded).Behind)
+}
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -16,6 +16,9 @@
 	// Free is the capacity that no run takes, not even one that may be alive; a plan
 	// takes from it. Unplanned is the same before the plan.
 	Free, Unplanned workflow.Resources
+	// Kept is what a plan keeps of the worker, now or once runs end, for steps that it
+	// couldn't start; it isn't in Free.
+	Kept workflow.Resources
 	// Releases are the expected ends of the runs on the worker, the soonest first.
 	Releases []Release
 	// Serving says that tasks with a latency objective run there.
@@ -129,6 +132,21 @@
 	ReasonDenied   Reason = "the adviser refuses the worker"
 	ReasonUnasked  Reason = "the adviser wasn't asked about the worker"
 	ReasonTicket   Reason = "the ticket for the worker has ended"
+
+	// ReasonTurn is that of steps that a decision didn't go into. Plans only count them.
+	ReasonTurn Reason = "behind the steps that one decision goes into"
+	// ReasonLane: something has to be asked, and no question may be put.
+	ReasonLane Reason = "no lane to the adviser is free"
+	// ReasonTickets: a gang fits where it is permitted, and is behind those whose
+	// tickets are renewed.
+	ReasonTickets Reason = "fits on permitted workers, whose tickets have ended"
+	// ReasonKept: without the room that is kept for others it would fit.
+	ReasonKept Reason = "the room that would do is kept for steps before it"
+	// ReasonGangs: a gang that doesn't fit, and neither learns of more workers nor has
+	// room kept.
+	ReasonGangs Reason = "behind the gangs that room is kept for"
+	// ReasonYielding: runs are stopped for it, or tickets asked for to stop them.
+	ReasonYielding Reason = "less urgent runs give way to it"
 )
 
 // Waiting is a step with tasks that were not started.
@@ -164,6 +182,9 @@
 	Starts  []Start
 	Asks    []Ask
 	Waiting []Waiting
+	// Behind counts the steps that the decision didn't go into; they wait for
+	// ReasonTurn and aren't in Waiting.
+	Behind int
 	// Earmarks are the workers on which room is kept for a gang that is about to fit.
 	Earmarks []string
 	// Preempts are runs to be stopped.
