--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -151,7 +151,7 @@
 // Going through 350 workers for each of 1000 queued steps takes 0.4 s a decision, in
 // which nothing starts, and the queue grows on; passed over, 3000 steps take 4 ms.
 func (p *planner) mustWait(s *Step) bool {
-	keepsRoom := s.Spec.Gang && p.reserved[s.Service] < maxReserved && len(s.Permits) > 0
+	keepsRoom := s.Spec.Gang && (p.reserved[s.Service] < keptGangs && len(s.Permits) > 0 || len(s.Renewing) > 0)
 	return s.NeedsPermit && p.limits.Asks == 0 && !keepsRoom
 }
 
@@ -188,7 +188,7 @@
 // decision takes a fifth of the time.
 func (p *planner) hopeless(s *Step) bool {
 	asks := s.NeedsPermit && len(s.Permits) == 0 && p.limits.Asks > 0
-	if asks || s.Spec.Gang && p.reserved[s.Service] < maxReserved {
+	if asks || s.Spec.Gang && p.reserved[s.Service] < keptGangs {
 		return false
 	}
 	return !s.Spec.Room().Fits(p.headroomOf(s.Service))
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -154,7 +154,7 @@
 	}
 	p.earmark(workers)
 	if !ticketed {
-		p.ask(s, workers, true)
+		p.askInParts(s, workers, true)
 		return true
 	}
 	for i := range chosen {
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -12,9 +12,10 @@
 	// askWorkers is how many workers one question names: objectives allow for a
 	// question about 30 a step.
 	askWorkers = 30
-	// gangAskWorkers: a gang is permitted on a third of the workers and needs
-	// room on several of them at once.
-	gangAskWorkers = 60
+	// gangAskWorkers: a gang is permitted on a third of the workers and needs room on many
+	// of them at once. It is the most that a question may name; the same workers in two
+	// questions keep lanes busy for a third longer.
+	gangAskWorkers = 100
 	// ticketMargin is what a ticket must hold still when a start is planned: the
 	// commit of the start and its way to the worker.
 	ticketMargin = 150 * time.Millisecond
