Steps behind a decision's bound are counted by the end of its order

Cause: they were counted by a look at each of the queued steps, thousands of them. Change: copies are last in the order; where they begin is searched.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -81,18 +81,19 @@
 	for i := range bound - urgent {
 		chosen = append(chosen, rest[(first+i)%len(rest)])
 	}
-	p.plan.Behind = waitingSteps(order) - waitingSteps(chosen)
-	return chosen
-}
-
-// waitingSteps counts the steps but for copies, whose tasks run.
-func waitingSteps(steps []*Step) int {
-	n := 0
-	for _, s := range steps {
+	p.plan.Behind = waitingSteps(order)
+	for _, s := range chosen {
 		if !s.Copy {
-			n++
+			p.plan.Behind--
 		}
 	}
+	return chosen
+}
+
+// waitingSteps counts the steps of an order but for the copies at its end, whose tasks
+// run.
+func waitingSteps(order []*Step) int {
+	n, _ := slices.BinarySearchFunc(order, true, func(s *Step, duplicate bool) int { return compareBools(s.Copy, duplicate) })
 	return n
 }
 
