The load line tells memory, accelerators, pieces, reasons and the oldest step

Cause: the line gave cores only, and how many steps waited of those that the decision went into. Whether a gang waited for room in pieces too small, for tickets or behind others, and for how long, nothing said. A step behind the bound was in no line, and in "explain" had no reason. Ruled out: one line for each change of a reason. Reasons may change with each of ten decisions a second for 128 steps; lines of a step are a second apart, and each says how long the step waited for which reason before. Change: memory, accelerators, room kept, the largest free piece, steps by reason, the largest waiting gang with its free and permitted pieces, the oldest waiting step with the same; gauges beside them. What is known of waiting steps is held while decisions don't go into all of them, and cleared once a second; steps that no decision has gone into are found then, a hundred of them logged. The gauge waiting_steps counts the steps behind the bound too.

--- a/dispatch/reason.go
+++ b/dispatch/reason.go
@@ -49,6 +49,24 @@
 	return copiesIn(s, w, w.Free.Plus(w.Kept))
 }
 
+// Pieces counts the free pieces of the size of a task of s that a plan has left on the
+// workers of its pool, those that it keeps for steps included; permitted are those on
+// workers that s is known to be permitted on.
+func Pieces(s *Step, workers []Worker) (all, permitted int) {
+	for i := range workers {
+		w := &workers[i]
+		if w.Service != s.Service || rejection(s, w) != "" {
+			continue
+		}
+		n := min(copiesWithKept(s, w), len(s.Pending))
+		all += n
+		if !s.NeedsPermit || s.Permits[w.ID].Granted {
+			permitted += n
+		}
+	}
+	return all, permitted
+}
+
 // permitted returns the workers that s may run on.
 func (p *planner) permitted(s *Step) []*Worker {
 	if !s.NeedsPermit {
--- a/internal/control/explain.go
+++ b/internal/control/explain.go
@@ -66,7 +66,7 @@
 		if step.Key.Job != id || step.Copy {
 			continue
 		}
-		e := StepExplanation{Key: step.Key, Tasks: len(step.Pending), Reason: t.waiting[step.Key]}
+		e := StepExplanation{Key: step.Key, Tasks: len(step.Pending), Reason: t.reasonOf(step.Key)}
 		e.Workers = append(t.obstacles(step.Service, now), dispatch.Explain(now.Sub(t.started), step, v.workers, planLimits)...)
 		for _, permit := range step.Permits {
 			if permit.Granted {
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"fmt"
 	"strings"
 	"time"
@@ -12,20 +13,54 @@
 // loadEvery is the time between two lines on the load.
 const loadEvery = time.Second
 
-// noteLoad logs and counts, once a second, how much of the workers' room a
-// decision left and what waits: whether a late job met a full cluster or one with
-// room that it couldn't use. Only planLoop calls it.
+// waitingGauges are the gauges of waiting steps by what holds them, in the order in
+// which a step meets it.
+var waitingGauges = []struct {
+	reason dispatch.Reason
+	name   string
+}{
+	{dispatch.ReasonTurn, "waiting_turn"},
+	{dispatch.ReasonLane, "waiting_lane"},
+	{dispatch.ReasonPermit, "waiting_adviser"},
+	{dispatch.ReasonRefused, "waiting_refused"},
+	{dispatch.ReasonTickets, "waiting_tickets"},
+	{dispatch.ReasonGangs, "waiting_gangs_before"},
+	{dispatch.ReasonKept, "waiting_kept"},
+	{dispatch.ReasonYielding, "waiting_yielding"},
+	{dispatch.ReasonNoRoom, "waiting_room"},
+	{dispatch.ReasonNoWorker, "waiting_no_worker"},
+}
+
+// room is what the workers of a decision have: before it, and after it what is kept
+// for steps that it couldn't start.
+type room struct {
+	capacity, free, kept workflow.Resources
+	// largest is the largest free piece in each resource.
+	largest workflow.Resources
+}
+
+func roomOf(workers []dispatch.Worker) room {
+	var r room
+	for i := range workers {
+		w := &workers[i]
+		r.capacity = r.capacity.Plus(w.Capacity)
+		r.free = r.free.Plus(w.Unplanned)
+		r.largest = r.largest.Max(w.Unplanned)
+		// Room of runs that haven't ended is kept as well; only what is free counts.
+		r.kept = r.kept.Plus(w.Free.Plus(w.Kept).Minus(w.Free.Max(workflow.Resources{})))
+	}
+	return r
+}
+
+// noteLoad logs and counts, once a second, how much room the workers have, how it is
+// cut up, and what waits for which reason: whether a late job met a full cluster or one
+// with room that it couldn't use. Only planLoop calls it.
 func (t *tenure) noteLoad(v *view, plan *dispatch.Plan, now time.Time) {
 	if now.Sub(t.loadAt) < loadEvery {
 		return
 	}
 	t.loadAt = now
-	var capacity, free workflow.Resources
-	for i := range v.workers {
-		w := &v.workers[i]
-		capacity = capacity.Plus(w.Capacity)
-		free = free.Plus(w.Unplanned)
-	}
+	r := roomOf(v.workers)
 	tasks, gangs := 0, 0
 	for i := range v.steps {
 		tasks += len(v.steps[i].Pending)
@@ -33,13 +68,107 @@
 			gangs++
 		}
 	}
-	t.logger.Log("event", "load", "usable_workers", len(v.workers), "milli_cpu", capacity.MilliCPU, "free_milli_cpu", free.MilliCPU,
+	byReason := waitingByReason(plan)
+	line := []any{
+		"event", "load", "usable_workers", len(v.workers), "milli_cpu", r.capacity.MilliCPU, "free_milli_cpu", r.free.MilliCPU,
+		"memory_mb", r.capacity.MemoryMB, "free_memory_mb", r.free.MemoryMB,
+		"accelerators", r.capacity.Accelerators, "free_accelerators", r.free.Accelerators,
+		"kept_milli_cpu", r.kept.MilliCPU, "kept_memory_mb", r.kept.MemoryMB, "largest_free", describe(r.largest),
 		"steps", len(v.steps), "tasks", tasks, "gangs", gangs, "started", len(plan.Starts), "waiting", len(plan.Waiting),
-		"kept_back", t.keptBack(now))
-	t.c.cfg.Counters.Set("usable_workers", int64(len(v.workers)))
-	t.c.cfg.Counters.Set("free_milli_cpu", free.MilliCPU)
-	t.c.cfg.Counters.Set("waiting_steps", int64(len(plan.Waiting)))
-	t.c.cfg.Counters.Set("waiting_tasks", int64(tasks))
+		"behind", plan.Behind, "waiting_by", describeWaiting(byReason),
+	}
+	line = append(line, t.waitingFields(v, plan, r.capacity, now)...)
+	t.logger.Log(append(line, "kept_back", t.keptBack(now))...)
+	t.setLoad(v, &r, tasks)
+	t.c.cfg.Counters.Set("waiting_steps", int64(len(plan.Waiting)+plan.Behind))
+	for _, gauge := range waitingGauges {
+		t.c.cfg.Counters.Set(gauge.name, int64(byReason[gauge.reason]))
+	}
+}
+
+func (t *tenure) setLoad(v *view, r *room, tasks int) {
+	counters := t.c.cfg.Counters
+	counters.Set("usable_workers", int64(len(v.workers)))
+	counters.Set("free_milli_cpu", r.free.MilliCPU)
+	counters.Set("free_memory_mb", r.free.MemoryMB)
+	counters.Set("free_accelerators", r.free.Accelerators)
+	counters.Set("kept_milli_cpu", r.kept.MilliCPU)
+	counters.Set("waiting_tasks", int64(tasks))
+}
+
+// waitingByReason counts the steps that a plan left by what they wait for.
+func waitingByReason(plan *dispatch.Plan) map[dispatch.Reason]int {
+	counts := map[dispatch.Reason]int{}
+	for i := range plan.Waiting {
+		counts[plan.Waiting[i].Reason]++
+	}
+	if plan.Behind > 0 {
+		counts[dispatch.ReasonTurn] = plan.Behind
+	}
+	return counts
+}
+
+func describeWaiting(counts map[dispatch.Reason]int) string {
+	var list []string
+	for _, gauge := range waitingGauges {
+		if n := counts[gauge.reason]; n > 0 {
+			list = append(list, fmt.Sprintf("%d: %s", n, gauge.reason))
+		}
+	}
+	return strings.Join(list, "; ")
+}
+
+// describe writes room as thousandths of a core, mega bytes and accelerators.
+func describe(r workflow.Resources) string {
+	return fmt.Sprintf("%d/%d/%d", r.MilliCPU, r.MemoryMB, r.Accelerators)
+}
+
+// waitingFields tells of the waiting gangs the largest, and of all waiting steps the
+// oldest, each with how many of its tasks the free room holds, kept room included: in
+// its pool, and where it is permitted.
+func (t *tenure) waitingFields(v *view, plan *dispatch.Plan, capacity workflow.Resources, now time.Time) []any {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.noteBehind(v, plan, now)
+	var largest *dispatch.Step
+	waitingGangs := 0
+	for i := range v.steps {
+		s := &v.steps[i]
+		if !s.Spec.Gang || s.Copy || t.waiting[s.Key] == nil {
+			continue
+		}
+		waitingGangs++
+		if largest == nil || cmp.Or(cmp.Compare(demand(s, capacity), demand(largest, capacity)), workflow.CompareSteps(largest.Key, s.Key)) > 0 {
+			largest = s
+		}
+	}
+	fields := []any{"waiting_gangs", waitingGangs}
+	pieces, age := 0, time.Duration(0)
+	if largest != nil {
+		all, permitted := dispatch.Pieces(largest, v.workers)
+		pieces = all
+		fields = append(fields, "largest_gang", largest.Key, "largest_gang_tasks", len(largest.Pending),
+			"largest_gang_each", describe(largest.Spec.Room()), "free_pieces", all, "permitted_pieces", permitted)
+	}
+	if s, known := t.oldestWaiting(v); s != nil {
+		age = now.Sub(known.since)
+		all, permitted := dispatch.Pieces(s, v.workers)
+		fields = append(fields, "oldest", s.Key, "oldest_ms", age.Milliseconds(), "oldest_reason", known.reason,
+			"oldest_tasks", len(s.Pending), "oldest_gang", s.Spec.Gang, "oldest_each", describe(s.Spec.Room()),
+			"oldest_pieces", all, "oldest_permitted_pieces", permitted)
+	}
+	t.c.cfg.Counters.Set("waiting_gangs", int64(waitingGangs))
+	t.c.cfg.Counters.Set("free_pieces", int64(pieces))
+	t.c.cfg.Counters.Set("oldest_waiting_ms", age.Milliseconds())
+	return fields
+}
+
+// demand is the largest share of a resource that the pending tasks of s need.
+func demand(s *dispatch.Step, capacity workflow.Resources) float64 {
+	need := s.Spec.Room().Times(int64(len(s.Pending)))
+	share := func(need, capacity int64) float64 { return float64(need) / float64(max(capacity, 1)) }
+	return max(share(need.MilliCPU, capacity.MilliCPU), share(need.MemoryMB, capacity.MemoryMB),
+		share(need.Accelerators, capacity.Accelerators))
 }
 
 // keptBack counts the workers that get nothing new, by why.
--- /dev/null
+++ b/internal/control/load_test.go
@@ -0,0 +1,147 @@
+package control
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/shoenig/test/must"
+
+	"github.com/bilberryferry/bilberryferry/dispatch"
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+// gauges keeps what gauges were set to.
+type gauges map[string]int64
+
+func (gauges) Add(string, int64)             {}
+func (g gauges) Set(name string, n int64)    { g[name] = n }
+func (gauges) Observe(string, time.Duration) {}
+
+// watchedTenure is a tenure of which a test reads the lines and the gauges.
+func watchedTenure() (*tenure, *bytes.Buffer, gauges) {
+	lines, counters := &bytes.Buffer{}, gauges{}
+	t := &tenure{
+		c:      New(Config{Counters: counters, Logger: log.NewNopLogger()}, NewStateMachine(), nil),
+		logger: log.NewLogfmtLogger(lines),
+	}
+	return t, lines, counters
+}
+
+// waitingStepOf is a step of which all tasks wait, each of which needs 4 cores and
+// 8000 MB.
+func waitingStepOf(job string, tasks int, gang bool) dispatch.Step {
+	s := dispatch.Step{
+		Key: workflow.StepKey{Job: job}, Service: "s",
+		Spec: &workflow.Step{Count: tasks, Gang: gang, Need: workflow.Resources{MilliCPU: 4000, MemoryMB: 8000}},
+	}
+	for i := range tasks {
+		s.Pending = append(s.Pending, i)
+	}
+	return s
+}
+
+// cutUp are three workers with 3, 9 and 6 cores free, the last one with too little
+// memory for a second task.
+func cutUp() []dispatch.Worker {
+	var list []dispatch.Worker
+	for i, free := range []workflow.Resources{{MilliCPU: 3000, MemoryMB: 50_000}, {MilliCPU: 9000, MemoryMB: 50_000, Accelerators: 1}, {MilliCPU: 6000, MemoryMB: 9000}} {
+		list = append(list, dispatch.Worker{
+			Worker: workflow.Worker{ID: fmt.Sprint("w", i), Service: "s", Capacity: workflow.Resources{MilliCPU: 16_000, MemoryMB: 64_000, Accelerators: 2}},
+			Free:   free, Unplanned: free,
+		})
+	}
+	return list
+}
+
+func TestTheLoadTellsHowTheRoomIsCutUpAndWhatWaits(t *testing.T) {
+	ten, lines, counters := watchedTenure()
+	now := time.Now()
+	small, large := waitingStepOf("small", 2, true), waitingStepOf("large", 9, true)
+	large.NeedsPermit, large.Permits = true, map[string]dispatch.Permit{"w2": {Granted: true}, "w1": {}}
+	v := &view{steps: []dispatch.Step{small, large, waitingStepOf("behind", 1, false)}, workers: cutUp()}
+	v.workers[1].Free, v.workers[1].Kept = workflow.Resources{MilliCPU: 1000, MemoryMB: 34_000, Accelerators: 1}, workflow.Resources{MilliCPU: 8000, MemoryMB: 16_000}
+	plan := &dispatch.Plan{Behind: 1, Waiting: []dispatch.Waiting{
+		{Step: large.Key, Tasks: 9, Reason: dispatch.ReasonGangs}, {Step: small.Key, Tasks: 2, Reason: dispatch.ReasonNoRoom},
+	}}
+	ten.noteWaiting(&dispatch.Plan{Behind: 2, Waiting: plan.Waiting[:1]}, now)
+	now = now.Add(3 * time.Second)
+	ten.noteWaiting(plan, now)
+	lines.Reset()
+	ten.noteLoad(v, plan, now)
+	for _, want := range []string{
+		"milli_cpu=48000 free_milli_cpu=18000 memory_mb=192000 free_memory_mb=109000 accelerators=6 free_accelerators=1",
+		"kept_milli_cpu=8000 kept_memory_mb=16000 largest_free=9000/50000/1",
+		`waiting=2 behind=1 waiting_by="1: behind the steps that one decision goes into; 1: behind the gangs that room is kept for; 1: no room on a worker that may run the step"`,
+		"waiting_gangs=2 largest_gang=large/0/0 largest_gang_tasks=9 largest_gang_each=4000/8000/0 free_pieces=3 permitted_pieces=1",
+		`oldest=large/0/0 oldest_ms=3000 oldest_reason="behind the gangs that room is kept for" oldest_tasks=9 oldest_gang=true`,
+		"oldest_pieces=3 oldest_permitted_pieces=1",
+	} {
+		must.StrContains(t, lines.String(), want)
+	}
+	for name, want := range map[string]int64{
+		"free_memory_mb": 109_000, "kept_milli_cpu": 8000, "free_pieces": 3, "waiting_gangs": 2, "oldest_waiting_ms": 3000,
+		"waiting_steps": 3, "waiting_turn": 1, "waiting_gangs_before": 1, "waiting_room": 1, "waiting_kept": 0,
+	} {
+		must.Eq(t, want, counters[name], must.Sprint(name))
+	}
+	lines.Reset()
+	ten.noteLoad(v, plan, now.Add(loadEvery/2))
+	must.Eq(t, "", lines.String(), must.Sprint("once a second"))
+}
+
+func TestTheLoadOfAnEmptyQueue(t *testing.T) {
+	ten, lines, counters := watchedTenure()
+	counters["oldest_waiting_ms"], counters["waiting_room"] = 5, 5
+	ten.noteWaiting(&dispatch.Plan{}, time.Now())
+	ten.noteLoad(&view{workers: cutUp()}, &dispatch.Plan{}, time.Now())
+	must.StrContains(t, lines.String(), "waiting=0 behind=0 waiting_by= waiting_gangs=0 kept_back=")
+	must.Eq(t, int64(0), counters["oldest_waiting_ms"])
+	must.Eq(t, int64(0), counters["waiting_room"])
+}
+
+func TestAStepThatNoDecisionGoesIntoIsTold(t *testing.T) {
+	ten, lines, _ := watchedTenure()
+	now := time.Now()
+	v := &view{}
+	for i := range 3 * turnLines {
+		v.steps = append(v.steps, waitingStepOf(fmt.Sprint("j", i), 1, false))
+	}
+	plan := &dispatch.Plan{Behind: len(v.steps), Starts: []dispatch.Start{{Task: workflow.TaskKey{StepKey: v.steps[0].Key}}}}
+	ten.noteWaiting(plan, now)
+	ten.noteLoad(v, plan, now)
+	must.Eq(t, turnLines, bytes.Count(lines.Bytes(), []byte(`reason="behind the steps that one decision goes into"`))-1,
+		must.Sprint("one line is the load's"))
+	must.Eq(t, dispatch.ReasonTurn, ten.reasonOf(v.steps[5].Key))
+	must.MapLen(t, len(v.steps)-1, ten.waiting, must.Sprint("what has started doesn't wait"))
+	v.steps = v.steps[:2]
+	ten.noteLoad(v, &dispatch.Plan{Behind: 1}, now.Add(2*loadEvery))
+	must.MapLen(t, 2, ten.waiting)
+	ten.noteWaiting(&dispatch.Plan{}, now)
+	must.MapLen(t, 0, ten.waiting)
+	must.Eq(t, "", ten.reasonOf(v.steps[1].Key))
+}
+
+func TestAWaitingStepSaysForHowLongItWaitedForWhat(t *testing.T) {
+	ten, lines, _ := watchedTenure()
+	begin := time.Now()
+	at := func(after time.Duration, reason dispatch.Reason, started bool) string {
+		lines.Reset()
+		plan := &dispatch.Plan{Waiting: []dispatch.Waiting{{Step: workflow.StepKey{Job: "a"}, Tasks: 4, Reason: reason}}}
+		if started {
+			plan.Starts = []dispatch.Start{{Task: workflow.TaskKey{StepKey: workflow.StepKey{Job: "a"}}}}
+		}
+		ten.noteWaiting(plan, begin.Add(after))
+		return lines.String()
+	}
+	must.StrContains(t, at(0, dispatch.ReasonNoRoom, false), "waited_ms=0 earlier=\n")
+	must.Eq(t, "", at(100*time.Millisecond, dispatch.ReasonKept, false), must.Sprint("a line was written just now"))
+	must.Eq(t, "", at(900*time.Millisecond, dispatch.ReasonPermit, false))
+	must.Eq(t, "", at(1100*time.Millisecond, dispatch.ReasonPermit, false), must.Sprint("each question is logged"))
+	must.StrContains(t, at(1500*time.Millisecond, dispatch.ReasonKept, false), "waited_ms=1500 "+
+		`earlier="100 ms: no room on a worker that may run the step; 800 ms: the room that would do is kept for steps before it; 600 ms: waiting for the adviser"`)
+	must.Eq(t, "", at(3*time.Second, dispatch.ReasonKept, true), must.Sprint("nothing new"))
+	must.StrContains(t, at(4*time.Second, dispatch.ReasonKept, false), "waited_ms=1000 earlier=\n", must.Sprint("from its last start"))
+}
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -77,9 +77,9 @@
 		t.preempt(plan.Preempts, begun)
 	}
 	t.noteEarmarks(plan.Earmarks)
+	t.noteWaiting(&plan, begun)
 	t.noteLoad(&v, &plan, begun)
 	t.noteQueue(&v)
-	t.logWaiting(plan.Waiting)
 	t.carryOut(&plan, v.copies)
 }
 
@@ -114,21 +114,6 @@
 	}
 }
 
-// logWaiting logs why steps wait, once for each new reason of a step. Waiting for
-// the adviser isn't logged: each question is.
-func (t *tenure) logWaiting(waiting []dispatch.Waiting) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	before := t.waiting
-	t.waiting = make(map[workflow.StepKey]dispatch.Reason, len(waiting))
-	for _, w := range waiting {
-		t.waiting[w.Step] = w.Reason
-		if w.Reason != dispatch.ReasonPermit && before[w.Step] != w.Reason {
-			t.logger.Log("event", "step_waiting", "step", w.Step, "tasks", w.Tasks, "reason", w.Reason, "label", w.Label)
-		}
-	}
-}
-
 // adviceOf returns a step's queue and its policy of the adviser, nil when its job has
 // been forgotten meanwhile.
 func (t *tenure) adviceOf(step workflow.StepKey) (queue string, policy *workflow.AdvicePolicy) {
--- a/internal/control/tenure.go
+++ b/internal/control/tenure.go
@@ -66,8 +66,10 @@
 	lostAt time.Time
 	// sweptAt is when runs to stop or to copy were looked for last.
 	sweptAt time.Time
-	// waiting is why steps waited at the last decision.
-	waiting  map[workflow.StepKey]dispatch.Reason
+	// waiting is what is known of the steps that wait, behind how many the last decision
+	// didn't go into.
+	waiting  map[workflow.StepKey]*waitingStep
+	behind   int
 	sessions map[string]*session
 	permits  map[workflow.StepKey]*stepPermits
 	// grantShares is, by queue, the share of workers asked about that the adviser has
--- /dev/null
+++ b/internal/control/waiting.go
@@ -0,0 +1,189 @@
+package control
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/bilberryferry/bilberryferry/dispatch"
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+const (
+	// waitingLinePause is the least time between two lines on what one step waits for:
+	// reasons may change with each of ten decisions a second.
+	waitingLinePause = time.Second
+	// turnLines is how many steps at most are logged each second as not yet gone into: a
+	// twentieth of the lines that a process may write.
+	turnLines = 100
+)
+
+// waitingStep is what is known of a step that waits.
+type waitingStep struct {
+	// reason is that of the last decision that went into the step, reasonAt when it
+	// began to be.
+	reason   dispatch.Reason
+	reasonAt time.Time
+	// since is when the step was first found waiting, or a task of it last started.
+	since time.Time
+	// seenAt is the last decision that found it waiting.
+	seenAt time.Time
+	// spent is how long it has waited by each earlier reason.
+	spent []spell
+	// logged is the reason that was logged last, loggedAt when.
+	logged   dispatch.Reason
+	loggedAt time.Time
+}
+
+// spell is time waited for one reason.
+type spell struct {
+	reason dispatch.Reason
+	took   time.Duration
+}
+
+func newWaitingStep(reason dispatch.Reason, now time.Time) *waitingStep {
+	return &waitingStep{reason: reason, reasonAt: now, since: now, seenAt: now}
+}
+
+// note takes in what a decision found.
+func (w *waitingStep) note(reason dispatch.Reason, now time.Time) {
+	w.seenAt = now
+	if reason == w.reason {
+		return
+	}
+	w.add(w.reason, now.Sub(w.reasonAt))
+	w.reason, w.reasonAt = reason, now
+}
+
+func (w *waitingStep) add(reason dispatch.Reason, took time.Duration) {
+	for i := range w.spent {
+		if w.spent[i].reason == reason {
+			w.spent[i].took += took
+			return
+		}
+	}
+	w.spent = append(w.spent, spell{reason, took})
+}
+
+// restart takes in that a task of the step has started while others wait on.
+func (w *waitingStep) restart(now time.Time) {
+	w.since, w.reasonAt, w.spent, w.logged = now, now, nil, ""
+}
+
+// lineDue reports whether the reason is to be logged. That the adviser is asked isn't:
+// each question is.
+func (w *waitingStep) lineDue(now time.Time) bool {
+	return w.reason != dispatch.ReasonPermit && w.reason != w.logged && now.Sub(w.loggedAt) >= waitingLinePause
+}
+
+// earlier tells how long the step has waited for earlier reasons.
+func (w *waitingStep) earlier() string {
+	list := make([]string, len(w.spent))
+	for i, s := range w.spent {
+		list[i] = fmt.Sprintf("%d ms: %s", s.took.Milliseconds(), s.reason)
+	}
+	return strings.Join(list, "; ")
+}
+
+// noteWaiting takes in why steps wait, and logs it for each new reason of a step.
+// Where the decision went into all steps, those that it doesn't name wait no more.
+func (t *tenure) noteWaiting(plan *dispatch.Plan, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	before := t.waiting
+	t.behind = plan.Behind
+	if plan.Behind == 0 || before == nil {
+		t.waiting = make(map[workflow.StepKey]*waitingStep, len(plan.Waiting))
+	}
+	for i := range plan.Waiting {
+		w := &plan.Waiting[i]
+		known := before[w.Step]
+		if known == nil {
+			known = newWaitingStep(w.Reason, now)
+		}
+		known.note(w.Reason, now)
+		t.waiting[w.Step] = known
+		t.logWaiting(w, known, now)
+	}
+	for i := range plan.Starts {
+		key := plan.Starts[i].Task.StepKey
+		switch known := t.waiting[key]; {
+		case known == nil:
+		case known.seenAt.Equal(now):
+			known.restart(now)
+		default:
+			delete(t.waiting, key)
+		}
+	}
+}
+
+func (t *tenure) logWaiting(w *dispatch.Waiting, known *waitingStep, now time.Time) {
+	if !known.lineDue(now) {
+		return
+	}
+	known.logged, known.loggedAt = known.reason, now
+	t.logger.Log("event", "step_waiting", "step", w.Step, "tasks", w.Tasks, "reason", known.reason, "label", w.Label,
+		"waited_ms", now.Sub(known.since).Milliseconds(), "earlier", known.earlier())
+}
+
+// reasonOf says why a step waits. t.mu is held.
+func (t *tenure) reasonOf(key workflow.StepKey) dispatch.Reason {
+	if known := t.waiting[key]; known != nil {
+		return known.reason
+	}
+	if t.behind > 0 {
+		return dispatch.ReasonTurn
+	}
+	return ""
+}
+
+// noteBehind finds the steps that no decision has gone into yet, and forgets those
+// that wait no more. It looks at all steps: once a second, and only while decisions
+// don't go into all of them. t.mu is held.
+func (t *tenure) noteBehind(v *view, plan *dispatch.Plan, now time.Time) {
+	if plan.Behind == 0 {
+		return
+	}
+	started := make(map[workflow.StepKey]bool, len(plan.Starts))
+	for i := range plan.Starts {
+		started[plan.Starts[i].Task.StepKey] = true
+	}
+	ready := make(map[workflow.StepKey]bool, len(v.steps))
+	lines := 0
+	for i := range v.steps {
+		s := &v.steps[i]
+		ready[s.Key] = true
+		if s.Copy || started[s.Key] || t.waiting[s.Key] != nil {
+			continue
+		}
+		known := newWaitingStep(dispatch.ReasonTurn, now)
+		t.waiting[s.Key] = known
+		if lines++; lines > turnLines {
+			continue
+		}
+		t.logWaiting(&dispatch.Waiting{Step: s.Key, Tasks: len(s.Pending), Label: s.Spec.Label}, known, now)
+	}
+	for key := range t.waiting {
+		if !ready[key] {
+			delete(t.waiting, key)
+		}
+	}
+}
+
+// oldestWaiting returns the step that has waited longest of those that a decision
+// left, nil when none waits. t.mu is held.
+func (t *tenure) oldestWaiting(v *view) (*dispatch.Step, *waitingStep) {
+	var oldest *dispatch.Step
+	var known *waitingStep
+	for i := range v.steps {
+		s := &v.steps[i]
+		w := t.waiting[s.Key]
+		if s.Copy || w == nil {
+			continue
+		}
+		if oldest == nil || w.since.Before(known.since) || w.since.Equal(known.since) && workflow.CompareSteps(s.Key, oldest.Key) < 0 {
+			oldest, known = s, w
+		}
+	}
+	return oldest, known
+}
