--- a/internal/jobtrace/trace.go
+++ b/internal/jobtrace/trace.go
@@ -167,6 +167,9 @@
 	if kept := worst.Get("kept_back"); kept != "" {
 		text += " (kept back: " + kept + ")"
 	}
+	if waiting := worst.Get("waiting_by"); waiting != "" {
+		text += " (steps that waited: " + waiting + ")"
+	}
 	return text
 }
 
--- a/internal/jobtrace/trace_test.go
+++ b/internal/jobtrace/trace_test.go
@@ -96,6 +96,28 @@
 		"meanwhile up to 90 tasks waited for 36 workers (kept back: 2: the worker leaves)", Of(lines, "b").Verdict)
 }
 
+// A gang that two limits held in turn, while the pool had room in pieces too small.
+func TestAGangThatWaitedForTwoReasons(t *testing.T) {
+	lines, err := Read(strings.NewReader(`
+ts=2026-07-06T09:00:00.000Z instance=core-1 event=submit job=g outcome=accepted
+ts=2026-07-06T09:00:00.000Z instance=core-1 event=step_waiting step=g/0/0 tasks=40 reason="behind the gangs that room is kept for" waited_ms=0 earlier=
+ts=2026-07-06T09:00:01.000Z instance=core-1 event=load usable_workers=350 tasks=40 behind=30 waiting_by="30: behind the steps that one decision goes into; 1: no room"
+ts=2026-07-06T09:00:09.000Z instance=core-1 event=step_waiting step=g/0/0 tasks=40 reason="no room" waited_ms=9000 earlier="9000 ms: behind the gangs that room is kept for"
+ts=2026-07-06T09:00:12.000Z instance=core-1 event=run_started task=g/0/0/0 run=1 worker=i-1
+ts=2026-07-06T09:00:13.000Z instance=core-1 event=run_ended task=g/0/0/0 run=1 worker=i-1 outcome=done
+ts=2026-07-06T09:00:13.000Z instance=core-1 event=job_ended job=g phase=done objective_ms=1500
+`))
+	must.NoError(t, err)
+	got := Of(lines, "g")
+	must.Eq(t, []Span{
+		{spanWaiting + "behind the gangs that room is kept for", 9 * time.Second},
+		{spanWaiting + "no room", 3 * time.Second}, {spanWork, time.Second},
+	}, got.Spans)
+	must.Eq(t, "done after 13s, objective 1500 ms; longest: 9s waiting: behind the gangs that room is kept for; "+
+		"meanwhile up to 40 tasks waited for 350 workers "+
+		"(steps that waited: 30: behind the steps that one decision goes into; 1: no room)", got.Verdict)
+}
+
 func TestTimeWithoutALeader(t *testing.T) {
 	lines, err := Read(strings.NewReader(`
 ts=2026-07-06T09:00:00.000Z instance=core-1 event=submit job=a outcome=accepted
