A line tells by which version of the configuration an instance answers; answers name it exactly

The version that an answer named was the one before the call was served: one too low for a call that had waited for the log. Change: the look-up of a queue notes the version that it answers by, the reply names it, refusals included; an edge logs event=answered_by when that isn't the last answer's, with who said so and how long the request waited.

--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -62,22 +62,25 @@
 // resolve finds the queue of a place. NotFound is said only after the log has
 // shown that the configuration here is the newest.
 func (c *Controller) resolve(ctx context.Context, place Place) (workflow.Queue, string, error) {
-	queue, rest, err := c.lookUp(place)
+	queue, rest, err := c.lookUp(ctx, place)
 	if !fault.Is(err, fault.NotFound) {
 		return queue, rest, err
 	}
 	if err := c.catchUp(ctx); err != nil {
 		return workflow.Queue{}, "", err
 	}
-	return c.lookUp(place)
+	return c.lookUp(ctx, place)
 }
 
-func (c *Controller) lookUp(place Place) (found workflow.Queue, rest string, err error) {
+// lookUp finds the queue of a place in the configuration here, and notes by which
+// version it answers.
+func (c *Controller) lookUp(ctx context.Context, place Place) (found workflow.Queue, rest string, err error) {
 	c.state.read(func(s *workflow.State) {
 		if s.Configuration.Source == nil {
 			err = fault.Retry(fault.Unavailable, retryLater, "no configuration yet")
 			return
 		}
+		link.NoteVersion(ctx, s.Configuration.Version)
 		queue, after, ok := s.Configuration.Resolve(place.Host, place.Path)
 		if place.Queue != "" {
 			queue, ok = s.Configuration.Queue(place.Queue)
@@ -157,11 +160,11 @@
 // Load that it answers: callers ask for their jobs two or three times as often as
 // they hand one in, mostly after the end; with 350 workers that is a fifth of the
 // calls that the leader serves.
-func (c *Controller) Ended(_ context.Context, r *EndedCall) (EndedReply, error) {
+func (c *Controller) Ended(ctx context.Context, r *EndedCall) (EndedReply, error) {
 	if c.log.Status().Leader == "" || c.version() < r.Version {
 		return EndedReply{}, nil
 	}
-	queue, id, err := c.lookUp(r.Place)
+	queue, id, err := c.lookUp(ctx, r.Place)
 	if err != nil || id == "" {
 		// The leader says so, with proof.
 		return EndedReply{}, nil
--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -51,9 +51,9 @@
 // askTimeout bounds a question to an instance that needn't lead; the leader knows too.
 const askTimeout = 150 * time.Millisecond
 
-// Ended asks a member other than the leader for a job that may have ended. Without
-// an answer the leader has to be asked.
-func (g *Gateway) Ended(ctx context.Context, place control.Place) (phase workflow.Phase, known bool) {
+// Ended asks a member other than the leader for a job that may have ended, for a
+// request that a caller made at begun. Without an answer the leader has to be asked.
+func (g *Gateway) Ended(ctx context.Context, begun time.Time, place control.Place) (phase workflow.Phase, known bool) {
 	member := g.other()
 	if member == "" {
 		return 0, false
@@ -62,10 +62,14 @@
 	defer cancel()
 	var reply control.EndedReply
 	call := &control.EndedCall{Place: place, Version: g.client.Version()}
-	if err := g.client.Call(ctx, member, control.MethodEnded, call, &reply); err != nil {
+	version, err := g.client.CallVersioned(ctx, member, control.MethodEnded, call, &reply)
+	if err != nil {
 		g.avoid(member)
 		return 0, false
 	}
+	if reply.Known {
+		g.answers.note(version, begun, member)
+	}
 	return reply.Phase, reply.Known
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -18,14 +18,34 @@
 	request any
 	// open says that some try may have been carried out.
 	open bool
+	// version is that of the configuration by which the last try was answered, from is
+	// who answered; 0 and empty for nobody.
+	version uint64
+	from    string
 }
 
 // Call makes a call of the leader within the time of ctx. It goes on to other
 // members while no leader answers. The error is of kind Unknown when some try
 // may have been carried out, and otherwise says that none was.
 func Call[Reply any](ctx context.Context, g *Gateway, method string, request any) (Reply, error) {
-	var reply Reply
+	return finish[Reply](ctx, &attempt{g: g, method: method, request: request})
+}
+
+// CallForCaller is Call for a request that a caller made at begun, and whose outcome
+// shows the caller which version of the configuration was in force.
+func CallForCaller[Reply any](ctx context.Context, g *Gateway, begun time.Time, method string, request any) (Reply, error) {
 	a := &attempt{g: g, method: method, request: request}
+	reply, err := finish[Reply](ctx, a)
+	if a.version != 0 && showsVersion(err) {
+		g.answers.note(a.version, begun, a.from)
+	}
+	return reply, err
+}
+
+// finish makes tries until one settles the call.
+func finish[Reply any](ctx context.Context, a *attempt) (Reply, error) {
+	var reply Reply
+	g := a.g
 	for {
 		leader, changed := g.known()
 		var done bool
@@ -39,7 +59,7 @@
 		case done:
 			return reply, err
 		case ctx.Err() != nil:
-			return reply, outOfTime(method, a.open)
+			return reply, outOfTime(a.method, a.open)
 		}
 	}
 }
@@ -108,7 +128,8 @@
 func (a *attempt) try(ctx context.Context, address string, limit time.Duration, reply any) (done bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	err = a.g.client.Call(ctx, address, a.method, a.request, reply)
+	a.from = address
+	a.version, err = a.g.client.CallVersioned(ctx, address, a.method, a.request, reply)
 	switch {
 	case err == nil:
 		a.g.noteLeader(address)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,7 +58,8 @@
 	// search has room for one: whoever fills it may go through the members.
 	search chan struct{}
 	// asking is held by the one call that asks members who leads.
-	asking sync.Mutex
+	asking  sync.Mutex
+	answers answers
 
 	mu      sync.Mutex
 	seeds   []string
@@ -80,6 +81,7 @@
 	return &Gateway{
 		client: client, own: own, seeds: seeds, members: seeds, logger: logger,
 		search: make(chan struct{}, 1), changed: make(chan struct{}),
+		answers:    answers{logger: logger},
 		avoidUntil: map[string]time.Time{},
 	}
 }
--- a/internal/instance/operations.go
+++ b/internal/instance/operations.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -26,39 +27,61 @@
 // call tries the own controller first; it refuses at once where it doesn't lead.
 func call[Request, Reply any](ctx context.Context, o *Operations, method string, request *Request,
 	own func(*control.Controller, context.Context, *Request) (Reply, error)) (Reply, error) {
-	if c := o.own.Load(); c != nil {
-		reply, err := own(c, ctx, request)
-		if !errors.Is(err, link.ErrNotLeader) {
-			return reply, err
-		}
-		if leader := link.LeaderOf(err); leader != "" {
-			o.gateway.Suggest(leader)
-		}
+	if reply, err := tryOwn(ctx, o, request, own); !errors.Is(err, link.ErrNotLeader) {
+		return reply, err
 	}
 	return gateway.Call[Reply](ctx, o.gateway, method, request)
 }
 
+// callForCaller is call for a request that a caller made at begun, and whose outcome
+// shows the caller which version of the configuration was in force.
+func callForCaller[Request, Reply any](ctx context.Context, o *Operations, begun time.Time, method string, request *Request,
+	own func(*control.Controller, context.Context, *Request) (Reply, error)) (Reply, error) {
+	if reply, err := tryOwn(ctx, o, request, own); !errors.Is(err, link.ErrNotLeader) {
+		return reply, err
+	}
+	return gateway.CallForCaller[Reply](ctx, o.gateway, begun, method, request)
+}
+
+// tryOwn makes a call of the own controller. The error is marked ErrNotLeader where
+// another instance has to be asked.
+func tryOwn[Request, Reply any](ctx context.Context, o *Operations, request *Request,
+	own func(*control.Controller, context.Context, *Request) (Reply, error)) (Reply, error) {
+	c := o.own.Load()
+	if c == nil {
+		var none Reply
+		return none, link.ErrNotLeader
+	}
+	reply, err := own(c, ctx, request)
+	if leader := link.LeaderOf(err); leader != "" {
+		o.gateway.Suggest(leader)
+	}
+	return reply, err
+}
+
 // Submit hands a job in. Without contact to the leader it refuses at once.
 func (o *Operations) Submit(ctx context.Context, r *control.SubmitCall) (control.SubmitReply, error) {
+	begun := time.Now()
 	if !o.gateway.InTouch() {
 		return control.SubmitReply{}, fault.Retry(fault.Unavailable, gateway.RetryAfter, "no leader is reached")
 	}
-	return call(ctx, o, control.MethodSubmit, r, (*control.Controller).Submit)
+	return callForCaller(ctx, o, begun, control.MethodSubmit, r, (*control.Controller).Submit)
 }
 
 // State asks for a job or a queue: first for one that has ended, which any instance
 // of the core can tell, then the leader.
 func (o *Operations) State(ctx context.Context, r *control.StateCall) (control.StateReply, error) {
-	if phase, known := o.ended(ctx, r.Place); known {
+	begun := time.Now()
+	if phase, known := o.ended(ctx, begun, r.Place); known {
 		return control.StateReply{Phase: phase}, nil
 	}
-	return call(ctx, o, control.MethodState, r, (*control.Controller).State)
+	return callForCaller(ctx, o, begun, control.MethodState, r, (*control.Controller).State)
 }
 
-func (o *Operations) ended(ctx context.Context, place control.Place) (workflow.Phase, bool) {
+func (o *Operations) ended(ctx context.Context, begun time.Time, place control.Place) (workflow.Phase, bool) {
 	c := o.own.Load()
 	if c == nil {
-		return o.gateway.Ended(ctx, place)
+		return o.gateway.Ended(ctx, begun, place)
 	}
 	reply, err := c.Ended(ctx, &control.EndedCall{Place: place})
 	return reply.Phase, err == nil && reply.Known
@@ -66,7 +89,7 @@
 
 // Cancel cancels a job.
 func (o *Operations) Cancel(ctx context.Context, r *control.CancelCall) error {
-	_, err := call(ctx, o, control.MethodCancel, r, (*control.Controller).Cancel)
+	_, err := callForCaller(ctx, o, time.Now(), control.MethodCancel, r, (*control.Controller).Cancel)
 	return err
 }
 
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -6,6 +6,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -86,33 +87,49 @@
 // Call makes a call and decodes the reply into reply. Errors are faults; those
 // marked ErrUnsent or ErrNotLeader say that nothing was done.
 func (c *Client) Call(ctx context.Context, address, method string, request, reply any) error {
+	_, err := c.CallVersioned(ctx, address, method, request, reply)
+	return err
+}
+
+// CallVersioned is Call, and returns the version of the configuration that the
+// answer was made by, refusals included; 0 where none is named.
+func (c *Client) CallVersioned(ctx context.Context, address, method string, request, reply any) (version uint64, err error) {
+	e, err := c.exchange(ctx, address, method, request)
+	if err != nil {
+		return 0, err
+	}
+	c.noteVersion(e.Version)
+	if e.Failed {
+		return e.Version, e.err()
+	}
+	return e.Version, errors.Wrapf(cbor.Unmarshal(e.Value, reply), "decode the answer of %s", method)
+}
+
+// exchange sends a call and reads the body of the answer.
+func (c *Client) exchange(ctx context.Context, address, method string, request any) (envelope, error) {
+	var e envelope
 	body, err := cbor.Marshal(request)
 	if err != nil {
-		return errors.Wrapf(err, "encode a call of %s", method)
+		return e, errors.Wrapf(err, "encode a call of %s", method)
 	}
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+pathPrefix+method, bytes.NewReader(body))
 	if err != nil {
-		return errors.Wrapf(err, "call %s", method)
+		return e, errors.Wrapf(err, "call %s", method)
 	}
 	r.Header.Set("Content-Type", contentType)
 	response, err := c.http.Do(r)
 	if err != nil {
-		return callError(method, err)
+		return e, callError(method, err)
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxBody))
 	if err != nil {
-		return fault.New(fault.Unknown, "%s: the answer broke off: %v", method, err)
+		return e, fault.New(fault.Unknown, "%s: the answer broke off: %v", method, err)
 	}
-	var e envelope
 	if err := cbor.Unmarshal(data, &e); err != nil {
-		return fault.New(fault.Unknown, "%s: answer %d can't be read: %v", method, response.StatusCode, err)
-	}
-	c.noteVersion(e.Version)
-	if e.Failed {
-		return e.err()
+		return e, fault.New(fault.Unknown, "%s: answer %d can't be read: %v", method, response.StatusCode, err)
 	}
-	return errors.Wrapf(cbor.Unmarshal(e.Value, reply), "decode the answer of %s", method)
+	return e, nil
 }
 
 func callError(method string, err error) error {
@@ -164,8 +181,9 @@
 // NewMux returns a Mux without methods.
 func NewMux() *Mux { return &Mux{http: http.NewServeMux()} }
 
-// SetVersion has each answer name the version of the configuration that it was made
-// by. version is asked before the call is served, so that it is never too high.
+// SetVersion has each answer name a version of the configuration: the one that was
+// noted while the call was served, see NoteVersion, or else what version returned
+// before, which is never too high.
 func (m *Mux) SetVersion(version func() uint64) { m.version.Store(&version) }
 
 func (m *Mux) currentVersion() uint64 {
@@ -185,13 +203,14 @@
 func Handle[Request, Reply any](m *Mux, method string, serve func(context.Context, *Request) (Reply, error)) {
 	m.http.HandleFunc("POST "+pathPrefix+method, func(w http.ResponseWriter, r *http.Request) {
 		version := m.currentVersion()
-		e := serveOne(r, serve)
-		e.Version = version
+		ctx, note := WithVersionNote(r.Context())
+		e := serveOne(ctx, r, serve)
+		e.Version = cmp.Or(note.Version(), version)
 		answer(w, e)
 	})
 }
 
-func serveOne[Request, Reply any](r *http.Request, serve func(context.Context, *Request) (Reply, error)) envelope {
+func serveOne[Request, Reply any](ctx context.Context, r *http.Request, serve func(context.Context, *Request) (Reply, error)) envelope {
 	data, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
 	if err != nil {
 		return failure(fault.Field("body", "%v", err))
@@ -200,7 +219,7 @@
 	if err := cbor.Unmarshal(data, request); err != nil {
 		return failure(fault.Field("body", "%v", err))
 	}
-	reply, err := serve(r.Context(), request)
+	reply, err := serve(ctx, request)
 	if err != nil {
 		return failure(err)
 	}
--- /dev/null
+++ b/internal/link/version_test.go
@@ -0,0 +1,47 @@
+package link
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/bilberryferry/bilberryferry/fault"
+)
+
+// serveVersions serves one method on a mux whose version was 62 when a call began.
+func serveVersions(t *testing.T, serve func(context.Context) error) (address string) {
+	mux := NewMux()
+	mux.SetVersion(func() uint64 { return 62 })
+	Handle(mux, "m", func(ctx context.Context, _ *struct{}) (struct{}, error) { return struct{}{}, serve(ctx) })
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func TestAnswersAndRefusalsNameTheVersionThatWasNoted(t *testing.T) {
+	for _, outcome := range []error{nil, fault.New(fault.NotFound, "no queue")} {
+		address := serveVersions(t, func(ctx context.Context) error {
+			NoteVersion(ctx, 65)
+			return outcome
+		})
+		client := NewClient()
+		version, err := client.CallVersioned(t.Context(), address, "m", &struct{}{}, &struct{}{})
+		must.Eq(t, outcome == nil, err == nil)
+		must.Eq(t, uint64(65), version)
+		must.Eq(t, uint64(65), client.Version())
+	}
+}
+
+func TestAnAnswerWithoutANoteNamesTheVersionBeforeTheCall(t *testing.T) {
+	address := serveVersions(t, func(context.Context) error { return nil })
+	version, err := NewClient().CallVersioned(t.Context(), address, "m", &struct{}{}, &struct{}{})
+	must.NoError(t, err)
+	must.Eq(t, uint64(62), version)
+}
+
+func TestNotingAVersionThatNobodyAsksForDoesNothing(t *testing.T) {
+	NoteVersion(t.Context(), 65)
+}
