--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log"
 	"github.com/shoenig/test/must"
 
+	"github.com/bilberryferry/bilberryferry/fault"
 	"github.com/bilberryferry/bilberryferry/internal/control"
 	"github.com/bilberryferry/bilberryferry/internal/link"
 )
@@ -50,3 +51,36 @@
 	must.StrContains(t, lines.String(), "event=answered_by version=62 before=0 from="+leader)
 	must.StrContains(t, lines.String(), "event=answered_by version=65 before=62 from="+leader)
 }
+
+// heldLeader answers for the queue "added" by version 65, once released is closed,
+// and for all others by version 62 at once.
+func heldLeader(t *testing.T, released <-chan struct{}) string {
+	return versioned(t, func(queue string) (uint64, error) {
+		if queue != "added" {
+			return 62, nil
+		}
+		<-released
+		return 65, nil
+	})
+}
+
+// What a user sees: the queue that a new configuration adds is there, and a request
+// sent 0.3 s later to the same instance still finds one that it drops.
+// Order: the leader's data centre is cut off; a request is held there; a later one
+// is answered by the next leader; the new configuration is committed; the first
+// request reaches the next leader and is answered by it.
+// Cause: each answer was by the newest version of its moment, in another order than
+// the requests came in.
+func TestARequestIsNotAnsweredByANewerVersionThanALaterOne(t *testing.T) {
+	released := make(chan struct{})
+	g := New(link.NewClient(), "own", []string{heldLeader(t, released)}, log.NewNopLogger())
+	first := make(chan error, 1)
+	go func() { first <- askFor(t.Context(), g, "added") }()
+	time.Sleep(300 * time.Millisecond)
+	must.NoError(t, askFor(t.Context(), g, "dropped"))
+	close(released)
+	err := <-first
+	must.Error(t, err)
+	must.Eq(t, fault.Unavailable, fault.KindOf(err))
+	must.Eq(t, RetryAfter, fault.From(err).RetryAfter)
+}
