Answers are kept in the order of their requests: a held request gets no newer version than a later one

Cause: a request that is held at a leader that was cut off is answered by the next one, by a configuration that was committed meanwhile, after later requests have been answered by the one before. To callers, who go by when they asked, the instance went back. Ruled out: letting the leader prove each answer by a barrier: both answers were by the newest version of their moment, and a barrier for each costs the leader, which is bound by its processor, a round trip and a wake-up a read; refusing all requests that have waited long: most get the right answer. Change: an edge keeps, for the last eight versions, when the first and the last request began that it answered by each. An answer by a newer version than that of a request which began over 100 ms later is withheld, and so is one by an older version than that of a request which began over 100 ms before: a read and a refusal get 503 with a time to come back, a change that was carried out gets 504, for its fate mustn't be said to be "not done".

--- a/internal/gateway/answers.go
+++ b/internal/gateway/answers.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,14 +11,45 @@
 	"github.com/bilberryferry/bilberryferry/fault"
 )
 
+const (
+	// overtaking is by how much a request may have begun before another one and be
+	// answered by a newer version of the configuration all the same. Callers take a
+	// request for a later one that is sent 250 ms later; this is less by what the way
+	// here may take. Without a change of leader an answer takes some milliseconds, so
+	// that nothing is withheld then.
+	overtaking = 100 * time.Millisecond
+	// maxSpans bounds the versions that are remembered: a request lasts 10 s at most,
+	// and in that time a version more or less doesn't matter.
+	maxSpans = 8
+)
+
 // answers knows by which versions of the configuration this instance has answered
-// its callers. It is safe for concurrent use.
+// its callers, and keeps the answers in the order of the requests. It is safe for
+// concurrent use.
+//
+// Failure guarded against: a request is held at a leader that was cut off, and the
+// next leader answers it by a version that was committed meanwhile, while one that
+// came later was answered at once by the version before. It shows as an instance
+// that goes back to an older version: each answer is by the newest version of its
+// moment, but callers go by when they asked. The guard withholds the answer that
+// comes second, whichever it is; its caller asks again and gets one by the newest
+// version. Out-of-date leaders are covered as well: an answer by an older version
+// than an earlier request's is withheld.
 type answers struct {
 	logger log.Logger
 
 	mu sync.Mutex
 	// last is the version of the last answer.
 	last uint64
+	// spans are in the order of their versions.
+	spans []span
+}
+
+// span is when the requests began that were answered by a version: the first one
+// and the last one of them.
+type span struct {
+	version     uint64
+	first, last time.Time
 }
 
 // showsVersion reports whether an outcome tells a caller which version was in force:
@@ -33,15 +66,64 @@
 	}
 }
 
-// note takes in that a request that began at begun is answered by a version, as
-// the instance at address from said, and logs when that isn't the last one's.
-func (a *answers) note(version uint64, begun time.Time, from string) {
+// take reports whether a request that began at begun may be answered by a version,
+// and takes in that it is. It logs when the version isn't that of the last answer;
+// from is the address of the instance that answered.
+func (a *answers) take(version uint64, begun time.Time, from string) error {
 	a.mu.Lock()
-	before := a.last
-	a.last = version
-	a.mu.Unlock()
-	if version != before {
-		_ = a.logger.Log("event", "answered_by", "version", version, "before", before, "from", from,
+	defer a.mu.Unlock()
+	if other := a.conflict(version, begun); other != 0 {
+		return fault.Retry(fault.Unavailable, RetryAfter,
+			"an answer by version %d is withheld after one by %d to another request", version, other)
+	}
+	a.widen(version, begun)
+	if version != a.last {
+		_ = a.logger.Log("event", "answered_by", "version", version, "before", a.last, "from", from,
 			"waited_ms", time.Since(begun).Milliseconds())
 	}
+	a.last = version
+	return nil
+}
+
+// conflict returns the version of an answer with which one by version would be in
+// the wrong order, 0 for none. a.mu is held.
+func (a *answers) conflict(version uint64, begun time.Time) uint64 {
+	for _, s := range a.spans {
+		laterByOlder := s.version < version && s.last.Sub(begun) > overtaking
+		earlierByNewer := s.version > version && begun.Sub(s.first) > overtaking
+		if laterByOlder || earlierByNewer {
+			return s.version
+		}
+	}
+	return 0
+}
+
+// widen takes a request into its version's span. a.mu is held.
+func (a *answers) widen(version uint64, begun time.Time) {
+	at, known := slices.BinarySearchFunc(a.spans, version, func(s span, v uint64) int { return cmp.Compare(s.version, v) })
+	if !known {
+		a.spans = slices.Insert(a.spans, at, span{version: version, first: begun, last: begun})
+		a.forget()
+		return
+	}
+	a.spans[at].add(begun, begun)
+}
+
+// forget merges the two oldest versions when there are too many.
+func (a *answers) forget() {
+	if len(a.spans) <= maxSpans {
+		return
+	}
+	a.spans[1].add(a.spans[0].first, a.spans[0].last)
+	a.spans = slices.Delete(a.spans, 0, 1)
+}
+
+// add widens s by the requests that began from first to last.
+func (s *span) add(first, last time.Time) {
+	if first.Before(s.first) {
+		s.first = first
+	}
+	if last.After(s.last) {
+		s.last = last
+	}
 }
--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -84,3 +84,92 @@
 	must.Eq(t, fault.Unavailable, fault.KindOf(err))
 	must.Eq(t, RetryAfter, fault.From(err).RetryAfter)
 }
+
+// The order in which answers of two versions may be given: when the requests began,
+// and whether the second answer may follow the first one.
+func TestAnswersKeepTheOrderOfTheirRequests(t *testing.T) {
+	start := time.Now()
+	for _, c := range []struct {
+		name          string
+		first, second uint64
+		// later is how much later than the first answer's the second one's request began.
+		later   time.Duration
+		allowed bool
+	}{
+		{"a newer version for a later request", 62, 65, time.Second, true},
+		{"a newer version for a request that came about then", 62, 65, -overtaking, true},
+		{"a newer version for an earlier request", 62, 65, -overtaking - 1, false},
+		{"the same version for an earlier request", 62, 62, -time.Second, true},
+		{"an older version for an earlier request", 65, 62, -time.Second, true},
+		{"an older version for a request that came about then", 65, 62, overtaking, true},
+		{"an older version for a later request", 65, 62, overtaking + 1, false},
+	} {
+		a := answers{logger: log.NewNopLogger()}
+		must.NoError(t, a.take(c.first, start, "leader"))
+		err := a.take(c.second, start.Add(c.later), "leader")
+		must.Eq(t, c.allowed, err == nil, must.Sprint(c.name))
+	}
+}
+
+// An answer that is withheld wasn't given, so that nothing is compared with it.
+func TestAWithheldAnswerDoesNotCount(t *testing.T) {
+	start := time.Now()
+	a := answers{logger: log.NewNopLogger()}
+	must.NoError(t, a.take(62, start.Add(time.Second), "leader"))
+	must.Error(t, a.take(65, start, "leader"))
+	must.NoError(t, a.take(62, start.Add(2*time.Second), "leader"))
+}
+
+func TestFewVersionsAreRemembered(t *testing.T) {
+	start := time.Now()
+	a := answers{logger: log.NewNopLogger()}
+	for version := range uint64(3 * maxSpans) {
+		must.NoError(t, a.take(version+1, start.Add(time.Duration(version)*time.Second), "leader"))
+	}
+	must.Len(t, maxSpans, a.spans)
+	must.Error(t, a.take(3*maxSpans+1, start, "leader"))
+}
+
+// What a user sees: a job that was said not to run runs.
+// Order: the job is accepted; the answer is withheld, because one by an older version
+// has been given to a later request.
+// Cause: a withheld answer says that nothing was done, which doesn't hold for a change.
+func TestAWithheldAnswerToAChangeLeavesItsFateOpen(t *testing.T) {
+	g := New(link.NewClient(), "own", []string{acceptBy(t, 65)}, log.NewNopLogger())
+	must.NoError(t, g.answers.take(62, time.Now(), "leader"))
+	call := &control.SubmitCall{}
+	_, err := CallForCaller[control.SubmitReply](t.Context(), g, time.Now().Add(-time.Second), control.MethodSubmit, call)
+	must.Error(t, err)
+	must.Eq(t, fault.Unknown, fault.KindOf(err))
+}
+
+// acceptBy takes all jobs by a version of the configuration.
+func acceptBy(t *testing.T, version uint64) string {
+	mux := link.NewMux()
+	link.Handle(mux, control.MethodSubmit, func(ctx context.Context, _ *control.SubmitCall) (control.SubmitReply, error) {
+		link.NoteVersion(ctx, version)
+		return control.SubmitReply{}, nil
+	})
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// What a user sees: a job's state by a queue that was dropped, right after an answer
+// that the queue isn't there.
+// Order: the leader answers a request by version 65; a member that is behind tells of
+// a job that has ended by version 62.
+// Cause: what has ended is told by any member.
+func TestAnEndThatWouldBeOutOfOrderIsAskedOfTheLeader(t *testing.T) {
+	mux := link.NewMux()
+	link.Handle(mux, control.MethodEnded, func(ctx context.Context, _ *control.EndedCall) (control.EndedReply, error) {
+		link.NoteVersion(ctx, 62)
+		return control.EndedReply{Known: true, Phase: 1}, nil
+	})
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	g := New(link.NewClient(), "own", []string{strings.TrimPrefix(server.URL, "http://")}, log.NewNopLogger())
+	must.NoError(t, g.answers.take(65, time.Now().Add(-time.Second), "leader"))
+	_, known := g.Ended(t.Context(), time.Now(), control.Place{})
+	must.False(t, known)
+}
--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -67,10 +67,10 @@
 		g.avoid(member)
 		return 0, false
 	}
-	if reply.Known {
-		g.answers.note(version, begun, member)
+	if !reply.Known || g.answers.take(version, begun, member) != nil {
+		return 0, false
 	}
-	return reply.Phase, reply.Known
+	return reply.Phase, true
 }
 
 // other returns a member that doesn't lead and has answered lately, another one each
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bilberryferry/bilberryferry/fault"
+	"github.com/bilberryferry/bilberryferry/internal/control"
 	"github.com/bilberryferry/bilberryferry/internal/link"
 	"github.com/bilberryferry/bilberryferry/internal/wait"
 )
@@ -32,14 +33,23 @@
 }
 
 // CallForCaller is Call for a request that a caller made at begun, and whose outcome
-// shows the caller which version of the configuration was in force.
+// shows the caller which version of the configuration was in force. An outcome that
+// would be out of order is withheld; see answers.
 func CallForCaller[Reply any](ctx context.Context, g *Gateway, begun time.Time, method string, request any) (Reply, error) {
 	a := &attempt{g: g, method: method, request: request}
 	reply, err := finish[Reply](ctx, a)
-	if a.version != 0 && showsVersion(err) {
-		g.answers.note(a.version, begun, a.from)
+	if a.version == 0 || !showsVersion(err) {
+		return reply, err
+	}
+	withheld := g.answers.take(a.version, begun, a.from)
+	switch {
+	case withheld == nil:
+		return reply, err
+	case method == control.MethodState:
+		return reply, withheld
+	default:
+		return reply, settled(withheld, a.open || err == nil)
 	}
-	return reply, err
 }
 
 // finish makes tries until one settles the call.
@@ -144,8 +154,8 @@
 	}
 }
 
-// settled is the error of a call that the leader refused. After a try whose fate
-// is open, a refusal of the next one doesn't say that nothing was done.
+// settled is the error of a call that was refused. After a try that may have been
+// carried out, a refusal doesn't say that nothing was done.
 func settled(err error, open bool) error {
 	kind := fault.KindOf(err)
 	if open && (kind == fault.Unavailable || kind == fault.Overloaded) {
