A failing test: a request that searches for the leader waits on after another call has found it

Cause: found by reading, as a second way in which a request is held while later ones are answered: a try of the search at a member that is cut off takes 250 ms, for each such member, whoever finds the leader meanwhile. Ruled out: the tries at a leader, which end when another one is found.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -149,3 +149,22 @@
 	known, _ := g.known()
 	must.Eq(t, leader, known)
 }
+
+// What a user sees: a request that came while a leader was lost is answered late, by
+// a newer configuration than those that came after it, or not at all.
+// Order: no leader is known; the request searches and waits at a member that is cut
+// off; another call learns who leads; the request waits on.
+// Cause: a try of the search ended by its own time limit only.
+func TestASearchEndsWhenAnotherCallFindsTheLeader(t *testing.T) {
+	silent := make(chan struct{})
+	defer close(silent)
+	cutOff := member(t, func() error { <-silent; return nil })
+	leader := member(t, func() error { return nil })
+	g := New(link.NewClient(), "own", []string{cutOff}, log.NewNopLogger())
+	ctx, cancel := context.WithTimeout(t.Context(), searchTimeout-time.Millisecond)
+	defer cancel()
+	found := time.AfterFunc(searchTimeout/5, func() { g.Suggest(leader) })
+	defer found.Stop()
+	_, err := Call[control.Empty](ctx, g, control.MethodCancel, &control.CancelCall{})
+	must.NoError(t, err)
+}
