A search for the leader ends when another call has found it

Cause: a try of the search at a member that is cut off took its whole 250 ms, for each such member, while other calls went on to the leader that was found meanwhile. Its answer then came after theirs, and was withheld if a configuration had been committed in between. Ruled out: shorter tries: a member that is up but busy takes longer than 60 ms now and then. Change: such a try ends when another member is found to lead, as a try at a leader does already.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -114,26 +114,45 @@
 		return false, nil
 	}
 	defer func() { <-a.g.search }()
-	if leader, _ := a.g.known(); leader != "" {
-		return false, nil
-	}
 	for _, address := range a.g.targets() {
-		done, err := a.try(ctx, address, searchTimeout, reply)
-		hint := link.LeaderOf(err)
-		switch {
-		case done:
+		leader, changed := a.g.known()
+		if leader != "" || ctx.Err() != nil {
+			return false, nil
+		}
+		done, err := a.tryMember(ctx, address, changed, reply)
+		if done {
 			return true, err
-		case hint != "" && hint != address:
+		}
+		if hint := link.LeaderOf(err); hint != "" && hint != address {
 			a.g.Suggest(hint)
-			return false, nil
-		case ctx.Err() != nil:
-			return false, nil
 		}
 	}
-	wait.For(ctx, searchPause)
+	if leader, _ := a.g.known(); leader == "" {
+		wait.For(ctx, searchPause)
+	}
 	return false, nil
 }
 
+// tryMember makes a try at a member that may lead. It ends when changed is closed
+// because another one is found to lead.
+//
+// Failure guarded against: a member is cut off, another call learns who leads, and
+// this one waits on for each member that is cut off; it is answered after calls that
+// came later.
+func (a *attempt) tryMember(ctx context.Context, address string, changed <-chan struct{}, reply any) (done bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		if !wait.Closed(ctx, changed) {
+			return
+		}
+		if leader, _ := a.g.known(); leader != address {
+			cancel()
+		}
+	}()
+	return a.try(ctx, address, searchTimeout, reply)
+}
+
 // try makes one try, and reports whether its outcome settles the call.
 func (a *attempt) try(ctx context.Context, address string, limit time.Duration, reply any) (done bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
