A core instance that is behind doesn't answer by its own state; its own answers are kept in order too

Cause: an instance that takes part in the log told by its own state of jobs that have ended, also when it was behind a version that it had answered by; and its own answers weren't compared with those that it passed on. Ruled out: a barrier at a follower, which can't be had. Change: it asks its own state with the version that it has seen, as an edge asks a member; its own outcomes go through the same order as those of the leader.

--- a/internal/gateway/answers.go
+++ b/internal/gateway/answers.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log"
 
 	"github.com/bilberryferry/bilberryferry/fault"
+	"github.com/bilberryferry/bilberryferry/internal/control"
 )
 
 const (
@@ -52,6 +53,38 @@
 	first, last time.Time
 }
 
+// Outcome is what became of a caller's request.
+type Outcome struct {
+	Method string
+	// Begun is when the request came.
+	Begun time.Time
+	// Version is that of the configuration by which it was answered, 0 for none, and
+	// From the address of the instance that did.
+	Version uint64
+	From    string
+	// Open says that an earlier try may have been carried out.
+	Open bool
+	// Err is nil for success.
+	Err error
+}
+
+// InOrder returns the error of an outcome. It is another one when the outcome is
+// withheld because it would be out of order.
+func (g *Gateway) InOrder(o Outcome) error {
+	if o.Version == 0 || !showsVersion(o.Err) {
+		return o.Err
+	}
+	withheld := g.answers.take(o.Version, o.Begun, o.From)
+	switch {
+	case withheld == nil:
+		return o.Err
+	case o.Method == control.MethodState:
+		return withheld
+	default:
+		return settled(withheld, o.Open || o.Err == nil)
+	}
+}
+
 // showsVersion reports whether an outcome tells a caller which version was in force:
 // whether its queue is there. That nothing was done, or isn't known, tells nothing.
 func showsVersion(err error) bool {
--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -48,6 +48,10 @@
 	return link.LeaderOf(err)
 }
 
+// Version returns the highest version of the configuration that another instance has
+// answered by.
+func (g *Gateway) Version() uint64 { return g.client.Version() }
+
 // askTimeout bounds a question to an instance that needn't lead; the leader knows too.
 const askTimeout = 150 * time.Millisecond
 
@@ -61,7 +65,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	var reply control.EndedReply
-	call := &control.EndedCall{Place: place, Version: g.client.Version()}
+	call := &control.EndedCall{Place: place, Version: g.Version()}
 	version, err := g.client.CallVersioned(ctx, member, control.MethodEnded, call, &reply)
 	if err != nil {
 		g.avoid(member)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -7,7 +7,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bilberryferry/bilberryferry/fault"
-	"github.com/bilberryferry/bilberryferry/internal/control"
 	"github.com/bilberryferry/bilberryferry/internal/link"
 	"github.com/bilberryferry/bilberryferry/internal/wait"
 )
@@ -33,23 +32,12 @@
 }
 
 // CallForCaller is Call for a request that a caller made at begun, and whose outcome
-// shows the caller which version of the configuration was in force. An outcome that
-// would be out of order is withheld; see answers.
+// shows the caller which version of the configuration was in force. One that would be
+// out of order is withheld; see InOrder.
 func CallForCaller[Reply any](ctx context.Context, g *Gateway, begun time.Time, method string, request any) (Reply, error) {
 	a := &attempt{g: g, method: method, request: request}
 	reply, err := finish[Reply](ctx, a)
-	if a.version == 0 || !showsVersion(err) {
-		return reply, err
-	}
-	withheld := g.answers.take(a.version, begun, a.from)
-	switch {
-	case withheld == nil:
-		return reply, err
-	case method == control.MethodState:
-		return reply, withheld
-	default:
-		return reply, settled(withheld, a.open || err == nil)
-	}
+	return reply, g.InOrder(Outcome{Method: method, Begun: begun, Version: a.version, From: a.from, Open: a.open, Err: err})
 }
 
 // finish makes tries until one settles the call.
--- a/internal/instance/operations.go
+++ b/internal/instance/operations.go
@@ -37,12 +37,21 @@
 // shows the caller which version of the configuration was in force.
 func callForCaller[Request, Reply any](ctx context.Context, o *Operations, begun time.Time, method string, request *Request,
 	own func(*control.Controller, context.Context, *Request) (Reply, error)) (Reply, error) {
-	if reply, err := tryOwn(ctx, o, request, own); !errors.Is(err, link.ErrNotLeader) {
-		return reply, err
+	noting, note := link.WithVersionNote(ctx)
+	if reply, err := tryOwn(noting, o, request, own); !errors.Is(err, link.ErrNotLeader) {
+		return reply, o.inOrder(begun, method, note.Version(), err)
 	}
 	return gateway.CallForCaller[Reply](ctx, o.gateway, begun, method, request)
 }
 
+// inOrder is the error of an outcome that this instance has made itself.
+func (o *Operations) inOrder(begun time.Time, method string, version uint64, err error) error {
+	return o.gateway.InOrder(gateway.Outcome{Method: method, Begun: begun, Version: version, From: fromSelf, Err: err})
+}
+
+// fromSelf stands in lines for the address of the instance that answered.
+const fromSelf = "self"
+
 // tryOwn makes a call of the own controller. The error is marked ErrNotLeader where
 // another instance has to be asked.
 func tryOwn[Request, Reply any](ctx context.Context, o *Operations, request *Request,
@@ -83,8 +92,10 @@
 	if c == nil {
 		return o.gateway.Ended(ctx, begun, place)
 	}
-	reply, err := c.Ended(ctx, &control.EndedCall{Place: place})
-	return reply.Phase, err == nil && reply.Known
+	noting, note := link.WithVersionNote(ctx)
+	reply, err := c.Ended(noting, &control.EndedCall{Place: place, Version: o.gateway.Version()})
+	known := err == nil && reply.Known && o.inOrder(begun, control.MethodState, note.Version(), nil) == nil
+	return reply.Phase, known
 }
 
 // Cancel cancels a job.
