--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -48,12 +48,16 @@
 	return link.LeaderOf(err)
 }
 
+// Version returns the highest version of the configuration that another instance has
+// answered by.
+func (g *Gateway) Version() uint64 { return g.client.Version() }
+
 // askTimeout bounds a question to an instance that needn't lead; the leader knows too.
 const askTimeout = 150 * time.Millisecond
 
-// Ended asks a member other than the leader for a job that may have ended. Without
-// an answer the leader has to be asked.
-func (g *Gateway) Ended(ctx context.Context, place control.Place) (phase workflow.Phase, known bool) {
+// Ended asks a member other than the leader for a job that may have ended, for a
+// request that a caller made at begun. Without an answer the leader has to be asked.
+func (g *Gateway) Ended(ctx context.Context, begun time.Time, place control.Place) (phase workflow.Phase, known bool) {
 	member := g.other()
 	if member == "" {
 		return 0, false
@@ -61,12 +65,16 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	var reply control.EndedReply
-	call := &control.EndedCall{Place: place, Version: g.client.Version()}
-	if err := g.client.Call(ctx, member, control.MethodEnded, call, &reply); err != nil {
+	call := &control.EndedCall{Place: place, Version: g.Version()}
+	version, err := g.client.CallVersioned(ctx, member, control.MethodEnded, call, &reply)
+	if err != nil {
 		g.avoid(member)
 		return 0, false
 	}
-	return reply.Phase, reply.Known
+	if !reply.Known || g.answers.take(version, begun, member) != nil {
+		return 0, false
+	}
+	return reply.Phase, true
 }
 
 // other returns a member that doesn't lead and has answered lately, another one each
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -18,14 +18,32 @@
 	request any
 	// open says that some try may have been carried out.
 	open bool
+	// version is that of the configuration by which the last try was answered, from is
+	// who answered; 0 and empty for nobody.
+	version uint64
+	from    string
 }
 
 // Call makes a call of the leader within the time of ctx. It goes on to other
 // members while no leader answers. The error is of kind Unknown when some try
 // may have been carried out, and otherwise says that none was.
 func Call[Reply any](ctx context.Context, g *Gateway, method string, request any) (Reply, error) {
-	var reply Reply
+	return finish[Reply](ctx, &attempt{g: g, method: method, request: request})
+}
+
+// CallForCaller is Call for a request that a caller made at begun, and whose outcome
+// shows the caller which version of the configuration was in force. One that would be
+// out of order is withheld; see InOrder.
+func CallForCaller[Reply any](ctx context.Context, g *Gateway, begun time.Time, method string, request any) (Reply, error) {
 	a := &attempt{g: g, method: method, request: request}
+	reply, err := finish[Reply](ctx, a)
+	return reply, g.InOrder(Outcome{Method: method, Begun: begun, Version: a.version, From: a.from, Open: a.open, Err: err})
+}
+
+// finish makes tries until one settles the call.
+func finish[Reply any](ctx context.Context, a *attempt) (Reply, error) {
+	var reply Reply
+	g := a.g
 	for {
 		leader, changed := g.known()
 		var done bool
@@ -39,7 +57,7 @@
 		case done:
 			return reply, err
 		case ctx.Err() != nil:
-			return reply, outOfTime(method, a.open)
+			return reply, outOfTime(a.method, a.open)
 		}
 	}
 }
@@ -84,31 +102,51 @@
 		return false, nil
 	}
 	defer func() { <-a.g.search }()
-	if leader, _ := a.g.known(); leader != "" {
-		return false, nil
-	}
 	for _, address := range a.g.targets() {
-		done, err := a.try(ctx, address, searchTimeout, reply)
-		hint := link.LeaderOf(err)
-		switch {
-		case done:
+		leader, changed := a.g.known()
+		if leader != "" || ctx.Err() != nil {
+			return false, nil
+		}
+		done, err := a.tryMember(ctx, address, changed, reply)
+		if done {
 			return true, err
-		case hint != "" && hint != address:
+		}
+		if hint := link.LeaderOf(err); hint != "" && hint != address {
 			a.g.Suggest(hint)
-			return false, nil
-		case ctx.Err() != nil:
-			return false, nil
 		}
 	}
-	wait.For(ctx, searchPause)
+	if leader, _ := a.g.known(); leader == "" {
+		wait.For(ctx, searchPause)
+	}
 	return false, nil
 }
 
+// tryMember makes a try at a member that may lead. It ends when changed is closed
+// because another one is found to lead.
+//
+// Failure guarded against: a member is cut off, another call learns who leads, and
+// this one waits on for each member that is cut off; it is answered after calls that
+// came later.
+func (a *attempt) tryMember(ctx context.Context, address string, changed <-chan struct{}, reply any) (done bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		if !wait.Closed(ctx, changed) {
+			return
+		}
+		if leader, _ := a.g.known(); leader != address {
+			cancel()
+		}
+	}()
+	return a.try(ctx, address, searchTimeout, reply)
+}
+
 // try makes one try, and reports whether its outcome settles the call.
 func (a *attempt) try(ctx context.Context, address string, limit time.Duration, reply any) (done bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	err = a.g.client.Call(ctx, address, a.method, a.request, reply)
+	a.from = address
+	a.version, err = a.g.client.CallVersioned(ctx, address, a.method, a.request, reply)
 	switch {
 	case err == nil:
 		a.g.noteLeader(address)
@@ -123,8 +161,8 @@
 	}
 }
 
-// settled is the error of a call that the leader refused. After a try whose fate
-// is open, a refusal of the next one doesn't say that nothing was done.
+// settled is the error of a call that was refused. After a try that may have been
+// carried out, a refusal doesn't say that nothing was done.
 func settled(err error, open bool) error {
 	kind := fault.KindOf(err)
 	if open && (kind == fault.Unavailable || kind == fault.Overloaded) {
