Only the gang that room is kept for has its workers set apart

Cause: other steps prefer workers that no gang is about to fill. Since stops are made for every gang that is in time, half of the pool was set apart, small tasks took the room of gangs all the same, and large pieces elsewhere.

Change: the marks are made for the kept gang only. The replay carries them from one decision to the next; its jobs and kinds have a file of their own.

--- a/dispatch/gang.go
+++ b/dispatch/gang.go
@@ -13,7 +13,7 @@
 // Load that it answers: 60 gangs of 20 to 120 tasks that wait among 350 workers, and
 // ends that come half as early or late as expected. With room kept for twelve, 0.38 of
 // the cores were free all the time and 0.46 of the gangs in time; with the rules of
-// this file 0.24 and 0.79 (replayed load, mean of 6 seeds).
+// this file 0.25 and 0.79 (replayed load, mean of 6 and 8 seeds).
 const keptGangs = 1
 
 // seekForGang has a gang that couldn't start learn of workers, renew its tickets where it
@@ -181,12 +181,12 @@
 // for the others by stopping less urgent runs.
 func (p *planner) roomForGang(s *Step, workers []*Worker, n int) gangRoom {
 	if p.reserved[s.Service] >= keptGangs {
-		return gangRoom{preempted: p.preemptForGang(s, workers, n)}
+		return gangRoom{preempted: p.preemptForGang(s, workers, n, false)}
 	}
 	p.reserved[s.Service]++
 	openings := p.gangOpenings(s, workers, n)
 	soon := openings != nil && openings[n-1].at <= p.now+preemptWait
-	if !soon && p.preemptForGang(s, workers, n) {
+	if !soon && p.preemptForGang(s, workers, n, true) {
 		return gangRoom{kept: true, preempted: true}
 	}
 	if openings == nil {
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -48,7 +48,7 @@
 				owed, got = owed+o, got+g
 				worst = min(worst, shares[0], shares[1], shares[2])
 				line += fmt.Sprintf("%s in time %.3f late %.3f worth %.3f | ", k.name,
-					float64(k.tally.inTime)/float64(k.tally.sent), float64(k.tally.late)/float64(k.tally.sent), shares)
+					float64(k.inTime)/float64(len(k.all)), float64(k.late)/float64(len(k.all)), shares)
 			}
 			t.Logf("%sworth %.3f worst %.3f free %.3f waiting %d gangs %d, 14 s later %d %d, free %.2f | asked %d %d preempted %d longest decision %v",
 				line, got/owed, worst, free, steps, gangs, stepsLeft, gangsLeft, r.freeShare(), asked, r.asked-asked, r.preempted, r.longest)
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -134,8 +134,10 @@
 
 // preemptForGang stops less urgent runs for a gang whose room is far off, and
 // keeps the room that they leave. It asks for tickets first where they would not
-// last until then. It reports whether it has taken care of the gang.
-func (p *planner) preemptForGang(s *Step, granted []*Worker, n int) bool {
+// last until then. kept says that room is kept for it: with the workers of all gangs set
+// apart, half of the pool is, which sets none apart. It reports whether it has taken care
+// of the gang.
+func (p *planner) preemptForGang(s *Step, granted []*Worker, n int, kept bool) bool {
 	if p.limits.Without.Preemption || s.Late > 0 || s.Asking || p.yielding[s.Service] <= s.Priority {
 		return false
 	}
@@ -152,7 +154,9 @@
 			workers = append(workers, chosen[i].worker)
 		}
 	}
-	p.earmark(workers)
+	if kept {
+		p.earmark(workers)
+	}
 	if !ticketed {
 		p.askInParts(s, workers, true)
 		return true
--- /dev/null
+++ b/dispatch/replay_jobs_test.go
@@ -0,0 +1,146 @@
+package dispatch
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+// replayKind is a kind of job: how often it comes, what its steps need, and how the
+// adviser answers about them. Sizes are means; each CV is a coefficient of variation.
+type replayKind struct {
+	name string
+	// rate is in jobs a second; steps and width count steps of a job and tasks of a step.
+	rate, steps, width     float64
+	cores, gb              float64
+	work                   time.Duration
+	widthCV, coresCV, gbCV float64
+	workCV                 float64
+	maxWidth               float64
+	maxCores, maxGB        float64
+	// stretch times its longest chain of work, and objective more, a job may take.
+	stretch   float64
+	objective time.Duration
+	priority  int
+	// worth is that of a job of mean size.
+	worth float64
+	// gang, checkpointing, permitted and failing are shares: of the steps, of the steps,
+	// of the workers, of the runs.
+	gang, checkpointing, permitted, failing float64
+	// decide and each are what a question takes, and takes more for each worker.
+	decide, each, valid time.Duration
+
+	// grantShare is the moving mean of what the adviser permits.
+	grantShare, grantSamples float64
+	// all are the jobs that have come; inTime and late count those that ended so.
+	all          []*replayJob
+	inTime, late int
+}
+
+// replayJob is a job whose steps run one after the other.
+type replayJob struct {
+	kind             *replayKind
+	id               string
+	begin, objective time.Duration
+	// step is the present one; specs, works, pending and left are by step.
+	step    int
+	specs   []*workflow.Step
+	works   []time.Duration
+	pending [][]int
+	left    []int
+	// saved is the share of a task's work that a stopped run has left.
+	saved map[workflow.TaskKey]float64
+	// What is known of the present step's permits.
+	permits    map[string]Permit
+	asking     int
+	renewing   []string
+	ticketsEnd time.Duration
+	// ended is when it ended, got the share of its worth that it earned.
+	ended time.Duration
+	got   float64
+	// roomSince is since when the step could have started twice over, -1 for not.
+	roomSince time.Duration
+}
+
+// around draws a positive figure with a mean and a coefficient of variation.
+func (r *replay) around(mean, cv, most float64) float64 {
+	sigma := math.Sqrt(math.Log(1 + cv*cv))
+	x := mean * math.Exp(sigma*r.random.NormFloat64()-sigma*sigma/2)
+	return min(x, most)
+}
+
+// submit hands a job of the kind in.
+func (r *replay) submit(k *replayKind) *replayJob {
+	j := &replayJob{kind: k, id: fmt.Sprintf("%s%06d", k.name, len(k.all)), begin: r.now, saved: map[workflow.TaskKey]float64{},
+		permits: map[string]Permit{}, roomSince: -1}
+	chain := time.Duration(0)
+	for range max(1, int(math.Round(r.around(k.steps, 0.4, 3*k.steps)))) {
+		count := max(1, int(math.Round(r.around(k.width, k.widthCV, k.maxWidth))))
+		work := time.Duration(r.around(float64(k.work), k.workCV, 2.5*float64(k.work)))
+		spec := &workflow.Step{
+			Count: count, EstimateMS: int64(float64(work.Milliseconds()) * (0.5 + r.random.Float64())),
+			Need: workflow.Resources{MilliCPU: int64(1000 * r.around(k.cores, k.coresCV, k.maxCores)), MemoryMB: int64(1024 * r.around(k.gb, k.gbCV, k.maxGB))},
+			Gang: r.random.Float64() < k.gang, Checkpointing: r.random.Float64() < k.checkpointing,
+		}
+		indexes := make([]int, count)
+		for i := range indexes {
+			indexes[i] = i
+		}
+		j.specs, j.works, j.pending, j.left = append(j.specs, spec), append(j.works, work), append(j.pending, indexes), append(j.left, count)
+		chain += work
+	}
+	j.objective = time.Duration(k.stretch*float64(chain)) + k.objective
+	r.jobs = append(r.jobs, j)
+	k.all = append(k.all, j)
+	return j
+}
+
+// arrive lets the jobs come that come in a time.
+func (r *replay) arrive(d time.Duration) {
+	for _, k := range r.kinds {
+		n := k.rate * d.Seconds()
+		for ; n > 0; n-- {
+			if r.random.Float64() < n {
+				r.submit(k)
+			}
+		}
+	}
+}
+
+// area is the work of the job, in thousandths of a core and nanoseconds.
+func (j *replayJob) area() float64 {
+	a := 0.0
+	for i, s := range j.specs {
+		a += float64(s.Count) * float64(s.Need.MilliCPU) * float64(j.works[i])
+	}
+	return a
+}
+
+// earned returns the worth that a kind's jobs were owed and got, and the shares of it
+// that all, the largest tenth and the fifth below it got. A larger job is worth more.
+func (k *replayKind) earned() (owed, got float64, shares [3]float64) {
+	all, n := k.all, len(k.all)
+	slices.SortFunc(all, func(a, b *replayJob) int { return cmp.Compare(b.area(), a.area()) })
+	mean := 0.0
+	for _, j := range all {
+		mean += j.area() / float64(n)
+	}
+	sum := func(jobs []*replayJob) (owed, got float64) {
+		for _, j := range jobs {
+			worth := k.worth * min(4, 0.3+0.7*j.area()/mean)
+			owed += worth
+			got += worth * j.got
+		}
+		return owed, got
+	}
+	for i, part := range [][]*replayJob{all, all[:n/10], all[n/10 : n*3/10]} {
+		o, g := sum(part)
+		shares[i] = g / o
+	}
+	owed, got = sum(all)
+	return owed, got, shares
+}
--- a/dispatch/replay_test.go
+++ b/dispatch/replay_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"hash/fnv"
 	"maps"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -17,84 +16,39 @@
 // in, an adviser answers late, runs take other times than estimated, some fail.
 // Everything follows from its seed.
 type replay struct {
-	random    *rand.Rand
-	now       time.Duration
-	workers   []Worker
-	jobs      []*replayJob
-	kinds     []*replayKind
+	random *rand.Rand
+	now    time.Duration
+	// decision is the time between two decisions.
+	decision time.Duration
+	limits   Limits
+	turn     int
+	workers  []Worker
+	kinds    []*replayKind
+	jobs     []*replayJob
+	runs     map[workflow.TaskKey]*replayRun
+	// lanes are when each lane to the adviser will be free.
 	lanes     []time.Duration
-	runs      map[workflow.TaskKey]*replayRun
 	answers   []replayAnswer
-	limits    Limits
-	turn      int
-	asked     int
-	named     int
-	decided   int
-	longest   time.Duration
-	freeSum   float64
-	preempted int
-	decision  time.Duration
-}
-
-// replayKind is a kind of job: how often it comes a second, and what its steps need.
-type replayKind struct {
-	name                string
-	rate                float64
-	steps               float64
-	width, cores, gb    float64
-	widthCV, coresCV    float64
-	gbCV, workCV        float64
-	maxCores, maxGB     float64
-	maxWidth            float64
-	work, objective     time.Duration
-	stretch             float64
-	priority            int
-	gang, checkpointing float64
-	decide, each, valid time.Duration
-	permitted           float64
-	failing, worth      float64
-
-	grantShare, grantSamples float64
-	tally                    replayTally
-}
+	earmarked map[string]bool
 
-// replayTally counts the jobs of a kind by what became of them.
-type replayTally struct {
-	sent, inTime, late int
-	all                []*replayJob
-}
-
-type replayJob struct {
-	kind       *replayKind
-	id         string
-	begin      time.Duration
-	objective  time.Duration
-	step       int
-	specs      []*workflow.Step
-	works      []time.Duration
-	pending    [][]int
-	left       []int
-	saved      map[workflow.TaskKey]float64
-	permits    map[string]Permit
-	asking     int
-	renewing   []string
-	ticketsEnd time.Duration
-	ended      time.Duration
-	got        float64
-	// roomSince is since when the step could have started twice over.
-	roomSince time.Duration
+	// Figures: questions, stops and decisions, the longest decision, and the sum of the
+	// shares of cores that were free after each.
+	asked, preempted, decided int
+	longest                   time.Duration
+	freeSum                   float64
 }
 
+// replayRun is a run that is alive.
 type replayRun struct {
-	job          *replayJob
-	task         workflow.TaskKey
-	worker       int
-	begin, end   time.Duration
-	expected     time.Duration
-	fails, stops bool
-	whole        time.Duration
+	job    *replayJob
+	task   workflow.TaskKey
+	worker int
+	// end is when it ends, expected what its estimate says, whole how long it takes.
+	begin, end, expected, whole time.Duration
+	fails, stops                bool
 }
 
+// replayAnswer is an answer of the adviser that is under way.
 type replayAnswer struct {
 	at  time.Duration
 	job *replayJob
@@ -118,40 +72,6 @@
 	return r
 }
 
-// around draws a positive figure with a mean and a coefficient of variation.
-func (r *replay) around(mean, cv, most float64) float64 {
-	sigma := math.Sqrt(math.Log(1 + cv*cv))
-	x := mean * math.Exp(sigma*r.random.NormFloat64()-sigma*sigma/2)
-	return min(x, most)
-}
-
-// submit hands a job of the kind in.
-func (r *replay) submit(k *replayKind) *replayJob {
-	j := &replayJob{kind: k, id: fmt.Sprintf("%s%06d", k.name, k.tally.sent), begin: r.now, saved: map[workflow.TaskKey]float64{},
-		permits: map[string]Permit{}, roomSince: -1}
-	chain := time.Duration(0)
-	for range max(1, int(math.Round(r.around(k.steps, 0.4, 3*k.steps)))) {
-		count := max(1, int(math.Round(r.around(k.width, k.widthCV, k.maxWidth))))
-		work := time.Duration(r.around(float64(k.work), k.workCV, 2.5*float64(k.work)))
-		spec := &workflow.Step{
-			Count: count, EstimateMS: int64(float64(work.Milliseconds()) * (0.5 + r.random.Float64())),
-			Need: workflow.Resources{MilliCPU: int64(1000 * r.around(k.cores, k.coresCV, k.maxCores)), MemoryMB: int64(1024 * r.around(k.gb, k.gbCV, k.maxGB))},
-			Gang: r.random.Float64() < k.gang, Checkpointing: r.random.Float64() < k.checkpointing,
-		}
-		indexes := make([]int, count)
-		for i := range indexes {
-			indexes[i] = i
-		}
-		j.specs, j.works, j.pending, j.left = append(j.specs, spec), append(j.works, work), append(j.pending, indexes), append(j.left, count)
-		chain += work
-	}
-	j.objective = time.Duration(k.stretch*float64(chain)) + k.objective
-	r.jobs = append(r.jobs, j)
-	k.tally.sent++
-	k.tally.all = append(k.tally.all, j)
-	return j
-}
-
 // permits is the adviser's word, which never changes for a step and a worker.
 func (r *replay) permits(key workflow.StepKey, worker string, share float64) bool {
 	h := fnv.New32a()
@@ -159,17 +79,6 @@
 	return float64(h.Sum32()%1000) < 1000*share
 }
 
-func (r *replay) arrive(d time.Duration) {
-	for _, k := range r.kinds {
-		n := k.rate * d.Seconds()
-		for ; n > 0; n-- {
-			if r.random.Float64() < n {
-				r.submit(k)
-			}
-		}
-	}
-}
-
 // step returns what a decision learns of the job's present step; false when nothing
 // of it may start.
 func (r *replay) step(j *replayJob) (Step, bool) {
@@ -208,6 +117,7 @@
 	limits.Turn = r.turn
 	begun := time.Now()
 	plan := Decide(r.now, steps, r.view(), limits)
+	r.noteEarmarks(plan.Earmarks)
 	r.longest = max(r.longest, time.Since(begun))
 	r.decided++
 	for _, a := range plan.Asks {
@@ -225,11 +135,18 @@
 	}
 }
 
+func (r *replay) noteEarmarks(workers []string) {
+	r.earmarked = map[string]bool{}
+	for _, id := range workers {
+		r.earmarked[id] = true
+	}
+}
+
 // view returns the workers as a decision sees them.
 func (r *replay) view() []Worker {
 	view := slices.Clone(r.workers)
 	for i := range view {
-		view[i].Unplanned, view[i].Releases = view[i].Free, nil
+		view[i].Unplanned, view[i].Releases, view[i].Earmarked = view[i].Free, nil, r.earmarked[view[i].ID]
 	}
 	for _, run := range r.runs {
 		spec := run.job.specs[run.task.Step]
@@ -248,6 +165,7 @@
 	return view
 }
 
+// freeLanes returns how many questions may be put now.
 func (r *replay) freeLanes() (n int) {
 	for _, until := range r.lanes {
 		if until < r.now+time.Second {
@@ -264,7 +182,6 @@
 // ask puts a question on the lane that is free first.
 func (r *replay) ask(j *replayJob, a Ask) {
 	r.asked++
-	r.named += len(a.Workers)
 	length := j.kind.decide + time.Duration(len(a.Workers))*j.kind.each
 	lanes := r.lanes
 	if length > 150*time.Millisecond {
@@ -315,6 +232,7 @@
 	j.permits = known
 }
 
+// start lets a task run.
 func (r *replay) start(j *replayJob, s Start) {
 	spec, whole := j.specs[s.Task.Step], j.works[s.Task.Step]
 	w := slices.IndexFunc(r.workers, func(w Worker) bool { return w.ID == s.Worker })
@@ -374,10 +292,10 @@
 	j.ended = r.now
 	switch age := r.now - j.begin; {
 	case age <= j.objective:
-		j.kind.tally.inTime++
+		j.kind.inTime++
 		j.got = 1
 	case age <= 3*j.objective:
-		j.kind.tally.late++
+		j.kind.late++
 		j.got = 0.2
 	}
 }
@@ -480,37 +398,3 @@
 	}
 	return true
 }
-
-// area is the work of the job, in thousandths of a core and nanoseconds.
-func (j *replayJob) area() float64 {
-	a := 0.0
-	for i, s := range j.specs {
-		a += float64(s.Count) * float64(s.Need.MilliCPU) * float64(j.works[i])
-	}
-	return a
-}
-
-// earned returns the worth that a kind's jobs were owed and got, and the shares of it
-// that all, the largest tenth and the fifth below it got. A larger job is worth more.
-func (k *replayKind) earned() (owed, got float64, shares [3]float64) {
-	all, n := k.tally.all, len(k.tally.all)
-	slices.SortFunc(all, func(a, b *replayJob) int { return cmp.Compare(b.area(), a.area()) })
-	mean := 0.0
-	for _, j := range all {
-		mean += j.area() / float64(n)
-	}
-	sum := func(jobs []*replayJob) (owed, got float64) {
-		for _, j := range jobs {
-			worth := k.worth * min(4, 0.3+0.7*j.area()/mean)
-			owed += worth
-			got += worth * j.got
-		}
-		return owed, got
-	}
-	for i, part := range [][]*replayJob{all, all[:n/10], all[n/10 : n*3/10]} {
-		o, g := sum(part)
-		shares[i] = g / o
-	}
-	owed, got = sum(all)
-	return owed, got, shares
-}
