--- a/dispatch/gang.go
+++ b/dispatch/gang.go
@@ -13,7 +13,7 @@
 // Load that it answers: 60 gangs of 20 to 120 tasks that wait among 350 workers, and
 // ends that come half as early or late as expected. With room kept for twelve, 0.38 of
 // the cores were free all the time and 0.46 of the gangs in time; with the rules of
-// this file 0.27 and 0.78 (replayed load, mean of 6 seeds).
+// this file 0.29 and 0.72 (replayed load, mean of 6 seeds).
 const keptGangs = 1
 
 // seekForGang has a gang that couldn't start learn of workers, renew its tickets where it
@@ -89,7 +89,7 @@
 	// a second of one lane, and a gang that knows of few workers waits for room there
 	// while others are free: without it, 0.68 of the gangs were in time instead of 0.79,
 	// and of the worth of the largest tenth 0.13 was earned instead of 0.40 (replayed
-	// load, mean of 6 seeds).
+	// load, mean of 6 seeds, with stops for all gangs).
 	wideMargin = 8
 	// roomMargin times its tasks a gang's questions cover of the room that is free now:
 	// which workers are permitted differs from the average, and some room is taken
@@ -185,7 +185,7 @@
 // workers: by keeping what comes free or, where that takes long, by stopping less urgent
 // runs. Stops for all gangs that wait would place more of them, 0.78 instead of 0.72 in
 // the replayed load, and cost the leader more than that is worth: a hundred stops and
-// second starts a second, 0.42 instead of 0.47 of a large deployment's day.
+// second starts a second, 0.42 instead of 0.47 of the worth of a day at 350 workers.
 func (p *planner) roomForGang(s *Step, workers []*Worker, n int) gangRoom {
 	if p.reserved[s.Service] >= keptGangs {
 		return gangRoom{}
