One predicate each for a worker that suits a step and a ticket that is in time

Cause: the same three conditions on a worker stood in four places of dispatch, the check of a ticket's end in three; a span of versions took two times where all callers have one; two comments told of rules that have gone.

Ruled out: the other pairs of alike lines (imports, and structs of other meaning).

Change: suits, holdsTickets and inTime; span.add takes one time. No decision changes.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -99,7 +99,7 @@
 	var ticketed, others []*Step
 	for _, s := range rest {
 		switch {
-		case s.TicketsEnd >= p.now+p.limits.TicketMargin:
+		case p.holdsTickets(s):
 			ticketed = append(ticketed, s)
 		case !s.Asking:
 			others = append(others, s)
@@ -178,8 +178,7 @@
 // Going through 350 workers for each of 1000 queued steps takes 0.4 s a decision, in
 // which nothing starts, and the queue grows on; passed over, 3000 steps take 4 ms.
 func (p *planner) mustWait(s *Step) bool {
-	ticketed := s.TicketsEnd >= p.now+p.limits.TicketMargin
-	keepsRoom := s.Spec.Gang && (p.reserved[s.Service] < keptGangs && len(s.Permits) > 0 || len(s.Renewing) > 0 || ticketed)
+	keepsRoom := s.Spec.Gang && (p.reserved[s.Service] < keptGangs && len(s.Permits) > 0 || len(s.Renewing) > 0 || p.holdsTickets(s))
 	return s.NeedsPermit && p.limits.Asks == 0 && !keepsRoom
 }
 
@@ -187,7 +186,7 @@
 func (p *planner) candidates(s *Step) []*Worker {
 	var list []*Worker
 	add := func(w *Worker) {
-		if w != nil && w.Service == s.Service && copies(s, w) > 0 && rejection(s, w) == "" {
+		if suits(s, w) && copies(s, w) > 0 {
 			list = append(list, w)
 		}
 	}
@@ -204,7 +203,7 @@
 			add(p.byID[id])
 		case permit.Granted && !p.unticketed:
 			w := p.byID[id]
-			p.unticketed = w != nil && w.Service == s.Service && copies(s, w) > 0 && rejection(s, w) == ""
+			p.unticketed = suits(s, w) && copies(s, w) > 0
 		}
 	}
 	return list
@@ -237,9 +236,8 @@
 // reasonUnpermitted says why a step has no permitted worker, empty when it has or
 // needs none.
 func (p *planner) reasonUnpermitted(s *Step) Reason {
-	suits := func(w *Worker) bool { return rejection(s, w) == "" }
 	switch {
-	case !slices.ContainsFunc(p.byService[s.Service], suits):
+	case !slices.ContainsFunc(p.byService[s.Service], func(w *Worker) bool { return suits(s, w) }):
 		return ReasonNoWorker
 	case s.Asking:
 		return ReasonPermit
@@ -275,9 +273,16 @@
 
 // valid reports whether a permit holds until a start has reached the worker.
 func (p *planner) valid(permit Permit) bool {
-	return permit.Granted && permit.Expires >= p.now+p.limits.TicketMargin
+	return permit.Granted && p.inTime(permit.Expires)
 }
 
+// holdsTickets reports whether one of the tickets of s may be valid.
+func (p *planner) holdsTickets(s *Step) bool { return p.inTime(s.TicketsEnd) }
+
+// inTime reports whether a ticket that ends then holds until a start has reached the
+// worker.
+func (p *planner) inTime(end time.Duration) bool { return end >= p.now+p.limits.TicketMargin }
+
 // copies returns how many further tasks of s fit on w.
 func copies(s *Step, w *Worker) int { return copiesIn(s, w, w.Free) }
 
--- a/dispatch/reason.go
+++ b/dispatch/reason.go
@@ -21,7 +21,7 @@
 	return ReasonNoRoom
 }
 
-// heldBehind is heldBy for a gang that is behind those that room is kept for.
+// heldBehind is heldBy for a gang that can't ask now.
 func heldBehind(s *Step, permitted []*Worker, n int) Reason {
 	if holds(s, permitted, n, copies) {
 		return ReasonTickets
@@ -55,7 +55,7 @@
 func Pieces(s *Step, workers []Worker) (all, permitted int) {
 	for i := range workers {
 		w := &workers[i]
-		if w.Service != s.Service || rejection(s, w) != "" {
+		if !suits(s, w) {
 			continue
 		}
 		n := min(copiesWithKept(s, w), len(s.Pending))
@@ -74,7 +74,7 @@
 	}
 	var list []*Worker
 	for id, permit := range s.Permits {
-		if w := p.byID[id]; permit.Granted && w != nil && w.Service == s.Service && rejection(s, w) == "" {
+		if w := p.byID[id]; permit.Granted && suits(s, w) {
 			list = append(list, w)
 		}
 	}
@@ -130,7 +130,7 @@
 		return false
 	}
 	for id, permit := range s.Permits {
-		if w := p.byID[id]; permit.Granted && w != nil && w.Service == s.Service && copiesWithKept(s, w) > 0 && rejection(s, w) == "" {
+		if w := p.byID[id]; permit.Granted && suits(s, w) && copiesWithKept(s, w) > 0 {
 			return true
 		}
 	}
--- a/dispatch/select.go
+++ b/dispatch/select.go
@@ -26,6 +26,12 @@
 	return out
 }
 
+// suits reports whether w, nil for a worker that isn't there, is of the pool of s and
+// could run its tasks if it were empty.
+func suits(s *Step, w *Worker) bool {
+	return w != nil && w.Service == s.Service && rejection(s, w) == ""
+}
+
 // rejection returns why w can't run tasks of s at all, empty when it can.
 func rejection(s *Step, w *Worker) Reason {
 	for i := range filters {
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -169,7 +169,8 @@
 	GangAskWorkers int
 	// Asks is how many questions may be put now.
 	Asks int
-	// LongAsks is how many of them may take LongAsk or longer.
+	// LongAsks is how many of them may be long, which they are when the adviser takes
+	// more than LongAsk to answer; LongAsk 0 makes none long.
 	LongAsks int
 	LongAsk  time.Duration
 	// Steps is how many steps one decision goes into at most; 0 for no bound.
--- a/internal/gateway/answers.go
+++ b/internal/gateway/answers.go
@@ -139,7 +139,7 @@
 		a.forget()
 		return
 	}
-	a.spans[at].add(begun, begun)
+	a.spans[at].add(begun)
 }
 
 // forget drops the oldest version when there are too many.
@@ -155,12 +155,12 @@
 	a.spans = slices.Delete(a.spans, 0, 1)
 }
 
-// add widens s by the requests that began from first to last.
-func (s *span) add(first, last time.Time) {
-	if first.Before(s.first) {
-		s.first = first
+// add takes in a request that began at begun.
+func (s *span) add(begun time.Time) {
+	if begun.Before(s.first) {
+		s.first = begun
 	}
-	if last.After(s.last) {
-		s.last = last
+	if begun.After(s.last) {
+		s.last = begun
 	}
 }
