Descriptors are divided by what they are for

Callers, workers, other instances and the leader's own calls took from one pool, the log's files with them.

Change: internal/descriptors divides what the settings or the operating system allow: files of the log first, then connections from instances, from outside, to instances and to workers. A server at its bound closes the connection that has been idle for longest, or the new one if none is; one host holds an eighth of what workers and instances may. A client at its bound waits for a place. A limit that is too low is refused at start with the number that is needed.

Test first: with a bound a thousand times as high the test's process, under a storm of 900 connections at a limit of 600, answers nothing within 10 s.

--- /dev/null
+++ b/internal/descriptors/process_test.go
@@ -0,0 +1,103 @@
+package descriptors
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+const (
+	childEnv = "DESCRIPTORS_TEST_CHILD"
+	// childLimit is the child's own limit, pressing how many connections are opened to it.
+	childLimit = 600
+	pressing   = 900
+	// logFiles is how many files the child opens at a time.
+	logFiles = 100
+	// answeredWithin is how long a request may take.
+	answeredWithin = 10 * time.Second
+)
+
+func TestMain(m *testing.M) {
+	if folder := os.Getenv(childEnv); folder != "" {
+		if err := serveAsChild(folder); err != nil {
+			fmt.Println("failed:", err)
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// serveAsChild serves under a low limit; each request opens files, as a log does. The
+// parent ends the process.
+func serveAsChild(folder string) error {
+	limit := &syscall.Rlimit{Cur: childLimit, Max: childLimit}
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, limit); err != nil {
+		return err
+	}
+	budget, err := ForCore(0)
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if err := openFiles(folder); err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+		}
+	})}
+	BoundServer(server, "child", budget.FromOutside, false, &counts{})
+	fmt.Println(listener.Addr())
+	return server.Serve(listener)
+}
+
+func openFiles(folder string) error {
+	for i := range logFiles {
+		file, err := os.Create(filepath.Join(folder, fmt.Sprint(i)))
+		if err != nil {
+			return err
+		}
+		defer file.Close()
+	}
+	return nil
+}
+
+// More callers connect to a leader than it has descriptors. It stopped accepting, and
+// ended when its log couldn't open the file of a snapshot.
+func TestAProcessWithFewDescriptorsServesAndOpensFilesUnderAStorm(t *testing.T) {
+	child := exec.Command(os.Args[0])
+	child.Env = append(os.Environ(), childEnv+"="+t.TempDir())
+	output, err := child.StdoutPipe()
+	must.NoError(t, err)
+	must.NoError(t, child.Start())
+	t.Cleanup(func() {
+		_ = child.Process.Kill()
+		_ = child.Wait()
+	})
+	address, err := bufio.NewReader(output).ReadString('\n')
+	must.NoError(t, err)
+	address = strings.TrimSpace(address)
+
+	for range pressing {
+		conn, err := net.Dial("tcp", address)
+		must.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+	}
+	client := &http.Client{Timeout: answeredWithin}
+	response, err := client.Get("http://" + address)
+	must.NoError(t, err)
+	must.Eq(t, http.StatusOK, response.StatusCode)
+	must.NoError(t, response.Body.Close())
+}
--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/bilberryferry/bilberryferry/internal/control"
+	"github.com/bilberryferry/bilberryferry/internal/descriptors"
 	"github.com/bilberryferry/bilberryferry/internal/member"
 )
 
@@ -19,7 +20,11 @@
 }
 
 // OutsideAddresses are those of the deployment's own services, empty for none.
-type OutsideAddresses struct{ Adviser, Machines string }
+type OutsideAddresses struct {
+	Adviser, Machines string
+	// Connections is how many may be open to these and to workers.
+	Connections int
+}
 
 // CoreAdapters translate between a deployment's own protocol and the core.
 type CoreAdapters struct {
@@ -36,13 +41,18 @@
 
 func (p *process) runCore(ctx context.Context, adapters CoreAdapters) error {
 	s := p.settings
-	n := p.openNode(adapters.Outside)
+	budget, err := descriptors.ForCore(s.MaxFiles)
+	if err != nil {
+		return err
+	}
+	n := p.openNode(adapters.Outside, budget)
 	machine := control.NewStateMachine()
 	host := member.New(member.Config{
 		ID: s.Address, Port: s.InternalPort, Seeds: s.seedHosts(), First: s.FirstStart,
 		Folder: s.DataFolder, Voters: votersFor(s.InstancesLost), Machine: machine, Logger: p.logger,
 	}, n.client, n.mux)
 	public := newServer(s.Control, adapters.Control(n.operations, p.logger))
+	descriptors.BoundServer(public, "control", budget.FromOutside, true, p.metrics)
 
 	working, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
--- a/internal/instance/edge.go
+++ b/internal/instance/edge.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/bilberryferry/bilberryferry/internal/descriptors"
 	"github.com/bilberryferry/bilberryferry/internal/wait"
 )
 
@@ -36,12 +37,18 @@
 
 func (p *process) runEdge(ctx context.Context, adapters EdgeAdapters) error {
 	s := p.settings
-	n := p.openNode(adapters.Outside)
+	budget, err := descriptors.ForEdge(s.MaxFiles)
+	if err != nil {
+		return err
+	}
+	n := p.openNode(adapters.Outside, budget)
 	var stopping atomic.Bool
 	entry := newServer(s.Entry, adapters.Entry(n.operations, p.logger))
+	descriptors.BoundServer(entry, "entry", budget.FromOutside, false, p.metrics)
 	readiness := newServer(s.Readiness, readinessHandler(adapters.ReadinessPath, func() bool {
 		return !stopping.Load() && n.gateway.InTouch()
 	}))
+	descriptors.BoundServer(readiness, "readiness", sideConnections, false, p.metrics)
 
 	working, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
--- a/internal/instance/process.go
+++ b/internal/instance/process.go
@@ -17,6 +17,7 @@
 
 	"github.com/bilberryferry/bilberryferry/internal/apiserver"
 	"github.com/bilberryferry/bilberryferry/internal/control"
+	"github.com/bilberryferry/bilberryferry/internal/descriptors"
 	"github.com/bilberryferry/bilberryferry/internal/gateway"
 	"github.com/bilberryferry/bilberryferry/internal/link"
 	"github.com/bilberryferry/bilberryferry/internal/oplog"
@@ -36,6 +37,9 @@
 	// collectPercent collects less often than the default: memory is cheaper here
 	// than processor time.
 	collectPercent = 300
+	// sideConnections bounds those of metrics, readiness and the product's own
+	// interface each; they come out of the descriptors that are kept for files.
+	sideConnections = 32
 )
 
 // Exit codes of the daemons.
@@ -132,6 +136,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", p.metrics)
 	server := newServer(p.settings.MetricsAddress, mux)
+	descriptors.BoundServer(server, "metrics", sideConnections, false, p.metrics)
 	if p.settings.MetricsAddress != "" {
 		serve(group, server)
 	}
@@ -141,6 +146,7 @@
 // serveAPI serves the product's own interface, where the settings name an address.
 func (p *process) serveAPI(group *errgroup.Group, n *node) {
 	n.api = newInternalServer(p.settings.API, nil)
+	descriptors.BoundServer(n.api, "api", sideConnections, false, p.metrics)
 	if p.settings.API == "" {
 		return
 	}
@@ -169,16 +175,20 @@
 
 // openNode makes what both daemons are made of. Every instance puts questions to
 // the adviser for the leader.
-func (p *process) openNode(outside func(OutsideAddresses) Outside) *node {
+func (p *process) openNode(outside func(OutsideAddresses) Outside, budget descriptors.Budget) *node {
 	s := p.settings
-	addresses := OutsideAddresses{Adviser: s.Adviser, Machines: s.MachineList}
-	n := &node{own: s.internal(s.Address), client: link.NewClient(), mux: link.NewMux(), outside: outside(addresses)}
+	addresses := OutsideAddresses{Adviser: s.Adviser, Machines: s.MachineList, Connections: budget.ToOutside}
+	n := &node{
+		own: s.internal(s.Address), client: link.NewClientWithin(budget.ToInstances), mux: link.NewMux(),
+		outside: outside(addresses),
+	}
 	link.Handle(n.mux, control.MethodAsk, func(ctx context.Context, call *control.AskCall) (control.AskReply, error) {
 		return n.outside.Ask(ctx, *call)
 	})
 	n.gateway = gateway.New(n.client, n.own, s.seedAddresses(), p.logger)
 	n.operations = &Operations{gateway: n.gateway}
 	n.internal = newInternalServer(n.own, n.mux)
+	descriptors.BoundServer(n.internal, "internal", budget.FromInstances, true, p.metrics)
 	return n
 }
 
--- a/internal/instance/settings.go
+++ b/internal/instance/settings.go
@@ -44,6 +44,9 @@
 	Seeds []string `toml:"seeds"`
 	// MemoryMB is what the machine lets the process use; 0 for no bound.
 	MemoryMB int `toml:"memory_mb"`
+	// MaxFiles is how many descriptors the machine lets the process have open; 0 for
+	// what the operating system says.
+	MaxFiles int `toml:"max_files"`
 	// FirstStart is true when the whole system starts for the first time.
 	FirstStart bool `toml:"first_start"`
 	// DataFolder is on the machine's disk.
@@ -117,6 +120,9 @@
 	if s.InternalPort == "" {
 		return fault.Field("internal_port", "missing")
 	}
+	if s.MaxFiles < 0 {
+		return fault.Field("max_files", "%d is negative", s.MaxFiles)
+	}
 	if s.InstancesLost < 0 {
 		return fault.Field("instances_lost", "%d is negative", s.InstancesLost)
 	}
