Workers are called by the other core instances; the leader hands its orders over

Cause: the leader calls each worker itself: a held look, a start and an end for each task, one to six connections each. On 350 workers that is most of its processor, on 1,100 its descriptors too, while the other core instances idle.

Ruled out: edge instances as callers: 43 or 147 of them, each with the ends of few workers, are more messages to the leader than four core instances are (docs/design/0007-carriers.md weighs four ways).

Change: internal/carrier implements the port to workers twice: Spread hands orders over in batches, Carrier makes the calls. Heartbeats that others took come with the outcomes, as ids and ages. Between two messages lie 2 ms times the number of carriers.

--- /dev/null
+++ b/internal/carrier/fake_test.go
@@ -0,0 +1,268 @@
+package carrier
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-kit/log"
+	"github.com/shoenig/test/must"
+
+	"github.com/bilberryferry/bilberryferry/internal/control"
+	"github.com/bilberryferry/bilberryferry/internal/link"
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+// way is one way of a message between two instances.
+const way = time.Millisecond
+
+// cluster is carriers and one leader's Spread on a network that can be cut.
+type cluster struct {
+	t      *testing.T
+	spread *Spread
+	end    context.CancelFunc
+
+	mu       sync.Mutex
+	carriers map[string]*Carrier
+	workers  map[string]*fakeWorkers
+	// unreached refuse connections, silent take messages and answer nothing, losing
+	// answer nothing after having worked.
+	unreached, silent, losing map[string]bool
+	calls                     map[string]int
+}
+
+func newCluster(t *testing.T, carriers int) *cluster {
+	c := &cluster{
+		t: t, carriers: map[string]*Carrier{}, workers: map[string]*fakeWorkers{},
+		unreached: map[string]bool{}, silent: map[string]bool{}, losing: map[string]bool{}, calls: map[string]int{},
+	}
+	members := []string{"leader"}
+	c.workers["leader"] = &fakeWorkers{}
+	for i := range carriers {
+		name := fmt.Sprintf("carrier-%d", i)
+		members = append(members, name)
+		c.workers[name] = &fakeWorkers{}
+		c.restart(name)
+	}
+	c.spread = NewSpread(Config{
+		Own: "leader", Members: func() []string { return members }, Transport: c,
+		Direct: c.workers["leader"], Heard: func([]control.HeardWorker) {}, Logger: log.NewNopLogger(), Counters: noCounters{},
+	})
+	return c
+}
+
+// restart gives an instance a carrier that knows nothing.
+func (c *cluster) restart(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.carriers[name] = newTestCarrier(c.workers[name], "dc-"+name)
+}
+
+func newTestCarrier(workers control.Workers, dataCentre string) *Carrier {
+	return NewCarrier(CarrierConfig{
+		Workers: workers, DataCentre: dataCentre, Counters: noCounters{},
+		TakeHeard: func() []control.HeardWorker { return nil },
+	})
+}
+
+// lead begins a term; it ends with the test or the next one.
+func (c *cluster) lead(term uint64) {
+	if c.end != nil {
+		c.end()
+	}
+	var ctx context.Context
+	ctx, c.end = context.WithCancel(c.t.Context())
+	c.spread.Lead(ctx, term)
+}
+
+func (c *cluster) set(of map[string]bool, name string, on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	of[name] = on
+}
+
+func (c *cluster) is(of map[string]bool, name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return of[name]
+}
+
+// callsOf returns how many messages of a kind were sent.
+func (c *cluster) callsOf(method string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls[method]
+}
+
+// Call carries a message as the network does.
+func (c *cluster) Call(ctx context.Context, address, method string, request, reply any) error {
+	c.mu.Lock()
+	carrier := c.carriers[address]
+	c.calls[method]++
+	c.mu.Unlock()
+	if c.is(c.unreached, address) {
+		return errors.Mark(errors.New("refused"), link.ErrUnsent)
+	}
+	time.Sleep(way)
+	if c.is(c.silent, address) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	answer, err := serve(ctx, carrier, method, request)
+	if err == nil && c.is(c.losing, address) {
+		<-ctx.Done()
+		err = ctx.Err()
+	}
+	if err != nil {
+		return err
+	}
+	time.Sleep(way)
+	return copyMessage(answer, reply)
+}
+
+// serve hands a message to a carrier.
+func serve(ctx context.Context, carrier *Carrier, method string, request any) (any, error) {
+	if method == MethodCarry {
+		var call CarryCall
+		if err := copyMessage(request, &call); err != nil {
+			return nil, err
+		}
+		return carrier.Carry(ctx, &call)
+	}
+	var call CollectCall
+	if err := copyMessage(request, &call); err != nil {
+		return nil, err
+	}
+	return carrier.Collect(ctx, &call)
+}
+
+// copyMessage encodes and decodes a message as the network does.
+func copyMessage(from, to any) error {
+	data, err := cbor.Marshal(from)
+	if err != nil {
+		return err
+	}
+	return cbor.Unmarshal(data, to)
+}
+
+// fakeWorkers are workers as one instance reaches them.
+type fakeWorkers struct {
+	mu     sync.Mutex
+	starts []control.StartOrder
+	// to counts the starts of each worker.
+	to map[string]int
+	// refuse is the answer to starts; nil takes them.
+	refuse error
+	looks  int
+	// hang keeps starts from being answered.
+	hang bool
+}
+
+const workerClockMS = 77
+
+func (w *fakeWorkers) Start(ctx context.Context, to control.Target, order control.StartOrder) (int64, error) {
+	w.mu.Lock()
+	w.starts = append(w.starts, order)
+	if w.to == nil {
+		w.to = map[string]int{}
+	}
+	w.to[to.Worker]++
+	refuse, hang := w.refuse, w.hang
+	w.mu.Unlock()
+	if hang {
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
+	time.Sleep(way)
+	return workerClockMS, refuse
+}
+
+func (w *fakeWorkers) Stop(context.Context, control.Target, control.StopOrder) (int64, error) {
+	return workerClockMS, nil
+}
+
+func (w *fakeWorkers) Throttle(context.Context, control.Target, control.ThrottleOrder) (int64, error) {
+	return workerClockMS, nil
+}
+
+// Look answers at once with one end.
+func (w *fakeWorkers) Look(_ context.Context, _ control.Target, order control.LookOrder) (control.Report, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.looks++
+	time.Sleep(way)
+	end := workflow.RunEnd{Task: workflow.TaskKey{StepKey: workflow.StepKey{Job: "j", Step: 1}, Index: 2}, Number: 3, Outcome: workflow.OutcomeDone}
+	return control.Report{
+		ClockMS: workerClockMS, Ended: []control.Ended{{Position: order.Seen + 1, RunEnd: end}},
+		Running: []control.Running{{Task: workflow.TaskKey{StepKey: workflow.StepKey{Job: "k"}}, Number: 1, Percent: 40, Measured: 9}},
+	}, nil
+}
+
+func (w *fakeWorkers) started() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.starts)
+}
+
+// noCounters counts nothing.
+type noCounters struct{}
+
+func (noCounters) Add(string, int64)             {}
+func (noCounters) Set(string, int64)             {}
+func (noCounters) Observe(string, time.Duration) {}
+
+// start sends a start to a worker within the time that the leader allows.
+func (c *cluster) start(worker string) error {
+	ctx, cancel := context.WithTimeout(c.t.Context(), 600*time.Millisecond)
+	defer cancel()
+	_, err := c.spread.Start(ctx, control.Target{Worker: worker, Address: "a"}, control.StartOrder{Fence: 1, Payload: "p"})
+	return err
+}
+
+// startsBy returns how many starts each instance has sent.
+func (c *cluster) startsBy() map[string]int {
+	by := map[string]int{}
+	for name, w := range c.workers {
+		by[name] = w.started()
+	}
+	return by
+}
+
+// sentTo returns how many starts each worker was sent, by whomever.
+func (c *cluster) sentTo() map[string]int {
+	sent := map[string]int{}
+	for _, w := range c.workers {
+		w.mu.Lock()
+		for worker, n := range w.to {
+			sent[worker] += n
+		}
+		w.mu.Unlock()
+	}
+	return sent
+}
+
+// startMany sends starts to many workers at once and returns how many had no error.
+func (c *cluster) startMany(workers int) (answered int) {
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	for i := range workers {
+		group.Go(func() {
+			if c.start(fmt.Sprint("worker-", i)) == nil {
+				mu.Lock()
+				defer mu.Unlock()
+				answered++
+			}
+		})
+	}
+	group.Wait()
+	return answered
+}
+
+func mustAll(t *testing.T, workers, answered int) {
+	t.Helper()
+	must.Eq(t, workers, answered)
+}
--- /dev/null
+++ b/internal/carrier/random_test.go
@@ -0,0 +1,79 @@
+package carrier
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+// What a user would see: a task is started, its worker says so, and the leader takes the
+// start for lost, or takes one that was never sent for begun.
+// Order: carriers are silenced, restarted and unreachable in turn while orders are handed
+// over.
+// Cause: an outcome given to another order, or an order that nobody waits for any more.
+//
+// Whatever happens on the way, an order ends in time, one that was answered was sent, and
+// one that was sent through a carrier was sent once.
+func TestEveryOrderEndsInTimeAndAnsweredOnesWereSent(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		seed := rapid.Uint64().Draw(r, "seed")
+		carriers := rapid.IntRange(1, 4).Draw(r, "carriers")
+		synctest.Test(t, func(t *testing.T) { disturb(t, seed, carriers) })
+	})
+}
+
+// disturb sends orders while a network of carriers is disturbed.
+func disturb(t *testing.T, seed uint64, carriers int) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	c := newCluster(t, carriers)
+	c.lead(1)
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	answered := map[string]bool{}
+	for i := range 120 {
+		if i%10 == 0 {
+			c.disturbOne(random, carriers)
+		}
+		worker := fmt.Sprint("w", i)
+		group.Go(func() {
+			begun := time.Now()
+			err := c.start(worker)
+			must.LessEq(t, 600*time.Millisecond, time.Since(begun))
+			mu.Lock()
+			defer mu.Unlock()
+			answered[worker] = err == nil
+		})
+		time.Sleep(time.Duration(random.IntN(20)) * time.Millisecond)
+	}
+	group.Wait()
+	c.end()
+	time.Sleep(time.Second)
+	sent := c.sentTo()
+	for worker, ok := range answered {
+		if ok {
+			must.Positive(t, sent[worker], must.Sprint(worker))
+		}
+		must.LessEq(t, 1, sent[worker], must.Sprint(worker))
+	}
+}
+
+// disturbOne changes how one carrier behaves.
+func (c *cluster) disturbOne(random *rand.Rand, carriers int) {
+	name := fmt.Sprintf("carrier-%d", random.IntN(carriers))
+	switch random.IntN(4) {
+	case 0:
+		c.set(c.silent, name, !c.is(c.silent, name))
+	case 1:
+		c.set(c.unreached, name, !c.is(c.unreached, name))
+	case 2:
+		c.set(c.losing, name, !c.is(c.losing, name))
+	case 3:
+		c.restart(name)
+	}
+}
--- /dev/null
+++ b/internal/carrier/spread.go
@@ -0,0 +1,225 @@
+package carrier
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+
+	"github.com/bilberryferry/bilberryferry/internal/control"
+	"github.com/bilberryferry/bilberryferry/internal/wait"
+)
+
+const (
+	// membersPause is how often a leader looks for other members.
+	membersPause = 500 * time.Millisecond
+	// messagePause times the number of carriers lies between two messages to one of
+	// them and between two from it, so that the leader's messages a second don't grow
+	// with the number of carriers or workers. What comes up meanwhile shares the next
+	// one; a message after a longer pause goes at once.
+	messagePause = 2 * time.Millisecond
+	// answersWithin bounds the wait of a new leader for its carriers: a few round trips.
+	answersWithin = 60 * time.Millisecond
+)
+
+// Config is the fixed part of a Spread.
+type Config struct {
+	// Own is where other instances reach this one.
+	Own string
+	// Members lists the core instances, this one included or not.
+	Members   func() []string
+	Transport Transport
+	// Direct calls workers from here.
+	Direct control.Workers
+	// Heard takes in the heartbeats that other instances took.
+	Heard    func([]control.HeardWorker)
+	Logger   log.Logger
+	Counters control.Counters
+}
+
+// Spread is the leader's way to workers: through carriers while there are some, and by
+// its own calls otherwise. It is safe for concurrent use.
+type Spread struct {
+	cfg Config
+
+	mu sync.RWMutex
+	// routes are those to the other members under the present term, none while this
+	// instance doesn't lead.
+	routes []*route
+	// leading is the leadership that the routes belong to.
+	leading *leadership
+}
+
+// NewSpread returns a Spread of an instance that doesn't lead.
+func NewSpread(cfg Config) *Spread { return &Spread{cfg: cfg} }
+
+// Lead opens routes to the other members and returns when they have answered, or
+// after a moment. They are kept until ctx ends, as long as this instance leads.
+//
+// Failure guarded against: a new leader looks at all workers at once, and does so by
+// itself if no carrier has answered yet.
+func (s *Spread) Lead(ctx context.Context, term uint64) {
+	l := &leadership{s: s, ctx: ctx, term: term, routes: map[string]*openRoute{}}
+	s.mu.Lock()
+	s.leading = l
+	s.mu.Unlock()
+	l.refresh()
+	l.awaitAnswers()
+	go l.run()
+}
+
+// leadership keeps the routes of one term.
+type leadership struct {
+	s      *Spread
+	ctx    context.Context
+	term   uint64
+	routes map[string]*openRoute
+}
+
+type openRoute struct {
+	*route
+	close context.CancelFunc
+}
+
+// awaitAnswers waits until each carrier has answered or failed to, answersWithin at
+// most.
+func (l *leadership) awaitAnswers() {
+	ctx, cancel := context.WithTimeout(l.ctx, answersWithin)
+	defer cancel()
+	for _, r := range l.routes {
+		wait.Closed(ctx, r.answered)
+	}
+}
+
+func (l *leadership) run() {
+	defer l.s.setRoutes(l, nil)
+	for wait.For(l.ctx, membersPause) {
+		l.refresh()
+	}
+}
+
+// refresh opens routes to new members and closes those to members that have left.
+func (l *leadership) refresh() {
+	members := l.s.cfg.Members()
+	for address, r := range l.routes {
+		if !slices.Contains(members, address) {
+			r.close()
+			delete(l.routes, address)
+		}
+	}
+	for _, address := range members {
+		if address != l.s.cfg.Own && l.routes[address] == nil {
+			l.routes[address] = l.open(address)
+		}
+	}
+	var routes []*route
+	for _, r := range l.routes {
+		r.setPause(messagePause * time.Duration(len(l.routes)))
+		routes = append(routes, r.route)
+	}
+	l.s.setRoutes(l, routes)
+}
+
+func (l *leadership) open(address string) *openRoute {
+	r := newRoute(&l.s.cfg, address, l.term)
+	ctx, cancel := context.WithCancel(l.ctx)
+	go r.send(ctx)
+	go r.collect(ctx)
+	return &openRoute{route: r, close: cancel}
+}
+
+// setRoutes replaces the routes, unless another leadership has begun.
+func (s *Spread) setRoutes(l *leadership, routes []*route) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leading == l {
+		s.routes = routes
+	}
+}
+
+// routeTo returns the route by which a worker is called, nil where the leader calls it
+// itself. Workers are spread evenly over the carriers of their data centre, or over
+// all where it has none; when one comes or goes only its share moves.
+func (s *Spread) routeTo(to control.Target) *route {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	now := time.Now()
+	var best *route
+	var bestNear bool
+	var bestWeight uint64
+	for _, r := range s.routes {
+		usable, dataCentre := r.usable(now)
+		if !usable {
+			continue
+		}
+		near := dataCentre == to.DataCentre
+		weight := xxhash.Sum64String(r.address + "/" + to.Worker)
+		if best == nil || near && !bestNear || near == bestNear && weight > bestWeight {
+			best, bestNear, bestWeight = r, near, weight
+		}
+	}
+	return best
+}
+
+// Start hands a start over.
+func (s *Spread) Start(ctx context.Context, to control.Target, order control.StartOrder) (int64, error) {
+	outcome, err := s.carry(ctx, &Order{To: to, Start: &order})
+	if errors.Is(err, errNotCarried) {
+		return s.cfg.Direct.Start(ctx, to, order)
+	}
+	return outcome.ClockMS, err
+}
+
+// Stop hands a stop over.
+func (s *Spread) Stop(ctx context.Context, to control.Target, order control.StopOrder) (int64, error) {
+	outcome, err := s.carry(ctx, &Order{To: to, Stop: &order})
+	if errors.Is(err, errNotCarried) {
+		return s.cfg.Direct.Stop(ctx, to, order)
+	}
+	return outcome.ClockMS, err
+}
+
+// Throttle hands a change of a run's share over.
+func (s *Spread) Throttle(ctx context.Context, to control.Target, order control.ThrottleOrder) (int64, error) {
+	outcome, err := s.carry(ctx, &Order{To: to, Pace: &order})
+	if errors.Is(err, errNotCarried) {
+		return s.cfg.Direct.Throttle(ctx, to, order)
+	}
+	return outcome.ClockMS, err
+}
+
+// Look hands a look over.
+func (s *Spread) Look(ctx context.Context, to control.Target, order control.LookOrder) (control.Report, error) {
+	outcome, err := s.carry(ctx, &Order{To: to, Look: &order})
+	switch {
+	case errors.Is(err, errNotCarried):
+		return s.cfg.Direct.Look(ctx, to, order)
+	case err != nil:
+		return control.Report{}, err
+	case outcome.Report == nil:
+		return control.Report{}, errors.Wrap(errNoAnswer, "a look without a report")
+	}
+	return *outcome.Report, nil
+}
+
+// errNotCarried says that an order was handed to no carrier.
+var errNotCarried = errors.New("no carrier has the order")
+
+// carry hands an order over and waits for its outcome.
+func (s *Spread) carry(ctx context.Context, order *Order) (Outcome, error) {
+	r := s.routeTo(order.To)
+	if r == nil {
+		s.cfg.Counters.Add("orders_direct", 1)
+		return Outcome{}, errNotCarried
+	}
+	s.cfg.Counters.Add("orders_handed_over", 1)
+	outcome, err := r.carry(ctx, order)
+	if err != nil {
+		return Outcome{}, errors.Wrapf(err, "carrier %s", r.address)
+	}
+	return outcome, outcome.err()
+}
--- a/internal/control/announce.go
+++ b/internal/control/announce.go
@@ -23,8 +23,8 @@
 // whether that will do: the log has the worker as it announces itself, and a
 // leader is known.
 //
-// Load that it answers: 350 workers send 233 heartbeats a second, a seventh of the
-// calls that the leader serves, and hardly any of them says anything new.
+// Load that it answers: hundreds of workers send a heartbeat each every second, and
+// hardly any of them says anything new.
 func (c *Controller) AnnounceKnown(r *Announcement) (AnnouncementReply, bool) {
 	if c.beats != nil || r.Worker.Draining || c.news(&r.Worker) {
 		return AnnouncementReply{}, false
@@ -33,13 +33,15 @@
 	if status.Role != replica.Follower || status.Leader == "" {
 		return AnnouncementReply{}, false
 	}
-	if !c.passedOn.recently(r.Worker.ID, time.Now()) {
+	now := time.Now()
+	if !c.heardHere.note(r.Worker.ID, now) && !c.passedOn.recently(r.Worker.ID, now) {
 		return AnnouncementReply{}, false
 	}
 	return AnnouncementReply{HeartbeatAddress: c.cfg.Public}, true
 }
 
-// passedOn is when heartbeats of each worker last went on to the leader.
+// passedOn is when heartbeats of each worker last went on to a leader that doesn't ask
+// for them.
 type passedOn struct {
 	mu sync.Mutex
 	at map[string]time.Time
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -39,6 +39,9 @@
 	// Without names mechanisms that are switched off.
 	Without dispatch.Without
 	Workers Workers
+	// Lead is told of each tenure before it looks at any worker; what it begins ends
+	// with ctx. It may be nil.
+	Lead func(ctx context.Context, term uint64)
 	// OrdersByHeartbeat says that workers get their orders with the answers to their
 	// heartbeats and aren't called.
 	OrdersByHeartbeat bool
@@ -71,6 +74,8 @@
 	// beats is nil where workers are called.
 	beats    *beats
 	passedOn passedOn
+	// heardHere are the heartbeats that this instance takes for the leader.
+	heardHere heardLog
 
 	mu     sync.Mutex
 	tenure *tenure
@@ -120,6 +125,9 @@
 		wait.For(ctx, idlePause)
 		return
 	}
+	if c.cfg.Lead != nil {
+		c.cfg.Lead(tenureCtx, term)
+	}
 	t := newTenure(tenureCtx, end, c, term)
 	workers := len(t.sessions)
 	c.setTenure(t)
--- a/internal/control/ports.go
+++ b/internal/control/ports.go
@@ -16,75 +16,77 @@
 
 // Target is the incarnation of a worker that an order is meant for.
 type Target struct {
-	Worker  string
-	Address string
+	Worker  string `cbor:"1,keyasint"`
+	Address string `cbor:"2,keyasint"`
+	// DataCentre is where the worker runs.
+	DataCentre string `cbor:"3,keyasint,omitempty"`
 }
 
 // StartOrder tells a worker to begin a run.
 type StartOrder struct {
-	Run     workflow.Run
-	Payload string
+	Run     workflow.Run `cbor:"1,keyasint"`
+	Payload string       `cbor:"2,keyasint,omitempty"`
 	// LeaseEndMS is on the worker's own clock and holds for all that runs there.
-	LeaseEndMS int64
+	LeaseEndMS int64 `cbor:"3,keyasint"`
 	// Fence grows from one leader to the next; workers refuse lower ones.
-	Fence      uint64
-	Checkpoint string
+	Fence      uint64 `cbor:"4,keyasint"`
+	Checkpoint string `cbor:"5,keyasint,omitempty"`
 	// Ticket is the adviser's, empty where none is needed.
-	Ticket string
+	Ticket string `cbor:"6,keyasint,omitempty"`
 }
 
 // StopOrder tells a worker to end a run, or never to begin it.
 type StopOrder struct {
-	Run   workflow.Run
-	Fence uint64
+	Run   workflow.Run `cbor:"1,keyasint"`
+	Fence uint64       `cbor:"2,keyasint"`
 }
 
 // ThrottleOrder lets a run work at a share of its speed only.
 type ThrottleOrder struct {
-	Run workflow.Run
+	Run workflow.Run `cbor:"1,keyasint"`
 	// Share is in percent, from 0 to 100; a run begins at 100.
-	Share int
-	Fence uint64
+	Share int    `cbor:"2,keyasint"`
+	Fence uint64 `cbor:"3,keyasint"`
 }
 
 // LookOrder asks a worker what runs and what has ended.
 type LookOrder struct {
-	Fence uint64
+	Fence uint64 `cbor:"1,keyasint"`
 	// Seen is the last end that needn't be listed any more.
-	Seen uint64
+	Seen uint64 `cbor:"2,keyasint,omitempty"`
 	// LeaseEndMS prolongs the lease, on the worker's own clock; 0 leaves it.
-	LeaseEndMS int64
+	LeaseEndMS int64 `cbor:"3,keyasint,omitempty"`
 	// Wait is how long the worker may hold the answer back until a run ends.
-	Wait time.Duration
+	Wait time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Running is a run that a worker lists as alive.
 type Running struct {
-	Task       workflow.TaskKey
-	Number     int
-	Checkpoint string
+	Task       workflow.TaskKey `cbor:"1,keyasint"`
+	Number     int              `cbor:"2,keyasint"`
+	Checkpoint string           `cbor:"3,keyasint,omitempty"`
 	// Percent is the share of the work that is done.
-	Percent int
+	Percent int `cbor:"4,keyasint,omitempty"`
 	// Measured covers the last half second: the tail latency in milliseconds of a
 	// task with a latency objective, the processor use of others in thousandths of
 	// a core.
-	Measured int64
+	Measured int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Ended is an end that a worker lists.
 type Ended struct {
 	// Position counts the ends of the incarnation from 1.
-	Position uint64
+	Position uint64 `cbor:"9,keyasint"`
 	workflow.RunEnd
 }
 
 // Report is a worker's answer to a LookOrder.
 type Report struct {
-	ClockMS int64
-	Running []Running
-	Ended   []Ended
+	ClockMS int64     `cbor:"1,keyasint"`
+	Running []Running `cbor:"2,keyasint,omitempty"`
+	Ended   []Ended   `cbor:"3,keyasint,omitempty"`
 	// Partial says that more ends are waiting than one answer lists.
-	Partial bool
+	Partial bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Refusal is why a worker didn't carry out an order.
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -80,7 +80,9 @@
 	hurried bool
 }
 
-func (s *session) target() Target { return Target{Worker: s.worker.ID, Address: s.worker.Address} }
+func (s *session) target() Target {
+	return Target{Worker: s.worker.ID, Address: s.worker.Address, DataCentre: s.worker.DataCentre}
+}
 
 // Reasons why a worker gets nothing new.
 const (
--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -7,9 +7,11 @@
 	"github.com/go-kit/log"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/bilberryferry/bilberryferry/internal/carrier"
 	"github.com/bilberryferry/bilberryferry/internal/control"
 	"github.com/bilberryferry/bilberryferry/internal/descriptors"
 	"github.com/bilberryferry/bilberryferry/internal/member"
+	replicatedlog "github.com/bilberryferry/bilberryferry/internal/node"
 )
 
 // Outside is how a deployment's workers, adviser and list of machines are spoken to.
@@ -91,8 +93,7 @@
 	if s.MachineList != "" {
 		cfg.Machines = n.outside
 	}
-	controller := control.New(cfg, machine, replicated)
-	controller.Register(n.mux)
+	controller := p.newController(cfg, machine, replicated, n)
 	n.operations.lead(controller)
 	running, ctx := errgroup.WithContext(working)
 	running.Go(func() error { return controller.Run(ctx) })
@@ -101,6 +102,31 @@
 	return running.Wait()
 }
 
+// newController returns a controller that serves calls. Where workers are called, other
+// core instances do so while this one leads, and this one for whoever else does.
+func (p *process) newController(cfg control.Config, machine *control.StateMachine, replicated replicatedlog.Log, n *node) *control.Controller {
+	var controller *control.Controller
+	var own *carrier.Carrier
+	if !cfg.OrdersByHeartbeat {
+		own = carrier.NewCarrier(carrier.CarrierConfig{
+			Workers: n.outside, DataCentre: p.settings.DataCentre, Counters: p.metrics,
+			TakeHeard: func() []control.HeardWorker { return controller.TakeHeard() },
+		})
+		spread := carrier.NewSpread(carrier.Config{
+			Own: n.own, Members: cfg.Members, Transport: n.client, Direct: n.outside,
+			Heard:  func(heard []control.HeardWorker) { controller.HeardElsewhere(heard) },
+			Logger: p.logger, Counters: p.metrics,
+		})
+		cfg.Workers, cfg.Lead = spread, spread.Lead
+	}
+	controller = control.New(cfg, machine, replicated)
+	controller.Register(n.mux)
+	if own != nil {
+		own.Register(n.mux)
+	}
+	return controller
+}
+
 func (s *Settings) controlBounds() control.Bounds {
 	return control.Bounds{
 		LeaseMax: s.Bounds.LeaseMax.Std(), Shown: s.Bounds.Shown.Std(),
