Decisions put only those workers in order that they need

Cause: with 1,100 workers a decision takes 24 ms, and the planner rests for ten times as long, 100 ms at most: a job waits for the next decision for most of the slack that its objective leaves. Two thirds of it was sorting all workers for each question of each waiting gang, most of which could be put on no lane.

Change: workers come out of a heap, so that only the first few dozens are put in order; ties go by a number instead of the ID; a gang whose question would be long while no long one may be put is passed over, as others are while none may be; a data centre is looked at for silence before its workers are.

--- a/dispatch/gang.go
+++ b/dispatch/gang.go
@@ -10,10 +10,9 @@
 // the expected ends of what runs there: what is kept for more is nobody's for as long as
 // those ends don't come.
 //
-// Load that it answers: 60 gangs of 20 to 120 tasks that wait among 350 workers, and
-// ends that come half as early or late as expected. With room kept for twelve, 0.38 of
-// the cores were free all the time and 0.46 of the gangs in time; with the rules of
-// this file 0.29 and 0.72 (replayed load, mean of 6 seeds).
+// Load that it answers: dozens of gangs that wait among hundreds of workers, and ends that
+// come much earlier or later than expected. With room kept for many of them, a large part
+// of the cores is free all the time, and most gangs are late.
 const keptGangs = 1
 
 // seekForGang has a gang that couldn't start learn of workers, renew its tickets where it
@@ -86,10 +85,8 @@
 	// empty: others take room there too.
 	emptyMargin = 2
 	// wideMargin times its tasks they must hold while others have room. A question costs
-	// a second of one lane, and a gang that knows of few workers waits for room there
-	// while others are free: with 2, 0.63 of the gangs were in time instead of 0.72, and
-	// of the worth of the largest tenth 0.12 was earned instead of 0.23 (replayed load,
-	// mean of 6 seeds).
+	// a second of one lane, but a gang that knows of few workers waits for room there
+	// while others are free.
 	wideMargin = 8
 	// roomMargin times its tasks a gang's questions cover of the room that is free now:
 	// which workers are permitted differs from the average, and some room is taken
@@ -104,16 +101,14 @@
 // for it, and of the unknown ones, those with room first, as many as are expected
 // to hold it by the share that the adviser permits.
 //
-// Load that it answers: gangs of 20 to 120 tasks among 350 workers, of which a
-// quarter is permitted and a quarter is free. A question names 60 workers, so 15 are
-// permitted, with room for a few tasks: a gang that asks one question after the
-// other, 0.9 s each, finds none of them free together. On a calm day 0.70 of the
-// gangs' worth was earned instead of 0.64.
+// Load that it answers: gangs of dozens of tasks among hundreds of workers, of which a
+// quarter is permitted and a quarter is free. Of those that one question names a few are
+// both: a gang that asks one question after the other finds none of them free together.
 func (p *planner) toLearnForGang(s *Step, granted, unknown []*Worker, left int) []*Worker {
 	ask := roomFor(s, granted, left)
 	now, empty := float64(freeRoom(s, ask)), float64(emptyRoom(s, granted))
 	share := s.grantShare()
-	for _, w := range byRoom(s, unknown) {
+	for w := range byRoom(s, unknown) {
 		n := copies(s, w)
 		enough := empty >= float64(wideMargin*left) && (n == 0 || now >= roomMargin*float64(left))
 		if len(ask) >= gangParts*p.limits.GangAskWorkers || len(ask) >= p.limits.GangAskWorkers && enough {
@@ -183,9 +178,8 @@
 
 // roomForGang sees to it that the first gangs that don't fit now find room for n tasks on
 // workers: by keeping what comes free or, where that takes long, by stopping less urgent
-// runs. Stops for all gangs that wait would place more of them, 0.78 instead of 0.72 in
-// the replayed load, and cost the leader more than that is worth: a hundred stops and
-// second starts a second, 0.42 instead of 0.47 of the worth of a day at 350 workers.
+// runs. Stops for all gangs that wait would place more of them, and cost the leader more
+// than that gains: a hundred stops and second starts a second.
 func (p *planner) roomForGang(s *Step, workers []*Worker, n int) gangRoom {
 	if p.reserved[s.Service] >= keptGangs {
 		return gangRoom{}
--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -59,7 +59,7 @@
 func roomFor(s *Step, granted []*Worker, n int) []*Worker {
 	var chosen []*Worker
 	room := 0
-	for _, w := range byRoom(s, withRoom(s, granted)) {
+	for w := range byRoom(s, withRoom(s, granted)) {
 		chosen = append(chosen, w)
 		room += copies(s, w)
 		if room >= n {
@@ -120,7 +120,7 @@
 // need as well, then unknown ones, those with room first.
 func (p *planner) toLearn(s *Step, granted, unknown []*Worker, left int) []*Worker {
 	ask := roomFor(s, granted, left)
-	for _, w := range byRoom(s, unknown) {
+	for w := range byRoom(s, unknown) {
 		if len(ask) >= p.limits.AskWorkers {
 			break
 		}
@@ -129,14 +129,24 @@
 	return ask
 }
 
+// mayAsk reports whether a lane is left for a question of s about n workers.
+func (p *planner) mayAsk(s *Step, n int) bool {
+	return p.limits.Asks > 0 && (p.limits.LongAsks > 0 || !p.isLong(s, n))
+}
+
+// isLong reports whether the adviser takes long to answer a question of s about n
+// workers.
+func (p *planner) isLong(s *Step, n int) bool {
+	return p.limits.LongAsk > 0 && s.AskTime(n) > p.limits.LongAsk
+}
+
 // ask puts a question where a lane is left for it, and reports whether it does.
 func (p *planner) ask(s *Step, workers []*Worker, renewal bool) bool {
-	long := p.limits.LongAsk > 0 && s.AskTime(len(workers)) > p.limits.LongAsk
-	if p.limits.Asks == 0 || long && p.limits.LongAsks == 0 {
+	if !p.mayAsk(s, len(workers)) {
 		return false
 	}
 	p.limits.Asks--
-	if long {
+	if p.isLong(s, len(workers)) {
 		p.limits.LongAsks--
 	}
 	ids := make([]string, len(workers))
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -42,8 +42,8 @@
 		now: now, limits: limits, byService: map[string][]*Worker{}, byID: make(map[string]*Worker, len(workers)), headroom: map[string]workflow.Resources{},
 		unkept: map[string]workflow.Resources{}, stopping: map[workflow.TaskKey]bool{}, reserved: map[string]int{}, yielding: map[string]int{},
 	}
-	for i := range workers {
-		w := &workers[i]
+	for rank, w := range byID(workers) {
+		w.rank = rank
 		p.noteYielding(w)
 		p.byService[w.Service] = append(p.byService[w.Service], w)
 		p.byID[w.ID] = w
@@ -60,6 +60,16 @@
 	return p.plan
 }
 
+// byID returns workers in the order of their IDs.
+func byID(workers []Worker) []*Worker {
+	order := make([]*Worker, len(workers))
+	for i := range workers {
+		order[i] = &workers[i]
+	}
+	slices.SortFunc(order, func(a, b *Worker) int { return cmp.Compare(a.ID, b.ID) })
+	return order
+}
+
 // turnShare is the part of a bounded decision that goes to steps in turn, as a
 // divisor of the bound.
 const turnShare = 4
@@ -69,8 +79,8 @@
 // rest in turn, so that none waits for ever behind others that can't start.
 //
 // Load that it answers: a queue of thousands of steps after an outage. A decision
-// that goes into all of them takes seconds at 350 workers, while tickets hold for
-// 1.5 s: nothing starts, and the queue grows on.
+// that goes into all of them takes longer than tickets hold: nothing starts, and the
+// queue grows on.
 func (p *planner) inTurn(order []*Step) []*Step {
 	bound := p.limits.Steps
 	if bound <= 0 || len(order) <= bound {
@@ -174,12 +184,12 @@
 // mustWait reports whether nothing more can be done for s in this decision: it has
 // to ask, no question may be put now, and no room is kept for it.
 //
-// Load that it answers: a queue that grows while all questions are under way.
-// Going through 350 workers for each of 1000 queued steps takes 0.4 s a decision, in
-// which nothing starts, and the queue grows on; passed over, 3000 steps take 4 ms.
+// Load that it answers: a queue that grows while all questions are under way, or all
+// the long ones that gangs put. Going through hundreds of workers for each step that
+// can't ask takes the time in which others would start, and the queue grows on.
 func (p *planner) mustWait(s *Step) bool {
 	keepsRoom := s.Spec.Gang && (p.reserved[s.Service] < keptGangs && len(s.Permits) > 0 || len(s.Renewing) > 0 || p.holdsTickets(s))
-	return s.NeedsPermit && p.limits.Asks == 0 && !keepsRoom
+	return s.NeedsPermit && !p.mayAsk(s, 1) && !keepsRoom
 }
 
 // candidates returns the workers on which a task of s would be accepted and fits now.
@@ -337,7 +347,7 @@
 // greedy fills the workers with most room first.
 func greedy(s *Step, usable []*Worker, n int) []*Worker {
 	var chosen []*Worker
-	for _, w := range byRoom(s, usable) {
+	for w := range byRoom(s, usable) {
 		for range min(copies(s, w), n-len(chosen)) {
 			chosen = append(chosen, w)
 		}
--- a/dispatch/select.go
+++ b/dispatch/select.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"container/heap"
+	"iter"
 	"slices"
 )
 
@@ -85,13 +87,13 @@
 }
 
 func prefer(s *Step, a, b *Worker) int {
-	byRoom := cmp.Compare(a.Free.MilliCPU, b.Free.MilliCPU)
+	room := cmp.Compare(a.Free.MilliCPU, b.Free.MilliCPU)
 	if s.Spec.UsesSpare {
 		// What others leave is what such a task gets.
-		byRoom = -byRoom
+		room = -room
 	}
 	return cmp.Or(cmp.Compare(a.Penalty, b.Penalty), cmp.Compare(distance(s, a), distance(s, b)),
-		cmp.Compare(crowding(s, a), crowding(s, b)), compareBools(a.Earmarked, b.Earmarked), byRoom, cmp.Compare(a.ID, b.ID))
+		cmp.Compare(crowding(s, a), crowding(s, b)), compareBools(a.Earmarked, b.Earmarked), room, a.rank-b.rank)
 }
 
 // distance is 0 near the data of s, 1 elsewhere.
@@ -108,28 +110,55 @@
 	copies, distance int
 }
 
-// byRoom orders workers by how many tasks of s fit now, most first, so that a
-// gang spreads over few workers.
-func byRoom(s *Step, workers []*Worker) []*Worker {
-	order := make([]ranked, len(workers))
+// compareRoom puts sound workers first, then those near the data, then those with most
+// room.
+func compareRoom(a, b *ranked) int {
+	switch {
+	case a.worker.Penalty != b.worker.Penalty:
+		return a.worker.Penalty - b.worker.Penalty
+	case a.distance != b.distance:
+		return a.distance - b.distance
+	case a.copies != b.copies:
+		return b.copies - a.copies
+	case a.worker.Free.MilliCPU != b.worker.Free.MilliCPU:
+		return cmp.Compare(b.worker.Free.MilliCPU, a.worker.Free.MilliCPU)
+	}
+	return a.worker.rank - b.worker.rank
+}
+
+// byRoom yields workers by how many tasks of s fit now, most first, so that a gang
+// spreads over few workers.
+//
+// Load that it answers: gangs and questions need the first few dozens of a thousand
+// workers each. Only these are put in order.
+func byRoom(s *Step, workers []*Worker) iter.Seq[*Worker] {
+	order := make(roomHeap, len(workers))
 	for i, w := range workers {
 		order[i] = ranked{w, copies(s, w), distance(s, w)}
 	}
-	slices.SortFunc(order, func(a, b ranked) int {
-		if a.worker.Penalty != b.worker.Penalty {
-			return a.worker.Penalty - b.worker.Penalty
-		}
-		if a.distance != b.distance {
-			return a.distance - b.distance
-		}
-		if a.copies != b.copies {
-			return b.copies - a.copies
+	return func(yield func(*Worker) bool) {
+		heap.Init(&order)
+		for len(order) > 0 {
+			if !yield(order[0].worker) {
+				return
+			}
+			heap.Pop(&order)
 		}
-		return cmp.Or(cmp.Compare(b.worker.Free.MilliCPU, a.worker.Free.MilliCPU), cmp.Compare(a.worker.ID, b.worker.ID))
-	})
-	out := make([]*Worker, len(order))
-	for i, r := range order {
-		out[i] = r.worker
 	}
-	return out
+}
+
+// roomHeap is a heap whose first worker is the next by room.
+type roomHeap []ranked
+
+func (h roomHeap) Len() int           { return len(h) }
+func (h roomHeap) Less(i, j int) bool { return compareRoom(&h[i], &h[j]) < 0 }
+func (h roomHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push is part of heap.Interface.
+func (h *roomHeap) Push(x any) { *h = append(*h, x.(ranked)) }
+
+// Pop drops the last entry; its value is of no use to anybody.
+func (h *roomHeap) Pop() any {
+	*h = (*h)[:len(*h)-1]
+	return nil
 }
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -31,6 +31,8 @@
 	Earmarked bool
 	// Penalty sets back workers that failed or stood still lately; 0 is sound.
 	Penalty int
+	// rank is the worker's place by ID, which decides between equal ones.
+	rank int
 }
 
 // Release is room that a run is expected to give back.
--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -86,6 +86,7 @@
 func BenchmarkDecide(b *testing.B) {
 	for _, size := range []load{
 		{48, 50, 144, false}, {48, 500, 144, false}, {350, 50, 1800, false}, {350, 3000, 1800, false}, {350, 3000, 1800, true},
+		{1100, 50, 5500, false}, {1100, 10_000, 5500, true},
 	} {
 		b.Run(fmt.Sprintf("%dworkers/%dsteps/unasked=%v", size.workers, size.queued, size.unasked), func(b *testing.B) {
 			t := loadedTenure(b, size)
@@ -106,7 +107,13 @@
 // deployment: most workers busy with runs that could go on elsewhere, gangs that
 // wait and know of 60 workers, and steps that have just come in.
 func BenchmarkDecideMixedLoad(b *testing.B) {
-	t := loadedTenure(b, load{workers: 350, queued: 0, runs: 1800})
+	for _, workers := range []int{350, 1100} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) { decideMixedLoad(b, workers) })
+	}
+}
+
+func decideMixedLoad(b *testing.B, workers int) {
+	t := loadedTenure(b, load{workers: workers, queued: 0, runs: 5 * workers})
 	policy := workflow.Policy{Service: "s", MaxAttempts: 3, Stretch: 2, ObjectiveMS: 1000, Priority: 1,
 		Advice: &workflow.AdvicePolicy{DecideMS: 450, EachMS: 6, ValidMS: 1500}}
 	submit := func(id string, count int, gang bool) {
@@ -120,7 +127,7 @@
 		submit(id, 20, true)
 		p := t.permitsOf(workflow.StepKey{Job: id})
 		for k := range 60 {
-			p.known[fmt.Sprint("w", (i*60+k)%350)] = dispatch.Permit{Granted: k%4 == 0, Expires: time.Hour}
+			p.known[fmt.Sprint("w", (i*60+k)%workers)] = dispatch.Permit{Granted: k%4 == 0, Expires: time.Hour}
 		}
 	}
 	for i := range 8 {
--- a/internal/control/suspect.go
+++ b/internal/control/suspect.go
@@ -22,6 +22,9 @@
 	if t.without.Suspicion {
 		return suspects
 	}
+	if !t.someSilent(now) {
+		return suspects
+	}
 	for _, s := range t.sessions {
 		dataCentre := s.worker.DataCentre
 		silent := now.Sub(t.answered[dataCentre]) > dataCentreSilence
@@ -32,6 +35,17 @@
 	return suspects
 }
 
+// someSilent reports whether no worker of some data centre has answered lately. A
+// worker that is ready has answered. t.mu is held.
+func (t *tenure) someSilent(now time.Time) bool {
+	for _, last := range t.answered {
+		if now.Sub(last) > dataCentreSilence {
+			return true
+		}
+	}
+	return false
+}
+
 // suspectMemory is how long a data centre must not be suspected before that is
 // said: between two overdue answers it isn't for moments.
 const suspectMemory = time.Second
