--- a/internal/control/admit.go
+++ b/internal/control/admit.go
@@ -9,12 +9,11 @@
 
 const (
 	// mostQueued is how many steps may be queued when a further job is accepted: as
-	// many as eight decisions go into. With 350 workers the queue is below 300 steps
-	// in bursts of twice the usual load.
+	// many as eight decisions go into, and more than bursts of twice the usual load bring.
 	mostQueued = 8 * planSteps
 	// queuedRetry is when a caller is told to come back that was refused for the
-	// queue's sake: most callers wait for 3 s in all, and a leader of 350 workers
-	// starts a thousand steps in that time.
+	// queue's sake: late enough for the queue to be drained, soon enough for a caller
+	// that waits for 3 s in all.
 	queuedRetry = 2 * time.Second
 )
 
--- a/internal/control/fresh.go
+++ b/internal/control/fresh.go
@@ -38,11 +38,10 @@
 
 // rest waits for d between two whole decisions and decides about fresh jobs only.
 //
-// Load that it answers: 350 workers, 150 jobs a second. A whole decision takes 8 ms
-// and is made 20 times a second, and a job needs two of them: one that asks for its
-// permits, one that starts it. Half of the time from acceptance to the first start
-// was spent waiting for them, while most of the room that fresh jobs need was free.
-// On a calm day half of the first starts come within 113 ms instead of 170 ms.
+// Load that it answers: hundreds of workers and over a hundred jobs a second. A job needs
+// two decisions: one that asks for its permits, one that starts it. Waiting for whole
+// ones would be half of the time from acceptance to the first start, while most of the
+// room that fresh jobs need is free.
 func (t *tenure) rest(d time.Duration) {
 	end := time.NewTimer(d)
 	defer end.Stop()
--- a/internal/control/lanes.go
+++ b/internal/control/lanes.go
@@ -139,11 +139,9 @@
 // these have needed of late, half at the most. l.mu is held.
 //
 // Load that it answers: large gangs, whose questions take over a second, and a hundred
-// urgent jobs a second, whose questions take 17 ms and keep two lanes of 44 busy. With
-// half of the lanes left to these the gangs' questions waited for each other: 0.46 of
-// the gangs were in time instead of 0.51 with none left. With none, urgent jobs waited
-// behind them at a higher load: 0.78 in time instead of 0.95 with a sixth left (replayed
-// load, mean of 6 seeds; the replay leaves a fixed part).
+// urgent jobs a second, whose questions take some milliseconds and keep a few lanes busy.
+// With half of the lanes left to these the gangs' questions wait for each other; with
+// none, urgent jobs wait behind them at a higher load.
 func (l *lanes) forShort(now time.Time, n int) int {
 	load := l.shortLoadAt(now)
 	return min(int(math.Ceil(load+shortSpread*math.Sqrt(load)))+1, n/2)
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -26,16 +26,15 @@
 	// after it, longestRest for how long at most: a decision that others hold up seems
 	// long. Fresh jobs don't wait for the next one.
 	//
-	// Failure guarded against: with 350 workers and a queue a decision takes 2 to
-	// 20 ms. Made one after the other they held the only processor of the leader for
-	// half of the time, the log's heartbeats came late, and each next leader met a
-	// longer queue.
+	// Failure guarded against: with many workers and a queue a decision takes
+	// milliseconds. Made one after the other they hold the only processor of the leader,
+	// the log's heartbeats come late, and each next leader meets a longer queue.
 	planRest    = 10
 	longestRest = 100 * time.Millisecond
 )
 
-// planSteps is how many queued steps one decision goes into: with 350 workers each
-// takes some 40 µs, and a decision 5 ms.
+// planSteps is how many queued steps one decision goes into, so that a long queue
+// makes no decision long.
 const planSteps = 128
 
 // planLimits bound one plan but for the questions that may be put.
@@ -128,8 +127,7 @@
 
 // noteProposed keeps the tasks and the room of starts that are being committed
 // out of the decisions made meanwhile. Waiting for each commit before the next
-// decision instead delays starts by half a commit on average (from 0.113 s to
-// 0.090 s between a submission and its first start at the median).
+// decision instead would delay starts by half a commit on average.
 func (t *tenure) noteProposed(starts []dispatch.Start) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -158,8 +158,7 @@
 // leader: what has ended stays so.
 //
 // Load that it answers: callers ask for their jobs two or three times as often as
-// they hand one in, mostly after the end; with 350 workers that is a fifth of the
-// calls that the leader serves.
+// they hand one in, mostly after the end.
 func (c *Controller) Ended(ctx context.Context, r *EndedCall) (EndedReply, error) {
 	if c.log.Status().Leader == "" || c.version() < r.Version {
 		return EndedReply{}, nil
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -25,8 +25,7 @@
 	// one held look and the time of a call.
 	freshFor = lookWait + callTimeout
 	// lookPause is the time between a report of ends and the next look. Ends that come
-	// up meanwhile share that look: with three ends a second on a worker it spares a
-	// fifth of the looks, and an end is seen 10 ms later on average.
+	// up meanwhile share that look, at the price of being seen a little later.
 	lookPause = 80 * time.Millisecond
 	// retryPause is the time between two looks at a worker that doesn't answer.
 	retryPause = 300 * time.Millisecond
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -31,10 +31,8 @@
 	// take seconds to become so.
 	sweepEvery = 150 * time.Millisecond
 	// releasesAge is how old the expected ends of a worker's runs may be while none
-	// begins or ends there. Expectations are off by half anyway.
-	//
-	// With 350 workers and 1800 runs, this and sweepEvery make a decision take a
-	// half of the time (2.7 ms to 1.3 ms with 50 queued steps).
+	// begins or ends there. Expectations are off by half anyway, and counting them anew
+	// for thousands of runs is most of a decision.
 	releasesAge = 400 * time.Millisecond
 )
 
@@ -265,8 +263,7 @@
 const leastShare = 0.6
 
 // leastRest is how long a step takes at least. A job that can't meet its
-// objective any more gives way to one that still can: on four days with twice
-// the work that fits, worth rose by 0.010 to 0.043 (0.424 to 0.451 in the mean).
+// objective any more gives way to one that still can, where more work comes than fits.
 func leastRest(spec *workflow.Step) time.Duration {
 	return time.Duration(leastShare * float64(spec.EstimateMS) * float64(time.Millisecond))
 }
--- a/internal/control/starts.go
+++ b/internal/control/starts.go
@@ -10,9 +10,8 @@
 )
 
 // startsAtOnce is how many starts are under way to a worker at a time. A step with
-// many tasks is given to few workers; sent all at once, each start takes a
-// connection of its own: with 350 workers 220 new ones a second, a tenth of what
-// the leader's processor has.
+// many tasks is given to few workers; sent all at once, each start would take a new
+// connection of its own, which costs its caller more than the start.
 const startsAtOnce = 3
 
 // sendStart sends a committed start until the worker has answered, and stops the
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,9 +48,8 @@
 //
 // Failure guarded against: a leader that is busy for a tenth of a second refuses
 // calls for that time, and each call, going through the members by itself every
-// 60 ms, becomes a hundred; with 350 workers all members were kept from electing
-// anybody, for good. So one call at a time searches, and the others wait for what
-// it finds.
+// 60 ms, becomes a hundred; all members are kept from electing anybody, for good. So
+// one call at a time searches, and the others wait for what it finds.
 type Gateway struct {
 	client *link.Client
 	own    string
--- a/internal/member/host.go
+++ b/internal/member/host.go
@@ -32,9 +32,7 @@
 // Timing of the log. A leader sends a heartbeat each 50 ms; after 0.25 s without
 // one, at most 0.5 s by chance, a member stands for election, later where the leader
 // is often late (see replica.Core). A change of leader costs little here, since the
-// next one finds everything in the log; with 0.6 s instead of 0.4 s, worth was 0.010
-// lower on days with cuts, with 0.4 s instead of 0.25 s 0.007 (15 pairs, half of the
-// 95% interval 0.010).
+// next one finds everything in the log, and each moment without one costs callers.
 const (
 	tickInterval   = 50 * time.Millisecond
 	electionTicks  = 5
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -75,9 +75,9 @@
 )
 
 // gapPerFollower is how long after it has taken in calls a member waits before it
-// takes in more, for each other member of the group. With two followers that is
-// less than a sync of 9 ms. With five, a leader of 0.64 core spent a quarter of it
-// on messages of the log, some thousand a second; in larger batches it is half.
+// takes in more, for each other member of the group. With two followers that is less
+// than a sync of a slow disk. With more, a leader would spend a large part of a small
+// processor on messages of the log, some thousand a second, unless they come in batches.
 const gapPerFollower = 4 * time.Millisecond
 
 // Config is the fixed part of a Group.
--- a/replica/patience.go
+++ b/replica/patience.go
@@ -31,7 +31,7 @@
 //
 // Failure guarded against: a leader that has much to do sends its heartbeats late.
 // The others elect a new one, whose first work is the longest of all, so that it is
-// late sooner: with 350 workers and a leader of 0.64 core, 23 leaders in 9 s. The
+// late sooner, and so on without end. The
 // refusal of votes isn't prolonged by it, so no leader's lease counts on it.
 func (c *Core) patience() int {
 	base := c.cfg.ElectionTicks
