The leader calls workers by itself while it has few orders; sound workers aren't copied

The longer way makes each start and end later, and a look's pause after ends follows from how long answers take, so a longer way also made looks rarer.

Tests red on the code before: a way of 20 ms gave a pause of 160 ms; a worker whose look began late was given a copy.

--- a/internal/carrier/fake_test.go
+++ b/internal/carrier/fake_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/bilberryferry/bilberryferry/internal/control"
 	"github.com/bilberryferry/bilberryferry/internal/link"
+	"github.com/bilberryferry/bilberryferry/internal/wait"
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
 
@@ -69,7 +70,8 @@
 	})
 }
 
-// lead begins a term; it ends with the test or the next one.
+// lead begins a term; it ends with the test or the next one. The leader has so many orders
+// that it hands all of them over.
 func (c *cluster) lead(term uint64) {
 	if c.end != nil {
 		c.end()
@@ -77,6 +79,17 @@
 	var ctx context.Context
 	ctx, c.end = context.WithCancel(c.t.Context())
 	c.spread.Lead(ctx, term)
+	go c.keepBusy(ctx)
+}
+
+// manyOrders is a rate at which the leader calls hardly any worker by itself.
+const manyOrders = 1e9
+
+// keepBusy lets the leader count so many orders that it hands all over.
+func (c *cluster) keepBusy(ctx context.Context) {
+	for wait.For(ctx, membersPause/2) {
+		c.spread.own.orders.Add(manyOrders)
+	}
 }
 
 func (c *cluster) set(of map[string]bool, name string, on bool) {
--- a/internal/carrier/spread.go
+++ b/internal/carrier/spread.go
@@ -41,8 +41,9 @@
 	Counters control.Counters
 }
 
-// Spread is the leader's way to workers: through carriers while there are some, and by
-// its own calls otherwise. It is safe for concurrent use.
+// Spread is the leader's way to workers: by its own calls while there are few, and
+// through carriers, where there are some, for what goes beyond. It is safe for concurrent
+// use.
 type Spread struct {
 	cfg Config
 
@@ -52,6 +53,7 @@
 	routes []*route
 	// leading is the leadership that the routes belong to.
 	leading *leadership
+	own     ownShare
 }
 
 // NewSpread returns a Spread of an instance that doesn't lead.
@@ -67,6 +69,7 @@
 	s.mu.Lock()
 	s.leading = l
 	s.mu.Unlock()
+	s.own.begin(time.Now())
 	l.refresh()
 	l.awaitAnswers()
 	go l.run()
@@ -99,6 +102,7 @@
 	defer l.s.setRoutes(l, nil)
 	for wait.For(l.ctx, membersPause) {
 		l.refresh()
+		l.s.own.adapt(time.Now())
 	}
 }
 
@@ -211,8 +215,9 @@
 
 // carry hands an order over and waits for its outcome.
 func (s *Spread) carry(ctx context.Context, order *Order) (Outcome, error) {
+	s.own.noteOrder()
 	r := s.routeTo(order.To)
-	if r == nil {
+	if r == nil || s.own.has(order.To.Worker) {
 		s.cfg.Counters.Add("orders_direct", 1)
 		return Outcome{}, errNotCarried
 	}
--- a/internal/control/copies_test.go
+++ b/internal/control/copies_test.go
@@ -100,3 +100,17 @@
 		return placed
 	}())
 }
+
+// What a user sees: reports cost twice the room that they need.
+// Order: a worker reports an end; the next look at it begins after a pause and is held
+// for its whole time; the last answer is older than a held look takes.
+// Cause: the time since the last answer counted, not that since the look was sent.
+func TestAWorkerWhoseLookBeganLateIsNotOutOfReach(t *testing.T) {
+	now := time.Now()
+	s := &session{t: &tenure{started: now.Add(-time.Hour)}, answeredAt: now.Add(-copySilence - longestLookPause)}
+	run, step := workflow.Run{Task: task("a", 0)}, oneTask
+	s.lookDue = now.Add(time.Millisecond)
+	must.Eq(t, copyNone, s.copyCauseOf(run, &step, now))
+	s.lookDue = now.Add(-time.Millisecond)
+	must.Eq(t, copySilent, s.copyCauseOf(run, &step, now))
+}
--- a/internal/control/fresh_test.go
+++ b/internal/control/fresh_test.go
@@ -56,3 +56,16 @@
 	s.t.answerTime = time.Second
 	must.Eq(t, longestLookPause, s.pauseAfterEnds())
 }
+
+// What a user sees: urgent tasks have ended, and their callers are told a quarter of a
+// second later.
+// Order: workers are called through another instance, and each answer takes 20 ms, the
+// quickest as well.
+// Cause: the length of the way was taken for a delay of the leader's.
+func TestALongWayToWorkersIsNoDelay(t *testing.T) {
+	ten := &tenure{}
+	for range 200 {
+		ten.noteAnswerTime(20 * time.Millisecond)
+	}
+	must.Eq(t, lookPause, (&session{t: ten}).pauseAfterEnds())
+}
--- a/internal/control/looks.go
+++ b/internal/control/looks.go
@@ -13,8 +13,8 @@
 	// shortLooks bounds the looks a second at all workers while they are held shorter:
 	// a look takes some 0.3 ms of the leader.
 	shortLooks = 200
-	// answerFactor times as long as answers take of late, an answer is overdue, and the
-	// next look waits after a report of ends.
+	// answerFactor times as long as answers take of late, an answer is overdue, and as
+	// many times their delay the next look waits after a report of ends.
 	answerFactor = 8
 	// answerWeight is that of the latest answer in their moving mean.
 	answerWeight = 0.05
@@ -65,7 +65,7 @@
 const longestLookPause = 300 * time.Millisecond
 
 // pauseAfterEnds is the time between a report of ends and the next look: longer where
-// answers take long of late, so that more ends share a look.
+// answers come later of late than the quickest did, so that more ends share a look.
 //
 // Load that it answers: the leader has more to do than its processor can, which shows
 // in answers that it reads late. Half of its calls are looks, and each end that is
@@ -73,7 +73,9 @@
 func (s *session) pauseAfterEnds() time.Duration {
 	s.t.mu.Lock()
 	defer s.t.mu.Unlock()
-	return s.t.asAnswersTake(lookPause, longestLookPause)
+	// The quickest answer shows the way alone, which is longer through another instance.
+	delay := s.t.answerTime - s.t.quickest
+	return min(max(lookPause, answerFactor*delay), longestLookPause)
 }
 
 // asAnswersTake is a time that grows with how long answers take of late, between
@@ -85,6 +87,9 @@
 // noteAnswerTime takes in how long a start took to be answered. t.mu is held.
 func (t *tenure) noteAnswerTime(took time.Duration) {
 	t.answerTime += time.Duration(answerWeight * float64(took-t.answerTime))
+	if t.quickest == 0 || took < t.quickest {
+		t.quickest = took
+	}
 }
 
 // overdueAfter is how long an order may be without an answer before it counts as
@@ -96,3 +101,12 @@
 func (t *tenure) overdueAfter() time.Duration {
 	return t.asAnswersTake(promptAnswer, callTimeout/2)
 }
+
+// unheard reports whether a look has gone without an answer for longer than it may be
+// held. t.mu is held.
+//
+// Failure guarded against: the time since the last answer counts, and a look that began
+// late, after a report of ends, makes a sound worker seem out of reach.
+func (s *session) unheard(now time.Time) bool {
+	return now.Sub(s.answeredAt) > copySilence && now.After(s.lookDue)
+}
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -75,6 +75,8 @@
 	busy       bool
 	advancedAt time.Time
 	cancelLook context.CancelFunc
+	// lookDue is when the answer to the look under way is overdue.
+	lookDue time.Time
 	// hurried says that the look under way was ended on purpose.
 	hurried bool
 }
@@ -226,6 +228,7 @@
 		order.LeaseEndMS = s.leaseEndMS(now)
 		order.Wait = hold
 	}
+	s.lookDue = now.Add(order.Wait + t.overdueAfter())
 	ctx, cancel := context.WithTimeout(t.ctx, order.Wait+slack)
 	s.cancelLook, s.hurried = cancel, false
 	target := s.target()
--- a/internal/control/tenure.go
+++ b/internal/control/tenure.go
@@ -60,8 +60,9 @@
 	mu sync.Mutex
 	// queued is how many steps were ready and not whole at the last decision.
 	queued int
-	// answerTime is a moving mean of how long starts take to be answered.
-	answerTime time.Duration
+	// answerTime is a moving mean of how long starts take to be answered, quickest the
+	// least that one took.
+	answerTime, quickest time.Duration
 	// lostAt is when a call was last found to have got lost.
 	lostAt time.Time
 	// sweptAt is when runs to stop or to copy were looked for last.
