Shorter pauses between messages of the log and to carriers

A member waits for 4 ms times the other members before it takes in more messages of the log, and an order for 2 ms times the carriers.

Change: half of each.

--- a/internal/carrier/spread.go
+++ b/internal/carrier/spread.go
@@ -21,7 +21,7 @@
 	// them and between two from it, so that the leader's messages a second don't grow
 	// with the number of carriers or workers. What comes up meanwhile shares the next
 	// one; a message after a longer pause goes at once.
-	messagePause = 2 * time.Millisecond
+	messagePause = time.Millisecond
 	// answersWithin bounds the wait of a new leader for its carriers: a few round trips.
 	answersWithin = 60 * time.Millisecond
 )
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -78,7 +78,7 @@
 // takes in more, for each other member of the group. With two followers that is less
 // than a sync of a slow disk. With more, a leader would spend a large part of a small
 // processor on messages of the log, some thousand a second, unless they come in batches.
-const gapPerFollower = 4 * time.Millisecond
+const gapPerFollower = 2 * time.Millisecond
 
 // Config is the fixed part of a Group.
 type Config struct {
