A step with room for a few of its tasks also learns of other workers

A step of 50 tasks was permitted on 14 of 30 workers that it had asked about, nearly all full. Whenever one of them had room for a task it asked for that worker's ticket, 0.2 to 0.4 s each, seven times in a row, and never about workers that it knew nothing of, with half of the pool free.

Change: where the room on permitted workers doesn't do, the question names unknown workers with room as well.

The test was red on the code before.

--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -19,13 +19,15 @@
 		p.reserve(s, named(granted, s.Renewing), left)
 		return ReasonPermit
 	}
-	if renew := roomFor(s, granted, left); len(renew) > 0 {
-		p.reserve(s, renew, left)
-		p.ask(s, renew, true)
+	renew := roomFor(s, granted, left)
+	enough := freeRoom(s, renew) >= left
+	p.reserve(s, renew, left)
+	switch {
+	case !enough && wantsMore(s, unknown):
+		p.ask(s, p.toLearn(s, renew, unknown), false)
 		return ReasonPermit
-	}
-	if wantsMore(s, unknown) {
-		p.ask(s, p.toLearn(s, granted, unknown, left), false)
+	case len(renew) > 0:
+		p.ask(s, renew, true)
 		return ReasonPermit
 	}
 	return reasonFor(s, granted, left)
@@ -116,10 +118,15 @@
 	return n
 }
 
-// toLearn names the workers of a question: permitted ones that the tasks left
-// need as well, then unknown ones, those with room first.
-func (p *planner) toLearn(s *Step, granted, unknown []*Worker, left int) []*Worker {
-	ask := roomFor(s, granted, left)
+// toLearn names the workers of a question: permitted ones that the tasks left need as
+// well, then unknown ones, those with room first.
+//
+// Load that it answers: a step of dozens of tasks that is permitted on a dozen workers,
+// most of them full. Where one of these has room for one task it would ask for that
+// worker's ticket, start the task and ask again, one question after the other, while
+// workers that it knows nothing of are free.
+func (p *planner) toLearn(s *Step, renew, unknown []*Worker) []*Worker {
+	ask := slices.Clip(renew)
 	for w := range byRoom(s, unknown) {
 		if len(ask) >= p.limits.AskWorkers {
 			break
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -344,3 +344,22 @@
 	valid := needsPermit(step("b", 1, 2), map[string]Permit{"w0": {Granted: true, Expires: time.Second}})
 	must.Eq(t, []string{"b/0@w0"}, started(Decide(0, []Step{s, valid}, workers(9), none)))
 }
+
+// What a user sees: a report with fifty tasks isn't done for a minute while half of the
+// workers are free.
+// Order: it is permitted on a few workers, nearly all full; one has room for a task, whose
+// ticket has ended; others that it knows nothing of are empty.
+// Cause: it asked for that one ticket, and again when the next task ended there.
+func TestAStepWithRoomForAFewTasksAlsoLearnsOfOthers(t *testing.T) {
+	s := step("wide", 10, 4)
+	s.NeedsPermit = true
+	s.Permits = map[string]Permit{"w0": {Granted: true}, "w1": {Granted: true}, "w2": {Granted: true}}
+	plan := Decide(time.Second, []Step{s}, workers(4, 0, 0, 16, 16, 16), limits)
+	must.Len(t, 1, plan.Asks)
+	must.Eq(t, []string{"w0", "w3", "w4", "w5"}, plan.Asks[0].Workers)
+	must.False(t, plan.Asks[0].Renewal)
+
+	s.Pending = s.Pending[:1]
+	plan = Decide(time.Second, []Step{s}, workers(4, 0, 0, 16, 16, 16), limits)
+	must.Eq(t, []string{"w0"}, plan.Asks[0].Workers, must.Sprint("what it knows of will do"))
+}
