Model of orders through a carrier, with five mutants

Asserts the bound on a worker's lease over a change of leader, that the carrier sends no order of an earlier term, and whose outcomes a leader takes in.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -107,6 +107,11 @@
 		echo "quick|order|$mutant|-DRUNS=2"
 	done
 
+	echo "quick|carrier|-|-DLAST=7"
+	for mutant in RELATIVE RENEWS NO_TERM KEEPS_OUTCOMES NO_PREDECESSOR; do
+		echo "quick|carrier|$mutant|-DLAST=7"
+	done
+
 	echo "quick|maintenance|-|-DMACHINES=3"
 	echo "quick|maintenance|-|-DMACHINES=3 -DRESTARTS=1"
 	for mutant in SEND_BEFORE_COMMIT ORDERED_IS_UP UP_IS_BACK DONE_WHEN_ORDERED; do
