Orders are numbered over all ways to carriers of an instance

A member that leaves and comes back within a term was given a new route that numbered its orders from 1 while its carrier still had looks of the closed one under way: a start could be given the outcome of a look, and count as begun. Found by reading; the test was red on the code before.

--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -249,3 +249,28 @@
 		must.Eq(t, 20, c.workers["leader"].started())
 	})
 }
+
+// What a user sees: a task never runs, and its job isn't done.
+// Order: a look is held at a worker; the core instance that carries it leaves and comes
+// back within a term; a start goes the new way and hangs; the look is answered.
+// Cause: each way numbered its orders from 1, and the start got the look's outcome.
+func TestOutcomesOfAClosedRouteAreNobodys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1)
+		c.lead(1)
+		workers := c.workers["carrier-0"]
+		workers.holdLooks = 4*membersPause + 100*time.Millisecond
+		go func() {
+			ctx, cancel := context.WithTimeout(t.Context(), 10*membersPause)
+			defer cancel()
+			_, _ = c.spread.Look(ctx, control.Target{Worker: "w"}, control.LookOrder{})
+		}()
+		c.setMembers("leader")
+		c.setMembers("leader", "carrier-0")
+		workers.hang = true
+		must.True(t, errors.Is(c.start("hangs"), errNoAnswer))
+		time.Sleep(10 * membersPause)
+		c.end()
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/carrier/fake_test.go
+++ b/internal/carrier/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -27,6 +28,7 @@
 	end    context.CancelFunc
 
 	mu       sync.Mutex
+	members  []string
 	carriers map[string]*Carrier
 	workers  map[string]*fakeWorkers
 	// unreached refuse connections, silent take messages and answer nothing, losing
@@ -40,16 +42,16 @@
 		t: t, carriers: map[string]*Carrier{}, workers: map[string]*fakeWorkers{},
 		unreached: map[string]bool{}, silent: map[string]bool{}, losing: map[string]bool{}, calls: map[string]int{},
 	}
-	members := []string{"leader"}
+	c.members = []string{"leader"}
 	c.workers["leader"] = &fakeWorkers{}
 	for i := range carriers {
 		name := fmt.Sprintf("carrier-%d", i)
-		members = append(members, name)
+		c.members = append(c.members, name)
 		c.workers[name] = &fakeWorkers{}
 		c.restart(name)
 	}
 	c.spread = NewSpread(Config{
-		Own: "leader", Members: func() []string { return members }, Transport: c,
+		Own: "leader", Members: c.present, Transport: c,
 		Direct: c.workers["leader"], Heard: func([]control.HeardWorker) {}, Logger: log.NewNopLogger(), Counters: noCounters{},
 	})
 	return c
@@ -62,6 +64,20 @@
 	c.carriers[name] = newTestCarrier(c.workers[name], "dc-"+name)
 }
 
+func (c *cluster) present() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.members)
+}
+
+// setMembers replaces the members, which the leader notices after a while.
+func (c *cluster) setMembers(members ...string) {
+	c.mu.Lock()
+	c.members = members
+	c.mu.Unlock()
+	time.Sleep(2 * membersPause)
+}
+
 func newTestCarrier(workers control.Workers, dataCentre string) *Carrier {
 	return NewCarrier(CarrierConfig{
 		Workers: workers, DataCentre: dataCentre, Counters: noCounters{},
@@ -170,6 +186,8 @@
 	// refuse is the answer to starts; nil takes them.
 	refuse error
 	looks  int
+	// holdLooks is how long looks are held.
+	holdLooks time.Duration
 	// hang keeps starts from being answered.
 	hang bool
 }
@@ -203,10 +221,10 @@
 
 // Look answers at once with one end.
 func (w *fakeWorkers) Look(_ context.Context, _ control.Target, order control.LookOrder) (control.Report, error) {
+	time.Sleep(way + w.holdLooks)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.looks++
-	time.Sleep(way)
 	end := workflow.RunEnd{Task: workflow.TaskKey{StepKey: workflow.StepKey{Job: "j", Step: 1}, Index: 2}, Number: 3, Outcome: workflow.OutcomeDone}
 	return control.Report{
 		ClockMS: workerClockMS, Ended: []control.Ended{{Position: order.Seen + 1, RunEnd: end}},
--- a/internal/carrier/messages.go
+++ b/internal/carrier/messages.go
@@ -32,7 +32,7 @@
 
 // Order is one call of a worker. Exactly one of the orders is set.
 type Order struct {
-	// ID names the order within its term and route.
+	// ID names the order within its term.
 	ID       uint64                 `cbor:"1,keyasint"`
 	To       control.Target         `cbor:"2,keyasint"`
 	Start    *control.StartOrder    `cbor:"3,keyasint,omitempty"`
--- a/internal/carrier/route.go
+++ b/internal/carrier/route.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -35,6 +36,12 @@
 	cfg     *Config
 	address string
 	term    uint64
+	// ids numbers the orders of all routes.
+	//
+	// Failure guarded against: a member leaves and comes back within a term, and the
+	// carrier still holds outcomes of the route that was closed. Numbered from 1 again,
+	// an order would be given the outcome of another.
+	ids *atomic.Uint64
 	// queued has room for one: a set one means that orders are queued.
 	queued chan struct{}
 	// answered is closed once the carrier has answered for the first time, or failed to.
@@ -46,7 +53,6 @@
 	// present says that the carrier answers under this term; dataCentre is its own.
 	present    bool
 	dataCentre string
-	lastID     uint64
 	queue      []*Order
 	pending    map[uint64]*pendingOrder
 	// prompt holds the orders that a worker answers at once, the oldest first.
@@ -62,9 +68,9 @@
 	place *list.Element
 }
 
-func newRoute(cfg *Config, address string, term uint64) *route {
+func newRoute(cfg *Config, address string, term uint64, ids *atomic.Uint64) *route {
 	return &route{
-		cfg: cfg, address: address, term: term, queued: make(chan struct{}, 1), answered: make(chan struct{}),
+		cfg: cfg, address: address, term: term, ids: ids, queued: make(chan struct{}, 1), answered: make(chan struct{}),
 		pause: messagePause, pending: map[uint64]*pendingOrder{}, prompt: list.New(),
 	}
 }
@@ -127,8 +133,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lastID++
-	order.ID = r.lastID
+	order.ID = r.ids.Add(1)
 	r.pending[order.ID] = p
 	if order.Look == nil {
 		p.place = r.prompt.PushBack(p)
--- a/internal/carrier/spread.go
+++ b/internal/carrier/spread.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -54,6 +55,8 @@
 	// leading is the leadership that the routes belong to.
 	leading *leadership
 	own     ownShare
+	// lastID is the number of the last order.
+	lastID atomic.Uint64
 }
 
 // NewSpread returns a Spread of an instance that doesn't lead.
@@ -129,7 +132,7 @@
 }
 
 func (l *leadership) open(address string) *openRoute {
-	r := newRoute(&l.s.cfg, address, l.term)
+	r := newRoute(&l.s.cfg, address, l.term, &l.s.lastID)
 	ctx, cancel := context.WithCancel(l.ctx)
 	go r.send(ctx)
 	go r.collect(ctx)
