--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -91,7 +91,7 @@
 	}
 	samples := make([][]sample, len(cfg.Targets))
 	end := time.Now().Add(cfg.Duration)
-	for {
+	for round := 1; ; round++ {
 		for i, target := range cfg.Targets {
 			s, err := cfg.sample(ctx, target)
 			if err == nil {
@@ -100,7 +100,10 @@
 				return nil, errors.Wrapf(err, "process %s (%d)", target.Name, target.PID)
 			}
 		}
-		if !time.Now().Before(end) || !wait.For(ctx, min(cfg.Interval, time.Until(end))) {
+		// Between one sample and itself nothing is used: a rate takes two, also when the
+		// first has taken the whole time.
+		over := !time.Now().Before(end) && round > 1
+		if over || !wait.For(ctx, min(cfg.Interval, time.Until(end))) {
 			break
 		}
 	}
--- a/internal/measure/measure_test.go
+++ b/internal/measure/measure_test.go
@@ -38,6 +38,19 @@
 	must.StrContains(t, text.String(), "peers.*.sent/s")
 }
 
+// What a user sees: a process that is busy is reported to use nothing.
+// Order: the machine is busy, and the first sample takes longer than the whole measurement.
+// Cause: the loop ended after it, and rates were taken between one sample and itself.
+func TestMeasureTakesTwoSamplesHoweverLongTheFirstTakes(t *testing.T) {
+	usages, err := Run(t.Context(), Config{
+		Targets:  []Target{{Name: "self", PID: os.Getpid()}},
+		Interval: 5 * time.Millisecond,
+		Duration: time.Nanosecond,
+	})
+	must.NoError(t, err)
+	must.Positive(t, usages[0].ReadBytes)
+}
+
 func TestMeasureNamesMissingProcess(t *testing.T) {
 	_, err := Run(context.Background(), Config{Targets: []Target{{Name: "ghost", PID: -1}}})
 	must.ErrorContains(t, err, "ghost")
