An end that only the leader knows is committed; the log's refusals of a moment are repeated

A start is dropped until the next decision. An end that the leader has found out by itself (a start refused, not sent, settled) is proposed once and never again: the run counts as alive for good, its task never runs, the other members of its gang wait for it.

Change: such a command is proposed again once the log has told that this member still leads in the same term; ends that nobody would say again are proposed until they are committed or the tenure is over.

Tests red on the code before: 'never: the task is begun again'.

--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -28,6 +28,8 @@
 	begun func(workflow.Command)
 	// heldUntil is when the log's goroutine goes on after it was held up.
 	heldUntil time.Time
+	// refuse are the errors of the next commands that end runs.
+	refuse []error
 }
 
 // hold lets nothing show for a time that the member leads.
@@ -47,6 +49,9 @@
 	if err := l.announce(data); err != nil {
 		return nil, err
 	}
+	if err := l.refusal(data); err != nil {
+		return nil, err
+	}
 	l.mu.Lock()
 	l.index++
 	value := l.state.Apply(l.index, data)
@@ -62,6 +67,29 @@
 	return value, nil
 }
 
+// refuseEnds lets the next commands that end runs fail.
+func (l *fakeLog) refuseEnds(errs ...error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refuse = errs
+}
+
+// refusal is the error of a command, which is taken off.
+func (l *fakeLog) refusal(data []byte) error {
+	command, err := workflow.Decode(data)
+	if err != nil || command.Ends == nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.refuse) == 0 {
+		return nil
+	}
+	err = l.refuse[0]
+	l.refuse = l.refuse[1:]
+	return err
+}
+
 // announce calls begun.
 func (l *fakeLog) announce(data []byte) error {
 	l.mu.Lock()
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -27,6 +27,9 @@
 	// lookPause is the time between a report of ends and the next look. Ends that come
 	// up meanwhile share that look, at the price of being seen a little later.
 	lookPause = 80 * time.Millisecond
+	// commitAgain is the time between two tries to commit an end that nobody would say
+	// again.
+	commitAgain = 50 * time.Millisecond
 	// retryPause is the time between two looks at a worker that doesn't answer.
 	retryPause = 300 * time.Millisecond
 	// forgetWorker is how long a silent worker without runs is looked for.
@@ -316,11 +319,24 @@
 	return ends
 }
 
+// commitEnds commits ends; seen is the last of those that the worker lists, 0 where it
+// lists none of them.
+//
+// Failure guarded against: a commit fails, and the run counts as alive for as long as the
+// leader leads. A worker lists its ends again until they are committed. An end that the
+// leader has found out by itself, such as that of a start that was refused, would be said
+// by nobody again: the task would never run, and the other members of a gang would wait
+// for it. So it is proposed until it is committed or the tenure is over.
 func (s *session) commitEnds(seen uint64, ends []workflow.RunEnd) {
 	command := &workflow.Command{Ends: &workflow.WorkerEnds{Worker: s.worker.ID, Seen: seen, Ends: ends}}
-	if _, err := s.t.propose(command); err != nil {
-		// The worker lists the ends again until they are committed.
-		return
+	for {
+		_, err := s.t.propose(command)
+		if err == nil {
+			break
+		}
+		if seen > 0 || !wait.For(s.t.ctx, commitAgain) {
+			return
+		}
 	}
 	s.t.mu.Lock()
 	for _, end := range ends {
--- a/internal/control/tenure.go
+++ b/internal/control/tenure.go
@@ -5,9 +5,11 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 
 	"github.com/bilberryferry/bilberryferry/dispatch"
+	"github.com/bilberryferry/bilberryferry/internal/link"
 	"github.com/bilberryferry/bilberryferry/internal/wait"
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
@@ -260,14 +262,32 @@
 
 // propose commits a command of this tenure. A failure ends nothing here: the
 // tenure ends by itself when the leadership does.
+//
+// Failure guarded against: the log's goroutine is held up for some milliseconds, and
+// nothing shows that the member still leads. The log refuses what is proposed at that
+// moment, though the tenure goes on, and each start and end among it is lost. It has done
+// nothing, so the command is proposed again once the log has told that it still leads.
 func (t *tenure) propose(command *workflow.Command) (workflow.Result, error) {
 	result, err := t.c.propose(t.ctx, command)
+	for errors.Is(err, link.ErrNotLeader) && t.stillLeads() {
+		t.c.cfg.Counters.Add("commits_repeated", 1)
+		result, err = t.c.propose(t.ctx, command)
+	}
 	if err != nil && t.ctx.Err() == nil {
 		t.logger.Log("event", "commit", "outcome", "failed", "err", err)
 	}
 	return result, err
 }
 
+// stillLeads waits until the log has told whether this member leads, and reports whether
+// it does in the term of this tenure.
+func (t *tenure) stillLeads() bool {
+	if t.c.catchUp(t.ctx) != nil {
+		return false
+	}
+	return t.ctx.Err() == nil && t.c.log.Status().Term == t.fence
+}
+
 // forgetLoop drops what ended jobs no longer need.
 func (t *tenure) forgetLoop() {
 	for wait.For(t.ctx, forgetPause) {
