--- /dev/null
+++ b/scripts/landing.sh
@@ -0,0 +1,28 @@
+#!/usr/bin/env bash
+# landing.sh BENCH FOLDER [JOBS]: the regression runs before a landing, on the bench at
+# BENCH and the site files under FOLDER: the standard days of each deployment, then hunted
+# days, 40 of a small deployment and 8 of a large one. One deployment after the other; what
+# each prints goes to target/landing/. It takes hours on a small machine.
+set -euo pipefail
+if [ $# -lt 2 ]; then
+  echo "usage: $0 BENCH FOLDER [JOBS]" >&2
+  exit 2
+fi
+bench=$1 folder=$2 jobs=${3:-4}
+cd "$(dirname "$0")/.."
+mkdir -p target/landing
+
+# Site file, hunted days. The large deployment has taken the place of the two oldest.
+deployments="large/rackwise-shared-large 8
+further/sea-fanarchiv 40
+further-grown/sea-fanarchiv-grown 8
+grown/rackwise-shared-grown 8
+grown/hls-kiosk-grown 8"
+
+why="regression runs before a landing, $(git rev-parse --short HEAD)"
+while read -r site days; do
+  out=target/landing/$(basename "$site")
+  "$bench" score "$folder/$site.toml" --jobs "$jobs" --why "$why" > "$out-score.txt" 2>&1 </dev/null || true
+  "$bench" hunt "$folder/$site.toml" --days "$days" --jobs "$jobs" --why "$why" > "$out-hunt.txt" 2>&1 </dev/null || true
+  grep -hE 'GATE|BROKEN' "$out"-*.txt || echo "$site: nothing reported"
+done <<< "$deployments"
