--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -126,7 +126,7 @@
 // worker's ticket, start the task and ask again, one question after the other, while
 // workers that it knows nothing of are free.
 func (p *planner) toLearn(s *Step, renew, unknown []*Worker) []*Worker {
-	ask := renew
+	ask := slices.Clip(renew)
 	for w := range byRoom(s, unknown) {
 		if len(ask) >= p.limits.AskWorkers {
 			break
