A test waits for the lease that comes with the next answer

Trace, by its lines: the start goes out with an answer that comes before the first look that prolongs the lease (run_started before worker_contact ready); the lease for all runs comes with the next answer, and the start carries its own until then, so the case is allowed.

--- a/internal/control/beats_test.go
+++ b/internal/control/beats_test.go
@@ -92,6 +92,12 @@
 	w, _ := beatWorld(t, "w1")
 	w.submit("a", oneTask)
 	w.eventually("the task starts", func() bool { return w.started("w1") == 1 })
+	// The answer that carries the start may come before the first look that prolongs the
+	// lease; the start carries its own until then.
+	w.eventually("a lease is given", func() (given bool) {
+		w.with("w1", func(f *fakeWorker) { given = len(f.leases) > 0 })
+		return given
+	})
 	w.with("w1", func(f *fakeWorker) {
 		must.SliceNotEmpty(t, f.leases)
 		must.Less(t, int64(2000), f.leases[0], must.Sprint("the lease counts from the arrival, which may be a second away"))
