One piece where the change had two: calls of an order, who was told, bounds by delay

What was written twice: a leader's fallback and a carrier made the same call by type (Order.callBy serves both, one fallback the four orders); the times at which the leader was told of a worker (toldTimes; pruned once in a while and no longer at each of hundreds of questions a second); the clamp of looks; the silence of a data centre; two constructors of link's client, one of which only tests used. An order's wait has one channel in place of two. A worker that the leader calls itself has no way looked up. Two comments lose a measured figure.

Decisions, messages and bounds stay as they are, tests keep their assertions.

--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -126,7 +126,7 @@
 // worker's ticket, start the task and ask again, one question after the other, while
 // workers that it knows nothing of are free.
 func (p *planner) toLearn(s *Step, renew, unknown []*Worker) []*Worker {
-	ask := slices.Clip(renew)
+	ask := renew
 	for w := range byRoom(s, unknown) {
 		if len(ask) >= p.limits.AskWorkers {
 			break
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -90,20 +90,8 @@
 func (c *Carrier) do(ctx context.Context, term uint64, o *Order) {
 	ctx, cancel := context.WithTimeout(ctx, o.Within)
 	defer cancel()
-	outcome := Outcome{ID: o.ID}
-	var err error
-	switch {
-	case o.Start != nil:
-		outcome.ClockMS, err = c.cfg.Workers.Start(ctx, o.To, *o.Start)
-	case o.Stop != nil:
-		outcome.ClockMS, err = c.cfg.Workers.Stop(ctx, o.To, *o.Stop)
-	case o.Throttle != nil:
-		outcome.ClockMS, err = c.cfg.Workers.Throttle(ctx, o.To, *o.Throttle)
-	case o.Look != nil:
-		var report control.Report
-		report, err = c.cfg.Workers.Look(ctx, o.To, *o.Look)
-		outcome.Report = &report
-	}
+	outcome, err := o.callBy(ctx, c.cfg.Workers)
+	outcome.ID = o.ID
 	outcome.noteErr(err)
 	c.add(term, outcome)
 }
--- a/internal/carrier/link_test.go
+++ b/internal/carrier/link_test.go
@@ -30,11 +30,13 @@
 	workers, own := &fakeWorkers{}, &fakeWorkers{}
 	address, stop := realCarrier(t, workers)
 	spread := NewSpread(Config{
-		Own: "own", Members: func() []string { return []string{"own", address} }, Transport: link.NewClient(),
+		Own: "own", Members: func() []string { return []string{"own", address} }, Transport: link.NewClient(100),
 		Direct: own, Heard: func([]control.HeardWorker) {}, Logger: log.NewNopLogger(), Counters: noCounters{},
 	})
 	spread.Lead(t.Context(), 3)
 	to := control.Target{Worker: "w", Address: "a"}
+	// Until the carrier has answered the leader calls by itself.
+	must.Wait(t, wait.InitialSuccess(wait.Gap(time.Millisecond), wait.BoolFunc(func() bool { return spread.routeTo(to) != nil })))
 	clock, err := spread.Start(t.Context(), to, control.StartOrder{Fence: 3, Payload: "p"})
 	must.NoError(t, err)
 	must.Eq(t, workerClockMS, clock)
--- a/internal/carrier/messages.go
+++ b/internal/carrier/messages.go
@@ -43,6 +43,23 @@
 	Within time.Duration `cbor:"7,keyasint"`
 }
 
+// callBy makes the call that the order stands for.
+func (o *Order) callBy(ctx context.Context, workers control.Workers) (outcome Outcome, err error) {
+	switch {
+	case o.Start != nil:
+		outcome.ClockMS, err = workers.Start(ctx, o.To, *o.Start)
+	case o.Stop != nil:
+		outcome.ClockMS, err = workers.Stop(ctx, o.To, *o.Stop)
+	case o.Throttle != nil:
+		outcome.ClockMS, err = workers.Throttle(ctx, o.To, *o.Throttle)
+	case o.Look != nil:
+		var report control.Report
+		report, err = workers.Look(ctx, o.To, *o.Look)
+		outcome.Report = &report
+	}
+	return outcome, err
+}
+
 // CarryCall hands orders over.
 type CarryCall struct {
 	// Term is that of the leader who gives the orders.
--- a/internal/carrier/route.go
+++ b/internal/carrier/route.go
@@ -61,13 +61,19 @@
 
 // pendingOrder is an order without an outcome.
 type pendingOrder struct {
-	since   time.Time
-	outcome chan Outcome
-	failed  chan error
+	since time.Time
+	// settled has room for one: the outcome, or why none will come.
+	settled chan settlement
 	// place is where it stands in prompt; nil for a look.
 	place *list.Element
 }
 
+// settlement ends the wait for an order's outcome.
+type settlement struct {
+	outcome Outcome
+	err     error
+}
+
 func newRoute(cfg *Config, address string, term uint64, ids *atomic.Uint64) *route {
 	return &route{
 		cfg: cfg, address: address, term: term, ids: ids, queued: make(chan struct{}, 1), answered: make(chan struct{}),
@@ -114,10 +120,8 @@
 func (r *route) carry(ctx context.Context, order *Order) (Outcome, error) {
 	p := r.enqueue(ctx, order)
 	select {
-	case outcome := <-p.outcome:
-		return outcome, nil
-	case err := <-p.failed:
-		return Outcome{}, err
+	case settled := <-p.settled:
+		return settled.outcome, settled.err
 	case <-ctx.Done():
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -127,7 +131,7 @@
 }
 
 func (r *route) enqueue(ctx context.Context, order *Order) *pendingOrder {
-	p := &pendingOrder{since: time.Now(), outcome: make(chan Outcome, 1), failed: make(chan error, 1)}
+	p := &pendingOrder{since: time.Now(), settled: make(chan settlement, 1)}
 	if deadline, ok := ctx.Deadline(); ok {
 		order.Within = time.Until(deadline)
 	}
@@ -150,17 +154,24 @@
 	}
 }
 
-// forget drops an order that nobody waits for any more, and returns it. r.mu is held.
-func (r *route) forget(id uint64) *pendingOrder {
+// settle ends the wait for an order, if anybody still waits. r.mu is held.
+func (r *route) settle(id uint64, by settlement) {
+	if p := r.pending[id]; p != nil {
+		p.settled <- by
+		r.forget(id)
+	}
+}
+
+// forget drops an order that nobody waits for any more. r.mu is held.
+func (r *route) forget(id uint64) {
 	p := r.pending[id]
 	if p == nil {
-		return nil
+		return
 	}
 	delete(r.pending, id)
 	if p.place != nil {
 		r.prompt.Remove(p.place)
 	}
-	return p
 }
 
 // send hands queued orders over until ctx ends.
@@ -234,9 +245,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, order := range batch {
-		if p := r.forget(order.ID); p != nil {
-			p.failed <- err
-		}
+		r.settle(order.ID, settlement{err: err})
 	}
 }
 
@@ -288,9 +297,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, outcome := range outcomes {
-		if p := r.forget(outcome.ID); p != nil {
-			p.outcome <- outcome
-		}
+		r.settle(outcome.ID, settlement{outcome: outcome})
 	}
 }
 
@@ -318,7 +325,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for id := range r.pending {
-		r.forget(id).failed <- err
+		r.settle(id, settlement{err: err})
 	}
 	r.queue = nil
 }
--- a/internal/carrier/share.go
+++ b/internal/carrier/share.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// ownCalls is how many calls of workers a second the leader makes by itself: some
-	// hundredths of a processor each hundred.
+	// ownCalls is how many calls of workers a second the leader makes by itself: they
+	// leave most of a small processor to its decisions.
 	ownCalls = 500
 	// rateWeight is that of the latest count in the moving mean of orders a second.
 	rateWeight = 0.3
--- a/internal/carrier/spread.go
+++ b/internal/carrier/spread.go
@@ -172,39 +172,28 @@
 	return best
 }
 
-// Start hands a start over.
+// Start sends a start.
 func (s *Spread) Start(ctx context.Context, to control.Target, order control.StartOrder) (int64, error) {
-	outcome, err := s.carry(ctx, &Order{To: to, Start: &order})
-	if errors.Is(err, errNotCarried) {
-		return s.cfg.Direct.Start(ctx, to, order)
-	}
+	outcome, err := s.send(ctx, &Order{To: to, Start: &order})
 	return outcome.ClockMS, err
 }
 
-// Stop hands a stop over.
+// Stop sends a stop.
 func (s *Spread) Stop(ctx context.Context, to control.Target, order control.StopOrder) (int64, error) {
-	outcome, err := s.carry(ctx, &Order{To: to, Stop: &order})
-	if errors.Is(err, errNotCarried) {
-		return s.cfg.Direct.Stop(ctx, to, order)
-	}
+	outcome, err := s.send(ctx, &Order{To: to, Stop: &order})
 	return outcome.ClockMS, err
 }
 
-// Throttle hands a change of a run's share over.
+// Throttle sends a change of a run's share.
 func (s *Spread) Throttle(ctx context.Context, to control.Target, order control.ThrottleOrder) (int64, error) {
-	outcome, err := s.carry(ctx, &Order{To: to, Throttle: &order})
-	if errors.Is(err, errNotCarried) {
-		return s.cfg.Direct.Throttle(ctx, to, order)
-	}
+	outcome, err := s.send(ctx, &Order{To: to, Throttle: &order})
 	return outcome.ClockMS, err
 }
 
-// Look hands a look over.
+// Look asks for a worker's lists.
 func (s *Spread) Look(ctx context.Context, to control.Target, order control.LookOrder) (control.Report, error) {
-	outcome, err := s.carry(ctx, &Order{To: to, Look: &order})
+	outcome, err := s.send(ctx, &Order{To: to, Look: &order})
 	switch {
-	case errors.Is(err, errNotCarried):
-		return s.cfg.Direct.Look(ctx, to, order)
 	case err != nil:
 		return control.Report{}, err
 	case outcome.Report == nil:
@@ -216,11 +205,24 @@
 // errNotCarried says that an order was handed to no carrier.
 var errNotCarried = errors.New("no carrier has the order")
 
+// send hands an order over where the worker is called by a carrier. One that no carrier
+// has is sent from here.
+func (s *Spread) send(ctx context.Context, order *Order) (Outcome, error) {
+	s.own.noteOrder()
+	outcome, err := s.carry(ctx, order)
+	if errors.Is(err, errNotCarried) {
+		return order.callBy(ctx, s.cfg.Direct)
+	}
+	return outcome, err
+}
+
 // carry hands an order over and waits for its outcome.
 func (s *Spread) carry(ctx context.Context, order *Order) (Outcome, error) {
-	s.own.noteOrder()
-	r := s.routeTo(order.To)
-	if r == nil || s.own.has(order.To.Worker) {
+	var r *route
+	if !s.own.has(order.To.Worker) {
+		r = s.routeTo(order.To)
+	}
+	if r == nil {
 		s.cfg.Counters.Add("orders_direct", 1)
 		return Outcome{}, errNotCarried
 	}
--- a/internal/control/announce.go
+++ b/internal/control/announce.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"net"
 	"slices"
 	"strings"
@@ -43,8 +42,8 @@
 // passedOn is when heartbeats of each worker last went on to a leader that doesn't ask
 // for them.
 type passedOn struct {
-	mu sync.Mutex
-	at map[string]time.Time
+	mu   sync.Mutex
+	told toldTimes
 }
 
 // recently reports whether a heartbeat of the worker went on lately; else this one
@@ -52,14 +51,10 @@
 func (p *passedOn) recently(worker string, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if now.Sub(p.at[worker]) < passOnEvery {
+	if p.told.lately(worker, now) {
 		return true
 	}
-	if p.at == nil {
-		p.at = map[string]time.Time{}
-	}
-	p.at[worker] = now
-	maps.DeleteFunc(p.at, func(_ string, at time.Time) bool { return now.Sub(at) > forgetWorker })
+	p.told.note(worker, now)
 	return false
 }
 
--- a/internal/control/copies.go
+++ b/internal/control/copies.go
@@ -36,7 +36,7 @@
 // until its lease has ended, or for as long as it takes. Where the job says that
 // two runs do no harm, the second one needn't wait for proof about the first.
 func (s *session) copyCauseOf(run workflow.Run, step *workflow.Step, now time.Time) copyCause {
-	if s.unheard(now) && now.Sub(s.t.started) > copySilence {
+	if s.unheard(now) {
 		return copySilent
 	}
 	o := s.orders[run.Task]
--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -321,7 +321,7 @@
 	w := &world{t: t, log: &fakeLog{state: machine}, workers: &fakeWorkers{all: map[string]*fakeWorker{}}}
 	bounds := Bounds{LeaseMax: 700 * time.Millisecond, Shown: time.Minute}
 	w.c = New(Config{
-		Address: "own", Bounds: bounds, Workers: w.workers, Adviser: w.workers, Client: link.NewClient(),
+		Address: "own", Bounds: bounds, Workers: w.workers, Adviser: w.workers, Client: link.NewClient(100),
 		Logger: log.NewLogfmtLogger(testWriter{t}), Counters: noCounters{},
 		Leader: func() string { return "own" }, Members: func() []string { return nil },
 	}, machine, w.log)
--- a/internal/control/heard.go
+++ b/internal/control/heard.go
@@ -24,10 +24,33 @@
 // of which would be a call to the leader.
 type heardLog struct {
 	mu sync.Mutex
-	// waiting is when workers were heard of which the leader hasn't been told, told when
-	// it was told last.
-	waiting, told map[string]time.Time
-	takenAt       time.Time
+	// waiting is when workers were heard of which the leader hasn't been told.
+	waiting map[string]time.Time
+	told    toldTimes
+	takenAt time.Time
+}
+
+// toldTimes is when the leader was last told of heartbeats of each worker.
+type toldTimes struct {
+	at map[string]time.Time
+	// prunedAt is when workers that are long gone were dropped.
+	prunedAt time.Time
+}
+
+// lately reports whether the leader needn't be told of a worker again yet.
+func (t *toldTimes) lately(worker string, now time.Time) bool {
+	return now.Sub(t.at[worker]) < passOnEvery
+}
+
+func (t *toldTimes) note(worker string, now time.Time) {
+	if t.at == nil {
+		t.at = map[string]time.Time{}
+	}
+	t.at[worker] = now
+	if now.Sub(t.prunedAt) > forgetWorker {
+		t.prunedAt = now
+		maps.DeleteFunc(t.at, func(_ string, at time.Time) bool { return now.Sub(at) > forgetWorker })
+	}
 }
 
 // note takes a heartbeat in, and reports whether the leader will be told by asking.
@@ -38,9 +61,9 @@
 		return false
 	}
 	if l.waiting == nil {
-		l.waiting, l.told = map[string]time.Time{}, map[string]time.Time{}
+		l.waiting = map[string]time.Time{}
 	}
-	if now.Sub(l.told[worker]) >= passOnEvery {
+	if !l.told.lately(worker, now) {
 		l.waiting[worker] = now
 	}
 	return true
@@ -54,10 +77,9 @@
 	heard := make([]HeardWorker, 0, len(l.waiting))
 	for worker, at := range l.waiting {
 		heard = append(heard, HeardWorker{Worker: worker, Age: now.Sub(at)})
-		l.told[worker] = now
+		l.told.note(worker, now)
 	}
 	clear(l.waiting)
-	maps.DeleteFunc(l.told, func(_ string, at time.Time) bool { return now.Sub(at) > forgetWorker })
 	return heard
 }
 
--- a/internal/control/lanes.go
+++ b/internal/control/lanes.go
@@ -14,8 +14,8 @@
 
 const (
 	// followPause is the time between two announcements of an instance. From fewAnnounce
-	// instances on it grows with their number, up to longestPause: 49 that announce
-	// themselves every 0.3 s are a sixth of the calls that their leader serves.
+	// instances on it grows with their number, up to longestPause: many that announce
+	// themselves often would be a large part of the calls that their leader serves.
 	followPause  = 300 * time.Millisecond
 	fewAnnounce  = 16
 	longestPause = 600 * time.Millisecond
--- a/internal/control/looks.go
+++ b/internal/control/looks.go
@@ -75,13 +75,18 @@
 	defer s.t.mu.Unlock()
 	// The quickest answer shows the way alone, which is longer through another instance.
 	delay := s.t.answerTime - s.t.quickest
-	return min(max(lookPause, answerFactor*delay), longestLookPause)
+	return manyTimes(delay, lookPause, longestLookPause)
 }
 
 // asAnswersTake is a time that grows with how long answers take of late, between
 // bounds. t.mu is held.
 func (t *tenure) asAnswersTake(least, most time.Duration) time.Duration {
-	return min(max(least, answerFactor*t.answerTime), most)
+	return manyTimes(t.answerTime, least, most)
+}
+
+// manyTimes is answerFactor times as long as answers take, between bounds.
+func manyTimes(took, least, most time.Duration) time.Duration {
+	return min(max(least, answerFactor*took), most)
 }
 
 // noteAnswerTime takes in how long a start took to be answered. t.mu is held.
@@ -108,5 +113,6 @@
 // Failure guarded against: the time since the last answer counts, and a look that began
 // late, after a report of ends, makes a sound worker seem out of reach.
 func (s *session) unheard(now time.Time) bool {
-	return now.Sub(s.answeredAt) > copySilence && now.After(s.lookDue)
+	silent := now.Sub(s.answeredAt) > copySilence && now.Sub(s.t.started) > copySilence
+	return silent && now.After(s.lookDue)
 }
--- a/internal/control/random_test.go
+++ b/internal/control/random_test.go
@@ -38,7 +38,7 @@
 	replicated := &termedLog{fakeLog: fakeLog{state: x.state}, term: x.term}
 	x.c = New(Config{
 		Address: "own", Bounds: Bounds{LeaseMax: 700 * time.Millisecond, Shown: time.Minute}, Workers: x.workers, Adviser: x.workers,
-		Client: link.NewClient(), Logger: log.With(log.NewLogfmtLogger(&x.workers.lines), "ms", log.Valuer(sinceStart), "term", x.term), Counters: noCounters{},
+		Client: link.NewClient(100), Logger: log.With(log.NewLogfmtLogger(&x.workers.lines), "ms", log.Valuer(sinceStart), "term", x.term), Counters: noCounters{},
 		Leader: func() string { return "own" }, Members: func() []string { return nil },
 	}, x.state, replicated)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -111,8 +111,9 @@
 	}
 	suspects := t.suspects(now)
 	t.noteSuspects(suspects, now)
-	for id, session := range t.sessions {
-		state := s.Workers[id]
+	// In order, so that decisions about fresh jobs, which use them again, needn't sort.
+	for _, id := range slices.Sorted(maps.Keys(t.sessions)) {
+		session, state := t.sessions[id], s.Workers[id]
 		if state == nil || state.Gone || session.obstacle(now, suspects, len(s.Runs[id])) != "" {
 			continue
 		}
--- a/internal/control/suspect.go
+++ b/internal/control/suspect.go
@@ -19,31 +19,29 @@
 // until the leases end.
 func (t *tenure) suspects(now time.Time) map[string]bool {
 	suspects := map[string]bool{}
-	if t.without.Suspicion {
-		return suspects
-	}
-	if !t.someSilent(now) {
+	silent := t.silentDataCentres(now)
+	if t.without.Suspicion || len(silent) == 0 {
 		return suspects
 	}
 	for _, s := range t.sessions {
 		dataCentre := s.worker.DataCentre
-		silent := now.Sub(t.answered[dataCentre]) > dataCentreSilence
-		if silent && s.ready && s.doubtful(now) {
+		if silent[dataCentre] && s.ready && s.doubtful(now) {
 			suspects[dataCentre] = true
 		}
 	}
 	return suspects
 }
 
-// someSilent reports whether no worker of some data centre has answered lately. A
-// worker that is ready has answered. t.mu is held.
-func (t *tenure) someSilent(now time.Time) bool {
-	for _, last := range t.answered {
+// silentDataCentres returns those of which no worker has answered lately. A worker that
+// is ready has answered before. t.mu is held.
+func (t *tenure) silentDataCentres(now time.Time) map[string]bool {
+	silent := map[string]bool{}
+	for dataCentre, last := range t.answered {
 		if now.Sub(last) > dataCentreSilence {
-			return true
+			silent[dataCentre] = true
 		}
 	}
-	return false
+	return silent
 }
 
 // suspectMemory is how long a data centre must not be suspected before that is
--- a/internal/control/tenure.go
+++ b/internal/control/tenure.go
@@ -146,8 +146,9 @@
 }
 
 // leaseLength is the longest that a worker grants: work behind a cut goes on for
-// as long, and its ends count when the cut has healed. A worker that is gone for good blocks its tasks for as long, but one that crashed is
-// back under another incarnation before, which settles them at once.
+// as long, and its ends count when the cut has healed. A worker that is gone for good
+// blocks its tasks for as long, but one that crashed is back under another incarnation
+// before, which settles them at once.
 func leaseLength(b Bounds) time.Duration { return b.LeaseMax - leaseSlack }
 
 // run works until the tenure ends.
--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -41,7 +41,7 @@
 	var lines bytes.Buffer
 	var version uint64 = 62
 	leader := versioned(t, func(string) (uint64, error) { return version, nil })
-	g := New(link.NewClient(), "own", []string{leader}, log.NewLogfmtLogger(&lines))
+	g := New(link.NewClient(100), "own", []string{leader}, log.NewLogfmtLogger(&lines))
 	for range 3 {
 		must.NoError(t, askFor(t.Context(), g, "q"))
 	}
@@ -73,7 +73,7 @@
 // the requests came in.
 func TestARequestIsNotAnsweredByANewerVersionThanALaterOne(t *testing.T) {
 	released := make(chan struct{})
-	g := New(link.NewClient(), "own", []string{heldLeader(t, released)}, log.NewNopLogger())
+	g := New(link.NewClient(100), "own", []string{heldLeader(t, released)}, log.NewNopLogger())
 	first := make(chan error, 1)
 	go func() { first <- askFor(t.Context(), g, "added") }()
 	time.Sleep(300 * time.Millisecond)
@@ -135,7 +135,7 @@
 // has been given to a later request.
 // Cause: a withheld answer says that nothing was done, which doesn't hold for a change.
 func TestAWithheldAnswerToAChangeLeavesItsFateOpen(t *testing.T) {
-	g := New(link.NewClient(), "own", []string{acceptBy(t, 65)}, log.NewNopLogger())
+	g := New(link.NewClient(100), "own", []string{acceptBy(t, 65)}, log.NewNopLogger())
 	must.NoError(t, g.answers.take(62, time.Now(), "leader"))
 	call := &control.SubmitCall{}
 	_, err := CallForCaller[control.SubmitReply](t.Context(), g, time.Now().Add(-time.Second), control.MethodSubmit, call)
@@ -168,7 +168,7 @@
 	})
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
-	g := New(link.NewClient(), "own", []string{strings.TrimPrefix(server.URL, "http://")}, log.NewNopLogger())
+	g := New(link.NewClient(100), "own", []string{strings.TrimPrefix(server.URL, "http://")}, log.NewNopLogger())
 	must.NoError(t, g.answers.take(65, time.Now().Add(-time.Second), "leader"))
 	_, known := g.Ended(t.Context(), time.Now(), control.Place{})
 	must.False(t, known)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -29,7 +29,7 @@
 }
 
 func cancelAt(t *testing.T, limit time.Duration, members ...string) error {
-	g := New(link.NewClient(), "own", members, log.NewNopLogger())
+	g := New(link.NewClient(100), "own", members, log.NewNopLogger())
 	ctx, cancel := context.WithTimeout(t.Context(), limit)
 	defer cancel()
 	_, err := Call[control.Empty](ctx, g, control.MethodCancel, &control.CancelCall{})
@@ -78,7 +78,7 @@
 		return control.FollowReply{Members: []string{"m"}}, nil
 	})
 	server := httptest.NewServer(mux)
-	g := New(link.NewClient(), "own", []string{strings.TrimPrefix(server.URL, "http://")}, log.NewNopLogger())
+	g := New(link.NewClient(100), "own", []string{strings.TrimPrefix(server.URL, "http://")}, log.NewNopLogger())
 	must.False(t, g.InTouch())
 	g.followOnce(t.Context())
 	must.True(t, g.InTouch())
@@ -104,7 +104,7 @@
 		}
 		return link.NotLeader("")
 	})
-	g := New(link.NewClient(), "own", []string{address}, log.NewNopLogger())
+	g := New(link.NewClient(100), "own", []string{address}, log.NewNopLogger())
 	const calls = 200
 	var group errgroup.Group
 	for range calls {
@@ -140,7 +140,7 @@
 		t.Cleanup(server.Close)
 		return strings.TrimPrefix(server.URL, "http://")
 	}()
-	g := New(link.NewClient(), "own", []string{vanished, follower}, log.NewNopLogger())
+	g := New(link.NewClient(100), "own", []string{vanished, follower}, log.NewNopLogger())
 	g.Suggest(vanished)
 	ctx, cancel := context.WithTimeout(t.Context(), tryTimeout)
 	defer cancel()
@@ -160,7 +160,7 @@
 	defer close(silent)
 	cutOff := member(t, func() error { <-silent; return nil })
 	leader := member(t, func() error { return nil })
-	g := New(link.NewClient(), "own", []string{cutOff}, log.NewNopLogger())
+	g := New(link.NewClient(100), "own", []string{cutOff}, log.NewNopLogger())
 	ctx, cancel := context.WithTimeout(t.Context(), searchTimeout-time.Millisecond)
 	defer cancel()
 	found := time.AfterFunc(searchTimeout/5, func() { g.Suggest(leader) })
--- a/internal/instance/operations_test.go
+++ b/internal/instance/operations_test.go
@@ -61,7 +61,7 @@
 func TestACoreInstanceThatIsBehindDoesNotAnswerByItsOwnState(t *testing.T) {
 	job := workflow.Submission{ID: "job", Queue: queueAt62.Queues[0].Identity(), Steps: []workflow.Step{{Count: 1}}}
 	own := follower(t, workflow.Command{Configuration: &queueAt62}, workflow.Command{Submit: &job}, workflow.Command{Cancel: "job"})
-	o := &Operations{gateway: gateway.New(link.NewClient(), "own", []string{leaderBy(t, 65)}, log.NewNopLogger())}
+	o := &Operations{gateway: gateway.New(link.NewClient(100), "own", []string{leaderBy(t, 65)}, log.NewNopLogger())}
 	o.lead(own)
 	ask := func(id string) workflow.Phase {
 		reply, err := o.State(t.Context(), &control.StateCall{Place: control.Place{Queue: "q", ID: id}})
--- a/internal/instance/process.go
+++ b/internal/instance/process.go
@@ -179,7 +179,7 @@
 	s := p.settings
 	addresses := OutsideAddresses{Adviser: s.Adviser, Machines: s.MachineList, Connections: budget.ToOutside}
 	n := &node{
-		own: s.internal(s.Address), client: link.NewClientWithin(budget.ToInstances), mux: link.NewMux(),
+		own: s.internal(s.Address), client: link.NewClient(budget.ToInstances), mux: link.NewMux(),
 		outside: outside(addresses),
 	}
 	link.Handle(n.mux, control.MethodAsk, func(ctx context.Context, call *control.AskCall) (control.AskReply, error) {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -61,24 +61,12 @@
 	}
 }
 
-// NewClient returns a client without connections, which may have any number.
-func NewClient() *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return newClient(dialer.DialContext, 0)
-}
-
-// NewClientWithin returns a client that has limit connections at most.
-func NewClientWithin(limit int) *Client {
+// NewClient returns a client that has limit connections at most.
+func NewClient(limit int) *Client {
 	connections := descriptors.NewOutbound(limit, dialTimeout)
-	return newClient(connections.DialContext, connections.Idle())
-}
-
-type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
-func newClient(dial dialFunc, idle int) *Client {
 	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext:         dial,
-		MaxIdleConns:        idle,
+		DialContext:         connections.DialContext,
+		MaxIdleConns:        connections.Idle(),
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
--- a/internal/link/version_test.go
+++ b/internal/link/version_test.go
@@ -27,7 +27,7 @@
 			NoteVersion(ctx, 65)
 			return outcome
 		})
-		client := NewClient()
+		client := NewClient(100)
 		version, err := client.CallVersioned(t.Context(), address, "m", &struct{}{}, &struct{}{})
 		must.Eq(t, outcome == nil, err == nil)
 		must.Eq(t, uint64(65), version)
@@ -37,7 +37,7 @@
 
 func TestAnAnswerWithoutANoteNamesTheVersionBeforeTheCall(t *testing.T) {
 	address := serveVersions(t, func(context.Context) error { return nil })
-	version, err := NewClient().CallVersioned(t.Context(), address, "m", &struct{}{}, &struct{}{})
+	version, err := NewClient(100).CallVersioned(t.Context(), address, "m", &struct{}{}, &struct{}{})
 	must.NoError(t, err)
 	must.Eq(t, uint64(62), version)
 }
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -37,7 +37,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			now := time.Now()
-			h := New(Config{ID: "own", Voters: 3, Logger: log.NewNopLogger()}, link.NewClient(), link.NewMux())
+			h := New(Config{ID: "own", Voters: 3, Logger: log.NewNopLogger()}, link.NewClient(100), link.NewMux())
 			h.roster.lead(true, now.Add(-time.Hour))
 			for _, m := range c.members {
 				h.roster.note(m.ID, now.Add(-c.silent[m.ID]))
@@ -55,7 +55,7 @@
 // yet.
 // Cause: silence counted from before the tenure.
 func TestSilenceCountsFromTheBeginningOfTheTenure(t *testing.T) {
-	h := New(Config{ID: "own", Voters: 3, Logger: log.NewNopLogger()}, link.NewClient(), link.NewMux())
+	h := New(Config{ID: "own", Voters: 3, Logger: log.NewNopLogger()}, link.NewClient(100), link.NewMux())
 	now := time.Now()
 	h.roster.lead(true, now)
 	members, _ := h.nextMembership(replica.Status{Members: []replica.Member{voter("own"), voter("b"), voter("c"), learner("d")}}, now)
@@ -64,11 +64,11 @@
 
 func TestInitialMembersAreKept(t *testing.T) {
 	folder := t.TempDir()
-	first := New(Config{ID: "10.0.0.1", Port: "7", Seeds: []string{"10.0.0.1", "10.0.0.2"}, First: true, Folder: folder, Logger: log.NewNopLogger()}, link.NewClient(), link.NewMux())
+	first := New(Config{ID: "10.0.0.1", Port: "7", Seeds: []string{"10.0.0.1", "10.0.0.2"}, First: true, Folder: folder, Logger: log.NewNopLogger()}, link.NewClient(100), link.NewMux())
 	members, err := first.initialMembers(t.Context())
 	must.NoError(t, err)
 	must.Eq(t, "10.0.0.1:7", members[0].Address)
-	again := New(Config{ID: "10.0.0.1", Port: "7", Seeds: []string{"10.0.0.9"}, Folder: folder, Logger: log.NewNopLogger()}, link.NewClient(), link.NewMux())
+	again := New(Config{ID: "10.0.0.1", Port: "7", Seeds: []string{"10.0.0.9"}, Folder: folder, Logger: log.NewNopLogger()}, link.NewClient(100), link.NewMux())
 	kept, err := again.initialMembers(t.Context())
 	must.NoError(t, err)
 	must.Eq(t, members, kept)
