Leaders count the runs that nothing at hand would end

Cause: lines and figures couldn't tell a run that is alive from one that the log has and nobody settles; on a grown deployment a fifth of the lines is dropped. Nothing is decided by it yet. Ruled out: a line for each run, which would be dropped like the others. Tests: TestARunThatNobodyWouldEndIsCounted, TestARunOnASilentWorkerIsAccountedFor.

--- /dev/null
+++ b/internal/control/account_test.go
@@ -0,0 +1,37 @@
+package control
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+// counted counts the runs of a leader's world now.
+func (w *world) counted() runCounts {
+	ten, err := w.c.leading(context.Background())
+	must.NoError(w.t, err)
+	ten.mu.Lock()
+	defer ten.mu.Unlock()
+	w.c.state.read(func(s *workflow.State) { ten.countRuns(s, time.Now()) })
+	return ten.runCounts
+}
+
+// A run that the log has and nothing at hand would end shows in the counts.
+func TestARunThatNobodyWouldEndIsCounted(t *testing.T) {
+	w := startedWorld(t)
+	w.eventually("the run is listed", func() bool { c := w.counted(); return c.alive == 1 && c.unaccounted == 0 })
+	w.with("w1", func(f *fakeWorker) { clear(f.running) })
+	w.eventually("no list shows it", func() bool { c := w.counted(); return c.unaccounted == 1 && c.longest > 0 })
+}
+
+// A run counts as accounted for while its worker doesn't answer: its lease will end.
+func TestARunOnASilentWorkerIsAccountedFor(t *testing.T) {
+	w := inheritedWorld(t, func(f *fakeWorker) { f.cut = true })
+	c := w.counted()
+	must.Eq(t, 1, c.alive)
+	must.Eq(t, 0, c.unaccounted)
+}
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -78,8 +78,12 @@
 		"behind", plan.Behind, "waiting_by", describeWaiting(byReason),
 	}
 	line = append(line, t.waitingFields(v, plan, r.capacity, now)...)
-	t.logger.Log(append(line, "kept_back", t.keptBack(now))...)
+	line = append(line, "kept_back", t.keptBack(now))
+	runs := t.runsNow()
+	line = append(line, "runs_alive", runs.alive, "runs_unaccounted", runs.unaccounted, "longest_unaccounted_ms", runs.longest.Milliseconds())
+	t.logger.Log(line...)
 	t.setLoad(v, &r, tasks)
+	t.setRuns(runs)
 	t.c.cfg.Counters.Set("waiting_steps", int64(len(plan.Waiting)+plan.Behind))
 	for _, gauge := range waitingGauges {
 		t.c.cfg.Counters.Set(gauge.name, int64(byReason[gauge.reason]))
@@ -96,6 +100,20 @@
 	counters.Set("waiting_tasks", int64(tasks))
 }
 
+// runsNow returns the runs as the last sweep counted them.
+func (t *tenure) runsNow() runCounts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.runCounts
+}
+
+func (t *tenure) setRuns(runs runCounts) {
+	counters := t.c.cfg.Counters
+	counters.Set("runs_alive", int64(runs.alive))
+	counters.Set("runs_unaccounted", int64(runs.unaccounted))
+	counters.Set("longest_unaccounted_ms", runs.longest.Milliseconds())
+}
+
 // waitingByReason counts the steps that a plan left by what they wait for.
 func waitingByReason(plan *dispatch.Plan) map[dispatch.Reason]int {
 	counts := map[dispatch.Reason]int{}
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -14,6 +14,11 @@
 type order struct {
 	run    workflow.Run
 	ticket string
+	// sending says that the start is queued or under way, settledAt is when it no longer was.
+	sending   bool
+	settledAt time.Time
+	// listedSent is when the last look that showed the run as alive was sent.
+	listedSent time.Time
 	// sentAt is when the call under way was sent, zero while there is none.
 	sentAt time.Time
 	// unanswered says that a call ended without an answer and that no list of the
--- a/internal/control/report.go
+++ b/internal/control/report.go
@@ -21,7 +21,10 @@
 	s.noteClock(report.ClockMS, now)
 	ends, seen := s.listedEnds(report, now)
 	ends = append(ends, s.neverStarted(report, ends, sent)...)
-	strangers := s.noteRunning(report, now)
+	strangers := s.noteRunning(report, sent, now)
+	if !report.Partial {
+		s.listsSent = sent
+	}
 	t.mu.Unlock()
 	if first {
 		t.logger.Log("event", "worker_contact", "worker", s.worker.ID, "outcome", "ready",
@@ -78,7 +81,7 @@
 
 // noteRunning takes in checkpoints of the runs that are alive, and returns those
 // that the log doesn't have. t.mu is held.
-func (s *session) noteRunning(report Report, now time.Time) []workflow.Run {
+func (s *session) noteRunning(report Report, sent, now time.Time) []workflow.Run {
 	var strangers []workflow.Run
 	advanced := false
 	s.t.c.state.read(func(state *workflow.State) {
@@ -104,6 +107,7 @@
 			}
 			if o != nil {
 				o.unanswered = false
+				o.listedSent = sent
 				advanced = o.noteProgress(r.Percent, now) || advanced
 			}
 		}
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -53,6 +53,8 @@
 	// clockMS is what the worker's clock showed at or before clockAt here.
 	clockMS int64
 	clockAt time.Time
+	// listsSent is when the look was sent that the last whole lists answered.
+	listsSent time.Time
 	// leaseEnd is when, by this process's clock, whatever runs there has ended,
 	// unless it answers and is given a longer lease.
 	leaseEnd time.Time
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -47,6 +47,7 @@
 		if now.Sub(t.sweptAt) >= sweepEvery {
 			t.sweptAt = now
 			t.sweepRuns(s, now, &v)
+			t.countRuns(s, now)
 		}
 		v.workers = t.gatherWorkers(s, now)
 		for _, job := range s.Open() {
--- a/internal/control/starts.go
+++ b/internal/control/starts.go
@@ -21,6 +21,7 @@
 // waits for the end of the call. The same run is sent again beside a call that
 // takes longer than a calm worker does; whichever arrives second changes nothing.
 func (s *session) sendStart(o *order, payload, checkpoint string) {
+	defer s.noteSettled(o)
 	if !o.gang && s.t.c.beats == nil {
 		if cause := s.beginStart(o); cause != "" {
 			s.unsent(o, cause)
@@ -51,6 +52,13 @@
 	}
 }
 
+// noteSettled takes in that no call of a start is under way any more, nor will be.
+func (s *session) noteSettled(o *order) {
+	s.t.mu.Lock()
+	defer s.t.mu.Unlock()
+	o.sending, o.settledAt = false, time.Now()
+}
+
 func (s *session) overdueAfter() time.Duration {
 	s.t.mu.Lock()
 	defer s.t.mu.Unlock()
--- a/internal/control/tenure.go
+++ b/internal/control/tenure.go
@@ -106,6 +106,9 @@
 	fleet    *pools
 	// checkpoints are the latest that running tasks reported.
 	checkpoints map[workflow.TaskKey]string
+	// unaccounted is since when runs have been unaccounted for; see accountsFor.
+	unaccounted map[workflow.Run]time.Time
+	runCounts   runCounts
 }
 
 func newTenure(ctx context.Context, end func(), c *Controller, term uint64) *tenure {
