--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -148,8 +148,15 @@
 	// hang is how many starts get no answer until their caller gives up; they aren't
 	// carried out.
 	hang int
+	// misdirected is how many starts are answered as by another incarnation.
+	misdirected int
+	// refuseLate is how many starts are refused, each after slowRefusal.
+	refuseLate int
 }
 
+// slowRefusal is longer than an order may be without an answer before it is sent again.
+const slowRefusal = callTimeout / 2
+
 // fakeWorkers serves all workers.
 type fakeWorkers struct {
 	mu  sync.Mutex
@@ -169,10 +176,14 @@
 		<-ctx.Done()
 		return 0, errNoAnswer
 	}
+	if f.refusesLate(ctx, to.Worker) {
+		return 0, &RefusedError{RefusedTicket}
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w := f.all[to.Worker]
-	if w.replaced {
+	if w.replaced || w.misdirected > 0 {
+		w.misdirected--
 		return 0, ErrOtherIncarnation
 	}
 	if w.delay {
@@ -204,6 +215,18 @@
 	return true
 }
 
+// refusesLate waits and reports whether this start is refused then.
+func (f *fakeWorkers) refusesLate(ctx context.Context, worker string) bool {
+	f.mu.Lock()
+	w := f.all[worker]
+	late := w.refuseLate > 0
+	if late {
+		w.refuseLate--
+	}
+	f.mu.Unlock()
+	return late && wait.For(ctx, slowRefusal)
+}
+
 func (w *fakeWorker) begin(order StartOrder) error {
 	if order.Fence < w.fence {
 		return &RefusedError{RefusedFence}
--- a/internal/control/settle_test.go
+++ b/internal/control/settle_test.go
@@ -274,3 +274,13 @@
 	}
 	must.Eq(t, callTimeout/2, ten.overdueAfter())
 }
+
+// Guards against a task that never runs again: a start is sent again beside one that is
+// overdue, and the worker refuses both.
+func TestAStartThatIsRefusedTwiceSideBySideIsSettled(t *testing.T) {
+	w := newWorld(t, nil)
+	w.workers.add("w1").refuseLate = 2
+	w.announce("w1")
+	w.submit("a", oneTask)
+	w.eventually("the task runs", func() bool { return w.started("w1") == 1 })
+}
--- /dev/null
+++ b/internal/control/unsettled_test.go
@@ -0,0 +1,92 @@
+package control
+
+import (
+	"context"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/bilberryferry/bilberryferry/internal/node"
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+// tenureOf returns the tenure of a world's leader.
+func (w *world) tenureOf() *tenure {
+	ten, err := w.c.leading(context.Background())
+	must.NoError(w.t, err)
+	return ten
+}
+
+// Guards against a task that never runs again: its start is answered as by another
+// incarnation, and the worker's lists go on as before.
+func TestAStartThatWasMisdirectedOnceIsSettled(t *testing.T) {
+	w := newWorld(t, nil)
+	w.workers.add("w1").misdirected = 1
+	w.announce("w1")
+	w.submit("a", oneTask)
+	w.eventually("the task runs", func() bool { return w.started("w1") == 1 })
+}
+
+// Guards against a task that never runs again: its run began and is in none of the
+// worker's lists, neither alive nor ended.
+func TestARunThatNoListShowsIsSettled(t *testing.T) {
+	w := startedWorld(t)
+	w.with("w1", func(f *fakeWorker) { clear(f.running) })
+	w.eventually("the task runs again", func() bool { return w.started("w1") == 2 })
+}
+
+// Guards against a task that never runs again: its start was committed when its worker
+// had just been given up, and the commit of that end fails.
+func TestARunOnAWorkerThatIsNotLookedAfterIsSettled(t *testing.T) {
+	w := newWorld(t, nil)
+	w.workers.add("w1")
+	w.announce("w1")
+	ten := w.tenureOf()
+	w.log.mu.Lock()
+	w.log.applied = func(c workflow.Command) {
+		if len(c.Start) > 0 && c.Start[0].Worker == "w1" {
+			ten.mu.Lock()
+			defer ten.mu.Unlock()
+			ten.sessions["w1"].cancelLook()
+			delete(ten.sessions, "w1")
+		}
+	}
+	w.log.mu.Unlock()
+	w.log.refuseEnds(node.ErrFateOpen)
+	w.submit("a", oneTask)
+	w.eventually("the start is committed", func() bool {
+		runs := 0
+		w.c.state.read(func(s *workflow.State) { runs = s.Task(task("a", 0)).Runs })
+		return runs == 1
+	})
+	w.workers.add("w2")
+	w.announce("w2")
+	w.eventually("the task runs elsewhere", func() bool { return w.started("w2") == 1 })
+}
+
+// Guards against a task that never runs again after a change of leader: the end of its
+// first run is in a list that isn't whole, and the second one never began.
+func TestALateEndLeavesTheInheritedRunAfterIt(t *testing.T) {
+	w := newWorld(t, func(w *world) {
+		one := worker("w1")
+		w.commit(&workflow.Command{Worker: &one})
+		w.commit(submission("a"))
+		for range 2 {
+			w.commit(&workflow.Command{Start: []workflow.Run{{Task: task("a", 0), Worker: "w1"}}})
+			w.commit(&workflow.Command{Ends: &workflow.WorkerEnds{Worker: "w1", Ends: []workflow.RunEnd{
+				{Task: task("a", 0), Number: 1, Outcome: workflow.OutcomeLost},
+			}}})
+		}
+		f := w.workers.add("w1")
+		f.running[task("a", 0)] = Running{Task: task("a", 0), Number: 1}
+		f.finish(task("a", 0), workflow.OutcomeLapsed)
+		f.partial = true
+	})
+	w.eventually("the end is taken in", func() bool {
+		seen := uint64(0)
+		w.c.state.read(func(s *workflow.State) { seen = s.Workers["w1"].Seen })
+		return seen == 1
+	})
+	w.with("w1", func(f *fakeWorker) { f.partial = false })
+	w.eventually("the task runs again", func() bool { return w.started("w1") == 1 })
+}
