A start that is refused twice side by side is settled

What callers saw: one task of an accepted job never runs again, with most of the room free; its job never ends. Cause: a start without a prompt answer is sent again beside the first. When the worker refused the first, the order was given up because the second might still begin the run, and the second's outcome was read by nobody. A stop was sent only for orders of which a call got no answer. Refused both (a ticket that ends while answers are slow, a worker that takes nothing), the run counted as alive for as long as the leader led. Evidence: TestAStartThatIsRefusedTwiceSideBySideIsSettled failed before (never in 10 s). Change: the outcomes of both calls are waited for and settle the order together: begun if one succeeded, stopped if one got no answer, else ended as never begun. TestARefusalSettlesNothingWhileAnEarlierCallIsOpen set the count of open calls, which is gone; it gives the two outcomes now, and checks the same.

--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -26,8 +26,6 @@
 	unanswered bool
 	// listed says that the worker has listed the run as alive.
 	listed bool
-	// open counts calls that may be carried out later.
-	open int
 	// abandoned says that no further start is sent; a stop settles the run unless
 	// the worker shows it.
 	abandoned bool
--- a/internal/control/settle_test.go
+++ b/internal/control/settle_test.go
@@ -213,9 +213,8 @@
 	must.NoError(t, err)
 	ten.mu.Lock()
 	s, o := ten.sessions["w1"], ten.sessions["w1"].orders[task("a", 0)]
-	o.open = 1
 	ten.mu.Unlock()
-	s.startRefused(o, RefusedRoom)
+	s.takeInTries(o, []error{errNoAnswer, &RefusedError{RefusedRoom}})
 	runs := 0
 	w.c.state.read(func(s *workflow.State) { runs = len(s.Runs["w1"]) })
 	must.Eq(t, 1, runs)
--- a/internal/control/starts.go
+++ b/internal/control/starts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,27 +30,33 @@
 		}
 		defer s.endStart()
 	}
+	s.takeInTries(o, s.tryStart(o, payload, checkpoint))
+}
+
+// tryStart sends a start, and again where the first call is overdue or gets no answer. It
+// returns how the calls ended that tell what became of the order, the first one first.
+//
+// Failure guarded against: the second call is sent beside the first, which the worker then
+// refuses. What the second one ends with must be waited for: it may have begun the run, and
+// if it is refused as well the run has to be settled here, since no list will ever show it.
+func (s *session) tryStart(o *order, payload, checkpoint string) []error {
 	second := make(chan error, 1)
-	beside := false
 	var again *time.Timer
 	if s.t.c.beats == nil && !s.t.without.SecondStarts {
 		again = time.AfterFunc(s.overdueAfter(), func() { second <- s.callStart(o, payload, checkpoint) })
 	}
-	err := s.callStart(o, payload, checkpoint)
-	if again != nil {
-		beside = !again.Stop()
-	}
-	if err == nil || !noAnswer(err) {
-		s.startAnswered(o, err, beside, 1)
-		return
-	}
-	next := s.secondTry(o, beside, second, payload, checkpoint)
-	if next == nil {
-		return
-	}
-	if !s.startAnswered(o, err, false, 1) && !s.startAnswered(o, next, false, startTries) {
-		s.abandon(o)
+	first := s.callStart(o, payload, checkpoint)
+	beside := again != nil && !again.Stop()
+	tries := make([]error, 0, startTries)
+	tries = append(tries, first)
+	switch {
+	case first == nil:
+	case beside:
+		tries = append(tries, <-second)
+	case noAnswer(first):
+		tries = append(tries, s.callStart(o, payload, checkpoint))
 	}
+	return tries
 }
 
 // noteSettled takes in that no call of a start is under way any more, nor will be.
@@ -65,53 +72,69 @@
 	return s.t.overdueAfter()
 }
 
-// secondTry returns the outcome of the second call of a start: that of the one under
-// way beside the first, or of one made now.
-func (s *session) secondTry(o *order, beside bool, second <-chan error, payload, checkpoint string) error {
-	if beside {
-		return <-second
-	}
-	return s.callStart(o, payload, checkpoint)
-}
-
 // noAnswer reports whether a call leaves open what the worker did.
 func noAnswer(err error) bool {
 	var refused *RefusedError
 	return !errors.Is(err, ErrOtherIncarnation) && !errors.As(err, &refused)
 }
 
-// startAnswered takes in the outcome of one try of a start, beside which another one
-// may be under way, and reports whether it settles the order.
-func (s *session) startAnswered(o *order, err error, beside bool, try int) bool {
-	var refused *RefusedError
-	switch {
-	case err == nil:
-		return true
-	case errors.Is(err, ErrOtherIncarnation):
-		s.t.mu.Lock()
-		s.hurry()
-		s.t.mu.Unlock()
-		return true
-	case errors.As(err, &refused):
-		if beside {
+// takeInTries settles an order by how the calls of its start ended: one that succeeded has
+// begun the run, one without an answer may begin it later, so that a stop has to settle it,
+// and a refusal settles it only if no call was left open.
+func (s *session) takeInTries(o *order, tries []error) {
+	if slices.Contains(tries, nil) {
+		return
+	}
+	var refusal *RefusedError
+	unanswered := false
+	for i, err := range tries {
+		var refused *RefusedError
+		switch {
+		case errors.Is(err, ErrOtherIncarnation):
 			s.t.mu.Lock()
-			o.open++
+			s.hurry()
 			s.t.mu.Unlock()
+			return
+		case errors.As(err, &refused):
+			s.noteRefused(o, refused.Reason)
+			refusal = refused
+		default:
+			s.noteUnanswered(o, i+1, err)
+			unanswered = true
 		}
-		s.startRefused(o, refused.Reason)
-		return true
 	}
+	switch {
+	case unanswered:
+		s.abandonUnlessListed(o)
+	case refusal.Reason != RefusedFence:
+		s.commitEnds(0, []workflow.RunEnd{{Task: o.run.Task, Number: o.run.Number, Outcome: workflow.OutcomeNotStarted}})
+	}
+}
+
+// noteUnanswered takes in a call of a start that got no answer.
+func (s *session) noteUnanswered(o *order, try int, err error) {
 	s.t.mu.Lock()
-	o.open++
 	o.unanswered = true
 	// Without it, a worker that takes no starts but answers looks would be
 	// given the same task again and again.
 	s.failures++
-	listed := o.listed
 	s.t.mu.Unlock()
 	s.t.logger.Log("event", "start", "task", o.run.Task, "run", o.run.Number, "worker", s.worker.ID,
 		"outcome", "no answer", "try", try, "err", err)
-	return listed
+}
+
+// noteRefused takes in a call of a start that was refused.
+func (s *session) noteRefused(o *order, reason Refusal) {
+	t := s.t
+	t.c.cfg.Counters.Add("starts_refused_"+string(reason), 1)
+	t.logger.Log("event", "start", "task", o.run.Task, "run", o.run.Number, "worker", s.worker.ID,
+		"outcome", "refused", "reason", reason)
+	if reason != RefusedTicket {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.forgetTicket(o.run.Task.StepKey, s.worker.ID)
 }
 
 // beginStart waits until a start may be sent, and returns why it isn't worth it any
@@ -159,10 +182,11 @@
 	s.commitEnds(0, []workflow.RunEnd{{Task: o.run.Task, Number: o.run.Number, Outcome: workflow.OutcomeNotStarted}})
 }
 
-// abandon lets a run be stopped whose start may be carried out later.
-func (s *session) abandon(o *order) {
+// abandonUnlessListed lets a run be stopped whose start may be carried out later, unless
+// the worker has shown it as alive.
+func (s *session) abandonUnlessListed(o *order) {
 	s.t.mu.Lock()
-	o.abandoned = true
+	o.abandoned = !o.listed
 	s.t.mu.Unlock()
 	s.t.kick()
 }
@@ -208,26 +232,3 @@
 	}
 	return nil
 }
-
-// startRefused ends a run that the worker refused to begin, unless an earlier
-// call without an answer may still be carried out; then a stop settles it.
-func (s *session) startRefused(o *order, reason Refusal) {
-	t := s.t
-	t.c.cfg.Counters.Add("starts_refused_"+string(reason), 1)
-	t.logger.Log("event", "start", "task", o.run.Task, "run", o.run.Number, "worker", s.worker.ID,
-		"outcome", "refused", "reason", reason)
-	t.mu.Lock()
-	if reason == RefusedTicket {
-		t.forgetTicket(o.run.Task.StepKey, s.worker.ID)
-	}
-	open := o.open > 0
-	t.mu.Unlock()
-	if open {
-		s.abandon(o)
-		return
-	}
-	if reason == RefusedFence {
-		return
-	}
-	s.commitEnds(0, []workflow.RunEnd{{Task: o.run.Task, Number: o.run.Number, Outcome: workflow.OutcomeNotStarted}})
-}
