Ends that nobody would say again are proposed until committed, wherever they come up

What callers saw: a task of an accepted job never runs again while room is free. Cause: the end of a start that can't be sent (its worker has just been given up, its job has ended) was proposed once, the end of an incarnation twice; whatever the log said to that, nobody said it again, and no session looked after the run. Evidence: TestARunOnAWorkerThatIsNotLookedAfterIsSettled failed before (never in 10 s). Change: one function proposes until the commit or the end of the tenure; the three places use it. An order says while its end is being committed, so that the count of runs that nobody would end leaves it out.

--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -174,9 +174,10 @@
 	if o == nil || s == nil {
 		t.logger.Log("event", "start", "task", run.Task, "run", run.Number, "worker", run.Worker,
 			"outcome", "not sent", "job_ended", o == nil, "worker_gone", s == nil)
-		_, _ = t.propose(&workflow.Command{Ends: &workflow.WorkerEnds{Worker: run.Worker, Ends: []workflow.RunEnd{
+		never := &workflow.WorkerEnds{Worker: run.Worker, Ends: []workflow.RunEnd{
 			{Task: run.Task, Number: run.Number, Outcome: workflow.OutcomeNotStarted},
-		}}})
+		}}
+		t.goTask(func() { t.commitSurely(&workflow.Command{Ends: never}) })
 		return
 	}
 	t.logger.Log("event", "run_started", "task", run.Task, "run", run.Number, "worker", run.Worker,
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -27,8 +27,7 @@
 	// lookPause is the time between a report of ends and the next look. Ends that come
 	// up meanwhile share that look, at the price of being seen a little later.
 	lookPause = 80 * time.Millisecond
-	// commitAgain is the time between two tries to commit an end that nobody would say
-	// again.
+	// commitAgain is the time between two tries to commit what nobody would say again.
 	commitAgain = 50 * time.Millisecond
 	// retryPause is the time between two looks at a worker that doesn't answer.
 	retryPause = 300 * time.Millisecond
@@ -284,13 +283,7 @@
 	t.logger.Log("event", "worker_gone", "worker", s.worker.ID, "cause", why)
 	// What its runs had saved goes into the log first.
 	s.loseRuns(why)
-	if _, err := t.propose(&workflow.Command{Gone: s.worker.ID}); err != nil {
-		// Whether it was committed is open; the next leader, or the next look, repeats it.
-		wait.For(t.ctx, retryPause)
-		if t.ctx.Err() == nil {
-			_, _ = t.propose(&workflow.Command{Gone: s.worker.ID})
-		}
-	}
+	t.commitSurely(&workflow.Command{Gone: s.worker.ID})
 	t.mu.Lock()
 	delete(t.sessions, s.worker.ID)
 	t.mu.Unlock()
@@ -324,21 +317,17 @@
 // commitEnds commits ends; seen is the last of those that the worker lists, 0 where it
 // lists none of them.
 //
-// Failure guarded against: a commit fails, and the run counts as alive for as long as the
-// leader leads. A worker lists its ends again until they are committed. An end that the
-// leader has found out by itself, such as that of a start that was refused, would be said
-// by nobody again: the task would never run, and the other members of a gang would wait
-// for it. So it is proposed until it is committed or the tenure is over.
+// A worker lists its ends again until they are committed; others are said by nobody again.
 func (s *session) commitEnds(seen uint64, ends []workflow.RunEnd) {
 	command := &workflow.Command{Ends: &workflow.WorkerEnds{Worker: s.worker.ID, Seen: seen, Ends: ends}}
-	for {
-		_, err := s.t.propose(command)
-		if err == nil {
-			break
-		}
-		if seen > 0 || !wait.For(s.t.ctx, commitAgain) {
+	s.noteEnding(ends, true)
+	if seen > 0 {
+		if _, err := s.t.propose(command); err != nil {
+			s.noteEnding(ends, false)
 			return
 		}
+	} else if !s.t.commitSurely(command) {
+		return
 	}
 	s.t.mu.Lock()
 	for _, end := range ends {
@@ -349,6 +338,35 @@
 	s.t.kick()
 }
 
+// noteEnding notes whether the ends of runs are being committed.
+func (s *session) noteEnding(ends []workflow.RunEnd, ending bool) {
+	s.t.mu.Lock()
+	defer s.t.mu.Unlock()
+	for _, end := range ends {
+		if o := s.orders[end.Task]; o != nil && o.run.Number == end.Number {
+			o.ending = ending
+		}
+	}
+}
+
+// commitSurely proposes a command until it is committed, and reports whether it was
+// before the tenure ended.
+//
+// Failure guarded against: a commit fails, and the run counts as alive for as long as the
+// leader leads. An end that the leader has found out by itself, such as that of a start
+// that was refused, would be said by nobody again: the task would never run, and the other
+// members of a gang would wait for it.
+func (t *tenure) commitSurely(command *workflow.Command) bool {
+	for {
+		if _, err := t.propose(command); err == nil {
+			return true
+		}
+		if !wait.For(t.ctx, commitAgain) {
+			return false
+		}
+	}
+}
+
 // forgetRun drops what is known of a run that has ended. A worker may list an
 // end while a later run of the task is under way; that one's order stays, or
 // nobody could stop the run any more. t.mu is held.
