A late end leaves the inherited run after it

What callers saw: after a change of leader a task never runs again while room is free. Cause: a worker's list that isn't whole held the end of an earlier run; the new leader then forgot that it had inherited the later run, which that list didn't show, and the whole list after it settled only inherited ones. Evidence: TestALateEndLeavesTheInheritedRunAfterIt failed before (never in 10 s). Change: an end forgets an inherited run only up to its own number, as it does for orders.

--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -375,6 +375,8 @@
 		return
 	}
 	delete(s.orders, end.Task)
-	delete(s.inherited, end.Task)
+	if s.inherited[end.Task] <= end.Number {
+		delete(s.inherited, end.Task)
+	}
 	delete(s.t.checkpoints, end.Task)
 }
