Each live run has something that is bound to end it, or is stopped and settled

What callers saw: a task of an accepted job never runs again while room is free. Cause, as a class: that a run has ended was told by events that come once: an answer, a commit, the end of a session. An event that doesn't come leaves the run alive in the log for as long as the leader leads, and no decision, list or look compares the two. A run that nothing would end for a second is stopped; the stop is repeated until it is acknowledged and the lists after it settle the run, as for any other. A worker with such runs that nobody looks after is taken up with a whole lease. A run that a list shows as alive is watched whoever ordered it. Each repair writes a line and counts. Why it holds: the comparison doesn't ask how the run got lost; a stop bars a start that is still under way, so nothing runs twice. Ruled out: ending the run at once, without a stop, which could start the task twice.

--- a/internal/control/account.go
+++ b/internal/control/account.go
@@ -1,11 +1,16 @@
 package control
 
 import (
+	"maps"
 	"time"
 
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
 
+// claimAfter is how long a run may be unaccounted for before the leader has it stopped: a
+// worker's list that shows its end may be late by a held look's way and a commit.
+const claimAfter = time.Second
+
 // runCounts are the runs that count as alive, and those of them whose end nothing at hand
 // would tell.
 type runCounts struct {
@@ -59,3 +64,42 @@
 	}
 	return !o.listedSent.Before(s.listsSent)
 }
+
+// isUnclaimed reports whether a run has been unaccounted for so long that its end has to be
+// made sure of. t.mu is held.
+//
+// Failure guarded against: whatever was to tell the end of a run didn't come, and it counts
+// as alive for as long as the leader leads: its task never runs again, though nothing waits
+// and room is free. A stop that is repeated until the worker has acknowledged it, and the
+// whole lists after that, settle any run, without regard to how it got lost.
+func (t *tenure) isUnclaimed(run workflow.Run, now time.Time) bool {
+	since, unaccounted := t.unaccounted[run]
+	return unaccounted && now.Sub(since) >= claimAfter
+}
+
+// adoptWorkers begins to look after workers that nobody looks after though runs of theirs
+// may be alive. Those that don't answer lose them when their lease has ended. t.mu is held.
+func (t *tenure) adoptWorkers(s *workflow.State, now time.Time) {
+	for run := range t.unaccounted {
+		state := s.Workers[run.Worker]
+		if t.sessions[run.Worker] != nil || state == nil || !t.isUnclaimed(run, now) {
+			continue
+		}
+		t.noteClaimed(run, now)
+		session := t.addSession(state.Worker, nil)
+		// Starts of this tenure may have prolonged its lease until now.
+		session.leaseEnd = now.Add(time.Duration(float64(t.lease)*driftFactor) + leaseSlack)
+		t.goTask(session.run)
+	}
+	// The worker's first lists tell whether they are alive.
+	maps.DeleteFunc(t.unaccounted, func(run workflow.Run, _ time.Time) bool {
+		return t.sessions[run.Worker] != nil && !t.sessions[run.Worker].ready
+	})
+}
+
+// noteClaimed tells that a run was found that nothing would have ended. t.mu is held.
+func (t *tenure) noteClaimed(run workflow.Run, now time.Time) {
+	t.c.cfg.Counters.Add("runs_claimed", 1)
+	t.logger.Log("event", "run_claimed", "task", run.Task, "run", run.Number, "worker", run.Worker,
+		"unaccounted_ms", now.Sub(t.unaccounted[run]).Milliseconds(), "looked_after", t.sessions[run.Worker] != nil)
+}
--- a/internal/control/report.go
+++ b/internal/control/report.go
@@ -100,8 +100,9 @@
 				s.t.checkpoints[r.Task] = r.Checkpoint
 			}
 			o := s.orders[r.Task]
-			if job := state.Jobs[r.Task.Job]; o == nil && job != nil && s.inherited[r.Task] == r.Number {
-				// What an earlier leader ordered is watched like an order of this one.
+			if job := state.Jobs[r.Task.Job]; o == nil && job != nil {
+				// What an earlier leader ordered, or a session before this one, is watched
+				// like an order of this one.
 				o = &order{run: run, usesSpare: job.Steps[r.Task.Step].UsesSpare, share: unknownShare}
 				s.orders[r.Task] = o
 			}
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -46,8 +46,9 @@
 	t.c.state.read(func(s *workflow.State) {
 		if now.Sub(t.sweptAt) >= sweepEvery {
 			t.sweptAt = now
-			t.sweepRuns(s, now, &v)
 			t.countRuns(s, now)
+			t.adoptWorkers(s, now)
+			t.sweepRuns(s, now, &v)
 		}
 		v.workers = t.gatherWorkers(s, now)
 		for _, job := range s.Open() {
@@ -71,7 +72,7 @@
 				if !t.without.Copies {
 					v.noteCopy(t, s, run, session, now)
 				}
-			} else if session.stopDue(run, now) {
+			} else if session.stopDue(run, cause, now) {
 				stop := stopping{session, run, cause}
 				// Noted at once: it counts for the runs that are looked at after it.
 				session.noteStop(stop, now)
--- a/internal/control/stops.go
+++ b/internal/control/stops.go
@@ -21,6 +21,7 @@
 	stopStill      stopCause = "stands still"
 	stopUnanswered stopCause = "its start got no answer"
 	stopPreempted  stopCause = "gives way to more urgent work"
+	stopUnclaimed  stopCause = "nothing would tell its end"
 )
 
 // stopping is a run that is to be stopped.
@@ -47,6 +48,8 @@
 		return stopMachine
 	case t.leaves(s, session, run, now):
 		return stopLeaving
+	case t.isUnclaimed(run, now):
+		return stopUnclaimed
 	}
 	o := session.orders[run.Task]
 	switch {
@@ -64,12 +67,12 @@
 	return stopNone
 }
 
-// stopDue reports whether a stop of a run that is known to this tenure is to be
-// sent now. t.mu is held.
-func (s *session) stopDue(run workflow.Run, now time.Time) bool {
+// stopDue reports whether a stop of a run that is known to this tenure, or that nobody
+// else would settle, is to be sent now. t.mu is held.
+func (s *session) stopDue(run workflow.Run, cause stopCause, now time.Time) bool {
 	o := s.orders[run.Task]
 	if o == nil || o.run.Number != run.Number {
-		return s.inherited[run.Task] == run.Number
+		return cause == stopUnclaimed || s.inherited[run.Task] == run.Number
 	}
 	return now.Sub(o.stopSent) >= stopAgain
 }
@@ -80,9 +83,12 @@
 func (s *session) noteStop(stop stopping, now time.Time) {
 	o := s.orders[stop.run.Task]
 	if o == nil || o.run.Number != stop.run.Number {
-		o = &order{run: stop.run, listed: true}
+		o = &order{run: stop.run, listed: stop.cause != stopUnclaimed}
 		s.orders[stop.run.Task] = o
 	}
+	if stop.cause == stopUnclaimed {
+		s.t.noteClaimed(stop.run, now)
+	}
 	if o.stopSent.IsZero() {
 		s.t.logger.Log("event", "stop", "task", stop.run.Task, "run", stop.run.Number, "worker", s.worker.ID, "cause", stop.cause)
 		if stop.cause == stopStill {
--- a/internal/control/unsettled_test.go
+++ b/internal/control/unsettled_test.go
@@ -90,3 +90,38 @@
 	w.with("w1", func(f *fakeWorker) { f.partial = false })
 	w.eventually("the task runs again", func() bool { return w.started("w1") == 1 })
 }
+
+// unlookedWorld is a leader in whose log the task of job a runs on worker w1, which it
+// doesn't look after.
+func unlookedWorld(t *testing.T) *world {
+	w := newWorld(t, nil)
+	one := worker("w1")
+	w.workers.add("w1").running[task("a", 0)] = Running{Task: task("a", 0), Number: 1}
+	w.commit(&workflow.Command{Worker: &one})
+	w.commit(submission("a"))
+	w.commit(&workflow.Command{Start: []workflow.Run{{Task: task("a", 0), Worker: "w1"}}})
+	return w
+}
+
+// Guards against a run whose end nobody sees: its worker is in order and nobody looks after
+// it.
+func TestAWorkerWithRunsThatNobodyLooksAfterIsTakenUp(t *testing.T) {
+	w := unlookedWorld(t)
+	w.eventually("the worker is looked after", func() bool { return w.tenureOf().looksAfter("w1") })
+	w.with("w1", func(f *fakeWorker) { f.finish(task("a", 0), workflow.OutcomeDone) })
+	w.eventually("the job is done", func() bool {
+		phase, _ := w.c.phase("a", "q")
+		return phase == workflow.PhaseDone
+	})
+	must.Eq(t, 0, w.started("w1"))
+}
+
+// Guards against a task that never runs again: its worker is out of reach and nobody looks
+// after it.
+func TestRunsOnASilentWorkerThatNobodyLooksAfterAreLost(t *testing.T) {
+	w := unlookedWorld(t)
+	w.with("w1", func(f *fakeWorker) { f.cut = true })
+	w.workers.add("w2")
+	w.announce("w2")
+	w.eventually("the task runs elsewhere", func() bool { return w.started("w2") == 1 })
+}
