A run whose stop was acknowledged is accounted for until lists come in

Change: the count leaves out runs whose stop was acknowledged after the last lists were asked for. Test: TestARunWithAnAcknowledgedStopIsAccountedFor, red before.

--- a/internal/control/account.go
+++ b/internal/control/account.go
@@ -58,8 +58,9 @@
 	switch {
 	case o.sending, o.unanswered && o.abandoned, now.Sub(o.stopSent) < 2*stopAgain:
 		return true
-	case s.listsSent.Before(o.settledAt):
-		// No list that was asked for since the start was answered has come in yet.
+	case s.listsSent.Before(o.settledAt), s.listsSent.Before(o.stopAcked):
+		// No list that was asked for since the start, or the stop, was answered has come in
+		// yet.
 		return true
 	}
 	return !o.listedSent.Before(s.listsSent)
--- a/internal/control/account_test.go
+++ b/internal/control/account_test.go
@@ -35,3 +35,15 @@
 	must.Eq(t, 1, c.alive)
 	must.Eq(t, 0, c.unaccounted)
 }
+
+// Guards against counting a run whose stop was acknowledged as lost while the look that
+// settles it is held.
+func TestARunWithAnAcknowledgedStopIsAccountedFor(t *testing.T) {
+	now := time.Now()
+	run := workflow.Run{Task: task("a", 0), Number: 1, Worker: "w1"}
+	o := &order{run: run, stopSent: now.Add(-time.Minute), stopAcked: now.Add(-time.Second)}
+	s := &session{ready: true, orders: map[workflow.TaskKey]*order{run.Task: o}, listsSent: now.Add(-2 * time.Second)}
+	must.True(t, s.accountsFor(run, now))
+	s.listsSent = now
+	must.False(t, s.accountsFor(run, now))
+}
