A look that settles a stopped run isn't held

What callers saw: tasks that were being started when their worker was cut off start elsewhere up to 1.5 s after it is back. Cause: their stops are acknowledged once the worker is back. The look that settles the runs may be sent right after that; nothing ends on the worker, and it is held. Test TestALookThatSettlesAStopIsNotHeld, red before. Change: no hold while a run waits for lists after its acknowledged stop.

--- a/internal/control/looks.go
+++ b/internal/control/looks.go
@@ -57,9 +57,23 @@
 	if s.throttle.watched() {
 		hold = min(hold, throttleWait)
 	}
+	if s.settles() {
+		hold = 0
+	}
 	return hold, slack
 }
 
+// settles reports whether the next lists settle a run: its stop was acknowledged, and no
+// list has shown it, so that none of its ends will end a held look. t.mu is held.
+func (s *session) settles() bool {
+	for _, o := range s.orders {
+		if !o.stopAcked.IsZero() && !o.listed {
+			return true
+		}
+	}
+	return false
+}
+
 // longestLookPause is the most that a look waits after a report of ends: a worker has
 // some three a second.
 const longestLookPause = 300 * time.Millisecond
--- a/internal/control/settle_test.go
+++ b/internal/control/settle_test.go
@@ -133,6 +133,22 @@
 	})
 }
 
+// Guards against a task that waits for a held look though its run is known never to begin:
+// the stop was acknowledged just before the look was sent.
+func TestALookThatSettlesAStopIsNotHeld(t *testing.T) {
+	now := time.Now()
+	s := &session{t: &tenure{c: &Controller{}}, orders: map[workflow.TaskKey]*order{}}
+	hold, _ := s.lookTimes(now)
+	must.Eq(t, lookWait, hold)
+	o := &order{stopAcked: now}
+	s.orders[task("a", 0)] = o
+	hold, _ = s.lookTimes(now)
+	must.Eq(t, 0, hold)
+	o.listed = true
+	hold, _ = s.lookTimes(now)
+	must.Eq(t, lookWait, hold, must.Sprint("the end of a run that was listed ends the wait"))
+}
+
 // inheritedWorld is a leader that finds the run of a task committed by another
 // one on worker w1.
 func inheritedWorld(t *testing.T, prepare func(*fakeWorker)) *world {
