Runs whose ends are known are accounted for until these are committed

What would be seen: the log takes no command for over a second, and each run that ended meanwhile is claimed and stopped, at the moment when the leader has most to do; the count of claims is no clean sign of a fault any more. Cause: an order said that its end was being committed only while the commit was under way, not while it is listed and tried again. Change: an order remembers that its end is known.

--- a/internal/control/account_test.go
+++ b/internal/control/account_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/bilberryferry/bilberryferry/internal/node"
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
 
@@ -47,3 +48,22 @@
 	s.listsSent = now
 	must.False(t, s.accountsFor(run, now))
 }
+
+// Guards against stops for runs that have ended: the log takes no command for a while, and
+// their ends are listed again and again.
+func TestRunsWhoseEndsCannotBeCommittedAreAccountedFor(t *testing.T) {
+	w := startedWorld(t)
+	w.eventually("the run is listed", func() bool { return w.counted().unaccounted == 0 })
+	var refusals []error
+	for range 1000 {
+		refusals = append(refusals, node.ErrFateOpen)
+	}
+	w.log.refuseEnds(refusals...)
+	w.with("w1", func(f *fakeWorker) { f.finish(task("a", 0), workflow.OutcomeDone) })
+	for range 20 {
+		time.Sleep(fakeHold)
+		must.Eq(t, 0, w.counted().unaccounted)
+	}
+	w.log.refuseEnds()
+	w.eventually("the job is done", func() bool { return w.phase("a") == workflow.PhaseDone })
+}
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -17,8 +17,8 @@
 	// sending says that the start is queued or under way, settledAt is when it no longer was.
 	sending   bool
 	settledAt time.Time
-	// ending says that its end is being committed.
-	ending bool
+	// endKnown says that its end is known and only has to be committed.
+	endKnown bool
 	// listedSent is when the last look that showed the run as alive was sent.
 	listedSent time.Time
 	// sentAt is when the call under way was sent, zero while there is none.
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -320,10 +320,9 @@
 // A worker lists its ends again until they are committed; others are said by nobody again.
 func (s *session) commitEnds(seen uint64, ends []workflow.RunEnd) {
 	command := &workflow.Command{Ends: &workflow.WorkerEnds{Worker: s.worker.ID, Seen: seen, Ends: ends}}
-	s.noteEnding(ends, true)
+	s.noteEndsKnown(ends)
 	if seen > 0 {
 		if _, err := s.t.propose(command); err != nil {
-			s.noteEnding(ends, false)
 			return
 		}
 	} else if !s.t.commitSurely(command) {
@@ -338,13 +337,14 @@
 	s.t.kick()
 }
 
-// noteEnding notes whether the ends of runs are being committed.
-func (s *session) noteEnding(ends []workflow.RunEnd, ending bool) {
+// noteEndsKnown notes that the ends of runs are known: they are proposed, or listed again,
+// until they are committed.
+func (s *session) noteEndsKnown(ends []workflow.RunEnd) {
 	s.t.mu.Lock()
 	defer s.t.mu.Unlock()
 	for _, end := range ends {
 		if o := s.orders[end.Task]; o != nil && o.run.Number == end.Number {
-			o.ending = ending
+			o.endKnown = true
 		}
 	}
 }
