A seeded search in virtual time for accepted work that nothing takes up

Change: drawn worlds over the real leader (Controller, tenure, sessions, decisions) in testing/synctest, with fakes for the workers, the adviser's lanes and the log; disturbances, then calm, then a bound within which each ready task with room twice over has to begin. One seam: Config.Client is what makes calls, so that lanes of other instances can be played without sockets. Not shown yet: that the search can fail.

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -50,7 +50,7 @@
 	Machines Machines
 	// Instance names this one in orders for machines.
 	Instance string
-	Client   *link.Client
+	Client   Caller
 	Logger   log.Logger
 	Counters Counters
 	// Leader returns the address of the present leader, Members those of all.
--- a/internal/control/lanes.go
+++ b/internal/control/lanes.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/bilberryferry/bilberryferry/internal/link"
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
 
@@ -52,7 +51,7 @@
 type lanes struct {
 	own     string
 	adviser Adviser
-	client  *link.Client
+	client  Caller
 
 	mu  sync.Mutex
 	all map[string]*lane
@@ -62,7 +61,7 @@
 	shortAt   time.Time
 }
 
-func newLanes(own string, adviser Adviser, client *link.Client) *lanes {
+func newLanes(own string, adviser Adviser, client Caller) *lanes {
 	return &lanes{own: own, adviser: adviser, client: client, all: map[string]*lane{own: {address: own}}}
 }
 
--- a/internal/control/ports.go
+++ b/internal/control/ports.go
@@ -210,3 +210,8 @@
 type Adviser interface {
 	Ask(ctx context.Context, call AskCall) (AskReply, error)
 }
+
+// Caller makes calls of other instances; a link.Client is one.
+type Caller interface {
+	Call(ctx context.Context, address, method string, request, reply any) error
+}
--- /dev/null
+++ b/internal/control/search_adviser_test.go
@@ -0,0 +1,103 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/bilberryferry/bilberryferry/internal/wait"
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+// searchAdviser permits each step on a fixed part of the workers. It serves each lane's
+// questions one after the other, and makes calls of other instances.
+type searchAdviser struct {
+	drawn *drawnWorld
+	seed  uint64
+	// policyOf names the advice of a step's queue.
+	policyOf func(workflow.StepKey) *workflow.AdvicePolicy
+	// calm reports whether all faults are over.
+	calm func() bool
+
+	mu     sync.Mutex
+	random *rand.Rand
+	busy   map[string]time.Time
+	asked  int
+}
+
+// chance is a number from 0 to 1 that follows from the seed and the words.
+func chance(seed uint64, words ...any) float64 {
+	h := fnv.New64a()
+	_, _ = fmt.Fprint(h, seed, words)
+	return rand.New(rand.NewPCG(seed, h.Sum64())).Float64()
+}
+
+// permits reports whether a step may run on a worker, which never changes.
+func (a *searchAdviser) permits(step workflow.StepKey, worker string) bool {
+	return chance(a.seed, "permit", step, worker) < a.drawn.share
+}
+
+// Ask puts a question of the leader's own machine.
+func (a *searchAdviser) Ask(ctx context.Context, call AskCall) (AskReply, error) {
+	return a.ask(ctx, ownLane, call)
+}
+
+// ownLane is the leader's own address.
+const ownLane = "own"
+
+// Call puts a question through another instance.
+func (a *searchAdviser) Call(ctx context.Context, address, _ string, request, reply any) error {
+	answer, err := a.ask(ctx, address, *request.(*AskCall))
+	*reply.(*AskReply) = answer
+	return err
+}
+
+func (a *searchAdviser) ask(ctx context.Context, lane string, call AskCall) (AskReply, error) {
+	policy := a.policyOf(call.Step)
+	if policy == nil {
+		return AskReply{}, errNoAnswer
+	}
+	a.mu.Lock()
+	a.asked++
+	lost := a.random.Float64() < a.drawn.faults.askLost && !a.calm()
+	end := time.Now()
+	if a.busy[lane].After(end) {
+		end = a.busy[lane]
+	}
+	end = end.Add(askLength(policy, len(call.Workers)))
+	a.busy[lane] = end
+	a.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return AskReply{}, errNoAnswer
+	}
+	if !wait.For(ctx, time.Until(end)) {
+		return AskReply{}, errNoAnswer
+	}
+	reply := AskReply{Valid: time.Duration(policy.ValidMS) * time.Millisecond}
+	for _, worker := range call.Workers {
+		if a.permits(call.Step, worker) {
+			reply.Granted = append(reply.Granted, Grant{Worker: worker, Ticket: ticketFor(call.Step, worker, time.Now().Add(reply.Valid))})
+		}
+	}
+	return reply, nil
+}
+
+// ticketFor is a ticket that names what it permits and when it ends.
+func ticketFor(step workflow.StepKey, worker string, ends time.Time) string {
+	return fmt.Sprint(step, " ", worker, " ", ends.UnixNano())
+}
+
+// ticketHolds reports whether a ticket permits a step on a worker now.
+func ticketHolds(ticket string, step workflow.StepKey, worker string) bool {
+	rest, ok := strings.CutPrefix(ticket, fmt.Sprint(step, " ", worker, " "))
+	ends := int64(0)
+	if _, err := fmt.Sscan(rest, &ends); err != nil {
+		return false
+	}
+	return ok && time.Now().UnixNano() < ends
+}
--- /dev/null
+++ b/internal/control/search_draw_test.go
@@ -0,0 +1,183 @@
+package control
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+// drawnWorld is what a seed draws: how large the site is, what comes in and what goes
+// wrong.
+type drawnWorld struct {
+	workers int
+	// capacity is that of each worker.
+	capacity workflow.Resources
+	// lanes is how many instances put questions, share what part of the workers is
+	// permitted to a step.
+	lanes int
+	share float64
+	lease time.Duration
+	// queues differ in priority, objective and adviser.
+	queues []workflow.Queue
+	// disturbed is how long traffic and disturbances last.
+	disturbed time.Duration
+	// load is the traffic in multiples of the capacity, burst that from burstAt on for
+	// burstFor.
+	load, burst       float64
+	burstAt, burstFor time.Duration
+	// hopeless is how many urgent steps come first that no worker can take.
+	hopeless int
+	// faults are the chances of a call, spells the mean time between two disturbances.
+	faults faultChances
+	spells time.Duration
+}
+
+// faultChances are the chances of one call.
+type faultChances struct {
+	lost, unanswered, late, slow, refused, misdirected, askLost, failed float64
+}
+
+const (
+	searchHost = "h"
+	// fewWorkers and mostWorkers bound the usual site, largeSite is one in largeEach.
+	fewWorkers, mostWorkers = 8, 60
+	largeSite, largeEach    = 350, 25
+)
+
+// logUniform draws between low and high so that each order of magnitude is as likely.
+func logUniform(random *rand.Rand, low, high float64) float64 {
+	return low * math.Pow(high/low, random.Float64())
+}
+
+func between(random *rand.Rand, low, high time.Duration) time.Duration {
+	return low + time.Duration(random.Float64()*float64(high-low))
+}
+
+func oneIn(random *rand.Rand, n int) bool { return random.IntN(n) == 0 }
+
+func drawWorld(random *rand.Rand) *drawnWorld {
+	d := &drawnWorld{
+		workers:   fewWorkers + random.IntN(mostWorkers-fewWorkers+1),
+		capacity:  workflow.Resources{MilliCPU: int64(4+random.IntN(28)) * 1000, MemoryMB: 64_000},
+		lanes:     1 + random.IntN(12),
+		share:     0.2 + 0.8*random.Float64(),
+		lease:     []time.Duration{4 * time.Second, 6 * time.Second, 10 * time.Second}[random.IntN(3)],
+		disturbed: between(random, 4*time.Second, 10*time.Second),
+		load:      0.2 + 0.7*random.Float64(),
+		spells:    between(random, 150*time.Millisecond, 1500*time.Millisecond),
+	}
+	if oneIn(random, largeEach) {
+		d.workers, d.lanes = largeSite, 44
+	}
+	if oneIn(random, 2) {
+		d.burst = 1.2 + 2*random.Float64()
+		d.burstAt = between(random, 0, d.disturbed*3/4)
+		d.burstFor = between(random, 500*time.Millisecond, 3*time.Second)
+	}
+	if oneIn(random, 4) {
+		d.hopeless = 20 + random.IntN(200)
+	}
+	d.drawFaults(random)
+	for i := range 1 + random.IntN(4) {
+		d.queues = append(d.queues, drawQueue(random, i))
+	}
+	return d
+}
+
+// drawFaults makes each kind of fault frequent in some worlds and absent in others.
+func (d *drawnWorld) drawFaults(random *rand.Rand) {
+	chance := func(most float64) float64 {
+		if oneIn(random, 2) {
+			return 0
+		}
+		return logUniform(random, most/30, most)
+	}
+	d.faults = faultChances{
+		lost: chance(0.1), unanswered: chance(0.1), late: chance(0.1), slow: chance(0.2), refused: chance(0.2),
+		misdirected: chance(0.03), askLost: chance(0.1), failed: chance(0.2),
+	}
+}
+
+func drawQueue(random *rand.Rand, i int) workflow.Queue {
+	q := workflow.Queue{
+		Name: fmt.Sprint("q", i), Host: searchHost, Prefix: fmt.Sprintf("/q%d/", i),
+		Policy: workflow.Policy{
+			Service: "s", Priority: random.IntN(3), MaxAttempts: 3 + random.IntN(4),
+			Stretch: 1.2 + 3*random.Float64(), ObjectiveMS: int64(logUniform(random, 20, 3000)),
+		},
+	}
+	if !oneIn(random, 5) {
+		q.Policy.Advice = &workflow.AdvicePolicy{
+			DecideMS: logUniform(random, 2, 700), EachMS: logUniform(random, 0.1, 8), ValidMS: int64(logUniform(random, 800, 20_000)),
+		}
+	}
+	return q
+}
+
+// drawJob draws the steps of a job, of which the second depends on the first.
+func (d *drawnWorld) drawJob(random *rand.Rand) []workflow.Step {
+	steps := []workflow.Step{d.drawStep(random)}
+	if oneIn(random, 4) {
+		next := d.drawStep(random)
+		next.DependsOn = []int{0}
+		steps = append(steps, next)
+	}
+	return steps
+}
+
+const mostTasks = 60
+
+func (d *drawnWorld) drawStep(random *rand.Rand) workflow.Step {
+	step := workflow.Step{
+		Count:      int(logUniform(random, 1, mostTasks+1)),
+		Need:       workflow.Resources{MilliCPU: int64(logUniform(random, 500, float64(d.capacity.MilliCPU)/1.5)), MemoryMB: 100},
+		EstimateMS: int64(logUniform(random, 40, 2500)),
+	}
+	switch random.IntN(6) {
+	case 0, 1:
+		step.Gang = true
+		// Wider ones have no room twice over and are never looked for.
+		step.Count = min(step.Count, max(1, d.workers/3))
+	case 2:
+		step.Speculative = true
+	case 3:
+		step.MaxPerWorker = 1 + random.IntN(3)
+	}
+	return step
+}
+
+// nowhere is a label that no worker carries.
+const nowhere = "nowhere"
+
+func hopelessSteps() []workflow.Step {
+	return []workflow.Step{{Count: 1, Need: workflow.Resources{MilliCPU: 500, MemoryMB: 10}, EstimateMS: 60_000, Label: nowhere}}
+}
+
+// workOf is the thousandths of cores times milliseconds of a job's tasks.
+func workOf(steps []workflow.Step) float64 {
+	work := 0.0
+	for i := range steps {
+		work += float64(steps[i].Count) * float64(steps[i].Need.MilliCPU) * float64(steps[i].EstimateMS)
+	}
+	return work
+}
+
+// questionsFor is how many questions a step is allowed for: each names askWorkers of
+// all workers, and some are put again for tickets.
+func (d *drawnWorld) questionsFor() int { return (d.workers+askWorkers-1)/askWorkers + 2 }
+
+// askTime is how long the adviser is kept busy for a step at most.
+func (d *drawnWorld) askTime(q *workflow.Queue, step *workflow.Step) time.Duration {
+	if q.Policy.Advice == nil {
+		return 0
+	}
+	if step.Gang {
+		named := min(d.workers, gangAskWorkers)
+		parts := (d.workers + gangAskWorkers - 1) / gangAskWorkers
+		return time.Duration(3*parts) * askLength(q.Policy.Advice, named)
+	}
+	return time.Duration(d.questionsFor()) * askLength(q.Policy.Advice, min(askWorkers, d.workers))
+}
--- /dev/null
+++ b/internal/control/search_lines_test.go
@@ -0,0 +1,57 @@
+package control
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+// searchLines keeps the lines of the leaders and of the workers until a search has found
+// something.
+type searchLines struct {
+	mu   sync.Mutex
+	text []string
+}
+
+// virtualMS is the virtual time in milliseconds.
+func virtualMS() any { return time.Now().UnixMilli() - searchEpochMS }
+
+// searchEpochMS is when virtual time begins.
+var searchEpochMS = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC).UnixMilli()
+
+func (l *searchLines) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.text = append(l.text, string(line))
+	return len(line), nil
+}
+
+func (l *searchLines) note(event string, w *searchWorker, run workflow.Run, err error) {
+	_, _ = fmt.Fprintf(l, "ms=%d worker=%s %s task=%s run=%d err=%v\n", virtualMS(), w.ID, event, run.Task, run.Number, err)
+}
+
+func (l *searchLines) say(format string, args ...any) {
+	_, _ = fmt.Fprintf(l, "ms=%d "+format+"\n", append([]any{virtualMS()}, args...)...)
+}
+
+// mostLines is how many lines a failure shows.
+const mostLines = 60
+
+// about returns the last lines that hold one of the words.
+func (l *searchLines) about(words ...string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found []string
+	for _, line := range l.text {
+		for _, word := range words {
+			if strings.Contains(line, word) {
+				found = append(found, line)
+				break
+			}
+		}
+	}
+	return strings.Join(found[max(0, len(found)-mostLines):], "")
+}
--- /dev/null
+++ b/internal/control/search_log_test.go
@@ -0,0 +1,157 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bilberryferry/bilberryferry/fault"
+	"github.com/bilberryferry/bilberryferry/internal/node"
+	"github.com/bilberryferry/bilberryferry/internal/wait"
+	"github.com/bilberryferry/bilberryferry/replica"
+)
+
+// searchStore is what all leaders' logs have in common.
+type searchStore struct {
+	mu     sync.Mutex
+	random *rand.Rand
+	state  *StateMachine
+	index  uint64
+	// lastAt is when the last command is committed; they are in order.
+	lastAt time.Time
+	// slowUntil is until when commits take long, heldUntil until when nothing shows that
+	// the leader leads, fullUntil until when too many calls wait.
+	slowUntil, heldUntil, fullUntil time.Time
+	// open are the commands whose fate was open when their leader lost the leadership.
+	open [][]byte
+	// refused counts what the log refused, opened what it left open.
+	refused, opened int
+}
+
+// commitAt is when a command that is proposed now is committed.
+func (s *searchStore) commitAt(now time.Time) time.Time {
+	took := between(s.random, time.Millisecond, 5*time.Millisecond)
+	if now.Before(s.slowUntil) {
+		took = between(s.random, 50*time.Millisecond, 500*time.Millisecond)
+	}
+	at := now.Add(took)
+	if !at.After(s.lastAt) {
+		at = s.lastAt.Add(time.Microsecond)
+	}
+	s.lastAt = at
+	return at
+}
+
+// settleOpen lets half of the commands whose fate is open be committed.
+func (s *searchStore) settleOpen() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, data := range s.open {
+		if oneIn(s.random, 2) {
+			s.index++
+			s.state.Apply(s.index, data)
+		}
+	}
+	s.open = nil
+}
+
+// searchLog is the log of one leader.
+type searchLog struct {
+	store *searchStore
+	term  uint64
+	// lost is closed when the leadership is.
+	lost chan struct{}
+}
+
+func (l *searchLog) over() bool {
+	select {
+	case <-l.lost:
+		return true
+	default:
+		return false
+	}
+}
+
+func unproposed(mark error) error {
+	return errors.Mark(fault.New(fault.Unavailable, "nothing was proposed"), mark)
+}
+
+// refusal is why nothing may be proposed now. The store's lock is held.
+func (l *searchLog) refusal(now time.Time) error {
+	switch {
+	case l.over():
+		return unproposed(node.ErrNotLeader)
+	case now.Before(l.store.fullUntil):
+		l.store.refused++
+		return fault.New(fault.Overloaded, "too many calls wait for the log already")
+	}
+	return nil
+}
+
+func (l *searchLog) Propose(ctx context.Context, data []byte) (any, error) {
+	s, now := l.store, time.Now()
+	s.mu.Lock()
+	err := l.refusal(now)
+	if err == nil && now.Before(s.heldUntil) {
+		s.refused++
+		err = unproposed(node.ErrNotLeader)
+	}
+	at := time.Time{}
+	if err == nil {
+		at = s.commitAt(now)
+	}
+	s.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	timer := time.NewTimer(at.Sub(now))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-l.lost:
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l.over() || ctx.Err() != nil {
+		s.open = append(s.open, data)
+		s.opened++
+		return nil, errors.Mark(fault.New(fault.Unavailable, "the fate of the command is open"), node.ErrFateOpen)
+	}
+	s.index++
+	return s.state.Apply(s.index, data), nil
+}
+
+func (l *searchLog) Barrier(ctx context.Context) error {
+	l.store.mu.Lock()
+	err := l.refusal(time.Now())
+	held := time.Until(l.store.heldUntil)
+	l.store.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	wait.For(ctx, max(held, 0)+time.Millisecond)
+	if l.over() {
+		return unproposed(node.ErrNotLeader)
+	}
+	return ctx.Err()
+}
+
+func (l *searchLog) Status() replica.Status {
+	if l.over() {
+		return replica.Status{Role: replica.Follower, Term: l.term + 1}
+	}
+	l.store.mu.Lock()
+	defer l.store.mu.Unlock()
+	return replica.Status{Role: replica.Leader, Term: l.term, CanDecide: !time.Now().Before(l.store.heldUntil)}
+}
+
+func (l *searchLog) Changed() <-chan struct{} {
+	if l.over() {
+		return make(chan struct{})
+	}
+	return l.lost
+}
