The search takes a claim of a run for a finding

Cause: a leader that finds a run without an owner has it stopped and settled after a second, which hides the dropped rule behind it from a bound of three. Change: the line of such a repair is a finding, but for runs whose start was misdirected and those whose end waits for the log, for which there is no other rule.

--- a/internal/control/search_lines_test.go
+++ b/internal/control/search_lines_test.go
@@ -14,6 +14,8 @@
 type searchLines struct {
 	mu   sync.Mutex
 	text []string
+	// read is how many of them were looked through for claims.
+	read int
 }
 
 // virtualMS is the virtual time in milliseconds.
@@ -55,3 +57,27 @@
 	}
 	return strings.Join(found[max(0, len(found)-mostLines):], "")
 }
+
+// claimKey names a run as the line does that it was found to have no owner.
+func claimKey(run workflow.Run) string {
+	return fmt.Sprintf("event=run_claimed task=%s run=%d worker=%s ", run.Task, run.Number, run.Worker)
+}
+
+// claims returns the lines on runs that were found to have no owner, but for those that
+// may be.
+func (l *searchLines) claims(may map[string]bool) (found []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for ; l.read < len(l.text); l.read++ {
+		line := l.text[l.read]
+		at := strings.Index(line, "event=run_claimed")
+		if at < 0 {
+			continue
+		}
+		key, _, _ := strings.Cut(line[at:], "unaccounted_ms=")
+		if !may[key] {
+			found = append(found, strings.TrimSpace(line))
+		}
+	}
+	return found
+}
--- a/internal/control/search_test.go
+++ b/internal/control/search_test.go
@@ -50,7 +50,7 @@
 	x.workers = &searchWorkers{
 		drawn: x.drawn, seed: seed, stepOf: x.stepOf, lines: x.lines, at: map[string]*searchWorker{}, calls: map[string]int{},
 		startedAt: map[workflow.TaskKey][]time.Time{}, doneAt: map[workflow.TaskKey]time.Time{}, complete: map[gangRun]bool{},
-		lastStart: map[workflow.StepKey]time.Time{},
+		lastStart: map[workflow.StepKey]time.Time{}, mayClaim: map[string]bool{},
 	}
 	x.adviser = &searchAdviser{
 		drawn: x.drawn, seed: seed, policyOf: x.adviceOf, calm: x.isCalm, random: rand.New(rand.NewPCG(seed, 5)), busy: map[string]time.Time{},
--- a/internal/control/search_verdict_test.go
+++ b/internal/control/search_verdict_test.go
@@ -23,7 +23,7 @@
 // always returns what must not be at any time.
 func (x *search) always() []string {
 	x.workers.mu.Lock()
-	found := slices.Clone(x.workers.broken)
+	found := append(slices.Clone(x.workers.broken), x.lines.claims(x.workers.mayClaim)...)
 	x.workers.mu.Unlock()
 	c := x.controller()
 	c.mu.Lock()
--- a/internal/control/search_worker_test.go
+++ b/internal/control/search_worker_test.go
@@ -66,6 +66,9 @@
 	starts    int
 	// lastStart is when a task of a step last began.
 	lastStart map[workflow.StepKey]time.Time
+	// mayClaim are the runs that a leader may find without an owner: those whose start was
+	// misdirected, and those whose end waits for the log.
+	mayClaim map[string]bool
 }
 
 // add lets an incarnation begin at an address.
@@ -176,6 +179,9 @@
 		return nil, fate{}, errNoAnswer
 	}
 	f := r.fateOf(kind, w, run)
+	if f.misdirected {
+		r.mayClaim[claimKey(run)] = true
+	}
 	r.mu.Unlock()
 	wait.For(ctx, f.way)
 	switch {
@@ -307,6 +313,7 @@
 	w.ended = append(w.ended, Ended{Position: uint64(len(w.ended) + 1),
 		RunEnd: workflow.RunEnd{Task: task, Number: run.number, Outcome: outcome}})
 	w.endedAt = append(w.endedAt, time.Now())
+	r.mayClaim[claimKey(workflow.Run{Task: task, Number: run.number, Worker: w.ID})] = true
 	r.lines.note("ends "+outcome.String(), w, workflow.Run{Task: task, Number: run.number}, nil)
 	w.wake()
 }
