--- a/internal/control/search_disturb_test.go
+++ b/internal/control/search_disturb_test.go
@@ -108,7 +108,7 @@
 }
 
 // neverBack is one in how many crashed workers stays away.
-const neverBack = 5
+const neverBack = 2
 
 // crashOne ends a worker, which comes back under another incarnation or never.
 func (x *search) crashOne() {
