A third of the questions goes to steps in turn

What callers saw: accepted jobs wait for a minute and more beside an empty pool. Cause: the questions of a decision were given out in the order of its steps, and used up by urgent ones that are refused again and again; late steps and those in turn came last and found none, decision after decision. Of the steps behind the bound the turn took no account of which had never asked. Change: a third of a decision's questions is kept back, and with what the others leave it goes to the steps that still wait for one: those that know of no worker first, then those whose last question is longest ago. Behind the bound such steps have turns of their own, in the places that ticketed ones leave. Nothing kept back stays unused.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -31,7 +31,9 @@
 	stopping map[workflow.TaskKey]bool
 	// yielding is the least urgent priority of a pool's runs that may be stopped.
 	yielding map[string]int
-	plan     Plan
+	// unasked are the steps that wait for a question, in order.
+	unasked []unasked
+	plan    Plan
 }
 
 // Decide plans starts and questions for steps on workers. Steps are taken in
@@ -54,9 +56,16 @@
 	}
 	slices.SortFunc(order, compareSteps)
 	p.plan.Waiting = make([]Waiting, 0, len(steps))
-	for _, s := range p.inTurn(order) {
+	chosen := p.inTurn(order)
+	asks, long := p.forTurns(p.limits.Asks), p.forTurns(p.limits.LongAsks)
+	p.limits.Asks -= asks
+	p.limits.LongAsks -= long
+	for _, s := range chosen {
 		p.step(s)
 	}
+	p.limits.Asks += asks
+	p.limits.LongAsks += long
+	p.askInTurn()
 	return p.plan
 }
 
@@ -98,30 +107,39 @@
 }
 
 // turns returns up to n of the steps whose turn it is: half of them such as hold tickets,
-// the ones that end soonest before the others, and the rest in turn such as have no
-// question under way.
+// the ones that end soonest before the others, a quarter in turn such as know of no worker
+// yet, and the rest in turn such as have no question under way.
 //
 // Failure guarded against: with 900 steps behind the bound each has its turn every 3 s,
 // asks, and has its next one when its tickets of 1.5 s have ended. On an empty pool 2 of
 // them started in a minute, and 19,100 questions were put; an answer is now used by
 // the next decision.
 func (p *planner) turns(rest []*Step, n int) []*Step {
-	var ticketed, others []*Step
+	var ticketed, fresh, others []*Step
 	for _, s := range rest {
 		switch {
 		case p.holdsTickets(s):
 			ticketed = append(ticketed, s)
-		case !s.Asking:
+		case s.Asking:
+		case s.NeedsPermit && len(s.Permits) == 0:
+			fresh = append(fresh, s)
+		default:
 			others = append(others, s)
 		}
 	}
 	slices.SortStableFunc(ticketed, func(a, b *Step) int { return cmp.Compare(a.TicketsEnd, b.TicketsEnd) })
 	chosen := slices.Clip(ticketed[:min(n/2, len(ticketed))])
-	// Half of the places are the others' at least, so a turn that moves on by as many
+	chosen = append(chosen, inTurn(fresh, n-n/4-len(chosen), n/4*p.limits.Turn)...)
+	// A quarter of the places is the others' at least, so a turn that moves on by as many
 	// passes none of them by.
-	first := p.limits.Turn * (n - n/2)
-	for i := range min(n-len(chosen), len(others)) {
-		chosen = append(chosen, others[(first+i)%len(others)])
+	return append(chosen, inTurn(others, n-len(chosen), (n-n/2-n/4)*p.limits.Turn)...)
+}
+
+// inTurn returns up to n of the steps from the first one on, in a circle.
+func inTurn(steps []*Step, n, first int) []*Step {
+	var chosen []*Step
+	for i := range min(n, len(steps)) {
+		chosen = append(chosen, steps[(first+i)%len(steps)])
 	}
 	return chosen
 }
@@ -165,9 +183,14 @@
 		return
 	}
 	if p.mustWait(s) {
-		p.wait(s, left, p.reasonPassedOver(s, left))
+		p.unasked = append(p.unasked, unasked{s, left, p.reasonPassedOver(s, left)})
 		return
 	}
+	p.seek(s, left)
+}
+
+// seek sees to what the tasks of s that are left need before they can start.
+func (p *planner) seek(s *Step, left int) {
 	suitable := filter(p.byService[s.Service], s)
 	if len(suitable) == 0 {
 		p.wait(s, left, ReasonNoWorker)
--- a/dispatch/replay_jobs_test.go
+++ b/dispatch/replay_jobs_test.go
@@ -57,6 +57,7 @@
 	// What is known of the present step's permits.
 	permits    map[string]Permit
 	asking     int
+	asked      time.Duration
 	renewing   []string
 	ticketsEnd time.Duration
 	// ended is when it ended, got the share of its worth that it earned.
@@ -75,7 +76,7 @@
 
 // submit hands a job of the kind in.
 func (r *replay) submit(k *replayKind) *replayJob {
-	j := &replayJob{kind: k, id: fmt.Sprintf("%s%06d", k.name, len(k.all)), begin: r.now, saved: map[workflow.TaskKey]float64{},
+	j := &replayJob{kind: k, id: fmt.Sprintf("%s%06d", k.name, len(k.all)), begin: r.now, asked: r.now, saved: map[workflow.TaskKey]float64{},
 		permits: map[string]Permit{}, roomSince: -1}
 	chain := time.Duration(0)
 	for range max(1, int(math.Round(r.around(k.steps, 0.4, 3*k.steps)))) {
--- a/dispatch/replay_test.go
+++ b/dispatch/replay_test.go
@@ -89,7 +89,7 @@
 	s := Step{
 		Key: workflow.StepKey{Job: j.id, Step: j.step}, Spec: spec, Service: "s", Priority: k.priority, Due: j.begin + j.objective,
 		Pending: slices.Clone(j.pending[j.step]), NeedsPermit: true, Permits: j.permits, TicketsEnd: j.ticketsEnd, GrantShare: k.grantShare,
-		Asking: j.asking > 0, Renewing: j.renewing,
+		Asking: j.asking > 0, Renewing: j.renewing, Asked: j.asked,
 		AskTime: func(n int) time.Duration { return k.decide + time.Duration(n)*k.each },
 	}
 	switch age := r.now - j.begin; {
@@ -199,6 +199,7 @@
 	}
 	lanes[first] = max(lanes[first], r.now) + length
 	j.asking++
+	j.asked = r.now
 	if a.Renewal {
 		j.renewing = a.Workers
 	}
@@ -289,7 +290,7 @@
 		return
 	}
 	j.step++
-	j.permits, j.asking, j.renewing, j.ticketsEnd = map[string]Permit{}, 0, nil, 0
+	j.permits, j.asking, j.renewing, j.ticketsEnd, j.asked = map[string]Permit{}, 0, nil, 0, r.now
 	if j.step < len(j.specs) {
 		return
 	}
--- a/dispatch/turns_test.go
+++ b/dispatch/turns_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -34,26 +35,83 @@
 	return r.now - begun
 }
 
+// othersBehind lets ten jobs, permitted on a quarter of an empty pool, come 10 s after urgent
+// ones that no worker is permitted for, and returns how long the last of them waits.
+func othersBehind(pool, ahead int) time.Duration {
+	refused, others := longQuestions("refused", 0, 0), longQuestions("others", 1, 0.25)
+	r := newReplay(1, pool, 44, refused, others)
+	for range ahead {
+		r.submit(refused)
+	}
+	r.play(10*time.Second, 0)
+	for range 10 {
+		r.submit(others)
+	}
+	return untilAllBegin(r, others)
+}
+
 // Urgent steps that no worker is permitted for ask about 30 workers after the other, and
 // their questions take every lane: others wait behind them on an empty pool, the longer
 // the more workers there are.
 func TestUrgentStepsThatAreRefusedLeaveOthersQuestions(t *testing.T) {
 	for _, pool := range []int{350, 1100, 3000} {
-		for _, ahead := range []int{90, 300} {
-			t.Run(fmt.Sprintf("%d workers, %d ahead", pool, ahead), func(t *testing.T) {
-				t.Parallel()
-				refused, others := longQuestions("refused", 0, 0), longQuestions("others", 1, 0.25)
-				r := newReplay(1, pool, 44, refused, others)
-				for range ahead {
-					r.submit(refused)
-				}
-				r.play(10*time.Second, 0)
-				for range 10 {
-					r.submit(others)
+		t.Run(fmt.Sprint(pool), func(t *testing.T) {
+			t.Parallel()
+			must.LessEq(t, mayStandIdle, othersBehind(pool, 90))
+		})
+	}
+}
+
+// The same with more urgent steps than one decision goes into.
+func TestUrgentStepsBeyondTheBoundLeaveOthersQuestions(t *testing.T) {
+	for _, pool := range []int{350, 1100, 3000} {
+		t.Run(fmt.Sprint(pool), func(t *testing.T) {
+			t.Parallel()
+			must.LessEq(t, mayStandIdle, othersBehind(pool, 300))
+		})
+	}
+}
+
+// Steps that always want to ask leave others a third of the questions, one question
+// a decision or many.
+func TestAPartOfTheQuestionsGoesToStepsInTurn(t *testing.T) {
+	for _, asks := range []int{1, 2, 5} {
+		put := 0
+		for turn := range 60 {
+			bounded := limits
+			bounded.Asks, bounded.Turn = asks, turn
+			steps := []Step{}
+			for i := range 20 {
+				urgent := needsPermit(step(fmt.Sprintf("urgent%02d", i), 1, 2), map[string]Permit{"w0": {}})
+				other := needsPermit(step(fmt.Sprintf("other%02d", i), 1, 2), nil)
+				other.Priority = 1
+				steps = append(steps, urgent, other)
+			}
+			plan := Decide(0, steps, workers(9, 9), bounded)
+			must.SliceLen(t, asks, plan.Asks, must.Sprint("none is left unused"))
+			must.SliceLen(t, len(steps), plan.Waiting)
+			for _, a := range plan.Asks {
+				if strings.HasPrefix(a.Step.Job, "other") {
+					put++
 				}
-				must.LessEq(t, mayStandIdle, untilAllBegin(r, others))
-			})
+			}
+		}
+		must.Eq(t, 60*asks/askShare, put)
+	}
+}
+
+// What urgent steps have no use for goes to others, and the other way round.
+func TestQuestionsThatOnePartHasNoUseForGoToTheOther(t *testing.T) {
+	for _, priority := range []int{0, 1} {
+		bounded := limits
+		bounded.Asks = 6
+		var steps []Step
+		for i := range 6 {
+			s := needsPermit(step(fmt.Sprint("a", i), 1, 2), nil)
+			s.Priority = priority
+			steps = append(steps, s)
 		}
+		must.SliceLen(t, 6, Decide(0, steps, workers(9), bounded).Asks)
 	}
 }
 
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -80,6 +80,9 @@
 	// TicketsEnd is when the last of its tickets ends, on the caller's steady clock; 0 for
 	// none.
 	TicketsEnd time.Duration
+	// Asked is when its last question was put, or before the first since when it waits for
+	// one, on the caller's steady clock.
+	Asked time.Duration
 	// AskTime is how long the adviser takes to answer about n workers.
 	AskTime func(n int) time.Duration
 	// GrantShare is the share of the workers asked about that the adviser has permitted
--- a/internal/control/permits.go
+++ b/internal/control/permits.go
@@ -18,7 +18,10 @@
 	// known is replaced, never changed: decisions read it without the lock.
 	known map[string]dispatch.Permit
 	// asking counts the questions under way.
-	asking   int
+	asking int
+	// asked is when the last one was put, or since when the step waits for its first, on
+	// the tenure's clock; 0 before that.
+	asked    time.Duration
 	renewing []string
 	// ticketsEnd is when the last ticket ends, on the tenure's clock.
 	ticketsEnd time.Duration
@@ -49,13 +52,15 @@
 // answer.
 func (t *tenure) ask(question dispatch.Ask, queue string, policy *workflow.AdvicePolicy) {
 	length := askLength(policy, len(question.Workers))
-	used, answered := t.lanes.take(time.Now(), length)
+	now := time.Now()
+	used, answered := t.lanes.take(now, length)
 	if used == nil {
 		return
 	}
 	t.mu.Lock()
 	p := t.permitsOf(question.Step)
 	p.asking++
+	p.asked = now.Sub(t.started)
 	if question.Renewal {
 		p.renewing = slices.Concat(p.renewing, question.Workers)
 	}
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -252,7 +252,10 @@
 		return step
 	}
 	p := t.permitsOf(key)
-	step.NeedsPermit = true
+	if p.asked == 0 {
+		p.asked = now.Sub(t.started)
+	}
+	step.NeedsPermit, step.Asked = true, p.asked
 	advice := *job.Policy.Advice
 	step.AskTime = func(n int) time.Duration { return askLength(&advice, n) }
 	step.GrantShare = t.grantShares[job.Queue].mean
