--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -112,9 +112,9 @@
 // yet, and the rest in turn such as have no question under way.
 //
 // Failure guarded against: with 900 steps behind the bound each has its turn every 3 s,
-// asks, and has its next one when its tickets of 1.5 s have ended. On an empty pool 2 of
-// them started in a minute, and 19,100 questions were put; an answer is now used by
-// the next decision.
+// asks, and has its next one when its tickets of 1.5 s have ended, so that hardly any starts
+// on an empty pool. With a place for those that hold tickets an answer is used by the next
+// decision.
 func (p *planner) turns(rest []*Step, n int) []*Step {
 	var ticketed, fresh, others []*Step
 	for _, s := range rest {
@@ -130,14 +130,14 @@
 	}
 	slices.SortStableFunc(ticketed, func(a, b *Step) int { return cmp.Compare(a.TicketsEnd, b.TicketsEnd) })
 	chosen := slices.Clip(ticketed[:min(n/2, len(ticketed))])
-	chosen = append(chosen, inTurn(fresh, n-n/4-len(chosen), n/4*p.limits.Turn)...)
+	chosen = append(chosen, takeFrom(fresh, n/4*p.limits.Turn, n-n/4-len(chosen))...)
 	// A quarter of the places is the others' at least, so a turn that moves on by as many
 	// passes none of them by.
-	return append(chosen, inTurn(others, n-len(chosen), (n-n/2-n/4)*p.limits.Turn)...)
+	return append(chosen, takeFrom(others, (n-n/2-n/4)*p.limits.Turn, n-len(chosen))...)
 }
 
-// inTurn returns up to n of the steps from the first one on, in a circle.
-func inTurn(steps []*Step, n, first int) []*Step {
+// takeFrom returns up to n of the steps from the first one on, in a circle.
+func takeFrom(steps []*Step, first, n int) []*Step {
 	var chosen []*Step
 	for i := range min(n, len(steps)) {
 		chosen = append(chosen, steps[(first+i)%len(steps)])
