Tests that fail: a step that is refused asks about few workers at a time

What callers see: a job that few workers may run waits the longer the larger the empty pool is. Cause: it asks about 30 workers after the other until one of them is permitted.

--- a/dispatch/turns_test.go
+++ b/dispatch/turns_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/bits"
 	"slices"
 	"strings"
 	"testing"
@@ -127,3 +128,47 @@
 	}
 	must.LessEq(t, mayStandIdle, untilAllBegin(r, late))
 }
+
+// A step that one worker in a hundred is permitted for asks about 30 after the other: the
+// larger the empty pool is, the longer it waits.
+func TestAStepThatIsPermittedHardlyAnywhereFindsItsWorkers(t *testing.T) {
+	for _, pool := range []int{350, 1100, 3000} {
+		t.Run(fmt.Sprint(pool), func(t *testing.T) {
+			t.Parallel()
+			longest := time.Duration(0)
+			for seed := range uint64(20) {
+				rare := longQuestions(fmt.Sprint("rare", seed), 0, 0.01)
+				r := newReplay(seed, pool, 44, rare)
+				r.submit(rare)
+				longest = max(longest, untilAllBegin(r, rare))
+			}
+			must.LessEq(t, mayStandIdle, longest)
+		})
+	}
+}
+
+// A step that every worker asked about refuses needs a question more for each 30 of them,
+// one after the other: with ten times the workers it waits ten times as long.
+func TestAStepThatIsRefusedAsksAboutMoreAtOnce(t *testing.T) {
+	pool := workers(make([]int64, 640)...)
+	for i := range pool {
+		pool[i].Free = cores(9)
+	}
+	s := needsPermit(step("a", 1, 2), map[string]Permit{})
+	bounded := limits
+	bounded.Asks = len(pool)
+	rounds := 0
+	for len(s.Permits) < len(pool) {
+		plan := Decide(0, []Step{s}, slices.Clone(pool), bounded)
+		must.Positive(t, len(plan.Asks))
+		rounds++
+		for _, a := range plan.Asks {
+			must.LessEq(t, bounded.AskWorkers, len(a.Workers))
+			for _, w := range a.Workers {
+				must.MapNotContainsKey(t, s.Permits, w, must.Sprint("asked about twice"))
+				s.Permits[w] = Permit{}
+			}
+		}
+	}
+	must.LessEq(t, 1+bits.Len(uint(len(pool)/bounded.AskWorkers)), rounds)
+}
