A step that is refused everywhere asks about more workers at once

What callers saw: a job that few workers may run waits the longer the larger the empty pool is, and its questions keep lanes busy all that time. Change: while nobody asked about has permitted it, a step asks about as many workers again as have refused it, in questions of the usual length side by side. The number of rounds grows with the logarithm of the pool, the number of questions hardly. TestAStepThatIsRefusedAsksAboutMoreAtOnce failed before (160 rounds, 9 allowed) and leaves it.

--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -24,7 +24,7 @@
 	p.reserve(s, renew, left)
 	switch {
 	case !enough && wantsMore(s, unknown):
-		p.ask(s, p.toLearn(s, renew, unknown), false)
+		p.askSideBySide(s, p.toLearn(s, renew, unknown))
 		return ReasonPermit
 	case len(renew) > 0:
 		p.ask(s, renew, true)
@@ -118,8 +118,9 @@
 	return n
 }
 
-// toLearn names the workers of a question: permitted ones that the tasks left need as
-// well, then unknown ones, those with room first.
+// toLearn names the workers to ask about: permitted ones that the tasks left need as
+// well, then unknown ones, those with room first. A step that is refused everywhere asks
+// about as many again as have refused it.
 //
 // Load that it answers: a step of dozens of tasks that is permitted on a dozen workers,
 // most of them full. Where one of these has room for one task it would ask for that
@@ -127,8 +128,12 @@
 // workers that it knows nothing of are free.
 func (p *planner) toLearn(s *Step, renew, unknown []*Worker) []*Worker {
 	ask := renew
+	most := p.limits.AskWorkers
+	if !anyGranted(s.Permits) {
+		most = max(most, len(s.Permits))
+	}
 	for w := range byRoom(s, unknown) {
-		if len(ask) >= p.limits.AskWorkers {
+		if len(ask) >= most {
 			break
 		}
 		ask = append(ask, w)
@@ -136,6 +141,16 @@
 	return ask
 }
 
+// askSideBySide puts questions about workers side by side.
+//
+// Failure guarded against: a step that one worker in a hundred is permitted for asks about
+// a few after the other, and waits ten times as long in a pool that is ten times as large.
+func (p *planner) askSideBySide(s *Step, workers []*Worker) {
+	for part := range slices.Chunk(workers, p.limits.AskWorkers) {
+		p.ask(s, part, false)
+	}
+}
+
 // mayAsk reports whether a lane is left for a question of s about n workers.
 func (p *planner) mayAsk(s *Step, n int) bool {
 	return p.limits.Asks > 0 && (p.limits.LongAsks > 0 || !p.isLong(s, n))
