A run that nobody would end is stopped whatever else holds for it

What callers see: a gang never runs again while room is free, its members' room stays taken. Cause: of a run without an owner whose gang had lost another member (or whose job had ended, whose machine goes down) the other cause was found first, and a stop for that is only sent to runs with an owner. Evidence: TestAnUnclaimedRunOfAGangIsSettledThoughAnotherMemberHasEnded, "never" before. Change: the check for an owner comes before the other causes.

--- a/internal/control/stops.go
+++ b/internal/control/stops.go
@@ -33,6 +33,10 @@
 
 // stopCauseOf returns why a run serves nobody. t.mu is held.
 func (t *tenure) stopCauseOf(s *workflow.State, run workflow.Run, session *session, now time.Time) stopCause {
+	if t.isUnclaimed(run, now) {
+		// Before all else: the other causes only hold for runs that have an owner.
+		return stopUnclaimed
+	}
 	job := s.Jobs[run.Task.Job]
 	if job == nil || job.Cancelled || job.Failed {
 		return stopJobEnded
@@ -48,8 +52,6 @@
 		return stopMachine
 	case t.leaves(s, session, run, now):
 		return stopLeaving
-	case t.isUnclaimed(run, now):
-		return stopUnclaimed
 	}
 	o := session.orders[run.Task]
 	switch {
--- a/internal/control/unsettled_test.go
+++ b/internal/control/unsettled_test.go
@@ -125,3 +125,45 @@
 	w.announce("w2")
 	w.eventually("the task runs elsewhere", func() bool { return w.started("w2") == 1 })
 }
+
+// Guards against a gang that never runs again: nothing would tell the end of one member's
+// run, and another member has ended.
+func TestAnUnclaimedRunOfAGangIsSettledThoughAnotherMemberHasEnded(t *testing.T) {
+	w := newWorld(t, nil)
+	for _, id := range []string{"w1", "w2"} {
+		w.workers.add(id)
+		w.announce(id)
+		w.eventually("the worker is ready", func() bool { return w.isReady(id) })
+	}
+	submitted := submission("a")
+	step := oneTask
+	step.Count, step.Gang = 2, true
+	submitted.Submit.Steps = []workflow.Step{step}
+	w.applyTogether(
+		submitted,
+		&workflow.Command{Start: []workflow.Run{{Task: task("a", 0), Worker: "w1"}, {Task: task("a", 1), Worker: "w2"}}},
+		&workflow.Command{Ends: &workflow.WorkerEnds{Worker: "w1", Ends: []workflow.RunEnd{
+			{Task: task("a", 0), Number: 1, Outcome: workflow.OutcomeNotStarted},
+		}}},
+	)
+	w.eventually("both run", func() bool { return w.started("w1")+w.started("w2") == 2 })
+}
+
+func (w *world) isReady(id string) bool {
+	ten := w.tenureOf()
+	ten.mu.Lock()
+	defer ten.mu.Unlock()
+	return ten.sessions[id].ready
+}
+
+// applyTogether commits commands with no decision between them.
+func (w *world) applyTogether(commands ...*workflow.Command) {
+	w.log.mu.Lock()
+	defer w.log.mu.Unlock()
+	for _, c := range commands {
+		data, err := c.Encode()
+		must.NoError(w.t, err)
+		w.log.index++
+		w.log.state.Apply(w.log.index, data)
+	}
+}
