Questions kept for steps in turn are put ahead of room as well

What callers see: after a full pool, late first starts: a third of the questions wasn't put at all while no worker had room. Cause: a step that knows of no worker counts as hopeless without room and without a question to put; what was kept back didn't count. Evidence: TestAllQuestionsArePutAheadOfRoom failed before. Change: what is kept back counts.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -31,9 +31,11 @@
 	stopping map[workflow.TaskKey]bool
 	// yielding is the least urgent priority of a pool's runs that may be stopped.
 	yielding map[string]int
-	// unasked are the steps that wait for a question, in order.
-	unasked []unasked
-	plan    Plan
+	// unasked are the steps that wait for a question, in order; keptAsks of the questions are
+	// kept back for them.
+	unasked  []unasked
+	keptAsks int
+	plan     Plan
 }
 
 // Decide plans starts and questions for steps on workers. Steps are taken in
@@ -57,14 +59,16 @@
 	slices.SortFunc(order, compareSteps)
 	p.plan.Waiting = make([]Waiting, 0, len(steps))
 	chosen := p.inTurn(order)
-	asks, long := p.forTurns(p.limits.Asks), p.forTurns(p.limits.LongAsks)
-	p.limits.Asks -= asks
+	long := p.forTurns(p.limits.LongAsks)
+	p.keptAsks = p.forTurns(p.limits.Asks)
+	p.limits.Asks -= p.keptAsks
 	p.limits.LongAsks -= long
 	for _, s := range chosen {
 		p.step(s)
 	}
-	p.limits.Asks += asks
+	p.limits.Asks += p.keptAsks
 	p.limits.LongAsks += long
+	p.keptAsks = 0
 	p.askInTurn()
 	return p.plan
 }
@@ -251,7 +255,7 @@
 // cluster that is nearly every step: with 500 queued steps and 48 workers a
 // decision takes a fifth of the time.
 func (p *planner) hopeless(s *Step) bool {
-	asks := s.NeedsPermit && len(s.Permits) == 0 && p.limits.Asks > 0
+	asks := s.NeedsPermit && len(s.Permits) == 0 && p.limits.Asks+p.keptAsks > 0
 	if asks || s.Spec.Gang && p.reserved[s.Service] < keptGangs {
 		return false
 	}
--- a/dispatch/turns_test.go
+++ b/dispatch/turns_test.go
@@ -101,6 +101,22 @@
 	}
 }
 
+// Guards against questions that nobody puts: no worker has room, and what is kept back for
+// steps in turn counted as not to be had.
+func TestAllQuestionsArePutAheadOfRoom(t *testing.T) {
+	for _, asks := range []int{1, 2, 5} {
+		for turn := range askShare {
+			bounded := limits
+			bounded.Asks, bounded.Turn = asks, turn
+			var steps []Step
+			for i := range 20 {
+				steps = append(steps, needsPermit(step(fmt.Sprintf("s%02d", i), 1, 4), nil))
+			}
+			must.SliceLen(t, asks, Decide(0, steps, workers(1, 1), bounded).Asks)
+		}
+	}
+}
+
 // What urgent steps have no use for goes to others, and the other way round.
 func TestQuestionsThatOnePartHasNoUseForGoToTheOther(t *testing.T) {
 	for _, priority := range []int{0, 1} {
