A daemon that ends writes its last events

Cause: the file of events has a queue and a goroutine that writes it, and nothing ever closed the file. A process that was told to end returned while events were queued: `bilberry timeline` after the restart lacked the last moments before it.

Ruled out: events lost to a full queue; those are counted, and the test stays below its length.

Change: Serve closes the file after its last request. A failure to write is logged and the process still ends well, since nothing depends on the file.

Conclusion: the events of an orderly end are kept; those queued when a process is killed are still lost.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -179,7 +179,17 @@
 		stopAdmin()
 		return err
 	})
-	return group.Wait()
+	err := group.Wait()
+	b.closeEvents()
+	return err
+}
+
+// closeEvents writes the last events. Nothing depends on them, so a failure is
+// logged and the process still ends well.
+func (b *Base) closeEvents() {
+	if err := b.Events.Close(); err != nil {
+		_ = b.Logger.Log("msg", "events are missing from the file", "err", err)
+	}
 }
 
 func ignoreClosed(err error) error {
--- a/internal/event/recorder.go
+++ b/internal/event/recorder.go
@@ -92,6 +92,15 @@
 	}
 }
 
+// Close writes to the file what is queued for it and closes it. Later events
+// are in the ring only.
+func (r *Recorder) Close() error {
+	if r == nil || r.config.File == nil {
+		return nil
+	}
+	return r.config.File.Close()
+}
+
 // Since returns kept events; see Ring.Since.
 func (r *Recorder) Since(subject string, sinceMs int64, limit int) []Event {
 	if r == nil {
