A deployment in one process can be given its network

Cause: the sample run could be played over the machine's sockets only, so that a test of its deadlines measured the machine. Every process and stand-in opened TCP connections of its own accord.

Change: daemon.NewBase takes what opens connections, and the directory, the streams of the logs and the requests to minions use it; the stand-ins take it in their settings; nil means TCP, as before. internal/dev names the two calls a Network and plays the sample run over one; the command plays it over Loopback. A run that fails now waits for its processes before it removes their folder: it returned while they still wrote there.

Ruled out: one global dialer, since two deployments in one process must not share it; a proxy before the sockets, since it would keep their clock.

--- a/internal/cell/serve.go
+++ b/internal/cell/serve.go
@@ -39,7 +39,7 @@
 
 // Serve runs bilberry-celld until ctx ends.
 func Serve(ctx context.Context, b *daemon.Base) error {
-	config := peer.Config{ID: b.Instance.ID, Bearer: "Bearer " + b.Tokens.Token(settings.Peer), Stamper: stamper{b}}
+	config := peer.Config{ID: b.Instance.ID, Bearer: "Bearer " + b.Tokens.Token(settings.Peer), Stamper: stamper{b}, Dial: b.Dial}
 	p := &process{base: b, transport: peer.New(config), mux: peer.NewMux(config), groups: make(map[string]*node.Group)}
 	for _, instance := range b.Settings.Instances {
 		if instance.Cell != "" && instance.ID != b.Instance.ID {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -57,6 +57,8 @@
 	Events    *event.Recorder
 	Logger    log.Logger
 	Metrics   *expvar.Map
+	// Dial opens the connections of the process; nil means TCP.
+	Dial rpc.Dial
 	// Listener, when set, is served instead of listening on the address in the
 	// settings.
 	Listener net.Listener
@@ -66,8 +68,8 @@
 }
 
 // NewBase prepares a process of an instance. role names the process in logs
-// and events, such as "entry".
-func NewBase(s *settings.Settings, instance, role string, logs io.Writer) (*Base, error) {
+// and events, such as "entry"; dial opens its connections, nil means TCP.
+func NewBase(s *settings.Settings, instance, role string, logs io.Writer, dial rpc.Dial) (*Base, error) {
 	own, err := s.Instance(instance)
 	if err != nil {
 		return nil, err
@@ -87,8 +89,12 @@
 		Events:  event.NewRecorder(event.Config{Instance: name, DataCentre: own.DataCentre, Clock: clock, File: history}),
 		Logger:  newLogger(logs, s.Log.Level, name),
 		Metrics: new(expvar.Map).Init(),
+		Dial:    dial,
 	}
-	dialer := &peer.Dialer{Dialer: net.Dialer{Timeout: rpc.DialTimeout}}
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: rpc.DialTimeout}).DialContext
+	}
+	dialer := &peer.Dialer{Dial: dial}
 	base.Directory = directory.New(s, rpc.NewClient(dialer.DialContext))
 	base.publishBytes("dialled", dialer.Bytes)
 	return base, nil
@@ -252,7 +258,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return ExitSettings
 	}
-	base, err := NewBase(s, *instance, role, os.Stderr)
+	base, err := NewBase(s, *instance, role, os.Stderr, nil)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return ExitSettings
--- a/internal/dev/deployment.go
+++ b/internal/dev/deployment.go
@@ -31,6 +31,7 @@
 	// Folder holds the deployment's files and data.
 	Folder string
 
+	network Network
 	logs    io.Writer
 	mu      sync.Mutex
 	stops   map[string]func()
@@ -41,6 +42,10 @@
 // Unpack writes one of the example deployments into a folder and loads it with
 // ports that are free now.
 func Unpack(name, folder string) (*Deployment, map[string]net.Listener, error) {
+	return unpack(name, folder, Loopback{})
+}
+
+func unpack(name, folder string, network Network) (*Deployment, map[string]net.Listener, error) {
 	files, err := fs.Sub(examples.Files, name)
 	if err != nil {
 		return nil, nil, errors.Wrapf(err, "example %s", name)
@@ -56,20 +61,20 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	listeners, err := relocate(s, folder)
+	listeners, err := relocate(s, folder, network)
 	if err != nil {
 		return nil, nil, err
 	}
 	d := &Deployment{
-		Name: name, Settings: s, Tokens: tokens, Folder: folder,
+		Name: name, Settings: s, Tokens: tokens, Folder: folder, network: network,
 		stops: make(map[string]func()), failed: make(chan error, len(listeners)),
 	}
 	return d, listeners, nil
 }
 
-// relocate gives every process a listener on a free port and notes its address
-// in the settings.
-func relocate(s *settings.Settings, folder string) (map[string]net.Listener, error) {
+// relocate gives every process a listener of its own and notes its address in
+// the settings.
+func relocate(s *settings.Settings, folder string, network Network) (map[string]net.Listener, error) {
 	listeners := make(map[string]net.Listener)
 	for i := range s.Instances {
 		instance := &s.Instances[i]
@@ -81,7 +86,7 @@
 			if *address == "" {
 				continue
 			}
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			listener, err := network.Listen()
 			if err != nil {
 				return nil, err
 			}
@@ -110,7 +115,7 @@
 }
 
 func (d *Deployment) startProcess(ctx context.Context, instance, role string, listener net.Listener) error {
-	base, err := daemon.NewBase(d.Settings, instance, role, d.logs)
+	base, err := daemon.NewBase(d.Settings, instance, role, d.logs, d.network.Dial)
 	if err != nil {
 		return err
 	}
--- a/internal/dev/run.go
+++ b/internal/dev/run.go
@@ -68,7 +68,12 @@
 // Kept reports whether every accepted piece of work met its deadline and no
 // promise was broken.
 func (r *Result) Kept() bool {
-	answered := r.Requests.Wrong == 0 && r.Requests.Broken == 0 && r.Requests.TimedOut == 0 && r.Requests.Late == 0
+	return r.carried() && r.Requests.TimedOut == 0 && r.Requests.Late == 0
+}
+
+// carried reports what Kept does, but for the requests' deadlines.
+func (r *Result) carried() bool {
+	answered := r.Requests.Wrong == 0 && r.Requests.Broken == 0
 	return r.Report.Missed == 0 && r.Report.Unanswered == 0 && r.Report.Accepted > 0 && len(r.Violations) == 0 && answered
 }
 
@@ -85,8 +90,8 @@
 }
 
 // start brings a deployment up, with its stand-ins connected.
-func start(ctx context.Context, group *errgroup.Group, s sample, size Size, folder string, logs io.Writer) (*run, error) {
-	d, listeners, err := Unpack(s.name, folder)
+func start(ctx context.Context, group *errgroup.Group, s sample, size Size, network Network, folder string, logs io.Writer) (*run, error) {
+	d, listeners, err := unpack(s.name, folder, network)
 	if err != nil {
 		return nil, err
 	}
@@ -98,10 +103,11 @@
 	r.workers = standin.NewWorkers(standin.WorkersConfig{
 		Sites: d.Sites(), Count: size.Workers, PerRack: s.perRack, Capacity: s.capacity, Prefix: s.name,
 		Token: d.Tokens.Token(settings.Worker), RuntimeLow: runtimeLow, RuntimeHigh: runtimeHigh, Ledger: r.ledger,
+		Dial: network.Dial,
 	})
 	r.minions = standin.NewMinions(standin.MinionsConfig{
 		Sites: d.Sites(), Count: size.Minions, Service: s.service, Prefix: s.name,
-		Token: d.Tokens.Token(settings.Minion), Ledger: r.ledger,
+		Token: d.Tokens.Token(settings.Minion), Ledger: r.ledger, Listen: network.Listen, Dial: network.Dial,
 	})
 	group.Go(func() error { return ended(ctx, r.workers.Run(ctx)) })
 	group.Go(func() error { return ended(ctx, r.minions.Run(ctx)) })
@@ -137,8 +143,11 @@
 	if err != nil {
 		return err
 	}
+	transport := &http.Transport{DialContext: r.deployment.network.Dial}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport}
 	for _, address := range r.deployment.Entries() {
-		for !serves(ctx, address, r.service, token) {
+		for !serves(ctx, client, address, r.service, token) {
 			if ctx.Err() != nil {
 				return errors.Newf("%s: entry %s carried no requests within %s", r.name, address, readyWithin)
 			}
@@ -149,13 +158,13 @@
 }
 
 // serves reports whether an entry instance answers a request to a service.
-func serves(ctx context.Context, address, service, token string) bool {
+func serves(ctx context.Context, client *http.Client, address, service, token string) bool {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+proxy.Prefix+service+"/ready", nil)
 	if err != nil {
 		return false
 	}
 	request.Header.Set("Authorization", "Bearer "+token)
-	response, err := http.DefaultClient.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return false
 	}
@@ -169,7 +178,7 @@
 	if err != nil {
 		return err
 	}
-	client := rpc.NewClient(nil)
+	client := rpc.NewClient(r.deployment.network.Dial)
 	defer client.CloseIdleConnections()
 	operations := apiv1.NewOperationsProtobufClient("http://"+r.deployment.Entries()[0], client)
 	ctx, err = rpc.WithBearer(ctx, "Bearer "+r.deployment.Tokens.Token(settings.Operator))
@@ -195,10 +204,12 @@
 	}
 	r.jobs = standin.NewJobs(standin.JobsConfig{
 		Entries: r.deployment.Entries(), Tokens: tokens, Arrivals: arrivals, Ledger: r.ledger, OnChange: onChange,
+		Dial: r.deployment.network.Dial,
 	})
 	r.callers = standin.NewCallers(standin.CallersConfig{
 		Entries: r.deployment.Entries(), Service: r.service, Token: tokens[arrivals[0].Customer],
 		Rate: r.size.RequestRate, Duration: requestTime, Deadline: requestBudget, OnceShare: 0.2, Seed: 1, Ledger: r.ledger,
+		Dial: r.deployment.network.Dial,
 	})
 	var work errgroup.Group
 	work.Go(func() error { return r.jobs.Run(ctx) })
@@ -251,37 +262,55 @@
 // Run carries the sample work of both deployments through the system and
 // prints what became of it. It returns false when a promise was broken.
 func Run(ctx context.Context, out, logs io.Writer, size Size, stay bool) (bool, error) {
+	results, err := runOver(ctx, Loopback{}, out, logs, size, stay)
+	return err == nil && allOf(results, (*Result).Kept), err
+}
+
+func allOf(results []Result, holds func(*Result) bool) bool {
+	for i := range results {
+		if !holds(&results[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+func runOver(ctx context.Context, network Network, out, logs io.Writer, size Size, stay bool) ([]Result, error) {
 	folder, err := os.MkdirTemp("", "bilberry-dev-")
 	if err != nil {
-		return false, err
+		return nil, err
 	}
 	defer os.RemoveAll(folder)
 	ctx, stop := context.WithCancel(ctx)
-	defer stop()
 	group, ctx := errgroup.WithContext(ctx)
+	// The folder stays until the last process that writes there has ended.
+	defer func() {
+		stop()
+		_ = group.Wait()
+	}()
 	cost := startCost()
 	var runs []*run
 	for _, s := range samples {
-		r, err := start(ctx, group, s, size, filepath.Join(folder, s.name), logs)
+		r, err := start(ctx, group, s, size, network, filepath.Join(folder, s.name), logs)
 		if err != nil {
-			return false, err
+			return nil, err
 		}
 		fmt.Fprintf(out, "%-9s %d instances, %d workers, %d minions are up\n", s.name, len(r.deployment.Settings.Instances), size.Workers, size.Minions)
 		runs = append(runs, r)
 	}
-	kept, err := carryAll(ctx, runs, out, cost)
+	results, err := carryAll(ctx, runs, out, cost)
 	if err != nil {
-		return false, err
+		return nil, err
 	}
 	if stay {
 		printStay(out, runs)
 		<-ctx.Done()
 	}
 	stop()
-	return kept, group.Wait()
+	return results, group.Wait()
 }
 
-func carryAll(ctx context.Context, runs []*run, out io.Writer, cost cost) (bool, error) {
+func carryAll(ctx context.Context, runs []*run, out io.Writer, cost cost) ([]Result, error) {
 	progress := newProgress(out)
 	var work errgroup.Group
 	for _, r := range runs {
@@ -293,14 +322,14 @@
 		})
 	}
 	if err := work.Wait(); err != nil {
-		return false, err
+		return nil, err
 	}
-	kept := true
+	var results []Result
 	for _, r := range runs {
 		result := r.result()
 		printResult(out, &result)
-		kept = kept && result.Kept()
+		results = append(results, result)
 	}
 	cost.print(out)
-	return kept, nil
+	return results, nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -72,6 +72,7 @@
 	e.requests = proxy.New(proxy.Config{
 		Balancer: routing.NewBalancer(e.routingOptions()), DataCentre: b.Instance.DataCentre,
 		Authenticate: e.customerOf, MaxBody: int64(b.Settings.Limits.Body), Logger: b.Logger,
+		Dial: b.Dial,
 	})
 	return e
 }
--- a/internal/peer/count.go
+++ b/internal/peer/count.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"sync/atomic"
+
+	"github.com/bilberryferry/bilberryferry/internal/rpc"
 )
 
 type counters struct {
@@ -80,13 +82,14 @@
 
 // Dialer counts the bytes of all connections that it opens.
 type Dialer struct {
-	net.Dialer
+	// Dial opens the connections.
+	Dial           rpc.Dial
 	sent, received atomic.Uint64
 }
 
 // DialContext opens a connection.
 func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := d.Dialer.DialContext(ctx, network, address)
+	conn, err := d.Dial(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -51,8 +51,11 @@
 }
 
 func (l *link) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: callTimeout}
-	conn, err := dialer.DialContext(ctx, network, address)
+	dial := l.cfg.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: callTimeout}).DialContext
+	}
+	conn, err := dial(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	apiv1 "github.com/bilberryferry/bilberryferry/api/v1"
+	"github.com/bilberryferry/bilberryferry/internal/rpc"
 )
 
 // FormatVersion is the version of the payloads. Receivers refuse others.
@@ -55,6 +56,8 @@
 	Bearer string
 	// Stamper may be nil.
 	Stamper Stamper
+	// Dial opens connections to peers; nil means TCP.
+	Dial rpc.Dial
 	// Blocks cuts peers off in tests; nil otherwise.
 	Blocks *Blocks
 }
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/bilberryferry/bilberryferry/internal/rpc"
 )
 
 // Reasons for which a request was not written to a connection.
@@ -128,11 +130,8 @@
 	return c.open[address]
 }
 
-// Dialer opens connections.
-type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
-
 // guard wraps the connections of a dialer.
-func guard(dial Dialer, counter *connCounter) Dialer {
+func guard(dial rpc.Dial, counter *connCounter) rpc.Dial {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -15,6 +15,7 @@
 	"github.com/go-kit/log"
 
 	"github.com/bilberryferry/bilberryferry/fault"
+	"github.com/bilberryferry/bilberryferry/internal/rpc"
 	"github.com/bilberryferry/bilberryferry/routing"
 )
 
@@ -54,7 +55,7 @@
 	// Now is the monotonic clock of the Balancer.
 	Now func() time.Duration
 	// Dial opens connections to minions.
-	Dial Dialer
+	Dial rpc.Dial
 }
 
 func (c Config) withDefaults() Config {
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -42,8 +42,11 @@
 	}
 }
 
+// Dial opens a connection. Where one is asked for, nil means TCP.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewClient returns a client that speaks HTTP/2 without TLS.
-func NewClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
+func NewClient(dial Dial) *http.Client {
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
 	if dial == nil {
--- a/internal/standin/call.go
+++ b/internal/standin/call.go
@@ -32,7 +32,7 @@
 
 func newCallerClient(cfg CallersConfig) *http.Client {
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: callerDialTimeout}).DialContext,
+		DialContext:         cfg.Dial,
 		MaxIdleConns:        cfg.MaxInFlight,
 		MaxIdleConnsPerHost: cfg.MaxInFlight,
 		DisableCompression:  true,
--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/go-kit/log"
 
+	"github.com/bilberryferry/bilberryferry/internal/rpc"
 	"github.com/bilberryferry/bilberryferry/internal/wait"
 )
 
@@ -54,6 +56,8 @@
 	// MaxInFlight bounds the calls on their way; calls above it are counted as
 	// not sent. 0 means DefaultMaxInFlight.
 	MaxInFlight int
+	// Dial opens connections; nil means TCP.
+	Dial rpc.Dial
 	// Seed makes times, targets and nonces repeatable.
 	Seed uint64
 	// Ledger takes violations; nil means a new one.
@@ -136,6 +140,9 @@
 	if cfg.MaxInFlight == 0 {
 		cfg.MaxInFlight = DefaultMaxInFlight
 	}
+	if cfg.Dial == nil {
+		cfg.Dial = (&net.Dialer{Timeout: callerDialTimeout}).DialContext
+	}
 	if cfg.Ledger == nil {
 		cfg.Ledger = NewLedger()
 	}
--- a/internal/standin/changes.go
+++ b/internal/standin/changes.go
@@ -72,7 +72,7 @@
 // RunChanges makes the changes and reports on them. The error is that of the
 // first read of the configuration.
 func RunChanges(ctx context.Context, cfg ChangesConfig) (ChangesReport, error) {
-	client := NewHTTPClient(cfg.Token)
+	client := NewHTTPClient(cfg.Token, nil)
 	defer client.CloseIdleConnections()
 	c := &changer{
 		cfg:      cfg,
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -17,9 +17,9 @@
 
 // NewHTTPClient returns a client that speaks HTTP/2 without TLS and sends token
 // as the bearer token of each request. Every client keeps connections of its
-// own, as separate processes would.
-func NewHTTPClient(token string) *http.Client {
-	client := rpc.NewClient(nil)
+// own, as separate processes would. Dial opens them; nil means TCP.
+func NewHTTPClient(token string, dial rpc.Dial) *http.Client {
+	client := rpc.NewClient(dial)
 	client.Transport = &bearer{token: token, next: client.Transport}
 	return client
 }
--- a/internal/standin/jobs.go
+++ b/internal/standin/jobs.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/bilberryferry/bilberryferry/api/v1"
+	"github.com/bilberryferry/bilberryferry/internal/rpc"
 )
 
 // Arrival is one job and when it is submitted.
@@ -58,6 +59,8 @@
 	Patience time.Duration
 	// KeepServices leaves services running at the end of the run.
 	KeepServices bool
+	// Dial opens connections; nil means TCP.
+	Dial rpc.Dial
 	// OnChange is called with each new result; it may be nil. Calls come from
 	// many goroutines.
 	OnChange func(JobResult)
@@ -187,7 +190,7 @@
 	if j.clients[customer] != nil {
 		return
 	}
-	client := NewHTTPClient(j.cfg.Tokens[customer])
+	client := NewHTTPClient(j.cfg.Tokens[customer], j.cfg.Dial)
 	j.http = append(j.http, client)
 	j.clients[customer] = dialAll(j.cfg.Entries, func(base string) apiv1.Scheduler {
 		return apiv1.NewSchedulerProtobufClient(base, client)
--- a/internal/standin/minion.go
+++ b/internal/standin/minion.go
@@ -55,7 +55,7 @@
 
 func newMinion(cfg MinionsConfig, index int, once *onceSet) *Minion {
 	site, id := cfg.place(index)
-	client := NewHTTPClient(cfg.Token)
+	client := NewHTTPClient(cfg.Token, cfg.Dial)
 	m := &Minion{
 		cfg:         cfg,
 		site:        site,
@@ -109,10 +109,10 @@
 	m.silent = silent
 }
 
-// Run listens on a free port of 127.0.0.1, serves and announces until the
+// Run listens, serves and announces until the
 // context ends.
 func (m *Minion) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := m.cfg.Listen()
 	if err != nil {
 		return errors.Wrapf(err, "minion %s", m.id)
 	}
--- a/internal/standin/minions.go
+++ b/internal/standin/minions.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"time"
 
 	"github.com/go-kit/log"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/bilberryferry/bilberryferry/internal/rpc"
 )
 
 // Defaults of MinionsConfig.
@@ -56,6 +59,10 @@
 	Faults MinionFaults
 	// Faulty is the number of minions with Faults.
 	Faulty int
+	// Listen opens the socket of a minion; nil means a free port of 127.0.0.1.
+	Listen func() (net.Listener, error)
+	// Dial opens connections; nil means TCP.
+	Dial rpc.Dial
 	// Ledger takes violations; nil means a new one.
 	Ledger *Ledger
 	// Logger takes lines for changes of state; nil means none.
@@ -92,6 +99,9 @@
 	if cfg.LeaveGrace == 0 {
 		cfg.LeaveGrace = DefaultLeaveGrace
 	}
+	if cfg.Listen == nil {
+		cfg.Listen = func() (net.Listener, error) { return net.Listen("tcp", "127.0.0.1:0") }
+	}
 	if cfg.Ledger == nil {
 		cfg.Ledger = NewLedger()
 	}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -51,7 +51,7 @@
 
 func newWorker(cfg WorkersConfig, index int) *Worker {
 	site, id, rack := cfg.place(index)
-	client := NewHTTPClient(cfg.Token)
+	client := NewHTTPClient(cfg.Token, cfg.Dial)
 	w := &Worker{
 		cfg:      cfg,
 		site:     site,
--- a/internal/standin/workers.go
+++ b/internal/standin/workers.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	apiv1 "github.com/bilberryferry/bilberryferry/api/v1"
+	"github.com/bilberryferry/bilberryferry/internal/rpc"
 )
 
 // Defaults of WorkersConfig.
@@ -43,6 +44,8 @@
 	Faults WorkerFaults
 	// Faulty is the number of workers with Faults.
 	Faulty int
+	// Dial opens connections; nil means TCP.
+	Dial rpc.Dial
 	// Ledger takes the runs and checks them; nil means a new one.
 	Ledger *Ledger
 	// Logger takes lines for changes of state; nil means none.
