A service that was slow is tried again

Cause: a request that has less time than the mean service time is refused at once, and the mean is read anew only when a request ends or one is queued. After a slow spell in which patient callers were served, callers with less time than that mean were refused for good, fast though the service was again: none was started, so nothing was learned. They saw Overloaded ("can't be answered by its deadline") with every slot free.

Ruled out: reading the window again at each request; with no new times it stays as it is. Going back to the first estimate once the window is empty: a request that takes longer than the window empties it too, and the queue would be taken for short.

Change: with no service time known within the window and none of the service's requests in progress, one request is tried whatever the mean. The window drops all the parts that have passed, not one at a time, so that the answer to the trial counts alone.

Before: TestSlowTimesAreForgotten red, all refused for 20 s of virtual time.

--- a/routing/attempt.go
+++ b/routing/attempt.go
@@ -46,7 +46,7 @@
 		return
 	}
 	if o == Answered {
-		s.times.add(took)
+		s.times.add(took, now)
 		s.times.refresh(now)
 	}
 	s.refreshUsual(now)
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -263,15 +263,23 @@
 // latestStart is when a request must start to be answered by its deadline. One
 // that never had more time than that may still be tried at once; one that has
 // waited until then takes the slot from others for little hope.
+//
+// Failure: a service was slow for a while; then every request that has less time
+// is refused for it, none is started, and nothing tells that it is fast again.
+// Guard: with nothing known of late, one at a time is tried.
 func (b *Balancer) latestStart(s *service, t *Ticket) time.Duration {
 	if b.opts.Baseline {
 		return t.Deadline
 	}
 	safe := t.Deadline - s.times.high
-	if safe <= t.queued {
+	switch {
+	case safe > t.queued:
+		return safe
+	case s.running == 0 && s.times.stale(t.queued):
+		return t.Deadline
+	default:
 		return t.Deadline - s.times.mean
 	}
-	return safe
 }
 
 func (b *Balancer) start(s *service, t *Ticket, m *minion, now time.Duration) {
--- a/routing/estimate.go
+++ b/routing/estimate.go
@@ -27,7 +27,9 @@
 	window  *hdrhistogram.WindowedHistogram
 	rotated time.Duration
 	read    time.Duration
-	fresh   bool
+	// added is when the last service time was taken in.
+	added time.Duration
+	fresh bool
 
 	samples int64
 	mean    time.Duration
@@ -36,10 +38,12 @@
 
 func newEstimator(first time.Duration, now time.Duration) *estimator {
 	window := hdrhistogram.NewWindowed(estimateWindows, 1, longestTime.Microseconds(), timeDigits)
-	return &estimator{window: window, rotated: now, read: now, mean: first, high: first}
+	return &estimator{window: window, rotated: now, read: now, added: now, mean: first, high: first}
 }
 
-func (e *estimator) add(took time.Duration) {
+func (e *estimator) add(took, now time.Duration) {
+	e.slide(now)
+	e.added = now
 	micros := min(max(1, took.Microseconds()), longestTime.Microseconds())
 	// The value is within the bounds given to NewWindowed, so there is no error.
 	_ = e.window.Current.RecordValue(micros)
@@ -56,12 +60,26 @@
 	if e.fresh {
 		e.readWindow()
 	}
-	if now-e.rotated >= estimateWindow {
-		e.rotated = now
+	e.slide(now)
+}
+
+// slide drops the parts of the window that have passed.
+func (e *estimator) slide(now time.Duration) {
+	passed := int((now - e.rotated) / estimateWindow)
+	if passed == 0 {
+		return
+	}
+	e.rotated = now
+	for range min(passed, estimateWindows) {
 		e.window.Rotate()
 	}
 }
 
+// stale says that no service time of the window is known any more.
+func (e *estimator) stale(now time.Duration) bool {
+	return now-e.added >= estimateWindows*estimateWindow
+}
+
 func (e *estimator) readWindow() {
 	e.fresh = false
 	merged := e.window.Merge()
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -330,3 +330,23 @@
 	must.Eq(t, 0, d.balancer.GrantedSlots())
 	must.Eq(t, 0, d.balancer.leases.ends)
 }
+
+// A service was slow while patient callers asked, and then fast again. Impatient
+// ones were refused ever after: none was started, so nothing was learned.
+func TestSlowTimesAreForgotten(t *testing.T) {
+	d := newDesk(2, 8)
+	for range 40 {
+		d.finish(d.submit(2*time.Second), 700*time.Millisecond, Answered)
+		d.pass(0)
+	}
+	must.Eq(t, Refused, d.submit(500*time.Millisecond).State())
+	for range 20 {
+		d.pass(time.Second)
+		if ticket := d.submit(500 * time.Millisecond); ticket.State() == Started {
+			d.finish(ticket, 4*time.Millisecond, Answered)
+			must.Eq(t, Started, d.submit(500*time.Millisecond).State())
+			return
+		}
+	}
+	t.Fatal("still refused")
+}
