Tests of gangs that ask together, and of room that is kept for one

What callers see: gangs that come together begin late beside an empty pool. Cause: steps that know of no worker name those with most room, in the same order; those of one decision name the same ones, whose room holds a part of them. Evidence, in virtual time (1,100 workers, 44 lanes, questions of 1.7 s): the last of 30 gangs of 20 begins after 5.35 s with 64 questions; one question each takes 1.8 s. Ruled out: small jobs that wait for as long as a gang's kept room does. With 0.64 of the cores free and nearly all free workers that the gang is permitted on kept for it, forty small jobs begin within 2.3 s, as they do without the gang. A test holds that.

--- a/dispatch/turns_test.go
+++ b/dispatch/turns_test.go
@@ -172,3 +172,57 @@
 	}
 	must.LessEq(t, 1+bits.Len(uint(len(pool)/bounded.AskWorkers)), rounds)
 }
+
+// wideGangs is a kind of gangs, permitted on a quarter of the workers, whose questions
+// about a hundred of them take 1.7 s.
+func wideGangs(width, cores float64) *replayKind {
+	return &replayKind{
+		name: "gang", priority: 1, gang: 1, steps: 1, width: width, maxWidth: width, cores: cores, maxCores: cores, gb: 16, maxGB: 16,
+		work: 6 * time.Second, decide: 700 * time.Millisecond, each: 10 * time.Millisecond, valid: 1500 * time.Millisecond, permitted: 0.25,
+		stretch: 2, objective: time.Hour,
+	}
+}
+
+// Gangs that come together on an empty pool ask about the same hundred workers, which
+// hold a third of them, and the others ask a second and a third time.
+func TestGangsThatComeTogetherAskAboutDifferentWorkers(t *testing.T) {
+	gangs := wideGangs(20, 18)
+	r := newReplay(0, 1100, 44, gangs)
+	r.decision = 50 * time.Millisecond
+	for range 30 {
+		r.submit(gangs)
+	}
+	must.LessEq(t, mayStandIdle, untilAllBegin(r, gangs))
+}
+
+// A gang that just doesn't fit keeps the free room of nearly all workers that it is
+// permitted on for as long as a long run lasts. Small jobs that may run there as well
+// don't wait for it, since they learn of others.
+func TestSmallJobsDoNotWaitForTheRoomOfAGang(t *testing.T) {
+	long := longQuestions("long", 0, 1)
+	long.width, long.maxWidth, long.cores, long.maxCores, long.work = 130, 130, 60, 60, 2*time.Minute
+	gang, small := wideGangs(60, 60), longQuestions("small", 2, 0.25)
+	r := newReplay(0, 350, 44, long, gang, small)
+	r.decision = 50 * time.Millisecond
+	r.submit(long)
+	r.play(5*time.Second, 0)
+	r.submit(gang)
+	r.play(10*time.Second, 0)
+	must.Greater(t, 50*60_000, r.kept(gang.all[0]))
+	for range 40 {
+		r.submit(small)
+	}
+	must.LessEq(t, mayStandIdle, untilAllBegin(r, small))
+	must.SliceLen(t, 60, gang.all[0].pending[0], must.Sprint("the gang waits on"))
+}
+
+// kept is the room that a decision keeps for a job, in thousandths of a core.
+func (r *replay) kept(j *replayJob) (room int64) {
+	s, _ := r.step(j)
+	list := r.view()
+	Decide(r.now, []Step{s}, list, r.limits)
+	for i := range list {
+		room += list[i].Kept.MilliCPU
+	}
+	return room
+}
