Long questions kept for steps in turn are put by any step that needs one

What callers see: late first starts, as a third of the long questions goes to nobody. Cause: a step that might ask about one worker shortly, but about the usual number only at length, counted as able to ask, was refused, and wasn't looked at again in that decision. Evidence: TestAllLongQuestionsArePut failed before. Change: such a step waits for what is kept back.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -31,11 +31,11 @@
 	stopping map[workflow.TaskKey]bool
 	// yielding is the least urgent priority of a pool's runs that may be stopped.
 	yielding map[string]int
-	// unasked are the steps that wait for a question, in order; keptAsks of the questions are
-	// kept back for them.
-	unasked  []unasked
-	keptAsks int
-	plan     Plan
+	// unasked are the steps that wait for a question, in order; keptAsks of the questions, of
+	// which keptLong may be long, are kept back for them.
+	unasked            []unasked
+	keptAsks, keptLong int
+	plan               Plan
 }
 
 // Decide plans starts and questions for steps on workers. Steps are taken in
@@ -59,16 +59,15 @@
 	slices.SortFunc(order, compareSteps)
 	p.plan.Waiting = make([]Waiting, 0, len(steps))
 	chosen := p.inTurn(order)
-	long := p.forTurns(p.limits.LongAsks)
-	p.keptAsks = p.forTurns(p.limits.Asks)
+	p.keptAsks, p.keptLong = p.forTurns(p.limits.Asks), p.forTurns(p.limits.LongAsks)
 	p.limits.Asks -= p.keptAsks
-	p.limits.LongAsks -= long
+	p.limits.LongAsks -= p.keptLong
 	for _, s := range chosen {
 		p.step(s)
 	}
 	p.limits.Asks += p.keptAsks
-	p.limits.LongAsks += long
-	p.keptAsks = 0
+	p.limits.LongAsks += p.keptLong
+	p.keptAsks, p.keptLong = 0, 0
 	p.askInTurn()
 	return p.plan
 }
@@ -190,7 +189,7 @@
 	if left == 0 {
 		return
 	}
-	if p.mustWait(s) {
+	if p.mustWait(s) || p.mayAskLater(s) {
 		p.unasked = append(p.unasked, unasked{s, left, p.reasonPassedOver(s, left)})
 		return
 	}
--- a/dispatch/turns.go
+++ b/dispatch/turns.go
@@ -21,6 +21,11 @@
 // the same part where each has a single one to give.
 func (p *planner) forTurns(n int) int { return (n + p.limits.Turn%askShare) / askShare }
 
+// mayAskLater reports whether only a long question that is kept back would do for s.
+func (p *planner) mayAskLater(s *Step) bool {
+	return s.NeedsPermit && !s.Spec.Gang && p.keptLong > 0 && !p.mayAsk(s, p.limits.AskWorkers)
+}
+
 // askInTurn gives the questions that are left to the steps that wait for one.
 //
 // Failure guarded against: urgent steps that hardly any worker is permitted for ask on and
--- a/dispatch/turns_test.go
+++ b/dispatch/turns_test.go
@@ -117,6 +117,28 @@
 	}
 }
 
+// Guards against long questions that nobody puts: what is kept back of them for steps in
+// turn wasn't offered to those that might ask about a few workers, but need many.
+func TestAllLongQuestionsArePut(t *testing.T) {
+	for turn := range askShare {
+		bounded := limits
+		bounded.Asks, bounded.LongAsks, bounded.LongAsk, bounded.Turn = 8, 1, 150*time.Millisecond, turn
+		var steps []Step
+		for i := range 20 {
+			s := needsPermit(step(fmt.Sprintf("s%02d", i), 1, 4), nil)
+			s.AskTime = func(n int) time.Duration { return time.Duration(50+40*n) * time.Millisecond }
+			steps = append(steps, s)
+		}
+		long := 0
+		for _, a := range Decide(0, steps, workers(9, 9, 9, 9, 9, 9, 9, 9), bounded).Asks {
+			if len(a.Workers) == limits.AskWorkers {
+				long++
+			}
+		}
+		must.Eq(t, 1, long)
+	}
+}
+
 // What urgent steps have no use for goes to others, and the other way round.
 func TestQuestionsThatOnePartHasNoUseForGoToTheOther(t *testing.T) {
 	for _, priority := range []int{0, 1} {
