An order whose run is over is forgotten

What callers see: a worker that is back is given nothing, though it is free. Cause: a run is lost with its worker's lease between the commit of its start and the making of the order; the order stays for as long as the leader leads, without an answer. Evidence: TestAnOrderWhoseRunIsOverIsForgotten, "never" before.

--- a/internal/control/account.go
+++ b/internal/control/account.go
@@ -22,6 +22,9 @@
 // countRuns goes over all runs that may be alive and notes which are unaccounted for.
 // t.mu is held.
 func (t *tenure) countRuns(s *workflow.State, now time.Time) {
+	for _, session := range t.sessions {
+		session.dropStaleOrders(s)
+	}
 	counts := runCounts{}
 	unaccounted := map[workflow.Run]time.Time{}
 	for worker, runs := range s.Runs {
@@ -104,3 +107,15 @@
 	t.logger.Log("event", "run_claimed", "task", run.Task, "run", run.Number, "worker", run.Worker,
 		"unaccounted_ms", now.Sub(t.unaccounted[run]).Milliseconds(), "looked_after", t.sessions[run.Worker] != nil)
 }
+
+// dropStaleOrders forgets orders whose runs the log no longer has. t.mu is held.
+//
+// Failure guarded against: a run is lost with its worker's lease right between the commit of
+// its start and the making of its order. The order has no answer ever, and the worker is
+// given nothing when it is back.
+func (s *session) dropStaleOrders(state *workflow.State) {
+	runs := state.Runs[s.worker.ID]
+	maps.DeleteFunc(s.orders, func(task workflow.TaskKey, o *order) bool {
+		return !o.sending && runs[task].Number != o.run.Number
+	})
+}
--- a/internal/control/account_test.go
+++ b/internal/control/account_test.go
@@ -67,3 +67,19 @@
 	w.log.refuseEnds()
 	w.eventually("the job is done", func() bool { return w.phase("a") == workflow.PhaseDone })
 }
+
+// Guards against a worker that is given nothing any more: an order without an answer, whose
+// run the log doesn't have.
+func TestAnOrderWhoseRunIsOverIsForgotten(t *testing.T) {
+	w := startedWorld(t)
+	ten := w.tenureOf()
+	ten.mu.Lock()
+	s := ten.sessions["w1"]
+	s.orders[task("b", 0)] = &order{run: workflow.Run{Task: task("b", 0), Number: 1, Worker: "w1"}, unanswered: true, abandoned: true}
+	ten.mu.Unlock()
+	w.eventually("the order is forgotten", func() bool {
+		ten.mu.Lock()
+		defer ten.mu.Unlock()
+		return s.orders[task("b", 0)] == nil && s.orders[task("a", 0)] != nil
+	})
+}
