A claimed run is stopped until its stop is acknowledged

What callers see: a task whose run was claimed waits 2 s more for each stop that gets lost. Cause: a stop that was sent counted for 0.8 s as what would end the run, and only a second after that it was claimed anew, and counted anew. Change: a claimed run stays unaccounted for until the stop is acknowledged, so the stop is repeated like any other; a claim writes one line.

--- a/internal/control/account.go
+++ b/internal/control/account.go
@@ -59,7 +59,9 @@
 		return s.inherited[run.Task] == run.Number
 	}
 	switch {
-	case o.endKnown, o.sending, o.unanswered && o.abandoned, now.Sub(o.stopSent) < 2*stopAgain:
+	case o.endKnown, o.sending, o.unanswered && o.abandoned:
+		return true
+	case !o.claimed && now.Sub(o.stopSent) < 2*stopAgain:
 		return true
 	case s.listsSent.Before(o.settledAt), s.listsSent.Before(o.stopAcked):
 		// No list that was asked for since the start, or the stop, was answered has come in
--- a/internal/control/account_test.go
+++ b/internal/control/account_test.go
@@ -83,3 +83,15 @@
 		return s.orders[task("b", 0)] == nil && s.orders[task("a", 0)] != nil
 	})
 }
+
+// Guards against a claimed run that is stopped only every other second, and counted each
+// time: its stop gets lost.
+func TestAClaimedRunIsUnaccountedForUntilItsStopIsAcknowledged(t *testing.T) {
+	now := time.Now()
+	run := workflow.Run{Task: task("a", 0), Number: 1, Worker: "w1"}
+	o := &order{run: run, claimed: true, stopSent: now}
+	s := &session{ready: true, orders: map[workflow.TaskKey]*order{run.Task: o}, listsSent: now.Add(-time.Second)}
+	must.False(t, s.accountsFor(run, now))
+	o.stopAcked = now
+	must.True(t, s.accountsFor(run, now))
+}
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -17,6 +17,8 @@
 	// sending says that the start is queued or under way, settledAt is when it no longer was.
 	sending   bool
 	settledAt time.Time
+	// claimed says that the run is stopped since nothing would have told its end.
+	claimed bool
 	// endKnown says that its end is known and only has to be committed.
 	endKnown bool
 	// listedSent is when the last look that showed the run as alive was sent.
--- a/internal/control/stops.go
+++ b/internal/control/stops.go
@@ -88,7 +88,8 @@
 		o = &order{run: stop.run, listed: stop.cause != stopUnclaimed}
 		s.orders[stop.run.Task] = o
 	}
-	if stop.cause == stopUnclaimed {
+	if stop.cause == stopUnclaimed && !o.claimed {
+		o.claimed = true
 		s.t.noteClaimed(stop.run, now)
 	}
 	if o.stopSent.IsZero() {
