--- a/internal/control/search_test.go
+++ b/internal/control/search_test.go
@@ -187,7 +187,11 @@
 		x.workers.add(fmt.Sprint("w", i), 1)
 	}
 	x.lead()
-	defer func() { x.stop() }()
+	defer func() {
+		x.stop()
+		// Calls under way end before the world does.
+		time.Sleep(2 * commitTimeout)
+	}()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go x.workers.work(ctx)
