A new leader waits until its carriers' first answers are taken in

Cause: the wait for the first answer ended when it had come, and the route counted as present a little later, after the heartbeats in the answer had been taken in. Evidence: TestANewLeadersFirstOrderGoesThroughTheCarrierThatHasAnswered is red without the change, 3 of 3; with it the package passes ten times under the race detector. Change: the wait ends once the answer has been taken in, or the failure noted.

--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -45,6 +45,22 @@
 	})
 }
 
+// Guards against a new leader that calls workers by itself though its carrier has answered:
+// what the answer tells of heartbeats is taken in first.
+func TestANewLeadersFirstOrderGoesThroughTheCarrierThatHasAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1)
+		c.carriers["carrier-0"].cfg.TakeHeard = func() []control.HeardWorker { return []control.HeardWorker{{Worker: "w"}} }
+		c.spread.cfg.Heard = func([]control.HeardWorker) { time.Sleep(way) }
+		c.lead(5)
+		must.Eq(t, 1, c.startMany(1))
+		must.Eq(t, 1, c.workers["carrier-0"].started())
+		c.end()
+		// What is being taken in ends too.
+		time.Sleep(2 * way)
+	})
+}
+
 func TestWorkersAreCalledByTheLeaderWhereThereIsNoCarrier(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 0)
--- a/internal/carrier/route.go
+++ b/internal/carrier/route.go
@@ -254,9 +254,9 @@
 	var last CollectReply
 	for ctx.Err() == nil {
 		reply, err := r.collectOnce(ctx, &last)
-		r.tried.Do(func() { close(r.answered) })
 		if err != nil {
 			r.setPresent(false, err)
+			r.noteTried()
 			r.giveUp(err)
 			wait.For(ctx, silentPause)
 			continue
@@ -271,6 +271,7 @@
 		last = reply
 		r.noteDataCentre(reply.DataCentre)
 		r.setPresent(true, nil)
+		r.noteTried()
 		if len(reply.Outcomes) > 0 {
 			wait.For(ctx, r.messagePause())
 		}
@@ -278,6 +279,9 @@
 	r.giveUp(ctx.Err())
 }
 
+// noteTried lets a new leader that waits for the carrier's first answer go on.
+func (r *route) noteTried() { r.tried.Do(func() { close(r.answered) }) }
+
 var errRestarted = errors.New("the carrier has started anew")
 
 func (r *route) collectOnce(ctx context.Context, last *CollectReply) (CollectReply, error) {
