--- a/internal/e2e/cut_test.go
+++ b/internal/e2e/cut_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 
@@ -184,6 +185,12 @@
 	c := newCluster(t, "rackwise", oneDataCentre)
 	ctx, operations := c.operator()
 	c.setConfig(ctx, operations, "first", 0, limits(100))
+	c.eventually("each entry instance serves", func() bool {
+		return !slices.ContainsFunc(operations, func(o apiv1.Operations) bool {
+			_, err := o.GetConfig(ctx, &apiv1.GetConfigRequest{})
+			return err != nil
+		})
+	})
 	const racers = 9
 	errs := make([]error, racers)
 	var race sync.WaitGroup
