Sight of runs that end with their workers

Each lost run has a line of its own now, with its age and how many runs it shared the worker with, and a counter. No decision changes.

--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -297,9 +297,43 @@
 		return
 	}
 	s.t.logger.Log("event", "runs_lost", "worker", s.worker.ID, "runs", len(ends), "cause", why)
+	s.logLost(ends, why)
 	s.commitEnds(0, ends)
 }
 
+// logLost says of each run that ends with its worker how old it was when the worker last
+// answered, and how many runs of its task were begun: the same task again and again, young
+// each time, is one that crashes its workers.
+func (s *session) logLost(ends []workflow.RunEnd, why string) {
+	t := s.t
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.c.cfg.Counters.Add("runs_lost", int64(len(ends)))
+	for _, end := range ends {
+		age, known := s.ageWhenHeard(end)
+		t.logger.Log("event", "run_lost", "task", end.Task, "run", end.Number, "worker", s.worker.ID,
+			"age_ms", age.Milliseconds(), "age_known", known, "beside", len(ends)-1, "cause", why)
+	}
+}
+
+// ageWhenHeard is how old a run was when its worker last answered; it isn't known of runs
+// whose start this tenure has no answer to. t.mu is held.
+func (s *session) ageWhenHeard(end workflow.RunEnd) (age time.Duration, known bool) {
+	o := s.orders[end.Task]
+	if o == nil || o.run.Number != end.Number || o.startedAt.IsZero() {
+		return 0, false
+	}
+	return max(s.lastAnswer().Sub(o.startedAt), 0), true
+}
+
+// lastAnswer is when the worker last answered a call of any kind. t.mu is held.
+func (s *session) lastAnswer() time.Time {
+	if s.clockAt.After(s.answeredAt) {
+		return s.clockAt
+	}
+	return s.answeredAt
+}
+
 func (s *session) lostEnds() []workflow.RunEnd {
 	var ends []workflow.RunEnd
 	s.t.mu.Lock()
