--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -340,7 +340,11 @@
 func (p *planner) startTasks(s *Step) int {
 	candidates := p.candidates(s)
 	for i, index := range s.Pending {
-		w := best(s, candidates, func(w *Worker) bool { return copies(s, w) > 0 && w.ID != s.Avoid[index] })
+		order := prefer
+		if s.Suspects[index] {
+			order = preferFewRuns
+		}
+		w := best(s, candidates, order, func(w *Worker) bool { return copies(s, w) > 0 && w.ID != s.Avoid[index] })
 		if w == nil {
 			return len(s.Pending) - i
 		}
@@ -409,6 +413,11 @@
 
 func (p *planner) start(s *Step, index int, w *Worker) {
 	p.takeRoom(w, s.Spec.Room())
+	w.started++
+	if s.Suspects[index] {
+		// Nothing else is begun beside it until it has shown itself.
+		p.takeRoom(w, w.Free)
+	}
 	delete(p.unkept, w.Service)
 	w.Serving = w.Serving || s.Spec.LatencyObjectiveMS > 0
 	if s.Spec.UsesSpare {
--- a/dispatch/select.go
+++ b/dispatch/select.go
@@ -73,19 +73,20 @@
 	return 0
 }
 
-// best returns the worker that suits one task of s best: sound ones first, then
-// those near the data, then those that no gang is about to fill, then the one that
-// is left with the least room, which keeps whole workers free for gangs.
-func best(s *Step, workers []*Worker, ok func(*Worker) bool) *Worker {
+// best returns the worker that comes first in an order.
+func best(s *Step, workers []*Worker, order func(s *Step, a, b *Worker) int, ok func(*Worker) bool) *Worker {
 	var chosen *Worker
 	for _, w := range workers {
-		if ok(w) && (chosen == nil || prefer(s, w, chosen) < 0) {
+		if ok(w) && (chosen == nil || order(s, w, chosen) < 0) {
 			chosen = w
 		}
 	}
 	return chosen
 }
 
+// prefer orders workers by how well they suit one task of s: sound ones first, then
+// those near the data, then those that no gang is about to fill, then the one that
+// is left with the least room, which keeps whole workers free for gangs.
 func prefer(s *Step, a, b *Worker) int {
 	room := cmp.Compare(a.Free.MilliCPU, b.Free.MilliCPU)
 	if s.Spec.UsesSpare {
@@ -96,6 +97,14 @@
 		cmp.Compare(crowding(s, a), crowding(s, b)), compareBools(a.Earmarked, b.Earmarked), room, a.rank-b.rank)
 }
 
+// preferFewRuns puts workers first whose crash would take the fewest runs along.
+func preferFewRuns(s *Step, a, b *Worker) int {
+	return cmp.Or(cmp.Compare(a.runs(), b.runs()), prefer(s, a, b))
+}
+
+// runs counts the runs on w, and those that the plan begins there.
+func (w *Worker) runs() int { return len(w.Releases) + w.started }
+
 // distance is 0 near the data of s, 1 elsewhere.
 func distance(s *Step, w *Worker) int {
 	if s.Spec.DataRack == "" || s.Spec.DataRack == w.Rack {
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -21,6 +21,8 @@
 	Kept workflow.Resources
 	// Releases are the expected ends of the runs on the worker, the soonest first.
 	Releases []Release
+	// started counts the starts that the plan has given to the worker.
+	started int
 	// Serving says that tasks with a latency objective run there.
 	Serving bool
 	// SpareRuns counts the tasks there that use spare processors, SpareShare is the
@@ -98,6 +100,8 @@
 	// names, and that a second run of it is worth some idle room.
 	Copy  bool
 	Avoid map[int]string
+	// Suspects are the pending tasks that workers have crashed under.
+	Suspects map[int]bool
 }
 
 // grantShare is the share of workers that a question is expected to permit; before
--- a/internal/control/copies.go
+++ b/internal/control/copies.go
@@ -57,7 +57,7 @@
 func (v *view) noteCopy(t *tenure, s *workflow.State, run workflow.Run, session *session, now time.Time) {
 	job := s.Jobs[run.Task.Job]
 	spec := &job.Steps[run.Task.Step]
-	if !spec.MayCopy() || s.Task(run.Task).Live != 1 {
+	if task := s.Task(run.Task); !spec.MayCopy() || task.Live != 1 || task.Suspect() {
 		return
 	}
 	if _, proposed := t.proposed[run.Task]; proposed {
--- /dev/null
+++ b/internal/control/crash.go
@@ -0,0 +1,112 @@
+package control
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+const (
+	// strongAge is how old a run is at most, by its worker's last answer, for the worker's
+	// crash to speak strongly against it.
+	strongAge = time.Second
+	// probation is how long a worker must have answered under a run of a suspect task
+	// before it is given anything else.
+	probation = 500 * time.Millisecond
+)
+
+// crashed reports whether a worker whose address another incarnation answers at has
+// crashed: it neither announced its end nor was its machine to go down.
+func (s *session) crashed() bool {
+	s.t.mu.Lock()
+	defer s.t.mu.Unlock()
+	return !s.leaving && !s.worker.Draining && !s.t.machines.isCordoned(s.worker.ID)
+}
+
+// suspicion is how much speaks for a run having crashed its worker, if the worker has
+// crashed. t.mu is held.
+func (s *session) suspicion(run workflow.Run) workflow.Suspicion {
+	o := s.orders[run.Task]
+	switch {
+	case o == nil || o.run.Number != run.Number:
+		// An earlier leader ordered it.
+		return workflow.SuspicionWeak
+	case !o.mayHaveBegun():
+		return workflow.SuspicionNone
+	case !o.stopSent.IsZero():
+		return workflow.SuspicionWeak
+	case o.startedAt.IsZero() && o.listed:
+		return workflow.SuspicionWeak
+	case !o.startedAt.IsZero() && s.lastAnswer().Sub(o.startedAt) > strongAge:
+		return workflow.SuspicionWeak
+	}
+	return workflow.SuspicionStrong
+}
+
+// mayHaveBegun reports whether the worker may have been told to begin the run.
+func (o *order) mayHaveBegun() bool {
+	return !o.startedAt.IsZero() || o.listed || o.unanswered || !o.sentAt.IsZero()
+}
+
+// onProbation reports whether a run of a suspect task has only just begun there. t.mu is
+// held.
+//
+// Failure guarded against: a task that crashes its workers takes with it what was placed
+// beside it.
+func (s *session) onProbation() bool {
+	for _, o := range s.orders {
+		if o.suspect && (o.startedAt.IsZero() || s.lastAnswer().Sub(o.startedAt) < probation) {
+			return true
+		}
+	}
+	return false
+}
+
+// logLost says of each run that ends with its worker how old it was when the worker last
+// answered, and how many runs of its task were begun: the same task again and again, young
+// each time, is one that crashes its workers.
+func (s *session) logLost(ends []workflow.RunEnd, why string) {
+	t := s.t
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.c.cfg.Counters.Add("runs_lost", int64(len(ends)))
+	for _, end := range ends {
+		age, known := s.ageWhenHeard(end)
+		t.logger.Log("event", "run_lost", "task", end.Task, "run", end.Number, "worker", s.worker.ID,
+			"age_ms", age.Milliseconds(), "age_known", known, "beside", len(ends)-1, "outcome", end.Outcome, "cause", why)
+	}
+}
+
+// ageWhenHeard is how old a run was when its worker last answered; it isn't known of runs
+// whose start this tenure has no answer to. t.mu is held.
+func (s *session) ageWhenHeard(end workflow.RunEnd) (age time.Duration, known bool) {
+	o := s.orders[end.Task]
+	if o == nil || o.run.Number != end.Number || o.startedAt.IsZero() {
+		return 0, false
+	}
+	return max(s.lastAnswer().Sub(o.startedAt), 0), true
+}
+
+// missing returns the runs that ended with the worker's lease and may yet turn out to have
+// ended with a crash. t.mu may be held.
+func (s *session) missing() (ends []workflow.RunEnd) {
+	s.t.c.state.read(func(state *workflow.State) {
+		if worker := state.Workers[s.worker.ID]; worker != nil {
+			ends = slices.Clone(worker.Missing)
+		}
+	})
+	return ends
+}
+
+// noteCrasher tells of a job that was given up for a task that crashed its workers. t.mu is
+// held.
+func (t *tenure) noteCrasher(s *workflow.State, job *workflow.Job) {
+	if job.Crasher == nil {
+		return
+	}
+	t.c.cfg.Counters.Add("jobs_failed_crashes", 1)
+	t.logger.Log("event", "job_given_up", "job", job.ID, "task", *job.Crasher,
+		"cause", "the task's workers crashed", "workers", strings.Join(s.Task(*job.Crasher).CrashedOn, ","))
+}
--- a/internal/control/crash_test.go
+++ b/internal/control/crash_test.go
@@ -66,3 +66,37 @@
 		must.LessEq(t, mostCrashes, c.crashed, must.Sprint("workers crashed by one task"))
 	}
 }
+
+// Guards against what is placed beside a task that crashes its workers: the worker gets
+// nothing else until it has answered for a while under the run.
+func TestAWorkerWithASuspectRunGetsNothingElseAtFirst(t *testing.T) {
+	now := time.Now()
+	o := &order{run: workflow.Run{Task: task("a", 0), Number: 2, Worker: "w1"}, suspect: true}
+	s := &session{orders: map[workflow.TaskKey]*order{o.run.Task: o}, clockAt: now}
+	must.True(t, s.onProbation(), must.Sprint("its start has no answer"))
+	o.startedAt = now
+	must.True(t, s.onProbation())
+	s.clockAt = now.Add(probation)
+	must.False(t, s.onProbation())
+	o.suspect, s.clockAt = false, now
+	must.False(t, s.onProbation())
+}
+
+// Guards against a rack that loses power and takes the jobs of its workers with it: most
+// of their tasks were there for a while, and none has crashed a worker before.
+func TestTasksOfARackThatLosesPowerRunAgain(t *testing.T) {
+	w := newWorld(t, nil)
+	w.workers.add("w1")
+	w.announce("w1")
+	for i := range 8 {
+		w.submit(fmt.Sprint("j", i), oneTask)
+	}
+	w.eventually("all tasks run", func() bool { return w.started("w1") == 8 })
+	w.workers.add("w2")
+	w.with("w1", func(f *fakeWorker) { f.replaced = true })
+	w.announce("w2")
+	w.eventually("all tasks run again", func() bool { return w.started("w2") == 8 })
+	for i := range 8 {
+		must.NotEq(t, workflow.PhaseFailed, w.phase(fmt.Sprint("j", i)))
+	}
+}
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -51,6 +51,8 @@
 	resumed  bool
 	// gang says that the run is a member of one.
 	gang bool
+	// suspect says that a worker has crashed under the task before.
+	suspect bool
 	// usesSpare says that the task takes what processors others leave. share is what
 	// the worker has acknowledged last, sharing that a change is under way, pausedAt
 	// since when it is 0.
--- a/internal/control/report.go
+++ b/internal/control/report.go
@@ -17,6 +17,7 @@
 	t.mu.Lock()
 	first := !s.ready
 	s.ready = true
+	returned := first && len(s.missing()) > 0
 	s.answeredAt = now
 	s.noteClock(report.ClockMS, now)
 	ends, seen := s.listedEnds(report, now)
@@ -33,6 +34,12 @@
 	for _, run := range strangers {
 		t.goTask(func() { s.stopStranger(run) })
 	}
+	if returned {
+		// No other list of this tenure would say so.
+		t.goTask(func() {
+			t.commitSurely(&workflow.Command{Ends: &workflow.WorkerEnds{Worker: s.worker.ID, Returned: true}})
+		})
+	}
 	if seen > 0 || len(ends) > 0 {
 		s.logEnds(ends)
 		s.commitEnds(seen, ends)
@@ -65,6 +72,7 @@
 			accepted, known := t.accepted[job.ID]
 			t.logger.Log("event", "job_ended", "job", job.ID, "phase", job.Phase(), "age_ms", now.Sub(accepted).Milliseconds(),
 				"age_known", known, "objective_ms", objectiveOf(job).Milliseconds(), "last_task", end.Task, "last_outcome", end.Outcome)
+			t.noteCrasher(s, job)
 		}
 	})
 }
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -99,6 +99,7 @@
 	reasonStill    dispatch.Reason = "nothing advances on the worker"
 	reasonSlow     dispatch.Reason = "the worker is slow and has a run"
 	reasonCut      dispatch.Reason = "the worker's data centre seems to be cut off"
+	reasonSuspect  dispatch.Reason = "a task that workers have crashed under has just begun there"
 )
 
 // obstacle returns why no new task is given to the worker, on which runs may be
@@ -113,6 +114,8 @@
 		return reasonCordoned
 	case s.doubtful(now):
 		return reasonDoubtful
+	case s.onProbation():
+		return reasonSuspect
 	case suspects[s.worker.DataCentre]:
 		return reasonCut
 	case s.t.without.Health:
@@ -188,7 +191,7 @@
 		case s.t.ctx.Err() != nil:
 			return
 		case errors.Is(err, ErrOtherIncarnation):
-			s.end("another incarnation answers")
+			s.end("another incarnation answers", s.crashed())
 			return
 		case err != nil && s.takeHurried():
 		case err != nil:
@@ -260,13 +263,13 @@
 		t.logger.Log("event", "worker_contact", "worker", s.worker.ID, "outcome", "lost", "err", cause)
 	}
 	if leaving {
-		s.end("the worker left")
+		s.end("the worker left", false)
 		return true
 	}
 	if !lapsed {
 		return false
 	}
-	s.loseRuns("lease ended without an answer")
+	s.loseRuns("lease ended without an answer", workflow.OutcomeLost)
 	if !quiet {
 		return false
 	}
@@ -278,12 +281,19 @@
 }
 
 // end takes note that the incarnation is over: nothing runs there.
-func (s *session) end(why string) {
+func (s *session) end(why string, crashed bool) {
 	t := s.t
-	t.logger.Log("event", "worker_gone", "worker", s.worker.ID, "cause", why)
+	t.logger.Log("event", "worker_gone", "worker", s.worker.ID, "cause", why, "crashed", crashed)
+	outcome := workflow.OutcomeLost
+	if crashed {
+		t.c.cfg.Counters.Add("workers_crashed", 1)
+		outcome = workflow.OutcomeCrashed
+	}
 	// What its runs had saved goes into the log first.
-	s.loseRuns(why)
-	t.commitSurely(&workflow.Command{Gone: s.worker.ID})
+	s.loseRuns(why, outcome)
+	missing := s.missing()
+	t.commitSurely(&workflow.Command{Gone: s.worker.ID, Crashed: crashed})
+	t.logEndedJobs(missing)
 	t.mu.Lock()
 	delete(t.sessions, s.worker.ID)
 	t.mu.Unlock()
@@ -291,8 +301,8 @@
 }
 
 // loseRuns ends all runs of a worker that can't be alive any more.
-func (s *session) loseRuns(why string) {
-	ends := s.lostEnds()
+func (s *session) loseRuns(why string, outcome workflow.Outcome) {
+	ends := s.lostEnds(outcome)
 	if len(ends) == 0 {
 		return
 	}
@@ -301,31 +311,6 @@
 	s.commitEnds(0, ends)
 }
 
-// logLost says of each run that ends with its worker how old it was when the worker last
-// answered, and how many runs of its task were begun: the same task again and again, young
-// each time, is one that crashes its workers.
-func (s *session) logLost(ends []workflow.RunEnd, why string) {
-	t := s.t
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.c.cfg.Counters.Add("runs_lost", int64(len(ends)))
-	for _, end := range ends {
-		age, known := s.ageWhenHeard(end)
-		t.logger.Log("event", "run_lost", "task", end.Task, "run", end.Number, "worker", s.worker.ID,
-			"age_ms", age.Milliseconds(), "age_known", known, "beside", len(ends)-1, "cause", why)
-	}
-}
-
-// ageWhenHeard is how old a run was when its worker last answered; it isn't known of runs
-// whose start this tenure has no answer to. t.mu is held.
-func (s *session) ageWhenHeard(end workflow.RunEnd) (age time.Duration, known bool) {
-	o := s.orders[end.Task]
-	if o == nil || o.run.Number != end.Number || o.startedAt.IsZero() {
-		return 0, false
-	}
-	return max(s.lastAnswer().Sub(o.startedAt), 0), true
-}
-
 // lastAnswer is when the worker last answered a call of any kind. t.mu is held.
 func (s *session) lastAnswer() time.Time {
 	if s.clockAt.After(s.answeredAt) {
@@ -334,14 +319,14 @@
 	return s.answeredAt
 }
 
-func (s *session) lostEnds() []workflow.RunEnd {
+func (s *session) lostEnds(outcome workflow.Outcome) []workflow.RunEnd {
 	var ends []workflow.RunEnd
 	s.t.mu.Lock()
 	defer s.t.mu.Unlock()
 	s.t.c.state.read(func(state *workflow.State) {
 		for task, run := range state.Runs[s.worker.ID] {
 			ends = append(ends, workflow.RunEnd{
-				Task: task, Number: run.Number, Outcome: workflow.OutcomeLost, Checkpoint: s.t.checkpoints[task],
+				Task: task, Number: run.Number, Outcome: outcome, Checkpoint: s.t.checkpoints[task], Suspicion: s.suspicion(run),
 			})
 		}
 	})
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -232,7 +232,9 @@
 				continue
 			}
 			placed := v.placedOf(t, s, key, &job.Steps[step])
-			v.steps = append(v.steps, t.step(job, key, pending, begin, objective, now, placed))
+			ready := t.step(job, key, pending, begin, objective, now, placed)
+			ready.Suspects = suspectsAmong(state, pending)
+			v.steps = append(v.steps, ready)
 		}
 	}
 }
@@ -297,6 +299,21 @@
 	return pending
 }
 
+// suspectsAmong returns the pending tasks that workers have crashed under, nil for none.
+func suspectsAmong(state *workflow.StepState, pending []int) map[int]bool {
+	var suspects map[int]bool
+	for _, index := range pending {
+		if !state.Tasks[index].Suspect() {
+			continue
+		}
+		if suspects == nil {
+			suspects = map[int]bool{}
+		}
+		suspects[index] = true
+	}
+	return suspects
+}
+
 // objectiveOf is how long after its acceptance a job should have ended.
 func objectiveOf(job *workflow.Job) time.Duration {
 	longest := make([]int64, len(job.Steps))
--- a/workflow/apply.go
+++ b/workflow/apply.go
@@ -7,7 +7,8 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-// Command is one change of the state. Exactly one field is set.
+// Command is one change of the state. Exactly one field is set, but for Crashed, which
+// goes with Gone.
 type Command struct {
 	Submit *Submission `cbor:"1,keyasint,omitempty"`
 	// Cancel is the ID of a job.
@@ -19,6 +20,8 @@
 	Worker *Worker `cbor:"5,keyasint,omitempty"`
 	// Gone is the incarnation of a worker that has ended.
 	Gone string `cbor:"6,keyasint,omitempty"`
+	// Crashed says that the worker that is gone has crashed.
+	Crashed bool `cbor:"11,keyasint,omitempty"`
 	// Forget lists jobs that need no longer be shown.
 	Forget        []string     `cbor:"7,keyasint,omitempty"`
 	Configuration *Document    `cbor:"8,keyasint,omitempty"`
@@ -32,6 +35,8 @@
 	// Seen is the number of the last end listed by the worker that is contained.
 	Seen uint64   `cbor:"2,keyasint,omitempty"`
 	Ends []RunEnd `cbor:"3,keyasint"`
+	// Returned says that the worker has answered again after its lease had ended.
+	Returned bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Encode returns the command as the log carries it.
@@ -85,7 +90,7 @@
 	case c.Worker != nil:
 		s.announce(c.Worker)
 	case c.Gone != "":
-		s.workerGone(c.Gone)
+		s.workerGone(c.Gone, c.Crashed)
 	case len(c.Forget) > 0:
 		s.forget(c.Forget)
 	case c.Configuration != nil:
@@ -192,8 +197,8 @@
 const maxLive = 2
 
 // mayStart refuses a second run of a task beside one that may be alive, unless
-// its step allows copies on different workers, and a start on a worker that is
-// gone.
+// its step allows copies on different workers and none has crashed under it, and a start
+// on a worker that is gone.
 func (s *State) mayStart(spec *Step, step *StepState, run Run) bool {
 	worker := s.Workers[run.Worker]
 	if worker == nil || worker.Gone || run.Task.Index >= len(step.Tasks) {
@@ -204,12 +209,15 @@
 		return false
 	}
 	_, there := s.Runs[run.Worker][run.Task]
-	return task.Live == 0 || spec.MayCopy() && task.Live < maxLive && !there
+	return task.Live == 0 || spec.MayCopy() && !task.Suspect() && task.Live < maxLive && !there
 }
 
 func (s *State) end(e *WorkerEnds) {
 	if worker := s.Workers[e.Worker]; worker != nil {
 		worker.Seen = max(worker.Seen, e.Seen)
+		if e.Returned {
+			worker.Missing = nil
+		}
 	}
 	for _, end := range e.Ends {
 		s.endRun(e.Worker, end)
@@ -235,6 +243,7 @@
 		task.Checkpoint = end.Checkpoint
 	}
 	job.Begun = job.Begun || end.Outcome.begun()
+	s.noteLoss(worker, job, spec, task, end)
 	if spec.Gang {
 		s.endMember(job, spec, step, end)
 		return
@@ -307,12 +316,16 @@
 }
 
 // workerGone ends every run of a worker that runs nothing any more.
-func (s *State) workerGone(id string) {
+func (s *State) workerGone(id string, crashed bool) {
 	worker := s.Workers[id]
 	if worker == nil {
 		return
 	}
 	worker.Gone = true
+	if crashed {
+		s.settleMissing(worker)
+	}
+	worker.Missing = nil
 	for _, run := range sortedRuns(s.Runs[id]) {
 		s.endRun(id, RunEnd{Task: run.Task, Number: run.Number, Outcome: OutcomeLost})
 	}
--- /dev/null
+++ b/workflow/crash.go
@@ -0,0 +1,72 @@
+package workflow
+
+// Suspicion is how much speaks for a run having crashed the worker that it ran on.
+type Suspicion uint8
+
+// Suspicions of runs that ended with their workers.
+const (
+	// SuspicionNone: the run hadn't begun, or the worker didn't crash.
+	SuspicionNone Suspicion = iota
+	// SuspicionWeak: the run was there, as may have been others.
+	SuspicionWeak
+	// SuspicionStrong: the worker crashed right after it was told to begin the run.
+	SuspicionStrong
+)
+
+const (
+	// strongCrashes is how many crashes right after a start a task is given up for: a rack
+	// that loses power crashes under many tasks, hardly ever three times under the same.
+	strongCrashes = 3
+	// mostCrashes is how many crashes of any kind a task is given up for.
+	mostCrashes = 5
+)
+
+// Suspect reports whether a worker has crashed under the task.
+func (t *Task) Suspect() bool { return len(t.CrashedOn) > 0 }
+
+// noteLoss takes in what the end of a run says of crashes. A run that ended with its
+// worker's lease counts once it is known that the worker has crashed.
+func (s *State) noteLoss(worker string, job *Job, spec *Step, task *Task, end RunEnd) {
+	switch {
+	case end.Suspicion == SuspicionNone:
+	case end.Outcome == OutcomeCrashed:
+		s.noteCrash(worker, job, spec, task, end)
+	case end.Outcome == OutcomeLost && s.Workers[worker] != nil:
+		state := s.Workers[worker]
+		state.Missing = append(state.Missing, RunEnd{Task: end.Task, Number: end.Number, Suspicion: end.Suspicion})
+	}
+}
+
+// settleMissing counts a crash against each task whose run had ended with the lease of a
+// worker that is now known to have crashed.
+func (s *State) settleMissing(worker *WorkerState) {
+	for _, missing := range worker.Missing {
+		job, _ := s.step(missing.Task.StepKey)
+		if job != nil {
+			s.noteCrash(worker.ID, job, &job.Steps[missing.Task.Step], s.Task(missing.Task), missing)
+		}
+	}
+}
+
+// noteCrash counts a crash against a task, and gives its job up where it is the task that
+// crashes its workers.
+//
+// Failure guarded against: a task crashes each worker that starts it. Started again like
+// one whose worker was lost by chance, it takes one worker after the other down, with all
+// that runs there.
+func (s *State) noteCrash(worker string, job *Job, spec *Step, task *Task, end RunEnd) {
+	strong := end.Suspicion == SuspicionStrong
+	if job.Ended() || task.Done || spec.LongRunning && !strong {
+		// A task that lasts meets many a crash that isn't its own.
+		return
+	}
+	task.CrashedOn = append(task.CrashedOn, worker)
+	if strong {
+		task.StrongCrashes++
+	}
+	if task.StrongCrashes >= strongCrashes || len(task.CrashedOn) >= mostCrashes {
+		crasher := end.Task
+		job.Failed, job.Crasher = true, &crasher
+		s.close(job)
+	}
+}
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -193,11 +193,13 @@
 	OutcomeNotStarted
 	// OutcomeLost: the worker, or its lease, ended without a word on the run.
 	OutcomeLost
+	// OutcomeCrashed: the worker crashed, and the run with it.
+	OutcomeCrashed
 )
 
 // String returns the outcome as logs show it.
 func (o Outcome) String() string {
-	names := [...]string{"none", "done", "failed", "stopped", "lapsed", "broken", "alone", "not_started", "lost"}
+	names := [...]string{"none", "done", "failed", "stopped", "lapsed", "broken", "alone", "not_started", "lost", "crashed"}
 	if int(o) < len(names) {
 		return names[o]
 	}
@@ -205,7 +207,9 @@
 }
 
 // begun reports whether the outcome proves that a worker had begun the run.
-func (o Outcome) begun() bool { return o != OutcomeNotStarted && o != OutcomeLost }
+func (o Outcome) begun() bool {
+	return o != OutcomeNotStarted && o != OutcomeLost && o != OutcomeCrashed
+}
 
 // RunEnd is the end of one run.
 type RunEnd struct {
@@ -214,6 +218,8 @@
 	Outcome Outcome `cbor:"3,keyasint"`
 	// Checkpoint is where the next run resumes from; empty when there is none.
 	Checkpoint string `cbor:"4,keyasint,omitempty"`
+	// Suspicion is how much speaks for the run having crashed its worker.
+	Suspicion Suspicion `cbor:"5,keyasint,omitempty"`
 }
 
 // Worker is one incarnation of a worker as it announced itself.
@@ -238,4 +244,7 @@
 	Seen uint64 `cbor:"8,keyasint,omitempty"`
 	// Gone says that this incarnation runs nothing and never will again.
 	Gone bool `cbor:"9,keyasint,omitempty"`
+	// Missing are the runs that ended with the worker's lease, until it is known
+	// whether the worker has crashed.
+	Missing []RunEnd `cbor:"12,keyasint,omitempty"`
 }
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -17,6 +17,10 @@
 	// Failures counts the runs that failed.
 	Failures   int    `cbor:"4,keyasint,omitempty"`
 	Checkpoint string `cbor:"5,keyasint,omitempty"`
+	// CrashedOn are the workers that crashed under the task's runs, StrongCrashes how many
+	// of these crashes speak strongly against the task.
+	CrashedOn     []string `cbor:"6,keyasint,omitempty"`
+	StrongCrashes int      `cbor:"7,keyasint,omitempty"`
 }
 
 // StepState holds the tasks of a step of one occurrence.
@@ -57,6 +61,8 @@
 	Unfinished int `cbor:"10,keyasint,omitempty"`
 	// Index is the log entry of the acceptance, which orders jobs by age.
 	Index uint64 `cbor:"11,keyasint"`
+	// Crasher is the task for whose crashed workers the job was given up, nil for none.
+	Crasher *TaskKey `cbor:"12,keyasint,omitempty"`
 }
 
 // Ended reports whether nothing more is to be started for the job.
