--- a/internal/control/announce.go
+++ b/internal/control/announce.go
@@ -25,6 +25,7 @@
 // Load that it answers: hundreds of workers send a heartbeat each every second, and
 // hardly any of them says anything new.
 func (c *Controller) AnnounceKnown(r *Announcement) (AnnouncementReply, bool) {
+	r.Worker.Sequence = r.Sequence
 	if c.beats != nil || r.Worker.Draining || c.news(&r.Worker) {
 		return AnnouncementReply{}, false
 	}
@@ -88,12 +89,13 @@
 	if err != nil {
 		return AnnouncementReply{}, err
 	}
+	r.Worker.Sequence = r.Sequence
 	if c.news(&r.Worker) {
 		if _, err := c.propose(ctx, &workflow.Command{Worker: &r.Worker}); err != nil {
 			return AnnouncementReply{}, err
 		}
 		t.logger.Log("event", "worker", "worker", r.Worker.ID, "address", r.Worker.Address,
-			"draining", r.Worker.Draining, "sequence", r.Sequence, "labels", strings.Join(r.Worker.Labels, ","))
+			"draining", r.Worker.Draining, "capacity", describe(r.Worker.Capacity), "sequence", r.Sequence, "labels", strings.Join(r.Worker.Labels, ","))
 	}
 	t.heard(&r.Worker, r.Remaining)
 	reply := AnnouncementReply{HeartbeatAddress: c.heartbeatAddress(r.Worker.ID)}
@@ -106,16 +108,16 @@
 
 // news reports whether the log doesn't have the worker as it announces itself.
 // An incarnation that is over stays over, and one that drains doesn't come back:
-// such a heartbeat was delayed on its way.
+// such a heartbeat was delayed on its way, as was one with a lower sequence.
 func (c *Controller) news(w *workflow.Worker) (isNew bool) {
 	c.state.read(func(s *workflow.State) {
 		known := s.Workers[w.ID]
 		switch {
 		case known == nil:
 			isNew = true
-		case known.Gone || known.Draining:
+		case known.Gone || known.Draining || w.Sequence < known.Sequence:
 		default:
-			isNew = known.Draining != w.Draining || known.Address != w.Address
+			isNew = known.Draining != w.Draining || known.Address != w.Address || known.Capacity != w.Capacity
 		}
 	})
 	return isNew
--- a/workflow/apply.go
+++ b/workflow/apply.go
@@ -169,7 +169,7 @@
 	if gang && (len(runs) != len(step.Tasks) || step.Live() > 0 || step.Done > 0) {
 		return nil
 	}
-	if gang && slices.ContainsFunc(runs, func(r Run) bool { return !s.mayStart(spec, step, r) }) {
+	if gang && !s.mayStartGang(spec, step, runs) {
 		return nil
 	}
 	var started []Run
@@ -198,10 +198,13 @@
 
 // mayStart refuses a second run of a task beside one that may be alive, unless
 // its step allows copies on different workers and none has crashed under it, and a start
-// on a worker that is gone.
+// on a worker that is gone or has no room.
+//
+// Failure guarded against: a worker says that it has shrunk while starts that were decided
+// on before are being committed, and they bring it over its capacity.
 func (s *State) mayStart(spec *Step, step *StepState, run Run) bool {
 	worker := s.Workers[run.Worker]
-	if worker == nil || worker.Gone || run.Task.Index >= len(step.Tasks) {
+	if worker == nil || worker.Gone || run.Task.Index >= len(step.Tasks) || s.copiesOn(worker, spec) == 0 {
 		return false
 	}
 	task := &step.Tasks[run.Task.Index]
@@ -212,6 +215,30 @@
 	return task.Live == 0 || spec.MayCopy() && !task.Suspect() && task.Live < maxLive && !there
 }
 
+// copiesOn returns how many tasks of a step a worker has room for.
+func (s *State) copiesOn(worker *WorkerState, spec *Step) int {
+	used, _ := s.Used(worker.ID)
+	return spec.Room().Copies(worker.Capacity.Minus(used))
+}
+
+// mayStartGang reports whether all members of a gang may be begun, those on one worker
+// together.
+func (s *State) mayStartGang(spec *Step, step *StepState, runs []Run) bool {
+	members := map[string]int{}
+	for _, run := range runs {
+		if !s.mayStart(spec, step, run) {
+			return false
+		}
+		members[run.Worker]++
+	}
+	for id, n := range members {
+		if s.copiesOn(s.Workers[id], spec) < n {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *State) end(e *WorkerEnds) {
 	if worker := s.Workers[e.Worker]; worker != nil {
 		worker.Seen = max(worker.Seen, e.Seen)
@@ -305,14 +332,17 @@
 }
 
 // announce takes in a worker. Another incarnation at the same address takes the
-// place of the one before only when that one is said to be gone.
+// place of the one before only when that one is said to be gone. Of two heartbeats that
+// are committed out of order the later one holds.
 func (s *State) announce(w *Worker) {
 	known := s.Workers[w.ID]
 	if known == nil {
 		s.Workers[w.ID] = &WorkerState{Worker: *w}
 		return
 	}
-	known.Worker = *w
+	if w.Sequence >= known.Sequence {
+		known.Worker = *w
+	}
 }
 
 // workerGone ends every run of a worker that runs nothing any more.
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -235,6 +235,9 @@
 	Capacity   Resources `cbor:"7,keyasint"`
 	// Draining workers finish what they run and get nothing new.
 	Draining bool `cbor:"10,keyasint,omitempty"`
+	// Sequence is that of the heartbeat that said so; it grows with each one of the
+	// incarnation.
+	Sequence uint64 `cbor:"13,keyasint,omitempty"`
 }
 
 // WorkerState is what the log remembers of a worker.
