A task waits until it is known whether enough of its workers have crashed; crashes and shrinking workers in the search

Cause: only crashes that are known were counted against a task. Change: runs that ended with the lease of a worker of which nothing is known count beside them; a task with five in all waits. A worker that is silent for so long that it isn't looked for any more counts as crashed; one that answers again in its incarnation doesn't.

--- a/internal/control/search_disturb_test.go
+++ b/internal/control/search_disturb_test.go
@@ -52,7 +52,7 @@
 
 // disturb makes one fault.
 func (x *search) disturb() {
-	kind := x.random.IntN(13)
+	kind := x.random.IntN(14)
 	spell := between(x.random, 30*time.Millisecond, longestSpell)
 	until := time.Now().Add(spell)
 	x.lines.say("disturbance %d for %v", kind, spell)
@@ -69,6 +69,10 @@
 		x.changeLeader()
 	case 12:
 		x.adviser.cut(fmt.Sprint("lane", x.random.IntN(x.drawn.lanes)), until)
+	case 13:
+		if x.drawn.shrinks {
+			x.shrinkSome()
+		}
 	default:
 		x.disturbLog(kind, until)
 	}
@@ -122,9 +126,7 @@
 		return
 	}
 	x.workers.crash(w)
-	life := 0
-	if _, err := fmt.Sscanf(w.ID, w.Address+".%d", &life); err != nil || !back {
-		return
+	if back {
+		x.workers.comeBack(w, away)
 	}
-	time.AfterFunc(away, func() { x.workers.add(w.Address, life+1) })
 }
--- a/internal/control/search_draw_test.go
+++ b/internal/control/search_draw_test.go
@@ -36,6 +36,10 @@
 	// faults are the chances of a call, spells the mean time between two disturbances.
 	faults faultChances
 	spells time.Duration
+	// crashers is the chance of a task to crash each worker that begins it, shrinks says
+	// that capacities change.
+	crashers float64
+	shrinks  bool
 }
 
 // faultChances are the chances of one call.
@@ -89,6 +93,10 @@
 		d.refused = 20 + random.IntN(200)
 	}
 	d.drawFaults(random)
+	if oneIn(random, 2) {
+		d.crashers = logUniform(random, 0.001, 0.02)
+	}
+	d.shrinks = oneIn(random, 2)
 	for i := range 1 + random.IntN(4) {
 		d.queues = append(d.queues, drawQueue(random, i))
 	}
--- a/internal/control/search_test.go
+++ b/internal/control/search_test.go
@@ -53,6 +53,7 @@
 		drawn: x.drawn, seed: seed, stepOf: x.stepOf, lines: x.lines, at: map[string]*searchWorker{}, calls: map[string]int{},
 		startedAt: map[workflow.TaskKey][]time.Time{}, doneAt: map[workflow.TaskKey]time.Time{}, complete: map[gangRun]bool{},
 		lastStart: map[workflow.StepKey]time.Time{}, mayClaim: map[string]bool{},
+		crashes: map[workflow.TaskKey]int{}, afterThird: map[workflow.TaskKey]int{},
 	}
 	x.adviser = &searchAdviser{
 		drawn: x.drawn, seed: seed, policyOf: x.adviceOf, stepOf: x.stepOf, calm: x.isCalm, random: rand.New(rand.NewPCG(seed, 5)), busy: map[string]time.Time{}, cutUntil: map[string]time.Time{},
@@ -133,15 +134,16 @@
 			}
 		}
 		x.workers.mu.Lock()
-		var heard []workflow.Worker
+		var heard []*Announcement
 		for i, w := range x.workers.all {
 			if w.reachable(time.Now()) && i%heartbeatEach == beat%heartbeatEach {
-				heard = append(heard, w.Worker)
+				w.Sequence++
+				heard = append(heard, &Announcement{Worker: w.Worker, Sequence: w.Sequence})
 			}
 		}
 		x.workers.mu.Unlock()
-		for _, w := range heard {
-			go func() { _, _ = c.Announce(ctx, &Announcement{Worker: w}) }()
+		for _, call := range heard {
+			go func() { _, _ = c.Announce(ctx, call) }()
 		}
 		select {
 		case <-ctx.Done():
@@ -229,6 +231,7 @@
 	x.mu.Unlock()
 	x.workers.mu.Lock()
 	x.workers.calm = true
+	x.workers.growAll()
 	x.workers.mu.Unlock()
 	x.store.mu.Lock()
 	x.store.slowUntil, x.store.heldUntil, x.store.fullUntil = time.Time{}, time.Time{}, time.Time{}
@@ -274,8 +277,9 @@
 	x.workers.mu.Lock()
 	defer x.workers.mu.Unlock()
 	d := x.drawn
-	x.t.Logf("workers %d, lanes %d, share %.2f, lease %v, load %.2f, burst %.2f, hopeless %d, refused %d, faults %+v; jobs %d, starts %d, questions %d, leaders %d, most behind %d, log refused %d, left open %d, virtual %v",
-		d.workers, d.lanes, d.share, d.lease, d.load, d.burst, d.hopeless, d.refused, d.faults, x.jobs, x.workers.starts, x.adviser.asked, x.term, x.behind,
+	crashers, others := x.givenUp()
+	x.t.Logf("crashers %.4f, shrinks %t; given up %d crashers, %d others; workers %d, lanes %d, share %.2f, lease %v, load %.2f, burst %.2f, hopeless %d, refused %d, faults %+v; jobs %d, starts %d, questions %d, leaders %d, most behind %d, log refused %d, left open %d, virtual %v",
+		d.crashers, d.shrinks, crashers, others, d.workers, d.lanes, d.share, d.lease, d.load, d.burst, d.hopeless, d.refused, d.faults, x.jobs, x.workers.starts, x.adviser.asked, x.term, x.behind,
 		x.store.refused, x.store.opened, time.Since(x.begun).Round(time.Millisecond))
 }
 
--- a/internal/control/search_verdict_test.go
+++ b/internal/control/search_verdict_test.go
@@ -25,6 +25,7 @@
 	x.workers.mu.Lock()
 	found := append(slices.Clone(x.workers.broken), x.lines.claims(x.workers.mayClaim)...)
 	x.workers.mu.Unlock()
+	found = append(found, x.givenUpWrongly()...)
 	c := x.controller()
 	c.mu.Lock()
 	t := c.tenure
@@ -97,7 +98,7 @@
 		if s.spec.Gang {
 			least *= s.spec.Count
 		}
-		if len(s.unbegun) == 0 || s.room < least || usedMost || now.Before(from) {
+		if x.mayBeHeld(s.key.Job) || len(s.unbegun) == 0 || s.room < least || usedMost || now.Before(from) {
 			continue
 		}
 		waiting[s.key] = true
--- a/internal/control/search_worker_test.go
+++ b/internal/control/search_worker_test.go
@@ -28,6 +28,9 @@
 	// partialUntil until when its lists aren't whole.
 	cutUntil, sickUntil, partialUntil time.Time
 	gone                              bool
+	// had is what its capacity was before it last changed, at changedAt.
+	had       workflow.Resources
+	changedAt time.Time
 	// changed is closed when a run ends.
 	changed chan struct{}
 }
@@ -69,6 +72,9 @@
 	// mayClaim are the runs that a leader may find without an owner: those whose start was
 	// misdirected.
 	mayClaim map[string]bool
+	// crashes counts the workers that crashed under a task, afterThird the starts of a task
+	// that crashes its workers after the third of them.
+	crashes, afterThird map[workflow.TaskKey]int
 }
 
 // add lets an incarnation begin at an address.
@@ -88,6 +94,9 @@
 // crash ends an incarnation and what runs there.
 func (r *searchWorkers) crash(w *searchWorker) {
 	w.gone = true
+	for task := range w.running {
+		r.crashes[task]++
+	}
 	clear(w.running)
 	delete(r.at, w.Address)
 	w.wake()
@@ -157,10 +166,14 @@
 		return 0, errNoAnswer
 	}
 	r.mu.Lock()
-	err = carryOut(w)
+	// It may have crashed while the call was on its way.
+	gone := w.gone
+	if !gone {
+		err = carryOut(w)
+	}
 	clock := w.clockMS(time.Now())
 	r.mu.Unlock()
-	if f.unanswered {
+	if f.unanswered || gone {
 		<-ctx.Done()
 	}
 	if !wait.For(ctx, f.back) || ctx.Err() != nil {
@@ -230,6 +243,7 @@
 		return &RefusedError{RefusedTicket}
 	}
 	w.running[task] = r.newRun(o.Run, step, now)
+	r.crashLater(w, o.Run)
 	r.starts++
 	r.lastStart[task.StepKey] = now
 	r.check(w, task, step)
@@ -263,7 +277,7 @@
 	if live > 1 && !step.Speculative || live > maxRunsOfTask {
 		r.broken = append(r.broken, fmt.Sprintf("%d runs of %s", live, task))
 	}
-	if used := w.used(); !used.Fits(w.Capacity) {
+	if used := w.used(); !used.Fits(w.capacityTold(time.Now())) {
 		r.broken = append(r.broken, fmt.Sprintf("%s holds %v of %v", w.ID, used, w.Capacity))
 	}
 }
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -273,6 +273,10 @@
 	if !quiet {
 		return false
 	}
+	if missing := s.missing(); len(missing) > 0 {
+		t.commitSurely(&workflow.Command{Ends: &workflow.WorkerEnds{Worker: s.worker.ID, GivenUp: true}})
+		t.logEndedJobs(missing)
+	}
 	t.mu.Lock()
 	delete(t.sessions, s.worker.ID)
 	t.mu.Unlock()
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -289,10 +289,10 @@
 		if len(t.proposed) > 0 {
 			_, proposed = t.proposed[workflow.TaskKey{StepKey: key, Index: i}]
 		}
-		if proposed && spec.Gang {
+		if spec.Gang && (proposed || task.Held()) {
 			return nil
 		}
-		if !task.Done && task.Live == 0 && !proposed {
+		if !task.Done && !task.Held() && task.Live == 0 && !proposed {
 			pending = append(pending, i)
 		}
 	}
--- a/workflow/apply.go
+++ b/workflow/apply.go
@@ -37,6 +37,9 @@
 	Ends []RunEnd `cbor:"3,keyasint"`
 	// Returned says that the worker has answered again after its lease had ended.
 	Returned bool `cbor:"4,keyasint,omitempty"`
+	// GivenUp says that the worker has been silent for so long that it isn't looked for any
+	// more: what its lease ended counts as ended by a crash.
+	GivenUp bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Encode returns the command as the log carries it.
@@ -208,7 +211,7 @@
 		return false
 	}
 	task := &step.Tasks[run.Task.Index]
-	if task.Done {
+	if task.Done || task.Held() {
 		return false
 	}
 	_, there := s.Runs[run.Worker][run.Task]
@@ -243,7 +246,10 @@
 	if worker := s.Workers[e.Worker]; worker != nil {
 		worker.Seen = max(worker.Seen, e.Seen)
 		if e.Returned {
-			worker.Missing = nil
+			s.dropMissing(worker)
+		}
+		if e.GivenUp {
+			s.countMissing(worker)
 		}
 	}
 	for _, end := range e.Ends {
@@ -353,9 +359,10 @@
 	}
 	worker.Gone = true
 	if crashed {
-		s.settleMissing(worker)
+		s.countMissing(worker)
+	} else {
+		s.dropMissing(worker)
 	}
-	worker.Missing = nil
 	for _, run := range sortedRuns(s.Runs[id]) {
 		s.endRun(id, RunEnd{Task: run.Task, Number: run.Number, Outcome: OutcomeLost})
 	}
--- a/workflow/crash.go
+++ b/workflow/crash.go
@@ -24,6 +24,13 @@
 // Suspect reports whether a worker has crashed under the task.
 func (t *Task) Suspect() bool { return len(t.CrashedOn) > 0 }
 
+// Held reports whether the task waits until it is known of enough workers whether they have
+// crashed.
+//
+// Failure guarded against: workers stay away for longer than their leases. Each crash is
+// known only after the task has begun on the next workers, and they crash as well.
+func (t *Task) Held() bool { return t.Missing > 0 && len(t.CrashedOn)+t.Missing >= mostCrashes }
+
 // noteLoss takes in what the end of a run says of crashes. A run that ended with its
 // worker's lease counts once it is known that the worker has crashed.
 func (s *State) noteLoss(worker string, job *Job, spec *Step, task *Task, end RunEnd) {
@@ -34,18 +41,30 @@
 	case end.Outcome == OutcomeLost && s.Workers[worker] != nil:
 		state := s.Workers[worker]
 		state.Missing = append(state.Missing, RunEnd{Task: end.Task, Number: end.Number, Suspicion: end.Suspicion})
+		task.Missing++
+	}
+}
+
+// countMissing counts a crash against each task whose run had ended with the lease of a
+// worker that is now taken for crashed.
+func (s *State) countMissing(worker *WorkerState) {
+	missing := worker.Missing
+	s.dropMissing(worker)
+	for _, end := range missing {
+		if job, _ := s.step(end.Task.StepKey); job != nil {
+			s.noteCrash(worker.ID, job, &job.Steps[end.Task.Step], s.Task(end.Task), end)
+		}
 	}
 }
 
-// settleMissing counts a crash against each task whose run had ended with the lease of a
-// worker that is now known to have crashed.
-func (s *State) settleMissing(worker *WorkerState) {
-	for _, missing := range worker.Missing {
-		job, _ := s.step(missing.Task.StepKey)
-		if job != nil {
-			s.noteCrash(worker.ID, job, &job.Steps[missing.Task.Step], s.Task(missing.Task), missing)
+// dropMissing forgets the runs that ended with a worker's lease: it hasn't crashed.
+func (s *State) dropMissing(worker *WorkerState) {
+	for _, end := range worker.Missing {
+		if task := s.Task(end.Task); task != nil {
+			task.Missing--
 		}
 	}
+	worker.Missing = nil
 }
 
 // noteCrash counts a crash against a task, and gives its job up where it is the task that
--- a/workflow/crash_test.go
+++ b/workflow/crash_test.go
@@ -110,3 +110,24 @@
 	c.end(c.next(), OutcomeCrashed, SuspicionWeak)
 	must.SliceEmpty(t, c.s.begin("w1", key(0, 0)))
 }
+
+// Guards against a task that takes down one worker after the other while it isn't known yet
+// that they have crashed.
+func TestATaskWaitsUntilItIsKnownWhetherItsWorkersCrashed(t *testing.T) {
+	c := newCrashes(t, small(1))
+	var runs []Run
+	for range mostCrashes {
+		run := c.next()
+		c.end(run, OutcomeLost, SuspicionWeak)
+		runs = append(runs, run)
+	}
+	must.SliceEmpty(t, c.s.begin("w1", key(0, 0)))
+	c.s.Apply(12, &Command{Ends: &WorkerEnds{Worker: runs[0].Worker, Returned: true}})
+	must.SliceLen(t, 1, c.s.begin("w1", key(0, 0)))
+	c.end(Run{Task: key(0, 0), Number: mostCrashes + 1, Worker: "w1"}, OutcomeCrashed, SuspicionWeak)
+	for _, run := range runs[1:] {
+		must.False(t, c.failed())
+		c.s.Apply(13, &Command{Ends: &WorkerEnds{Worker: run.Worker, GivenUp: true}})
+	}
+	must.True(t, c.failed())
+}
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -21,6 +21,9 @@
 	// of these crashes speak strongly against the task.
 	CrashedOn     []string `cbor:"6,keyasint,omitempty"`
 	StrongCrashes int      `cbor:"7,keyasint,omitempty"`
+	// Missing counts the workers whose lease ended under the task's runs and of which it
+	// isn't known yet whether they have crashed.
+	Missing int `cbor:"8,keyasint,omitempty"`
 }
 
 // StepState holds the tasks of a step of one occurrence.
