A data centre's own log gives a task up that crashes its workers

Five restarts under its attempts end it now; a service's tasks aren't counted, nor ends of leases, which tell nothing of a crash, nor restarts of workers that drain.

The test was red without the rule (a sixth restart).

--- a/internal/state/change.go
+++ b/internal/state/change.go
@@ -22,7 +22,7 @@
 	}
 	draining := false
 	if w != nil {
-		s.loseAttempts(now, w, "worker restarted")
+		s.loseAttempts(now, w, "worker restarted", !w.Down && !w.Draining)
 		draining = w.Draining
 	}
 	s.Workers[c.ID] = &Worker{ID: c.ID, Incarnation: c.Incarnation, Rack: c.Rack, Capacity: c.Capacity, Draining: draining}
@@ -36,7 +36,7 @@
 	if w == nil || w.Incarnation != c.Incarnation || w.Down {
 		return Result{}
 	}
-	s.loseAttempts(now, w, "lease of worker ended")
+	s.loseAttempts(now, w, "lease of worker ended", false)
 	w.Down = true
 	s.changes.Workers[c.ID] = struct{}{}
 	reason := "lease ended"
@@ -50,12 +50,17 @@
 // loseAttempts ends every attempt on an incarnation that is over. Idempotent
 // tasks queue again. The fate of non-idempotent ones can't be known: the start
 // may or may not have reached the worker.
-func (s *State) loseAttempts(now int64, w *Worker, detail string) {
+func (s *State) loseAttempts(now int64, w *Worker, detail string, crashed bool) {
 	for _, ref := range s.OnWorker(w.ID) {
 		j, t := s.task(ref)
 		s.release(j, int(ref.Task))
 		t.Ended = now
-		if j.Spec.Idempotent {
+		if crashed {
+			t.Crashes++
+		}
+		if t.crashesWorkers(j) {
+			t.State = TaskFailed
+		} else if j.Spec.Idempotent {
 			s.requeueOr(now, j, t, TaskCancelled)
 		} else {
 			t.State = TaskUnknown
@@ -65,6 +70,18 @@
 	}
 }
 
+// mostCrashes is how many workers may restart under a task's attempts before it is given up.
+const mostCrashes = 5
+
+// crashesWorkers reports whether the task is given up for the workers that restarted under
+// it. A service's tasks meet many a restart that isn't theirs.
+//
+// Failure guarded against: a task crashes each worker that starts it, and is queued again
+// without end.
+func (t *Task) crashesWorkers(j *Job) bool {
+	return t.Crashes >= mostCrashes && j.Spec.Idempotent && j.Spec.Policy != placement.Service
+}
+
 func (s *State) drain(now int64, c *Drain) Result {
 	if first, ok := s.recall(c.Request); ok {
 		return first
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -299,6 +299,22 @@
 	}
 }
 
+// Guards against a task that takes one worker after the other down, without end.
+func TestATaskThatCrashesItsWorkersFails(t *testing.T) {
+	s := New("hall")
+	up := func(life uint64) {
+		s.Apply(1, &Command{WorkerUp: &WorkerUp{ID: "w", Incarnation: life, Capacity: placement.Resources{CPU: 4000, Memory: 4096}}})
+	}
+	up(1)
+	spec := Spec{Name: "nightly", Policy: placement.Batch, Tasks: 1, Need: placement.Resources{CPU: 1, Memory: 1}, Idempotent: true}
+	job := s.Apply(2, &Command{Submit: &Submit{Request: Request{ID: "r"}, Customer: "c", Spec: spec}}).Job
+	for life := uint64(1); s.Jobs[job].State != JobFailed; life++ {
+		must.LessEq(t, mostCrashes, life, must.Sprint("workers crashed by one task"))
+		s.Apply(3, &Command{Start: &Start{Items: []StartItem{{Job: job, Worker: "w"}}}})
+		up(life + 1)
+	}
+}
+
 // What a user sees: a job that was cancelled while it was handed over doesn't
 // run on unseen in the other data centre.
 // Order: the job is offered; its customer cancels it; the other data centre's
--- a/internal/state/types.go
+++ b/internal/state/types.go
@@ -84,6 +84,8 @@
 	// Raised is what the account carries for the attempt where measurements of
 	// earlier runs showed more than the declared need.
 	Raised placement.Resources `cbor:"12,keyasint,omitempty"`
+	// Crashes counts the workers that restarted under the task's attempts.
+	Crashes int `cbor:"13,keyasint,omitempty"`
 }
 
 // Job is one accepted piece of work.
