--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -52,6 +52,8 @@
 	// clockMS is what the worker's clock showed at or before clockAt here.
 	clockMS int64
 	clockAt time.Time
+	// born is when the life began that answered last, as it says itself.
+	born int64
 	// listsSent is when the look was sent that the last whole lists answered.
 	listsSent time.Time
 	// leaseEnd is when, by this process's clock, whatever runs there has ended,
