The soak's workers keep their ids over lives; the list of machines means the latest life

The list of machines names workers only: its entries are given the latest life at each decision, since the list is some time old. No fault was seen for it.

--- a/internal/control/crash.go
+++ b/internal/control/crash.go
@@ -100,6 +100,11 @@
 	return ends
 }
 
+// commitReturned commits that the worker answers again, so that it hasn't crashed.
+func (s *session) commitReturned() {
+	s.t.commitSurely(&workflow.Command{Ends: &workflow.WorkerEnds{Worker: s.worker.ID, Returned: true}})
+}
+
 // noteCrasher tells of a job that was given up for a task that crashed its workers. t.mu is
 // held.
 func (t *tenure) noteCrasher(s *workflow.State, job *workflow.Job) {
--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -8,6 +8,7 @@
 
 	"github.com/bilberryferry/bilberryferry/fleet"
 	"github.com/bilberryferry/bilberryferry/internal/wait"
+	"github.com/bilberryferry/bilberryferry/workflow"
 )
 
 const (
@@ -83,10 +84,24 @@
 		t.readMachines(now)
 	}
 	if now.Sub(t.machines.listedAt) < listStale {
+		t.machines.nameLives(t.c.state)
 		decide(now)
 	}
 }
 
+// nameLives takes for the worker on each machine its latest life, since the list names
+// workers only, and is some time old.
+func (m *machines) nameLives(state *StateMachine) {
+	state.read(func(s *workflow.State) {
+		for id, listed := range m.list {
+			if newest := s.Newest(listed.Name); newest != nil {
+				listed.Worker = newest.ID
+				m.list[id] = listed
+			}
+		}
+	})
+}
+
 // readMachines reads the whole list. What it doesn't hold has left for good.
 func (t *tenure) readMachines(now time.Time) {
 	m := t.machines
@@ -112,7 +127,6 @@
 			return nil, err
 		}
 		for _, m := range answer.Machines {
-			m.Worker = t.latestLife(m.Worker, m.Worker)
 			list[m.ID] = m
 		}
 		unreadable += answer.Unreadable
--- a/internal/control/ports.go
+++ b/internal/control/ports.go
@@ -156,8 +156,9 @@
 	ID    string
 	Pool  string
 	State MachineState
-	// Worker names the worker that lives on the machine, empty for none; of its lives the
-	// latest one does.
+	// Name is that of the worker that lives on the machine, empty for none or where each
+	// incarnation has a name of its own, and Worker its incarnation.
+	Name     string
 	Worker   string
 	Capacity workflow.Resources
 }
--- a/internal/control/report.go
+++ b/internal/control/report.go
@@ -18,12 +18,7 @@
 	first := !s.ready
 	s.ready = true
 	returned := first && len(s.missing()) > 0
-	s.answeredAt, s.doubted = now, false
-	if report.ClockMS > 0 {
-		// The lists are this life's, so its clock is.
-		s.clockMS, s.clockAt = report.ClockMS, now
-	}
-	s.noteClock(report.ClockMS, now)
+	s.noteLists(report.ClockMS, now)
 	ends, seen := s.listedEnds(report, now)
 	ends = append(ends, s.neverStarted(report, ends, sent)...)
 	strangers := s.noteRunning(report, sent, now)
@@ -43,9 +38,7 @@
 	}
 	if returned {
 		// No other list of this tenure would say so.
-		t.goTask(func() {
-			t.commitSurely(&workflow.Command{Ends: &workflow.WorkerEnds{Worker: s.worker.ID, Returned: true}})
-		})
+		t.goTask(s.commitReturned)
 	}
 	if seen > 0 || len(ends) > 0 {
 		s.logEnds(ends)
@@ -55,6 +48,16 @@
 	}
 }
 
+// noteLists takes in that this life of the worker has just answered a look. t.mu is held.
+func (s *session) noteLists(clockMS int64, now time.Time) {
+	s.answeredAt, s.doubted = now, false
+	if clockMS > 0 {
+		// A clock that jumped before was another life's.
+		s.clockMS, s.clockAt = clockMS, now
+	}
+	s.noteClock(clockMS, now)
+}
+
 func (s *session) logEnds(ends []workflow.RunEnd) {
 	for _, end := range ends {
 		s.t.c.cfg.Counters.Add("ends_"+end.Outcome.String(), 1)
