explain names the workers that crashed under a task

A job that was given up showed only its phase; which task and which workers stood in the leader's lines alone. The status of a step lists them now, with the task that the job was given up for.

--- a/internal/apiserver/apiserver.go
+++ b/internal/apiserver/apiserver.go
@@ -146,10 +146,16 @@
 func statusToAPI(reply *control.ExplainReply) *apiv1.WorkflowStatus {
 	status := &apiv1.WorkflowStatus{Queue: reply.Queue, Id: reply.ID, Phase: reply.Phase.String()}
 	for _, step := range reply.Steps {
-		status.Steps = append(status.Steps, &apiv1.StepStatus{
+		shown := &apiv1.StepStatus{
 			Occurrence: int32(step.Key.Occurrence), Step: int32(step.Key.Step), Tasks: int32(step.Tasks),
 			Done: int32(step.Done), Running: int32(step.Running), Failures: int32(step.Failures),
-		})
+		}
+		for _, crashes := range step.Crashes {
+			shown.Crashes = append(shown.Crashes, &apiv1.TaskCrashes{
+				Task: int32(crashes.Task), Workers: crashes.Workers, GivenUp: crashes.GivenUp,
+			})
+		}
+		status.Steps = append(status.Steps, shown)
 	}
 	return status
 }
--- a/internal/apiserver/apiserver_test.go
+++ b/internal/apiserver/apiserver_test.go
@@ -41,7 +41,10 @@
 	key := workflow.StepKey{Job: r.Place.ID, Step: 1}
 	return control.ExplainReply{
 		Queue: r.Place.Queue, ID: r.Place.ID, Phase: workflow.PhaseActive,
-		Steps: []control.StepProgress{{Key: key, Tasks: 4, Done: 1, Running: 2, Failures: 3}},
+		Steps: []control.StepProgress{{
+			Key: key, Tasks: 4, Done: 1, Running: 2, Failures: 3,
+			Crashes: []control.TaskCrashes{{Task: 2, Workers: []string{"w1", "w2"}, GivenUp: true}},
+		}},
 		Waiting: []control.StepExplanation{{
 			Key: key, Tasks: 1, Reason: dispatch.ReasonNoRoom, Permitted: 5, Refused: 6, Unknown: 7,
 			Workers: []dispatch.Count{{Reason: dispatch.ReasonFull, Workers: 5, Example: "w1"}},
@@ -133,6 +136,10 @@
 	must.NoError(t, err)
 	must.Eq(t, "active", explained.GetStatus().GetPhase())
 	must.Eq(t, int32(2), explained.GetStatus().GetSteps()[0].GetRunning())
+	crashes := explained.GetStatus().GetSteps()[0].GetCrashes()[0]
+	must.Eq(t, int32(2), crashes.GetTask())
+	must.Eq(t, []string{"w1", "w2"}, crashes.GetWorkers())
+	must.True(t, crashes.GetGivenUp())
 	must.Eq(t, string(dispatch.ReasonNoRoom), explained.GetSteps()[0].GetReason())
 	must.Eq(t, int32(5), explained.GetSteps()[0].GetWorkers()[0].GetWorkers())
 	must.Eq(t, int32(7), explained.GetSteps()[0].GetUnknown())
--- a/internal/cli/workflow.go
+++ b/internal/cli/workflow.go
@@ -136,6 +136,21 @@
 			text("%d", step.GetDone()), text("%d", step.GetRunning()), text("%d", step.GetFailures()))
 	}
 	t.print(s)
+	for _, step := range status.GetSteps() {
+		for _, crashes := range step.GetCrashes() {
+			fmt.Fprintln(out, oneLine(describeCrashes(step, crashes)))
+		}
+	}
+}
+
+// describeCrashes says which workers crashed under a task, and whether the workflow was
+// given up for it.
+func describeCrashes(step *apiv1.StepStatus, crashes *apiv1.TaskCrashes) string {
+	line := fmt.Sprintf("step %d, task %d: workers crashed under it: %s", step.GetStep(), crashes.GetTask(), strings.Join(crashes.GetWorkers(), ", "))
+	if crashes.GetGivenUp() {
+		line += "; given up for that"
+	}
+	return line
 }
 
 func (s *session) cancelWorkflow(ctx context.Context, ref *apiv1.WorkflowRef) error {
--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -141,6 +141,16 @@
 	Done     int              `cbor:"3,keyasint"`
 	Running  int              `cbor:"4,keyasint"`
 	Failures int              `cbor:"5,keyasint"`
+	// Crashes are of the tasks that workers have crashed under.
+	Crashes []TaskCrashes `cbor:"6,keyasint,omitempty"`
+}
+
+// TaskCrashes names the workers that crashed under a task, the earliest first.
+type TaskCrashes struct {
+	Task    int      `cbor:"1,keyasint"`
+	Workers []string `cbor:"2,keyasint"`
+	// GivenUp says that the job was given up for this task.
+	GivenUp bool `cbor:"3,keyasint,omitempty"`
 }
 
 // StepExplanation is what a ready step's tasks wait for.
--- a/internal/control/crash_test.go
+++ b/internal/control/crash_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -58,6 +59,16 @@
 	}
 }
 
+// Guards against a job that fails for no reason that its owner could see.
+func TestExplainNamesTheWorkersThatCrashedUnderATask(t *testing.T) {
+	c := newCrasher(t)
+	for !c.crashNext(0) {
+	}
+	reply, err := c.w.c.Explain(context.Background(), &ExplainCall{Place: Place{Host: "h", Path: "/q/a"}})
+	must.NoError(t, err)
+	must.Eq(t, []TaskCrashes{{Task: 0, Workers: []string{"w1", "w2", "w3"}, GivenUp: true}}, reply.Steps[0].Crashes)
+}
+
 // Guards against crashes that don't count where the lease had ended, and the run with it,
 // before another incarnation answered.
 func TestACrashThatIsKnownAfterTheLeaseCounts(t *testing.T) {
--- a/internal/control/explain.go
+++ b/internal/control/explain.go
@@ -46,15 +46,31 @@
 			for i := range state.Tasks {
 				failures += state.Tasks[i].Failures
 			}
+			key := workflow.StepKey{Job: job.ID, Occurrence: occurrence, Step: step}
 			steps = append(steps, StepProgress{
-				Key:   workflow.StepKey{Job: job.ID, Occurrence: occurrence, Step: step},
-				Tasks: len(state.Tasks), Done: state.Done, Running: state.Live(), Failures: failures,
+				Key: key, Tasks: len(state.Tasks), Done: state.Done, Running: state.Live(), Failures: failures,
+				Crashes: crashesOf(job, key, state),
 			})
 		}
 	}
 	return steps
 }
 
+// crashesOf returns the tasks of a step that workers have crashed under.
+func crashesOf(job *workflow.Job, key workflow.StepKey, state *workflow.StepState) []TaskCrashes {
+	var crashes []TaskCrashes
+	for i := range state.Tasks {
+		if !state.Tasks[i].Suspect() {
+			continue
+		}
+		task := workflow.TaskKey{StepKey: key, Index: i}
+		crashes = append(crashes, TaskCrashes{
+			Task: i, Workers: slices.Clone(state.Tasks[i].CrashedOn), GivenUp: job.Crasher != nil && *job.Crasher == task,
+		})
+	}
+	return crashes
+}
+
 // explain explains the ready steps of a job that have tasks left to start.
 func (t *tenure) explain(id string, now time.Time) []StepExplanation {
 	v := t.snapshot(now)
