Crashes some seconds after the start count against tasks that last as well

A task that lasts and crashes its workers later than a second after each start was started again without end: its weak crashes didn't count at all. They do now, but for runs under which the worker has answered for ten seconds.

--- a/internal/control/crash.go
+++ b/internal/control/crash.go
@@ -12,6 +12,9 @@
 	// strongAge is how old a run is at most, by its worker's last answer, for the worker's
 	// crash to speak strongly against it.
 	strongAge = time.Second
+	// settledAge is how old a run of a task that lasts must be for its worker's crash not to
+	// be its own.
+	settledAge = 10 * time.Second
 	// probation is how long a worker must have answered under a run of a suspect task
 	// before it is given anything else.
 	probation = 500 * time.Millisecond
@@ -29,6 +32,9 @@
 // crashed. t.mu is held.
 func (s *session) suspicion(run workflow.Run) workflow.Suspicion {
 	o := s.orders[run.Task]
+	if o != nil && o.run.Number == run.Number && o.lasts && s.aliveFor(o) > settledAge {
+		return workflow.SuspicionNone
+	}
 	switch {
 	case o == nil || o.run.Number != run.Number:
 		// An earlier leader ordered it.
@@ -45,6 +51,18 @@
 	return workflow.SuspicionStrong
 }
 
+// aliveFor is how long the worker is known to have answered under a run. t.mu is held.
+func (s *session) aliveFor(o *order) time.Duration {
+	since := o.startedAt
+	if since.IsZero() {
+		since = o.firstAt
+	}
+	if since.IsZero() {
+		return 0
+	}
+	return s.lastAnswer().Sub(since)
+}
+
 // mayHaveBegun reports whether the worker may have been told to begin the run.
 func (o *order) mayHaveBegun() bool {
 	return !o.startedAt.IsZero() || o.listed || o.unanswered || !o.sentAt.IsZero()
--- a/internal/control/crash_test.go
+++ b/internal/control/crash_test.go
@@ -93,6 +93,34 @@
 	must.False(t, s.onProbation())
 }
 
+// Guards against a task that lasts and is given up for crashes that weren't its own, and one
+// that crashes its workers and isn't.
+func TestHowMuchSpeaksForARunHavingCrashedItsWorker(t *testing.T) {
+	now := time.Now()
+	run := workflow.Run{Task: task("a", 0), Number: 1, Worker: "w1"}
+	for name, c := range map[string]struct {
+		o    order
+		want workflow.Suspicion
+	}{
+		"never sent":             {order{}, workflow.SuspicionNone},
+		"no answer":              {order{unanswered: true}, workflow.SuspicionStrong},
+		"just begun":             {order{startedAt: now.Add(-strongAge)}, workflow.SuspicionStrong},
+		"begun a while ago":      {order{startedAt: now.Add(-2 * strongAge)}, workflow.SuspicionWeak},
+		"begun long ago":         {order{startedAt: now.Add(-2 * settledAge)}, workflow.SuspicionWeak},
+		"being stopped":          {order{startedAt: now, stopSent: now}, workflow.SuspicionWeak},
+		"lasts, just begun":      {order{startedAt: now, lasts: true}, workflow.SuspicionStrong},
+		"lasts, a while ago":     {order{startedAt: now.Add(-2 * strongAge), lasts: true}, workflow.SuspicionWeak},
+		"lasts, long ago":        {order{startedAt: now.Add(-2 * settledAge), lasts: true}, workflow.SuspicionNone},
+		"lasts, listed long ago": {order{listed: true, firstAt: now.Add(-2 * settledAge), lasts: true}, workflow.SuspicionNone},
+	} {
+		o := c.o
+		o.run = run
+		s := &session{orders: map[workflow.TaskKey]*order{run.Task: &o}, answeredAt: now}
+		must.Eq(t, c.want, s.suspicion(run), must.Sprint(name))
+	}
+	must.Eq(t, workflow.SuspicionWeak, (&session{}).suspicion(run), must.Sprint("ordered by an earlier leader"))
+}
+
 // Guards against a rack that loses power and takes the jobs of its workers with it: most
 // of their tasks were there for a while, and none has crashed a worker before.
 func TestTasksOfARackThatLosesPowerRunAgain(t *testing.T) {
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -54,6 +54,8 @@
 	resumed  bool
 	// gang says that the run is a member of one.
 	gang bool
+	// lasts says that the task runs until its job is cancelled.
+	lasts bool
 	// suspect says that a worker has crashed under the task before.
 	suspect bool
 	// usesSpare says that the task takes what processors others leave. share is what
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -202,7 +202,7 @@
 		o = &order{
 			run: run, ticket: ticket, estimate: estimate, resumed: checkpoint != "",
 			gang: job.Steps[run.Task.Step].Gang, usesSpare: job.Steps[run.Task.Step].UsesSpare, share: wholeShare,
-			sending: true, suspect: s.Task(run.Task).Suspect(),
+			sending: true, lasts: job.Steps[run.Task.Step].LongRunning, suspect: s.Task(run.Task).Suspect(),
 		}
 	})
 	return o, payload, checkpoint
--- a/internal/control/report.go
+++ b/internal/control/report.go
@@ -121,7 +121,8 @@
 			if job := state.Jobs[r.Task.Job]; o == nil && job != nil {
 				// What an earlier leader ordered, or a session before this one, is watched
 				// like an order of this one.
-				o = &order{run: run, usesSpare: job.Steps[r.Task.Step].UsesSpare, share: unknownShare}
+				spec := &job.Steps[r.Task.Step]
+				o = &order{run: run, usesSpare: spec.UsesSpare, lasts: spec.LongRunning, share: unknownShare}
 				s.orders[r.Task] = o
 			}
 			if o != nil {
--- a/workflow/apply.go
+++ b/workflow/apply.go
@@ -276,7 +276,7 @@
 		task.Checkpoint = end.Checkpoint
 	}
 	job.Begun = job.Begun || end.Outcome.begun()
-	s.noteLoss(worker, job, spec, task, end)
+	s.noteLoss(worker, job, task, end)
 	if spec.Gang {
 		s.endMember(job, spec, step, end)
 		return
--- a/workflow/crash.go
+++ b/workflow/crash.go
@@ -5,7 +5,8 @@
 
 // Suspicions of runs that ended with their workers.
 const (
-	// SuspicionNone: the run hadn't begun, or the worker didn't crash.
+	// SuspicionNone: the run hadn't begun, or had lasted for so long that the crash isn't its
+	// own.
 	SuspicionNone Suspicion = iota
 	// SuspicionWeak: the run was there, as may have been others.
 	SuspicionWeak
@@ -33,11 +34,11 @@
 
 // noteLoss takes in what the end of a run says of crashes. A run that ended with its
 // worker's lease counts once it is known that the worker has crashed.
-func (s *State) noteLoss(worker string, job *Job, spec *Step, task *Task, end RunEnd) {
+func (s *State) noteLoss(worker string, job *Job, task *Task, end RunEnd) {
 	switch {
 	case end.Suspicion == SuspicionNone:
 	case end.Outcome == OutcomeCrashed:
-		s.noteCrash(worker, job, spec, task, end)
+		s.noteCrash(worker, job, task, end)
 	case end.Outcome == OutcomeLost && s.Workers[worker] != nil:
 		state := s.Workers[worker]
 		state.Missing = append(state.Missing, RunEnd{Task: end.Task, Number: end.Number, Suspicion: end.Suspicion})
@@ -52,7 +53,7 @@
 	s.dropMissing(worker)
 	for _, end := range missing {
 		if job, _ := s.step(end.Task.StepKey); job != nil {
-			s.noteCrash(worker.ID, job, &job.Steps[end.Task.Step], s.Task(end.Task), end)
+			s.noteCrash(worker.ID, job, s.Task(end.Task), end)
 		}
 	}
 }
@@ -73,14 +74,12 @@
 // Failure guarded against: a task crashes each worker that starts it. Started again like
 // one whose worker was lost by chance, it takes one worker after the other down, with all
 // that runs there.
-func (s *State) noteCrash(worker string, job *Job, spec *Step, task *Task, end RunEnd) {
-	strong := end.Suspicion == SuspicionStrong
-	if job.Ended() || task.Done || spec.LongRunning && !strong {
-		// A task that lasts meets many a crash that isn't its own.
+func (s *State) noteCrash(worker string, job *Job, task *Task, end RunEnd) {
+	if job.Ended() || task.Done {
 		return
 	}
 	task.CrashedOn = append(task.CrashedOn, worker)
-	if strong {
+	if end.Suspicion == SuspicionStrong {
 		task.StrongCrashes++
 	}
 	if task.StrongCrashes >= strongCrashes || len(task.CrashedOn) >= mostCrashes {
