A session's first look takes note of nothing

Cause: only a call without an answer made a session doubt which life answers.

Change: a session doubts that until the first lists have come in. The new test was red before (look with 7 ends).

With it: Report.Born, which nothing reads any more, is gone; what speaks against a run is worked out in one place.

--- a/internal/control/crash.go
+++ b/internal/control/crash.go
@@ -13,7 +13,7 @@
 	// crash to speak strongly against it.
 	strongAge = time.Second
 	// settledAge is how old a run of a task that lasts must be for its worker's crash not to
-	// be its own.
+	// be held against it.
 	settledAge = 10 * time.Second
 	// probation is how long a worker must have answered under a run of a suspect task
 	// before it is given anything else.
@@ -32,26 +32,23 @@
 // crashed. t.mu is held.
 func (s *session) suspicion(run workflow.Run) workflow.Suspicion {
 	o := s.orders[run.Task]
-	if o != nil && o.run.Number == run.Number && o.lasts && s.aliveFor(o) > settledAge {
-		return workflow.SuspicionNone
-	}
-	switch {
-	case o == nil || o.run.Number != run.Number:
+	if o == nil || o.run.Number != run.Number {
 		// An earlier leader ordered it.
 		return workflow.SuspicionWeak
-	case !o.mayHaveBegun():
+	}
+	age := s.aliveFor(o)
+	inherited := o.startedAt.IsZero() && o.listed
+	switch {
+	case !o.mayHaveBegun(), o.lasts && age > settledAge:
 		return workflow.SuspicionNone
-	case !o.stopSent.IsZero():
-		return workflow.SuspicionWeak
-	case o.startedAt.IsZero() && o.listed:
-		return workflow.SuspicionWeak
-	case !o.startedAt.IsZero() && s.lastAnswer().Sub(o.startedAt) > strongAge:
+	case inherited, !o.stopSent.IsZero(), age > strongAge:
 		return workflow.SuspicionWeak
 	}
 	return workflow.SuspicionStrong
 }
 
-// aliveFor is how long the worker is known to have answered under a run. t.mu is held.
+// aliveFor is how long the worker is known to have answered under a run, 0 where no answer
+// has shown the run. t.mu is held.
 func (s *session) aliveFor(o *order) time.Duration {
 	since := o.startedAt
 	if since.IsZero() {
@@ -60,7 +57,7 @@
 	if since.IsZero() {
 		return 0
 	}
-	return s.lastAnswer().Sub(since)
+	return max(s.lastAnswer().Sub(since), 0)
 }
 
 // mayHaveBegun reports whether the worker may have been told to begin the run.
@@ -83,30 +80,24 @@
 }
 
 // logLost says of each run that ends with its worker how old it was when the worker last
-// answered, and how many runs of its task were begun: the same task again and again, young
-// each time, is one that crashes its workers.
+// answered: the same task again and again, young each time, is one that crashes its workers.
 func (s *session) logLost(ends []workflow.RunEnd, why string) {
 	t := s.t
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.c.cfg.Counters.Add("runs_lost", int64(len(ends)))
 	for _, end := range ends {
-		age, known := s.ageWhenHeard(end)
+		o := s.orders[end.Task]
+		known := o != nil && o.run.Number == end.Number
+		age := time.Duration(0)
+		if known {
+			age = s.aliveFor(o)
+		}
 		t.logger.Log("event", "run_lost", "task", end.Task, "run", end.Number, "worker", s.worker.ID,
 			"age_ms", age.Milliseconds(), "age_known", known, "beside", len(ends)-1, "outcome", end.Outcome, "cause", why)
 	}
 }
 
-// ageWhenHeard is how old a run was when its worker last answered; it isn't known of runs
-// whose start this tenure has no answer to. t.mu is held.
-func (s *session) ageWhenHeard(end workflow.RunEnd) (age time.Duration, known bool) {
-	o := s.orders[end.Task]
-	if o == nil || o.run.Number != end.Number || o.startedAt.IsZero() {
-		return 0, false
-	}
-	return max(s.lastAnswer().Sub(o.startedAt), 0), true
-}
-
 // missing returns the runs that ended with the worker's lease and may yet turn out to have
 // ended with a crash. t.mu may be held.
 func (s *session) missing() (ends []workflow.RunEnd) {
--- a/internal/control/life_test.go
+++ b/internal/control/life_test.go
@@ -166,3 +166,21 @@
 	slowest := 5 * time.Second * 100 / 98
 	must.LessEq(t, s.leaseEnd.Sub(s.clockAt), slowest, must.Sprint("a worker's clock may be 2% slow"))
 }
+
+// Guards against ends that count as taken note of before a list has shown them: a leader
+// that has just begun doesn't know that a worker has restarted since.
+func TestANewLeadersFirstLookTakesNoteOfNothing(t *testing.T) {
+	w := newWorld(t, func(w *world) {
+		w.workers.add("n1")
+		w.restart("n1", "n2")
+		w.commit(&workflow.Command{Worker: &life("n1", 1).Worker})
+		w.commit(&workflow.Command{Ends: &workflow.WorkerEnds{Worker: "n1", Seen: 7}})
+	})
+	w.announceLife("n2", 2)
+	w.eventually("the next life is looked after", func() bool { return w.isReady("n2") })
+	w.with("n2", func(f *fakeWorker) {
+		for _, look := range f.looks {
+			must.Eq(t, 0, look.Seen)
+		}
+	})
+}
--- a/internal/control/ports.go
+++ b/internal/control/ports.go
@@ -87,9 +87,6 @@
 	Ended   []Ended   `cbor:"3,keyasint,omitempty"`
 	// Partial says that more ends are waiting than one answer lists.
 	Partial bool `cbor:"4,keyasint,omitempty"`
-	// Born is when the life that made the lists began, in Unix milliseconds; 0 where the
-	// worker doesn't say it.
-	Born int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Refusal is why a worker didn't carry out an order.
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -53,8 +53,8 @@
 	// it whose runs aren't settled yet.
 	outlived bool
 	earlier  []*session
-	// doubted says that a call got no answer since the worker's last lists: another life may
-	// answer the next one.
+	// doubted says that no lists have come in yet, or that a call got no answer since the last
+	// ones: another life may answer the next one.
 	doubted bool
 	// heardAt is the last heartbeat, answeredAt the last answer to a look.
 	heardAt, answeredAt time.Time
--- a/internal/control/tenure.go
+++ b/internal/control/tenure.go
@@ -191,8 +191,10 @@
 		orders:    map[workflow.TaskKey]*order{},
 		strangers: map[workflow.Run]time.Time{},
 		heardAt:   time.Now(),
-		throttle:  throttle{share: wholeShare},
-		starting:  make(chan struct{}, startsAtOnce),
+		// What answers first may be another life than the log knows.
+		doubted:  true,
+		throttle: throttle{share: wholeShare},
+		starting: make(chan struct{}, startsAtOnce),
 		// A predecessor may have given a whole lease just before its right ended.
 		leaseEnd: t.started.Add(time.Duration(float64(t.lease)*driftFactor) + leaseSlack + predecessorSlack),
 	}
