One piece of code where the change had written it twice

Read again as a whole; behaviour stays. The longest that a worker's lease takes to end by this process's clock was worked out in four places, three of them older: lapsesWithin. That a call got no answer makes a session doubt which life answers: said where such a call is noted, not by each caller. end asks itself whether the worker has crashed; the one caller that said no, a leaving worker, was given the same answer.

Ruled out as twins: the stand-ins of path test, soak and search, which differ in what they check; the two loops over sessions as a worker appears, which ask different things of them.

--- a/internal/control/account.go
+++ b/internal/control/account.go
@@ -95,7 +95,7 @@
 		session := t.addSession(state.Worker, nil)
 		session.outlived = s.Outlived(&state.Worker)
 		// Starts of this tenure may have prolonged its lease until now.
-		session.leaseEnd = now.Add(time.Duration(float64(t.lease)*driftFactor) + leaseSlack)
+		session.leaseEnd = now.Add(lapsesWithin(t.lease))
 		t.goTask(session.run)
 	}
 	// The worker's first lists tell whether they are alive.
--- a/internal/control/crash.go
+++ b/internal/control/crash.go
@@ -20,8 +20,8 @@
 	probation = 500 * time.Millisecond
 )
 
-// crashed reports whether a worker whose address another incarnation answers at has
-// crashed: it neither announced its end nor was its machine to go down.
+// crashed reports whether a worker that is gone has crashed: it neither announced its end
+// nor was its machine to go down.
 func (s *session) crashed() bool {
 	s.t.mu.Lock()
 	defer s.t.mu.Unlock()
@@ -60,6 +60,14 @@
 	return max(s.lastAnswer().Sub(since), 0)
 }
 
+// lastAnswer is when the worker last answered a call of any kind. t.mu is held.
+func (s *session) lastAnswer() time.Time {
+	if s.clockAt.After(s.answeredAt) {
+		return s.clockAt
+	}
+	return s.answeredAt
+}
+
 // mayHaveBegun reports whether the worker may have been told to begin the run.
 func (o *order) mayHaveBegun() bool {
 	return !o.startedAt.IsZero() || o.listed || o.unanswered || !o.sentAt.IsZero()
--- a/internal/control/life.go
+++ b/internal/control/life.go
@@ -27,9 +27,8 @@
 // latestLife returns the incarnation that a call means which may name a worker only.
 func (t *tenure) latestLife(incarnation, name string) string {
 	t.c.state.read(func(s *workflow.State) {
-		if newest := s.Newest(name); s.Workers[incarnation] == nil && newest != nil {
-			incarnation = newest.ID
-		} else if incarnation == name && newest != nil {
+		namesNoLife := incarnation == name || s.Workers[incarnation] == nil
+		if newest := s.Newest(name); namesNoLife && newest != nil {
 			incarnation = newest.ID
 		}
 	})
@@ -61,7 +60,7 @@
 		latest.earlier = append(latest.earlier, s)
 		// Orders to the life before may be carried out by this one, with leases that its
 		// clock doesn't know: they are cut to the longest that it grants.
-		latest.leaseEnd = time.Now().Add(time.Duration(float64(t.c.cfg.Bounds.LeaseMax)*driftFactor) + leaseSlack)
+		latest.leaseEnd = time.Now().Add(lapsesWithin(t.c.cfg.Bounds.LeaseMax))
 		s.hurry()
 	}
 }
--- a/internal/control/life_test.go
+++ b/internal/control/life_test.go
@@ -29,6 +29,17 @@
 	w.with(before, func(f *fakeWorker) { f.next = next })
 }
 
+// startedLife is a leader that has started the one task of job a on the first life of
+// worker n.
+func startedLife(t *testing.T) *world {
+	w := newWorld(t, nil)
+	w.workers.add("n1")
+	w.announceLife("n1", 1)
+	w.submit("a", oneTask)
+	w.eventually("the task starts", func() bool { return w.started("n1") == 1 })
+	return w
+}
+
 // unansweredWorld is a leader that has sent the start of job a's task to the first life of
 // worker n, which answered nothing and has ended.
 func unansweredWorld(t *testing.T) *world {
@@ -80,11 +91,7 @@
 // Guards against work that nothing takes up (LOST): the runs of a life that is over count as
 // alive, since its worker answers.
 func TestRunsOfALifeThatIsOverAreStartedAgain(t *testing.T) {
-	w := newWorld(t, nil)
-	w.workers.add("n1")
-	w.announceLife("n1", 1)
-	w.submit("a", oneTask)
-	w.eventually("the task starts", func() bool { return w.started("n1") == 1 })
+	w := startedLife(t)
 	w.restart("n1", "n2")
 	w.announceLife("n2", 2)
 	w.eventually("the task starts again", func() bool { return w.started("n2") == 1 })
@@ -109,11 +116,7 @@
 // Guards against ends that count as taken note of before a list has shown them: a life that
 // has only begun is told the number of ends that the life before had listed.
 func TestALookThatAnotherLifeMayAnswerTakesNoteOfNothing(t *testing.T) {
-	w := newWorld(t, nil)
-	w.workers.add("n1")
-	w.announceLife("n1", 1)
-	w.submit("a", oneTask)
-	w.eventually("the task starts", func() bool { return w.started("n1") == 1 })
+	w := startedLife(t)
 	w.with("n1", func(f *fakeWorker) { f.finish(task("a", 0), workflow.OutcomeDone) })
 	w.eventually("the end is taken note of", func() bool {
 		seen := false
--- a/internal/control/looks.go
+++ b/internal/control/looks.go
@@ -30,9 +30,10 @@
 	return now.Sub(t.lostAt) < losingFor && !t.without.ShortLooks
 }
 
-// noteLost takes in that a call got no answer from a worker that has answered since
-// the call was sent. t.mu is held.
+// noteLost takes in that a call got no answer. From a worker that has answered since the
+// call was sent it has got lost. t.mu is held.
 func (s *session) noteLost(sent, now time.Time) {
+	s.doubted = true
 	if !s.answeredAt.After(sent) && !s.clockAt.After(sent) {
 		return
 	}
--- a/internal/control/report.go
+++ b/internal/control/report.go
@@ -51,11 +51,11 @@
 // noteLists takes in that this life of the worker has just answered a look. t.mu is held.
 func (s *session) noteLists(clockMS int64, now time.Time) {
 	s.answeredAt, s.doubted = now, false
+	s.noteAnswer(now)
 	if clockMS > 0 {
-		// A clock that jumped before was another life's.
+		// The lists are this life's, so their clock is, even if it seems to jump.
 		s.clockMS, s.clockAt = clockMS, now
 	}
-	s.noteClock(clockMS, now)
 }
 
 func (s *session) logEnds(ends []workflow.RunEnd) {
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -157,7 +157,7 @@
 func (s *session) leaseEndMS(now time.Time) int64 {
 	elapsed := now.Sub(s.clockAt)
 	end := s.clockMS + (elapsed + s.t.lease).Milliseconds()
-	here := s.clockAt.Add(time.Duration(float64(elapsed+s.t.lease)*driftFactor) + leaseSlack)
+	here := s.clockAt.Add(lapsesWithin(elapsed + s.t.lease))
 	if here.After(s.leaseEnd) {
 		s.leaseEnd = here
 	}
@@ -200,7 +200,7 @@
 	failed := 0
 	for s.t.ctx.Err() == nil {
 		if s.isOutlived() {
-			s.end("a later life of the worker is known", s.crashed())
+			s.end("a later life of the worker is known")
 			return
 		}
 		sent := time.Now()
@@ -209,13 +209,12 @@
 		case s.t.ctx.Err() != nil:
 			return
 		case errors.Is(err, ErrOtherIncarnation):
-			s.end("another incarnation answers", s.crashed())
+			s.end("another incarnation answers")
 			return
 		case err != nil && s.takeHurried():
 		case err != nil:
 			s.t.mu.Lock()
 			s.noteLost(sent, time.Now())
-			s.doubted = true
 			s.t.mu.Unlock()
 			if s.silent(err) {
 				return
@@ -285,7 +284,7 @@
 		t.logger.Log("event", "worker_contact", "worker", s.worker.ID, "outcome", "lost", "err", cause)
 	}
 	if leaving {
-		s.end("the worker left", false)
+		s.end("the worker left")
 		return true
 	}
 	if !lapsed {
@@ -307,8 +306,8 @@
 }
 
 // end takes note that the incarnation is over: nothing runs there.
-func (s *session) end(why string, crashed bool) {
-	t := s.t
+func (s *session) end(why string) {
+	t, crashed := s.t, s.crashed()
 	t.logger.Log("event", "worker_gone", "worker", s.worker.ID, "cause", why, "crashed", crashed)
 	outcome := workflow.OutcomeLost
 	if crashed {
@@ -341,14 +340,6 @@
 	s.commitEnds(0, ends)
 }
 
-// lastAnswer is when the worker last answered a call of any kind. t.mu is held.
-func (s *session) lastAnswer() time.Time {
-	if s.clockAt.After(s.answeredAt) {
-		return s.clockAt
-	}
-	return s.answeredAt
-}
-
 func (s *session) lostEnds(outcome workflow.Outcome, chosen func(workflow.Run) bool) []workflow.RunEnd {
 	var ends []workflow.RunEnd
 	s.t.mu.Lock()
--- a/internal/control/starts.go
+++ b/internal/control/starts.go
@@ -213,16 +213,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	o.sentAt = time.Time{}
-	if err != nil {
-		if noAnswer(err) {
-			s.noteLost(begun, now)
-			s.doubted = true
-		} else {
-			o.openCalls--
-		}
+	if err != nil && noAnswer(err) {
+		s.noteLost(begun, now)
 		return err
 	}
 	o.openCalls--
+	if err != nil {
+		return err
+	}
 	s.noteClock(clockMS, now)
 	t.noteAnswerTime(now.Sub(begun))
 	o.unanswered = false
--- a/internal/control/tenure.go
+++ b/internal/control/tenure.go
@@ -157,6 +157,12 @@
 // before, which settles them at once.
 func leaseLength(b Bounds) time.Duration { return b.LeaseMax - leaseSlack }
 
+// lapsesWithin is how long by this process's clock a lease takes to end at most, whose length
+// is measured by a worker's.
+func lapsesWithin(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)*driftFactor) + leaseSlack
+}
+
 // run works until the tenure ends.
 func (t *tenure) run() {
 	t.mu.Lock()
@@ -196,7 +202,7 @@
 		throttle: throttle{share: wholeShare},
 		starting: make(chan struct{}, startsAtOnce),
 		// A predecessor may have given a whole lease just before its right ended.
-		leaseEnd: t.started.Add(time.Duration(float64(t.lease)*driftFactor) + leaseSlack + predecessorSlack),
+		leaseEnd: t.started.Add(lapsesWithin(t.lease) + predecessorSlack),
 	}
 	for task, run := range inherited {
 		s.inherited[task] = run.Number
--- a/workflow/crash.go
+++ b/workflow/crash.go
@@ -18,7 +18,8 @@
 	// strongCrashes is how many crashes right after a start a task is given up for: a rack
 	// that loses power crashes under many tasks, hardly ever three times under the same.
 	strongCrashes = 3
-	// mostCrashes is how many crashes of any kind a task is given up for.
+	// mostCrashes is how many crashes of any kind a task is given up for: three that show it,
+	// and those of the two starts that may follow them.
 	mostCrashes = 5
 )
 
