A life that is looked after again is settled with the next one

Callers would see: a task waits for some 15 s beside free room. Found by reading the change again.

Cause: lives were linked in two places, as a worker appears and as a tenure begins; a session that is begun for a run that nothing accounts for (adoptWorkers) was only marked as outlived. The session with the next life didn't know of it, so its lists were waited for in vain until the bound. Ruled out: a second run (the run holds its place all the while).

Change: one piece of code lets a life take over from another, and all three ways to a session go through it. The new test was red before: not begun within 10 s, two next_life lines with listed=false after 9.5 and 10.7 s.

--- a/internal/control/account.go
+++ b/internal/control/account.go
@@ -93,7 +93,7 @@
 		}
 		t.noteClaimed(run, now)
 		session := t.addSession(state.Worker, nil)
-		session.outlived = s.Outlived(&state.Worker)
+		t.noteOutlived(session, s)
 		// Starts of this tenure may have prolonged its lease until now.
 		session.leaseEnd = now.Add(lapsesWithin(t.lease))
 		t.goTask(session.run)
--- a/internal/control/life.go
+++ b/internal/control/life.go
@@ -35,36 +35,41 @@
 	return incarnation
 }
 
-// noteOutlived links the sessions of a new tenure that are with lives of one worker.
-func (t *tenure) noteOutlived(state *workflow.State) {
-	for _, s := range t.sessions {
-		newest := state.Newest(s.worker.Name)
-		if newest == nil || !newest.Replaces(&s.worker) {
-			continue
-		}
-		s.outlived = true
-		if latest := t.sessions[newest.ID]; latest != nil {
-			latest.earlier = append(latest.earlier, s)
-		}
+// noteOutlived lets the session with a worker's latest life, if there is one, take over from
+// one with a life before. t.mu is held, or t isn't shared yet.
+func (t *tenure) noteOutlived(s *session, state *workflow.State) {
+	if !state.Outlived(&s.worker) {
+		return
+	}
+	s.outlived = true
+	if latest := t.sessions[state.Newest(s.worker.Name).ID]; latest != nil {
+		latest.takeOver(s)
 	}
 }
 
-// takeOver lets a session with a worker's latest life end those with the lives before.
-// t.mu is held.
-func (t *tenure) takeOver(latest *session) {
+// takeOverAll lets a session with a worker's latest life take over from those with the lives
+// before. t.mu is held.
+func (t *tenure) takeOverAll(latest *session) {
 	for _, s := range t.sessions {
-		if !latest.worker.Replaces(&s.worker) {
-			continue
+		if latest.worker.Replaces(&s.worker) {
+			latest.takeOver(s)
 		}
-		s.outlived = true
-		latest.earlier = append(latest.earlier, s)
-		// Orders to the life before may be carried out by this one, with leases that its
-		// clock doesn't know: they are cut to the longest that it grants.
-		latest.leaseEnd = time.Now().Add(lapsesWithin(t.c.cfg.Bounds.LeaseMax))
-		s.hurry()
 	}
 }
 
+// takeOver ends a session with a life of the worker before this one, and has its runs settled
+// with what this life lists. t.mu is held, or the tenure isn't shared yet.
+func (s *session) takeOver(earlier *session) {
+	earlier.outlived = true
+	s.earlier = append(s.earlier, earlier)
+	// Orders to the life before may be carried out by this one, with leases that its clock
+	// doesn't know: they are cut to the longest that it grants.
+	if end := time.Now().Add(lapsesWithin(s.t.c.cfg.Bounds.LeaseMax)); end.After(s.leaseEnd) {
+		s.leaseEnd = end
+	}
+	earlier.hurry()
+}
+
 func (s *session) isOutlived() bool {
 	s.t.mu.Lock()
 	defer s.t.mu.Unlock()
--- a/internal/control/life_test.go
+++ b/internal/control/life_test.go
@@ -187,3 +187,17 @@
 		}
 	})
 }
+
+// Guards against a task that waits for the life before a worker's present one: nobody looked
+// after that life any more when its run was found, and nothing told it of the next one.
+func TestALifeThatIsLookedAfterAgainIsSettledWithTheNextOne(t *testing.T) {
+	w := startedLife(t)
+	ten := w.tenureOf()
+	ten.mu.Lock()
+	ten.sessions["n1"].cancelLook()
+	delete(ten.sessions, "n1")
+	ten.mu.Unlock()
+	w.restart("n1", "n2")
+	w.announceLife("n2", 2)
+	w.eventually("the task starts again", func() bool { return w.started("n2") == 1 })
+}
--- a/internal/control/tenure.go
+++ b/internal/control/tenure.go
@@ -146,7 +146,9 @@
 				t.addSession(worker.Worker, s.Runs[id])
 			}
 		}
-		t.noteOutlived(s)
+		for _, session := range t.sessions {
+			t.noteOutlived(session, s)
+		}
 	})
 	return t
 }
@@ -225,7 +227,7 @@
 	s := t.sessions[w.ID]
 	if s == nil {
 		s = t.addSession(*w, nil)
-		t.takeOver(s)
+		t.takeOverAll(s)
 		t.goTask(s.run)
 		t.probeAddress(w)
 	}
