Customers on the one-log path: keys, owners and limits

Cause: nothing on this path knew customers: the entry handler dropped the key, the configuration its customers, the state and the decisions had no limit. Change: package customer (keys by digest, limits, usage) and package resource (amounts, moved from workflow), both without input or output. The digest of a call's key goes with it to the leader, which knows the newest configuration; "unknown key" is said only after a barrier of the log, as "unknown queue" was. A job has one owner for life in the log; for others it doesn't exist. What a customer has running is counted from every run that may be alive, from the commit of its start to its known end; a decision stays within it and the commit checks it again. A step that can't start at its customer's limit takes no query, reservation, preemption or place of a decision. A single task or gang beyond the limit is refused at once. Once a version required keys, a later one without customers doesn't open the queues. Ruled out: a list of keys at the entry instances (may be old, gives false 401s or serves revoked keys).

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -37,6 +37,8 @@
 	// may be long.
 	queryWaiters                         []queryWaiter
 	reservedQueries, reservedLongQueries int
+	// rooms is what the limits of customers leave; customers without a limit are missing.
+	rooms map[string]*customerRoom
 	// outlooks holds what the steps of each queue show about the adviser's decisions.
 	outlooks []queueOutlook
 	plan     Plan
@@ -50,6 +52,7 @@
 	p := &planner{
 		now: now, limits: limits, byService: map[string][]*Worker{}, byID: make(map[string]*Worker, len(workers)), headroom: map[string]workflow.Resources{},
 		unreservedHeadroom: map[string]workflow.Resources{}, stopping: map[workflow.TaskKey]bool{}, reservedGangs: map[string]int{}, preemptiblePriority: map[string]int{},
+		rooms: newCustomerRooms(limits.CustomerRoom),
 	}
 	for rank, w := range sortedByID(workers) {
 		w.rank = rank
@@ -64,6 +67,7 @@
 	}
 	slices.SortFunc(order, compareSteps)
 	p.plan.Waiting = make([]Waiting, 0, len(steps))
+	order, startingOnly := p.setAsideLimited(order)
 	chosen := p.selectSteps(order)
 	p.reservedQueries, p.reservedLongQueries = p.roundRobinQueries(p.limits.Queries), p.roundRobinQueries(p.limits.LongQueries)
 	p.limits.Queries -= p.reservedQueries
@@ -75,6 +79,9 @@
 	p.limits.LongQueries += p.reservedLongQueries
 	p.reservedQueries, p.reservedLongQueries = 0, 0
 	p.queryRoundRobin()
+	for _, s := range startingOnly {
+		p.startOnly(s)
+	}
 	return p.plan
 }
 
@@ -193,15 +200,14 @@
 		p.addWaiting(s, len(s.Pending), p.skipReason(s, len(s.Pending)))
 		return
 	}
-	var left int
-	if s.Spec.Gang {
-		left = p.startGang(s)
-	} else {
-		left = p.startTasks(s)
-	}
+	left := p.startPending(s)
 	if left == 0 {
 		return
 	}
+	if left = p.limitLeft(s, left); left == 0 {
+		p.addWaiting(s, len(s.Pending), ReasonCustomerLimit)
+		return
+	}
 	if p.limits.Incremental && p.unpromising(s) {
 		p.addWaiting(s, left, p.skipReason(s, left))
 		return
@@ -213,6 +219,14 @@
 	p.prepareRemaining(s, left)
 }
 
+// startPending starts what it can of s, and returns how many tasks remain.
+func (p *planner) startPending(s *Step) int {
+	if s.Spec.Gang {
+		return p.startGang(s)
+	}
+	return p.startTasks(s)
+}
+
 // prepareRemaining queries or reserves what the remaining tasks of s need before they can
 // start, and records why they wait.
 func (p *planner) prepareRemaining(s *Step, left int) {
@@ -363,7 +377,11 @@
 // startTasks starts as many tasks of s as possible, one by one, and returns how many remain.
 func (p *planner) startTasks(s *Step) int {
 	candidates := p.candidates(s)
+	allowed := p.limitFitCount(s)
 	for i, index := range s.Pending {
+		if i == allowed {
+			return len(s.Pending) - i
+		}
 		order := comparePreference
 		if s.Suspects[index] {
 			order = compareRunCount
@@ -379,7 +397,7 @@
 
 // startGang starts all tasks of s or none, and returns how many remain.
 func (p *planner) startGang(s *Step) int {
-	if !s.Spec.Demand().Fits(p.headroomOf(s.Service)) {
+	if !s.Spec.Demand().Fits(p.headroomOf(s.Service)) || p.limitFitCount(s) == 0 {
 		return len(s.Pending)
 	}
 	chosen := gangWorkers(s, p.candidates(s), len(s.Pending))
@@ -439,6 +457,7 @@
 // start plans the start of one task on w.
 func (p *planner) start(s *Step, index int, w *Worker) {
 	p.takeResources(w, s.Spec.Demand())
+	p.takeCustomerRoom(s)
 	w.plannedStarts++
 	if s.Suspects[index] {
 		// No other task starts alongside a crash suspect in this decision: the suspect must first
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -76,8 +76,9 @@
 type Step struct {
 	Key  workflow.StepKey
 	Spec *workflow.Step
-	// Service is the pool whose workers may run the step. Queue is the queue of its job.
-	Service, Queue string
+	// Service is the pool whose workers may run the step. Queue is the queue of its job, and
+	// Customer the customer who owns the job, empty for none.
+	Service, Queue, Customer string
 	// Priority is the priority of the step's queue; 0 is the most urgent.
 	Priority int
 	// Lateness is 0 while the job can meet its objective, 1 while it is late but still has some
@@ -163,6 +164,10 @@
 	ReasonNotQueried    Reason = "the adviser wasn't asked about the worker"
 	ReasonTicketExpired Reason = "the ticket for the worker has ended"
 
+	// ReasonCustomerLimit: the customer's limit leaves no room, or the customer's more urgent steps
+	// are about to take it.
+	ReasonCustomerLimit Reason = "its customer is at its limit"
+
 	// ReasonBeyondBound: more than Limits.Steps steps wait, and the decision didn't
 	// consider the step. A plan doesn't list such steps in Waiting, but counts them in
 	// BeyondBound.
@@ -212,6 +217,8 @@
 	// Incremental says that the plan considers only steps that have changed. Unpromising
 	// steps then leave the queries to the steps of the next full decision.
 	Incremental bool
+	// CustomerRoom is what each customer with a limit may start beside what it has running.
+	CustomerRoom map[string]workflow.Resources
 	// Disabled are the mechanisms that are switched off.
 	Disabled Disabled
 	// TicketMargin is how long a ticket must still be valid when a start is planned, so that
--- a/internal/apiserver/apiserver.go
+++ b/internal/apiserver/apiserver.go
@@ -69,6 +69,10 @@
 	return fault.ToTwirp(err)
 }
 
+// operator is on whose behalf all calls of the API are made: its callers present the token of the
+// operators.
+var operator = control.Principal{Operator: true}
+
 func jobAddress(queue, id string) control.JobAddress { return control.JobAddress{Queue: queue, ID: id} }
 
 // checkRef returns a fault that names the invalid field of a reference to a job.
@@ -93,7 +97,7 @@
 	if err := checkRef(r.GetQueue(), r.GetId()); err != nil {
 		return control.SubmitReply{}, err
 	}
-	call := &control.SubmitCall{Address: jobAddress(r.GetQueue(), r.GetId()), Payload: r.GetPayload(), Schedule: workflow.Schedule{
+	call := &control.SubmitCall{Address: jobAddress(r.GetQueue(), r.GetId()), Principal: operator, Payload: r.GetPayload(), Schedule: workflow.Schedule{
 		FirstAtMS: r.GetRepeat().GetFirstUnixMs(), EveryMS: r.GetRepeat().GetEveryMs(), Times: int(r.GetRepeat().GetTimes()),
 	}}
 	for _, step := range r.GetSteps() {
@@ -126,7 +130,7 @@
 func (s *server) CancelWorkflow(ctx context.Context, r *apiv1.WorkflowRef) (*apiv1.CancelWorkflowResponse, error) {
 	err := checkRef(r.GetQueue(), r.GetId())
 	if err == nil {
-		err = s.operations.Cancel(ctx, &control.CancelCall{Address: jobAddress(r.GetQueue(), r.GetId())})
+		err = s.operations.Cancel(ctx, &control.CancelCall{Address: jobAddress(r.GetQueue(), r.GetId()), Principal: operator})
 	}
 	return &apiv1.CancelWorkflowResponse{}, s.toAPIError("cancel", r.GetQueue(), r.GetId(), err)
 }
@@ -149,7 +153,7 @@
 	if err := checkRef(r.GetQueue(), r.GetId()); err != nil {
 		return control.ExplainReply{}, err
 	}
-	return s.operations.Explain(ctx, &control.ExplainCall{Address: jobAddress(r.GetQueue(), r.GetId())})
+	return s.operations.Explain(ctx, &control.ExplainCall{Address: jobAddress(r.GetQueue(), r.GetId()), Principal: operator})
 }
 
 func statusToAPI(reply *control.ExplainReply) *apiv1.WorkflowStatus {
@@ -192,7 +196,7 @@
 	if r.GetQueue() == "" {
 		return nil, s.toAPIError("queue", "", "", fault.Field("queue", "missing"))
 	}
-	reply, err := s.operations.State(ctx, &control.StateCall{Address: jobAddress(r.GetQueue(), "")})
+	reply, err := s.operations.State(ctx, &control.StateCall{Address: jobAddress(r.GetQueue(), ""), Principal: operator})
 	return &apiv1.QueueStatus{Waiting: int32(reply.Waiting)}, s.toAPIError("queue", r.GetQueue(), "", err)
 }
 
--- a/internal/apiserver/apiserver_test.go
+++ b/internal/apiserver/apiserver_test.go
@@ -100,7 +100,7 @@
 	must.NoError(t, err)
 	must.True(t, response.GetKnown())
 	must.Eq(t, &control.SubmitCall{
-		Address: control.JobAddress{Queue: "q", ID: "a"}, Payload: "p", Schedule: workflow.Schedule{FirstAtMS: 5, EveryMS: 6, Times: 2},
+		Address: control.JobAddress{Queue: "q", ID: "a"}, Principal: control.Principal{Operator: true}, Payload: "p", Schedule: workflow.Schedule{FirstAtMS: 5, EveryMS: 6, Times: 2},
 		Steps: []workflow.Step{{Count: 1, EstimateMS: 9}, {
 			Count: 2, Need: workflow.Resources{MilliCPU: 500, MemoryMB: 64, Accelerators: 1}, EstimateMS: 10, DependsOn: []int{0}, Gang: true,
 			SameRack: true, Label: "l", DataRack: "r", MaxPerWorker: 3, Speculative: true, LongRunning: true, Checkpointing: true,
--- a/internal/control/admit.go
+++ b/internal/control/admit.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bilberryferry/bilberryferry/fault"
@@ -60,17 +61,50 @@
 // caller learns immediately that it has to retry.
 func (t *leaderTerm) admit(id string) error {
 	t.mu.Lock()
-	queued, beingCommitted := t.queuedSteps, t.pendingSubmits[id] > 0
+	queued := t.queuedSteps
 	t.mu.Unlock()
-	if queued < maxQueuedSteps || beingCommitted {
+	if queued < maxQueuedSteps || t.isSubmitted(id) {
 		return nil
 	}
+	t.c.cfg.Counters.Add("jobs_refused_queue", 1)
+	return fault.Retry(fault.Overloaded, queueFullRetryAfter, "%d steps are queued", queued)
+}
+
+// isSubmitted reports whether a job is committed or its commit is in flight.
+func (t *leaderTerm) isSubmitted(id string) (submitted bool) {
+	t.mu.Lock()
+	beingCommitted := t.pendingSubmits[id] > 0
+	t.mu.Unlock()
+	if beingCommitted {
+		return true
+	}
 	// A commit that was in flight at the check above may have finished since.
-	known := false
-	t.c.state.read(func(s *workflow.State) { known = s.Jobs[id] != nil })
-	if known {
+	t.c.state.read(func(s *workflow.State) { submitted = s.Jobs[id] != nil })
+	return submitted
+}
+
+// admitWithinLimit returns a fault of kind Infeasible for a new job of a customer if the customer's
+// limit doesn't allow one of the steps to run even while the customer runs nothing else. Such a job
+// would be accepted and never end.
+func (t *leaderTerm) admitWithinLimit(id, name string, steps []workflow.Step) error {
+	step := t.stepBeyondLimit(name, steps)
+	if step < 0 || t.isSubmitted(id) {
 		return nil
 	}
-	t.c.cfg.Counters.Add("jobs_refused_queue", 1)
-	return fault.Retry(fault.Overloaded, queueFullRetryAfter, "%d steps are queued", queued)
+	t.c.cfg.Counters.Add("jobs_refused_limit", 1)
+	return fault.New(fault.Infeasible, "step %d needs more at a time than the limit of the customer allows", step)
+}
+
+// stepBeyondLimit returns the index of the first step of which a task, or the whole gang, exceeds
+// the limit of a customer by itself; -1 if there is none.
+func (t *leaderTerm) stepBeyondLimit(name string, steps []workflow.Step) (found int) {
+	found = -1
+	t.c.state.read(func(s *workflow.State) {
+		c := s.Customer(name)
+		if c == nil {
+			return
+		}
+		found = slices.IndexFunc(steps, func(step workflow.Step) bool { return !c.Allows(step.LeastDemand()) })
+	})
+	return found
 }
--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bilberryferry/bilberryferry/customer"
 	"github.com/bilberryferry/bilberryferry/dispatch"
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
@@ -17,12 +18,23 @@
 	ID    string `cbor:"4,keyasint,omitempty"`
 }
 
+// Principal is on whose behalf a call is made. The zero value is a caller without a key.
+type Principal struct {
+	// Key is the digest of the key that the caller presented, nil for none.
+	Key *customer.Digest `cbor:"1,keyasint,omitempty"`
+	// Operator says that an operator of the system calls, who needs no key and sees the jobs of all
+	// customers. Customer then names the customer to submit a job for, empty for none.
+	Operator bool   `cbor:"2,keyasint,omitempty"`
+	Customer string `cbor:"3,keyasint,omitempty"`
+}
+
 // SubmitCall submits a job. Address determines the queue and the ID of the job.
 type SubmitCall struct {
-	Address  JobAddress        `cbor:"1,keyasint"`
-	Payload  string            `cbor:"2,keyasint"`
-	Steps    []workflow.Step   `cbor:"3,keyasint"`
-	Schedule workflow.Schedule `cbor:"4,keyasint"`
+	Address   JobAddress        `cbor:"1,keyasint"`
+	Payload   string            `cbor:"2,keyasint"`
+	Steps     []workflow.Step   `cbor:"3,keyasint"`
+	Schedule  workflow.Schedule `cbor:"4,keyasint"`
+	Principal Principal         `cbor:"5,keyasint"`
 }
 
 // SubmitReply confirms that the job is stored. Known says that it was stored before.
@@ -32,7 +44,8 @@
 
 // StateCall requests the state of a job, or of a queue if the address names no job.
 type StateCall struct {
-	Address JobAddress `cbor:"1,keyasint"`
+	Address   JobAddress `cbor:"1,keyasint"`
+	Principal Principal  `cbor:"2,keyasint"`
 }
 
 // StateReply holds the phase of a job, or, if Queue is true, the number of waiting jobs
@@ -49,7 +62,8 @@
 	// Version is the highest version of the configuration that the calling instance has used
 	// in responses to callers. An instance with an older version doesn't report the job as
 	// ended, because a caller must not see a version that was rolled back.
-	Version uint64 `cbor:"2,keyasint,omitempty"`
+	Version   uint64    `cbor:"2,keyasint,omitempty"`
+	Principal Principal `cbor:"3,keyasint"`
 }
 
 // EndedReply holds the phase of an ended job, which never changes. Known is false if the
@@ -61,7 +75,8 @@
 
 // CancelCall cancels a job.
 type CancelCall struct {
-	Address JobAddress `cbor:"1,keyasint"`
+	Address   JobAddress `cbor:"1,keyasint"`
+	Principal Principal  `cbor:"2,keyasint"`
 }
 
 // Empty is a request or a response without content.
@@ -123,7 +138,8 @@
 
 // ExplainCall asks why the ready steps of a job wait.
 type ExplainCall struct {
-	Address JobAddress `cbor:"1,keyasint"`
+	Address   JobAddress `cbor:"1,keyasint"`
+	Principal Principal  `cbor:"2,keyasint"`
 }
 
 // ExplainReply holds the progress of each step of a job, and the reasons why its ready
@@ -134,6 +150,8 @@
 	Phase   workflow.Phase    `cbor:"3,keyasint"`
 	Steps   []StepProgress    `cbor:"4,keyasint"`
 	Waiting []StepExplanation `cbor:"5,keyasint,omitempty"`
+	// Customer is the name of the job's owner; empty if the job belongs to nobody.
+	Customer string `cbor:"6,keyasint,omitempty"`
 }
 
 // StepProgress counts the tasks of one step in one occurrence of a job.
--- a/internal/control/explain.go
+++ b/internal/control/explain.go
@@ -15,25 +15,25 @@
 func (c *Controller) Explain(ctx context.Context, r *ExplainCall) (ExplainReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	t, queue, id, err := c.resolveOnLeader(ctx, r.Address)
+	t, called, err := c.resolveOnLeader(ctx, r.Address, r.Principal)
 	if err != nil {
 		return ExplainReply{}, err
 	}
 	if err := c.catchUp(ctx); err != nil {
 		return ExplainReply{}, err
 	}
-	reply := ExplainReply{Queue: queue.Name, ID: id}
+	reply := ExplainReply{Queue: called.queue.Name, ID: called.id}
 	found := false
 	c.state.read(func(s *workflow.State) {
-		job := s.Jobs[id]
-		if found = job != nil && job.Queue == queue.Identity(); found {
-			reply.Phase, reply.Steps = job.Phase(), progressOf(job)
+		job := s.Jobs[called.id]
+		if found = called.mayAccess(job); found {
+			reply.Phase, reply.Steps, reply.Customer = job.Phase(), progressOf(job), job.Customer
 		}
 	})
 	if !found {
-		return ExplainReply{}, unknownJob(id)
+		return ExplainReply{}, unknownJob(called.id)
 	}
-	reply.Waiting = t.explain(id, time.Now())
+	reply.Waiting = t.explain(called.id, time.Now())
 	return reply, nil
 }
 
--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -473,7 +473,7 @@
 }
 
 func (cluster *testCluster) phase(id string) workflow.Phase {
-	phase, _ := cluster.controller.phase(id, "h/q/")
+	phase, _ := cluster.controller.phase(&target{queue: workflow.Queue{Host: "h", Prefix: "/q/"}, id: id})
 	return phase
 }
 
--- a/internal/control/incremental.go
+++ b/internal/control/incremental.go
@@ -81,6 +81,7 @@
 		return
 	}
 	limits := t.limits(now)
+	limits.CustomerRoom = input.customerRoom
 	limits.Incremental, limits.Disabled.Preemption = true, true
 	plan := dispatch.Decide(now.Sub(t.started), input.steps, t.leftoverWorkers, limits)
 	t.c.cfg.Counters.Observe("decide_fresh", time.Since(now))
@@ -109,6 +110,7 @@
 	input := planInput{runsPerWorker: map[workflow.StepKey]map[string]int{}}
 	changed := t.takeChangedJobs()
 	t.c.state.read(func(s *workflow.State) {
+		input.customerRoom = t.customerRoom(s)
 		open := s.OpenJobs()
 		for id := range changed {
 			if job := open[id]; job != nil {
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -19,6 +19,7 @@
 	reason dispatch.Reason
 	name   string
 }{
+	{dispatch.ReasonCustomerLimit, "waiting_limit"},
 	{dispatch.ReasonBeyondBound, "waiting_turn"},
 	{dispatch.ReasonNoConnection, "waiting_lane"},
 	{dispatch.ReasonAwaitsAdviser, "waiting_adviser"},
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -74,10 +74,11 @@
 	input := t.gatherPlanInput(start)
 	t.sendStops(input.stops)
 	limits := t.limits(start)
+	limits.CustomerRoom = input.customerRoom
 	t.decisions++
 	limits.Round = t.decisions
 	plan := dispatch.Decide(start.Sub(t.started), input.steps, input.workers, limits)
-	t.leftoverWorkers, t.leftoverAt, t.backlog, t.firstSkippedStep = input.workers, start, len(input.steps) > maxPlannedSteps, plan.FirstSkipped
+	t.leftoverWorkers, t.leftoverAt, t.backlog, t.firstSkippedStep = input.workers, start, plan.FirstSkipped != nil, plan.FirstSkipped
 	t.c.cfg.Counters.Observe("decide", time.Since(start))
 	if len(plan.Preemptions) > 0 {
 		t.preempt(plan.Preemptions, start)
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -42,15 +42,31 @@
 	return configurationVersion
 }
 
-// resolveOnLeader returns the current leader term, the queue that address names, and the
-// ID of the job. The ID is empty when address names only a queue.
-func (c *Controller) resolveOnLeader(ctx context.Context, address JobAddress) (*leaderTerm, workflow.Queue, string, error) {
+// target is what a call is about, and who makes it.
+type target struct {
+	queue workflow.Queue
+	// id is the ID of the job; it is empty if the call names only a queue.
+	id string
+	// customer is the name of the customer that calls; empty for a caller who needed no key.
+	// operator says that an operator calls.
+	customer string
+	operator bool
+}
+
+// mayAccess reports whether the caller may see and cancel a job. A job of another customer is
+// treated as if it didn't exist.
+func (t *target) mayAccess(job *workflow.Job) bool {
+	return job != nil && job.Queue == t.queue.Identity() && (t.operator || job.VisibleTo(t.customer))
+}
+
+// resolveOnLeader returns the current leader term and the target of a call.
+func (c *Controller) resolveOnLeader(ctx context.Context, address JobAddress, principal Principal) (*leaderTerm, target, error) {
 	t, err := c.currentLeaderTerm(ctx)
 	if err != nil {
-		return nil, workflow.Queue{}, "", err
+		return nil, target{}, err
 	}
-	queue, id, err := c.resolve(ctx, address)
-	return t, queue, id, err
+	called, err := c.resolve(ctx, address, principal)
+	return t, called, err
 }
 
 // catchUp waits until every command that was committed before the call has been applied
@@ -62,22 +78,22 @@
 	return nil
 }
 
-// resolve returns the queue and the job ID that address names. It returns NotFound only
-// after a log barrier has shown that the local configuration is the newest.
-func (c *Controller) resolve(ctx context.Context, address JobAddress) (workflow.Queue, string, error) {
-	queue, id, err := c.lookUp(ctx, address)
-	if !fault.Is(err, fault.NotFound) {
-		return queue, id, err
+// resolve returns the target of a call. It returns NotFound and Denied only after a log barrier has
+// shown that the local configuration is the newest: a queue or a key may just have been added.
+func (c *Controller) resolve(ctx context.Context, address JobAddress, principal Principal) (target, error) {
+	called, err := c.lookUp(ctx, address, principal)
+	if !fault.Is(err, fault.NotFound) && !fault.Is(err, fault.Denied) {
+		return called, err
 	}
 	if err := c.catchUp(ctx); err != nil {
-		return workflow.Queue{}, "", err
+		return target{}, err
 	}
-	return c.lookUp(ctx, address)
+	return c.lookUp(ctx, address, principal)
 }
 
-// lookUp returns the queue and the job ID that address names in the local configuration,
-// and records the version of that configuration for the response.
-func (c *Controller) lookUp(ctx context.Context, address JobAddress) (found workflow.Queue, id string, err error) {
+// lookUp returns the target of a call according to the local configuration, and records the version
+// of that configuration for the response.
+func (c *Controller) lookUp(ctx context.Context, address JobAddress, principal Principal) (found target, err error) {
 	c.state.read(func(s *workflow.State) {
 		if s.Configuration.Source == nil {
 			err = fault.Retry(fault.Unavailable, noConfigurationRetryAfter, "no configuration yet")
@@ -93,9 +109,26 @@
 			err = fault.New(fault.NotFound, "no queue at %s%s%s", address.Host, address.Path, address.Queue)
 			return
 		}
-		found, id = *queue, remaining
+		found = target{queue: *queue, id: remaining, operator: principal.Operator}
+		found.customer, err = identify(s, queue, principal)
 	})
-	return found, id, err
+	return found, err
+}
+
+// identify returns the name of the customer that a call is made for. It returns Denied if the queue
+// requires a key and the call has none that a customer has.
+func identify(s *workflow.State, queue *workflow.Queue, principal Principal) (string, error) {
+	if principal.Operator {
+		if principal.Customer != "" && s.Customer(principal.Customer) == nil {
+			return "", fault.Field("customer", "no customer %q", principal.Customer)
+		}
+		return principal.Customer, nil
+	}
+	name, ok := s.Identify(queue, principal.Key)
+	if !ok {
+		return "", fault.New(fault.Denied, "the queue requires the key of a customer")
+	}
+	return name, nil
 }
 
 // Submit stores a job. It returns once a majority of the replicas has the job on disk. A
@@ -103,14 +136,19 @@
 func (c *Controller) Submit(ctx context.Context, r *SubmitCall) (SubmitReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	t, queue, id, err := c.resolveOnLeader(ctx, r.Address)
+	t, called, err := c.resolveOnLeader(ctx, r.Address, r.Principal)
 	if err != nil {
 		return SubmitReply{}, err
 	}
+	queue, id := called.queue, called.id
 	if id == "" {
 		return SubmitReply{}, fault.Field("id", "a job needs an id")
 	}
-	if err := t.admit(id); err != nil {
+	err = t.admit(id)
+	if err == nil {
+		err = t.admitWithinLimit(id, called.customer, r.Steps)
+	}
+	if err != nil {
 		t.logger.Log("event", "submit", "job", id, "queue", queue.Name, "outcome", "refused", "err", err)
 		return SubmitReply{}, err
 	}
@@ -118,6 +156,7 @@
 	start := time.Now()
 	submission := workflow.Submission{
 		ID: id, Queue: queue.Identity(), Payload: r.Payload, Steps: r.Steps, Schedule: r.Schedule, Policy: queue.Policy,
+		Customer: called.customer,
 	}
 	result, err := c.propose(ctx, &workflow.Command{Submit: &submission})
 	if err != nil {
@@ -125,7 +164,7 @@
 		return SubmitReply{}, err
 	}
 	if result.Submit == workflow.SubmitConflict {
-		return SubmitReply{}, fault.New(fault.Conflict, "job %s belongs to another queue", id)
+		return SubmitReply{}, fault.New(fault.Conflict, "the id %s is taken", id)
 	}
 	known := result.Submit == workflow.SubmitKnown
 	if !known {
@@ -141,18 +180,18 @@
 func (c *Controller) State(ctx context.Context, r *StateCall) (StateReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	t, queue, id, err := c.resolveOnLeader(ctx, r.Address)
+	t, called, err := c.resolveOnLeader(ctx, r.Address, r.Principal)
 	if err != nil {
 		return StateReply{}, err
 	}
-	if id == "" {
-		return StateReply{Queue: true, Waiting: c.countWaitingJobs(t, queue.Identity())}, nil
+	if called.id == "" {
+		return StateReply{Queue: true, Waiting: c.countWaitingJobs(t, called.queue.Identity())}, nil
 	}
-	phase, err := c.confirmedPhase(ctx, id, queue.Identity())
+	phase, err := c.confirmedPhase(ctx, &called)
 	if err != nil {
 		return StateReply{}, err
 	}
-	if phase == workflow.PhasePending && t.hasStarted(id) {
+	if phase == workflow.PhasePending && t.hasStarted(called.id) {
 		phase = workflow.PhaseActive
 	}
 	return StateReply{Phase: phase}, nil
@@ -167,30 +206,30 @@
 	if c.log.Status().Leader == "" || c.configurationVersion() < r.Version {
 		return EndedReply{}, nil
 	}
-	queue, id, err := c.lookUp(ctx, r.Address)
-	if err != nil || id == "" {
+	called, err := c.lookUp(ctx, r.Address, r.Principal)
+	if err != nil || called.id == "" {
 		// The caller asks the leader next, which responds after a log barrier.
 		return EndedReply{}, nil
 	}
-	phase, ok := c.phase(id, queue.Identity())
+	phase, ok := c.phase(&called)
 	if !ok || phase < workflow.PhaseDone {
 		return EndedReply{}, nil
 	}
 	return EndedReply{Known: true, Phase: phase}, nil
 }
 
-// confirmedPhase returns the phase of a job of a queue. It returns the error for an
+// confirmedPhase returns the phase of the job that a call names. It returns the error for an
 // unknown job only after a log barrier has shown that the local state is up to date.
-func (c *Controller) confirmedPhase(ctx context.Context, id, queue string) (workflow.Phase, error) {
-	if phase, ok := c.phase(id, queue); ok {
+func (c *Controller) confirmedPhase(ctx context.Context, called *target) (workflow.Phase, error) {
+	if phase, ok := c.phase(called); ok {
 		return phase, nil
 	}
 	if err := c.catchUp(ctx); err != nil {
 		return 0, err
 	}
-	phase, ok := c.phase(id, queue)
+	phase, ok := c.phase(called)
 	if !ok {
-		return 0, unknownJob(id)
+		return 0, unknownJob(called.id)
 	}
 	return phase, nil
 }
@@ -198,12 +237,11 @@
 // unknownJob returns the error for a job that doesn't exist.
 func unknownJob(id string) error { return fault.New(fault.Cancelled, "no job %s", id) }
 
-// phase returns the phase of a job in the local state; ok is false when the queue has no
-// such job.
-func (c *Controller) phase(id, queue string) (phase workflow.Phase, ok bool) {
+// phase returns the phase of the job that a call names in the local state; ok is false if there is
+// no such job that the caller may access.
+func (c *Controller) phase(called *target) (phase workflow.Phase, ok bool) {
 	c.state.read(func(s *workflow.State) {
-		job := s.Jobs[id]
-		if job != nil && job.Queue == queue {
+		if job := s.Jobs[called.id]; called.mayAccess(job) {
 			phase, ok = job.Phase(), true
 		}
 	})
@@ -230,15 +268,15 @@
 func (c *Controller) Cancel(ctx context.Context, r *CancelCall) (Empty, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	t, queue, id, err := c.resolveOnLeader(ctx, r.Address)
+	t, called, err := c.resolveOnLeader(ctx, r.Address, r.Principal)
 	if err != nil {
 		return Empty{}, err
 	}
-	if _, err := c.confirmedPhase(ctx, id, queue.Identity()); err != nil {
+	if _, err := c.confirmedPhase(ctx, &called); err != nil {
 		return Empty{}, err
 	}
-	_, err = c.propose(ctx, &workflow.Command{Cancel: id})
-	t.logger.Log("event", "cancel", "job", id, "err", err)
+	_, err = c.propose(ctx, &workflow.Command{Cancel: called.id})
+	t.logger.Log("event", "cancel", "job", called.id, "err", err)
 	return Empty{}, err
 }
 
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -25,6 +25,8 @@
 	// runsPerWorker counts the runs on each worker, for steps that limit their tasks per
 	// worker.
 	runsPerWorker map[workflow.StepKey]map[string]int
+	// customerRoom is what each customer with a limit may start beside what it has running.
+	customerRoom map[string]workflow.Resources
 }
 
 const (
@@ -57,6 +59,7 @@
 			t.checkRuns(s, now, &input)
 		}
 		input.workers = t.gatherWorkers(s, now)
+		input.customerRoom = t.customerRoom(s)
 		for _, job := range s.OpenJobs() {
 			t.gatherSteps(&input, s, job, now)
 		}
@@ -273,7 +276,7 @@
 func (t *leaderTerm) dispatchStep(job *workflow.Job, key workflow.StepKey, pending []int, objectiveStart time.Time,
 	objective time.Duration, now time.Time, runsPerWorker map[string]int) dispatch.Step {
 	step := dispatch.Step{
-		Key: key, Spec: &job.Steps[key.Step], Service: job.Policy.Service, Queue: job.Queue, Priority: job.Policy.Priority,
+		Key: key, Spec: &job.Steps[key.Step], Service: job.Policy.Service, Queue: job.Queue, Customer: job.Customer, Priority: job.Policy.Priority,
 		Due: objectiveStart.Add(objective).Sub(t.started), Pending: pending, Placed: runsPerWorker,
 	}
 	switch age := now.Sub(objectiveStart); {
--- a/internal/control/unreported_runs_test.go
+++ b/internal/control/unreported_runs_test.go
@@ -111,7 +111,7 @@
 	cluster.eventually("the worker is monitored", func() bool { return cluster.currentTerm().monitors("w1") })
 	cluster.withWorker("w1", func(f *fakeWorker) { f.finish(task("a", 0), workflow.OutcomeDone) })
 	cluster.eventually("the job is done", func() bool {
-		phase, _ := cluster.controller.phase("a", "q")
+		phase, _ := cluster.controller.phase(&target{queue: workflow.Queue{Host: "q"}, id: "a"})
 		return phase == workflow.PhaseDone
 	})
 	must.Eq(t, 0, cluster.started("w1"))
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -63,7 +63,7 @@
 // caller's request that was received at receivedAt. If known is false, the leader has to be
 // asked: the follower doesn't know the phase or didn't respond, or its response contradicts
 // the order of the requests.
-func (g *Gateway) EndedJobPhase(ctx context.Context, receivedAt time.Time, jobAddress control.JobAddress) (phase workflow.Phase, known bool) {
+func (g *Gateway) EndedJobPhase(ctx context.Context, receivedAt time.Time, r *control.StateCall) (phase workflow.Phase, known bool) {
 	member := g.nextFollower()
 	if member == "" {
 		return 0, false
@@ -71,7 +71,7 @@
 	ctx, cancel := context.WithTimeout(ctx, followerTimeout)
 	defer cancel()
 	var reply control.EndedReply
-	call := &control.EndedCall{Address: jobAddress, Version: g.Version()}
+	call := &control.EndedCall{Address: r.Address, Version: g.Version(), Principal: r.Principal}
 	version, err := g.client.CallVersioned(ctx, member, control.MethodEnded, call, &reply)
 	if err != nil {
 		g.markUnresponsive(member)
--- a/internal/gateway/version_order.go
+++ b/internal/gateway/version_order.go
@@ -94,7 +94,7 @@
 		return true
 	}
 	switch fault.KindOf(err) {
-	case fault.NotFound, fault.Cancelled, fault.Conflict, fault.Invalid:
+	case fault.NotFound, fault.Denied, fault.Cancelled, fault.Conflict, fault.Invalid:
 		return true
 	default:
 		return false
--- a/internal/gateway/version_order_test.go
+++ b/internal/gateway/version_order_test.go
@@ -176,7 +176,7 @@
 	t.Cleanup(server.Close)
 	g := New(link.NewClient(maxConnections), "own", []string{strings.TrimPrefix(server.URL, "http://")}, log.NewNopLogger())
 	must.NoError(t, g.versionOrder.admit(65, time.Now().Add(-time.Second), "leader"))
-	_, known := g.EndedJobPhase(t.Context(), time.Now(), control.JobAddress{})
+	_, known := g.EndedJobPhase(t.Context(), time.Now(), &control.StateCall{})
 	must.False(t, known)
 }
 
--- a/internal/instance/operations.go
+++ b/internal/instance/operations.go
@@ -86,20 +86,20 @@
 // core instance, that of other jobs from the leader.
 func (o *Operations) State(ctx context.Context, r *control.StateCall) (control.StateReply, error) {
 	receivedAt := time.Now()
-	if phase, known := o.endedPhase(ctx, receivedAt, r.Address); known {
+	if phase, known := o.endedPhase(ctx, receivedAt, r); known {
 		return control.StateReply{Phase: phase}, nil
 	}
 	return callForCaller(ctx, o, receivedAt, control.MethodState, r, (*control.Controller).State)
 }
 
 // endedPhase returns the phase of a job if it is known to have ended.
-func (o *Operations) endedPhase(ctx context.Context, receivedAt time.Time, address control.JobAddress) (workflow.Phase, bool) {
+func (o *Operations) endedPhase(ctx context.Context, receivedAt time.Time, r *control.StateCall) (workflow.Phase, bool) {
 	c := o.localController.Load()
 	if c == nil {
-		return o.gateway.EndedJobPhase(ctx, receivedAt, address)
+		return o.gateway.EndedJobPhase(ctx, receivedAt, r)
 	}
 	recorderCtx, recorder := link.WithVersionRecorder(ctx)
-	reply, err := c.Ended(recorderCtx, &control.EndedCall{Address: address, Version: o.gateway.Version()})
+	reply, err := c.Ended(recorderCtx, &control.EndedCall{Address: r.Address, Version: o.gateway.Version(), Principal: r.Principal})
 	known := err == nil && reply.Known && o.checkVersionOrder(receivedAt, control.MethodState, recorder.Version(), nil) == nil
 	return reply.Phase, known
 }
--- /dev/null
+++ b/internal/jsonbody/jsonbody.go
@@ -0,0 +1,110 @@
+// Package jsonbody reads and writes the JSON bodies of HTTP requests and responses.
+package jsonbody
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bilberryferry/bilberryferry/fault"
+)
+
+// ContentType is the media type of the bodies.
+const ContentType = "application/json"
+
+// Decode reads a JSON body of at most limit bytes into v and returns the bytes. It ignores
+// unknown fields, and rejects duplicate names because the sender could mean either value.
+// Errors have the kind fault.Invalid; the error for a longer body is marked ErrTooLong.
+func Decode(body io.Reader, limit int64, v any) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return nil, fault.Field("body", "can't be read: %v", err)
+	}
+	if int64(len(data)) > limit {
+		return nil, errors.Mark(fault.Field("body", "longer than %d bytes", limit), ErrTooLong)
+	}
+	if err := checkDuplicateNames(data); err != nil {
+		return nil, fault.Field("body", "%v", err)
+	}
+	if err := json.Unmarshal(data, v); err != nil {
+		return nil, fault.Field("body", "%v", err)
+	}
+	return data, nil
+}
+
+// ErrTooLong marks the error of a body that is longer than its limit.
+var ErrTooLong = errors.New("body too long")
+
+var (
+	errDuplicateName = errors.New("duplicate name")
+	errTrailingData  = errors.New("data after the end of the document")
+)
+
+// checkDuplicateNames rejects duplicate names in an object and data after the document.
+func checkDuplicateNames(data []byte) error {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.UseNumber()
+	if err := checkValue(decoder); err != nil {
+		return err
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return errTrailingData
+	}
+	return nil
+}
+
+func checkValue(decoder *json.Decoder) error {
+	token, err := decoder.Token()
+	if err != nil {
+		return err
+	}
+	switch token {
+	case json.Delim('{'):
+		return checkObject(decoder)
+	case json.Delim('['):
+		for decoder.More() {
+			if err := checkValue(decoder); err != nil {
+				return err
+			}
+		}
+		_, err = decoder.Token()
+		return err
+	}
+	return nil
+}
+
+func checkObject(decoder *json.Decoder) error {
+	seenNames := map[string]bool{}
+	for decoder.More() {
+		token, err := decoder.Token()
+		if err != nil {
+			return err
+		}
+		name, _ := token.(string)
+		if seenNames[name] {
+			return errors.Wrapf(errDuplicateName, "%q", name)
+		}
+		seenNames[name] = true
+		if err := checkValue(decoder); err != nil {
+			return err
+		}
+	}
+	_, err := decoder.Token()
+	return err
+}
+
+// Write responds with a status and v as the JSON body.
+func Write(w http.ResponseWriter, status int, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", ContentType)
+	w.WriteHeader(status)
+	// A write error means that the caller has disconnected; the caller retries.
+	_, _ = w.Write(data)
+}
--- a/workflow/apply.go
+++ b/workflow/apply.go
@@ -5,6 +5,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/bilberryferry/bilberryferry/customer"
 )
 
 // Command is one change of the state. Exactly one field is set, except that Crashed
@@ -64,7 +66,7 @@
 	SubmitAccepted SubmitResult = iota + 1
 	// SubmitKnown: the same job was accepted before.
 	SubmitKnown
-	// SubmitConflict: the ID belongs to another queue's job.
+	// SubmitConflict: the ID belongs to a job of another queue or another customer.
 	SubmitConflict
 )
 
@@ -111,7 +113,7 @@
 // submit accepts a job. A repeated submission is recognized by its ID.
 func (s *State) submit(index uint64, sub *Submission) SubmitResult {
 	if known := s.Jobs[sub.ID]; known != nil {
-		if known.Queue != sub.Queue {
+		if known.Queue != sub.Queue || !known.VisibleTo(sub.Customer) {
 			return SubmitConflict
 		}
 		return SubmitKnown
@@ -175,12 +177,12 @@
 	if gang && (len(runs) != len(step.Tasks) || step.Live() > 0 || step.Done > 0) {
 		return nil
 	}
-	if gang && !s.mayStartGang(spec, step, runs) {
+	if gang && !s.mayStartGang(job, step, runs) {
 		return nil
 	}
 	var started []Run
 	for _, run := range runs {
-		if !s.mayStart(spec, step, run) {
+		if !s.mayStart(job, step, run) {
 			continue
 		}
 		task := &step.Tasks[run.Task.Index]
@@ -207,8 +209,14 @@
 // be alive, unless the step allows speculative copies, the other run is on another worker
 // and no worker has crashed under the task. It also refuses a worker that is gone or lacks
 // free resources: a worker may announce less capacity while starts that were decided
-// earlier are being committed, which would overcommit the worker.
-func (s *State) mayStart(spec *Step, step *StepState, run Run) bool {
+// earlier are being committed, which would overcommit the worker. The limit of the customer
+// is checked for the same reason: it may be lowered meanwhile, and a new leader may decide
+// without knowing of starts that its predecessor had proposed.
+func (s *State) mayStart(job *Job, step *StepState, run Run) bool {
+	spec := &job.Steps[run.Task.Step]
+	if s.limitFitCount(job, spec) == 0 {
+		return false
+	}
 	worker := s.Workers[run.Worker]
 	if worker == nil || worker.Gone || run.Task.Index >= len(step.Tasks) || s.fitCountOn(worker, spec) == 0 {
 		return false
@@ -228,10 +236,14 @@
 }
 
 // mayStartGang reports whether all members of a gang may start, those on one worker together.
-func (s *State) mayStartGang(spec *Step, step *StepState, runs []Run) bool {
+func (s *State) mayStartGang(job *Job, step *StepState, runs []Run) bool {
+	spec := &job.Steps[runs[0].Task.Step]
+	if s.limitFitCount(job, spec) < len(runs) {
+		return false
+	}
 	members := map[string]int{}
 	for _, run := range runs {
-		if !s.mayStart(spec, step, run) {
+		if !s.mayStart(job, step, run) {
 			return false
 		}
 		members[run.Worker]++
@@ -400,7 +412,13 @@
 
 // configure keeps the document with the highest version and ignores older ones.
 func (s *State) configure(d *Document) {
-	if s.Configuration.Source == nil || d.Version > s.Configuration.Version {
-		s.Configuration = *d
+	if s.Configuration.Source != nil && d.Version <= s.Configuration.Version {
+		return
 	}
+	// Once keys are required, a document that leaves the customers out must not open the queues to
+	// everybody.
+	keysRequired := d.KeysRequired || s.Configuration.KeysRequired
+	s.Configuration = *d
+	s.Configuration.KeysRequired = keysRequired
+	s.customers = customer.NewDirectory(s.Configuration.Customers)
 }
--- a/workflow/configuration.go
+++ b/workflow/configuration.go
@@ -1,6 +1,10 @@
 package workflow
 
-import "strings"
+import (
+	"strings"
+
+	"github.com/bilberryferry/bilberryferry/customer"
+)
 
 // AdvicePolicy describes the adviser of a queue: a response takes BaseMS plus PerWorkerMS
 // for each worker of the query, and a ticket is valid for TicketValidityMS. All are in
@@ -34,6 +38,8 @@
 	Host   string `cbor:"2,keyasint"`
 	Prefix string `cbor:"3,keyasint"`
 	Policy Policy `cbor:"4,keyasint"`
+	// Open says that calls to the queue need no key.
+	Open bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Identity returns host and prefix of the queue, which identify it even if its name
@@ -56,6 +62,10 @@
 	Queues []Queue `cbor:"3,keyasint"`
 	// Services are the pools of workers that the policies of queues name.
 	Services []Service `cbor:"4,keyasint,omitempty"`
+	// KeysRequired says that a call to a queue that isn't open needs the key of one of the
+	// Customers.
+	KeysRequired bool                `cbor:"5,keyasint,omitempty"`
+	Customers    []customer.Customer `cbor:"6,keyasint,omitempty"`
 }
 
 // Queue returns the queue with a name; ok is false if there is none.
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -3,64 +3,14 @@
 // is deterministic and does no I/O; every change is a Command that the log has committed.
 package workflow
 
-import "fmt"
+import (
+	"fmt"
 
-// Resources are what a task demands or a worker has.
-type Resources struct {
-	// MilliCPU is in thousandths of a core.
-	MilliCPU int64 `cbor:"1,keyasint,omitempty"`
-	MemoryMB int64 `cbor:"2,keyasint,omitempty"`
-	// Accelerators is a number of devices.
-	Accelerators int64 `cbor:"3,keyasint,omitempty"`
-}
-
-// Fits reports whether r fits into free.
-func (r Resources) Fits(free Resources) bool {
-	return r.MilliCPU <= free.MilliCPU && r.MemoryMB <= free.MemoryMB && r.Accelerators <= free.Accelerators
-}
-
-// Plus returns the sum of r and other.
-func (r Resources) Plus(other Resources) Resources {
-	return Resources{r.MilliCPU + other.MilliCPU, r.MemoryMB + other.MemoryMB, r.Accelerators + other.Accelerators}
-}
-
-// Minus returns the difference of r and other.
-func (r Resources) Minus(other Resources) Resources {
-	return Resources{r.MilliCPU - other.MilliCPU, r.MemoryMB - other.MemoryMB, r.Accelerators - other.Accelerators}
-}
-
-// Max returns the larger of r and other in each resource.
-func (r Resources) Max(other Resources) Resources {
-	return Resources{
-		max(r.MilliCPU, other.MilliCPU), max(r.MemoryMB, other.MemoryMB), max(r.Accelerators, other.Accelerators),
-	}
-}
-
-// Times returns the resources of n tasks that demand r each.
-func (r Resources) Times(n int64) Resources {
-	return Resources{r.MilliCPU * n, r.MemoryMB * n, r.Accelerators * n}
-}
-
-// FitCount returns how many tasks that demand r fit into free.
-func (r Resources) FitCount(free Resources) int {
-	if !r.Fits(free) {
-		return 0
-	}
-	count := int64(maxFitCount)
-	if r.MilliCPU > 0 {
-		count = min(count, free.MilliCPU/r.MilliCPU)
-	}
-	if r.MemoryMB > 0 {
-		count = min(count, free.MemoryMB/r.MemoryMB)
-	}
-	if r.Accelerators > 0 {
-		count = min(count, free.Accelerators/r.Accelerators)
-	}
-	return int(count)
-}
+	"github.com/bilberryferry/bilberryferry/resource"
+)
 
-// maxFitCount bounds the fit count of a task that demands nothing.
-const maxFitCount = 1 << 20
+// Resources are what a task demands or a worker has.
+type Resources = resource.Amount
 
 // Step is one part of a job: identical tasks that may start once the steps that this one
 // depends on have ended.
@@ -116,6 +66,19 @@
 	return demand
 }
 
+// CustomerDemand returns what a task of the step counts against the limit of its customer: all
+// that it may use, on spare CPU too.
+func (s *Step) CustomerDemand() Resources { return s.Need }
+
+// LeastDemand returns the least that must be running at a time for the step to make progress: one
+// task, or the whole gang.
+func (s *Step) LeastDemand() Resources {
+	if s.Gang {
+		return s.CustomerDemand().Times(int64(s.Count))
+	}
+	return s.CustomerDemand()
+}
+
 // Schedule repeats a job at fixed times. The zero value starts the job once, immediately.
 type Schedule struct {
 	// FirstAtMS is the due time of the first occurrence, in Unix milliseconds.
@@ -143,6 +106,9 @@
 	Schedule Schedule `cbor:"5,keyasint,omitempty"`
 	// Policy is the policy of the queue when the job was accepted.
 	Policy Policy `cbor:"12,keyasint"`
+	// Customer is the name of the job's owner; empty if the job belongs to nobody, because it was
+	// submitted without a key to an open queue or before the system knew customers.
+	Customer string `cbor:"14,keyasint,omitempty"`
 }
 
 // StepKey names one step of one occurrence of a job.
--- a/workflow/load.go
+++ b/workflow/load.go
@@ -1,14 +1,28 @@
 package workflow
 
+import "github.com/bilberryferry/bilberryferry/customer"
+
 // workerLoad is the demand of the runs that may be alive on a worker, by task and in total.
 // It is updated with each start and end, so that decisions needn't sum up the runs.
 type workerLoad struct {
 	used    Resources
-	demands map[TaskKey]Resources
+	demands map[TaskKey]runDemand
 	// changes counts the starts and ends of runs.
 	changes uint64
 }
 
+// runDemand is what a run occupies on its worker, and what it counts against the limit of its
+// customer. It is kept with the run, because the job may be deleted before the run ends.
+type runDemand struct {
+	onWorker   Resources
+	customer   string
+	ofCustomer Resources
+}
+
+// CustomerUsage returns what the runs that may be alive use, by customer. The caller must not change
+// it.
+func (s *State) CustomerUsage() customer.Usage { return s.usage }
+
 // Used returns the resources occupied by the runs that may be alive on a worker, and a
 // counter that changes whenever a run starts or ends there.
 func (s *State) Used(worker string) (used Resources, changes uint64) {
@@ -33,7 +47,7 @@
 	runs[run.Task] = run
 	load := s.loads[run.Worker]
 	if load == nil {
-		load = &workerLoad{demands: map[TaskKey]Resources{}}
+		load = &workerLoad{demands: map[TaskKey]runDemand{}}
 		s.loads[run.Worker] = load
 	}
 	load.changes++
@@ -42,8 +56,10 @@
 		return
 	}
 	spec := &job.Steps[run.Task.Step]
-	load.demands[run.Task] = spec.Demand()
-	load.used = load.used.Plus(spec.Demand())
+	demand := runDemand{onWorker: spec.Demand(), customer: job.Customer, ofCustomer: spec.CustomerDemand()}
+	load.demands[run.Task] = demand
+	load.used = load.used.Plus(demand.onWorker)
+	s.usage.Add(demand.customer, demand.ofCustomer)
 	if spec.MaxPerWorker > 0 {
 		s.countPlaced(run.Task.StepKey, run.Worker, 1)
 	}
@@ -54,7 +70,9 @@
 	delete(s.Runs[run.Worker], run.Task)
 	load := s.loads[run.Worker]
 	load.changes++
-	load.used = load.used.Minus(load.demands[run.Task])
+	demand := load.demands[run.Task]
+	load.used = load.used.Minus(demand.onWorker)
+	s.usage.Remove(demand.customer, demand.ofCustomer)
 	delete(load.demands, run.Task)
 	if s.placed[run.Task.StepKey] != nil {
 		s.countPlaced(run.Task.StepKey, run.Worker, -1)
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -5,6 +5,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/bilberryferry/bilberryferry/customer"
 )
 
 // Task is the replicated state of a task.
@@ -150,6 +152,9 @@
 	// loads and placed are derived from Runs; see Used and Placed.
 	loads  map[string]*workerLoad
 	placed map[StepKey]map[string]int
+	// usage is derived from Runs, customers from Configuration.
+	usage     customer.Usage
+	customers *customer.Directory
 }
 
 // NewState returns the state before the first command.
@@ -158,6 +163,7 @@
 		Jobs: map[string]*Job{}, Workers: map[string]*WorkerState{},
 		Runs: map[string]map[TaskKey]Run{}, Waves: map[int64]*WaveState{}, openJobs: map[string]*Job{}, newestByName: map[string]string{},
 		loads: map[string]*workerLoad{}, placed: map[StepKey]map[string]int{},
+		usage: customer.Usage{}, customers: customer.NewDirectory(nil),
 	}
 }
 
@@ -183,6 +189,7 @@
 	if err := cbor.Unmarshal(encoded, s); err != nil {
 		return nil, errors.Wrap(err, "decode the workflow state")
 	}
+	s.customers = customer.NewDirectory(s.Configuration.Customers)
 	for _, run := range s.RunList {
 		s.addRun(run)
 	}
