--- a/internal/control/simulation_worker_test.go
+++ b/internal/control/simulation_worker_test.go
@@ -52,6 +52,8 @@
 	seed   uint64
 	// stepOf returns the step of a task, nil when its job isn't known.
 	stepOf func(workflow.TaskKey) *workflow.Step
+	// checkLimits checks the limits of the customers after a start.
+	checkLimits func()
 	// eventLog holds the log lines of the leaders and the workers.
 	eventLog *simLog
 
@@ -267,6 +269,7 @@
 	ws.starts++
 	ws.lastStart[task.StepKey] = now
 	ws.recordViolations(w, task, step)
+	ws.checkLimits()
 	return nil
 }
 
