--- a/internal/cli/logs.go
+++ b/internal/cli/logs.go
@@ -58,6 +58,26 @@
 	return nil
 }
 
+// summarizeLogs reads the instances' log files and prints, for each queue, how its jobs ended and
+// where the late ones spent their time.
+func (s *session) summarizeLogs(files string) error {
+	lines, err := readLogs(files)
+	if err != nil {
+		return err
+	}
+	out := s.app.Stdout
+	for _, q := range jobtrace.Summarize(lines) {
+		fmt.Fprintf(out, "%s: %d in time, %d late by %s in all, %d failed, %d without an end\n",
+			oneLine(q.Queue), q.InTime, q.Late, q.Lateness.Round(time.Second), q.Failed, q.Unfinished)
+		t := newTable("TIME OF LATE JOBS", "ACTIVITY")
+		for _, span := range q.Spans {
+			t.add(textCell("%s", span.Duration.Round(time.Millisecond)), textCell("%s", span.Activity))
+		}
+		t.print(s)
+	}
+	return nil
+}
+
 // timelineOfLogs reads the named log files and shows the events in them that match the
 // request.
 func (s *session) timelineOfLogs(files string, request *apiv1.EventsRequest, subject, htmlFile string) error {
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -290,14 +290,18 @@
 	return &command{
 		name:     "explain",
 		synopsis: "Explain why a job waits or was refused",
-		usage:    "[--log files] id",
+		usage:    "[--log files] [id]",
 		description: "It lists the reasons that exclude workers and how many workers each excludes. With --log it\n" +
-			"shows from the instances' log lines how a job ended and where its time went.",
-		example: "bilberry explain naas-hall-1a2b\nbilberry explain --log day.log 5c0e7a21d94b36f8",
+			"shows from the instances' log lines how a job ended and where its time went, or, without an\n" +
+			"id, how many jobs of each queue were late and where their time went.",
+		example: "bilberry explain naas-hall-1a2b\nbilberry explain --log day.log 5c0e7a21d94b36f8\nbilberry explain --log day.log",
 		flags: func(f *flag.FlagSet) {
 			f.StringVar(&logs, "log", "", "read log lines from these `files`, separated by commas, and call no instance")
 		},
 		run: func(ctx context.Context, s *session, args []string) error {
+			if logs != "" && len(args) == 0 {
+				return s.summarizeLogs(logs)
+			}
 			if err := requireArgs(args, "id"); err != nil {
 				return err
 			}
--- a/internal/jobtrace/trace.go
+++ b/internal/jobtrace/trace.go
@@ -252,7 +252,12 @@
 // the sums, longest first. When steps of the job differ, a run takes priority over the wait
 // of a step, and the wait of a step over the wait for the adviser.
 func sumSpans(allLines, jobLines []Line) []Span {
-	s := &spanAccumulator{leaderless: leaderlessIntervals(allLines), outcomes: runOutcomes(jobLines), durations: map[string]time.Duration{}, running: map[string]bool{}}
+	return sumSpansBetween(leaderlessIntervals(allLines), jobLines)
+}
+
+// sumSpansBetween is sumSpans for known intervals without a leader.
+func sumSpansBetween(leaderless []interval, jobLines []Line) []Span {
+	s := &spanAccumulator{leaderless: leaderless, outcomes: runOutcomes(jobLines), durations: map[string]time.Duration{}, running: map[string]bool{}}
 	s.durations[spanCommit] = commitTime(&jobLines[0])
 	for i := range jobLines {
 		if i > 0 {
@@ -260,8 +265,13 @@
 		}
 		s.observe(&jobLines[i])
 	}
+	return sortedSpans(s.durations)
+}
+
+// sortedSpans returns the times of activities, longest first.
+func sortedSpans(durations map[string]time.Duration) []Span {
 	var spans []Span
-	for activity, took := range s.durations {
+	for activity, took := range durations {
 		if took > 0 {
 			spans = append(spans, Span{activity, took})
 		}
