A full queue refuses first who has more than its share; steps at a customer's limit don't fill it for others

Cause: the queue counted all steps alike. Ways weighed: one queue for all (as it stood); a fixed part of the queue for each customer (refuses while the queue is half empty); the share by weight among those that queue something, applied only once the queue is full (kept), with twice the places as the end for all. Refusals stay immediate and name the time to come back.

--- a/customer/customer_test.go
+++ b/customer/customer_test.go
@@ -117,3 +117,13 @@
 		_ = d.ByKey(key)
 	}
 }
+
+// Guards against a customer that is kept out of a full queue for good, or gets more than its share.
+func TestQueueShareIsByWeight(t *testing.T) {
+	d := NewDirectory([]Customer{{Name: "a", Weight: 3}, {Name: "b", Weight: 1}, {Name: "c"}})
+	must.Eq(t, 100, d.QueueShare(100, "a", nil))
+	must.Eq(t, 75, d.QueueShare(100, "a", map[string]int{"a": 60, "b": 40, "c": 0}))
+	must.Eq(t, 25, d.QueueShare(100, "b", map[string]int{"a": 100}))
+	must.Positive(t, d.QueueShare(10_000, "c", map[string]int{"a": 9_000, "b": 1_000}))
+	must.Eq(t, 100, NewDirectory(nil).QueueShare(100, "", map[string]int{"": 100}))
+}
--- a/customer/directory.go
+++ b/customer/directory.go
@@ -4,6 +4,8 @@
 type Directory struct {
 	byKey  map[Digest]*Customer
 	byName map[string]*Customer
+	// meanWeight is the mean of the customers' weights; 0 without customers.
+	meanWeight float64
 }
 
 // NewDirectory returns a directory of customers that passed Check. The caller must not change them
@@ -13,6 +15,7 @@
 	for i := range customers {
 		c := &customers[i]
 		d.byName[c.Name] = c
+		d.meanWeight += c.Weight / float64(len(customers))
 		for _, key := range c.Keys {
 			d.byKey[key] = c
 		}
--- a/internal/control/admit.go
+++ b/internal/control/admit.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/bilberryferry/bilberryferry/dispatch"
 	"github.com/bilberryferry/bilberryferry/fault"
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
@@ -17,20 +18,29 @@
 	// the queue is full. It is long enough for the queue to drain and short enough for a
 	// caller whose total timeout is 3 s.
 	queueFullRetryAfter = 2 * time.Second
+	// overfullFactor is the multiple of maxQueuedSteps from which on every new job is refused.
+	overfullFactor = 2
 )
 
 // setQueueLength records how many steps the last decision found queued, speculative copies
-// excluded.
-func (t *leaderTerm) setQueueLength(input *planInput) {
-	queued := 0
+// excluded. Steps that wait only for their customer's limit count for their customer, but not for
+// all: they take no part in decisions, and must not make the queue full for others.
+func (t *leaderTerm) setQueueLength(input *planInput, plan *dispatch.Plan) {
+	queued, byCustomer := 0, map[string]int{}
 	for i := range input.steps {
-		if !input.steps[i].Copy {
+		if s := &input.steps[i]; !s.Copy {
 			queued++
+			byCustomer[s.Customer]++
+		}
+	}
+	for i := range plan.Waiting {
+		if plan.Waiting[i].Reason == dispatch.ReasonCustomerLimit {
+			queued--
 		}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.queuedSteps = queued
+	t.queuedSteps, t.queuedByCustomer = queued, byCustomer
 }
 
 // beginSubmission records that a job is being committed, until the caller calls done.
@@ -48,8 +58,9 @@
 	}
 }
 
-// admit returns a fault of kind Overloaded for a new job while the queue is full. It
-// never refuses a job that is already committed or whose commit is in flight.
+// admit returns a fault of kind Overloaded for a new job of a customer while the queue is full,
+// unless the customer has less than its share of it. It never refuses a job that is already
+// committed or whose commit is in flight.
 //
 // A caller whose first call is slow repeats it through another entry point while the
 // commit of the first call is in flight. If the second call were refused, the caller
@@ -59,15 +70,34 @@
 // accepted job makes decisions longer and delays all other jobs. Without the limit, once
 // 8500 steps were queued, no job met its objective for the rest of the day. A refused
 // caller learns immediately that it has to retry.
-func (t *leaderTerm) admit(id string) error {
+//
+// One customer that sends far more than it may run would otherwise fill the queue, and the jobs of
+// all others would be refused with its own.
+func (t *leaderTerm) admit(id, customerName string) error {
 	t.mu.Lock()
-	queued := t.queuedSteps
+	queued, own := t.queuedSteps, t.queuedByCustomer[customerName]
+	refused := t.queueRefuses(customerName)
 	t.mu.Unlock()
-	if queued < maxQueuedSteps || t.isSubmitted(id) {
+	if !refused || t.isSubmitted(id) {
 		return nil
 	}
 	t.c.cfg.Counters.Add("jobs_refused_queue", 1)
-	return fault.Retry(fault.Overloaded, queueFullRetryAfter, "%d steps are queued", queued)
+	return fault.Retry(fault.Overloaded, queueFullRetryAfter, "%d steps are queued, %d of them of the customer", queued, own)
+}
+
+// queueRefuses reports whether the queue takes no more jobs of a customer. t.mu must be held.
+func (t *leaderTerm) queueRefuses(customerName string) (refused bool) {
+	own := t.queuedByCustomer[customerName]
+	switch {
+	case t.queuedSteps >= overfullFactor*maxQueuedSteps, own >= maxQueuedSteps:
+		return true
+	case t.queuedSteps < maxQueuedSteps:
+		return false
+	}
+	t.c.state.read(func(s *workflow.State) {
+		refused = own >= s.QueueShare(maxQueuedSteps, customerName, t.queuedByCustomer)
+	})
+	return refused
 }
 
 // isSubmitted reports whether a job is committed or its commit is in flight.
--- a/internal/control/leader_term.go
+++ b/internal/control/leader_term.go
@@ -69,9 +69,12 @@
 	firstSkippedStep *dispatch.Step
 
 	mu sync.Mutex
-	// queuedSteps is how many ready steps had tasks to start at the last full decision,
-	// speculative copies excluded.
+	// queuedSteps is how many ready steps had tasks to start at the last full decision, without
+	// speculative copies and steps that wait only for their customer's limit.
 	queuedSteps int
+	// queuedByCustomer counts the queued steps of each customer, including those that wait only for
+	// their customer's limit; the empty name stands for none.
+	queuedByCustomer map[string]int
 	// responseTime is the moving mean of the response times of start calls, minResponseTime
 	// is the shortest of them.
 	responseTime, minResponseTime time.Duration
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -86,7 +86,7 @@
 	t.recordEarmarks(plan.Earmarks)
 	t.updateWaiting(&plan, start)
 	t.reportLoad(&input, &plan, start)
-	t.setQueueLength(&input)
+	t.setQueueLength(&input, &plan)
 	t.applyPlan(&plan, input.copyCandidates)
 }
 
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -144,7 +144,7 @@
 	if id == "" {
 		return SubmitReply{}, fault.Field("id", "a job needs an id")
 	}
-	err = t.admit(id)
+	err = t.admit(id, called.customer)
 	if err == nil {
 		err = t.admitWithinLimit(id, called.customer, r.Steps)
 	}
--- a/workflow/owner.go
+++ b/workflow/owner.go
@@ -26,6 +26,12 @@
 // the map.
 func (s *State) Customers() map[string]*customer.Customer { return s.customers.All() }
 
+// QueueShare returns how many of n places in a full queue are a customer's share; see
+// customer.Directory.
+func (s *State) QueueShare(n int, name string, queued map[string]int) int {
+	return s.customers.QueueShare(n, name, queued)
+}
+
 // VisibleTo reports whether a customer may see and cancel the job: its owner may, and anybody if it
 // belongs to nobody.
 func (j *Job) VisibleTo(customer string) bool { return j.Customer == "" || j.Customer == customer }
