--- a/spec/check.sh
+++ b/spec/check.sh
@@ -120,6 +120,12 @@
 	done
 	echo "quick|maintenance|NO_TIME|-DMACHINES=3 -DRESTARTS=1"
 
+	echo "quick|limit|-|-DTASKS=3"
+	echo "full|limit|-|-DTASKS=4 -DLIMIT=3"
+	for mutant in NO_COMMIT_CHECK LOST_UNCOUNTED NEW_LEADER_FORGETS SEND_BEFORE_COMMIT STOPPING_UNCOUNTED; do
+		echo "quick|limit|$mutant|-DTASKS=3"
+	done
+
 	echo "quick|config|-|-DVERSIONS=3 -DRESTARTS=2"
 	echo "full|config|-|-DVERSIONS=4 -DRESTARTS=3"
 	for mutant in NO_COMPARISON APPLY_BEFORE_ADOPTION ADOPT_OLDER OLD_ANSWER SERVE_AT_ONCE STALE_LEADER_ANSWERS; do
