--- a/internal/jobtrace/trace_test.go
+++ b/internal/jobtrace/trace_test.go
@@ -146,3 +146,30 @@
 	must.Eq(t, []string{"late1", "i-1"}, events[lateRunStartedIndex].Subjects)
 	must.Eq(t, "task=late1/0/0/0 run=1 worker=i-1", events[lateRunStartedIndex].Detail)
 }
+
+// Guards against a summary that counts a job twice or in the wrong group, or adds up the time of jobs
+// that were in time.
+func TestSummaryCountsJobsByQueueAndOutcome(t *testing.T) {
+	lines, err := Read(strings.NewReader(`
+ts=2026-01-01T00:00:00Z instance=a event=submit job=early queue=q outcome=accepted commit_ms=10
+ts=2026-01-01T00:00:00Z instance=a event=submit job=late queue=q outcome=accepted commit_ms=10
+ts=2026-01-01T00:00:00Z instance=a event=submit job=failed queue=q outcome=accepted commit_ms=10
+ts=2026-01-01T00:00:00Z instance=a event=submit job=open queue=r outcome=accepted commit_ms=10
+ts=2026-01-01T00:00:00Z instance=a event=submit job=refused queue=r outcome=refused
+ts=2026-01-01T00:00:00.1Z instance=a event=step_waiting step=late/0/0 reason="no room"
+ts=2026-01-01T00:00:02Z instance=a event=run_started task=late/0/0/0 run=1
+ts=2026-01-01T00:00:01Z instance=a event=job_ended job=early phase=done objective_ms=1500
+ts=2026-01-01T00:00:03Z instance=a event=run_ended task=late/0/0/0 run=1 outcome=done
+ts=2026-01-01T00:00:03Z instance=a event=job_ended job=late phase=done objective_ms=1500
+ts=2026-01-01T00:00:04Z instance=a event=job_ended job=failed phase=failed objective_ms=1500
+`))
+	must.NoError(t, err)
+	summaries := Summarize(lines)
+	must.SliceLen(t, 2, summaries)
+	q, r := summaries[0], summaries[1]
+	must.Eq(t, []int{1, 1, 1, 0}, []int{q.InTime, q.Late, q.Failed, q.Unfinished})
+	must.Eq(t, 1500*time.Millisecond, q.Lateness)
+	must.Eq(t, Span{spanWaiting + "no room", 1900 * time.Millisecond}, q.Spans[0])
+	must.Eq(t, []int{0, 0, 0, 1}, []int{r.InTime, r.Late, r.Failed, r.Unfinished})
+	must.SliceEmpty(t, r.Spans)
+}
