--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -7,9 +7,12 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/bilberryferry/bilberryferry/workflow"
 )
 
 var replaySeeds = flag.Int("replay.seeds", 0, "number of seeds for which the figures of the replayed load are printed")
+var replaySmallTasks = flag.Bool("replay.smalltasks", false, "replay small tasks on small workers instead of the mixed load")
 var replayLoad = flag.Float64("replay.load", 1, "the replayed load as a multiple of the usual one")
 
 // mixedLoad returns the kinds of jobs that load a pool of 350 workers: large gangs,
@@ -27,7 +30,26 @@
 	}
 }
 
-// Prints figures of the mixed load for each of the -replay.seeds: the share of jobs of each
+// smallTaskLoad returns the kinds of jobs that load a pool of 350 workers of 16 cores: their tasks
+// are smaller than those of the mixed load in relation to a worker, builds make up half of the work,
+// and the adviser permits gangs on fewer workers than builds. With load 1 the jobs occupy 0.81 of
+// the pool's cores on average.
+func smallTaskLoad(load float64) []*replayKind {
+	ms := time.Millisecond
+	return []*replayKind{
+		{name: "recalc", value: 11, rate: 2.81 * load, steps: 1.2, width: 20, widthCV: 0.8, maxWidth: 120, cores: 4.5, coresCV: 0.4, maxCores: 7.6, gb: 9.1, gbCV: 0.5, maxGB: 18,
+			runTime: 6200 * ms, runTimeCV: 0.5, objective: 1000 * ms, stretch: 2.2, priority: 1, gangShare: 1, checkpointingShare: 0.5, baseLatency: 715 * ms, perWorkerLatency: 10140 * time.Microsecond, ticketValidity: 2000 * ms, grantedShare: 0.3, failingShare: 0.05},
+		{name: "build", value: 2.62, rate: 12.7 * load, steps: 1.5, width: 25, widthCV: 0.8, maxWidth: 150, cores: 1.7, coresCV: 0.45, maxCores: 5.2, gb: 5, gbCV: 0.6, maxGB: 15,
+			runTime: 2700 * ms, runTimeCV: 0.5, objective: 3000 * ms, stretch: 4, priority: 2, checkpointingShare: 0.8, baseLatency: 130 * ms, perWorkerLatency: 1820 * time.Microsecond, ticketValidity: 2000 * ms, grantedShare: 0.45, failingShare: 0.005},
+		{name: "lookup", value: 0.409, rate: 66.2 * load, steps: 1, width: 3.2, widthCV: 0.8, maxWidth: 19, cores: 2.5, coresCV: 0.45, maxCores: 7.4, gb: 7.1, gbCV: 0.6, maxGB: 21,
+			runTime: 1000 * ms, runTimeCV: 0.5, objective: 250 * ms, stretch: 1.5, gangShare: 0.3, baseLatency: 14300 * time.Microsecond, perWorkerLatency: 208 * time.Microsecond, ticketValidity: 2000 * ms, grantedShare: 0.7, failingShare: 0.02},
+	}
+}
+
+// smallWorkers are the resources of the workers that smallTaskLoad loads.
+var smallWorkers = workflow.Resources{MilliCPU: 16_000, MemoryMB: 65_536}
+
+// Prints figures of the mixed load, or of smallTaskLoad, for each of the -replay.seeds: the share of jobs of each
 // kind that end in time or late; the shares of their value that all jobs, the largest tenth
 // and the next fifth earn; and the waiting steps when submissions end and 14 s later.
 func TestMixedLoadFigures(t *testing.T) {
@@ -37,7 +59,13 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			kinds := mixedLoad(*replayLoad)
+			if *replaySmallTasks {
+				kinds = smallTaskLoad(*replayLoad)
+			}
 			r := newReplay(uint64(seed), mixedPoolWorkers, usualConnections, kinds...)
+			if *replaySmallTasks {
+				r.resize(smallWorkers)
+			}
 			r.decisionInterval = 50 * time.Millisecond
 			r.play(submissionPeriod, 0)
 			steps, gangs := r.waiting()
--- a/dispatch/replay_test.go
+++ b/dispatch/replay_test.go
@@ -111,6 +111,13 @@
 	return r
 }
 
+// resize gives all workers of an empty pool other resources.
+func (r *replay) resize(capacity workflow.Resources) {
+	for i := range r.workers {
+		r.workers[i].Capacity, r.workers[i].Free = capacity, capacity
+	}
+}
+
 // permits reports whether the adviser permits a step on a worker, pseudo-randomly for a
 // share of the workers. The result depends only on the arguments.
 func (r *replay) permits(key workflow.StepKey, worker string, share float64) bool {
