--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -159,7 +159,7 @@
 func fullestWorkersFor(s *Step, unknown []*Worker, n, left int) []*Worker {
 	var ordered []*Worker
 	fits := 0
-	for w := range byFree(s, unknown) {
+	for w := range byUnqueried(s, unknown) {
 		ordered = append(ordered, w)
 		if len(ordered) <= n {
 			fits += unclaimedFitCount(s, w)
@@ -195,9 +195,7 @@
 // unclaimedFitCount returns how many more tasks of s fit on w beside what steps that query it are
 // expected to take.
 func unclaimedFitCount(s *Step, w *Worker) int {
-	free := w.Free
-	free.MilliCPU -= w.queriedMilliCPU
-	return fitCountIn(s, w, free)
+	return fitCountIn(s, w, w.unqueried())
 }
 
 // queriesLeft returns how many full queries s may send now.
