--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -10,16 +10,35 @@
 	"github.com/go-kit/log"
 	"github.com/shoenig/test/must"
 
+	"github.com/bilberryferry/bilberryferry/customer"
 	"github.com/bilberryferry/bilberryferry/dispatch"
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
 
 // benchmarkLoad is the number of workers, of queued steps and of runs in progress on the
 // cluster of a benchmark. noPermits means that no permit for a queued step has been
-// queried yet.
+// queried yet. customers is the number of customers to whom the steps and runs belong.
 type benchmarkLoad struct {
 	workers, queued, runs int
 	noPermits             bool
+	customers             int
+}
+
+// ownerOf returns the customer of the i-th job, empty without customers.
+func (l *benchmarkLoad) ownerOf(i int) string {
+	if l.customers == 0 {
+		return ""
+	}
+	return fmt.Sprint("customer", i%l.customers)
+}
+
+// document returns a configuration with the customers of the load, whose limits leave room.
+func (l *benchmarkLoad) document() *workflow.Document {
+	d := &workflow.Document{Version: 1, Source: []byte("{}")}
+	for i := range l.customers {
+		d.Customers = append(d.Customers, customer.Customer{Name: l.ownerOf(i), Weight: 1, Limit: workflow.Resources{MilliCPU: 1 << 40, MemoryMB: 1 << 40}})
+	}
+	return d
 }
 
 // loadedTerm returns a leader term with busy workers and queued steps. A fifth of the
@@ -40,6 +59,7 @@
 			b.Fatal(err)
 		}
 	}
+	apply(&workflow.Command{Configuration: size.document()})
 	for i := range size.workers {
 		w := worker(fmt.Sprint("w", i))
 		workers.add(w.ID)
@@ -51,14 +71,14 @@
 	for i := range queued {
 		step := workflow.Step{Count: 6, Need: workflow.Resources{MilliCPU: 18_000, MemoryMB: 20_000}, EstimateMS: 6000, Gang: i%5 == 0}
 		apply(&workflow.Command{Submit: &workflow.Submission{
-			ID: fmt.Sprint("j", i), Queue: "q", Steps: []workflow.Step{step}, Policy: policy}})
+			ID: fmt.Sprint("j", i), Queue: "q", Steps: []workflow.Step{step}, Policy: policy, Customer: size.ownerOf(i)}})
 	}
 	var runs []workflow.Run
 	const tasksPerRunningStep = 6
 	for i := range size.runs / tasksPerRunningStep {
 		id := fmt.Sprint("running", i)
 		step := workflow.Step{Count: tasksPerRunningStep, Need: workflow.Resources{MilliCPU: 9_000, MemoryMB: 20_000}, EstimateMS: 6000}
-		apply(&workflow.Command{Submit: &workflow.Submission{ID: id, Queue: "q", Steps: []workflow.Step{step}, Policy: policy}})
+		apply(&workflow.Command{Submit: &workflow.Submission{ID: id, Queue: "q", Steps: []workflow.Step{step}, Policy: policy, Customer: size.ownerOf(i)}})
 		for k := range tasksPerRunningStep {
 			runs = append(runs, workflow.Run{Task: task(id, k), Worker: fmt.Sprint("w", (i*tasksPerRunningStep+k)%size.workers)})
 		}
@@ -89,10 +109,11 @@
 // nanoseconds.
 func BenchmarkDecide(b *testing.B) {
 	for _, size := range []benchmarkLoad{
-		{48, 50, 144, false}, {48, 500, 144, false}, {350, 50, 1800, false}, {350, 3000, 1800, false}, {350, 3000, 1800, true},
-		{1100, 50, 5500, false}, {1100, 10_000, 5500, true},
+		{48, 50, 144, false, 0}, {48, 500, 144, false, 0}, {350, 50, 1800, false, 0}, {350, 3000, 1800, false, 0}, {350, 3000, 1800, true, 0},
+		{1100, 50, 5500, false, 0}, {1100, 10_000, 5500, true, 0},
+		{350, 50, 1800, false, 20}, {350, 50, 1800, false, 100}, {350, 3000, 1800, false, 20}, {350, 3000, 1800, false, 100},
 	} {
-		b.Run(fmt.Sprintf("%dworkers/%dsteps/unasked=%v", size.workers, size.queued, size.noPermits), func(b *testing.B) {
+		b.Run(fmt.Sprintf("%dworkers/%dsteps/unasked=%v/customers=%d", size.workers, size.queued, size.noPermits, size.customers), func(b *testing.B) {
 			term := loadedTerm(b, size)
 			now := time.Now()
 			const significantDigits = 3
