--- a/scripts/landing.sh
+++ b/scripts/landing.sh
@@ -15,7 +15,8 @@
 mkdir -p target/landing
 
 # Site file of each deployment, and its number of days for "hunt".
-deployments="large/rackwise-shared-large 8
+deployments="shifted/rackwise-shared-now-grown 40
+large/rackwise-shared-large 8
 further/sea-fanarchiv 40
 further-grown/sea-fanarchiv-grown 8
 grown/rackwise-shared-grown 8
