Open starts are kept when the task's next run is ordered before the end of the first is cleaned up

Callers would see: a task that was done starts again on the worker's next incarnation. Cause: the order of a run is looked up when its end is cleaned up, to remember calls of its start that got no answer. If the next run of the task on the same worker is committed and ordered before that, its order has replaced the first, and nothing is remembered. Ruled out: the test's premise: in a green run both calls are delayed too. Change: an order that replaces an earlier run's remembers that run's open calls. Test: TestOpenStartIsKeptWhenNextRunIsOrderedFirst, red without the change. Related tests five times under -race: green.

--- a/internal/control/incarnations_test.go
+++ b/internal/control/incarnations_test.go
@@ -208,6 +208,19 @@
 	cluster.eventually("the task starts again", func() bool { return cluster.started("n2") == 1 })
 }
 
+// Guards against an open start that is forgotten because the next run of its task is ordered before
+// the end of the first one has been cleaned up: the worker's next incarnation may carry it out.
+func TestOpenStartIsKeptWhenNextRunIsOrderedFirst(t *testing.T) {
+	term := &leaderTerm{openStarts: map[string]map[workflow.Run]time.Time{}}
+	first := workflow.Run{Task: task("a", 0), Number: 1, Worker: "n1"}
+	s := &workerSession{t: term, worker: workflow.Worker{ID: "n1", Name: "n", StartedAtMS: 1}, orders: map[workflow.TaskKey]*runOrder{}}
+	s.addOrder(&runOrder{run: first, openCalls: 1})
+	s.addOrder(&runOrder{run: workflow.Run{Task: first.Task, Number: 2, Worker: "n1"}})
+	s.forgetRun(workflow.RunEnd{Task: first.Task, Number: first.Number})
+	must.MapContainsKey(t, term.openStarts["n"], first)
+	must.Eq(t, 2, s.orders[first.Task].run.Number)
+}
+
 // Guards against this failure: a task starts again after it was done. The first call of a start
 // gets no response, the second one starts the run, and the run ends. The worker restarts, and
 // its next incarnation carries out the first call.
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -177,7 +177,7 @@
 	t.mu.Lock()
 	s := t.sessions[run.Worker]
 	if o != nil && s != nil {
-		s.orders[run.Task] = o
+		s.addOrder(o)
 	}
 	t.mu.Unlock()
 	if o == nil || s == nil {
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -474,6 +474,16 @@
 	}
 }
 
+// addOrder records the order for a run. If the end of the task's earlier run hasn't been cleaned up
+// yet, the order of that run is replaced, and its open start would be forgotten with it: the worker's
+// next incarnation could carry it out after the task was done. t.mu must be held.
+func (s *workerSession) addOrder(o *runOrder) {
+	if earlier := s.orders[o.run.Task]; earlier != nil && earlier.run.Number < o.run.Number {
+		s.recordOpenStart(earlier, time.Now())
+	}
+	s.orders[o.run.Task] = o
+}
+
 // forgetRun removes the state of a run that has ended. It keeps the order of a later run
 // of the same task, because a worker may list an end while the next run is in progress,
 // and that run couldn't be stopped without its order. t.mu must be held.
--- a/internal/control/stops.go
+++ b/internal/control/stops.go
@@ -88,7 +88,7 @@
 	o := s.orders[stop.run.Task]
 	if o == nil || o.run.Number != stop.run.Number {
 		o = &runOrder{run: stop.run, listed: stop.cause != stopOrphaned}
-		s.orders[stop.run.Task] = o
+		s.addOrder(o)
 	}
 	if stop.cause == stopOrphaned && !o.orphaned {
 		o.orphaned = true
