--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -23,9 +23,8 @@
 	// Key is the digest of the key that the caller presented, nil for none.
 	Key *customer.Digest `cbor:"1,keyasint,omitempty"`
 	// Operator says that an operator of the system calls, who needs no key and sees the jobs of all
-	// customers. Customer then names the customer to submit a job for, empty for none.
-	Operator bool   `cbor:"2,keyasint,omitempty"`
-	Customer string `cbor:"3,keyasint,omitempty"`
+	// customers. What an operator submits belongs to nobody.
+	Operator bool `cbor:"2,keyasint,omitempty"`
 }
 
 // SubmitCall submits a job. Address determines the queue and the ID of the job.
@@ -150,8 +149,6 @@
 	Phase   workflow.Phase    `cbor:"3,keyasint"`
 	Steps   []StepProgress    `cbor:"4,keyasint"`
 	Waiting []StepExplanation `cbor:"5,keyasint,omitempty"`
-	// Customer is the name of the job's owner; empty if the job belongs to nobody.
-	Customer string `cbor:"6,keyasint,omitempty"`
 }
 
 // StepProgress counts the tasks of one step in one occurrence of a job.
--- a/internal/control/explain.go
+++ b/internal/control/explain.go
@@ -27,7 +27,7 @@
 	c.state.read(func(s *workflow.State) {
 		job := s.Jobs[called.id]
 		if found = called.mayAccess(job); found {
-			reply.Phase, reply.Steps, reply.Customer = job.Phase(), progressOf(job), job.Customer
+			reply.Phase, reply.Steps = job.Phase(), progressOf(job)
 		}
 	})
 	if !found {
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -119,10 +119,7 @@
 // requires a key and the call has none that a customer has.
 func identify(s *workflow.State, queue *workflow.Queue, principal Principal) (string, error) {
 	if principal.Operator {
-		if principal.Customer != "" && s.Customer(principal.Customer) == nil {
-			return "", fault.Field("customer", "no customer %q", principal.Customer)
-		}
-		return principal.Customer, nil
+		return "", nil
 	}
 	name, ok := s.Identify(queue, principal.Key)
 	if !ok {
