A query without a response is unavailable, not of unknown outcome

Cause: a try without a response counts as possibly executed, whatever the method. A query that was executed has changed nothing. Change: calls of methods that only read never count as possibly executed; their callers get 503 and a time to come back. Submissions, cancellations and changes are as they were. Test: TestQueryWithoutResponseIsUnavailable, red without the change.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bilberryferry/bilberryferry/fault"
+	"github.com/bilberryferry/bilberryferry/internal/control"
 	"github.com/bilberryferry/bilberryferry/internal/link"
 	"github.com/bilberryferry/bilberryferry/internal/wait"
 )
@@ -17,7 +18,7 @@
 	g       *Gateway
 	method  string
 	request any
-	// maybeExecuted is true once a try may have been executed.
+	// maybeExecuted is true once a try may have been executed that has an effect.
 	maybeExecuted bool
 	// version is the configuration version that the response to the last try names, 0 for
 	// none.
@@ -26,6 +27,12 @@
 	lastAddress string
 }
 
+// readOnlyMethods change nothing, so a call of them may be repeated whatever became of it. Its caller
+// must not be told that the outcome is unknown.
+var readOnlyMethods = map[string]bool{
+	control.MethodState: true, control.MethodEnded: true, control.MethodExplain: true, control.MethodConfiguration: true, control.MethodWaveState: true,
+}
+
 // Call calls a method of the leader, and retries at other members until a leader responds
 // or ctx ends. An error of kind Unavailable or Overloaded means that nothing was executed.
 // If an earlier try may have been executed, the kind is Unknown instead.
@@ -159,7 +166,7 @@
 	case errors.Is(err, link.ErrNotLeader), errors.Is(err, link.ErrUnsent):
 		return false, err
 	case fault.Is(err, fault.Unknown):
-		c.maybeExecuted = true
+		c.maybeExecuted = c.maybeExecuted || !readOnlyMethods[c.method]
 		return false, err
 	default:
 		return true, finalError(err, c.maybeExecuted)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -77,6 +77,23 @@
 	must.Eq(t, 1, tries)
 }
 
+// Guards against a caller that is told that the outcome of a mere query is unknown, and doesn't ask
+// again: a query without a response has changed nothing.
+func TestQueryWithoutResponseIsUnavailable(t *testing.T) {
+	mux := link.NewMux()
+	link.Handle(mux, control.MethodState, func(context.Context, *control.StateCall) (control.StateReply, error) {
+		return control.StateReply{}, fault.New(fault.Unknown, "no response")
+	})
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	g := New(link.NewClient(maxConnections), "own", []string{strings.TrimPrefix(server.URL, "http://")}, log.NewNopLogger())
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err := Call[control.StateReply](ctx, g, control.MethodState, &control.StateCall{})
+	must.Eq(t, fault.Unavailable, fault.KindOf(err))
+	must.Eq(t, RetryAfter, fault.From(err).RetryAfter)
+}
+
 func TestInContactWhileLeaderResponds(t *testing.T) {
 	mux := link.NewMux()
 	link.Handle(mux, control.MethodAnnounceInstance, func(context.Context, *control.AnnounceInstanceCall) (control.AnnounceInstanceReply, error) {
