An instance bounds the calls with unknown keys that it passes on

Cause: each call with a key that the leader doesn't know costs it a barrier of the log, since the key may just have been added; random keys came through without a bound. Ways weighed: a list of keys at the instances (false 401s, or a question for each miss, which is the same flood); a bound on all calls (hurts customers); a bound on calls that are denied, for keys that weren't seen accepted (kept). Keys seen accepted and calls without a key aren't bounded.

--- a/internal/instance/operations.go
+++ b/internal/instance/operations.go
@@ -19,6 +19,22 @@
 type Operations struct {
 	gateway         *gateway.Gateway
 	localController atomic.Pointer[control.Controller]
+	unknownKeys     *unknownKeys
+}
+
+func newOperations(g *gateway.Gateway) *Operations {
+	return &Operations{gateway: g, unknownKeys: newUnknownKeys()}
+}
+
+// forPrincipal makes a call for a principal, unless too many calls with unknown keys were denied.
+func (o *Operations) forPrincipal(p control.Principal, call func() error) error {
+	done, err := o.unknownKeys.admit(p)
+	if err != nil {
+		return err
+	}
+	err = call()
+	done(err)
+	return err
 }
 
 // setLocalController makes calls try the controller of this instance first.
@@ -74,22 +90,31 @@
 }
 
 // Submit submits a job. It fails immediately if the leader can't be reached.
-func (o *Operations) Submit(ctx context.Context, r *control.SubmitCall) (control.SubmitReply, error) {
+func (o *Operations) Submit(ctx context.Context, r *control.SubmitCall) (reply control.SubmitReply, err error) {
 	receivedAt := time.Now()
 	if !o.gateway.InContact() {
 		return control.SubmitReply{}, fault.Retry(fault.Unavailable, gateway.RetryAfter, "no leader is reached")
 	}
-	return callForCaller(ctx, o, receivedAt, control.MethodSubmit, r, (*control.Controller).Submit)
+	err = o.forPrincipal(r.Principal, func() error {
+		reply, err = callForCaller(ctx, o, receivedAt, control.MethodSubmit, r, (*control.Controller).Submit)
+		return err
+	})
+	return reply, err
 }
 
 // State returns the state of a job or a queue. The state of an ended job comes from any
 // core instance, that of other jobs from the leader.
-func (o *Operations) State(ctx context.Context, r *control.StateCall) (control.StateReply, error) {
+func (o *Operations) State(ctx context.Context, r *control.StateCall) (reply control.StateReply, err error) {
 	receivedAt := time.Now()
-	if phase, known := o.endedPhase(ctx, receivedAt, r); known {
-		return control.StateReply{Phase: phase}, nil
-	}
-	return callForCaller(ctx, o, receivedAt, control.MethodState, r, (*control.Controller).State)
+	err = o.forPrincipal(r.Principal, func() error {
+		if phase, known := o.endedPhase(ctx, receivedAt, r); known {
+			reply = control.StateReply{Phase: phase}
+			return nil
+		}
+		reply, err = callForCaller(ctx, o, receivedAt, control.MethodState, r, (*control.Controller).State)
+		return err
+	})
+	return reply, err
 }
 
 // endedPhase returns the phase of a job if it is known to have ended.
@@ -106,8 +131,11 @@
 
 // Cancel cancels a job.
 func (o *Operations) Cancel(ctx context.Context, r *control.CancelCall) error {
-	_, err := callForCaller(ctx, o, time.Now(), control.MethodCancel, r, (*control.Controller).Cancel)
-	return err
+	receivedAt := time.Now()
+	return o.forPrincipal(r.Principal, func() error {
+		_, err := callForCaller(ctx, o, receivedAt, control.MethodCancel, r, (*control.Controller).Cancel)
+		return err
+	})
 }
 
 // Announce forwards a worker's heartbeat to the leader. The local controller itself
--- a/internal/instance/operations_test.go
+++ b/internal/instance/operations_test.go
@@ -62,7 +62,7 @@
 	const leaderVersion, maxConnections = 65, 100
 	job := workflow.Submission{ID: "job", Queue: documentV62.Queues[0].Identity(), Steps: []workflow.Step{{Count: 1}}}
 	local := newFollower(t, workflow.Command{Configuration: &documentV62}, workflow.Command{Submit: &job}, workflow.Command{Cancel: "job"})
-	o := &Operations{gateway: gateway.New(link.NewClient(maxConnections), "own", []string{startLeader(t, leaderVersion)}, log.NewNopLogger())}
+	o := newOperations(gateway.New(link.NewClient(maxConnections), "own", []string{startLeader(t, leaderVersion)}, log.NewNopLogger()))
 	o.setLocalController(local)
 	phaseOf := func(id string) workflow.Phase {
 		reply, err := o.State(t.Context(), &control.StateCall{Address: control.JobAddress{Queue: "q", ID: id}})
