Lines and metrics that tell who answers by which configuration: configuration_applied, withheld and follower responses

Cause: nothing told for how long an instance was behind, how many responses were withheld, or how many came from an instance that doesn't lead; the hypotheses of the incident couldn't be told apart. Ruled out: a line for each response (thousands a second). Change: a line and a gauge when a member has applied another version; two counters in the gateway. No decision changes.

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -91,6 +91,7 @@
 // state machine of that log.
 func New(cfg Config, state *StateMachine, replicatedLog node.Log) *Controller {
 	c := &Controller{cfg: cfg, state: state, log: replicatedLog}
+	state.setOnConfigured(c.recordConfiguration)
 	if cfg.OrdersByHeartbeat {
 		c.heartbeats = newHeartbeatTransport(cfg.Workers)
 		c.cfg.Workers = c.heartbeats
@@ -98,6 +99,15 @@
 	return c
 }
 
+// recordConfiguration records the version of the configuration that this member has applied. A member
+// that is behind shows by it for how long.
+func (c *Controller) recordConfiguration(version uint64) {
+	_ = c.cfg.Logger.Log("event", "configuration_applied", "version", version)
+	if c.cfg.Counters != nil {
+		c.cfg.Counters.Set("configuration_version", int64(version))
+	}
+}
+
 // Run runs a leader term whenever this member may decide. It returns nil when ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
--- a/internal/control/statemachine.go
+++ b/internal/control/statemachine.go
@@ -13,11 +13,14 @@
 	state *workflow.State
 	// applied is called after each command, without mu held. It must not block.
 	applied func()
+	// configured is called with the version of the configuration when that has changed, without mu
+	// held. It must not block.
+	configured func(version uint64)
 }
 
 // NewStateMachine returns a state machine with an empty state.
 func NewStateMachine() *StateMachine {
-	return &StateMachine{state: workflow.NewState(), applied: func() {}}
+	return &StateMachine{state: workflow.NewState(), applied: func() {}, configured: func(uint64) {}}
 }
 
 // Apply applies one committed command and returns its result. It panics if the command
@@ -30,13 +33,25 @@
 		panic(fmt.Sprintf("control: log entry %d can't be decoded: %v", index, err))
 	}
 	m.mu.Lock()
+	before := m.state.Configuration.Version
 	result := m.state.Apply(index, &command)
-	applied := m.applied
+	version := m.state.Configuration.Version
+	applied, configured := m.applied, m.configured
 	m.mu.Unlock()
 	applied()
+	if version != before {
+		configured(version)
+	}
 	return result
 }
 
+// setOnConfigured sets the function that is called when the configuration has changed.
+func (m *StateMachine) setOnConfigured(f func(version uint64)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.configured = f
+}
+
 // setOnApply sets the function that is called after each command.
 func (m *StateMachine) setOnApply(f func()) {
 	m.mu.Lock()
@@ -59,8 +74,10 @@
 		return err
 	}
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	m.state = state
+	version, configured := state.Configuration.Version, m.configured
+	m.mu.Unlock()
+	configured(version)
 	return nil
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,6 +56,7 @@
 	client     *link.Client
 	ownAddress string
 	logger     log.Logger
+	counters   Counters
 	// searchSlot has a buffer of one; the call that fills it may search for the leader.
 	searchSlot chan struct{}
 	// probeMu is held by the call that asks members who leads; see probeForNewLeader.
@@ -82,17 +83,32 @@
 	unresponsiveUntil map[string]time.Time
 }
 
+// Counters counts by metric name.
+type Counters interface {
+	// Add adds n to a counter.
+	Add(name string, n int64)
+}
+
+// noCounters counts nothing.
+type noCounters struct{}
+
+func (noCounters) Add(string, int64) {}
+
 // New returns a gateway for the instance at ownAddress. seeds are the addresses of core
 // instances at which it first searches for the leader.
 func New(client *link.Client, ownAddress string, seeds []string, logger log.Logger) *Gateway {
 	return &Gateway{
-		client: client, ownAddress: ownAddress, seeds: seeds, members: seeds, logger: logger,
+		client: client, ownAddress: ownAddress, seeds: seeds, members: seeds, logger: logger, counters: noCounters{},
 		searchSlot: make(chan struct{}, 1), leaderChanged: make(chan struct{}),
 		versionOrder:      versionOrder{logger: logger},
 		unresponsiveUntil: map[string]time.Time{},
 	}
 }
 
+// SetCounters makes the gateway count what it withholds and who responds. It must be called before
+// any other method.
+func (g *Gateway) SetCounters(counters Counters) { g.counters = counters }
+
 // SetSeeds replaces the configured addresses of core instances.
 func (g *Gateway) SetSeeds(seeds []string) {
 	g.mu.Lock()
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -80,6 +80,7 @@
 	if !reply.Known || g.versionOrder.admit(version, receivedAt, member) != nil {
 		return 0, false
 	}
+	g.counters.Add("ended_from_follower", 1)
 	return reply.Phase, true
 }
 
--- a/internal/gateway/version_order.go
+++ b/internal/gateway/version_order.go
@@ -76,6 +76,9 @@
 		return o.Err
 	}
 	withheld := g.versionOrder.admit(o.Version, o.ReceivedAt, o.RespondedBy)
+	if withheld != nil {
+		g.counters.Add("responses_withheld", 1)
+	}
 	switch {
 	case withheld == nil:
 		return o.Err
--- a/internal/instance/process.go
+++ b/internal/instance/process.go
@@ -194,6 +194,7 @@
 		return c.deployment.Query(ctx, *call)
 	})
 	c.gateway = gateway.New(c.client, c.internalAddress, s.seedAddresses(), p.logger)
+	c.gateway.SetCounters(p.metrics)
 	c.operations = newOperations(c.gateway)
 	c.internalServer = newInternalServer(c.internalAddress, c.mux)
 	descriptors.LimitServer(c.internalServer, "internal", budget.FromInstances, true, p.metrics)
