Responses are ordered by the versions that give them, with a margin for requests that wait unread

Cause: answers were ordered by when requests were read, with 100 ms of tolerance, and callers order them by when they sent them. A suspended or busy instance reads late, many at once. The class: a bound that holds only while nobody waits. Ruled out: an older follower (queries for a queue's length go to the leader only), a leader out of date (one term throughout). Why the obvious mend doesn't do: a larger tolerance alone would withhold every answer for that long after each version. Two responses contradict each other only if no version gives both. Then the margin can be long: a response that needs a newer version than another one is withheld until its request was read 1 s later, so that the order holds for requests that wait unread up to 1.25 s. A submission or cancellation carries what its instance could still pass on, and the leader refuses it before the commit; else the change would be made and its caller get 504. TestVersionOrderFollowsRequestOrder expected that a newer version is allowed up to 100 ms out of order; that was this fault, the new table is stricter in these cases and has two for responses that both versions give. Where a test's queue is in all versions its server says so now. Conclusion: mended for waits up to 1.25 s; a request that waits unread for longer can still be out of order.

--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -34,6 +34,9 @@
 	Steps     []workflow.Step   `cbor:"3,keyasint"`
 	Schedule  workflow.Schedule `cbor:"4,keyasint"`
 	Principal Principal         `cbor:"5,keyasint"`
+	// AlikeSince, unless 0, is a version of the configuration. The call is refused if an older one than
+	// that in force, but not older than AlikeSince, handles it differently.
+	AlikeSince uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // SubmitReply confirms that the job is stored. Known says that it was stored before.
@@ -76,6 +79,8 @@
 type CancelCall struct {
 	Address   JobAddress `cbor:"1,keyasint"`
 	Principal Principal  `cbor:"2,keyasint"`
+	// AlikeSince is as in SubmitCall.
+	AlikeSince uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Empty is a request or a response without content.
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -18,6 +18,9 @@
 // is accepted.
 const noConfigurationRetryAfter = time.Second
 
+// changedQueueRetryAfter is the retry delay sent to callers of a queue that has just changed.
+const changedQueueRetryAfter = time.Second
+
 // Register registers the handlers of the controller's calls on mux.
 func (c *Controller) Register(mux *link.Mux) {
 	link.Handle(mux, MethodSubmit, c.Submit)
@@ -51,6 +54,20 @@
 	// operator says that an operator calls.
 	customer string
 	operator bool
+	// versions are the versions of the configuration that give the call this target.
+	versions link.Versions
+}
+
+// checkAlikeSince returns an error of kind Unavailable if the call would have had another target under
+// a version from since on; 0 stands for the version in force.
+//
+// The calling instance has just responded by that version. It couldn't pass the response to this call on,
+// and its caller wouldn't learn what became of the call.
+func (t *target) checkAlikeSince(since uint64) error {
+	if since == 0 || t.versions.Oldest <= since {
+		return nil
+	}
+	return fault.Retry(fault.Unavailable, changedQueueRetryAfter, "the queue or its keys have just changed")
 }
 
 // mayAccess reports whether the caller may see and cancel a job. A job of another customer is
@@ -99,22 +116,34 @@
 			err = fault.Retry(fault.Unavailable, noConfigurationRetryAfter, "no configuration yet")
 			return
 		}
-		link.RecordVersion(ctx, s.Configuration.Version)
 		queue, remaining, ok := s.Configuration.Resolve(address.Host, address.Path)
 		if address.Queue != "" {
 			queue, ok = s.Configuration.Queue(address.Queue)
 			remaining = address.ID
 		}
+		versions := versionsOf(s, queue, address, principal)
+		link.RecordVersions(ctx, versions)
 		if !ok {
 			err = fault.New(fault.NotFound, "no queue at %s%s%s", address.Host, address.Path, address.Queue)
 			return
 		}
-		found = target{queue: *queue, id: remaining, operator: principal.Operator}
+		found = target{queue: *queue, id: remaining, operator: principal.Operator, versions: versions}
 		found.customer, err = identify(s, queue, principal)
 	})
 	return found, err
 }
 
+// versionsOf returns the versions of the configuration under which a call has the same target: queue, nil
+// for none.
+func versionsOf(s *workflow.State, queue *workflow.Queue, address JobAddress, principal Principal) link.Versions {
+	newest := s.Configuration.Version
+	if queue == nil && address.Queue != "" {
+		// When a name was last in use isn't known.
+		return link.Versions{Oldest: newest, Newest: newest}
+	}
+	return link.Versions{Oldest: s.UnchangedSince(queue, address.Host, address.Path, principal.Key), Newest: newest}
+}
+
 // identify returns the name of the customer that a call is made for. It returns Denied if the queue
 // requires a key and the call has none that a customer has.
 func identify(s *workflow.State, queue *workflow.Queue, principal Principal) (string, error) {
@@ -137,6 +166,9 @@
 	if err != nil {
 		return SubmitReply{}, err
 	}
+	if err := called.checkAlikeSince(r.AlikeSince); err != nil {
+		return SubmitReply{}, err
+	}
 	queue, id := called.queue, called.id
 	if id == "" {
 		return SubmitReply{}, fault.Field("id", "a job needs an id")
@@ -269,6 +301,9 @@
 	if err != nil {
 		return Empty{}, err
 	}
+	if err := called.checkAlikeSince(r.AlikeSince); err != nil {
+		return Empty{}, err
+	}
 	if _, err := c.confirmedPhase(ctx, &called); err != nil {
 		return Empty{}, err
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -20,9 +20,8 @@
 	request any
 	// maybeExecuted is true once a try may have been executed that has an effect.
 	maybeExecuted bool
-	// version is the configuration version that the response to the last try names, 0 for
-	// none.
-	version uint64
+	// versions are the configuration versions that the response to the last try names.
+	versions link.Versions
 	// lastAddress is the address to which the last try was sent.
 	lastAddress string
 }
@@ -46,7 +45,7 @@
 func CallForCaller[Reply any](ctx context.Context, g *Gateway, receivedAt time.Time, method string, request any) (Reply, error) {
 	c := &leaderCall{g: g, method: method, request: request}
 	reply, err := callUntilSettled[Reply](ctx, c)
-	return reply, g.WithholdOutOfOrder(Outcome{Method: method, ReceivedAt: receivedAt, Version: c.version, RespondedBy: c.lastAddress, MaybeExecuted: c.maybeExecuted, Err: err})
+	return reply, g.WithholdOutOfOrder(Outcome{Method: method, ReceivedAt: receivedAt, Versions: c.versions, RespondedBy: c.lastAddress, MaybeExecuted: c.maybeExecuted, Err: err})
 }
 
 // callUntilSettled makes tries until one has a final outcome, which settles the call, or
@@ -158,7 +157,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	c.lastAddress = address
-	c.version, err = c.g.client.CallVersioned(ctx, address, c.method, c.request, reply)
+	c.versions, err = c.g.client.CallVersioned(ctx, address, c.method, c.request, reply)
 	switch {
 	case err == nil:
 		c.g.recordLeader(address)
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -72,12 +72,12 @@
 	defer cancel()
 	var reply control.EndedReply
 	call := &control.EndedCall{Address: r.Address, Version: g.Version(), Principal: r.Principal}
-	version, err := g.client.CallVersioned(ctx, member, control.MethodEnded, call, &reply)
+	versions, err := g.client.CallVersioned(ctx, member, control.MethodEnded, call, &reply)
 	if err != nil {
 		g.markUnresponsive(member)
 		return 0, false
 	}
-	if !reply.Known || g.versionOrder.admit(version, receivedAt, member) != nil {
+	if !reply.Known || g.versionOrder.admit(versions, receivedAt, member) != nil {
 		return 0, false
 	}
 	g.counters.Add("ended_from_follower", 1)
--- a/internal/gateway/version_order_test.go
+++ b/internal/gateway/version_order_test.go
@@ -16,13 +16,23 @@
 	"github.com/bilberryferry/bilberryferry/internal/link"
 )
 
+// unchangedQueue is a queue that all versions have.
+const unchangedQueue = "unchanged"
+
+// only returns the versions of a response that no other version gives.
+func only(version uint64) link.Versions { return link.Versions{Oldest: version, Newest: version} }
+
 // startStateServer serves state calls and returns its address. response returns the error
 // of the response to a call for a queue, and the configuration version that it names.
 func startStateServer(t *testing.T, response func(queue string) (version uint64, err error)) string {
 	mux := link.NewMux()
 	link.Handle(mux, control.MethodState, func(ctx context.Context, r *control.StateCall) (control.StateReply, error) {
 		version, err := response(r.Address.Queue)
-		link.RecordVersion(ctx, version)
+		versions := only(version)
+		if r.Address.Queue == unchangedQueue {
+			versions.Oldest = 1
+		}
+		link.RecordVersions(ctx, versions)
 		return control.StateReply{Queue: true}, err
 	})
 	server := httptest.NewServer(mux)
@@ -45,10 +55,10 @@
 	leader := startStateServer(t, func(string) (uint64, error) { return version, nil })
 	g := New(link.NewClient(maxConnections), "own", []string{leader}, log.NewLogfmtLogger(&lines))
 	for range 3 {
-		must.NoError(t, callState(t.Context(), g, "q"))
+		must.NoError(t, callState(t.Context(), g, unchangedQueue))
 	}
 	version = 65
-	must.NoError(t, callState(t.Context(), g, "q"))
+	must.NoError(t, callState(t.Context(), g, unchangedQueue))
 	must.Eq(t, 2, strings.Count(lines.String(), "event=answered_by"))
 	must.StrContains(t, lines.String(), "event=answered_by version=62 before=0 from="+leader)
 	must.StrContains(t, lines.String(), "event=answered_by version=65 before=62 from="+leader)
@@ -88,30 +98,32 @@
 	must.Eq(t, RetryAfter, fault.From(err).RetryAfter)
 }
 
-// A response may have a newer version than another one only if its request was received
-// later, or at most reorderTolerance earlier. Each case holds the versions of two responses
+// A response may show a newer version than another one only if its request was read orderMargin later, and
+// an older one only if it was read orderMargin earlier. Each case holds the versions of two responses
 // and the time between their requests.
 func TestVersionOrderFollowsRequestOrder(t *testing.T) {
 	start := time.Now()
 	for _, c := range []struct {
-		name                        string
-		firstVersion, secondVersion uint64
+		name          string
+		first, second link.Versions
 		// secondRequestDelay is how long after the request of the first response the
-		// request of the second one was received.
+		// request of the second one was read.
 		secondRequestDelay time.Duration
 		allowed            bool
 	}{
-		{"a newer version for a later request", 62, 65, time.Second, true},
-		{"a newer version for an earlier request within the tolerance", 62, 65, -reorderTolerance, true},
-		{"a newer version for an earlier request", 62, 65, -reorderTolerance - 1, false},
-		{"the same version for an earlier request", 62, 62, -time.Second, true},
-		{"an older version for an earlier request", 65, 62, -time.Second, true},
-		{"an older version for a later request within the tolerance", 65, 62, reorderTolerance, true},
-		{"an older version for a later request", 65, 62, reorderTolerance + 1, false},
+		{"a newer version for a later request", only(62), only(65), orderMargin, true},
+		{"a newer version for a slightly later request", only(62), only(65), orderMargin - 1, false},
+		{"a newer version for an earlier request", only(62), only(65), -1, false},
+		{"the same version for an earlier request", only(62), only(62), -time.Second, true},
+		{"an older version for an earlier request", only(65), only(62), -orderMargin, true},
+		{"an older version for a slightly earlier request", only(65), only(62), 1 - orderMargin, false},
+		{"an older version for a later request", only(65), only(62), 1, false},
+		{"a response that the first version gives too", only(62), link.Versions{Oldest: 62, Newest: 65}, -time.Minute, true},
+		{"a response that the second version gives too", link.Versions{Oldest: 62, Newest: 65}, only(62), time.Minute, true},
 	} {
 		order := versionOrder{logger: log.NewNopLogger()}
-		must.NoError(t, order.admit(c.firstVersion, start, "leader"))
-		err := order.admit(c.secondVersion, start.Add(c.secondRequestDelay), "leader")
+		must.NoError(t, order.admit(c.first, start, "leader"))
+		err := order.admit(c.second, start.Add(c.secondRequestDelay), "leader")
 		must.Eq(t, c.allowed, err == nil, must.Sprint(c.name))
 	}
 }
@@ -121,9 +133,9 @@
 func TestWithheldResponseIsNotRecorded(t *testing.T) {
 	start := time.Now()
 	order := versionOrder{logger: log.NewNopLogger()}
-	must.NoError(t, order.admit(62, start.Add(time.Second), "leader"))
-	must.Error(t, order.admit(65, start, "leader"))
-	must.NoError(t, order.admit(62, start.Add(2*time.Second), "leader"))
+	must.NoError(t, order.admit(only(62), start.Add(time.Second), "leader"))
+	must.Error(t, order.admit(only(65), start, "leader"))
+	must.NoError(t, order.admit(only(62), start.Add(2*time.Second), "leader"))
 }
 
 // Many versions are committed. The number of recorded versions must stay bounded, and a
@@ -131,11 +143,12 @@
 func TestRecordedVersionsAreBounded(t *testing.T) {
 	start := time.Now()
 	order := versionOrder{logger: log.NewNopLogger()}
-	for version := range uint64(3 * maxVersionSpans) {
-		must.NoError(t, order.admit(version+1, start.Add(time.Duration(version)*time.Second), "leader"))
+	for version := range uint64(3 * maxReadTimes) {
+		must.NoError(t, order.admit(only(version+1), start.Add(time.Duration(version)*time.Second), "leader"))
 	}
-	must.Len(t, maxVersionSpans, order.spans)
-	must.Error(t, order.admit(3*maxVersionSpans+1, start, "leader"))
+	must.Len(t, maxReadTimes, order.lastRead.entries)
+	must.Len(t, maxReadTimes, order.firstRead.entries)
+	must.Error(t, order.admit(only(3*maxReadTimes+1), start, "leader"))
 }
 
 // The leader accepts a job, and the response is withheld because a later request got a
@@ -143,7 +156,7 @@
 // job will run.
 func TestWithheldResponseToChangeIsUnknown(t *testing.T) {
 	g := New(link.NewClient(maxConnections), "own", []string{startSubmitServer(t, 65)}, log.NewNopLogger())
-	must.NoError(t, g.versionOrder.admit(62, time.Now(), "leader"))
+	must.NoError(t, g.versionOrder.admit(only(62), time.Now(), "leader"))
 	call := &control.SubmitCall{}
 	_, err := CallForCaller[control.SubmitReply](t.Context(), g, time.Now().Add(-time.Second), control.MethodSubmit, call)
 	must.Error(t, err)
@@ -155,7 +168,7 @@
 func startSubmitServer(t *testing.T, version uint64) string {
 	mux := link.NewMux()
 	link.Handle(mux, control.MethodSubmit, func(ctx context.Context, _ *control.SubmitCall) (control.SubmitReply, error) {
-		link.RecordVersion(ctx, version)
+		link.RecordVersions(ctx, only(version))
 		return control.SubmitReply{}, nil
 	})
 	server := httptest.NewServer(mux)
@@ -169,27 +182,27 @@
 func TestOutOfOrderEndedJobResponseIsIgnored(t *testing.T) {
 	mux := link.NewMux()
 	link.Handle(mux, control.MethodEnded, func(ctx context.Context, _ *control.EndedCall) (control.EndedReply, error) {
-		link.RecordVersion(ctx, 62)
+		link.RecordVersions(ctx, only(62))
 		return control.EndedReply{Known: true, Phase: 1}, nil
 	})
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
 	g := New(link.NewClient(maxConnections), "own", []string{strings.TrimPrefix(server.URL, "http://")}, log.NewNopLogger())
-	must.NoError(t, g.versionOrder.admit(65, time.Now().Add(-time.Second), "leader"))
+	must.NoError(t, g.versionOrder.admit(only(65), time.Now().Add(-time.Second), "leader"))
 	_, known := g.EndedJobPhase(t.Context(), time.Now(), &control.StateCall{})
 	must.False(t, known)
 }
 
-// More than maxVersionSpans versions are committed within a few seconds, and the oldest
-// span is dropped. If its first request counted as one of the next version, a response
+// More than maxReadTimes versions are committed within a few seconds, and the oldest
+// entry is dropped. If its first request counted as one of the next version, a response
 // would be withheld although all responses of newer versions went to later requests.
-func TestDroppedSpanDoesNotExtendNextSpan(t *testing.T) {
+func TestDroppedReadTimeDoesNotExtendNextOne(t *testing.T) {
 	start := time.Now()
 	order := versionOrder{logger: log.NewNopLogger()}
-	must.NoError(t, order.admit(1, start, "leader"))
-	for i := range maxVersionSpans {
-		must.NoError(t, order.admit(uint64(i+3), start.Add(time.Duration(i+2)*time.Second), "leader"))
+	must.NoError(t, order.admit(only(1), start, "leader"))
+	for i := range maxReadTimes {
+		must.NoError(t, order.admit(only(uint64(i+3)), start.Add(time.Duration(i+2)*time.Second), "leader"))
 	}
-	must.NoError(t, order.admit(2, start.Add(time.Second), "leader"))
-	must.Error(t, order.admit(2, start.Add(3*time.Second), "leader"), must.Sprint("after responses of newer versions"))
+	must.NoError(t, order.admit(only(2), start.Add(time.Second), "leader"))
+	must.Error(t, order.admit(only(2), start.Add(3*time.Second), "leader"), must.Sprint("after responses of newer versions"))
 }
--- a/internal/instance/operations.go
+++ b/internal/instance/operations.go
@@ -58,15 +58,15 @@
 	callLocal func(*control.Controller, context.Context, *Request) (Reply, error)) (Reply, error) {
 	recorderCtx, recorder := link.WithVersionRecorder(ctx)
 	if reply, err := tryLocal(recorderCtx, o, request, callLocal); !errors.Is(err, link.ErrNotLeader) {
-		return reply, o.checkVersionOrder(receivedAt, method, recorder.Version(), err)
+		return reply, o.checkVersionOrder(receivedAt, method, recorder.Versions(), err)
 	}
 	return gateway.CallForCaller[Reply](ctx, o.gateway, receivedAt, method, request)
 }
 
 // checkVersionOrder returns err, or another error if the outcome of the local controller
 // must be withheld because its configuration version is out of order.
-func (o *Operations) checkVersionOrder(receivedAt time.Time, method string, version uint64, err error) error {
-	return o.gateway.WithholdOutOfOrder(gateway.Outcome{Method: method, ReceivedAt: receivedAt, Version: version, RespondedBy: fromSelf, Err: err})
+func (o *Operations) checkVersionOrder(receivedAt time.Time, method string, versions link.Versions, err error) error {
+	return o.gateway.WithholdOutOfOrder(gateway.Outcome{Method: method, ReceivedAt: receivedAt, Versions: versions, RespondedBy: fromSelf, Err: err})
 }
 
 // fromSelf stands in log lines for the address of this instance if its own controller
@@ -96,6 +96,7 @@
 		return control.SubmitReply{}, fault.Retry(fault.Unavailable, gateway.RetryAfter, "no leader is reached")
 	}
 	err = o.forPrincipal(r.Principal, func() error {
+		r.AlikeSince = o.gateway.AlikeSince(receivedAt)
 		reply, err = callForCaller(ctx, o, receivedAt, control.MethodSubmit, r, (*control.Controller).Submit)
 		return err
 	})
@@ -125,7 +126,7 @@
 	}
 	recorderCtx, recorder := link.WithVersionRecorder(ctx)
 	reply, err := c.Ended(recorderCtx, &control.EndedCall{Address: r.Address, Version: o.gateway.Version(), Principal: r.Principal})
-	known := err == nil && reply.Known && o.checkVersionOrder(receivedAt, control.MethodState, recorder.Version(), nil) == nil
+	known := err == nil && reply.Known && o.checkVersionOrder(receivedAt, control.MethodState, recorder.Versions(), nil) == nil
 	return reply.Phase, known
 }
 
@@ -133,6 +134,7 @@
 func (o *Operations) Cancel(ctx context.Context, r *control.CancelCall) error {
 	receivedAt := time.Now()
 	return o.forPrincipal(r.Principal, func() error {
+		r.AlikeSince = o.gateway.AlikeSince(receivedAt)
 		_, err := callForCaller(ctx, o, receivedAt, control.MethodCancel, r, (*control.Controller).Cancel)
 		return err
 	})
--- a/internal/instance/operations_test.go
+++ b/internal/instance/operations_test.go
@@ -37,11 +37,11 @@
 }
 
 // startLeader serves a leader whose response to each state call is an active job, under a
-// given version of the configuration. It returns the address of the leader.
+// given version of the configuration and all versions before it. It returns the address of the leader.
 func startLeader(t *testing.T, version uint64) string {
 	mux := link.NewMux()
 	link.Handle(mux, control.MethodState, func(ctx context.Context, _ *control.StateCall) (control.StateReply, error) {
-		link.RecordVersion(ctx, version)
+		link.RecordVersions(ctx, link.Versions{Oldest: 1, Newest: version})
 		return control.StateReply{Phase: workflow.PhaseActive}, nil
 	})
 	server := httptest.NewServer(mux)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -87,8 +87,9 @@
 	Leader     string          `cbor:"6,keyasint,omitempty"`
 	Value      cbor.RawMessage `cbor:"7,keyasint,omitempty"`
 	// Version is the configuration version that was in force where the call was served, 0
-	// if the server names none.
+	// if the server names none. Oldest is the oldest version with the same response.
 	Version uint64 `cbor:"8,keyasint,omitempty"`
+	Oldest  uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Call calls a method of the server at address and decodes the value of the response into
@@ -100,18 +101,19 @@
 	return err
 }
 
-// CallVersioned is Call, and also returns the configuration version that the response
-// names, even if the call was refused; 0 if it names none.
-func (c *Client) CallVersioned(ctx context.Context, address, method string, request, reply any) (version uint64, err error) {
+// CallVersioned is Call, and also returns the configuration versions that the response
+// names, even if the call was refused.
+func (c *Client) CallVersioned(ctx context.Context, address, method string, request, reply any) (Versions, error) {
 	e, err := c.exchange(ctx, address, method, request)
 	if err != nil {
-		return 0, err
+		return Versions{}, err
 	}
 	c.raiseVersion(e.Version)
+	versions := Versions{Oldest: e.Oldest, Newest: e.Version}
 	if e.Failed {
-		return e.Version, e.err()
+		return versions, e.err()
 	}
-	return e.Version, errors.Wrapf(cbor.Unmarshal(e.Value, reply), "decode the response of %s", method)
+	return versions, errors.Wrapf(cbor.Unmarshal(e.Value, reply), "decode the response of %s", method)
 }
 
 // exchange sends a call and reads the body of the response.
@@ -195,8 +197,8 @@
 // NewMux returns a Mux without methods.
 func NewMux() *Mux { return &Mux{http: http.NewServeMux()} }
 
-// SetVersion makes each response name a configuration version: the one recorded with
-// RecordVersion while the call was served, or else the result of version from before the
+// SetVersion makes each response name configuration versions: those recorded with
+// RecordVersions while the call was served, or else the result of version from before the
 // call was served. That result is never newer than the version with which the call was
 // served.
 func (m *Mux) SetVersion(version func() uint64) { m.version.Store(&version) }
@@ -220,7 +222,8 @@
 		version := m.currentVersion()
 		ctx, recorder := WithVersionRecorder(r.Context())
 		e := serveRequest(ctx, r, serve)
-		e.Version = cmp.Or(recorder.Version(), version)
+		versions := cmp.Or(recorder.Versions(), Versions{Oldest: version, Newest: version})
+		e.Version, e.Oldest = versions.Newest, versions.Oldest
 		writeResponse(w, e)
 	})
 }
--- a/internal/link/version_test.go
+++ b/internal/link/version_test.go
@@ -28,24 +28,24 @@
 func TestResponsesNameRecordedVersion(t *testing.T) {
 	for _, outcome := range []error{nil, fault.New(fault.NotFound, "no queue")} {
 		address := serveVersions(t, func(ctx context.Context) error {
-			RecordVersion(ctx, 65)
+			RecordVersions(ctx, Versions{Oldest: 60, Newest: 65})
 			return outcome
 		})
 		client := NewClient(maxConnections)
-		version, err := client.CallVersioned(t.Context(), address, "m", &struct{}{}, &struct{}{})
+		versions, err := client.CallVersioned(t.Context(), address, "m", &struct{}{}, &struct{}{})
 		must.Eq(t, outcome == nil, err == nil)
-		must.Eq(t, uint64(65), version)
+		must.Eq(t, Versions{Oldest: 60, Newest: 65}, versions)
 		must.Eq(t, uint64(65), client.Version())
 	}
 }
 
 func TestResponseWithoutRecordedVersionNamesVersionBeforeCall(t *testing.T) {
 	address := serveVersions(t, func(context.Context) error { return nil })
-	version, err := NewClient(maxConnections).CallVersioned(t.Context(), address, "m", &struct{}{}, &struct{}{})
+	versions, err := NewClient(maxConnections).CallVersioned(t.Context(), address, "m", &struct{}{}, &struct{}{})
 	must.NoError(t, err)
-	must.Eq(t, uint64(62), version)
+	must.Eq(t, Versions{Oldest: 62, Newest: 62}, versions)
 }
 
-func TestRecordVersionWithoutRecorderDoesNothing(t *testing.T) {
-	RecordVersion(t.Context(), 65)
+func TestRecordVersionsWithoutRecorderDoesNothing(t *testing.T) {
+	RecordVersions(t.Context(), Versions{Oldest: 65, Newest: 65})
 }
--- a/workflow/apply.go
+++ b/workflow/apply.go
@@ -417,8 +417,9 @@
 	}
 	// Once keys are required, a document that leaves the customers out must not open the queues to
 	// everybody.
-	keysRequired := d.KeysRequired || s.Configuration.KeysRequired
-	s.Configuration = *d
-	s.Configuration.KeysRequired = keysRequired
+	next := *d
+	next.KeysRequired = d.KeysRequired || s.Configuration.KeysRequired
+	s.Changes.record(&s.Configuration, &next)
+	s.Configuration = next
 	s.customers = customer.NewDirectory(s.Configuration.Customers)
 }
--- a/workflow/configuration.go
+++ b/workflow/configuration.go
@@ -40,6 +40,9 @@
 	Policy Policy `cbor:"4,keyasint"`
 	// Open says that calls to the queue need no key.
 	Open bool `cbor:"5,keyasint,omitempty"`
+	// Since is the version of the configuration since which the queue admits the same callers and has
+	// the same service. It is set when a document is applied.
+	Since uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Identity returns host and prefix of the queue, which identify it even if its name
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -144,6 +144,8 @@
 	RunList []Run `cbor:"4,keyasint"`
 	// Waves are the maintenance waves of the operator, by ID.
 	Waves map[int64]*WaveState `cbor:"5,keyasint,omitempty"`
+	// Changes say when the parts of Configuration came into force.
+	Changes Changes `cbor:"6,keyasint,omitempty"`
 
 	// newestByName holds the latest incarnation of each worker, by name.
 	newestByName map[string]string
