JSON names that differ only in case are duplicates

Change: the check folds case as the decoder does, the long s and the Kelvin sign included. Ruled out: refusing unknown fields (they are to be ignored); a name in another case alone is taken as the field, as before.

--- a/internal/jsonbody/jsonbody.go
+++ b/internal/jsonbody/jsonbody.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -16,7 +17,8 @@
 const ContentType = "application/json"
 
 // Decode reads a JSON body of at most limit bytes into v and returns the bytes. It ignores
-// unknown fields, and rejects duplicate names because the sender could mean either value.
+// unknown fields, and rejects duplicate names because the sender could mean either value. Names that
+// differ only in case are duplicates, since encoding/json takes a name in any case for a field.
 // Errors have the kind fault.Invalid; the error for a longer body is marked ErrTooLong.
 func Decode(body io.Reader, limit int64, v any) ([]byte, error) {
 	data, err := io.ReadAll(io.LimitReader(body, limit+1))
@@ -84,10 +86,11 @@
 			return err
 		}
 		name, _ := token.(string)
-		if seenNames[name] {
+		folded := foldCase(name)
+		if seenNames[folded] {
 			return errors.Wrapf(errDuplicateName, "%q", name)
 		}
-		seenNames[name] = true
+		seenNames[folded] = true
 		if err := checkValue(decoder); err != nil {
 			return err
 		}
@@ -96,6 +99,10 @@
 	return err
 }
 
+// foldCase returns the same text for all names that are equal under Unicode case folding. Lower case alone
+// keeps letters apart that share an upper case, such as s and the long s.
+func foldCase(name string) string { return strings.ToLower(strings.ToUpper(name)) }
+
 // Write responds with a status and v as the JSON body.
 func Write(w http.ResponseWriter, status int, v any) {
 	data, err := json.Marshal(v)
