A document that isn't received whole is answered with 408, not called invalid

Cause: every error of reading counted as an invalid document. Change: a marked error of kind Unavailable; 408 for it, which is a refusal and doesn't end the operator's call. A document that came whole and is cut short stays 400. Conclusion: mended; whether it was among the users' cases isn't known.

--- a/internal/jsonbody/jsonbody.go
+++ b/internal/jsonbody/jsonbody.go
@@ -19,11 +19,12 @@
 // Decode reads a JSON body of at most limit bytes into v and returns the bytes. It ignores
 // unknown fields, and rejects duplicate names because the sender could mean either value. Names that
 // differ only in case are duplicates, since encoding/json takes a name in any case for a field.
-// Errors have the kind fault.Invalid; the error for a longer body is marked ErrTooLong.
+// Errors have the kind fault.Invalid; the error for a longer body is marked ErrTooLong. A body that
+// couldn't be received whole has the kind fault.Unavailable and is marked ErrIncomplete.
 func Decode(body io.Reader, limit int64, v any) ([]byte, error) {
 	data, err := io.ReadAll(io.LimitReader(body, limit+1))
 	if err != nil {
-		return nil, fault.Field("body", "can't be read: %v", err)
+		return nil, errors.Mark(fault.New(fault.Unavailable, "the body can't be read: %v", err), ErrIncomplete)
 	}
 	if int64(len(data)) > limit {
 		return nil, errors.Mark(fault.Field("body", "longer than %d bytes", limit), ErrTooLong)
@@ -40,6 +41,9 @@
 // ErrTooLong marks the error of a body that is longer than its limit.
 var ErrTooLong = errors.New("body too long")
 
+// ErrIncomplete marks the error of a body that wasn't received whole.
+var ErrIncomplete = errors.New("body incomplete")
+
 var (
 	errDuplicateName = errors.New("duplicate name")
 	errTrailingData  = errors.New("data after the end of the document")
--- a/internal/jsonbody/jsonbody_test.go
+++ b/internal/jsonbody/jsonbody_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/shoenig/test/must"
 
 	"github.com/bilberryferry/bilberryferry/fault"
@@ -36,3 +37,17 @@
 	must.NoError(t, err)
 	must.Eq(t, 3, v.Version)
 }
+
+// Guards against a valid body that is called invalid for good because the connection broke before it was
+// received whole.
+func TestBodyThatIsNotReceivedWholeIsIncomplete(t *testing.T) {
+	_, err := decode(io.MultiReader(strings.NewReader(`{"version":3`), brokenConnection{}))
+	must.True(t, errors.Is(err, ErrIncomplete))
+	must.Eq(t, fault.Unavailable, fault.KindOf(err))
+	_, err = decode(strings.NewReader(`{"version":3`))
+	must.Eq(t, fault.Invalid, fault.KindOf(err))
+}
+
+type brokenConnection struct{}
+
+func (brokenConnection) Read([]byte) (int, error) { return 0, errors.New("connection reset") }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -232,7 +232,7 @@
 func serveRequest[Request, Reply any](ctx context.Context, r *http.Request, serve func(context.Context, *Request) (Reply, error)) envelope {
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
 	if err != nil {
-		return errorEnvelope(fault.Field("body", "%v", err))
+		return errorEnvelope(fault.New(fault.Unavailable, "the call can't be read: %v", err))
 	}
 	request := new(Request)
 	if err := cbor.Unmarshal(body, request); err != nil {
