An instance that doesn't lead responds by its configuration only while the leader's newest version is known

Cause: naming a leader was taken as a sign of being up to date, and the only bound was the highest version that the asking instance had heard, 0 after its start. The class: freshness without proof. Change: the asking instance keeps when it sent the last call whose response named the version of a leader that may decide (submissions, queries, announcements every 0.3 to 0.6 s). Within 1.5 s of that, less than the 2 s in which a confirmed version must be in force, a member with that version may respond; else the leader is asked. The time is that of a clock that counts suspensions (package boottime). Ruled out: a call to the leader for each query (this path exists to spare it them); a round of heartbeats with proofs in the log (more messages; the announcements are there already). Tests: TestLaggingFollowerDoesNotRespondFromOlderConfiguration expected a first answer by version 62 while the leader has 65; that is the fault, it now expects the leader's answer three times (red before: cancelled, not active). TestInformedFollowerRespondsForEndedJob keeps the path. TestOutOfOrderEndedJobResponseIsIgnored informs its gateway first, or it would not reach its check. Figures of the leader's cost: not yet, ended_not_informed counts it.

--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -227,7 +227,8 @@
 }
 
 // Ended returns the phase of a job that has ended. Any instance that knows a leader may
-// respond, since the phase of an ended job never changes.
+// respond, since the phase of an ended job never changes, if it has applied the version of the
+// configuration that the call names. The caller must know that version to be the newest.
 //
 // Callers query the state of their jobs two or three times as often as they submit one,
 // mostly after the end.
@@ -401,5 +402,7 @@
 		return AnnounceInstanceReply{}, err
 	}
 	t.adviserConns.recordAnnouncement(r.Address, time.Now())
-	return AnnounceInstanceReply{Members: c.cfg.Members(), Version: c.configurationVersion(), Pause: t.adviserConns.announceInterval()}, nil
+	version := c.configurationVersion()
+	link.RecordVersions(ctx, link.Versions{Oldest: version, Newest: version})
+	return AnnounceInstanceReply{Members: c.cfg.Members(), Version: version, Pause: t.adviserConns.announceInterval()}, nil
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bilberryferry/bilberryferry/fault"
+	"github.com/bilberryferry/bilberryferry/internal/boottime"
 	"github.com/bilberryferry/bilberryferry/internal/control"
 	"github.com/bilberryferry/bilberryferry/internal/link"
 	"github.com/bilberryferry/bilberryferry/internal/wait"
@@ -32,6 +33,12 @@
 	control.MethodState: true, control.MethodEnded: true, control.MethodExplain: true, control.MethodConfiguration: true, control.MethodWaveState: true,
 }
 
+// informingMethods are the methods whose successful responses name the version that a leader has in force
+// which may decide at that moment.
+var informingMethods = map[string]bool{
+	control.MethodSubmit: true, control.MethodState: true, control.MethodCancel: true, control.MethodAnnounceInstance: true,
+}
+
 // Call calls a method of the leader, and retries at other members until a leader responds
 // or ctx ends. An error of kind Unavailable or Overloaded means that nothing was executed.
 // If an earlier try may have been executed, the kind is Unknown instead.
@@ -157,10 +164,14 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	c.lastAddress = address
+	sentAt := boottime.Now()
 	c.versions, err = c.g.client.CallVersioned(ctx, address, c.method, c.request, reply)
 	switch {
 	case err == nil:
 		c.g.recordLeader(address)
+		if informingMethods[c.method] {
+			c.g.recordInformed(sentAt)
+		}
 		return true, nil
 	case errors.Is(err, link.ErrNotLeader), errors.Is(err, link.ErrUnsent):
 		return false, err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-kit/log"
 
+	"github.com/bilberryferry/bilberryferry/internal/boottime"
 	"github.com/bilberryferry/bilberryferry/internal/control"
 	"github.com/bilberryferry/bilberryferry/internal/link"
 	"github.com/bilberryferry/bilberryferry/internal/wait"
@@ -75,6 +76,10 @@
 	// InContact that was logged last.
 	lastResponse time.Time
 	inContact    bool
+	// informedAt is when the last call was sent whose response named the version that the leader has
+	// in force, by the clock of package boottime. Each version that was confirmed before then is at
+	// most Version.
+	informedAt time.Duration
 	// followerCursor is the round-robin position of nextFollower: modulo the number of
 	// members, it is the index of the member that was considered last. unresponsiveUntil
 	// holds the members that failed a call, with the time until which nextFollower skips
@@ -123,6 +128,26 @@
 	return time.Since(g.lastResponse) < contactTimeout
 }
 
+// maxVersionAge is how long after a call to the leader the version that its response named counts as the
+// newest: shorter than the 2 s in which callers expect a confirmed version to be in force.
+const maxVersionAge = 1500 * time.Millisecond
+
+// Informed reports whether the leader has named the newest version within maxVersionAge. Only then may
+// an instance that doesn't lead respond to a caller by that version: what an instance names as its leader
+// doesn't show how old its state is.
+func (g *Gateway) Informed() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.informedAt > 0 && boottime.Now()-g.informedAt < maxVersionAge
+}
+
+// recordInformed records that the response to a call sent at a time named the leader's version.
+func (g *Gateway) recordInformed(sentAt time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.informedAt = max(g.informedAt, sentAt)
+}
+
 // candidates returns the addresses at which the leader may be, the likeliest first.
 func (g *Gateway) candidates() []string {
 	g.mu.Lock()
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -61,9 +61,13 @@
 
 // EndedJobPhase asks a follower for the phase of a job that may have ended, on behalf of a
 // caller's request that was received at receivedAt. If known is false, the leader has to be
-// asked: the follower doesn't know the phase or didn't respond, or its response contradicts
-// the order of the requests.
+// asked: the newest version isn't known, the follower doesn't know the phase or didn't respond, or its
+// response contradicts the order of the requests.
 func (g *Gateway) EndedJobPhase(ctx context.Context, receivedAt time.Time, r *control.StateCall) (phase workflow.Phase, known bool) {
+	if !g.Informed() {
+		g.counters.Add("ended_not_informed", 1)
+		return 0, false
+	}
 	member := g.nextFollower()
 	if member == "" {
 		return 0, false
--- a/internal/gateway/version_order_test.go
+++ b/internal/gateway/version_order_test.go
@@ -12,6 +12,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/bilberryferry/bilberryferry/fault"
+	"github.com/bilberryferry/bilberryferry/internal/boottime"
 	"github.com/bilberryferry/bilberryferry/internal/control"
 	"github.com/bilberryferry/bilberryferry/internal/link"
 )
@@ -189,6 +190,7 @@
 	t.Cleanup(server.Close)
 	g := New(link.NewClient(maxConnections), "own", []string{strings.TrimPrefix(server.URL, "http://")}, log.NewNopLogger())
 	must.NoError(t, g.versionOrder.admit(only(65), time.Now().Add(-time.Second), "leader"))
+	g.recordInformed(boottime.Now())
 	_, known := g.EndedJobPhase(t.Context(), time.Now(), &control.StateCall{})
 	must.False(t, known)
 }
--- a/internal/instance/operations.go
+++ b/internal/instance/operations.go
@@ -124,6 +124,9 @@
 	if c == nil {
 		return o.gateway.EndedJobPhase(ctx, receivedAt, r)
 	}
+	if !o.gateway.Informed() {
+		return 0, false
+	}
 	recorderCtx, recorder := link.WithVersionRecorder(ctx)
 	reply, err := c.Ended(recorderCtx, &control.EndedCall{Address: r.Address, Version: o.gateway.Version(), Principal: r.Principal})
 	known := err == nil && reply.Known && o.checkVersionOrder(receivedAt, control.MethodState, recorder.Versions(), nil) == nil
--- a/internal/instance/operations_test.go
+++ b/internal/instance/operations_test.go
@@ -57,19 +57,35 @@
 // Guards against responses that go back to an older configuration: a core instance that
 // lags behind the leader forwards a request and responds under the leader's newer
 // configuration, in which a queue is dropped. From that response on it must not respond
-// for an ended job of that queue from its own, older state.
+// for an ended job of that queue from its own, older state; nor before it, while the leader
+// hasn't told it the newest version.
 func TestLaggingFollowerDoesNotRespondFromOlderConfiguration(t *testing.T) {
 	const leaderVersion, maxConnections = 65, 100
-	job := workflow.Submission{ID: "job", Queue: documentV62.Queues[0].Identity(), Steps: []workflow.Step{{Count: 1}}}
-	local := newFollower(t, workflow.Command{Configuration: &documentV62}, workflow.Command{Submit: &job}, workflow.Command{Cancel: "job"})
 	o := newOperations(gateway.New(link.NewClient(maxConnections), "own", []string{startLeader(t, leaderVersion)}, log.NewNopLogger()))
-	o.setLocalController(local)
-	phaseOf := func(id string) workflow.Phase {
-		reply, err := o.State(t.Context(), &control.StateCall{Address: control.JobAddress{Queue: "q", ID: id}})
-		must.NoError(t, err)
-		return reply.Phase
-	}
-	must.Eq(t, workflow.PhaseCancelled, phaseOf("job"))
-	must.Eq(t, workflow.PhaseActive, phaseOf("other"))
-	must.Eq(t, workflow.PhaseActive, phaseOf("job"))
+	o.setLocalController(newFollower(t, cancelledJobV62()...))
+	must.Eq(t, workflow.PhaseActive, phaseOf(t, o, "job"))
+	must.Eq(t, workflow.PhaseActive, phaseOf(t, o, "other"))
+	must.Eq(t, workflow.PhaseActive, phaseOf(t, o, "job"))
+}
+
+// cancelledJobV62 returns the commands that configure documentV62 and cancel the job "job".
+func cancelledJobV62() []workflow.Command {
+	job := workflow.Submission{ID: "job", Queue: documentV62.Queues[0].Identity(), Steps: []workflow.Step{{Count: 1}}}
+	return []workflow.Command{{Configuration: &documentV62}, {Submit: &job}, {Cancel: "job"}}
+}
+
+func phaseOf(t *testing.T, o *Operations, id string) workflow.Phase {
+	reply, err := o.State(t.Context(), &control.StateCall{Address: control.JobAddress{Queue: "q", ID: id}})
+	must.NoError(t, err)
+	return reply.Phase
+}
+
+// Guards against all queries for ended jobs going to the leader: an instance that has applied the version
+// that the leader named a moment ago responds itself.
+func TestInformedFollowerRespondsForEndedJob(t *testing.T) {
+	const maxConnections = 100
+	o := newOperations(gateway.New(link.NewClient(maxConnections), "own", []string{startLeader(t, documentV62.Version)}, log.NewNopLogger()))
+	o.setLocalController(newFollower(t, cancelledJobV62()...))
+	must.Eq(t, workflow.PhaseActive, phaseOf(t, o, "other"))
+	must.Eq(t, workflow.PhaseCancelled, phaseOf(t, o, "job"))
 }
