The log counts its ticks by a clock that goes on while the machine is suspended

The class: a right that outlives its proof. For workers' leases the leader term checks for suspensions already; reads did not. Change: Config.Now, by default the clock of package boottime, for ticks and for how long a published status holds. Ruled out: a check of both clocks in each handler (easy to forget; the log's own clock is where the lease is).

--- a/internal/node/clock.go
+++ b/internal/node/clock.go
@@ -1,6 +1,17 @@
 package node
 
-import "time"
+import (
+	"time"
+
+	"github.com/bilberryferry/bilberryferry/internal/boottime"
+)
+
+// steadyNow returns a clock that also counts the time for which the machine is suspended. With the clock
+// of package time, a leader would trust its lease after a suspension in which another leader was elected.
+func steadyNow() func() time.Time {
+	origin, bootOrigin := time.Now(), boottime.Now()
+	return func() time.Time { return origin.Add(boottime.Now() - bootOrigin) }
+}
 
 // clock converts elapsed time into ticks. It doesn't count timer events: a process gets no
 // timer events while it is paused, and a leader that missed its ticks would still trust a
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -23,7 +23,7 @@
 // Run drives the member until ctx ends or its disk fails. The end of ctx is a clean
 // stop and returns nil. Run may be called once.
 func (g *Group) Run(ctx context.Context) error {
-	g.clock = newClock(time.Now(), g.cfg.TickInterval)
+	g.clock = newClock(g.cfg.Now(), g.cfg.TickInterval)
 	g.runCtx = ctx
 	ticker := time.NewTicker(g.cfg.TickInterval)
 	defer ticker.Stop()
@@ -97,7 +97,7 @@
 
 // tick passes the ticks that are due to the core.
 func (g *Group) tick() {
-	n := g.clock.due(time.Now())
+	n := g.clock.due(g.cfg.Now())
 	for range min(n, uint64(maxCatchUpTimeouts*g.cfg.ElectionTicks)) {
 		g.core.Tick()
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -121,6 +121,9 @@
 	Seed      uint64
 	Machine   Machine
 	Transport Transport
+	// Now returns the time by which ticks are counted; only differences count. It must go on while the
+	// machine is suspended. nil means package boottime.
+	Now func() time.Time
 	// Logger receives a line for each change of role; nil logs nothing.
 	Logger log.Logger
 }
@@ -148,6 +151,9 @@
 	if cfg.KeepEntries == 0 {
 		cfg.KeepEntries = int(cfg.SnapshotEntries)
 	}
+	if cfg.Now == nil {
+		cfg.Now = steadyNow()
+	}
 	if cfg.Logger == nil {
 		cfg.Logger = log.NewNopLogger()
 	}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -44,7 +44,7 @@
 	defer p.mu.Unlock()
 	s := p.status
 	s.Members = slices.Clone(s.Members)
-	s.CanDecide = s.CanDecide && time.Now().Before(p.validUntil)
+	s.CanDecide = s.CanDecide && g.cfg.Now().Before(p.validUntil)
 	return s
 }
 
