A follower reads its clock after it has taken the messages of a round

Cause: a round read the clock first and took the messages then. A follower that loses the processor between the two handles a heartbeat that arrived after the pause as if it came before, and credits the pause against the promise not to vote that the reply gives. Evidence: the red test below; the window is a few instructions wide, so that a run on processes wouldn't be likely to show it. Change: messages first, then the clock. Ruled out: the leader's side (its lease counts from the tick before the heartbeat is sent, which errs to the safe side); the sole voter; the start of a member (it refuses votes for an election timeout). Test: TestTimeBeforeHeartbeatDoesNotShortenPromise, red before (term 2, expected 1). Conclusion: mended.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -61,9 +61,14 @@
 // runRound processes ticks, messages, calls and one Ready. It makes up for missed ticks
 // first: a member that was paused must know how much time has passed before it treats a
 // message as recent or decides anything.
+//
+// It takes the messages before it reads the clock. If one arrived between the two, time from before its
+// arrival would count against the promise that the reply to it gives, and this member could vote while the
+// leader's lease holds.
 func (g *Group) runRound() error {
+	messages := g.inbox.take()
 	g.tick()
-	for _, m := range g.inbox.take() {
+	for _, m := range messages {
 		if err := g.core.Step(m); err != nil {
 			g.counters.dropped.Add(1)
 		}
