Members learn how late a leader is also from those that they have given up, and a busy leader steps down later

Cause: the election timeout follows the gaps between a leader's messages, but a gap counted only if it was shorter than the timeout that it was to lengthen: a member that has become a candidate, or follows the next leader, forgot how late the last one was. And a leader stepped down after 0.5 s without replies, whatever it had learned. The class: a metastable failure, the way out (an election, a new leader's first work) costs more than the trigger; its bound in time stands still while the machine is slow. Change: a late message of a leader counts in the same term after the member gave it up and in the next term, a late reply after a leader stepped down; gaps over four election timeouts don't count, they are outages. Stepping down follows the learned timeout. The lease and the time for which votes are refused stay as they are, so no right depends on it.

--- a/replica/append.go
+++ b/replica/append.go
@@ -135,10 +135,9 @@
 // recordLeaderContact records a message of the leader of the current term.
 func (c *Core) recordLeaderContact(id string) {
 	invariant(c.role != Leader, "%s and %s are both leaders of term %d", c.cfg.ID, id, c.term)
+	c.recordContact(id)
 	if c.leader != id || c.role == Candidate {
 		c.follow(c.term, id)
-	} else {
-		c.heartbeatGaps.record(c.ticksSinceLeader, c.now)
 	}
 	c.ticksSinceLeader = 0
 	c.ticksSinceReset = 0
@@ -226,7 +225,11 @@
 // onAppendReply counts an acknowledgement and lets replication continue.
 func (c *Core) onAppendReply(m Message) {
 	p := c.leaderState.progress[m.From]
-	if c.role != Leader || p == nil {
+	if c.role != Leader {
+		c.recordLateReply()
+		return
+	}
+	if p == nil {
 		return
 	}
 	p.lastReplyTick = c.now
@@ -241,6 +244,7 @@
 	if !m.Recovering {
 		p.ackedTick = max(p.ackedTick, m.Tick)
 		p.readRound = max(p.readRound, m.ReadRound)
+		c.recordQuorum()
 	}
 	if m.Reject {
 		p.rejected(m.Index, m.RejectHint)
--- a/replica/election_timeout.go
+++ b/replica/election_timeout.go
@@ -11,11 +11,16 @@
 	maxTimeoutFactor = 4
 )
 
-// heartbeatGaps holds the widest gaps between two messages of one leader, in ticks:
-// in the current window and in the previous one.
+// heartbeatGaps holds the widest gaps between two messages of one leader, or between two replies of a
+// majority to it, in ticks: in the current window and in the previous one.
 type heartbeatGaps struct {
 	windowStartTick        uint64
 	widest, previousWidest int
+	// contactTicks holds when each leader made contact last.
+	contactTicks map[string]uint64
+	// steppedDownTerm is the term in which this member led until it missed the replies of a majority,
+	// 0 for none. lastQuorumTick is when it had them last.
+	steppedDownTerm, lastQuorumTick uint64
 }
 
 // record adds the gap before a message of the leader, in ticks.
@@ -26,8 +31,56 @@
 	g.widest = max(g.widest, gap)
 }
 
+// recordContact records a message from the leader of the current term, or from an earlier leader that has
+// not heard of its successor. The gap before it is recorded even if this member has given the leader up
+// meanwhile: a leader that is heard of again was late, not lost. Longer gaps than any election
+// timeout don't count; after these the leader was lost.
+//
+// If such gaps didn't count, members would give up each leader that is later than they have seen a leader be.
+// The group would never learn how late its leaders are.
+func (c *Core) recordContact(leader string) {
+	g := &c.heartbeatGaps
+	if last, ok := g.contactTicks[leader]; ok {
+		c.recordGap(last)
+	}
+	if g.contactTicks == nil {
+		g.contactTicks = map[string]uint64{}
+	}
+	g.contactTicks[leader] = c.now
+}
+
+// recordGap records the gap since a tick if a late member can have caused it.
+func (c *Core) recordGap(since uint64) {
+	if gap := c.now - since; gap <= uint64(maxTimeoutFactor*c.cfg.ElectionTicks) {
+		c.heartbeatGaps.record(int(gap), c.now)
+	}
+}
+
+// recordQuorum records that a majority has replied to this leader.
+func (c *Core) recordQuorum() {
+	ls := &c.leaderState
+	if quorum := c.quorumAckTick(); quorum > ls.quorumTick {
+		c.recordGap(max(ls.quorumTick, ls.electedTick))
+		ls.quorumTick = quorum
+	}
+}
+
+// recordStepDown records that this leader steps down because a majority doesn't reply.
+func (c *Core) recordStepDown() {
+	c.heartbeatGaps.steppedDownTerm = c.term
+	c.heartbeatGaps.lastQuorumTick = max(c.leaderState.quorumTick, c.leaderState.electedTick)
+}
+
+// recordLateReply records a reply that arrives after this member has stepped down for want of it.
+func (c *Core) recordLateReply() {
+	if g := &c.heartbeatGaps; g.steppedDownTerm == c.term {
+		c.recordGap(g.lastQuorumTick)
+		g.steppedDownTerm = 0
+	}
+}
+
 // minElectionTimeoutTicks returns the least election timeout in ticks. The timeout is longer
-// than the recent gaps after which the leader sent messages again, but at most
+// than the recent gaps after which a leader sent messages again, but at most
 // maxTimeoutFactor times Config.ElectionTicks.
 //
 // If the timeout ignored these gaps, a leader under load that sends its heartbeats late
--- a/replica/leader.go
+++ b/replica/leader.go
@@ -18,6 +18,9 @@
 	heartbeatDue       bool
 	transfer           transfer
 	reads              readRounds
+	// quorumTick is the tick at which the messages were sent to which a majority has replied, as of the
+	// last reply.
+	quorumTick uint64
 }
 
 // becomeLeader makes this member the leader of the current term. Its no-op entry
@@ -141,8 +144,9 @@
 		c.leaderState.heartbeatCountdown = c.cfg.HeartbeatTicks
 		c.leaderState.heartbeatDue = true
 	}
-	if c.now-max(c.quorumAckTick(), c.leaderState.electedTick) >= stepDownTimeouts*uint64(c.cfg.ElectionTicks) {
+	if c.now-max(c.quorumAckTick(), c.leaderState.electedTick) >= stepDownTimeouts*uint64(c.minElectionTimeoutTicks()) {
 		// No majority replies, so another leader may exist already.
+		c.recordStepDown()
 		c.follow(c.term, "")
 		return
 	}
