--- a/replica/append.go
+++ b/replica/append.go
@@ -135,7 +135,7 @@
 // recordLeaderContact records a message of the leader of the current term.
 func (c *Core) recordLeaderContact(id string) {
 	invariant(c.role != Leader, "%s and %s are both leaders of term %d", c.cfg.ID, id, c.term)
-	c.recordContact(id)
+	c.recordContact(id, c.term)
 	if c.leader != id || c.role == Candidate {
 		c.follow(c.term, id)
 	}
--- a/replica/election_timeout.go
+++ b/replica/election_timeout.go
@@ -16,13 +16,16 @@
 type heartbeatGaps struct {
 	windowStartTick        uint64
 	widest, previousWidest int
-	// contactTicks holds when each leader made contact last.
-	contactTicks map[string]uint64
+	// contacts holds the last contact of each leader.
+	contacts map[string]leaderContact
 	// steppedDownTerm is the term in which this member led until it missed the replies of a majority,
 	// 0 for none. lastQuorumTick is when it had them last.
 	steppedDownTerm, lastQuorumTick uint64
 }
 
+// leaderContact is a message from a leader: the term that it led and the tick of its arrival.
+type leaderContact struct{ term, tick uint64 }
+
 // record adds the gap before a message of the leader, in ticks.
 func (g *heartbeatGaps) record(gap int, now uint64) {
 	if now-g.windowStartTick >= gapWindowTicks {
@@ -32,21 +35,22 @@
 }
 
 // recordContact records a message from the leader of the current term, or from an earlier leader that has
-// not heard of its successor. The gap before it is recorded even if this member has given the leader up
-// meanwhile: a leader that is heard of again was late, not lost. Longer gaps than any election
-// timeout don't count; after these the leader was lost.
+// not heard of its successor. The gap since its last message of the same term is recorded even if this member
+// has given the leader up meanwhile: a leader that is heard of again was late, not lost. Longer gaps than any
+// election timeout don't count; after these the leader was lost. Nor does the time between two terms of
+// one leader, in which it had no reason to send.
 //
 // If such gaps didn't count, members would give up each leader that is later than they have seen a leader be.
 // The group would never learn how late its leaders are.
-func (c *Core) recordContact(leader string) {
+func (c *Core) recordContact(leader string, term uint64) {
 	g := &c.heartbeatGaps
-	if last, ok := g.contactTicks[leader]; ok {
-		c.recordGap(last)
+	if last, ok := g.contacts[leader]; ok && last.term == term {
+		c.recordGap(last.tick)
 	}
-	if g.contactTicks == nil {
-		g.contactTicks = map[string]uint64{}
+	if g.contacts == nil {
+		g.contacts = map[string]leaderContact{}
 	}
-	g.contactTicks[leader] = c.now
+	g.contacts[leader] = leaderContact{term: term, tick: c.now}
 }
 
 // recordGap records the gap since a tick if a late member can have caused it.
--- a/replica/step.go
+++ b/replica/step.go
@@ -163,7 +163,7 @@
 // replyToOldTerm tells a deposed leader the newer term.
 func (c *Core) replyToOldTerm(m Message) {
 	if m.Type == MsgAppend || m.Type == MsgSnapshot {
-		c.recordContact(m.From)
+		c.recordContact(m.From, m.Term)
 		c.send(Message{Type: MsgAppendReply, To: m.From, Term: c.term, Reject: true, Recovering: c.role == Recovering})
 	}
 }
