Settings name the terms of the deployment, and load control is switched on by them

What follows acts only where a deployment calls for it: the setting load_control, or a term of the deployment's contract that the adapters translate. Ruled out: the presence of customers, which an earlier deployment has too.

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -39,7 +39,10 @@
 	Bounds                 Bounds
 	// Disabled names the mechanisms that are switched off.
 	Disabled dispatch.Disabled
-	Workers  Workers
+	// LoadControl switches on admission by what can end in time, and connections to the adviser that
+	// are kept for the shortest queries.
+	LoadControl bool
+	Workers     Workers
 	// OnElected is called at the start of each leader term, before any worker is polled.
 	// Whatever it starts must stop when ctx ends. It may be nil.
 	OnElected func(ctx context.Context, term uint64)
--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -34,6 +34,8 @@
 type CoreAdapters struct {
 	// NewDeploymentClient returns the client of the deployment.
 	NewDeploymentClient func(DeploymentAddresses) DeploymentClient
+	// CallsForLoadControl reports whether terms of the deployment's contract call for load control.
+	CallsForLoadControl func(terms []string) bool
 	// NewControlHandler returns the handler of the control address.
 	NewControlHandler func(operations *Operations, logger log.Logger) http.Handler
 }
@@ -41,7 +43,7 @@
 // NewCore returns the daemon of a core instance, which has a disk and is a member
 // of the log.
 func NewCore(adapters CoreAdapters) Daemon {
-	return Daemon{"core", func(ctx context.Context, p *process) error { return p.runCore(ctx, adapters) }}
+	return Daemon{"core", adapters.CallsForLoadControl, func(ctx context.Context, p *process) error { return p.runCore(ctx, adapters) }}
 }
 
 // runCore runs a core instance until ctx ends or a part of it fails.
@@ -93,7 +95,7 @@
 	cfg := control.Config{
 		Address: c.internalAddress, PublicAddress: s.ControlAddress, Workers: c.deployment, Adviser: c.deployment, Client: c.client,
 		Logger: p.logger, Counters: p.metrics, Leader: logMember.Leader, Members: logMember.Addresses,
-		Bounds: s.controlBounds(), Disabled: s.DisabledMechanisms, Instance: s.Instance, OrdersByHeartbeat: s.WorkerOrders == ordersHeartbeat,
+		Bounds: s.controlBounds(), Disabled: s.DisabledMechanisms, Instance: s.Instance, LoadControl: s.LoadControl, OrdersByHeartbeat: s.WorkerOrders == ordersHeartbeat,
 	}
 	if s.MachineListAddress != "" {
 		cfg.Machines = c.deployment
--- a/internal/instance/process.go
+++ b/internal/instance/process.go
@@ -64,7 +64,9 @@
 // Daemon is one of the two daemons, core or edge; see NewCore and NewEdge.
 type Daemon struct {
 	role string
-	run  func(context.Context, *process) error
+	// callsForLoadControl reports whether the terms of the deployment call for load control.
+	callsForLoadControl func(terms []string) bool
+	run                 func(context.Context, *process) error
 }
 
 // Main loads the settings, runs a daemon until SIGTERM or SIGINT and returns the exit
@@ -99,6 +101,7 @@
 	if err != nil {
 		return errors.Mark(err, errSettings)
 	}
+	settings.LoadControl = settings.LoadControl || d.callsForLoadControl(settings.Terms)
 	if settings.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(settings.MemoryMB) << 20 * memoryLimitPercent / 100)
 	}
@@ -107,7 +110,7 @@
 	p := &process{settings: settings, settingsPath: path, sink: sink, metrics: oplog.NewMetrics()}
 	p.logger = oplog.NewLogger(sink, settings.Instance)
 	_ = p.logger.Log("event", "start", "role", d.role, "address", settings.Address, "data_centre", settings.DataCentre,
-		"seeds", len(settings.Seeds), "first_start", settings.FirstStart)
+		"seeds", len(settings.Seeds), "first_start", settings.FirstStart, "load_control", settings.LoadControl)
 	err = d.run(ctx, p)
 	_ = p.logger.Log("event", "stop", "role", d.role, "err", err)
 	return err
--- a/internal/instance/settings.go
+++ b/internal/instance/settings.go
@@ -66,6 +66,12 @@
 	// ToleratedFailures is how many core instances may fail at the same time.
 	ToleratedFailures int    `toml:"instances_lost"`
 	Bounds            Bounds `toml:"bounds"`
+	// Terms names the parts of the deployment's contract that are in force, in the deployment's own
+	// words; the adapters say which parts of the product they call for.
+	Terms []string `toml:"terms"`
+	// LoadControl switches on the control of overload: bounds on calls by rank, admission by what can
+	// end in time, and bounds for each customer at the edge instances. Terms can call for it too.
+	LoadControl bool `toml:"load_control"`
 	// DisabledMechanisms switches off mechanisms of the scheduler, to measure the effect
 	// of each.
 	DisabledMechanisms dispatch.Disabled `toml:"without"`
