Bound the calls of a core instance by class, adapted to the scheduling delay

The leader sends heartbeats late and loses its authority to decide.

Ruled out: bounds on connections, because a connection that is kept open costs no processor time and a refused one costs more; waiting without reading the body, because net/http notices a caller that disconnects only after the body was read.

Change: overload.Limiter decides by class which calls are served, wait or are refused; overload.Monitor measures how late a sleep of 10 ms wakes; overload.Gate connects them with link.Mux, which asks it before the body of a call is read. Core instances use it when load control is on.

Not run: a deployment under load.

--- a/internal/carrier/route_test.go
+++ b/internal/carrier/route_test.go
@@ -9,6 +9,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 	"github.com/shoenig/test/must"
+
+	"github.com/bilberryferry/bilberryferry/fault"
 )
 
 // routeWithOrders returns a route without loops, and a pending order at each stage.
@@ -78,3 +80,22 @@
 	must.ErrorIs(t, err, errNotForwarded)
 	must.Less(t, startTimeout, time.Since(started))
 }
+
+// overloadedTransport refuses every call because of load.
+type overloadedTransport struct{}
+
+func (overloadedTransport) Call(context.Context, string, string, any, any) error {
+	return fault.Retry(fault.Overloaded, time.Second, "too many calls")
+}
+
+// Guards against orders that wait for an outcome although the carrier has refused their message because of load, and
+// against a carrier that gets further orders meanwhile.
+func TestOverloadedCarrierCountsAsLostCall(t *testing.T) {
+	r := newRoute(&ForwarderConfig{Transport: overloadedTransport{}, Logger: log.NewNopLogger(), Counters: noCounters{}}, "a", 1, &atomic.Uint64{})
+	r.setResponsive(true, nil)
+	order := r.enqueue(t.Context(), &Order{})
+	r.sendBatch(t.Context(), r.nextBatch())
+	must.ErrorIs(t, resultOf(order), errNoResponse)
+	usable, _ := r.usable(time.Now())
+	must.False(t, usable)
+}
--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -12,6 +12,7 @@
 	"github.com/bilberryferry/bilberryferry/internal/descriptors"
 	"github.com/bilberryferry/bilberryferry/internal/member"
 	replicatedlog "github.com/bilberryferry/bilberryferry/internal/node"
+	"github.com/bilberryferry/bilberryferry/internal/overload"
 )
 
 // DeploymentClient calls the workers, the adviser and the machine list of a
@@ -59,6 +60,12 @@
 		ID: s.Address, Port: s.InternalPort, Seeds: s.seedHosts(), FirstStart: s.FirstStart,
 		Folder: s.DataFolder, Voters: votersFor(s.ToleratedFailures), Machine: stateMachine, Logger: p.logger,
 	}, c.client, c.mux)
+	var monitor *overload.Monitor
+	if s.LoadControl {
+		gate := overload.NewGate(overload.DefaultBounds(), callClass, p.logger, p.metrics)
+		c.mux.SetGate(gate)
+		monitor = overload.NewMonitor(gate.Observe)
+	}
 	controlServer := newServer(s.ControlAddress, adapters.NewControlHandler(c.operations, p.logger))
 	descriptors.LimitServer(controlServer, "control", budget.FromExternal, true, p.metrics)
 
@@ -66,6 +73,9 @@
 	defer stopWork()
 	group, groupCtx := errgroup.WithContext(workCtx)
 	p.serveComponents(groupCtx, group, c)
+	if monitor != nil {
+		group.Go(func() error { return monitor.Run(groupCtx) })
+	}
 	serve(group, controlServer)
 	group.Go(func() error { return p.runLogMember(ctx, groupCtx, c, logMember, stateMachine) })
 	group.Go(func() error {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -187,9 +187,19 @@
 	return ""
 }
 
+// Gate decides which calls are served, wait or are refused.
+type Gate interface {
+	// Arrive decides on a call of a method. An error refuses the call. Otherwise done must be called after the
+	// call has been served. If wait isn't nil, the call may be served only after wait has returned nil; if wait
+	// returns an error, the call is refused and done must not be called.
+	Arrive(method string) (wait func(context.Context) error, done func(), err error)
+}
+
 // Mux serves calls by method.
 type Mux struct {
 	http *http.ServeMux
+	// gate is nil until SetGate is called.
+	gate atomic.Pointer[Gate]
 	// version is nil until SetVersion is called.
 	version atomic.Pointer[func() uint64]
 }
@@ -203,6 +213,10 @@
 // served.
 func (m *Mux) SetVersion(version func() uint64) { m.version.Store(&version) }
 
+// SetGate makes m ask gate about each call after the header of its request was read and before the body is.
+// Requests of a pattern passed to HandleHTTP don't pass the gate.
+func (m *Mux) SetGate(gate Gate) { m.gate.Store(&gate) }
+
 func (m *Mux) currentVersion() uint64 {
 	if version := m.version.Load(); version != nil {
 		return (*version)()
@@ -219,21 +233,88 @@
 // Handle makes m serve the calls of a method with serve.
 func Handle[Request, Reply any](m *Mux, method string, serve func(context.Context, *Request) (Reply, error)) {
 	m.http.HandleFunc("POST "+pathPrefix+method, func(w http.ResponseWriter, r *http.Request) {
+		done, err := m.enter(w, r, method)
+		if err != nil {
+			// The server discards a body of up to 256 KB and keeps the connection open, which takes less time
+			// than opening another one. It closes the connection if the body is longer.
+			writeResponse(w, errorEnvelope(err))
+			return
+		}
+		defer done()
 		version := m.currentVersion()
 		ctx, recorder := WithVersionRecorder(r.Context())
-		e := serveRequest(ctx, r, serve)
+		e := m.serveRequest(ctx, w, r, func(ctx context.Context, body []byte) envelope { return serveBody(ctx, body, serve) })
 		versions := cmp.Or(recorder.Versions(), Versions{Oldest: version, Newest: version})
 		e.Version, e.Oldest = versions.Newest, versions.Oldest
 		writeResponse(w, e)
 	})
 }
 
-// serveRequest decodes a request, serves it, and returns the body of the response.
-func serveRequest[Request, Reply any](ctx context.Context, r *http.Request, serve func(context.Context, *Request) (Reply, error)) envelope {
+const (
+	// bodyTimeout bounds how long the body of a call may take if m has a gate, so that a caller that stops
+	// sending doesn't keep others from being served. A gateway gives up a try after 900 ms.
+	bodyTimeout = time.Second
+	// maxWaitingBody bounds the body that is read while a call waits. Nearly all calls are smaller.
+	maxWaitingBody = 64 << 10
+)
+
+// enter asks the gate about a call. If err is nil, the call may be served, and done must be called afterwards.
+func (m *Mux) enter(w http.ResponseWriter, r *http.Request, method string) (done func(), err error) {
+	gate := m.gate.Load()
+	if gate == nil {
+		return func() {}, nil
+	}
+	wait, done, err := (*gate).Arrive(method)
+	setBodyDeadline(w)
+	if err != nil || wait == nil {
+		return done, err
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	if !prefetchBody(r) {
+		cancel()
+	}
+	// The deadline must not expire while the call waits: that would end the context of the request.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	if err := wait(ctx); err != nil {
+		return nil, err
+	}
+	setBodyDeadline(w)
+	return done, nil
+}
+
+// setBodyDeadline makes reading the body fail after bodyTimeout.
+func setBodyDeadline(w http.ResponseWriter) {
+	// A writer that isn't that of a server can't set deadlines.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
+}
+
+// prefetchBody reads the body of a request into memory, up to maxWaitingBody, without decoding it. It returns
+// false if the body can't be read. The server notices that the caller has disconnected only after the whole
+// body was read, so the call would otherwise go on waiting.
+func prefetchBody(r *http.Request) bool {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxWaitingBody))
+	r.Body = struct {
+		io.Reader
+		io.Closer
+	}{io.MultiReader(bytes.NewReader(body), r.Body), r.Body}
+	return err == nil
+}
+
+// serveRequest reads the body of a request, serves it, and returns the body of the response.
+func (m *Mux) serveRequest(ctx context.Context, w http.ResponseWriter, r *http.Request, serve func(context.Context, []byte) envelope) envelope {
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
 	if err != nil {
 		return errorEnvelope(fault.New(fault.Unavailable, "the call can't be read: %v", err))
 	}
+	if m.gate.Load() != nil {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	}
+	return serve(ctx, body)
+}
+
+// serveBody decodes the body of a request, serves it, and returns the body of the response.
+func serveBody[Request, Reply any](ctx context.Context, body []byte, serve func(context.Context, *Request) (Reply, error)) envelope {
 	request := new(Request)
 	if err := cbor.Unmarshal(body, request); err != nil {
 		return errorEnvelope(fault.Field("body", "%v", err))
--- a/internal/member/host.go
+++ b/internal/member/host.go
@@ -87,7 +87,7 @@
 	h := &Host{cfg: cfg, client: client, transport: peer.New(config), mux: peer.NewMux(config)}
 	h.liveness.lastSeen = map[string]time.Time{}
 	mux.HandleHTTP(apiv1.PeerPathPrefix, apiv1.NewPeerServer(exchangeOnly{h.mux}))
-	link.Handle(mux, "join", h.serveJoin)
+	link.Handle(mux, MethodJoin, h.serveJoin)
 	return h
 }
 
--- a/internal/member/join.go
+++ b/internal/member/join.go
@@ -26,6 +26,9 @@
 	changeTimeout = time.Second
 )
 
+// MethodJoin is the name of the method by which an instance announces itself to the leader of the log.
+const MethodJoin = "join"
+
 // JoinRequest announces an instance to the leader.
 type JoinRequest struct {
 	ID string `cbor:"1,keyasint"`
@@ -126,7 +129,7 @@
 func (h *Host) callJoin(ctx context.Context, address string) (response JoinResponse, leader string, err error) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	err = h.client.Call(ctx, address, "join", &JoinRequest{ID: h.cfg.ID}, &response)
+	err = h.client.Call(ctx, address, MethodJoin, &JoinRequest{ID: h.cfg.ID}, &response)
 	return response, link.LeaderOf(err), err
 }
 
--- /dev/null
+++ b/internal/overload/limiter.go
@@ -0,0 +1,250 @@
+// Package overload bounds the calls that an instance serves at the same time, by their class.
+//
+// The load it handles: callers send ten times the usual number of calls for some seconds, or all the calls
+// that waited while the instance was frozen arrive at once. All goroutines of the leader share one
+// processor. If the handlers of all these calls are runnable together, the goroutine of the replicated
+// log waits behind them, sends heartbeats late, and the leader loses its authority to decide.
+package overload
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Class is the class of a call. A class has precedence over those with higher values.
+type Class uint8
+
+const (
+	// ClassLog is for the members of the log. It is never bounded.
+	ClassLog Class = iota
+	// ClassWork is for workers, their carriers, the adviser, and operators.
+	ClassWork
+	// ClassSubmit is for submissions of jobs.
+	ClassSubmit
+	// ClassRead is for calls that change nothing.
+	ClassRead
+	classCount
+)
+
+var classNames = [classCount]string{"log", "work", "submit", "read"}
+
+// String returns the name of the class in metrics and log lines.
+func (c Class) String() string { return classNames[c] }
+
+// ClassBounds are the bounds of a class.
+type ClassBounds struct {
+	// InService is the normal bound on calls in service, MinInService the bound to which overload may
+	// reduce it. The bound is constant if both are equal.
+	InService, MinInService int
+	// Waiting bounds the waiting calls while the bound on calls in service is normal. It is reduced in
+	// the same proportion, because calls then leave the queue more slowly.
+	Waiting int
+	// MaxWait is the longest wait.
+	MaxWait time.Duration
+}
+
+// Bounds are the bounds of all classes.
+type Bounds [classCount]ClassBounds
+
+// maxDelay is the scheduling delay above which bounds are reduced: half a tick of the log, so that
+// heartbeats, which are sent every tick, stay well within the shortest election (five ticks).
+const maxDelay = 25 * time.Millisecond
+
+// DefaultBounds returns the bounds of a core instance.
+//
+// At most 32 submissions and 32 reads can be runnable at once. With some 0.4 ms of processor time until
+// each blocks again, that is about maxDelay. Usually, 120 submissions per second with commits of 30 ms keep
+// 4 calls in service, and 350 reads per second keep fewer.
+func DefaultBounds() Bounds {
+	return Bounds{
+		ClassLog: {InService: math.MaxInt, MinInService: math.MaxInt},
+		// Each of some 1,100 workers may keep one heartbeat open until there are orders for it, so a lower
+		// bound would let leases expire. A gateway gives up a try after 900 ms.
+		ClassWork: {InService: 2048, MinInService: 2048, Waiting: 4096, MaxWait: 800 * time.Millisecond},
+		// 32 submissions per commit of 30 ms leave the queue, so 213 within the longest wait. After 200 ms
+		// without a response, a gateway searches for another leader.
+		ClassSubmit: {InService: 32, MinInService: 1, Waiting: 213, MaxWait: 200 * time.Millisecond},
+		// After 150 ms without a response, a gateway asks the leader instead of a follower. A read
+		// takes about 1 ms of this processor, so about 100 leave the queue within the longest wait.
+		ClassRead: {InService: 32, MinInService: 1, Waiting: 100, MaxWait: 100 * time.Millisecond},
+	}
+}
+
+// CallID identifies a waiting call.
+type CallID uint64
+
+// Decision is what happens to a call on its arrival.
+type Decision uint8
+
+// Values of Decision.
+const (
+	// Serve means that the call is in service until Done.
+	Serve Decision = iota
+	// Wait means that an Outcome follows, unless the call is cancelled.
+	Wait
+	// Refuse means that the call must not be served.
+	Refuse
+)
+
+// Outcome ends the wait of a call. The call is in service if Served is true, and refused otherwise.
+type Outcome struct {
+	ID     CallID
+	Class  Class
+	Served bool
+}
+
+// Limiter decides which calls are served, wait or are refused. It isn't safe for concurrent use, and the
+// times passed to it must not decrease.
+type Limiter struct {
+	classes  [classCount]classState
+	lastID   CallID
+	outcomes []Outcome
+}
+
+type classState struct {
+	ClassBounds
+	// bound is the current bound on calls in service.
+	bound     int
+	inService int
+	// waiting holds the waiting calls in the order of arrival.
+	waiting []waitingCall
+}
+
+type waitingCall struct {
+	id       CallID
+	deadline time.Time
+}
+
+// NewLimiter returns a Limiter without calls whose bounds are normal.
+func NewLimiter(bounds Bounds) *Limiter {
+	l := &Limiter{}
+	for i := range l.classes {
+		l.classes[i] = classState{ClassBounds: bounds[i], bound: bounds[i].InService}
+	}
+	return l
+}
+
+// Arrive decides on a new call. The ID is valid if the call waits.
+func (l *Limiter) Arrive(now time.Time, class Class) (CallID, Decision) {
+	l.settle(now)
+	c := &l.classes[class]
+	switch {
+	case c.inService < l.limit(class):
+		c.inService++
+		return 0, Serve
+	case len(c.waiting) < c.waitingBound():
+		l.lastID++
+		c.waiting = append(c.waiting, waitingCall{id: l.lastID, deadline: now.Add(c.MaxWait)})
+		return l.lastID, Wait
+	default:
+		return 0, Refuse
+	}
+}
+
+// Done ends the service of a call.
+func (l *Limiter) Done(now time.Time, class Class) {
+	l.classes[class].inService--
+	l.settle(now)
+}
+
+// Cancel removes a waiting call. It returns false if the call no longer waits: its Outcome has been or will
+// be returned by TakeOutcomes.
+func (l *Limiter) Cancel(now time.Time, id CallID, class Class) bool {
+	c := &l.classes[class]
+	i := slices.IndexFunc(c.waiting, func(w waitingCall) bool { return w.id == id })
+	if i >= 0 {
+		c.waiting = slices.Delete(c.waiting, i, i+1)
+	}
+	l.settle(now)
+	return i >= 0
+}
+
+// Observe adapts the bounds to a measured scheduling delay. A delay beyond maxDelay halves them once for each
+// maxDelay that it lasted, as that many measurements would have. A shorter one increases them by 1.
+func (l *Limiter) Observe(now time.Time, delay time.Duration) {
+	for i := range l.classes {
+		c := &l.classes[i]
+		if delay > maxDelay {
+			c.bound = max(c.bound>>min(delay/maxDelay, maxHalvings), c.MinInService)
+		} else if c.bound < c.InService {
+			c.bound++
+		}
+	}
+	l.settle(now)
+}
+
+// maxHalvings reduces every bound to its minimum.
+const maxHalvings = 62
+
+// TakeOutcomes returns the outcomes of waiting calls since it was last called.
+func (l *Limiter) TakeOutcomes() []Outcome {
+	outcomes := l.outcomes
+	l.outcomes = nil
+	return outcomes
+}
+
+// Load is the state of a class.
+type Load struct{ Bound, InService, Waiting int }
+
+// Load returns the state of a class.
+func (l *Limiter) Load(class Class) Load {
+	c := &l.classes[class]
+	return Load{Bound: c.bound, InService: c.inService, Waiting: len(c.waiting)}
+}
+
+// Reduced reports whether a bound is below its normal value.
+func (l *Limiter) Reduced() bool {
+	return slices.ContainsFunc(l.classes[:], func(c classState) bool { return c.bound < c.InService })
+}
+
+// limit returns how many calls of a class may be in service now. While bounds are reduced, calls of the class
+// leave the processor to waiting calls with precedence, except for MinInService of them, so that no class
+// is starved. While they are normal, the classes don't compete: a submission that waits for the disk takes
+// nothing from reads.
+func (l *Limiter) limit(class Class) int {
+	if l.Reduced() {
+		for i := range l.classes[:class] {
+			if len(l.classes[i].waiting) > 0 {
+				return l.classes[class].MinInService
+			}
+		}
+	}
+	return l.classes[class].bound
+}
+
+// waitingBound returns how many calls of the class may wait now.
+func (c *classState) waitingBound() int {
+	if c.bound == c.InService {
+		return c.Waiting
+	}
+	return max(c.Waiting*c.bound/c.InService, 1)
+}
+
+// settle refuses the calls that have waited for too long, and then serves as many of the others as the bounds
+// allow, by class and in the order of arrival.
+func (l *Limiter) settle(now time.Time) {
+	for i := range l.classes {
+		c := &l.classes[i]
+		for len(c.waiting) > 0 && !now.Before(c.waiting[0].deadline) {
+			l.endWait(Class(i), false)
+		}
+	}
+	for i := range l.classes {
+		c := &l.classes[i]
+		for len(c.waiting) > 0 && c.inService < l.limit(Class(i)) {
+			c.inService++
+			l.endWait(Class(i), true)
+		}
+	}
+}
+
+// endWait ends the wait of the first waiting call of a class.
+func (l *Limiter) endWait(class Class, served bool) {
+	c := &l.classes[class]
+	l.outcomes = append(l.outcomes, Outcome{ID: c.waiting[0].id, Class: class, Served: served})
+	c.waiting = c.waiting[1:]
+	if len(c.waiting) == 0 {
+		c.waiting = nil
+	}
+}
