--- a/internal/overload/gate.go
+++ b/internal/overload/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"sync"
 	"time"
 
@@ -59,8 +60,22 @@
 // Arrive decides on a call of a method. An error of kind Overloaded refuses the call. Otherwise done must be called
 // after the call has been served. If wait isn't nil, the call may be served only after wait has returned nil; if
 // wait returns an error, the call is refused and done must not be called.
+//
+// Arrive lets the other runnable goroutines run once before it returns for a submission or a read that is served.
+// Most of them are calls that reach the gate then and wait or are refused. Otherwise, calls that don't block would be
+// served one after the other on a single processor, the queue would form before the gate, and the gate would
+// never see more than one of them.
 func (g *Gate) Arrive(method string) (wait func(context.Context) error, done func(), err error) {
-	class, now := g.classOf(method), g.now()
+	class := g.classOf(method)
+	wait, done, err = g.arrive(class)
+	if wait == nil && err == nil && class >= ClassSubmit {
+		runtime.Gosched()
+	}
+	return wait, done, err
+}
+
+func (g *Gate) arrive(class Class) (wait func(context.Context) error, done func(), err error) {
+	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	id, decision := g.limiter.Arrive(now, class)
--- a/internal/overload/limiter.go
+++ b/internal/overload/limiter.go
@@ -55,7 +55,7 @@
 //
 // At most 32 submissions and 32 reads can be runnable at once. With some 0.4 ms of processor time until
 // each blocks again, that is about maxDelay. Usually, 120 submissions per second with commits of 30 ms keep
-// 4 calls in service, and 350 reads per second keep fewer.
+// 4 calls in service, and 350 reads per second keep fewer. So a quarter of the bounds is enough.
 func DefaultBounds() Bounds {
 	return Bounds{
 		ClassLog: {InService: math.MaxInt, MinInService: math.MaxInt},
@@ -160,8 +160,8 @@
 	return i >= 0
 }
 
-// Observe adapts the bounds to a measured scheduling delay. A delay beyond maxDelay halves them once for each
-// maxDelay that it lasted, as that many measurements would have. A shorter one increases them by 1.
+// Observe adapts the bounds to a measured scheduling delay. A delay beyond maxDelay halves them, and one beyond
+// twice maxDelay halves them twice. A shorter one increases them by 1.
 func (l *Limiter) Observe(now time.Time, delay time.Duration) {
 	for i := range l.classes {
 		c := &l.classes[i]
@@ -174,8 +174,9 @@
 	l.settle(now)
 }
 
-// maxHalvings reduces every bound to its minimum.
-const maxHalvings = 62
+// maxHalvings bounds the reduction by one measurement. After a single stall, a quarter of the normal bounds remains,
+// which is enough for the usual load.
+const maxHalvings = 2
 
 // TakeOutcomes returns the outcomes of waiting calls since it was last called.
 func (l *Limiter) TakeOutcomes() []Outcome {
--- a/internal/overload/replay_test.go
+++ b/internal/overload/replay_test.go
@@ -50,7 +50,8 @@
 }
 
 // replay models an instance whose goroutines share one processor, in the order in which they become
-// runnable. A nil limiter bounds nothing.
+// runnable. A call becomes runnable again after its arrival was decided, as Gate.Arrive yields. A nil
+// limiter bounds nothing.
 type replay struct {
 	limiter  *Limiter
 	random   *rand.Rand
