Connections to the adviser are reserved for interactive queries with load control on

Cause: a backfill query of 147 ms counts as short, so a backlog of them occupies the connections reserved for short queries, and a preview's query of 13 ms waits behind up to three of them.

Change: queries of up to 40 ms are a length of their own. The first connections take only these: mean load plus two standard deviations, at least one, at most a quarter. The mean counts from the start of the leader term, and the quarter is reserved for the first 0.5 s, while the load isn't known. The rule for short queries is unchanged; it counts queries between 40 and 150 ms. dispatch.Limits.NonInteractiveQueries says how many of the free connections longer queries may use. With load control on, the queries of a plan are sent longest first, so that each finds a connection. With load control off nothing is reserved, and decisions are as before.

Ruled out: a reservation that starts with one connection.

Not traced: one of two runs of all tests of internal/control ended with a dump of goroutines in TestSimulationStartsAllPlaceableWork; its first lines weren't kept.

--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -144,12 +144,7 @@
 }
 
 // queriesLeft returns how many full queries s may send now.
-func (p *planner) queriesLeft(s *Step) int {
-	if p.isLong(s, p.limits.WorkersPerQuery) {
-		return min(p.limits.Queries, p.limits.LongQueries)
-	}
-	return p.limits.Queries
-}
+func (p *planner) queriesLeft(s *Step) int { return p.queriesFor(s, p.limits.WorkersPerQuery) }
 
 // queryInParallel sends queries about the workers in parallel. With one query at a time, a step
 // that is permitted on one worker in a hundred waits ten times as long in a pool ten times as
@@ -161,8 +156,24 @@
 }
 
 // mayQuery reports whether an adviser connection is left for a query of s about n workers.
-func (p *planner) mayQuery(s *Step, n int) bool {
-	return p.limits.Queries > 0 && (p.limits.LongQueries > 0 || !p.isLong(s, n))
+func (p *planner) mayQuery(s *Step, n int) bool { return p.queriesFor(s, n) > 0 }
+
+// queriesFor returns how many queries of s about n workers may be sent now.
+func (p *planner) queriesFor(s *Step, n int) int {
+	left := p.limits.Queries
+	if p.isNonInteractive(s, n) {
+		left = min(left, p.limits.NonInteractiveQueries)
+	}
+	if p.isLong(s, n) {
+		left = min(left, p.limits.LongQueries)
+	}
+	return left
+}
+
+// isNonInteractive reports whether the adviser takes more than Limits.InteractiveQueryTime to
+// respond to a query of s about n workers.
+func (p *planner) isNonInteractive(s *Step, n int) bool {
+	return p.limits.InteractiveQueryTime > 0 && s.ResponseTime(n) > p.limits.InteractiveQueryTime
 }
 
 // isLong reports whether the adviser takes more than Limits.LongQueryTime to respond to a
@@ -177,6 +188,9 @@
 		return false
 	}
 	p.limits.Queries--
+	if p.isNonInteractive(s, len(workers)) {
+		p.limits.NonInteractiveQueries--
+	}
 	if p.isLong(s, len(workers)) {
 		p.limits.LongQueries--
 	}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -33,10 +33,10 @@
 	preemptiblePriority map[string]int
 	// queryWaiters are the steps that wait for a query, in the order in which the
 	// decision considered them. reservedQueries is the number of queries that are held
-	// back for these steps, and reservedLongQueries is how many of the held back queries
-	// may be long.
-	queryWaiters                         []queryWaiter
-	reservedQueries, reservedLongQueries int
+	// back for these steps, reservedNonInteractiveQueries and reservedLongQueries are how
+	// many of the held back queries need not be interactive and may be long.
+	queryWaiters                                                        []queryWaiter
+	reservedQueries, reservedNonInteractiveQueries, reservedLongQueries int
 	// rooms is what the limits of customers leave; customers without a limit are missing.
 	rooms map[string]*customerRoom
 	// outlooks holds what the steps of each queue show about the adviser's decisions.
@@ -69,15 +69,11 @@
 	p.plan.Waiting = make([]Waiting, 0, len(steps))
 	order, startingOnly := p.setAsideLimited(order)
 	chosen := p.selectSteps(order)
-	p.reservedQueries, p.reservedLongQueries = p.roundRobinQueries(p.limits.Queries), p.roundRobinQueries(p.limits.LongQueries)
-	p.limits.Queries -= p.reservedQueries
-	p.limits.LongQueries -= p.reservedLongQueries
+	p.holdBackQueries()
 	for _, s := range chosen {
 		p.planStep(s)
 	}
-	p.limits.Queries += p.reservedQueries
-	p.limits.LongQueries += p.reservedLongQueries
-	p.reservedQueries, p.reservedLongQueries = 0, 0
+	p.releaseQueries()
 	p.queryRoundRobin()
 	for _, s := range startingOnly {
 		p.startOnly(s)
@@ -285,7 +281,8 @@
 // and no query may be sent in advance. On a full cluster that is nearly every step: with 500
 // queued steps and 48 workers this check cuts a decision to a fifth of the time.
 func (p *planner) unschedulable(s *Step) bool {
-	mayQueryFirst := s.NeedsPermit && len(s.Permits) == 0 && p.limits.Queries+p.reservedQueries > 0
+	mayQueryFirst := s.NeedsPermit && len(s.Permits) == 0 && p.limits.Queries+p.reservedQueries > 0 &&
+		(!p.isNonInteractive(s, 1) || p.limits.NonInteractiveQueries+p.reservedNonInteractiveQueries > 0)
 	if mayQueryFirst || s.Spec.Gang && p.reservedGangs[s.Service] < maxReservedGangs {
 		return false
 	}
--- a/dispatch/query_test.go
+++ b/dispatch/query_test.go
@@ -146,6 +146,37 @@
 	}
 }
 
+// Guards against interactive queries that wait because longer ones have used up the
+// connections, and against longer queries that are planned on connections that don't take
+// them.
+func TestInteractiveQueriesArePlannedBesideOthers(t *testing.T) {
+	withResponseTime := func(job string, base time.Duration) Step {
+		s := withPermits(step(job, 1, 4), nil)
+		s.Priority = 1
+		s.ResponseTime = func(int) time.Duration { return base }
+		return s
+	}
+	for round := range 4 * 6 * roundRobinQueryDivisor {
+		bounded := limits
+		bounded.Queries, bounded.NonInteractiveQueries, bounded.LongQueries = 6, round%4, min(round%4, round/4%3)
+		bounded.InteractiveQueryTime, bounded.LongQueryTime, bounded.Round = 40*time.Millisecond, 150*time.Millisecond, round
+		var steps []Step
+		for i := range 10 {
+			steps = append(steps, withResponseTime(fmt.Sprint("long", i), time.Second), withResponseTime(fmt.Sprint("short", i), 147*time.Millisecond),
+				withResponseTime(fmt.Sprint("a-interactive", i), 13*time.Millisecond))
+			steps[len(steps)-1].Priority = 2
+		}
+		sent := map[string]int{}
+		for _, query := range Decide(0, steps, workers(9, 9, 9, 9), bounded).Queries {
+			sent[strings.TrimRight(query.Step.Job, "0123456789")]++
+		}
+		must.GreaterEq(t, bounded.Queries-bounded.NonInteractiveQueries, sent["a-interactive"])
+		must.LessEq(t, bounded.LongQueries, sent["long"])
+		must.LessEq(t, bounded.NonInteractiveQueries, sent["long"]+sent["short"])
+		must.Eq(t, bounded.Queries, sent["long"]+sent["short"]+sent["a-interactive"], must.Sprint("no query is left unused"))
+	}
+}
+
 // Guards against queries that stay unused because all steps that need one are urgent, or
 // none of them is.
 func TestUnusedQueryShareGoesToOtherSteps(t *testing.T) {
--- a/dispatch/roundrobin.go
+++ b/dispatch/roundrobin.go
@@ -24,10 +24,29 @@
 	return (n + p.limits.Round%roundRobinQueryDivisor) / roundRobinQueryDivisor
 }
 
+// holdBackQueries sets aside the queries for round-robin use.
+func (p *planner) holdBackQueries() {
+	p.reservedQueries = p.roundRobinQueries(p.limits.Queries)
+	p.reservedNonInteractiveQueries = p.roundRobinQueries(p.limits.NonInteractiveQueries)
+	p.reservedLongQueries = p.roundRobinQueries(p.limits.LongQueries)
+	p.limits.Queries -= p.reservedQueries
+	p.limits.NonInteractiveQueries -= p.reservedNonInteractiveQueries
+	p.limits.LongQueries -= p.reservedLongQueries
+}
+
+// releaseQueries makes the queries that were held back available.
+func (p *planner) releaseQueries() {
+	p.limits.Queries += p.reservedQueries
+	p.limits.NonInteractiveQueries += p.reservedNonInteractiveQueries
+	p.limits.LongQueries += p.reservedLongQueries
+	p.reservedQueries, p.reservedNonInteractiveQueries, p.reservedLongQueries = 0, 0, 0
+}
+
 // needsReservedLongQuery reports whether s can only be served by a long query that is held
-// back.
+// back, or with Limits.InteractiveQueryTime by one that isn't interactive.
 func (p *planner) needsReservedLongQuery(s *Step) bool {
-	return s.NeedsPermit && !s.Spec.Gang && p.reservedLongQueries > 0 && !p.mayQuery(s, p.limits.WorkersPerQuery)
+	nonInteractive := p.limits.InteractiveQueryTime > 0 && p.reservedNonInteractiveQueries > 0
+	return s.NeedsPermit && !s.Spec.Gang && (p.reservedLongQueries > 0 || nonInteractive) && !p.mayQuery(s, p.limits.WorkersPerQuery)
 }
 
 // queryRoundRobin gives the remaining queries to the steps that wait for one. Without it,
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -205,7 +205,11 @@
 	WorkersPerGangQuery int
 	// Queries is how many queries may be sent now.
 	Queries int
-	// LongQueries is how many of the Queries may be long, that is, take the adviser more than
+	// NonInteractiveQueries is how many of the Queries may take the adviser more than
+	// InteractiveQueryTime. With InteractiveQueryTime 0 it has no effect.
+	NonInteractiveQueries int
+	InteractiveQueryTime  time.Duration
+	// LongQueries is how many of the NonInteractiveQueries may be long, that is, take the adviser more than
 	// LongQueryTime. With LongQueryTime 0 no query is long.
 	LongQueries   int
 	LongQueryTime time.Duration
--- a/internal/control/adviser_pool.go
+++ b/internal/control/adviser_pool.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -24,14 +23,6 @@
 	maxMissedAnnouncements = 3
 	// adviserConnBackoff is how long a connection stays unused after a failed query.
 	adviserConnBackoff = time.Second
-	// longQueryThreshold is the duration above which a query is long. Long queries leave
-	// some connections to short ones to prevent head-of-line blocking.
-	longQueryThreshold = 150 * time.Millisecond
-	// shortQueryLoadWindow is the time constant of the decaying mean load of short queries.
-	// shortQueryLoadDeviations is how many standard deviations above that mean are
-	// reserved; the standard deviation of random arrivals is the square root of their mean.
-	shortQueryLoadWindow     = 3 * time.Second
-	shortQueryLoadDeviations = 2
 	// maxInFlightPerConn bounds the queries in flight on one connection.
 	maxInFlightPerConn = 3
 	// maxQueriesAhead bounds the time that a long query waits for the queries before it on
@@ -59,18 +50,19 @@
 	adviser    Adviser
 	client     Caller
 
-	mu    sync.Mutex
-	conns map[string]*adviserConn
-	// shortQueryLoad is the decaying mean number of connections kept busy by short queries,
-	// as of shortQueryLoadAt.
-	shortQueryLoad   float64
-	shortQueryLoadAt time.Time
+	mu          sync.Mutex
+	conns       map[string]*adviserConn
+	reservation connReservation
 }
 
 // newAdviserPool returns a pool that contains only the connection of the leader's own
-// instance.
-func newAdviserPool(own string, adviser Adviser, client Caller) *adviserPool {
-	return &adviserPool{ownAddress: own, adviser: adviser, client: client, conns: map[string]*adviserConn{own: {address: own}}}
+// instance. With loadControl, it reserves connections for interactive queries. started is
+// the start of the leader term.
+func newAdviserPool(own string, adviser Adviser, client Caller, loadControl bool, started time.Time) *adviserPool {
+	return &adviserPool{
+		ownAddress: own, adviser: adviser, client: client, conns: map[string]*adviserConn{own: {address: own}},
+		reservation: connReservation{loadControl: loadControl, startedAt: started},
+	}
 }
 
 // announceInterval returns the time between two announcements of an instance.
@@ -116,53 +108,47 @@
 // full reports whether the connection has the maximum number of queries in flight.
 func (c *adviserConn) full() bool { return c.inFlight >= maxInFlightPerConn }
 
-// available returns how many connections may take a short query now, and how many of them
-// may also take a long one.
-func (p *adviserPool) available(now time.Time) (total, long int) {
+// freeConns says how many connections may take queries now.
+type freeConns struct {
+	// total connections may take an interactive query, nonInteractive of them also a short
+	// one, and long of these also a long one.
+	total, nonInteractive, long int
+	// reachable counts the connections in use or free, reservedInteractive those of them that
+	// are reserved for interactive queries.
+	reachable, reservedInteractive int
+}
+
+// available returns how many connections may take queries now.
+func (p *adviserPool) available(now time.Time) (free freeConns) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	usable := p.reachable(now)
-	reserved := p.connsReservedForShortQueries(now, len(usable))
+	firstShort := p.reservation.reservedBefore(shortQuery, now, len(usable))
+	firstLong := p.reservation.reservedBefore(longQuery, now, len(usable))
+	free.reachable, free.reservedInteractive = len(usable), firstShort
 	for i, candidate := range usable {
 		if candidate.full() {
 			continue
 		}
-		total++
-		if i >= reserved && candidate.freeAt(now).Sub(now) < maxQueriesAhead {
-			long++
+		free.total++
+		if i >= firstShort {
+			free.nonInteractive++
+		}
+		if i >= firstLong && candidate.freeAt(now).Sub(now) < maxQueriesAhead {
+			free.long++
 		}
 	}
-	return total, long
+	return free
 }
 
-// recordShortQuery adds a short query to the mean load. p.mu must be held.
-func (p *adviserPool) recordShortQuery(now time.Time, duration time.Duration) {
-	p.shortQueryLoad = p.decayedShortQueryLoad(now) + duration.Seconds()/shortQueryLoadWindow.Seconds()
-	p.shortQueryLoadAt = now
-}
-
-// decayedShortQueryLoad returns how many connections short queries keep busy on average.
-// p.mu must be held.
-func (p *adviserPool) decayedShortQueryLoad(now time.Time) float64 {
-	return p.shortQueryLoad * math.Exp(-now.Sub(p.shortQueryLoadAt).Seconds()/shortQueryLoadWindow.Seconds())
-}
-
-// connsReservedForShortQueries returns how many of n connections long queries leave to
-// short ones: as many as the recent load needs, at most half. p.mu must be held.
-//
-// Large gangs, whose queries take over a second, compete with a hundred urgent jobs a
-// second, whose queries take some milliseconds and keep only a few connections busy. If
-// half of the connections are always reserved, the queries of the gangs wait for each
-// other. If no connection is reserved, urgent jobs wait behind the queries of gangs under
-// high load.
-func (p *adviserPool) connsReservedForShortQueries(now time.Time, n int) int {
-	load := p.decayedShortQueryLoad(now)
-	return min(int(math.Ceil(load+shortQueryLoadDeviations*math.Sqrt(load)))+1, n/2)
+// lengthOf returns the length of a query of the given duration.
+func (p *adviserPool) lengthOf(duration time.Duration) queryLength {
+	return p.reservation.lengthOf(duration)
 }
 
 // freeAt returns when the adviser would begin to serve a query that is sent now. It
-// returns now for every idle connection, so that short queries prefer the first
-// connections, which are reserved for them.
+// returns now for every idle connection, so that a query prefers the first connections that
+// it may use, which are reserved for its length.
 func (c *adviserConn) freeAt(now time.Time) time.Time {
 	if c.busyUntil.Before(now) {
 		return now
@@ -171,17 +157,14 @@
 }
 
 // acquire picks the connection that is free first, and returns it with the expected time
-// of the response. Short queries prefer the connections that are reserved for them. It
+// of the response. Each query prefers the connections that are reserved for its length. It
 // returns nil when no connection is available.
 func (p *adviserPool) acquire(now time.Time, duration time.Duration) (*adviserConn, time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	candidates := p.reachable(now)
-	if duration > longQueryThreshold {
-		candidates = candidates[p.connsReservedForShortQueries(now, len(candidates)):]
-	} else {
-		p.recordShortQuery(now, duration)
-	}
+	candidates = candidates[p.reservation.reservedBefore(p.lengthOf(duration), now, len(candidates)):]
+	p.reservation.record(now, duration)
 	candidates = slices.DeleteFunc(candidates, (*adviserConn).full)
 	if len(candidates) == 0 {
 		return nil, now
--- a/internal/control/adviser_pool_test.go
+++ b/internal/control/adviser_pool_test.go
@@ -11,7 +11,7 @@
 // newTestAdviserPool returns a pool of n adviser connections: the leader's own one, and
 // those of n-1 instances that were last announced at now.
 func newTestAdviserPool(n int, now time.Time) *adviserPool {
-	pool := newAdviserPool("own", nil, nil)
+	pool := newAdviserPool("own", nil, nil, false, now)
 	for i := 1; i < n; i++ {
 		pool.recordAnnouncement(fmt.Sprintf("10.1.0.%02d", i), now)
 	}
@@ -84,12 +84,9 @@
 	now := time.Now()
 	pool := newTestAdviserPool(2, now)
 	for range 2 {
-		_, long := pool.available(now)
-		must.Eq(t, 1, long)
+		must.Eq(t, 1, pool.available(now).long)
 		conn, _ := pool.acquire(now, maxQueriesAhead/2)
 		must.NotNil(t, conn)
 	}
-	total, long := pool.available(now)
-	must.Eq(t, 2, total)
-	must.Eq(t, 0, long)
+	must.Eq(t, freeConns{total: 2, nonInteractive: 2, reachable: 2}, pool.available(now))
 }
--- a/internal/control/leader_term.go
+++ b/internal/control/leader_term.go
@@ -162,7 +162,7 @@
 	}
 	t.lease = leaseLength(c.cfg.Bounds)
 	t.machines, t.poolMoves = newMachines(), newPoolMoves()
-	t.adviserConns = newAdviserPool(c.cfg.Address, c.cfg.Adviser, c.cfg.Client)
+	t.adviserConns = newAdviserPool(c.cfg.Address, c.cfg.Adviser, c.cfg.Client, c.cfg.LoadControl, t.started)
 	c.state.read(func(s *workflow.State) {
 		for id, worker := range s.Workers {
 			if !worker.Gone {
--- a/internal/control/permits.go
+++ b/internal/control/permits.go
@@ -55,6 +55,38 @@
 	}
 }
 
+// sendQueries sends the queries of a plan. With load control on, it sends the longest ones
+// first. A shorter query could otherwise take a connection that a longer one was planned
+// on, while the connections left over take no long queries.
+func (t *leaderTerm) sendQueries(queries []dispatch.Query) {
+	longestFirst := []queryLength{longQuery, shortQuery, interactiveQuery}
+	if !t.c.cfg.LoadControl {
+		longestFirst = nil
+	}
+	type planned struct {
+		query  dispatch.Query
+		queue  string
+		policy *workflow.AdvicePolicy
+	}
+	byLength := map[queryLength][]planned{}
+	for _, query := range queries {
+		queue, policy := t.advicePolicy(query.Step)
+		switch {
+		case policy == nil:
+		case longestFirst == nil:
+			t.queryAdviser(query, queue, policy)
+		default:
+			length := t.adviserConns.lengthOf(queryDuration(policy, len(query.Workers)))
+			byLength[length] = append(byLength[length], planned{query, queue, policy})
+		}
+	}
+	for _, length := range longestFirst {
+		for _, p := range byLength[length] {
+			t.queryAdviser(p.query, p.queue, p.policy)
+		}
+	}
+}
+
 // queryAdviser sends a query about a step to the adviser in the background. It does
 // nothing when no adviser connection is free.
 func (t *leaderTerm) queryAdviser(query dispatch.Query, queue string, policy *workflow.AdvicePolicy) {
@@ -64,6 +96,9 @@
 	if conn == nil {
 		return
 	}
+	if t.adviserConns.lengthOf(duration) == interactiveQuery {
+		t.c.cfg.Counters.Add("adviser_queries_interactive", 1)
+	}
 	t.mu.Lock()
 	p := t.permitsOf(query.Step)
 	p.inFlight++
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -93,7 +93,13 @@
 // limits returns the limits of a plan that is made at the given time.
 func (t *leaderTerm) limits(now time.Time) dispatch.Limits {
 	limits := planLimits
-	limits.Queries, limits.LongQueries = t.adviserConns.available(now)
+	free := t.adviserConns.available(now)
+	limits.Queries, limits.NonInteractiveQueries, limits.LongQueries = free.total, free.nonInteractive, free.long
+	t.c.cfg.Counters.Set("adviser_connections", int64(free.reachable))
+	t.c.cfg.Counters.Set("adviser_connections_interactive", int64(free.reservedInteractive))
+	if t.c.cfg.LoadControl {
+		limits.InteractiveQueryTime = interactiveQueryThreshold
+	}
 	limits.Disabled = t.disabled
 	return limits
 }
@@ -101,11 +107,7 @@
 // applyPlan sends the adviser queries of a plan, and commits and sends its starts.
 // candidates are the runs that may get a speculative copy.
 func (t *leaderTerm) applyPlan(plan *dispatch.Plan, candidates map[workflow.TaskKey]copyCandidate) {
-	for _, query := range plan.Queries {
-		if queue, policy := t.advicePolicy(query.Step); policy != nil {
-			t.queryAdviser(query, queue, policy)
-		}
-	}
+	t.sendQueries(plan.Queries)
 	if len(plan.Starts) > 0 {
 		t.markProposed(plan.Starts)
 		t.logCopies(plan.Starts, candidates)
