Ages of jobs outlive the leader

Cause: a new leader counted the age of every job from the start of its own term, and so treated a backlog that was already worth nothing as new work.

Change: the state machine of each member records when it applied a submission, by its own monotonic clock, and deletes the record with the job. A leader term takes the times of jobs that it hasn't accepted itself from there: for objectives, lateness, speculative copies and the line job_ended, whose age was unknown for jobs that the term had never considered.

Ruled out: a wall clock time in the submission, which would make the order of jobs depend on how far the members' clocks agree.

--- a/internal/control/copies.go
+++ b/internal/control/copies.go
@@ -92,7 +92,7 @@
 		job := s.Jobs[key.Job]
 		pending := slices.Sorted(maps.Keys(workers))
 		runsPerWorker := input.runsPerWorkerOf(t, s, key, &job.Steps[key.Step])
-		step := t.dispatchStep(job, key, pending, t.acceptedAt[job.ID], objectiveOf(job), now, runsPerWorker)
+		step := t.dispatchStep(job, key, pending, t.acceptedTime(job.ID), objectiveOf(job), now, runsPerWorker)
 		step.Copy, step.Avoid = true, workers
 		input.steps = append(input.steps, step)
 	}
--- a/internal/control/leader_term.go
+++ b/internal/control/leader_term.go
@@ -101,8 +101,8 @@
 	// dataCentreSuspectedAt is when each data centre was last suspected to be unreachable. A
 	// data centre is removed once the regained contact has been logged.
 	dataCentreSuspectedAt map[string]time.Time
-	// acceptedAt is when each job was accepted. It is the start of this leader term for jobs
-	// accepted in earlier ones.
+	// acceptedAt is when each submit call that this leader term accepted arrived. The state
+	// machine has the times of other jobs; see acceptedTime.
 	acceptedAt map[string]time.Time
 	// pendingSubmits counts the submit calls in progress, by job ID.
 	pendingSubmits map[string]int
@@ -314,6 +314,15 @@
 	t.markJobChanged(job)
 }
 
+// acceptedTime returns when a job was accepted, in this leader term or in an earlier one.
+// t.mu must be held, and only a function that was passed to StateMachine.read may call it.
+func (t *leaderTerm) acceptedTime(job string) time.Time {
+	if at, ok := t.acceptedAt[job]; ok {
+		return at
+	}
+	return t.c.state.acceptedAt(job)
+}
+
 // propose commits a command in this leader term. An error doesn't end the leader term;
 // only the loss of the leadership does.
 //
--- a/internal/control/report.go
+++ b/internal/control/report.go
@@ -90,9 +90,9 @@
 				continue
 			}
 			t.loggedEnds[job.ID] = true
-			accepted, known := t.acceptedAt[job.ID]
+			accepted := t.acceptedTime(job.ID)
 			t.logger.Log("event", "job_ended", "job", job.ID, "phase", job.Phase(), "age_ms", now.Sub(accepted).Milliseconds(),
-				"age_known", known, "objective_ms", objectiveOf(job).Milliseconds(), "last_task", end.Task, "last_outcome", end.Outcome)
+				"age_known", !accepted.IsZero(), "objective_ms", objectiveOf(job).Milliseconds(), "last_task", end.Task, "last_outcome", end.Outcome)
 			t.logCrashingTask(s, job)
 		}
 	})
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -233,11 +233,7 @@
 // gatherSteps adds the ready steps of a job that have tasks to start to the input. t.mu
 // must be held.
 func (t *leaderTerm) gatherSteps(input *planInput, s *workflow.State, job *workflow.Job, now time.Time) {
-	accepted, ok := t.acceptedAt[job.ID]
-	if !ok {
-		accepted = t.started
-		t.acceptedAt[job.ID] = accepted
-	}
+	accepted := t.acceptedTime(job.ID)
 	objective := objectiveOf(job)
 	for occurrence := range job.Occurrences {
 		objectiveStart := accepted
--- a/internal/control/statemachine.go
+++ b/internal/control/statemachine.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
@@ -11,6 +12,10 @@
 type StateMachine struct {
 	mu    sync.Mutex
 	state *workflow.State
+	// accepted is when this member applied the submission of each job, by its own monotonic
+	// clock, or when it restored a snapshot that contained the job. It isn't replicated: the
+	// members don't share a clock. A new leader takes the ages of jobs from it.
+	accepted map[string]time.Time
 	// applied is called after each command, without mu held. It must not block.
 	applied func()
 	// configured is called with the version of the configuration when that has changed, without mu
@@ -20,7 +25,7 @@
 
 // NewStateMachine returns a state machine with an empty state.
 func NewStateMachine() *StateMachine {
-	return &StateMachine{state: workflow.NewState(), applied: func() {}, configured: func(uint64) {}}
+	return &StateMachine{state: workflow.NewState(), accepted: map[string]time.Time{}, applied: func() {}, configured: func(uint64) {}}
 }
 
 // Apply applies one committed command and returns its result. It panics if the command
@@ -35,6 +40,7 @@
 	m.mu.Lock()
 	before := m.state.Configuration.Version
 	result := m.state.Apply(index, &command)
+	m.recordAccepted(&command, result)
 	version := m.state.Configuration.Version
 	applied, configured := m.applied, m.configured
 	m.mu.Unlock()
@@ -45,6 +51,23 @@
 	return result
 }
 
+// recordAccepted records a job that a command has added, and removes the records of jobs
+// that it has deleted. m.mu must be held.
+func (m *StateMachine) recordAccepted(command *workflow.Command, result workflow.Result) {
+	if result.Submit == workflow.SubmitAccepted {
+		m.accepted[command.Submit.ID] = time.Now()
+	}
+	for _, id := range command.DeleteJobs {
+		if m.state.Jobs[id] == nil {
+			delete(m.accepted, id)
+		}
+	}
+}
+
+// acceptedAt returns when this member applied the submission of a job, the zero time if there
+// is no such job. Only a function that was passed to read may call it.
+func (m *StateMachine) acceptedAt(job string) time.Time { return m.accepted[job] }
+
 // setOnConfigured sets the function that is called when the configuration has changed.
 func (m *StateMachine) setOnConfigured(f func(version uint64)) {
 	m.mu.Lock()
@@ -67,14 +90,23 @@
 }
 
 // Restore replaces the state by the encoded one. It returns an error and keeps the state
-// if encoded can't be decoded.
+// if encoded can't be decoded. Jobs that this member didn't have yet count as accepted now:
+// a member that has fallen behind keeps the ages of the others.
 func (m *StateMachine) Restore(encoded []byte) error {
 	state, err := workflow.Restore(encoded)
 	if err != nil {
 		return err
 	}
 	m.mu.Lock()
-	m.state = state
+	accepted, now := make(map[string]time.Time, len(state.Jobs)), time.Now()
+	for id, job := range state.Jobs {
+		accepted[id] = now
+		// An ID may have been used again for another job meanwhile.
+		if known := m.state.Jobs[id]; known != nil && known.Index == job.Index {
+			accepted[id] = m.accepted[id]
+		}
+	}
+	m.state, m.accepted = state, accepted
 	version, configured := state.Configuration.Version, m.configured
 	m.mu.Unlock()
 	configured(version)
