The log holds the known edge instances, for the connections of a new leader

Cause: after each change of leader the connections to the adviser came back only as the edge instances announced themselves, every 300 to 600 ms, while work waited.

A new leader starts with a connection for each of them.

--- a/dispatch/query_test.go
+++ b/dispatch/query_test.go
@@ -177,6 +177,28 @@
 	}
 }
 
+// Guards against decisions that differ with load control off: without an interactive query
+// time, the number of queries that aren't interactive has no effect.
+func TestWithoutInteractiveQueryTimeAllQueriesAreAlike(t *testing.T) {
+	for round := range 2 * roundRobinQueryDivisor {
+		var plans []Plan
+		for _, nonInteractive := range []int{0, 3, 8} {
+			bounded := limits
+			bounded.Queries, bounded.LongQueries, bounded.LongQueryTime, bounded.Round = 8, 2, 150*time.Millisecond, round
+			bounded.NonInteractiveQueries = nonInteractive
+			var steps []Step
+			for i := range 20 {
+				s := withPermits(step(fmt.Sprintf("s%02d", i), 1, 4), nil)
+				s.ResponseTime = func(n int) time.Duration { return time.Duration(10+i*20*n) * time.Millisecond }
+				steps = append(steps, s)
+			}
+			plans = append(plans, Decide(0, steps, workers(9, 9, 9), bounded))
+		}
+		must.Eq(t, plans[0], plans[1])
+		must.Eq(t, plans[0], plans[2])
+	}
+}
+
 // Guards against queries that stay unused because all steps that need one are urgent, or
 // none of them is.
 func TestUnusedQueryShareGoesToOtherSteps(t *testing.T) {
--- a/internal/control/adviser_pool.go
+++ b/internal/control/adviser_pool.go
@@ -36,6 +36,11 @@
 	address string
 	// lastAnnounced is the time of the last announcement of the instance.
 	lastAnnounced time.Time
+	// addedAt is when the connection was added. knownUntil is until when an instance that
+	// announced itself to an earlier leader counts as announced; zero for others.
+	addedAt, knownUntil time.Time
+	// committing says that the address is being committed to the log.
+	committing bool
 	// backoffUntil is when the connection may be used again after a failed query.
 	backoffUntil time.Time
 	// busyUntil is when the responses to all queries in flight are expected to have arrived.
@@ -84,19 +89,19 @@
 	defer p.mu.Unlock()
 	conn := p.conns[address]
 	if conn == nil {
-		conn = &adviserConn{address: address}
+		conn = &adviserConn{address: address, addedAt: now}
 		p.conns[address] = conn
 	}
-	conn.lastAnnounced = now
+	conn.lastAnnounced, conn.knownUntil = now, time.Time{}
 }
 
-// reachable returns the connections whose instances are announced and that aren't backing
-// off, ordered by address. p.mu must be held.
+// reachable returns the connections whose instances are announced, or known to a new
+// leader for a short time, and that aren't backing off, ordered by address. p.mu must be held.
 func (p *adviserPool) reachable(now time.Time) []*adviserConn {
 	var usable []*adviserConn
 	maxAge := maxMissedAnnouncements * p.announceIntervalFor(len(p.conns))
 	for _, candidate := range p.conns {
-		announced := candidate.address == p.ownAddress || now.Sub(candidate.lastAnnounced) < maxAge
+		announced := candidate.address == p.ownAddress || now.Sub(candidate.lastAnnounced) < maxAge || now.Before(candidate.knownUntil)
 		if announced && now.After(candidate.backoffUntil) {
 			usable = append(usable, candidate)
 		}
--- a/internal/control/leader_term.go
+++ b/internal/control/leader_term.go
@@ -172,6 +172,9 @@
 		for _, session := range t.sessions {
 			t.linkToSuccessor(session, s)
 		}
+		if c.cfg.LoadControl {
+			t.adviserConns.addKnown(s.Instances, t.started)
+		}
 	})
 	return t
 }
@@ -358,6 +361,9 @@
 		if t.c.heartbeats != nil {
 			t.c.heartbeats.removeMailboxes(t.monitors)
 		}
+		if t.c.cfg.LoadControl {
+			t.removeGoneInstances(time.Now())
+		}
 		if expired := t.expireEndedJobs(time.Now()); len(expired) > 0 {
 			// propose logs the failure, and the next round finds the jobs again.
 			_, _ = t.propose(&workflow.Command{DeleteJobs: expired})
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -401,7 +401,7 @@
 	if err != nil {
 		return AnnounceInstanceReply{}, err
 	}
-	t.adviserConns.recordAnnouncement(r.Address, time.Now())
+	t.recordInstance(r.Address, time.Now())
 	version := c.configurationVersion()
 	link.RecordVersions(ctx, link.Versions{Oldest: version, Newest: version})
 	return AnnounceInstanceReply{Members: c.cfg.Members(), Version: version, Pause: t.adviserConns.announceInterval()}, nil
--- a/workflow/apply.go
+++ b/workflow/apply.go
@@ -29,6 +29,8 @@
 	Configuration *Document    `cbor:"8,keyasint,omitempty"`
 	Wave          *Wave        `cbor:"9,keyasint,omitempty"`
 	Maintenance   *Maintenance `cbor:"10,keyasint,omitempty"`
+	// Instance changes the list of known instances.
+	Instance *InstanceChange `cbor:"13,keyasint,omitempty"`
 }
 
 // RunEnds are the ends of runs on one worker.
@@ -106,6 +108,8 @@
 		s.startWave(c.Wave)
 	case c.Maintenance != nil:
 		s.recordMaintenance(c.Maintenance)
+	case c.Instance != nil:
+		s.changeInstances(c.Instance)
 	}
 	return Result{}
 }
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -146,6 +146,9 @@
 	Waves map[int64]*WaveState `cbor:"5,keyasint,omitempty"`
 	// Changes say when the parts of Configuration came into force.
 	Changes Changes `cbor:"6,keyasint,omitempty"`
+	// Instances are the addresses of the instances that have announced themselves, in
+	// ascending order. A new leader sends adviser queries through them.
+	Instances []string `cbor:"7,keyasint,omitempty"`
 
 	// newestByName holds the latest incarnation of each worker, by name.
 	newestByName map[string]string
