--- a/internal/control/leader_term.go
+++ b/internal/control/leader_term.go
@@ -101,8 +101,8 @@
 	// dataCentreSuspectedAt is when each data centre was last suspected to be unreachable. A
 	// data centre is removed once the regained contact has been logged.
 	dataCentreSuspectedAt map[string]time.Time
-	// acceptedAt is when each job was accepted. It is the start of this leader term for jobs
-	// accepted in earlier ones.
+	// acceptedAt is when each submit call that this leader term accepted arrived. The state
+	// machine has the times of other jobs; see acceptedTime.
 	acceptedAt map[string]time.Time
 	// pendingSubmits counts the submit calls in progress, by job ID.
 	pendingSubmits map[string]int
@@ -162,7 +162,7 @@
 	}
 	t.lease = leaseLength(c.cfg.Bounds)
 	t.machines, t.poolMoves = newMachines(), newPoolMoves()
-	t.adviserConns = newAdviserPool(c.cfg.Address, c.cfg.Adviser, c.cfg.Client)
+	t.adviserConns = newAdviserPool(c.cfg.Address, c.cfg.Adviser, c.cfg.Client, c.cfg.LoadControl, t.started)
 	c.state.read(func(s *workflow.State) {
 		for id, worker := range s.Workers {
 			if !worker.Gone {
@@ -172,6 +172,9 @@
 		for _, session := range t.sessions {
 			t.linkToSuccessor(session, s)
 		}
+		if c.cfg.LoadControl {
+			t.adviserConns.addKnown(s.Instances, t.started)
+		}
 	})
 	return t
 }
@@ -314,6 +317,15 @@
 	t.markJobChanged(job)
 }
 
+// acceptedTime returns when a job was accepted, in this leader term or in an earlier one.
+// t.mu must be held, and only a function that was passed to StateMachine.read may call it.
+func (t *leaderTerm) acceptedTime(job string) time.Time {
+	if at, ok := t.acceptedAt[job]; ok {
+		return at
+	}
+	return t.c.state.acceptedAt(job)
+}
+
 // propose commits a command in this leader term. An error doesn't end the leader term;
 // only the loss of the leadership does.
 //
@@ -349,6 +361,9 @@
 		if t.c.heartbeats != nil {
 			t.c.heartbeats.removeMailboxes(t.monitors)
 		}
+		if t.c.cfg.LoadControl {
+			t.removeGoneInstances(time.Now())
+		}
 		if expired := t.expireEndedJobs(time.Now()); len(expired) > 0 {
 			// propose logs the failure, and the next round finds the jobs again.
 			_, _ = t.propose(&workflow.Command{DeleteJobs: expired})
