control: learned speeds replace the pace

The pace of a worker was the mean of run time by estimate, so wrong estimates set workers aside. Ends of runs now go to a speed.Learner for each service, and workers are classified once a second. Gangs are left out: a gang ends when one member is done, so its members take equally long on all workers. So are ends that may have been reported late, and runs on spare CPU.

Expected ends on slow workers use the speed. The slow workers are committed when they change, at most once a second.

--- a/internal/control/copies.go
+++ b/internal/control/copies.go
@@ -50,7 +50,7 @@
 		return copyStalled
 	}
 	expectedRun := float64(step.EstimateMS) * float64(time.Millisecond) * max(s.t.pace.mean, 1)
-	if s.isSlow() && float64(s.expectedEnd(run, step, now).Sub(now)) > copySlowFactor*expectedRun {
+	if s.isVerySlow() && float64(s.expectedEnd(run, step, now).Sub(now)) > copySlowFactor*expectedRun {
 		return copySlow
 	}
 	return copyNone
--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -23,20 +23,15 @@
 	// stopped and started elsewhere: longer than a short pause of a worker, shorter than
 	// most tasks.
 	stalledRunTimeout = 3 * time.Second
-	// slowFactor is the multiple of the mean pace of all workers above which a worker
-	// counts as slow. The pace is the run time divided by its estimate, which is off by
-	// up to half.
-	slowFactor = 2.5
-	// slowSamples is the number of runs that a worker must have finished before it can count
-	// as slow.
-	slowSamples = 3
-	// workerPaceWeight and overallPaceWeight are the weights of the latest run in the
-	// moving means of one worker and of all workers.
-	workerPaceWeight  = 0.3
+	// overallPaceWeight is the weight of the latest run in the moving mean of run time by
+	// estimate.
 	overallPaceWeight = 0.02
+	// maxReportGap is the longest time without a poll before a report whose ends still count as
+	// reported when they happened: twice the pause between two polls.
+	maxReportGap = 2 * pollPauseAfterEnds
 )
 
-// recordHealth updates the worker's failure count and pace from the end of a run. t.mu
+// recordHealth updates the worker's failure count and speed from the end of a run. t.mu
 // must be held.
 func (s *workerSession) recordHealth(end workflow.RunEnd, now time.Time) {
 	switch end.Outcome {
@@ -63,19 +58,23 @@
 	}
 }
 
-// recordPace adds a finished run to the moving means of run time divided by estimate. It
-// ignores runs that resumed from a checkpoint. t.mu must be held.
+// recordPace adds a finished run to the mean of run time by estimate and to the speeds. The run
+// time lasts from the response to the start until the report of the end. t.mu must be held.
+//
+// It ignores runs that resumed from a checkpoint, whose end was reported before or late, or whose
+// duration depends on other runs. Those are runs on spare CPU and gangs: a gang ends when one
+// member is done, so the durations of its members are equal and say nothing about the workers.
 func (s *workerSession) recordPace(end workflow.RunEnd, now time.Time) {
 	o := s.orders[end.Task]
-	if o == nil || o.run.Number != end.Number || o.startedAt.IsZero() || o.estimate <= 0 || o.resumed {
+	if o == nil || o.run.Number != end.Number || o.startedAt.IsZero() || o.resumed || o.endKnown {
 		return
 	}
-	ratio := float64(now.Sub(o.startedAt)) / float64(o.estimate)
-	wasSlow := s.isSlow()
-	s.pace.add(ratio, workerPaceWeight)
-	s.t.pace.add(ratio, overallPaceWeight)
-	if slow := s.isSlow(); slow != wasSlow {
-		s.t.logger.Log("event", "worker_pace", "worker", s.worker.ID, "slow", slow, "pace", s.pace.mean, "all", s.t.pace.mean)
+	duration := now.Sub(o.startedAt)
+	if o.estimate > 0 {
+		s.t.pace.add(float64(duration)/float64(o.estimate), overallPaceWeight)
+	}
+	if !o.gang && !o.usesSpareCPU && !o.longRunning && !s.endsDelayed {
+		s.t.learnerOf(s.worker.Service).Done(end.Task.StepKey, s.worker.ID, duration)
 	}
 }
 
@@ -88,11 +87,13 @@
 	return s.failures
 }
 
-// isSlow reports whether the worker's runs take much longer than those of other workers.
-// t.mu must be held.
-func (s *workerSession) isSlow() bool {
-	return s.pace.samples >= slowSamples && s.pace.mean > slowFactor*s.t.pace.mean
-}
+// isSlow reports whether the worker's runs take much longer than those of the same steps on
+// other workers. t.mu must be held.
+func (s *workerSession) isSlow() bool { return s.speed.Slow && !s.t.disabled.Health }
+
+// isVerySlow reports whether the worker is so slow that it gets one run at a time, which shows
+// whether it still is. t.mu must be held.
+func (s *workerSession) isVerySlow() bool { return s.speed.VerySlow }
 
 // isStalled reports whether the worker responds but none of its runs advances: its last
 // report shows the same percentages as one that is older by stallTimeout. The times of
--- a/internal/control/leader_term.go
+++ b/internal/control/leader_term.go
@@ -11,6 +11,7 @@
 	"github.com/bilberryferry/bilberryferry/dispatch"
 	"github.com/bilberryferry/bilberryferry/internal/link"
 	"github.com/bilberryferry/bilberryferry/internal/wait"
+	"github.com/bilberryferry/bilberryferry/speed"
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
 
@@ -120,6 +121,12 @@
 	endedAt map[string]time.Time
 	// pace is the moving mean over all workers of run time divided by estimate.
 	pace movingMean
+	// learners learn the speeds of the workers, by service. speedsAt is when the workers were
+	// last classified, and speedsInFlight says that a change of the slow workers is being
+	// committed.
+	learners       map[string]*speed.Learner
+	speedsAt       time.Time
+	speedsInFlight bool
 	// proposedStarts maps each task whose start is being committed to its worker.
 	proposedStarts map[workflow.TaskKey]string
 	machines       *machines
--- a/internal/control/report.go
+++ b/internal/control/report.go
@@ -18,6 +18,7 @@
 	t.mu.Lock()
 	firstReport := !s.ready
 	s.ready = true
+	s.endsDelayed = sent.Sub(s.respondedAt) > maxReportGap
 	returned := firstReport && len(s.unresolvedRuns()) > 0
 	s.recordReport(report.ClockMS, now)
 	s.confirmation.record(report, sent, s.pollWait, now)
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -8,6 +8,7 @@
 
 	"github.com/bilberryferry/bilberryferry/dispatch"
 	"github.com/bilberryferry/bilberryferry/internal/wait"
+	"github.com/bilberryferry/bilberryferry/speed"
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
 
@@ -89,10 +90,12 @@
 	failures         int
 	failedJob        string
 	quarantinedUntil time.Time
-	// pace is the moving mean of run time divided by estimate on this worker.
-	pace       movingMean
-	throttle   throttle
-	runSummary runSummary
+	// speed is the speed of the worker as last classified. endsDelayed says that the ends in the
+	// current report may have happened long before it.
+	speed       speed.Estimate
+	endsDelayed bool
+	throttle    throttle
+	runSummary  runSummary
 	// startSlots has one slot for each start that may be in flight.
 	startSlots chan struct{}
 	// hasLiveRuns says that the last report listed live runs. advancedAt is when a report
@@ -151,8 +154,7 @@
 		return reasonQuarantined
 	case s.isStalled():
 		return reasonStalled
-	case s.isSlow() && runs > 0:
-		// One run at a time shows whether the worker is still slow.
+	case s.isVerySlow() && runs > 0:
 		return reasonSlow
 	}
 	return ""
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -52,6 +52,7 @@
 	// The number of waiting steps at the last decision estimates the current number.
 	input := planInput{copyCandidates: map[workflow.TaskKey]copyCandidate{}, runsPerWorker: map[workflow.StepKey]map[string]int{}, steps: make([]dispatch.Step, 0, len(t.waiting)+extraStepCapacity)}
 	t.c.state.read(func(s *workflow.State) {
+		t.classifySpeeds(s, now)
 		if now.Sub(t.runsCheckedAt) >= runCheckInterval {
 			t.runsCheckedAt = now
 			t.countRuns(s, now)
@@ -137,6 +138,7 @@
 		summary := t.summarizeRuns(s, session, changes, now)
 		workers = append(workers, dispatch.Worker{
 			Worker: state.Worker, Free: free, FreeBeforePlan: free, Releases: summary.releases, Penalty: session.penalty(), Earmarked: t.earmarked[id],
+			Slow: session.isSlow(), SpeedPercent: session.speed.Percent(),
 			Serving: summary.serving, SpareRuns: summary.spareRuns, SpareCPUPercent: session.throttle.share,
 		})
 	}
@@ -212,10 +214,13 @@
 
 // expectedEnd estimates when a run ends: from its progress if the worker has reported
 // enough of it, else from the job's estimate. A run whose start time isn't known counts
-// as half done. A run that exceeds its estimate is expected to take another tenth of it.
-// t.mu must be held.
+// as half done. A run that exceeds its estimate is expected to take another tenth of it. On a
+// slow worker the estimate is longer by its speed. t.mu must be held.
 func (s *workerSession) expectedEnd(run workflow.Run, step *workflow.Step, now time.Time) time.Time {
 	estimate := time.Duration(step.EstimateMS) * time.Millisecond
+	if s.isSlow() {
+		estimate = time.Duration(float64(estimate) / s.speed.Relative)
+	}
 	o := s.orders[run.Task]
 	if o == nil || o.startedAt.IsZero() {
 		return now.Add(estimate / 2)
@@ -277,7 +282,7 @@
 	objective time.Duration, now time.Time, runsPerWorker map[string]int) dispatch.Step {
 	step := dispatch.Step{
 		Key: key, Spec: &job.Steps[key.Step], Service: job.Policy.Service, Queue: job.Queue, Customer: job.Customer, Priority: job.Policy.Priority,
-		Due: objectiveStart.Add(objective).Sub(t.started), Pending: pending, Placed: runsPerWorker,
+		Due: objectiveStart.Add(objective).Sub(t.started), Stretch: job.Policy.Stretch, Pending: pending, Placed: runsPerWorker,
 	}
 	switch age := now.Sub(objectiveStart); {
 	case age > worthlessAfterObjectives*objective:
--- /dev/null
+++ b/internal/control/speeds.go
@@ -0,0 +1,89 @@
+package control
+
+import (
+	"time"
+
+	"github.com/bilberryferry/bilberryferry/speed"
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+// speedInterval is the time between two classifications of the workers by their speeds. It also
+// bounds the commits of slow workers to one per interval.
+const speedInterval = time.Second
+
+// learnerOf returns the learner of the speeds of a service's workers. Workers of different
+// services share no steps, so their speeds can't be compared. t.mu must be held.
+func (t *leaderTerm) learnerOf(service string) *speed.Learner {
+	learner := t.learners[service]
+	if learner == nil {
+		learner = speed.NewLearner()
+		if t.learners == nil {
+			t.learners = map[string]*speed.Learner{}
+		}
+		t.learners[service] = learner
+	}
+	return learner
+}
+
+// classifySpeeds updates which workers are slow, at most once per speedInterval, and commits the
+// changes. t.mu must be held.
+func (t *leaderTerm) classifySpeeds(s *workflow.State, now time.Time) {
+	if now.Sub(t.speedsAt) < speedInterval {
+		return
+	}
+	t.speedsAt = now
+	t.restoreSpeeds(s)
+	for service, learner := range t.learners {
+		learner.Retain(func(id string) bool { return t.sessions[id] != nil })
+		for _, change := range learner.Classify() {
+			e := change.Estimate
+			t.logger.Log("event", "worker_speed", "worker", change.Worker, "service", service, "slow", e.Slow, "very_slow", e.VerySlow,
+				"relative", e.Relative, "uncertainty", e.Uncertainty, "runs", e.Runs)
+		}
+	}
+	slowWorkers := 0
+	var changed []workflow.WorkerSpeed
+	for id, session := range t.sessions {
+		session.speed = t.learnerOf(session.worker.Service).Estimate(id)
+		if session.speed.Slow {
+			slowWorkers++
+		}
+		if state := s.Workers[id]; state != nil && !state.Gone && (state.SpeedPercent > 0) != session.speed.Slow {
+			changed = append(changed, workflow.WorkerSpeed{Worker: id, SpeedPercent: session.speed.Percent()})
+		}
+	}
+	t.c.cfg.Counters.Set("slow_workers", int64(slowWorkers))
+	t.commitSpeeds(changed)
+}
+
+// restoreSpeeds takes over the slow workers from the log: those that an earlier leader found, and
+// those whose session had ended. t.mu must be held.
+func (t *leaderTerm) restoreSpeeds(s *workflow.State) {
+	for id, session := range t.sessions {
+		state := s.Workers[id]
+		if state == nil || state.Gone || state.SpeedPercent == 0 {
+			continue
+		}
+		learner := t.learnerOf(session.worker.Service)
+		if e := learner.Estimate(id); e.Runs == 0 && !e.Slow {
+			learner.Restore(id, state.SpeedPercent)
+		}
+	}
+}
+
+// commitSpeeds commits which workers became slow or stopped being slow, unless a commit is in
+// flight. A failed commit needs no retry: the next classification compares with the log again.
+// t.mu must be held.
+func (t *leaderTerm) commitSpeeds(changed []workflow.WorkerSpeed) {
+	if len(changed) == 0 || t.speedsInFlight {
+		return
+	}
+	t.speedsInFlight = true
+	t.spawn(func() {
+		// propose logs the failure.
+		_, _ = t.propose(&workflow.Command{Speeds: changed})
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.speedsInFlight = false
+	})
+}
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -333,6 +333,15 @@
 	}
 }
 
+// Retain forgets the workers for which keep returns false.
+func (l *Learner) Retain(keep func(workerID string) bool) {
+	for id := range l.workers {
+		if !keep(id) {
+			l.Forget(id)
+		}
+	}
+}
+
 // Estimate returns what is known of the speed of a worker.
 func (l *Learner) Estimate(workerID string) Estimate {
 	if w := l.workers[workerID]; w != nil {
--- a/workflow/apply.go
+++ b/workflow/apply.go
@@ -29,6 +29,8 @@
 	Configuration *Document    `cbor:"8,keyasint,omitempty"`
 	Wave          *Wave        `cbor:"9,keyasint,omitempty"`
 	Maintenance   *Maintenance `cbor:"10,keyasint,omitempty"`
+	// Speeds holds the workers that became slow or stopped being slow.
+	Speeds []WorkerSpeed `cbor:"12,keyasint,omitempty"`
 }
 
 // RunEnds are the ends of runs on one worker.
@@ -106,6 +108,8 @@
 		s.startWave(c.Wave)
 	case c.Maintenance != nil:
 		s.recordMaintenance(c.Maintenance)
+	case len(c.Speeds) > 0:
+		s.recordSpeeds(c.Speeds)
 	}
 	return Result{}
 }
@@ -371,13 +375,22 @@
 	}
 }
 
+// recordSpeeds records which workers are slow. It ignores workers that are gone.
+func (s *State) recordSpeeds(speeds []WorkerSpeed) {
+	for _, speed := range speeds {
+		if worker := s.Workers[speed.Worker]; worker != nil && !worker.Gone {
+			worker.SpeedPercent = speed.SpeedPercent
+		}
+	}
+}
+
 // workerGone ends every run of a worker whose incarnation has ended.
 func (s *State) workerGone(id string, crashed bool) {
 	worker := s.Workers[id]
 	if worker == nil {
 		return
 	}
-	worker.Gone = true
+	worker.Gone, worker.SpeedPercent = true, 0
 	if crashed {
 		s.countUnresolvedAsCrashes(worker)
 	} else {
