control: explain and document the learned speeds; a new leader knows the slow workers

An explanation names the slowest worker of the service with its speed and uncertainty. Copies prefer workers that aren't slow.

--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -63,7 +63,9 @@
 	switch {
 	case !anySlow:
 		s.preference = anySpeed
-	case p.isTight(s, class.speed()):
+	case s.Copy || p.isTight(s, class.speed()):
+		// A copy is to end before a run that takes too long. Copies are placed last, so they take
+		// no fast worker from other steps.
 		s.preference = prefersFast
 	case class.fastIsScarce():
 		s.preference = prefersSlow
@@ -72,14 +74,14 @@
 	}
 }
 
-// isTight reports whether the objective of s doesn't leave enough time for runs on slow workers of
-// the given speed. It doesn't if the time until Due is shorter than the estimate on such a worker and the
-// adviser's time. It doesn't either if the run takes more than Stretch times the estimate there:
+// isTight reports whether the objective of s leaves too little time for runs on slow workers of
+// the given speed. It does if the time until Due is shorter than the estimate on such a worker and the
+// adviser's time, and if the run takes more than Stretch times the estimate there:
 // estimates of short steps are off by up to 0.9, and for an estimate that is too short the
 // constant part of the objective seems to leave enough time. A step that has missed its objective
 // isn't tight, since steps that can still meet theirs need the fast workers more.
 func (p *planner) isTight(s *Step, speed float64) bool {
-	if s.Lateness > 0 || s.Copy {
+	if s.Lateness > 0 {
 		return false
 	}
 	if s.Stretch > 0 && s.Stretch*speed < 1 {
--- a/dispatch/speed_test.go
+++ b/dispatch/speed_test.go
@@ -214,6 +214,7 @@
 		{"slack, little room elsewhere", func(pool []Worker, s *Step) {
 			s.Stretch, s.Due, pool[2].Free.MilliCPU, pool[3].Free.MilliCPU = 4, time.Minute, 3000, 3000
 		}, 8},
+		{"copy", func(_ []Worker, s *Step) { s.Copy, s.Stretch, s.Due = true, 4, time.Minute }, 0},
 		{"slack, much room elsewhere", func(pool []Worker, s *Step) { s.Stretch, s.Due, pool[3].Free.MilliCPU = 4, time.Minute, 12_000 }, 0},
 	} {
 		pool, s := unequalPool(4, slow, 8, true)
--- a/internal/apiserver/apiserver.go
+++ b/internal/apiserver/apiserver.go
@@ -186,6 +186,11 @@
 				Filter: string(count.Reason), Workers: int32(count.Workers), ExampleWorker: count.Example,
 			})
 		}
+		if len(waiting.SlowWorkers) > 0 {
+			step.Workers = append(step.Workers, &apiv1.FilterCount{
+				Filter: waiting.SlowWorkers[0].String(), Workers: int32(waiting.SlowCount), ExampleWorker: waiting.SlowWorkers[0].Worker,
+			})
+		}
 		response.Steps = append(response.Steps, step)
 	}
 	return response
--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/bilberryferry/bilberryferry/customer"
@@ -189,6 +190,25 @@
 	Permitted int `cbor:"5,keyasint"`
 	Refused   int `cbor:"6,keyasint"`
 	Unknown   int `cbor:"7,keyasint"`
+	// SlowWorkers are the slow workers of the service, at most maxExplainedSlowWorkers of them,
+	// and SlowCount is how many there are.
+	SlowWorkers []SlowWorker `cbor:"8,keyasint,omitempty"`
+	SlowCount   int          `cbor:"9,keyasint,omitempty"`
+}
+
+// SlowWorker is a slow worker with its speed relative to that of the median worker. Uncertainty is
+// the relative error of the speed, and Runs is the number of runs that it follows from; both
+// are 0 for a speed that an earlier leader has learned.
+type SlowWorker struct {
+	Worker      string  `cbor:"1,keyasint"`
+	Speed       float64 `cbor:"2,keyasint"`
+	Uncertainty float64 `cbor:"3,keyasint,omitempty"`
+	Runs        int     `cbor:"4,keyasint,omitempty"`
+}
+
+// String returns the speed as explanations show it.
+func (w SlowWorker) String() string {
+	return fmt.Sprintf("slow: %.2f of the median worker's speed, uncertain by %.0f %% after %d runs", w.Speed, 100*w.Uncertainty, w.Runs)
 }
 
 // WaveCall starts a maintenance wave.
--- a/internal/control/explain.go
+++ b/internal/control/explain.go
@@ -95,6 +95,7 @@
 		if step.NeedsPermit {
 			e.Unknown = max(len(input.workers)-e.Permitted-e.Refused, 0)
 		}
+		e.SlowWorkers, e.SlowCount = t.explainSpeeds(step.Service)
 		explanations = append(explanations, e)
 	}
 	return explanations
--- a/internal/control/speeds.go
+++ b/internal/control/speeds.go
@@ -1,15 +1,24 @@
 package control
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/bilberryferry/bilberryferry/speed"
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
 
-// speedInterval is the time between two classifications of the workers by their speeds. It also
-// bounds the commits of slow workers to one per interval.
-const speedInterval = time.Second
+const (
+	// speedInterval is the time between two classifications of the workers by their speeds. It
+	// also bounds the commits of slow workers to one per interval.
+	speedInterval = time.Second
+	// maxExplainedSlowWorkers bounds the slow workers that an explanation lists.
+	maxExplainedSlowWorkers = 10
+	// maxSpeedLogLines bounds the log lines about changes in one classification. A hundred
+	// workers may become slow within a few seconds after a leader has begun.
+	maxSpeedLogLines = 50
+)
 
 // learnerOf returns the learner of the speeds of a service's workers. Workers of different
 // services share no steps, so their speeds can't be compared. t.mu must be held.
@@ -35,7 +44,8 @@
 	t.restoreSpeeds(s)
 	for service, learner := range t.learners {
 		learner.Retain(func(id string) bool { return t.sessions[id] != nil })
-		for _, change := range learner.Classify() {
+		changes := learner.Classify()
+		for _, change := range changes[:min(len(changes), maxSpeedLogLines)] {
 			e := change.Estimate
 			t.logger.Log("event", "worker_speed", "worker", change.Worker, "service", service, "slow", e.Slow, "very_slow", e.VerySlow,
 				"relative", e.Relative, "uncertainty", e.Uncertainty, "runs", e.Runs)
@@ -87,3 +97,17 @@
 		t.speedsInFlight = false
 	})
 }
+
+// explainSpeeds returns the slow workers of a service, the slowest first, and how many there are.
+// t.mu must be held.
+func (t *leaderTerm) explainSpeeds(service string) (slow []SlowWorker, count int) {
+	for id, session := range t.sessions {
+		if e := session.speed; e.Slow && session.worker.Service == service {
+			slow = append(slow, SlowWorker{Worker: id, Speed: e.Relative, Uncertainty: e.Uncertainty, Runs: e.Runs})
+		}
+	}
+	slices.SortFunc(slow, func(a, b SlowWorker) int {
+		return cmp.Or(cmp.Compare(a.Speed, b.Speed), cmp.Compare(a.Worker, b.Worker))
+	})
+	return slow[:min(len(slow), maxExplainedSlowWorkers)], len(slow)
+}
--- a/internal/control/speeds_test.go
+++ b/internal/control/speeds_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -107,3 +108,42 @@
 		must.Zero(t, p.term.sessions["w0"].speed.Runs, must.Sprint(name))
 	}
 }
+
+// Guards against this failure: a new leader puts tight work on slow workers until it has learned their speeds
+// again, or a failed commit leaves the log without a slow worker.
+func TestNewLeaderKnowsSlowWorkers(t *testing.T) {
+	cluster := newTestCluster(t, nil)
+	for i := range 10 {
+		id := fmt.Sprint("w", i)
+		cluster.workers.add(id)
+		cluster.announce(id)
+	}
+	term, err := cluster.controller.currentLeaderTerm(context.Background())
+	must.NoError(t, err)
+	term.mu.Lock()
+	for step := range 20 {
+		for i := range 10 {
+			took := time.Second
+			if i == 0 {
+				took = 2 * time.Second
+			}
+			term.learnerOf("s").Done(workflow.StepKey{Job: fmt.Sprint("j", step)}, fmt.Sprint("w", i), took)
+		}
+	}
+	term.mu.Unlock()
+	percent := func() (percent int) {
+		cluster.controller.state.read(func(s *workflow.State) { percent = s.Workers["w0"].SpeedPercent })
+		return percent
+	}
+	cluster.eventually("the slow worker is committed", func() bool { return percent() > 0 })
+	must.Between(t, 45, percent(), 55)
+	successor := newLeaderTerm(context.Background(), func() {}, cluster.controller, fakeLogTerm+1)
+	input := successor.gatherPlanInput(time.Now())
+	must.SliceEmpty(t, input.workers, must.Sprint("no worker has responded to the successor"))
+	for id, s := range successor.sessions {
+		must.Eq(t, id == "w0", s.isSlow(), must.Sprint(id))
+	}
+	slow, count := successor.explainSpeeds("s")
+	must.Eq(t, 1, count)
+	must.StrContains(t, slow[0].String(), "0.5")
+}
