--- a/workflow/apply.go
+++ b/workflow/apply.go
@@ -31,6 +31,8 @@
 	Maintenance   *Maintenance `cbor:"10,keyasint,omitempty"`
 	// Instance changes the list of known instances.
 	Instance *InstanceChange `cbor:"13,keyasint,omitempty"`
+	// Speeds holds the workers that became slow or stopped being slow.
+	Speeds []WorkerSpeed `cbor:"12,keyasint,omitempty"`
 }
 
 // RunEnds are the ends of runs on one worker.
@@ -110,6 +112,8 @@
 		s.recordMaintenance(c.Maintenance)
 	case c.Instance != nil:
 		s.changeInstances(c.Instance)
+	case len(c.Speeds) > 0:
+		s.recordSpeeds(c.Speeds)
 	}
 	return Result{}
 }
@@ -375,13 +379,22 @@
 	}
 }
 
+// recordSpeeds records which workers are slow. It ignores workers that are gone.
+func (s *State) recordSpeeds(speeds []WorkerSpeed) {
+	for _, speed := range speeds {
+		if worker := s.Workers[speed.Worker]; worker != nil && !worker.Gone {
+			worker.SpeedPercent = speed.SpeedPercent
+		}
+	}
+}
+
 // workerGone ends every run of a worker whose incarnation has ended.
 func (s *State) workerGone(id string, crashed bool) {
 	worker := s.Workers[id]
 	if worker == nil {
 		return
 	}
-	worker.Gone = true
+	worker.Gone, worker.SpeedPercent = true, 0
 	if crashed {
 		s.countUnresolvedAsCrashes(worker)
 	} else {
