--- a/internal/instance/process.go
+++ b/internal/instance/process.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"syscall"
 	"time"
 
@@ -64,9 +65,9 @@
 // Daemon is one of the two daemons, core or edge; see NewCore and NewEdge.
 type Daemon struct {
 	role string
-	// callsForLoadControl reports whether the terms of the deployment call for load control.
-	callsForLoadControl func(terms []string) bool
-	run                 func(context.Context, *process) error
+	// loadControlTerms are the terms of a deployment's contract that call for load control.
+	loadControlTerms []string
+	run              func(context.Context, *process) error
 }
 
 // Main loads the settings, runs a daemon until SIGTERM or SIGINT and returns the exit
@@ -101,7 +102,7 @@
 	if err != nil {
 		return errors.Mark(err, errSettings)
 	}
-	settings.LoadControl = settings.LoadControl || d.callsForLoadControl(settings.Terms)
+	settings.LoadControl = settings.LoadControl || slices.ContainsFunc(settings.Terms, func(term string) bool { return slices.Contains(d.loadControlTerms, term) })
 	if settings.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(settings.MemoryMB) << 20 * memoryLimitPercent / 100)
 	}
