--- /dev/null
+++ b/admission/admission.go
@@ -0,0 +1,371 @@
+// Package admission estimates whether a new job can still end while it is worth something, and
+// refuses one that can't. It handles a load above what the workers can run: one customer that sends
+// 7.5 times its usual rate, or one queue that gets 2.3 times its usual rate, for some seconds. Without
+// it, jobs are accepted that start when they are worth nothing, and delay the others.
+//
+// The package reads no clock and does no I/O. Times are on the monotonic clock of the caller.
+package admission
+
+import (
+	"math"
+	"time"
+
+	"github.com/bilberryferry/bilberryferry/customer"
+	"github.com/bilberryferry/bilberryferry/resource"
+)
+
+// worthlessAfterObjectives is the age, as a multiple of its objective, from which on a job has no
+// value any more.
+const worthlessAfterObjectives = 3
+
+// Class is the work that one estimate treats alike.
+type Class struct {
+	// Service is the pool of workers that runs the work.
+	Service string
+	// Customer is the owner of the work; empty for none.
+	Customer string
+	// Priority is the priority of the queue; 0 is the most urgent.
+	Priority int
+}
+
+// Work is an amount of work, in resource-milliseconds.
+type Work struct {
+	// OnWorkers is what the work occupies on workers, OfCustomer is what it counts against the limit
+	// of its customer.
+	OnWorkers, OfCustomer resource.Amount
+}
+
+// maxStepWork bounds the work of one step, so that the sum over 30,000 steps doesn't overflow. It
+// is an hour of 78,000 cores.
+const maxStepWork = int64(1) << 48
+
+// WorkOf returns the work of a number of tasks that take ms milliseconds each.
+func WorkOf(onWorkers, ofCustomer resource.Amount, tasks int, ms int64) Work {
+	return Work{times(onWorkers, tasks, ms), times(ofCustomer, tasks, ms)}
+}
+
+func times(a resource.Amount, tasks int, ms int64) resource.Amount {
+	field := func(n int64) int64 {
+		return int64(min(float64(n)*float64(tasks)*float64(max(ms, 0)), float64(maxStepWork)))
+	}
+	return resource.Amount{MilliCPU: field(a.MilliCPU), MemoryMB: field(a.MemoryMB), Accelerators: field(a.Accelerators)}
+}
+
+// Plus returns the sum of w and other.
+func (w Work) Plus(other Work) Work {
+	return Work{w.OnWorkers.Plus(other.OnWorkers), w.OfCustomer.Plus(other.OfCustomer)}
+}
+
+func (w Work) minus(other Work) Work {
+	return Work{w.OnWorkers.Minus(other.OnWorkers), w.OfCustomer.Minus(other.OfCustomer)}
+}
+
+// Sums is work by class. A class without work has no entry.
+type Sums map[Class]Work
+
+// Add adds work to a class.
+func (s Sums) Add(class Class, work Work) { s.set(class, s[class].Plus(work)) }
+
+func (s Sums) remove(class Class, work Work) { s.set(class, s[class].minus(work)) }
+
+func (s Sums) set(class Class, work Work) {
+	if work == (Work{}) {
+		delete(s, class)
+		return
+	}
+	s[class] = work
+}
+
+// Job is a new job.
+type Job struct {
+	// ID identifies the job in repeated submissions.
+	ID string
+	Class
+	// Work is the work of all steps.
+	Work Work
+	// Chain is the estimated duration of its longest chain of dependent steps.
+	Chain time.Duration
+	// Objective is the time within which it should end; 0 for none.
+	Objective time.Duration
+}
+
+// maxWait returns the longest wait with which the job is accepted: it ends within three times its
+// objective. A wait within the objective is always accepted, also where the chain alone takes
+// longer than three times the objective.
+func (j *Job) maxWait() time.Duration {
+	return max(worthlessAfterObjectives*j.Objective-j.Chain, j.Objective)
+}
+
+// Room is what work may run on: the capacity of a pool or the limit of a customer.
+type Room struct {
+	// Total is all of it; a field is 0 where it isn't known or has no limit.
+	Total resource.Amount
+	// Held is the part that runs occupy, Rest is the work that they have left.
+	Held, Rest resource.Amount
+}
+
+// Snapshot is the state at a decision of the leader.
+type Snapshot struct {
+	// Pools holds the capacity of the usable workers by service, Limits the limits of customers.
+	Pools, Limits map[string]Room
+	// Queued is the work that hasn't started, without that of worthless jobs.
+	Queued Sums
+	// Customers holds all customers by name. It must not change.
+	Customers map[string]*customer.Customer
+	// Includes reports whether the snapshot takes a job into account.
+	Includes func(job string) bool
+}
+
+// Bottleneck says what makes a job wait.
+type Bottleneck string
+
+// The bottlenecks.
+const (
+	CustomerLimit Bottleneck = "the limit of the customer"
+	Cluster       Bottleneck = "the cluster"
+)
+
+// Refusal says why a job is refused.
+type Refusal struct {
+	// Wait is the expected wait of the job before its first start.
+	Wait       time.Duration
+	Bottleneck Bottleneck
+	// RetryAfter is the time until the job would be accepted, in whole seconds.
+	RetryAfter time.Duration
+}
+
+// Estimator estimates waits from the snapshot of the last decision and the jobs that were accepted
+// since. It isn't safe for concurrent use.
+type Estimator struct {
+	snapshot   Snapshot
+	snapshotAt time.Duration
+	// known says that there was a snapshot.
+	known bool
+	// meanWeight is the weight of work without a customer.
+	meanWeight float64
+	// added holds the accepted jobs that the snapshot doesn't include.
+	added     map[string]Job
+	addedWork Sums
+	reservations
+	// byCustomer is reused by each estimate.
+	byCustomer map[string]resource.Amount
+}
+
+// NewEstimator returns an estimator that refuses nothing before its first snapshot.
+func NewEstimator() *Estimator {
+	return &Estimator{added: map[string]Job{}, addedWork: Sums{}, reservations: newReservations(), byCustomer: map[string]resource.Amount{}}
+}
+
+// Update replaces the snapshot.
+func (e *Estimator) Update(now time.Duration, snapshot Snapshot) {
+	e.snapshot, e.snapshotAt, e.known = snapshot, now, true
+	e.meanWeight = 0
+	for _, c := range snapshot.Customers {
+		e.meanWeight += c.Weight / float64(len(snapshot.Customers))
+	}
+	for id := range e.added {
+		if snapshot.Includes(id) {
+			e.Remove(id)
+		}
+	}
+	e.expire(now)
+}
+
+// Add counts an accepted job until a snapshot includes it, and ends its reservation.
+func (e *Estimator) Add(job *Job) {
+	e.release(job.ID)
+	if _, known := e.added[job.ID]; known {
+		return
+	}
+	e.added[job.ID] = *job
+	e.addedWork.Add(job.Class, job.Work)
+}
+
+// Remove stops counting a job that Add counted, because its commit failed.
+func (e *Estimator) Remove(id string) {
+	if job, known := e.added[id]; known {
+		delete(e.added, id)
+		e.addedWork.remove(job.Class, job.Work)
+	}
+}
+
+// Check returns nil if a job is to be accepted. A refused job may get a reservation.
+func (e *Estimator) Check(now time.Duration, job *Job) *Refusal {
+	e.expireSometimes(now)
+	if !e.known || job.Objective <= 0 {
+		return nil
+	}
+	maxWait := job.maxWait()
+	wait, bottleneck := e.wait(now, job, maxWait)
+	if wait <= maxWait+estimateTolerance {
+		return nil
+	}
+	return &Refusal{Wait: wait, Bottleneck: bottleneck, RetryAfter: e.reserve(now, job, wait-maxWait)}
+}
+
+// estimateTolerance covers the rounding of the estimate.
+const estimateTolerance = time.Millisecond
+
+// Wait returns how long new work of a class is expected to wait, and for what. It counts all work
+// ahead, also that of customers beyond their share.
+func (e *Estimator) Wait(now time.Duration, class Class) (time.Duration, Bottleneck) {
+	unit := resource.Amount{MilliCPU: 1, MemoryMB: 1, Accelerators: 1}
+	return e.wait(now, &Job{Class: class, Work: Work{unit, unit}}, longestWait)
+}
+
+// longestWait is the wait that is reported where the estimate is longer.
+const longestWait = time.Hour
+
+// wait estimates how long a job waits, in the scarcest of the resources that it needs. Of other
+// customers' work, only as much counts as their shares of the pool run within maxWait.
+func (e *Estimator) wait(now time.Duration, job *Job, maxWait time.Duration) (time.Duration, Bottleneck) {
+	own := e.sumAhead(now, job)
+	longest, bottleneck := 0.0, Cluster
+	elapsed := milliseconds(now - e.snapshotAt)
+	pool, limit := e.snapshot.Pools[job.Service], e.snapshot.Limits[job.Customer]
+	totalWeight := e.totalWeight(job.Customer)
+	for _, field := range amountFields {
+		if field(job.Work.OnWorkers) > 0 && field(pool.Total) > 0 {
+			room := newDrain(&pool, field, elapsed)
+			within := room.workWithin(milliseconds(maxWait))
+			ahead := 0.0
+			for name, work := range e.byCustomer {
+				counted := float64(field(work))
+				if name != job.Customer {
+					counted = min(counted, within*e.weight(name)/totalWeight)
+				}
+				ahead += counted
+			}
+			longest = max(longest, room.timeFor(ahead))
+		}
+		if field(job.Work.OfCustomer) > 0 && field(limit.Total) > 0 {
+			room := newDrain(&limit, field, elapsed)
+			if wait := room.timeFor(float64(field(own))); wait > longest {
+				longest, bottleneck = wait, CustomerLimit
+			}
+		}
+	}
+	return time.Duration(min(longest, milliseconds(longestWait)) * float64(time.Millisecond)), bottleneck
+}
+
+// sumAhead sums up the work that is ahead of a job: of its customer in all pools, and by customer,
+// in e.byCustomer, in its pool.
+func (e *Estimator) sumAhead(now time.Duration, job *Job) (own resource.Amount) {
+	clear(e.byCustomer)
+	add := func(class Class, work Work) {
+		if class.Priority > job.Priority {
+			return
+		}
+		if class.Customer == job.Customer {
+			own = own.Plus(work.OfCustomer)
+		}
+		if class.Service == job.Service {
+			e.byCustomer[class.Customer] = e.byCustomer[class.Customer].Plus(work.OnWorkers)
+		}
+	}
+	for class, work := range e.snapshot.Queued {
+		add(class, work)
+	}
+	for class, work := range e.addedWork {
+		add(class, work)
+	}
+	if e.isDue(now, job.ID) {
+		return own
+	}
+	for class, work := range e.reservedWork {
+		add(class, work)
+	}
+	if r, reserved := e.reserved[job.ID]; reserved {
+		add(r.job.Class, Work{}.minus(r.job.Work))
+	}
+	return own
+}
+
+// totalWeight returns the sum of the weights of the customers in e.byCustomer and of a customer.
+func (e *Estimator) totalWeight(name string) float64 {
+	total := e.weight(name)
+	for other := range e.byCustomer {
+		if other != name {
+			total += e.weight(other)
+		}
+	}
+	return total
+}
+
+// minWeight is the least weight of a customer, so that nobody is kept out for good.
+const minWeight = 0.001
+
+// weight returns the weight of a customer; that of an average one for work without a customer.
+func (e *Estimator) weight(name string) float64 {
+	if c := e.snapshot.Customers[name]; c != nil {
+		return max(c.Weight, minWeight)
+	}
+	return max(e.meanWeight, minWeight)
+}
+
+// Queued returns the counted work that hasn't started, of one customer or, with all, of all.
+// Reserved work isn't included.
+func (e *Estimator) Queued(name string, all bool) (sum resource.Amount) {
+	for _, sums := range []Sums{e.snapshot.Queued, e.addedWork} {
+		for class, work := range sums {
+			if all || class.Customer == name {
+				sum = sum.Plus(work.OnWorkers)
+			}
+		}
+	}
+	return sum
+}
+
+// Reservations returns the number of reservations.
+func (e *Estimator) Reservations() int { return len(e.reserved) }
+
+// amountFields select the resources of an amount.
+var amountFields = [...]func(resource.Amount) int64{
+	func(a resource.Amount) int64 { return a.MilliCPU },
+	func(a resource.Amount) int64 { return a.MemoryMB },
+	func(a resource.Amount) int64 { return a.Accelerators },
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// drain describes how one resource of a room becomes free. Runs release held evenly over a time of
+// twice their mean rest, because runs that started at any time have half of their estimates left
+// on average.
+type drain struct {
+	free, held, over float64
+}
+
+// newDrain returns how room becomes free if nothing has started in the elapsed milliseconds since
+// the snapshot.
+func newDrain(room *Room, field func(resource.Amount) int64, elapsed float64) drain {
+	total := float64(field(room.Total))
+	held := min(float64(field(room.Held)), total)
+	if held <= 0 {
+		return drain{free: total}
+	}
+	over := 2 * float64(field(room.Rest)) / float64(field(room.Held))
+	if over <= elapsed {
+		return drain{free: total}
+	}
+	left := held * (1 - elapsed/over)
+	return drain{free: total - left, held: left, over: over - elapsed}
+}
+
+// workWithin returns how much queued work is done within ms milliseconds.
+func (d drain) workWithin(ms float64) float64 {
+	if ms >= d.over {
+		return (d.free+d.held)*ms - d.held*d.over/2
+	}
+	return d.free*ms + d.held*ms*ms/(2*d.over)
+}
+
+// timeFor returns in how many milliseconds an amount of queued work is done.
+func (d drain) timeFor(work float64) float64 {
+	if work <= 0 {
+		return 0
+	}
+	if work >= d.workWithin(d.over) {
+		return (work + d.held*d.over/2) / (d.free + d.held)
+	}
+	return 2 * work / (d.free + math.Sqrt(d.free*d.free+2*d.held/d.over*work))
+}
--- a/internal/apiserver/apiserver.go
+++ b/internal/apiserver/apiserver.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/subtle"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/go-kit/log"
 
 	apiv1 "github.com/bilberryferry/bilberryferry/api/v1"
+	"github.com/bilberryferry/bilberryferry/dispatch"
 	"github.com/bilberryferry/bilberryferry/fault"
 	"github.com/bilberryferry/bilberryferry/internal/control"
 	"github.com/bilberryferry/bilberryferry/workflow"
@@ -178,7 +180,7 @@
 	for _, waiting := range reply.Waiting {
 		step := &apiv1.StepExplanation{
 			Occurrence: int32(waiting.Key.Occurrence), Step: int32(waiting.Key.Step), Tasks: int32(waiting.Tasks),
-			Reason: string(waiting.Reason), Permitted: int32(waiting.Permitted), Refused: int32(waiting.Refused),
+			Reason: reasonText(waiting.Reason, reply), Permitted: int32(waiting.Permitted), Refused: int32(waiting.Refused),
 			Unknown: int32(waiting.Unknown),
 		}
 		for _, count := range waiting.Workers {
@@ -191,6 +193,15 @@
 	return response
 }
 
+// reasonText returns the reason why a step waits, followed by the expected wait of new jobs if that
+// is estimated.
+func reasonText(reason dispatch.Reason, reply *control.ExplainReply) string {
+	if reason == "" || reply.Bottleneck == "" {
+		return string(reason)
+	}
+	return fmt.Sprintf("%s; a new job of the queue is expected to wait %d ms for %s", reason, reply.ExpectedWait.Milliseconds(), reply.Bottleneck)
+}
+
 // GetQueue returns the state of a queue.
 func (s *server) GetQueue(ctx context.Context, r *apiv1.QueueRef) (*apiv1.QueueStatus, error) {
 	if r.GetQueue() == "" {
--- a/internal/control/admit.go
+++ b/internal/control/admit.go
@@ -43,19 +43,55 @@
 	t.queuedSteps, t.queuedByCustomer = queued, byCustomer
 }
 
-// beginSubmission records that a job is being committed, until the caller calls done.
-func (t *leaderTerm) beginSubmission(job string) (done func()) {
+// admitSubmission returns a fault if a new job is to be refused. Otherwise it records that the job is
+// being committed, until the caller calls done.
+func (t *leaderTerm) admitSubmission(job *workflow.Submission, now time.Time) (done func(), err error) {
+	if err := t.admit(job.ID, job.Customer); err != nil {
+		return nil, err
+	}
+	if err := t.admitWithinLimit(job.ID, job.Customer, job.Steps); err != nil {
+		return nil, err
+	}
+	return t.beginSubmission(job, now)
+}
+
+// beginSubmission records that a job is being committed, until the caller calls done. It returns a
+// fault of kind Overloaded for a new job that is estimated to be worth nothing when it ends; see
+// package admission.
+//
+// The estimate counts an accepted job before t.mu is unlocked: calls that wait for t.mu while a
+// decision is made would otherwise all be accepted for the same room.
+func (t *leaderTerm) beginSubmission(job *workflow.Submission, now time.Time) (done func(), err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.pendingSubmits[job]++
-	return func() {
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		t.pendingSubmits[job]--
-		if t.pendingSubmits[job] == 0 {
-			delete(t.pendingSubmits, job)
+	if t.pendingSubmits[job.ID] == 0 && !t.isCommitted(job.ID) {
+		if err := t.admitByEstimate(job, now); err != nil {
+			return nil, err
 		}
 	}
+	t.pendingSubmits[job.ID]++
+	return func() { t.endSubmission(job.ID) }, nil
+}
+
+// endSubmission records that a submit call of a job has ended. The estimate stops counting a job
+// whose commit has failed.
+func (t *leaderTerm) endSubmission(job string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.pendingSubmits[job]--
+	if t.pendingSubmits[job] > 0 {
+		return
+	}
+	delete(t.pendingSubmits, job)
+	if t.admission != nil && !t.isCommitted(job) {
+		t.admission.Remove(job)
+	}
+}
+
+// isCommitted reports whether the local state has a job.
+func (t *leaderTerm) isCommitted(id string) (committed bool) {
+	t.c.state.read(func(s *workflow.State) { committed = s.Jobs[id] != nil })
+	return committed
 }
 
 // admit returns a fault of kind Overloaded for a new job of a customer while the queue is full,
@@ -82,6 +118,7 @@
 		return nil
 	}
 	t.c.cfg.Counters.Add("jobs_refused_queue", 1)
+	t.countRefused(customerName)
 	return fault.Retry(fault.Overloaded, queueFullRetryAfter, "%d steps are queued, %d of them of the customer", queued, own)
 }
 
@@ -101,7 +138,7 @@
 }
 
 // isSubmitted reports whether a job is committed or its commit is in flight.
-func (t *leaderTerm) isSubmitted(id string) (submitted bool) {
+func (t *leaderTerm) isSubmitted(id string) bool {
 	t.mu.Lock()
 	beingCommitted := t.pendingSubmits[id] > 0
 	t.mu.Unlock()
@@ -109,8 +146,7 @@
 		return true
 	}
 	// A commit that was in flight at the check above may have finished since.
-	t.c.state.read(func(s *workflow.State) { submitted = s.Jobs[id] != nil })
-	return submitted
+	return t.isCommitted(id)
 }
 
 // admitWithinLimit returns a fault of kind Infeasible for a new job of a customer if the customer's
--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -154,6 +154,10 @@
 	Phase   workflow.Phase    `cbor:"3,keyasint"`
 	Steps   []StepProgress    `cbor:"4,keyasint"`
 	Waiting []StepExplanation `cbor:"5,keyasint,omitempty"`
+	// ExpectedWait is how long a new job of the queue and customer is expected to wait, and
+	// Bottleneck for what; both are unset without load control.
+	ExpectedWait time.Duration `cbor:"6,keyasint,omitempty"`
+	Bottleneck   string        `cbor:"7,keyasint,omitempty"`
 }
 
 // StepProgress counts the tasks of one step in one occurrence of a job.
--- a/internal/control/explain.go
+++ b/internal/control/explain.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/bilberryferry/bilberryferry/admission"
 	"github.com/bilberryferry/bilberryferry/dispatch"
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
@@ -24,16 +25,20 @@
 	}
 	reply := ExplainReply{Queue: called.queue.Name, ID: called.id}
 	found := false
+	class := admission.Class{Service: called.queue.Policy.Service, Priority: called.queue.Policy.Priority}
 	c.state.read(func(s *workflow.State) {
 		job := s.Jobs[called.id]
 		if found = called.mayAccess(job); found {
 			reply.Phase, reply.Steps = job.Phase(), progressOf(job)
+			class.Customer = job.Customer
 		}
 	})
 	if !found {
 		return ExplainReply{}, unknownJob(called.id)
 	}
-	reply.Waiting = t.explain(called.id, time.Now())
+	now := time.Now()
+	reply.Waiting = t.explain(called.id, now)
+	reply.ExpectedWait, reply.Bottleneck = t.expectedWait(class, now)
 	return reply, nil
 }
 
--- a/internal/control/leader_term.go
+++ b/internal/control/leader_term.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 
+	"github.com/bilberryferry/bilberryferry/admission"
 	"github.com/bilberryferry/bilberryferry/dispatch"
 	"github.com/bilberryferry/bilberryferry/internal/link"
 	"github.com/bilberryferry/bilberryferry/internal/wait"
@@ -75,6 +76,12 @@
 	// queuedByCustomer counts the queued steps of each customer, including those that wait only for
 	// their customer's limit; the empty name stands for none.
 	queuedByCustomer map[string]int
+	// admission estimates the waits of new jobs; it is nil without load control. The other
+	// fields hold what reportAdmission needs.
+	admission         *admission.Estimator
+	admissionSnapshot admission.Snapshot
+	admissionCounts   admissionCounts
+	admissionLoggedAt time.Time
 	// responseTime is the moving mean of the response times of start calls, minResponseTime
 	// is the shortest of them.
 	responseTime, minResponseTime time.Duration
@@ -160,6 +167,9 @@
 	if suspended, err := t.suspendedTime(); err == nil {
 		t.suspendedBefore = suspended
 	}
+	if c.cfg.LoadControl {
+		t.admission, t.admissionCounts = admission.NewEstimator(), newAdmissionCounts()
+	}
 	t.lease = leaseLength(c.cfg.Bounds)
 	t.machines, t.poolMoves = newMachines(), newPoolMoves()
 	t.adviserConns = newAdviserPool(c.cfg.Address, c.cfg.Adviser, c.cfg.Client)
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -87,6 +87,7 @@
 	t.updateWaiting(&plan, start)
 	t.reportLoad(&input, &plan, start)
 	t.setQueueLength(&input, &plan)
+	t.reportAdmission(start)
 	t.applyPlan(&plan, input.copyCandidates)
 }
 
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -173,20 +173,17 @@
 	if id == "" {
 		return SubmitReply{}, fault.Field("id", "a job needs an id")
 	}
-	err = t.admit(id, called.customer)
-	if err == nil {
-		err = t.admitWithinLimit(id, called.customer, r.Steps)
-	}
-	if err != nil {
-		t.logger.Log("event", "submit", "job", id, "queue", queue.Name, "outcome", "refused", "err", err)
-		return SubmitReply{}, err
-	}
-	defer t.beginSubmission(id)()
 	start := time.Now()
 	submission := workflow.Submission{
 		ID: id, Queue: queue.Identity(), Payload: r.Payload, Steps: r.Steps, Schedule: r.Schedule, Policy: queue.Policy,
 		Customer: called.customer,
 	}
+	done, err := t.admitSubmission(&submission, start)
+	if err != nil {
+		t.logRefused(&submission, queue.Name, err)
+		return SubmitReply{}, err
+	}
+	defer done()
 	result, err := c.propose(ctx, &workflow.Command{Submit: &submission})
 	if err != nil {
 		t.logger.Log("event", "submit", "job", id, "queue", queue.Name, "outcome", fault.KindOf(err), "err", err)
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/bilberryferry/bilberryferry/admission"
 	"github.com/bilberryferry/bilberryferry/dispatch"
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
@@ -27,6 +28,8 @@
 	runsPerWorker map[workflow.StepKey]map[string]int
 	// customerRoom is what each customer with a limit may start beside what it has running.
 	customerRoom map[string]workflow.Resources
+	// queued is the work that hasn't started, for admission; nil if it isn't needed.
+	queued admission.Sums
 }
 
 const (
@@ -51,6 +54,9 @@
 	t.takeChangedJobs()
 	// The number of waiting steps at the last decision estimates the current number.
 	input := planInput{copyCandidates: map[workflow.TaskKey]copyCandidate{}, runsPerWorker: map[workflow.StepKey]map[string]int{}, steps: make([]dispatch.Step, 0, len(t.waiting)+extraStepCapacity)}
+	if t.admission != nil {
+		input.queued = admission.Sums{}
+	}
 	t.c.state.read(func(s *workflow.State) {
 		if now.Sub(t.runsCheckedAt) >= runCheckInterval {
 			t.runsCheckedAt = now
@@ -63,6 +69,7 @@
 		for _, job := range s.OpenJobs() {
 			t.gatherSteps(&input, s, job, now)
 		}
+		t.updateAdmission(s, &input, now)
 		t.addCopySteps(&input, s, now)
 	})
 	return input
@@ -153,6 +160,8 @@
 	releases  []dispatch.Release
 	serving   bool
 	spareRuns int
+	// runningWork is the work in progress by customer; it is nil without load control.
+	runningWork []customerRuns
 }
 
 // summarizeRuns returns the summary of the runs on a worker, cached if it is recent. t.mu
@@ -173,6 +182,9 @@
 			summary.spareRuns++
 		}
 		summary.releases = append(summary.releases, t.runRelease(session, job, run, now))
+		if t.admission != nil {
+			summary.runningWork = addRunningWork(summary.runningWork, job.Customer, step)
+		}
 	}
 	slices.SortFunc(summary.releases, func(a, b dispatch.Release) int { return cmp.Compare(a.At, b.At) })
 	session.runSummary = summary
@@ -252,7 +264,13 @@
 			key := workflow.StepKey{Job: job.ID, Occurrence: occurrence, Step: step}
 			state := &job.Occurrences[occurrence][step]
 			pending := t.pendingTasks(key, &job.Steps[step], state)
-			if len(pending) == 0 || !job.StepReady(occurrence, step) {
+			if len(pending) == 0 {
+				continue
+			}
+			if now.Sub(objectiveStart) <= worthlessAfterObjectives*objective {
+				input.addQueuedWork(job, step, len(pending))
+			}
+			if !job.StepReady(occurrence, step) {
 				continue
 			}
 			runsPerWorker := input.runsPerWorkerOf(t, s, key, &job.Steps[step])
@@ -354,15 +372,24 @@
 // length of the critical path of its steps, multiplied by the policy's stretch factor,
 // plus the policy's constant.
 func objectiveOf(job *workflow.Job) time.Duration {
-	finish := make([]int64, len(job.Steps))
-	criticalPath := int64(0)
-	for i := range job.Steps {
-		for _, before := range job.Steps[i].DependsOn {
+	return objectiveFor(&job.Policy, criticalPathMS(job.Steps))
+}
+
+func objectiveFor(policy *workflow.Policy, criticalPathMS int64) time.Duration {
+	ms := policy.Stretch*float64(criticalPathMS) + float64(policy.ObjectiveMS)
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+// criticalPathMS returns the estimated length of the longest chain of dependent steps, in
+// milliseconds.
+func criticalPathMS(steps []workflow.Step) (criticalPath int64) {
+	finish := make([]int64, len(steps))
+	for i := range steps {
+		for _, before := range steps[i].DependsOn {
 			finish[i] = max(finish[i], finish[before])
 		}
-		finish[i] += job.Steps[i].EstimateMS
+		finish[i] += steps[i].EstimateMS
 		criticalPath = max(criticalPath, finish[i])
 	}
-	ms := job.Policy.Stretch*float64(criticalPath) + float64(job.Policy.ObjectiveMS)
-	return time.Duration(ms * float64(time.Millisecond))
+	return criticalPath
 }
