--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -89,7 +89,7 @@
 				must.LessEq(t, maxReservationTime, r.retryAt-now)
 				reserved.Add(r.job.Class, r.job.Work)
 			}
-			must.MapEqual(t, reserved, e.reservedWork)
+			must.Eq(t, reserved, e.reservedWork)
 		}
 		for id := range e.added {
 			e.Remove(id)
@@ -111,37 +111,60 @@
 	must.Eq(t, maxReservations, e.Reservations())
 }
 
+// coreSecondsAhead returns a snapshot of a pool of ten cores with queued work.
+func coreSecondsAhead(n int64) Snapshot {
+	queued := Sums{}
+	queued.Add(Class{Service: "s"}, Work{OnWorkers: cores(n).Times(1000)})
+	return snapshot(10, queued)
+}
+
 // Guards against newcomers that take the room which refused jobs were told to come back for.
 func TestRefusedJobsThatRetryInTimeGoBeforeNewcomers(t *testing.T) {
-	e, now := updated(snapshot(10, nil)), time.Duration(0)
-	// Nothing but the jobs of the test arrives; all work is done at the rate of the capacity.
-	ahead := Sums{}
-	ahead.Add(Class{Service: "s"}, Work{OnWorkers: cores(50).Times(1000)})
-	e.Update(now, snapshot(10, ahead))
-	var refused []*Job
-	retryAt := map[string]time.Duration{}
-	for i := range 4 {
-		j := job(fmt.Sprint("refused", i), "", 0, 8)
-		refusal := e.Check(now, j)
+	e := updated(coreSecondsAhead(50))
+	for i := range 3 {
+		refusal := e.Check(0, job(fmt.Sprint("refused", i), "", 0, 8))
 		must.NotNil(t, refusal)
-		refused, retryAt[j.ID] = append(refused, j), now+refusal.RetryAfter
+		must.Eq(t, time.Duration(i+1)*time.Second, refusal.RetryAfter, must.Sprint("retries are spread"))
 	}
-	must.Less(t, retryAt[refused[3].ID], retryAt[refused[0].ID], must.Sprint("retries are spread"))
-	early := e.Check(now+time.Second/2, refused[3])
+	early := e.Check(time.Second/2, job("refused2", "", 0, 8))
 	must.NotNil(t, early)
-	must.Eq(t, retryAt[refused[3].ID], wholeSeconds(now+time.Second/2+early.RetryAfter)-time.Second, must.Sprint("a retry that is too early doesn't change the time"))
-	for _, j := range refused {
-		now = retryAt[j.ID]
-		ahead := Sums{}
-		ahead.Add(Class{Service: "s"}, Work{OnWorkers: cores(50 - 9*int64(now/time.Second)).Times(1000)})
-		e.Update(now, snapshot(10, ahead))
-		must.NotNil(t, e.Check(now, job("newcomer", "", 0, 8)), must.Sprint(j.ID))
+	must.Eq(t, 3*time.Second, early.RetryAfter)
+	must.Eq(t, 3*time.Second, e.reserved["refused2"].retryAt, must.Sprint("an early retry doesn't change the time"))
+	for i := range 2 {
+		now := time.Duration(i+1) * time.Second
+		e.Update(now, coreSecondsAhead(50-9*int64(i+1)))
+		must.NotNil(t, e.Check(now, job("newcomer", "", 0, 8)))
 		e.release("newcomer")
-		must.Nil(t, e.Check(now, j), must.Sprint(j.ID))
-		e.Add(now, j)
+		must.Nil(t, e.Check(now, job(fmt.Sprint("refused", i), "", 0, 8)))
 	}
 }
 
+// Guards against a state in which a newcomer is accepted and a job that retries in time isn't.
+func TestNoNewcomerIsAcceptedBeforeARetry(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := updated(coreSecondsAhead(rapid.Int64Range(50, 80).Draw(t, "ahead")))
+		var retry *Job
+		var retryAt time.Duration
+		for i := range rapid.IntRange(1, 20).Draw(t, "jobs") {
+			j := job(fmt.Sprint(i), "", rapid.IntRange(0, 2).Draw(t, "priority"), rapid.Int64Range(1, 9).Draw(t, "work"))
+			if refusal := e.Check(0, j); refusal == nil {
+				e.Add(0, j)
+			} else if rapid.Bool().Draw(t, "retries") {
+				retry, retryAt = j, refusal.RetryAfter
+			}
+		}
+		if retry == nil || retryAt > maxReservationTime {
+			return
+		}
+		e.Update(retryAt, coreSecondsAhead(rapid.Int64Range(0, 80).Draw(t, "ahead later")))
+		newcomer := *retry
+		newcomer.ID = "newcomer"
+		if e.Check(retryAt, &newcomer) == nil {
+			must.Nil(t, e.Check(retryAt, retry))
+		}
+	})
+}
+
 // Guards against a wait for less urgent work, and for what runs while there is free room.
 func TestOnlyMoreUrgentWorkIsAhead(t *testing.T) {
 	queued := Sums{}
