--- a/admission/admission.go
+++ b/admission/admission.go
@@ -1,5 +1,5 @@
-// Package admission estimates whether a new job can still end while it is worth something, and
-// refuses one that can't. It handles a load above what the workers can run: one customer that sends
+// Package admission estimates whether a new job can still end while it is worth something, that is,
+// within three times its objective, and refuses one that can't. It handles a load above what the workers can run: one customer that sends
 // 7.5 times its usual rate, or one queue that gets 2.3 times its usual rate, for some seconds. Without
 // it, jobs are accepted that start when they are worth nothing, and delay the others.
 //
@@ -185,7 +185,12 @@
 	}
 }
 
-// Check returns nil if a job is to be accepted. A refused job may get a reservation.
+// Check returns nil if a job is to be accepted: it is expected to end within its objective, or, if
+// later, within three times its objective. Decisions put a job that can't meet its objective after all
+// jobs that can. So it runs only with what the jobs that arrive meanwhile leave over, and while as
+// much is accepted as the room does it would never run.
+//
+// A refused job may get a reservation.
 func (e *Estimator) Check(now time.Duration, job *Job) *Refusal {
 	e.expireSometimes(now)
 	if !e.known || job.Objective <= 0 {
@@ -205,7 +210,7 @@
 // ahead, also that of customers beyond their share.
 func (e *Estimator) Wait(now time.Duration, class Class) (time.Duration, Bottleneck) {
 	unit := resource.Amount{MilliCPU: 1, MemoryMB: 1, Accelerators: 1}
-	estimate := e.estimate(now, &Job{Class: class, Work: Work{unit, unit}, Objective: longestWait})
+	estimate := e.estimate(now, &Job{Class: class, Work: Work{unit, unit}})
 	return toDuration(estimate.wait), estimate.bottleneck
 }
 
@@ -221,15 +226,21 @@
 
 // estimate estimates the wait of a job for the scarcest of the resources that it needs.
 func (e *Estimator) estimate(now time.Duration, job *Job) estimate {
-	own := e.sumAhead(now, job)
+	own, all := e.sumAhead(now, job)
+	var totalWeight int64
 	worst := estimate{bottleneck: Cluster, excess: math.Inf(-1)}
 	elapsed := milliseconds(now - e.snapshotAt)
 	pool, limit := e.snapshot.Pools[job.Service], e.snapshot.Limits[job.Customer]
 	inPool, ofCustomer := e.arrivals.rates(now, job.Class)
-	totalWeight := e.totalWeight(job.Customer)
 	for _, field := range amountFields {
 		if field(job.Work.OnWorkers) > 0 && field(pool.Total) > 0 {
 			worst.add(Cluster, job, newDrain(&pool, field, elapsed), inPool.of(field), func(accepted float64) float64 {
+				if sum := float64(field(all)); sum <= accepted {
+					return sum
+				}
+				if totalWeight == 0 {
+					totalWeight = e.sumByCustomer(now, job)
+				}
 				return e.workAhead(job, field, accepted, totalWeight)
 			})
 		}
@@ -270,11 +281,16 @@
 // work ahead in that room, given the work ahead with which the job is still accepted.
 func (e *estimate) add(bottleneck Bottleneck, job *Job, room drain, arriving fieldRates, ahead func(accepted float64) float64) {
 	total := room.free + room.held
-	slowdown := slowdown(total, arriving.urgent)
-	longest := max(milliseconds(job.Objective-job.Chain)/slowdown, job.longestLateWait()/slowdownOfLate(total, arriving))
-	time := room.timeFor(ahead(room.workWithin(max(longest, 0))))
-	if excess := (time - longest) * slowdown; excess > e.excess {
-		*e = estimate{time * slowdown, excess, bottleneck}
+	factor := slowdown(total, arriving.urgent)
+	// The longest wait and the work done in it, if no other work arrives.
+	longest, accepted := 0.0, math.Inf(1)
+	if job.Objective > 0 {
+		longest = max(milliseconds(job.Objective-job.Chain)/factor, job.longestLateWait()/slowdownOfLate(total, arriving))
+		accepted = room.workWithin(longest)
+	}
+	undisturbed := room.timeFor(ahead(accepted))
+	if excess := (undisturbed - longest) * factor; excess > e.excess {
+		*e = estimate{undisturbed * factor, excess, bottleneck}
 	}
 }
 
@@ -302,56 +318,60 @@
 // jobs that can still meet theirs, whatever their priority.
 func slowdownOfLate(total float64, arriving fieldRates) float64 { return slowdown(total, arriving.all) }
 
-// sumAhead sums up the work that is ahead of a job: of its customer in all pools, and by customer,
-// in e.byCustomer, in its pool.
-func (e *Estimator) sumAhead(now time.Duration, job *Job) (own resource.Amount) {
-	clear(e.byCustomer)
-	add := func(class Class, work Work) {
-		if class.Priority > job.Priority {
-			return
-		}
+// sumAhead sums up the work that is ahead of a job: of its customer in all pools, and of all customers
+// in its pool.
+func (e *Estimator) sumAhead(now time.Duration, job *Job) (own, all resource.Amount) {
+	e.forEachAhead(now, job, func(class Class, work Work) {
 		if class.Customer == job.Customer {
 			own = own.Plus(work.OfCustomer)
 		}
+		if class.Service == job.Service {
+			all = all.Plus(work.OnWorkers)
+		}
+	})
+	return own, all
+}
+
+// sumByCustomer sums up, in e.byCustomer, the work that is ahead of a job in its pool. It returns the
+// sum of the weights of these customers and the job's own.
+func (e *Estimator) sumByCustomer(now time.Duration, job *Job) (totalWeight int64) {
+	clear(e.byCustomer)
+	e.byCustomer[job.Customer] = resource.Amount{}
+	e.forEachAhead(now, job, func(class Class, work Work) {
 		if class.Service == job.Service {
 			e.byCustomer[class.Customer] = e.byCustomer[class.Customer].Plus(work.OnWorkers)
 		}
+	})
+	for name := range e.byCustomer {
+		totalWeight += e.weight(name)
 	}
-	for class, work := range e.snapshot.Queued {
-		add(class, work)
-	}
-	for class, work := range e.addedWork {
-		add(class, work)
-	}
+	return totalWeight
+}
+
+// forEachAhead calls f with the work that is ahead of a job by its priority, class by class. Reserved
+// work counts unless the job retries when it was told to; its own reservation never counts.
+func (e *Estimator) forEachAhead(now time.Duration, job *Job, f func(Class, Work)) {
+	counted := []Sums{e.snapshot.Queued, e.addedWork, e.reservedWork}
 	if e.isDue(now, job.ID) {
-		return own
-	}
-	for class, work := range e.reservedWork {
-		add(class, work)
+		counted = counted[:2]
+	} else if r, reserved := e.reserved[job.ID]; reserved && r.job.Priority <= job.Priority {
+		f(r.job.Class, Work{}.minus(r.job.Work))
 	}
-	if r, reserved := e.reserved[job.ID]; reserved {
-		add(r.job.Class, Work{}.minus(r.job.Work))
+	for _, sums := range counted {
+		for class, work := range sums {
+			if class.Priority <= job.Priority {
+				f(class, work)
+			}
+		}
 	}
-	return own
 }
 
 // shareOf returns the share of a customer in an amount of work, among the customers in e.byCustomer
-// and the one whose job is considered. totalWeight is the sum of their weights.
+// which include the one whose job is considered. totalWeight is the sum of their weights.
 func (e *Estimator) shareOf(name string, work float64, totalWeight int64) float64 {
 	return work * float64(e.weight(name)) / float64(totalWeight)
 }
 
-// totalWeight returns the sum of the weights of the customers in e.byCustomer and of a customer.
-func (e *Estimator) totalWeight(name string) int64 {
-	total := e.weight(name)
-	for other := range e.byCustomer {
-		if other != name {
-			total += e.weight(other)
-		}
-	}
-	return total
-}
-
 // weight returns the weight of a customer, above 0, so that nobody is kept out for good; that of an
 // average customer for work without one. Weights are integers, so that sums of them don't depend on
 // the order of a map.
