--- a/admission/admission.go
+++ b/admission/admission.go
@@ -285,7 +285,7 @@
 	// The longest wait and the work done in it, if no other work arrives.
 	longest, accepted := 0.0, math.Inf(1)
 	if job.Objective > 0 {
-		longest = max(milliseconds(job.Objective-job.Chain)/factor, job.longestLateWait()/slowdownOfLate(total, arriving))
+		longest = max(milliseconds(job.Objective-job.Chain)/min(factor, maxSlowdown), job.longestLateWait()/slowdownOfLate(total, arriving))
 		accepted = room.workWithin(longest)
 	}
 	undisturbed := room.timeFor(ahead(accepted))
@@ -305,6 +305,10 @@
 	// minLeftShare is the least share of a room that the estimate leaves to work that arriving work
 	// goes before, so that no priority is refused for good.
 	minLeftShare = 0.05
+	// maxSlowdown is the most by which arriving work is taken to slow down a job that can still meet its
+	// objective. More would refuse work on days without overload, when single large jobs arrive: what
+	// arrives beyond the room is refused itself.
+	maxSlowdown = 3
 	// usableShare is the share of a room that runs occupy while work waits. In the replayed overload
 	// 0.91 of the cores are busy: gangs start as a whole, and tasks don't divide a worker evenly.
 	usableShare = 0.9
