Edge instances refuse submissions by themselves under load

Cause: in a burst, an edge instance reads, decodes and forwards every call only to have it refused, and holds submissions until the caller's time limit while no leader is reached: behind the search of another call, or one unresponsive member after another. A submission that was sent to a member during the search ended as unknown, although that member doesn't lead.

Ruled out: counting only forwarded calls in the throttle (it forwards the geometric mean of offered and accepted calls instead of twice the accepted ones); sending the submission itself during the search.

Change: package ingress holds the throttle by key and queue and the bounds on submissions in progress. The entry handler asks Admit before it reads the body. With load control on, the gateway looks for a leader for 250 ms at most while nothing was sent, by questions that have no effect. The refusals are summed up in one line per second. With load control off nothing changes.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -25,6 +25,10 @@
 	versions link.Versions
 	// lastAddress is the address to which the last try was sent.
 	lastAddress string
+	// unsentDeadline is when the call ends if nothing of it was sent, the zero value for never.
+	unsentDeadline time.Time
+	// failedLeader is the leader at which the last try failed, "" for none.
+	failedLeader string
 }
 
 // readOnlyMethods change nothing, so a call of them may be repeated whatever became of it. Its caller
@@ -43,20 +47,20 @@
 // or ctx ends. An error of kind Unavailable or Overloaded means that nothing was executed.
 // If an earlier try may have been executed, the kind is Unknown instead.
 func Call[Reply any](ctx context.Context, g *Gateway, method string, request any) (Reply, error) {
-	return callUntilSettled[Reply](ctx, &leaderCall{g: g, method: method, request: request})
+	return callUntilSettled[Reply](ctx, newLeaderCall(g, method, request))
 }
 
 // CallForCaller is Call on behalf of a caller's request that this instance received at
 // receivedAt. It withholds a response that contradicts the order of the requests, as
 // described at WithholdOutOfOrder.
 func CallForCaller[Reply any](ctx context.Context, g *Gateway, receivedAt time.Time, method string, request any) (Reply, error) {
-	c := &leaderCall{g: g, method: method, request: request}
+	c := newLeaderCall(g, method, request)
 	reply, err := callUntilSettled[Reply](ctx, c)
 	return reply, g.WithholdOutOfOrder(Outcome{Method: method, ReceivedAt: receivedAt, Versions: c.versions, RespondedBy: c.lastAddress, MaybeExecuted: c.maybeExecuted, Err: err})
 }
 
 // callUntilSettled makes tries until one has a final outcome, which settles the call, or
-// ctx ends.
+// ctx ends. A call that is limited also ends when nothing of it was sent in time.
 func callUntilSettled[Reply any](ctx context.Context, c *leaderCall) (Reply, error) {
 	var reply Reply
 	g := c.g
@@ -64,15 +68,18 @@
 		leader, leaderChanged := g.currentLeader()
 		var settled bool
 		var err error
-		if leader != "" {
+		switch {
+		case leader != "":
 			settled, err = c.tryLeader(ctx, leader, leaderChanged, &reply)
-		} else {
+		case c.isLimited():
+			c.probeForLeader(ctx)
+		default:
 			settled, err = c.searchLeader(ctx, leaderChanged, &reply)
 		}
 		switch {
 		case settled:
 			return reply, err
-		case ctx.Err() != nil:
+		case ctx.Err() != nil, c.isPastUnsentDeadline():
 			return reply, timeoutError(c.method, c.maybeExecuted)
 		}
 	}
@@ -100,6 +107,7 @@
 // updateLeader records the leader that the error of a try names. If the error names no
 // other instance, the leader becomes unknown and the next try searches for it.
 func (c *leaderCall) updateLeader(tried string, err error) {
+	c.failedLeader = tried
 	hint := link.LeaderOf(err)
 	if hint != "" && hint != tried {
 		c.g.SuggestLeader(hint)
@@ -112,14 +120,10 @@
 // settles the call. Only one call at a time searches; the others wait until that call finds
 // a leader.
 func (c *leaderCall) searchLeader(ctx context.Context, leaderChanged <-chan struct{}, reply any) (settled bool, err error) {
-	select {
-	case c.g.searchSlot <- struct{}{}:
-	case <-leaderChanged:
-		return false, nil
-	case <-ctx.Done():
+	if !c.g.acquireSearch(ctx, leaderChanged) {
 		return false, nil
 	}
-	defer func() { <-c.g.searchSlot }()
+	defer c.g.releaseSearch()
 	for _, address := range c.g.candidates() {
 		leader, leaderChanged := c.g.currentLeader()
 		if leader != "" || ctx.Err() != nil {
@@ -165,7 +169,7 @@
 	defer cancel()
 	c.lastAddress = address
 	sentAt := boottime.Now()
-	c.versions, err = c.g.client.CallVersioned(ctx, address, c.method, c.request, reply)
+	c.versions, err = c.send(ctx, address, reply)
 	switch {
 	case err == nil:
 		c.g.recordLeader(address)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,6 +63,8 @@
 	// probeMu is held by the call that asks members who leads; see probeForNewLeader.
 	probeMu      sync.Mutex
 	versionOrder versionOrder
+	// limitUnsent says that submissions of which nothing was sent end early; see LimitUnsent.
+	limitUnsent bool
 
 	mu sync.Mutex
 	// seeds are the configured addresses of core instances, members the addresses that
--- /dev/null
+++ b/internal/gateway/search_test.go
@@ -0,0 +1,181 @@
+package gateway
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/shoenig/test/must"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bilberryferry/bilberryferry/fault"
+	"github.com/bilberryferry/bilberryferry/internal/control"
+	"github.com/bilberryferry/bilberryferry/internal/link"
+)
+
+const (
+	// unsentMargin is how much later than unsentLimit a call may end on a busy machine.
+	unsentMargin = time.Second
+	// callerLimit is the time limit of a caller, far beyond unsentLimit and unsentMargin.
+	callerLimit = 20 * time.Second
+)
+
+// fakeMember is an instance that serves submissions and announcements, both by respond. submitted counts the
+// submissions that it has received.
+type fakeMember struct {
+	address   string
+	submitted atomic.Int64
+}
+
+func startMember(t *testing.T, respond func(method string) error) *fakeMember {
+	m := &fakeMember{}
+	mux := link.NewMux()
+	link.Handle(mux, control.MethodSubmit, func(context.Context, *control.SubmitCall) (control.SubmitReply, error) {
+		m.submitted.Add(1)
+		return control.SubmitReply{}, respond(control.MethodSubmit)
+	})
+	link.Handle(mux, control.MethodAnnounceInstance, func(context.Context, *control.AnnounceInstanceCall) (control.AnnounceInstanceReply, error) {
+		return control.AnnounceInstanceReply{}, respond(control.MethodAnnounceInstance)
+	})
+	server := httptest.NewServer(mux)
+	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+	m.address = strings.TrimPrefix(server.URL, "http://")
+	return m
+}
+
+// startFrozen starts a member that receives calls and responds only when the test ends.
+func startFrozen(t *testing.T) *fakeMember {
+	release := make(chan struct{})
+	m := startMember(t, func(string) error { <-release; return nil })
+	t.Cleanup(func() { close(release) })
+	return m
+}
+
+// newLimited returns a gateway that limits unsent submissions.
+func newLimited(connections int, members ...string) *Gateway {
+	g := New(link.NewClient(connections), "own", members, log.NewNopLogger())
+	g.LimitUnsent()
+	return g
+}
+
+// submit submits a job with the time limit of a caller.
+func submit(t *testing.T, g *Gateway) (elapsed time.Duration, err error) {
+	ctx, cancel := context.WithTimeout(t.Context(), callerLimit)
+	defer cancel()
+	started := time.Now()
+	_, err = CallForCaller[control.SubmitReply](ctx, g, started, control.MethodSubmit, &control.SubmitCall{})
+	return time.Since(started), err
+}
+
+// Guards against submissions that are held until the caller's time limit while no leader is reached: by
+// the wait for the search of another call, by one unresponsive member after another, and
+// by an outcome that is unknown because the submission itself was sent to a member that doesn't lead.
+func TestUnsentSubmissionsEndEarlyWithoutLeader(t *testing.T) {
+	frozen := startFrozen(t)
+	g := newLimited(maxConnections, unreachable, frozen.address, startFrozen(t).address)
+	const calls = 50
+	var group errgroup.Group
+	var elapsed [calls]time.Duration
+	var errs [calls]error
+	for i := range calls {
+		group.Go(func() error {
+			elapsed[i], errs[i] = submit(t, g)
+			return nil
+		})
+	}
+	must.NoError(t, group.Wait())
+	for i, err := range errs {
+		must.Eq(t, fault.Unavailable, fault.KindOf(err))
+		must.Eq(t, RetryAfter, fault.From(err).RetryAfter)
+		must.Less(t, unsentLimit+unsentMargin, elapsed[i])
+	}
+	must.Zero(t, frozen.submitted.Load())
+}
+
+// Guards against a submission that is called unknown, or refused, when the leader vanishes: one that
+// the leader has received waits for its outcome, and one that has no connection yet ends early as unsent.
+func TestLeaderVanishesWithSubmissionsInProgress(t *testing.T) {
+	release := make(chan struct{})
+	leader := startMember(t, func(string) error { <-release; return nil })
+	g := newLimited(1, leader.address)
+	g.SuggestLeader(leader.address)
+	sent := make(chan error, 1)
+	go func() {
+		_, err := submit(t, g)
+		sent <- err
+	}()
+	for leader.submitted.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	elapsed, err := submit(t, g)
+	must.Eq(t, fault.Unavailable, fault.KindOf(err))
+	must.Less(t, unsentLimit+unsentMargin, elapsed)
+	must.Zero(t, len(sent))
+	close(release)
+	must.NoError(t, <-sent)
+}
+
+// Guards against a submission that is refused as not done although an earlier try may have been executed: the
+// leader receives it and loses its leadership, and no other is found for longer than unsentLimit.
+func TestSentSubmissionSearchesBeyondLimit(t *testing.T) {
+	var recovered atomic.Bool
+	leader := startMember(t, func(method string) error {
+		if recovered.Load() {
+			return nil
+		}
+		if method == control.MethodSubmit {
+			return fault.New(fault.Unknown, "the leadership was lost")
+		}
+		return link.NotLeader("")
+	})
+	g := newLimited(maxConnections, leader.address)
+	g.SuggestLeader(leader.address)
+	timer := time.AfterFunc(2*unsentLimit, func() { recovered.Store(true) })
+	defer timer.Stop()
+	elapsed, err := submit(t, g)
+	must.NoError(t, err)
+	must.GreaterEq(t, 2*unsentLimit, elapsed)
+}
+
+// Guards against an instance that never finds the leader again because each search ends at the same
+// unresponsive members, and against followers that name a leader that has vanished.
+func TestSearchesReachLeaderBehindUnresponsiveMembers(t *testing.T) {
+	leader := startMember(t, func(string) error { return nil })
+	stale := startMember(t, func(string) error { return link.NotLeader(unreachable) })
+	members := []string{stale.address}
+	for range 5 {
+		members = append(members, startFrozen(t).address)
+	}
+	g := newLimited(maxConnections, append(members, leader.address)...)
+	const searches = 4 // Each asks at least two members, also on a busy machine.
+	var err error
+	for range searches {
+		if _, err = submit(t, g); err == nil {
+			break
+		}
+		must.Eq(t, fault.Unavailable, fault.KindOf(err))
+	}
+	must.NoError(t, err)
+}
+
+// Guards against a change of behaviour where load control is off, or for calls other than submissions.
+func TestSearchIsUnlimitedOtherwise(t *testing.T) {
+	leader := startMember(t, func(string) error { return nil })
+	for name, c := range map[string]struct {
+		limit  bool
+		method string
+	}{"load control off": {false, control.MethodSubmit}, "another method": {true, control.MethodAnnounceInstance}} {
+		g := New(link.NewClient(maxConnections), "own", []string{unreachable}, log.NewNopLogger())
+		g.limitUnsent = c.limit
+		timer := time.AfterFunc(2*unsentLimit, func() { g.SuggestLeader(leader.address) })
+		ctx, cancel := context.WithTimeout(t.Context(), callerLimit)
+		_, err := Call[control.Empty](ctx, g, c.method, &control.Empty{})
+		must.NoError(t, err, must.Sprint(name))
+		cancel()
+		timer.Stop()
+	}
+}
--- /dev/null
+++ b/internal/ingress/inflight.go
@@ -0,0 +1,68 @@
+package ingress
+
+const (
+	// bytesPerCall is the memory that a submission in progress takes: its body, which is mostly much
+	// shorter than the longest one, the decoded and encoded forms of it, and the buffers of two connections.
+	bytesPerCall = 64 << 10
+	// memoryShare is the divisor that gives the memory for submissions in progress from the memory of the
+	// process.
+	memoryShare = 8
+	// callerShare is the divisor that gives the calls of one caller from those of all.
+	callerShare = 4
+	// defaultMemoryBytes stands for the memory of a process without a limit.
+	defaultMemoryBytes = 1 << 30
+)
+
+// InFlight bounds the submissions in progress: in total, and for each caller so that the others
+// always find a place.
+type InFlight struct {
+	limit, total int
+	// byCaller holds the calls in progress of callers that have any, so it has at most limit entries.
+	byCaller map[Caller]int
+}
+
+// MaxInFlight returns how many submissions may be in progress in a process with the given memory in
+// bytes, 0 for no limit.
+func MaxInFlight(memoryBytes int64) int {
+	if memoryBytes <= 0 {
+		memoryBytes = defaultMemoryBytes
+	}
+	return int(max(memoryBytes/memoryShare/bytesPerCall, callerShare))
+}
+
+// NewInFlight returns an InFlight for at most limit calls in progress; limit is at least 4.
+func NewInFlight(limit int) *InFlight {
+	return &InFlight{limit: max(limit, callerShare), byCaller: map[Caller]int{}}
+}
+
+// Begin reports whether a call of a caller may begin, and counts it if so. End must be called
+// when it has ended.
+//
+// While others have calls in progress, a caller may have a quarter of the limit. A caller that is
+// alone may have three quarters: if it could have all, the first call of another one would find
+// no place until calls that may be held for seconds have ended.
+func (f *InFlight) Begin(c Caller) bool {
+	quarter := f.limit / callerShare
+	own := f.byCaller[c]
+	callerLimit := quarter
+	if own == f.total {
+		callerLimit = f.limit - quarter
+	}
+	if f.total >= f.limit || own >= callerLimit {
+		return false
+	}
+	f.total++
+	f.byCaller[c] = own + 1
+	return true
+}
+
+// End counts a call of a caller as ended.
+func (f *InFlight) End(c Caller) {
+	f.total--
+	if f.byCaller[c]--; f.byCaller[c] == 0 {
+		delete(f.byCaller, c)
+	}
+}
+
+// Total returns the number of calls in progress.
+func (f *InFlight) Total() int { return f.total }
--- a/internal/instance/edge.go
+++ b/internal/instance/edge.go
@@ -48,6 +48,10 @@
 		return err
 	}
 	c := p.newComponents(adapters.NewDeploymentClient, budget)
+	if s.LoadControl {
+		c.gateway.LimitUnsent()
+		c.operations.loadControl = newLoadControl(s.maxSubmissions(budget), p.metrics, p.logger)
+	}
 	var stopping atomic.Bool
 	entryServer := newServer(s.EntryAddress, adapters.NewEntryHandler(c.operations, p.logger))
 	descriptors.LimitServer(entryServer, "entry", budget.FromExternal, false, p.metrics)
@@ -63,6 +67,7 @@
 	serve(group, entryServer)
 	serve(group, readinessServer)
 	group.Go(func() error { return c.gateway.AnnounceToLeader(groupCtx) })
+	group.Go(func() error { return c.operations.loadControl.logRefusals(groupCtx) })
 	group.Go(func() error {
 		awaitStop(ctx, groupCtx)
 		stopping.Store(true)
--- a/internal/instance/operations.go
+++ b/internal/instance/operations.go
@@ -20,6 +20,8 @@
 	gateway         *gateway.Gateway
 	localController atomic.Pointer[control.Controller]
 	unknownKeys     *unknownKeys
+	// loadControl is nil if load control is off.
+	loadControl *loadControl
 }
 
 func newOperations(g *gateway.Gateway) *Operations {
@@ -89,8 +91,18 @@
 	return reply, err
 }
 
+// Admit decides about a submission before its body is read. If err is nil, done must be called when the
+// call has ended. An error means that nothing was done.
+func (o *Operations) Admit(p control.Principal, address control.JobAddress) (done func(), err error) {
+	if o.loadControl == nil {
+		return func() {}, nil
+	}
+	return o.loadControl.admit(p, address, o.gateway.InContact())
+}
+
 // Submit submits a job. It fails immediately if the leader can't be reached.
 func (o *Operations) Submit(ctx context.Context, r *control.SubmitCall) (reply control.SubmitReply, err error) {
+	defer func() { err = o.loadControl.recordSubmission(r, err) }()
 	receivedAt := time.Now()
 	if !o.gateway.InContact() {
 		return control.SubmitReply{}, fault.Retry(fault.Unavailable, gateway.RetryAfter, "no leader is reached")
@@ -115,7 +127,7 @@
 		reply, err = callForCaller(ctx, o, receivedAt, control.MethodState, r, (*control.Controller).State)
 		return err
 	})
-	return reply, err
+	return reply, o.loadControl.countRefusal(err)
 }
 
 // endedPhase returns the phase of a job if it is known to have ended.
@@ -136,11 +148,12 @@
 // Cancel cancels a job.
 func (o *Operations) Cancel(ctx context.Context, r *control.CancelCall) error {
 	receivedAt := time.Now()
-	return o.forPrincipal(r.Principal, func() error {
+	err := o.forPrincipal(r.Principal, func() error {
 		r.AlikeSince = o.gateway.AlikeSince(receivedAt)
 		_, err := callForCaller(ctx, o, receivedAt, control.MethodCancel, r, (*control.Controller).Cancel)
 		return err
 	})
+	return o.loadControl.countRefusal(err)
 }
 
 // Announce forwards a worker's heartbeat to the leader. The local controller itself
