--- a/internal/gateway/search_test.go
+++ b/internal/gateway/search_test.go
@@ -157,25 +157,47 @@
 	must.GreaterEq(t, 2*unsentLimit, elapsed)
 }
 
+// Guards against a search that follows a member to a leader that has vanished, again and again, and against
+// one that passes over a leader that has been elected again since the call failed there.
+func TestSearchEndsAtLeaderThatResponds(t *testing.T) {
+	leader := startMember(t, func(string) error { return nil })
+	stale := startMember(t, func(string) error { return link.NotLeader(unreachable) })
+	must.NoError(t, submitRepeatedly(t, newLimited(maxConnections, stale.address, leader.address)))
+
+	var failed atomic.Bool
+	reelected := startMember(t, func(string) error {
+		if failed.Swap(true) {
+			return nil
+		}
+		return link.NotLeader("")
+	})
+	g := newLimited(maxConnections, reelected.address)
+	g.SuggestLeader(reelected.address)
+	_, err := submit(t, g)
+	must.NoError(t, err)
+}
+
 // Guards against an instance that never finds the leader again because each search ends at the same
-// unresponsive members, and against followers that name a leader that has vanished.
+// unresponsive members.
 func TestSearchesReachLeaderBehindUnresponsiveMembers(t *testing.T) {
 	leader := startMember(t, func(string) error { return nil })
-	stale := startMember(t, func(string) error { return link.NotLeader(unreachable) })
-	members := []string{stale.address}
+	var members []string
 	for range 5 {
 		members = append(members, startFrozen(t).address)
 	}
-	g := newLimited(maxConnections, append(members, leader.address)...)
-	const searches = 4 // Each asks at least two members, also on a busy machine.
-	var err error
-	for range searches {
+	must.NoError(t, submitRepeatedly(t, newLimited(maxConnections, append(members, leader.address)...)))
+}
+
+// submitRepeatedly submits a job until it is accepted, four times at most. Each search asks at least two
+// members, also on a busy machine.
+func submitRepeatedly(t *testing.T, g *Gateway) (err error) {
+	for range 4 {
 		if _, err = submit(t, g); err == nil {
-			break
+			return nil
 		}
 		must.Eq(t, fault.Unavailable, fault.KindOf(err))
 	}
-	must.NoError(t, err)
+	return err
 }
 
 // Guards against a change of behaviour where load control is off, or for calls other than submissions.
