admission: what a customer's limit holds back counts for nobody else

Cause: 30,000 core-seconds behind the limit of one customer counted as work ahead of all, and as arriving work. Ruled out: a floor of free room below which nothing is refused (it says nothing while the leader can't decide). Change: a customer's queued work counts with what its limit lets run within the longest wait, its arriving work with its limit. The test failed before.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -231,21 +231,21 @@
 	worst := estimate{bottleneck: Cluster, excess: math.Inf(-1)}
 	elapsed := milliseconds(now - e.snapshotAt)
 	pool, limit := e.snapshot.Pools[job.Service], e.snapshot.Limits[job.Customer]
-	inPool, ofCustomer := e.arrivals.rates(now, job.Class)
+	inPool, ofCustomer := e.arrivals.rates(now, job.Class, e.snapshot.Limits)
 	for _, field := range amountFields {
 		if field(job.Work.OnWorkers) > 0 && field(pool.Total) > 0 {
-			worst.add(Cluster, job, newDrain(&pool, field, elapsed), inPool.of(field), func(accepted float64) float64 {
+			worst.add(Cluster, job, newDrain(&pool, field, elapsed), inPool.of(field), func(longest, accepted float64) float64 {
 				if sum := float64(field(all)); sum <= accepted {
 					return sum
 				}
 				if totalWeight == 0 {
 					totalWeight = e.sumByCustomer(now, job)
 				}
-				return e.workAhead(job, field, accepted, totalWeight)
+				return e.workAhead(job, field, longest, accepted, totalWeight)
 			})
 		}
 		if field(job.Work.OfCustomer) > 0 && field(limit.Total) > 0 {
-			worst.add(CustomerLimit, job, newDrain(&limit, field, elapsed), ofCustomer.of(field), func(float64) float64 { return float64(field(own)) })
+			worst.add(CustomerLimit, job, newDrain(&limit, field, elapsed), ofCustomer.of(field), func(_, _ float64) float64 { return float64(field(own)) })
 		}
 	}
 	return worst
@@ -254,15 +254,19 @@
 // workAhead returns the work ahead of a job in its pool. Of other customers' work at most
 // shareTolerance times their shares of the accepted work counts, so that a customer isn't refused for
 // the work of others that are beyond their shares. A customer that has little of its share queued
-// isn't refused at all.
-func (e *Estimator) workAhead(job *Job, field func(resource.Amount) int64, accepted float64, totalWeight int64) float64 {
+// isn't refused at all. What a customer's limit keeps from running within the longest wait doesn't count
+// either: it occupies nothing that the job could have.
+func (e *Estimator) workAhead(job *Job, field func(resource.Amount) int64, longest, accepted float64, totalWeight int64) float64 {
 	sum := int64(0)
 	for name, amount := range e.byCustomer {
-		work := field(amount)
+		work := float64(field(amount))
 		if name != job.Customer {
-			work = int64(min(float64(work), shareTolerance*e.shareOf(name, accepted, totalWeight)))
+			work = min(work, shareTolerance*e.shareOf(name, accepted, totalWeight))
 		}
-		sum += work
+		if limit := e.snapshot.Limits[name]; field(limit.Total) > 0 {
+			work = min(work, float64(field(limit.Total))*longest)
+		}
+		sum += int64(work)
 	}
 	own := float64(field(e.byCustomer[job.Customer]) + field(job.Work.OnWorkers))
 	if own <= e.shareOf(job.Customer, accepted, totalWeight)/shareTolerance {
@@ -278,8 +282,8 @@
 const shareTolerance = 2
 
 // add estimates the wait for one resource of a room and keeps the worse estimate. ahead returns the
-// work ahead in that room, given the work ahead with which the job is still accepted.
-func (e *estimate) add(bottleneck Bottleneck, job *Job, room drain, arriving fieldRates, ahead func(accepted float64) float64) {
+// work ahead in that room, given the longest wait and the work ahead with which the job is still accepted.
+func (e *estimate) add(bottleneck Bottleneck, job *Job, room drain, arriving fieldRates, ahead func(longest, accepted float64) float64) {
 	total := room.free + room.held
 	factor := slowdown(total, arriving.urgent)
 	// The longest wait and the work done in it, if no other work arrives.
@@ -288,7 +292,7 @@
 		longest = max(milliseconds(job.Objective-job.Chain)/min(factor, maxSlowdown), job.longestLateWait()/slowdownOfLate(total, arriving))
 		accepted = room.workWithin(longest)
 	}
-	undisturbed := room.timeFor(ahead(accepted))
+	undisturbed := room.timeFor(ahead(longest, accepted))
 	if excess := (undisturbed - longest) * factor; excess > e.excess {
 		*e = estimate{undisturbed * factor, excess, bottleneck}
 	}
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -195,6 +195,25 @@
 	must.Nil(t, e.Check(0, job("b", "other", 0, 1)))
 }
 
+// Guards against refusing a customer for the backlog that others' limits hold back, which occupies nothing.
+func TestBacklogBehindLimitsDoesntRefuseOthers(t *testing.T) {
+	queued, limits := Sums{}, map[string]Room{}
+	customers := map[string]*customer.Customer{"other": {Name: "other", Weight: 1}}
+	for i := range 4 {
+		name := fmt.Sprint("limited", i)
+		queued.Add(Class{Service: "s", Customer: name}, Work{cores(1000).Times(1000), cores(1000).Times(1000)})
+		limits[name] = Room{Total: cores(2)}
+		customers[name] = &customer.Customer{Name: name, Weight: 1}
+	}
+	s := snapshot(20, queued)
+	s.Limits, s.Customers = limits, customers
+	e := updated(s)
+	e.Add(0, job("a", "other", 0, 20))
+	must.Nil(t, e.Check(0, job("b", "other", 0, 1)))
+	limits["other"], limits["limited0"] = Room{}, Room{}
+	must.NotNil(t, e.Check(0, job("c", "limited0", 0, 1)), must.Sprint("without its limit, the backlog counts"))
+}
+
 // Guards against refusing a customer within its share for the queue of another without a limit.
 func TestOverfullQueueOfOneCustomerDoesntRefuseOthers(t *testing.T) {
 	queued := Sums{}
--- a/admission/arrivals.go
+++ b/admission/arrivals.go
@@ -58,17 +58,40 @@
 	return fieldRates{float64(field(r.urgent)), float64(field(r.all))}
 }
 
-// rates returns the rates of arriving work, in the pool of a class and of its customer.
-func (a *arrivals) rates(now time.Duration, class Class) (inPool, ofCustomer rates) {
+// rates returns the rates of arriving work, in the pool of a class and of its customer. In the pool, a
+// customer counts with its limit at most: more of its work can't run.
+func (a *arrivals) rates(now time.Duration, class Class, limits map[string]Room) (inPool, ofCustomer rates) {
 	factor := a.decay(now) / milliseconds(arrivalPeriod)
+	byCustomer := map[string]rates{}
 	for other, work := range a.work {
 		isMoreUrgent := other.Priority < class.Priority
 		if other.Service == class.Service {
-			inPool.add(scaled(work.OnWorkers, factor), isMoreUrgent)
+			sum := byCustomer[other.Customer]
+			sum.add(scaled(work.OnWorkers, factor), isMoreUrgent)
+			byCustomer[other.Customer] = sum
 		}
 		if other.Customer == class.Customer {
 			ofCustomer.add(scaled(work.OfCustomer, factor), isMoreUrgent)
 		}
 	}
+	for name, sum := range byCustomer {
+		limit := limits[name].Total
+		inPool.urgent = inPool.urgent.Plus(capped(sum.urgent, limit))
+		inPool.all = inPool.all.Plus(capped(sum.all, limit))
+	}
 	return inPool, ofCustomer
 }
+
+// capped returns an amount that is at most a limit, of which a field of 0 limits nothing.
+func capped(amount, limit resource.Amount) resource.Amount {
+	field := func(n, most int64) int64 {
+		if most > 0 {
+			return min(n, most)
+		}
+		return n
+	}
+	return resource.Amount{
+		MilliCPU: field(amount.MilliCPU, limit.MilliCPU), MemoryMB: field(amount.MemoryMB, limit.MemoryMB),
+		Accelerators: field(amount.Accelerators, limit.Accelerators),
+	}
+}
