overload: waiting submissions and reads are served round robin by caller

Cause: when one customer sends 7.5 times its usual calls, the gate of the leader refuses submissions in the order of arrival, so customers within their share are refused as often as the one that floods.

Ruled out: shares by weight (need the replicated state before a body is read); a bound per caller on calls in service (leaves slots idle); a fixed number of hashed queues (callers collide, and nothing is saved at 213 waiting calls).

Change: a call may carry a flow, the xxhash of the digest of its caller's key, in the header Bilberry-Flow (link.WithFlow). Edge instances with load control set it for submissions, state and cancel. The limiter serves flows round robin, and when no more calls may wait it refuses the newest call of the flow with the most waiting calls in favour of a flow with fewer. Calls of the log and of work are one flow, as before. link.Gate.Arrive and overload.Limiter.Arrive take the flow.

--- a/internal/instance/operations.go
+++ b/internal/instance/operations.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/bilberryferry/bilberryferry/fault"
@@ -91,6 +92,15 @@
 	return reply, err
 }
 
+// withFlow makes calls to the leader carry the flow of a principal, by which the gate of the leader divides its
+// capacity. Calls without a key carry none, nor do calls while load control is off.
+func (o *Operations) withFlow(ctx context.Context, p control.Principal) context.Context {
+	if o.loadControl == nil || p.Key == nil {
+		return ctx
+	}
+	return link.WithFlow(ctx, xxhash.Sum64(p.Key[:]))
+}
+
 // Admit decides about a submission before its body is read. If err is nil, done must be called when the
 // call has ended. An error means that nothing was done.
 func (o *Operations) Admit(p control.Principal, address control.JobAddress) (done func(), err error) {
@@ -104,6 +114,7 @@
 func (o *Operations) Submit(ctx context.Context, r *control.SubmitCall) (reply control.SubmitReply, err error) {
 	defer func() { err = o.loadControl.recordSubmission(r, err) }()
 	receivedAt := time.Now()
+	ctx = o.withFlow(ctx, r.Principal)
 	if !o.gateway.InContact() {
 		return control.SubmitReply{}, fault.Retry(fault.Unavailable, gateway.RetryAfter, "no leader is reached")
 	}
@@ -119,6 +130,7 @@
 // core instance, that of other jobs from the leader.
 func (o *Operations) State(ctx context.Context, r *control.StateCall) (reply control.StateReply, err error) {
 	receivedAt := time.Now()
+	ctx = o.withFlow(ctx, r.Principal)
 	err = o.forPrincipal(r.Principal, func() error {
 		if phase, known := o.endedPhase(ctx, receivedAt, r); known {
 			reply = control.StateReply{Phase: phase}
@@ -148,6 +160,7 @@
 // Cancel cancels a job.
 func (o *Operations) Cancel(ctx context.Context, r *control.CancelCall) error {
 	receivedAt := time.Now()
+	ctx = o.withFlow(ctx, r.Principal)
 	err := o.forPrincipal(r.Principal, func() error {
 		r.AlikeSince = o.gateway.AlikeSince(receivedAt)
 		_, err := callForCaller(ctx, o, receivedAt, control.MethodCancel, r, (*control.Controller).Cancel)
--- a/internal/link/gate_test.go
+++ b/internal/link/gate_test.go
@@ -24,9 +24,12 @@
 	wait func(context.Context) error
 	// served gets the method of each call that is done.
 	served chan string
+	// flow is that of the last call.
+	flow atomic.Uint64
 }
 
-func (g *fakeGate) Arrive(method string) (func(context.Context) error, func(), error) {
+func (g *fakeGate) Arrive(method string, flow uint64) (func(context.Context) error, func(), error) {
+	g.flow.Store(flow)
 	if g.refuse.Load() {
 		return nil, nil, fault.Retry(fault.Overloaded, 1e9, "too many calls")
 	}
@@ -148,3 +151,30 @@
 	must.Eq(t, fault.Overloaded, fault.KindOf(err))
 	must.Eq(t, 0, decoded.Load())
 }
+
+// Guards against a gate that can't tell the callers of calls apart, that takes a call without a flow, or with an
+// invalid one, for one of another flow, and against flows in errors.
+func TestFlowArrivesAtGate(t *testing.T) {
+	gate := &fakeGate{}
+	gate.refuse.Store(true)
+	address, _ := serveGated(t, gate)
+	client := NewClient(maxConnections)
+	for _, flow := range []uint64{1, 0, 0xfedcba9876543210, 1<<64 - 1} {
+		err := client.Call(WithFlow(t.Context(), flow), address, "m", "request", nil)
+		must.Eq(t, fault.Overloaded, fault.KindOf(err))
+		must.Eq(t, flow, gate.flow.Load())
+		must.StrNotContains(t, fmt.Sprintf("%+v", err), "fedcba9876543210")
+	}
+	must.Error(t, client.Call(t.Context(), address, "m", "request", nil))
+	must.Zero(t, gate.flow.Load())
+	for _, header := range []string{"", "x", "-1", "10000000000000000"} {
+		gate.flow.Store(1)
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address+pathPrefix+"m", http.NoBody)
+		must.NoError(t, err)
+		r.Header.Set(flowHeader, header)
+		response, err := http.DefaultClient.Do(r)
+		must.NoError(t, err)
+		must.NoError(t, response.Body.Close())
+		must.Zero(t, gate.flow.Load(), must.Sprint(header))
+	}
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -128,6 +128,7 @@
 		return e, errors.Wrapf(err, "call %s", method)
 	}
 	r.Header.Set("Content-Type", contentType)
+	setRequestFlow(r)
 	response, err := c.http.Do(r)
 	if err != nil {
 		return e, callError(method, err)
@@ -189,10 +190,10 @@
 
 // Gate decides which calls are served, wait or are refused.
 type Gate interface {
-	// Arrive decides on a call of a method. An error refuses the call. Otherwise done must be called after the
+	// Arrive decides on a call of a method and a flow, 0 for none. An error refuses the call. Otherwise done must be called after the
 	// call has been served. If wait isn't nil, the call may be served only after wait has returned nil; if wait
 	// returns an error, the call is refused and done must not be called.
-	Arrive(method string) (wait func(context.Context) error, done func(), err error)
+	Arrive(method string, flow uint64) (wait func(context.Context) error, done func(), err error)
 }
 
 // Mux serves calls by method.
@@ -264,7 +265,7 @@
 	if gate == nil {
 		return func() {}, nil
 	}
-	wait, done, err := (*gate).Arrive(method)
+	wait, done, err := (*gate).Arrive(method, requestFlow(r))
 	setBodyDeadline(w)
 	if err != nil || wait == nil {
 		return done, err
--- a/internal/overload/gate.go
+++ b/internal/overload/gate.go
@@ -57,7 +57,7 @@
 	return g
 }
 
-// Arrive decides on a call of a method. An error of kind Overloaded refuses the call. Otherwise done must be called
+// Arrive decides on a call of a method and a flow. An error of kind Overloaded refuses the call. Otherwise done must be called
 // after the call has been served. If wait isn't nil, the call may be served only after wait has returned nil; if
 // wait returns an error, the call is refused and done must not be called.
 //
@@ -65,20 +65,20 @@
 // Most of them are calls that reach the gate then and wait or are refused. Otherwise, calls that don't block would be
 // served one after the other on a single processor, the queue would form before the gate, and the gate would
 // never see more than one of them.
-func (g *Gate) Arrive(method string) (wait func(context.Context) error, done func(), err error) {
+func (g *Gate) Arrive(method string, flow uint64) (wait func(context.Context) error, done func(), err error) {
 	class := g.classOf(method)
-	wait, done, err = g.arrive(class)
+	wait, done, err = g.arrive(class, flow)
 	if wait == nil && err == nil && class >= ClassSubmit {
 		runtime.Gosched()
 	}
 	return wait, done, err
 }
 
-func (g *Gate) arrive(class Class) (wait func(context.Context) error, done func(), err error) {
+func (g *Gate) arrive(class Class, flow uint64) (wait func(context.Context) error, done func(), err error) {
 	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	id, decision := g.limiter.Arrive(now, class)
+	id, decision := g.limiter.Arrive(now, class, flow)
 	g.deliver()
 	switch decision {
 	case Serve:
--- a/internal/overload/gate_test.go
+++ b/internal/overload/gate_test.go
@@ -26,7 +26,7 @@
 // newBusyGate returns a gate with one submission in service, and the function that ends it.
 func newBusyGate(t *testing.T, counters Counters) (g *Gate, done func()) {
 	g = NewGate(submitOnly, classSubmit, log.NewNopLogger(), counters)
-	wait, done, err := g.Arrive("m")
+	wait, done, err := g.Arrive("m", 0)
 	must.NoError(t, err)
 	must.Nil(t, wait)
 	return g, done
@@ -43,9 +43,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		counters := counterMap{}
 		g, done := newBusyGate(t, counters)
-		waitFirst, _, err := g.Arrive("m")
+		waitFirst, _, err := g.Arrive("m", 0)
 		must.NoError(t, err)
-		waitSecond, doneSecond, err := g.Arrive("m")
+		waitSecond, doneSecond, err := g.Arrive("m", 0)
 		must.NoError(t, err)
 		ctx, cancel := context.WithCancel(t.Context())
 		firstErr := make(chan error, 1)
@@ -68,11 +68,11 @@
 		counters := counterMap{}
 		g, done := newBusyGate(t, counters)
 		start := time.Now()
-		wait, _, err := g.Arrive("m")
+		wait, _, err := g.Arrive("m", 0)
 		must.NoError(t, err)
-		_, _, err = g.Arrive("m")
+		_, _, err = g.Arrive("m", 0)
 		must.NoError(t, err)
-		_, _, err = g.Arrive("m")
+		_, _, err = g.Arrive("m", 0)
 		must.Eq(t, fault.Overloaded, fault.KindOf(err))
 		err = wait(t.Context())
 		must.Eq(t, fault.Overloaded, fault.KindOf(err))
@@ -119,7 +119,7 @@
 	var _ Counters = oplog.NewMetrics()
 	counters := counterMap{}
 	g, done := newBusyGate(t, counters)
-	_, _, err := g.Arrive("m")
+	_, _, err := g.Arrive("m", 0)
 	must.NoError(t, err)
 	g.report.reportedAt = g.report.reportedAt.Add(-reportInterval)
 	g.Observe(time.Now(), 3*time.Millisecond)
@@ -144,7 +144,7 @@
 	var calls sync.WaitGroup
 	for range 20 {
 		calls.Go(func() {
-			wait, done, err := g.Arrive("m")
+			wait, done, err := g.Arrive("m", 0)
 			if err == nil && wait != nil {
 				err = wait(t.Context())
 			}
@@ -177,3 +177,28 @@
 	must.NoError(t, m.Run(t.Context()))
 	must.Greater(t, maxDelay, delays[0])
 }
+
+// Guards against a call that goes on waiting, or is counted as served, after it was refused in favour of another flow.
+func TestDisplacedCallIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		counters := counterMap{}
+		g, done := newBusyGate(t, counters)
+		start := time.Now()
+		_, _, err := g.Arrive("m", 1)
+		must.NoError(t, err)
+		waitSecond, _, err := g.Arrive("m", 1)
+		must.NoError(t, err)
+		waitOther, doneOther, err := g.Arrive("m", 2)
+		must.NoError(t, err)
+		err = waitSecond(t.Context())
+		must.Eq(t, fault.Overloaded, fault.KindOf(err))
+		must.Eq(t, "too many calls of the class submit", fault.From(err).Message)
+		must.Zero(t, time.Since(start))
+		must.Eq(t, 1, counters["calls_refused_submit"])
+		done()
+		done()
+		must.NoError(t, waitOther(t.Context()))
+		doneOther()
+		must.MapEmpty(t, g.waiting)
+	})
+}
--- a/internal/overload/limiter.go
+++ b/internal/overload/limiter.go
@@ -4,6 +4,9 @@
 // that waited while the instance was frozen arrive at once. All goroutines of the leader share one
 // processor. If the handlers of all these calls are runnable together, the goroutine of the replicated
 // log waits behind them, sends heartbeats late, and the leader loses its authority to decide.
+//
+// Often a single customer sends most of these calls. So waiting submissions and reads are served round robin by
+// flow, which stands for their caller, and the flow with the most waiting calls is refused first.
 package overload
 
 import (
@@ -107,8 +110,16 @@
 	// bound is the current bound on calls in service.
 	bound     int
 	inService int
-	// waiting holds the waiting calls in the order of arrival.
-	waiting []waitingCall
+	// waiting is the number of waiting calls.
+	waiting int
+	// flows holds the flows that have waiting calls. The first one is served next.
+	flows []*flowQueue
+}
+
+// flowQueue holds the waiting calls of a flow in the order of arrival.
+type flowQueue struct {
+	flow  uint64
+	calls []waitingCall
 }
 
 type waitingCall struct {
@@ -125,21 +136,73 @@
 	return l
 }
 
-// Arrive decides on a new call. The ID is valid if the call waits.
-func (l *Limiter) Arrive(now time.Time, class Class) (CallID, Decision) {
+// Arrive decides on a new call of a flow, which stands for its caller; 0 is for calls without one. Calls of classes
+// other than ClassSubmit and ClassRead are all of one flow. The ID is valid if the call waits.
+//
+// If no more calls may wait, a call of the flow with the most waiting calls is refused.
+func (l *Limiter) Arrive(now time.Time, class Class, flow uint64) (CallID, Decision) {
 	l.settle(now)
 	c := &l.classes[class]
-	switch {
-	case c.inService < l.limit(class):
+	if c.inService < l.limit(class) {
 		c.inService++
 		return 0, Serve
-	case len(c.waiting) < c.waitingBound():
-		l.lastID++
-		c.waiting = append(c.waiting, waitingCall{id: l.lastID, deadline: now.Add(c.MaxWait)})
-		return l.lastID, Wait
-	default:
+	}
+	if class != ClassSubmit && class != ClassRead {
+		flow = 0
+	}
+	if c.waiting >= c.waitingBound() && !l.displace(class, flow) {
 		return 0, Refuse
 	}
+	l.lastID++
+	c.push(flow, waitingCall{id: l.lastID, deadline: now.Add(c.MaxWait)})
+	return l.lastID, Wait
+}
+
+// displace refuses the newest waiting call of the flow with the most waiting calls in favour of a call of another
+// flow. It returns false if that other flow doesn't have fewer waiting calls. Among flows with equally many, it
+// selects the one whose turn is the latest, so that the others are served as if the call hadn't arrived.
+func (l *Limiter) displace(class Class, flow uint64) bool {
+	c := &l.classes[class]
+	own, most, longest := 0, 0, -1
+	for i, f := range c.flows {
+		if f.flow == flow {
+			own = len(f.calls)
+		}
+		if len(f.calls) >= most {
+			most, longest = len(f.calls), i
+		}
+	}
+	if own >= most {
+		return false
+	}
+	l.endWait(class, longest, most-1, false)
+	return true
+}
+
+// push adds a waiting call of a flow. A flow without waiting calls gets the last turn.
+func (c *classState) push(flow uint64, call waitingCall) {
+	c.waiting++
+	for _, f := range c.flows {
+		if f.flow == flow {
+			f.calls = append(f.calls, call)
+			return
+		}
+	}
+	c.flows = append(c.flows, &flowQueue{flow: flow, calls: []waitingCall{call}})
+}
+
+// remove removes call j of flow i, and the flow if it has no other waiting calls.
+func (c *classState) remove(i, j int) {
+	c.waiting--
+	f := c.flows[i]
+	if j == 0 {
+		f.calls = f.calls[1:] // in constant time, because thousands of calls may wait
+	} else {
+		f.calls = slices.Delete(f.calls, j, j+1)
+	}
+	if len(f.calls) == 0 {
+		c.flows = slices.Delete(c.flows, i, i+1)
+	}
 }
 
 // Done ends the service of a call.
@@ -152,12 +215,15 @@
 // be returned by TakeOutcomes.
 func (l *Limiter) Cancel(now time.Time, id CallID, class Class) bool {
 	c := &l.classes[class]
-	i := slices.IndexFunc(c.waiting, func(w waitingCall) bool { return w.id == id })
-	if i >= 0 {
-		c.waiting = slices.Delete(c.waiting, i, i+1)
+	for i, f := range c.flows {
+		if j := slices.IndexFunc(f.calls, func(w waitingCall) bool { return w.id == id }); j >= 0 {
+			c.remove(i, j)
+			l.settle(now)
+			return true
+		}
 	}
 	l.settle(now)
-	return i >= 0
+	return false
 }
 
 // Observe adapts the bounds to a measured scheduling delay. A delay beyond maxDelay halves them, and one beyond
@@ -191,7 +257,7 @@
 // Load returns the state of a class.
 func (l *Limiter) Load(class Class) Load {
 	c := &l.classes[class]
-	return Load{Bound: c.bound, InService: c.inService, Waiting: len(c.waiting)}
+	return Load{Bound: c.bound, InService: c.inService, Waiting: c.waiting}
 }
 
 // Reduced reports whether a bound is below its normal value.
@@ -206,7 +272,7 @@
 func (l *Limiter) limit(class Class) int {
 	if l.Reduced() {
 		for i := range l.classes[:class] {
-			if len(l.classes[i].waiting) > 0 {
+			if l.classes[i].waiting > 0 {
 				return l.classes[class].MinInService
 			}
 		}
@@ -223,29 +289,33 @@
 }
 
 // settle refuses the calls that have waited for too long, and then serves as many of the others as the bounds
-// allow, by class and in the order of arrival.
+// allow, by class, round robin by flow, and in the order of arrival within a flow.
 func (l *Limiter) settle(now time.Time) {
 	for i := range l.classes {
 		c := &l.classes[i]
-		for len(c.waiting) > 0 && !now.Before(c.waiting[0].deadline) {
-			l.endWait(Class(i), false)
+		for j := len(c.flows) - 1; j >= 0; j-- {
+			for f := c.flows[j]; len(f.calls) > 0 && !now.Before(f.calls[0].deadline); {
+				l.endWait(Class(i), j, 0, false)
+			}
 		}
 	}
 	for i := range l.classes {
 		c := &l.classes[i]
-		for len(c.waiting) > 0 && c.inService < l.limit(Class(i)) {
+		for c.waiting > 0 && c.inService < l.limit(Class(i)) {
 			c.inService++
-			l.endWait(Class(i), true)
+			f := c.flows[0]
+			l.endWait(Class(i), 0, 0, true)
+			if len(f.calls) > 0 {
+				copy(c.flows, c.flows[1:])
+				c.flows[len(c.flows)-1] = f
+			}
 		}
 	}
 }
 
-// endWait ends the wait of the first waiting call of a class.
-func (l *Limiter) endWait(class Class, served bool) {
+// endWait ends the wait of call j of flow i of a class.
+func (l *Limiter) endWait(class Class, i, j int, served bool) {
 	c := &l.classes[class]
-	l.outcomes = append(l.outcomes, Outcome{ID: c.waiting[0].id, Class: class, Served: served})
-	c.waiting = c.waiting[1:]
-	if len(c.waiting) == 0 {
-		c.waiting = nil
-	}
+	l.outcomes = append(l.outcomes, Outcome{ID: c.flows[i].calls[j].id, Class: class, Served: served})
+	c.remove(i, j)
 }
--- a/internal/overload/replay_test.go
+++ b/internal/overload/replay_test.go
@@ -138,7 +138,7 @@
 func (r *replay) decide(class Class) {
 	id, decision := CallID(0), Serve
 	if r.limiter != nil {
-		id, decision = r.limiter.Arrive(r.time(), class)
+		id, decision = r.limiter.Arrive(r.time(), class, 0)
 	}
 	outcome := func(served bool) {
 		if served {
