--- a/admission/admission.go
+++ b/admission/admission.go
@@ -140,6 +140,8 @@
 	added     map[string]Job
 	addedWork Sums
 	arrivals  arrivals
+	// offered averages the rate of all jobs that were checked, including refused ones.
+	offered arrivals
 	reservations
 	// byCustomer is reused by each estimate.
 	byCustomer map[string]resource.Amount
@@ -147,7 +149,7 @@
 
 // NewEstimator returns an estimator that refuses nothing before its first snapshot.
 func NewEstimator() *Estimator {
-	return &Estimator{added: map[string]Job{}, addedWork: Sums{}, arrivals: arrivals{work: Sums{}}, reservations: newReservations(), byCustomer: map[string]resource.Amount{}}
+	return &Estimator{added: map[string]Job{}, addedWork: Sums{}, arrivals: arrivals{work: Sums{}}, offered: arrivals{work: Sums{}}, reservations: newReservations(), byCustomer: map[string]resource.Amount{}}
 }
 
 // Update replaces the snapshot.
@@ -185,10 +187,10 @@
 	}
 }
 
-// Check returns nil if a job is to be accepted: it is expected to end within its objective, or, if
-// later, within three times its objective. Decisions put a job that can't meet its objective after all
-// jobs that can. So it runs only with what the jobs that arrive meanwhile leave over, and while as
-// much is accepted as the room does it would never run.
+// Check returns nil if a job is to be accepted: it is expected to end within three times its objective. While
+// more work is offered than the pool can do, a job that would miss its objective has to end in time on what
+// arriving work leaves over: decisions put such a job after all jobs that can still meet theirs, so while as
+// much is accepted as the pool does it would never run.
 //
 // A refused job may get a reservation.
 func (e *Estimator) Check(now time.Duration, job *Job) *Refusal {
@@ -196,6 +198,7 @@
 	if !e.known || job.Objective <= 0 {
 		return nil
 	}
+	e.offered.add(now, job.Class, job.Work)
 	estimate := e.estimate(now, job)
 	if estimate.excess <= estimateTolerance {
 		return nil
@@ -232,9 +235,10 @@
 	elapsed := milliseconds(now - e.snapshotAt)
 	pool, limit := e.snapshot.Pools[job.Service], e.snapshot.Limits[job.Customer]
 	inPool, ofCustomer := e.arrivals.rates(now, job.Class, e.snapshot.Limits)
+	offered, _ := e.offered.rates(now, job.Class, e.snapshot.Limits)
 	for _, field := range amountFields {
 		if field(job.Work.OnWorkers) > 0 && field(pool.Total) > 0 {
-			worst.add(Cluster, job, newDrain(&pool, field, elapsed), inPool.of(field), func(longest, accepted float64) float64 {
+			worst.add(Cluster, job, newDrain(&pool, field, elapsed), inPool.of(field), offered.of(field).all, func(longest, accepted float64) float64 {
 				if sum := float64(field(all)); sum <= accepted {
 					return sum
 				}
@@ -245,7 +249,7 @@
 			})
 		}
 		if field(job.Work.OfCustomer) > 0 && field(limit.Total) > 0 {
-			worst.add(CustomerLimit, job, newDrain(&limit, field, elapsed), ofCustomer.of(field), func(_, _ float64) float64 { return float64(field(own)) })
+			worst.add(CustomerLimit, job, newDrain(&limit, field, elapsed), ofCustomer.of(field), 0, func(_, _ float64) float64 { return float64(field(own)) })
 		}
 	}
 	return worst
@@ -283,13 +287,16 @@
 
 // add estimates the wait for one resource of a room and keeps the worse estimate. ahead returns the
 // work ahead in that room, given the longest wait and the work ahead with which the job is still accepted.
-func (e *estimate) add(bottleneck Bottleneck, job *Job, room drain, arriving fieldRates, ahead func(longest, accepted float64) float64) {
+func (e *estimate) add(bottleneck Bottleneck, job *Job, room drain, arriving fieldRates, offered float64, ahead func(longest, accepted float64) float64) {
 	total := room.free + room.held
 	factor := slowdown(total, arriving.urgent)
 	// The longest wait and the work done in it, if no other work arrives.
 	longest, accepted := 0.0, math.Inf(1)
 	if job.Objective > 0 {
-		longest = max(milliseconds(job.Objective-job.Chain)/min(factor, maxSlowdown), job.longestLateWait()/slowdownOfLate(total, arriving))
+		longest = job.longestLateWait()
+		if offered > sustainedOverload*total {
+			longest = max(milliseconds(job.Objective-job.Chain)/min(factor, maxSlowdown), longest/slowdownOfLate(total, arriving))
+		}
 		accepted = room.workWithin(longest)
 	}
 	undisturbed := room.timeFor(ahead(longest, accepted))
@@ -309,6 +316,9 @@
 	// minLeftShare is the least share of a room that the estimate leaves to work that arriving work
 	// goes before, so that no priority is refused for good.
 	minLeftShare = 0.05
+	// sustainedOverload is the multiple of a pool's capacity from which on offered work counts as overload. Below
+	// it, late jobs still run in the gaps that arriving work leaves; the margin covers single large jobs.
+	sustainedOverload = 1.2
 	// maxSlowdown is the most by which arriving work is taken to slow down a job that can still meet its
 	// objective. More would refuse work on days without overload, when single large jobs arrive: what
 	// arrives beyond the room is refused itself.
--- a/internal/overload/gate_test.go
+++ b/internal/overload/gate_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -91,6 +92,7 @@
 		counters := counterMap{}
 		g := NewGate(DefaultBounds(), classSubmit, log.NewLogfmtLogger(&lines), counters)
 		m := NewMonitor(g.Observe)
+		m.latency = func() time.Duration { return 0 }
 		samples := 0
 		m.sleep = func(_ context.Context, d time.Duration) bool {
 			if samples++; samples == 100 {
@@ -163,19 +165,23 @@
 // that a timer has woken.
 func TestMonitorWaitsForRunnableGoroutines(t *testing.T) {
 	oneProcessor(t)
-	var clock atomic.Int64
 	var delays []time.Duration
 	m := NewMonitor(func(_ time.Time, delay time.Duration) { delays = append(delays, delay) })
-	m.now = func() time.Time { return time.Unix(0, clock.Load()) }
 	m.sleep = func(_ context.Context, d time.Duration) bool {
-		clock.Add(int64(d))
-		for range 40 {
-			go clock.Add(int64(time.Millisecond))
+		for range 300 {
+			go spin(time.Millisecond)
 		}
-		return len(delays) == 0
+		time.Sleep(max(d, latencyInterval))
+		return len(delays) < 4
 	}
 	must.NoError(t, m.Run(t.Context()))
-	must.Greater(t, maxDelay, delays[0])
+	must.Greater(t, maxDelay, slices.Max(delays))
+}
+
+// spin occupies the processor for a duration.
+func spin(d time.Duration) {
+	for start := time.Now(); time.Since(start) < d; {
+	}
 }
 
 // Guards against a call that goes on waiting, or is counted as served, after it was refused in favour of another flow.
