gateway: a submission without a free connection leaves the leader known

A limited submission that found no free connection within 250 ms made the leader unknown. That cancelled submissions which the leader had received and which had taken longer than 200 ms; their gateway sent them again. A dial that doesn't succeed in time still makes the leader unknown.

TestSubmissionWithoutFreeConnectionKeepsLeader fails without the change: the leader is forgotten, and receives 3 submissions instead of 2.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -105,8 +105,13 @@
 }
 
 // updateLeader records the leader that the error of a try names. If the error names no
-// other instance, the leader becomes unknown and the next try searches for it.
+// other instance, the leader becomes unknown and the next try searches for it. A try that found no free
+// connection says nothing about the leader: if the leader became unknown, calls that it has received would be
+// cancelled.
 func (c *leaderCall) updateLeader(tried string, err error) {
+	if errors.Is(err, errNoFreeConnection) {
+		return
+	}
 	c.failedLeader = tried
 	hint := link.LeaderOf(err)
 	if hint != "" && hint != tried {
--- a/internal/gateway/search.go
+++ b/internal/gateway/search.go
@@ -110,14 +110,19 @@
 
 func (g *Gateway) releaseSearch() { <-g.searchSlot }
 
+// errNoFreeConnection marks the error of a try that ended while this instance was at its limit of open
+// connections. The instance at the address wasn't contacted.
+var errNoFreeConnection = errors.New("no free connection")
+
 // sendTracker records whether a try got a connection, and cancels the try at a deadline if it hasn't
 // got one. Without a connection, nothing was sent.
 type sendTracker struct {
 	cancel context.CancelFunc
 	timer  *time.Timer
 
-	mu   sync.Mutex
-	sent bool
+	mu sync.Mutex
+	// dialed says that a new connection began to be opened, sent that the try got a connection.
+	dialed, sent bool
 }
 
 // trackSend returns a context for one try, and its tracker, which must be stopped.
@@ -131,7 +136,16 @@
 			cancel()
 		}
 	})
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { s.recordSent() }}), s
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		ConnectStart: func(string, string) { s.recordDialed() },
+		GotConn:      func(httptrace.GotConnInfo) { s.recordSent() },
+	}), s
+}
+
+func (s *sendTracker) recordDialed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dialed = true
 }
 
 func (s *sendTracker) recordSent() {
@@ -140,26 +154,30 @@
 	s.sent = true
 }
 
-// stop ends the tracking, and reports whether anything may have been sent.
-func (s *sendTracker) stop() (sent bool) {
+// stop ends the tracking. It reports whether a new connection began to be opened, and whether anything may
+// have been sent.
+func (s *sendTracker) stop() (dialed, sent bool) {
 	s.timer.Stop()
 	s.cancel()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.sent
+	return s.dialed, s.sent
 }
 
 // send sends the call to an instance. If the call is limited and got no connection, the error is marked
-// link.ErrUnsent. The client alone can't tell this from a missing response if the context ended while the
-// connection was being opened.
+// link.ErrUnsent, and errNoFreeConnection if none began to be opened either. The client alone can't tell this
+// from a missing response if the context ended while the connection was being opened.
 func (c *leaderCall) send(ctx context.Context, address string, reply any) (versions link.Versions, err error) {
 	if !c.isLimited() {
 		return c.g.client.CallVersioned(ctx, address, c.method, c.request, reply)
 	}
 	ctx, tracker := trackSend(ctx, c.unsentDeadline)
 	versions, err = c.g.client.CallVersioned(ctx, address, c.method, c.request, reply)
-	if sent := tracker.stop(); fault.Is(err, fault.Unknown) && !sent {
+	if dialed, sent := tracker.stop(); fault.Is(err, fault.Unknown) && !sent {
 		err = errors.Mark(fault.New(fault.Unavailable, "%s: %v", c.method, err), link.ErrUnsent)
+		if !dialed {
+			err = errors.Mark(err, errNoFreeConnection)
+		}
 	}
 	return versions, err
 }
--- a/internal/gateway/search_test.go
+++ b/internal/gateway/search_test.go
@@ -123,6 +123,36 @@
 	must.NoError(t, <-sent)
 }
 
+// Guards against an instance that forgets a leader that responds, and cancels submissions that the leader has
+// received, because another submission found no free connection.
+func TestSubmissionWithoutFreeConnectionKeepsLeader(t *testing.T) {
+	// With two calls in progress, one of them doesn't probe for a new leader and ends as soon as the leader changes.
+	const sent = 2
+	blocked := make(chan struct{})
+	leader := startMember(t, func(string) error { <-blocked; return nil })
+	release := sync.OnceFunc(func() { close(blocked) })
+	t.Cleanup(release)
+	g := newLimited(sent, leader.address)
+	g.SuggestLeader(leader.address)
+	var group errgroup.Group
+	for range sent {
+		group.Go(func() error {
+			_, err := submit(t, g)
+			return err
+		})
+	}
+	for leader.submitted.Load() < sent {
+		time.Sleep(time.Millisecond)
+	}
+	_, err := submit(t, g)
+	must.Eq(t, fault.Unavailable, fault.KindOf(err))
+	known, _ := g.currentLeader()
+	must.Eq(t, leader.address, known)
+	release()
+	must.NoError(t, group.Wait())
+	must.Eq(t, sent, leader.submitted.Load())
+}
+
 // Guards against a submission that is cancelled at unsentLimit although it was sent.
 func TestOnlyUnsentTryIsCancelled(t *testing.T) {
 	for _, sent := range []bool{false, true} {
@@ -131,7 +161,8 @@
 			tracker.recordSent()
 		}
 		must.Eq(t, sent, wait.For(ctx, 100*time.Millisecond))
-		must.Eq(t, sent, tracker.stop())
+		_, maybeSent := tracker.stop()
+		must.Eq(t, sent, maybeSent)
 	}
 }
 
