platform: a body that doesn't arrive releases its place in progress

With load control on, an edge instance counts a submission before its body is read, and nothing bounded the reading. A client that vanished in the middle of a body kept its place for ever, until its caller or all callers were refused. The body must now arrive within the request's time limit where submissions are bounded; otherwise nothing changes.

--- a/internal/instance/loadcontrol_test.go
+++ b/internal/instance/loadcontrol_test.go
@@ -55,7 +55,9 @@
 	if err != nil {
 		return err
 	}
-	defer done()
+	if done != nil {
+		defer done()
+	}
 	_, err = o.Submit(t.Context(), call)
 	return err
 }
--- a/internal/instance/operations.go
+++ b/internal/instance/operations.go
@@ -91,11 +91,11 @@
 	return reply, err
 }
 
-// Admit decides about a submission before its body is read. If err is nil, done must be called when the
-// call has ended. An error means that nothing was done.
+// Admit decides about a submission before its body is read. An error means that nothing was done. Otherwise
+// done must be called when the call has ended; it is nil if load control is off.
 func (o *Operations) Admit(p control.Principal, address control.JobAddress) (done func(), err error) {
 	if o.loadControl == nil {
-		return func() {}, nil
+		return nil, nil
 	}
 	return o.loadControl.admit(p, address, o.gateway.InContact())
 }
--- a/internal/jsonbody/jsonbody.go
+++ b/internal/jsonbody/jsonbody.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -38,6 +39,24 @@
 	return data, nil
 }
 
+// DecodeBefore is Decode of the body of a request that w responds to. The body must have been received whole by
+// the deadline; the zero time is no deadline.
+func DecodeBefore(deadline time.Time, w http.ResponseWriter, r *http.Request, limit int64, v any) ([]byte, error) {
+	if deadline.IsZero() {
+		return Decode(r.Body, limit, v)
+	}
+	// A writer that isn't that of a server can't set deadlines.
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(deadline)
+	data, err := Decode(r.Body, limit, v)
+	if err == nil {
+		// The deadline would otherwise end the context of the request. After an error it also bounds how long the
+		// server discards the rest of the body.
+		_ = controller.SetReadDeadline(time.Time{})
+	}
+	return data, err
+}
+
 // ErrTooLong marks the error of a body that is longer than its limit.
 var ErrTooLong = errors.New("body too long")
 
