--- a/internal/control/query_length.go
+++ b/internal/control/query_length.go
@@ -8,8 +8,7 @@
 const (
 	// interactiveQueryThreshold is the duration up to which a query is interactive: the
 	// objective of a preview leaves it about 0.6 s beyond its run time, in which 40 ms aren't
-	// noticed. A query about 100 workers for a preview takes 22 ms, the shortest one for a
-	// backfill 104 ms.
+	// noticed. Every query for a backfill takes longer.
 	interactiveQueryThreshold = 40 * time.Millisecond
 	// longQueryThreshold is the duration above which a query is long. Long queries leave
 	// some connections to short ones to prevent head-of-line blocking.
@@ -20,9 +19,8 @@
 	queryLoadWindow     = 3 * time.Second
 	queryLoadDeviations = 2
 	// queryLoadLearningTime is the time after the start of a leader term in which the load of
-	// interactive queries isn't known yet, and the largest share is reserved for them: fifty
-	// previews are submitted meanwhile. The short queries of a backlog would otherwise occupy
-	// all connections but one at once, for 0.4 s.
+	// interactive queries isn't known yet, and the largest share is reserved for them. The
+	// short queries of a backlog would otherwise occupy all connections but one at once.
 	queryLoadLearningTime = 500 * time.Millisecond
 	// maxInteractiveShare and maxShortShare are the inverses of the largest shares of the
 	// connections that are reserved for interactive queries and for short ones. At least a
@@ -119,8 +117,8 @@
 // second, whose queries take some milliseconds and keep only a few connections busy. If
 // half of the connections are always reserved, the queries of the gangs wait for each
 // other. If no connection is reserved, urgent jobs wait behind the queries of gangs under
-// high load. If queries of 147 ms may take all connections reserved for short ones, those
-// of urgent jobs wait behind them for 100 ms and more.
+// high load. Urgent jobs would also wait behind the other short queries, which take several
+// times as long, if these could take all connections that long ones leave.
 func (r *connReservation) reservedBefore(length queryLength, now time.Time, n int) int {
 	reserved := 0
 	if length > interactiveQuery && r.loadControl {
