--- a/internal/gateway/search_test.go
+++ b/internal/gateway/search_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"net"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -153,6 +156,36 @@
 	must.Eq(t, sent, leader.submitted.Load())
 }
 
+// startUnconnectable returns the address of a listener at which the opening of a connection takes for ever,
+// because as many connections wait to be accepted as the operating system allows.
+func startUnconnectable(t *testing.T) string {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	must.NoError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	must.NoError(t, syscall.Listen(fd, 0))
+	name, err := syscall.Getsockname(fd)
+	must.NoError(t, err)
+	address := net.JoinHostPort("127.0.0.1", strconv.Itoa(name.(*syscall.SockaddrInet4).Port))
+	for {
+		conn, err := net.DialTimeout("tcp", address, unsentLimit)
+		if err != nil {
+			return address
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+	}
+}
+
+// Guards against an instance that goes on calling a leader to which no connection can be opened.
+func TestLeaderThatCannotBeConnectedBecomesUnknown(t *testing.T) {
+	g := newLimited(maxConnections, unreachable)
+	g.SuggestLeader(startUnconnectable(t))
+	_, err := submit(t, g)
+	must.Eq(t, fault.Unavailable, fault.KindOf(err))
+	known, _ := g.currentLeader()
+	must.Eq(t, "", known)
+}
+
 // Guards against a submission that is cancelled at unsentLimit although it was sent.
 func TestOnlyUnsentTryIsCancelled(t *testing.T) {
 	for _, sent := range []bool{false, true} {
