--- a/admission/admission.go
+++ b/admission/admission.go
@@ -229,7 +229,8 @@
 	own, all := e.sumAhead(now, job)
 	var totalWeight int64
 	worst := estimate{bottleneck: Cluster, excess: math.Inf(-1)}
-	elapsed := milliseconds(now - e.snapshotAt)
+	// A call that waited for a decision has an earlier time than the snapshot.
+	elapsed := max(milliseconds(now-e.snapshotAt), 0)
 	pool, limit := e.snapshot.Pools[job.Service], e.snapshot.Limits[job.Customer]
 	inPool, ofCustomer := e.arrivals.rates(now, job.Class)
 	for _, field := range amountFields {
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -235,3 +235,15 @@
 		_ = e.Check(0, j)
 	}
 }
+
+// Guards against a longer wait for a call whose time is before the snapshot, because it waited for the
+// lock during the decision: the runs would seem to hold more than the pool has.
+func TestCallsFromBeforeTheSnapshotSeeItsRoom(t *testing.T) {
+	e := NewEstimator()
+	room := Room{Total: cores(100), Held: cores(50), Rest: resource.Amount{MilliCPU: 50_000 * 5}}
+	queued := Sums{{Service: "s"}: {OnWorkers: cores(100).Times(500)}}
+	e.Update(time.Second, Snapshot{Pools: map[string]Room{"s": room}, Queued: queued})
+	const early = 800 * time.Millisecond
+	must.Eq(t, e.estimate(time.Second, job("j", "", 0, 10)), e.estimate(early, job("j", "", 0, 10)))
+	must.Nil(t, e.Check(early, job("j", "", 0, 10)))
+}
