speed: a worker of which no run could be compared doesn't become slow

Runs whose step shows no agreement on other workers, and single outliers, count as runs but don't move the mean. The median of the other workers was nevertheless subtracted from it, and the standard error of an empty mean is 0, so such a worker could become slow without a measurement. The test fails without the change.

--- a/speed/speed.go
+++ b/speed/speed.go
@@ -260,6 +260,10 @@
 	w.weight = min(w.weight+weight, 2*maxWeight-1)
 }
 
+// isMeasured reports whether a run in this leader term has moved the mean. Runs that were left out
+// haven't: the mean is that of an unknown worker.
+func (w *worker) isMeasured() bool { return w.runs > 0 && w.weight > 0 }
+
 // standardError returns the standard error of the mean.
 func (w *worker) standardError() float64 {
 	if w.weight == 0 {
@@ -301,7 +305,7 @@
 func (l *Learner) recentre() {
 	means := make([]float64, 0, len(l.workers))
 	for _, w := range l.workers {
-		if w.runs > 0 {
+		if w.isMeasured() {
 			means = append(means, w.mean)
 		}
 	}
@@ -311,7 +315,7 @@
 	slices.Sort(means)
 	median := medianOf(means)
 	for _, w := range l.workers {
-		if w.runs > 0 {
+		if w.isMeasured() {
 			w.mean -= median
 		}
 	}
--- a/speed/speed_test.go
+++ b/speed/speed_test.go
@@ -244,3 +244,25 @@
 		}
 	}
 }
+
+// Guards against a worker that becomes slow although none of its runs could be compared: the runs of its
+// steps on other workers differ too much to tell what the step takes, and the median of the other
+// workers moves its speed.
+func TestRunsWithoutComparisonDontMakeAWorkerSlow(t *testing.T) {
+	l := NewLearner()
+	for job := range MinRuns {
+		for worker := range 30 {
+			duration := time.Second
+			if worker >= 18 {
+				duration = 2400 * time.Millisecond
+			}
+			l.Done(workflow.StepKey{Job: fmt.Sprint("even", job)}, id(worker), duration)
+		}
+		key := workflow.StepKey{Job: fmt.Sprint("uneven", job)}
+		l.Done(key, id(100), time.Second)
+		l.Done(key, id(101), time.Millisecond)
+		l.Done(key, id(102), 1000*time.Second)
+	}
+	l.Classify()
+	must.False(t, l.Estimate(id(100)).Slow)
+}
