--- a/admission/admission.go
+++ b/admission/admission.go
@@ -1,7 +1,8 @@
 // Package admission estimates whether a new job can still end while it is worth something, that is,
-// within three times its objective, and refuses one that can't. It handles a load above what the workers can run: one customer that sends
-// 7.5 times its usual rate, or one queue that gets 2.3 times its usual rate, for some seconds. Without
-// it, jobs are accepted that start when they are worth nothing, and delay the others.
+// within three times its objective, and refuses one that can't. It handles a load above what the
+// workers can run: one customer that sends 7.5 times its usual rate, or one queue that gets 2.3 times
+// its usual rate, for some seconds. Without it, jobs are accepted that start when they are worth
+// nothing, and delay the others.
 //
 // The package reads no clock and does no I/O. Times are on the monotonic clock of the caller.
 package admission
@@ -187,8 +188,8 @@
 
 // Check returns nil if a job is to be accepted: it is expected to end within its objective, or, if
 // later, within three times its objective. Decisions put a job that can't meet its objective after all
-// jobs that can. So it runs only with what the jobs that arrive meanwhile leave over, and while as
-// much is accepted as the room does it would never run.
+// jobs that can, so it gets only the capacity that jobs arriving meanwhile leave over. Where the
+// accepted jobs take all of the capacity, it would never start.
 //
 // A refused job may get a reservation.
 func (e *Estimator) Check(now time.Duration, job *Job) *Refusal {
@@ -310,8 +311,8 @@
 	// objective. More would refuse work on days without overload, when single large jobs arrive: what
 	// arrives beyond the room is refused itself.
 	maxSlowdown = 3
-	// usableShare is the share of a room that runs occupy while work waits. In the replayed overload
-	// 0.91 of the cores are busy: gangs start as a whole, and tasks don't divide a worker evenly.
+	// usableShare is the share of a room that runs can occupy while work waits. The rest stays idle,
+	// because gangs start as a whole and tasks don't divide a worker evenly.
 	usableShare = 0.9
 )
 
--- a/admission/reservation.go
+++ b/admission/reservation.go
@@ -69,7 +69,7 @@
 	}
 }
 
-// expireSometimes is expire at intervals.
+// expireSometimes calls expire at most once per expiryInterval.
 func (r *reservations) expireSometimes(now time.Duration) {
 	if now-r.expiredAt >= expiryInterval {
 		r.expire(now)
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -16,9 +16,8 @@
 )
 
 // scarceFreePercent is the percentage of the CPU of the workers that aren't slow below which what is
-// free there counts as scarce. Short steps with tight objectives use about a tenth of the CPU;
-// with more than twice that free they don't need it to be kept for them, and other steps would
-// only end later on slow workers.
+// free there counts as scarce. With more free, tight steps don't need it to be kept for them, and
+// other steps would only end later on slow workers.
 const scarceFreePercent = 25
 
 // slowClass describes the slow workers of a pool, and the CPU of the others in thousandths of a
@@ -75,11 +74,14 @@
 }
 
 // isTight reports whether the objective of s leaves too little time for runs on slow workers of
-// the given speed. It does if the time until Due is shorter than the estimate on such a worker and the
-// adviser's time, and if the run takes more than Stretch times the estimate there:
-// estimates of short steps are off by up to 0.9, and for an estimate that is too short the
-// constant part of the objective seems to leave enough time. A step that has missed its objective
-// isn't tight, since steps that can still meet theirs need the fast workers more.
+// the given speed. It does in either of two cases:
+//   - The time until Due is shorter than the estimate on such a worker and the adviser's time.
+//   - A run there takes more than Stretch times the estimate. Estimates of short steps are off by up
+//     to 0.9, and for an estimate that is too short the constant part of the objective seems to
+//     leave enough time.
+//
+// A step that has missed its objective isn't tight, since steps that can still meet theirs need the
+// fast workers more.
 func (p *planner) isTight(s *Step, speed float64) bool {
 	if s.Lateness > 0 {
 		return false
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -219,8 +219,8 @@
 	// InteractiveQueryTime. With InteractiveQueryTime 0 it has no effect.
 	NonInteractiveQueries int
 	InteractiveQueryTime  time.Duration
-	// LongQueries is how many of the NonInteractiveQueries may be long, that is, take the adviser more than
-	// LongQueryTime. With LongQueryTime 0 no query is long.
+	// LongQueries is how many of the NonInteractiveQueries may be long, that is, take the adviser
+	// more than LongQueryTime. With LongQueryTime 0 no query is long.
 	LongQueries   int
 	LongQueryTime time.Duration
 	// Steps is the maximum number of steps that one decision considers; 0 for no bound.
--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -61,8 +61,9 @@
 // recordPace adds a finished run to the mean of run time by estimate and to the speeds. The run
 // time lasts from the response to the start until the report of the end. t.mu must be held.
 //
-// It ignores runs that resumed from a checkpoint, whose end was reported before or late, or whose
-// duration depends on other runs. Those are runs on spare CPU and gangs: a gang ends when one
+// It ignores runs that resumed from a checkpoint and ends that were reported before. The speeds
+// also leave out long-running tasks, ends that may have happened long before the report, and runs
+// whose duration depends on other runs. Those are runs on spare CPU and gangs: a gang ends when one
 // member is done, so the durations of its members are equal and say nothing about the workers.
 func (s *workerSession) recordPace(end workflow.RunEnd, now time.Time) {
 	o := s.orders[end.Task]
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -27,8 +27,8 @@
 	slowUntil = 0.8
 	// verySlowBelow is the relative speed below which a slow worker is very slow.
 	verySlowBelow = 0.4
-	// deviations is how many standard errors the speed must lie below a bound. After ten runs, 2
-	// of them find 95 in 100 workers of 0.46 and class hardly any worker of 0.8 as slow.
+	// deviations is how many standard errors the speed must lie below a bound. With fewer, ordinary
+	// workers count as slow by chance; with more, slow workers aren't found within MinRuns.
 	deviations = 2
 	// maxResidual bounds the logarithm of what one run says about a speed, so that a run that
 	// takes seven times as long doesn't make a worker slow.
@@ -69,8 +69,8 @@
 type worker struct {
 	// mean is the logarithm of the speed relative to the median worker.
 	mean float64
-	// weight is the sum of the weights of the compared runs, at most that of a full mean;
-	// runs counts these runs.
+	// weight is the effective number of runs in the mean; runs counts the runs that were compared,
+	// including outliers.
 	weight float64
 	runs   int
 	// variance is the weighted variance of what the runs say.
@@ -257,11 +257,13 @@
 	share := weight / (min(w.weight, maxWeight) + weight)
 	w.mean += share * residual
 	w.variance = (1 - share) * (w.variance + share*residual*residual)
+	// An exponentially weighted mean in which the latest run weighs 1/n is as precise as that of
+	// 2n-1 runs.
 	w.weight = min(w.weight+weight, 2*maxWeight-1)
 }
 
-// isMeasured reports whether a run in this leader term has moved the mean. Runs that were left out
-// haven't: the mean is that of an unknown worker.
+// isMeasured reports whether runs have moved the mean. It is false while all runs were left out, and
+// for a restored speed until a run was compared.
 func (w *worker) isMeasured() bool { return w.runs > 0 && w.weight > 0 }
 
 // standardError returns the standard error of the mean.
