--- a/admission/admission.go
+++ b/admission/admission.go
@@ -15,9 +15,9 @@
 	"github.com/bilberryferry/bilberryferry/resource"
 )
 
-// worthlessAfterObjectives is the age, as a multiple of its objective, from which on a job has no
+// WorthlessAfterObjectives is the age, as a multiple of its objective, from which on a job has no
 // value any more.
-const worthlessAfterObjectives = 3
+const WorthlessAfterObjectives = 3
 
 // Class is the work that one estimate treats alike.
 type Class struct {
@@ -300,7 +300,7 @@
 // objective is still worth something. It is never less than the time in which the room does what
 // all of it could do within the objective.
 func (j *Job) longestLateWait() float64 {
-	return max(milliseconds(worthlessAfterObjectives*j.Objective-j.Chain), milliseconds(j.Objective)/usableShare)
+	return max(milliseconds(WorthlessAfterObjectives*j.Objective-j.Chain), milliseconds(j.Objective)/usableShare)
 }
 
 const (
--- a/admission/replay_test.go
+++ b/admission/replay_test.go
@@ -200,7 +200,7 @@
 		case age <= j.Objective:
 			r.earned += work
 			r.inTime[j.Customer]++
-		case age <= worthlessAfterObjectives*j.Objective:
+		case age <= WorthlessAfterObjectives*j.Objective:
 			r.earned += work / 5
 		}
 		return true
@@ -244,7 +244,7 @@
 		age, spec := r.now-j.accepted, &j.steps[0]
 		lateness := 0
 		switch {
-		case age > worthlessAfterObjectives*j.Objective:
+		case age > WorthlessAfterObjectives*j.Objective:
 			lateness = 2
 		case age+time.Duration(0.6*float64(j.queue.run)) > j.Objective:
 			lateness = 1
--- a/internal/control/admission.go
+++ b/internal/control/admission.go
@@ -145,7 +145,7 @@
 	}
 	t.c.cfg.Counters.Add(counter, 1)
 	return fault.Retry(fault.Overloaded, refusal.RetryAfter, "expected to wait %d ms for %s; worth nothing after %d ms",
-		refusal.Wait.Milliseconds(), refusal.Bottleneck, (worthlessAfterObjectives * job.Objective).Milliseconds())
+		refusal.Wait.Milliseconds(), refusal.Bottleneck, (admission.WorthlessAfterObjectives * job.Objective).Milliseconds())
 }
 
 // admissionCount counts the submissions of a customer since the last log line about admission.
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -11,10 +11,6 @@
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
 
-// worthlessAfterObjectives is the age, as a multiple of its objective, from which on a job
-// has no value any more.
-const worthlessAfterObjectives = 3
-
 // planInput is the input of a decision. It is a copy, so that the decision needs no lock.
 type planInput struct {
 	steps   []dispatch.Step
@@ -268,7 +264,7 @@
 			if len(pending) == 0 {
 				continue
 			}
-			if now.Sub(objectiveStart) <= worthlessAfterObjectives*objective {
+			if now.Sub(objectiveStart) <= admission.WorthlessAfterObjectives*objective {
 				input.addQueuedWork(job, step, len(pending))
 			}
 			if !job.StepReady(occurrence, step) {
@@ -299,7 +295,7 @@
 		Due: objectiveStart.Add(objective).Sub(t.started), Stretch: job.Policy.Stretch, Pending: pending, Placed: runsPerWorker,
 	}
 	switch age := now.Sub(objectiveStart); {
-	case age > worthlessAfterObjectives*objective:
+	case age > admission.WorthlessAfterObjectives*objective:
 		step.Lateness = latenessWorthless
 	case age+minRemainingTime(step.Spec) > objective && !t.disabled.Lateness:
 		step.Lateness = latenessMissed
