--- a/internal/control/admission.go
+++ b/internal/control/admission.go
@@ -104,16 +104,21 @@
 }
 
 // admissionJob describes a submission to the estimator; nil if the estimator doesn't count it: the
-// work of scheduled jobs isn't due yet, and that of long-running tasks is unknown.
+// work of scheduled jobs isn't due yet, that of long-running tasks is unknown, and jobs without an
+// objective come after all others in decisions.
 func admissionJob(job *workflow.Submission) *admission.Job {
 	if job.Schedule.Times > 0 || slices.ContainsFunc(job.Steps, func(s workflow.Step) bool { return s.LongRunning }) {
 		return nil
 	}
 	chainMS := criticalPathMS(job.Steps)
+	objective := objectiveFor(&job.Policy, chainMS)
+	if objective <= 0 {
+		return nil
+	}
 	described := &admission.Job{
 		ID:    job.ID,
 		Class: admission.Class{Service: job.Policy.Service, Customer: job.Customer, Priority: job.Policy.Priority},
-		Chain: time.Duration(chainMS) * time.Millisecond, Objective: objectiveFor(&job.Policy, chainMS),
+		Chain: time.Duration(chainMS) * time.Millisecond, Objective: objective,
 	}
 	for i := range job.Steps {
 		step := &job.Steps[i]
--- a/internal/control/admission_test.go
+++ b/internal/control/admission_test.go
@@ -91,6 +91,21 @@
 	}
 }
 
+// Guards against refusals because of jobs without an objective. Decisions put them after all others, so
+// their work delays none of these.
+func TestAdmissionCountsNoWorkWithoutAnObjective(t *testing.T) {
+	term := controlledTerm(t)
+	term.decide()
+	for i := range 100 {
+		job := longJob(fmt.Sprint("none", i))
+		job.Policy.Stretch, job.Policy.ObjectiveMS = 0, 0
+		_, err := term.admitSubmission(job, time.Now())
+		must.NoError(t, err)
+	}
+	_, err := term.admitSubmission(longJob("a"), time.Now())
+	must.NoError(t, err)
+}
+
 // Guards against jobs whose commit fails and whose work refuses others for good.
 func TestAdmissionForgetsAJobWhoseCommitFails(t *testing.T) {
 	term := controlledTerm(t)
