--- a/internal/control/admission.go
+++ b/internal/control/admission.go
@@ -254,12 +254,17 @@
 	for _, pool := range t.admissionSnapshot.Pools {
 		capacity += pool.Total.MilliCPU
 	}
-	var running workflow.Resources
-	t.c.state.read(func(s *workflow.State) { running = s.CustomerUsage()[name] })
+	var running, limit workflow.Resources
+	t.c.state.read(func(s *workflow.State) {
+		running = s.CustomerUsage()[name]
+		if c := s.Customer(name); c != nil {
+			limit = c.Limit
+		}
+	})
 	waits, _ := t.formatWaits(classes, name, now)
 	t.logger.Log("event", "admission", "customer", name, "offered", count.admitted+count.refused, "admitted", count.admitted, "refused", count.refused,
 		"queued_core_ms", t.admission.Queued(name, false).MilliCPU/1000, "running", formatResources(running),
-		"running_percent", 100*running.MilliCPU/max(capacity, 1), "limit", formatResources(t.admissionSnapshot.Limits[name].Total), "expected_wait_ms", waits)
+		"running_percent", 100*running.MilliCPU/max(capacity, 1), "limit", formatResources(limit), "expected_wait_ms", waits)
 }
 
 // queueClasses returns the services and priorities of the queues, without duplicates, sorted. t.mu
--- a/internal/control/admission_test.go
+++ b/internal/control/admission_test.go
@@ -1,15 +1,18 @@
 package control
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
 	"github.com/shoenig/test/must"
 
 	"github.com/bilberryferry/bilberryferry/admission"
+	"github.com/bilberryferry/bilberryferry/customer"
 	"github.com/bilberryferry/bilberryferry/fault"
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
@@ -204,3 +207,20 @@
 	c[fields[1].(string)]++
 	return nil
 }
+
+// Guards against a logged limit without the part that long-running tasks hold: the running resources
+// beside it include them.
+func TestAdmissionLogsTheConfiguredLimit(t *testing.T) {
+	term := queuedTerm(t, nil, nil)
+	_, err := term.propose(&workflow.Command{Configuration: &workflow.Document{
+		Version: 1 << 41, Source: []byte("{}"), Customers: []customer.Customer{{Name: "c", Weight: 1, Limit: workflow.Resources{MilliCPU: 8000}}},
+	}})
+	must.NoError(t, err)
+	term.admission, term.admissionCounts = admission.NewEstimator(), newAdmissionCounts()
+	term.admissionSnapshot.Limits = map[string]admission.Room{"c": {Total: workflow.Resources{MilliCPU: 2000}}}
+	logged := &bytes.Buffer{}
+	term.logger = log.NewLogfmtLogger(logged)
+	term.countRefused("c")
+	term.reportAdmission(time.Now())
+	must.StrContains(t, logged.String(), "limit=8000/0/0")
+}
