--- a/internal/control/succession_test.go
+++ b/internal/control/succession_test.go
@@ -72,12 +72,18 @@
 	adviser Adviser
 	mu      sync.Mutex
 	calls   map[string]int
+	// proceed, if set, holds back all responses until it is closed.
+	proceed chan struct{}
 }
 
 func (f *fakeInstances) Call(ctx context.Context, address, _ string, request, reply any) (err error) {
 	f.mu.Lock()
 	f.calls[address]++
+	proceed := f.proceed
 	f.mu.Unlock()
+	if proceed != nil {
+		<-proceed
+	}
 	if address == "down" {
 		return errNoResponse
 	}
@@ -145,6 +151,12 @@
 	pool.conns["i2"].inFlight, pool.conns["own"].inFlight = maxInFlightPerConn, maxInFlightPerConn
 	pool.mu.Unlock()
 	must.Eq(t, freeConns{total: 2, nonInteractive: 1, long: 1, reachable: 4, reservedInteractive: 1}, pool.available(now))
+	// A response before the second query is sent would free the connection of the first.
+	proceed := make(chan struct{})
+	defer close(proceed)
+	instances.mu.Lock()
+	instances.proceed = proceed
+	instances.mu.Unlock()
 	query := func(job string) dispatch.Query {
 		return dispatch.Query{Step: workflow.StepKey{Job: job}, Workers: []string{"w1"}}
 	}
