admission: rates of arriving work aren't rounded per class

A rate of less than one unit per class counted as 0, which hit accelerators: 100 classes that arrive at half an accelerator each made 0 instead of 50. The sums are now multiplied once. The test fails without the change.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -247,3 +247,17 @@
 	must.Eq(t, e.estimate(time.Second, job("j", "", 0, 10)), e.estimate(early, job("j", "", 0, 10)))
 	must.Nil(t, e.Check(early, job("j", "", 0, 10)))
 }
+
+// Guards against arriving work that isn't counted because the rate of each class is less than one unit of the
+// resource: a job waits behind it all the same.
+func TestArrivalsOfScarceResourcesAddUp(t *testing.T) {
+	e := NewEstimator()
+	one := resource.Amount{Accelerators: 1}
+	for i := range 100 {
+		// Each arrives at half an accelerator.
+		e.Add(0, &Job{ID: fmt.Sprint(i), Class: Class{"s", fmt.Sprint("c", i), 0}, Work: WorkOf(one, one, 1, arrivalPeriod.Milliseconds()/2)})
+	}
+	inPool, ofCustomer := e.arrivals.rates(0, Class{"s", "c1", 1})
+	must.InDelta(t, 50, inPool.of(amountFields[2]).urgent, 0.01)
+	must.InDelta(t, 0.5, ofCustomer.of(amountFields[2]).all, 0.01)
+}
--- a/admission/arrivals.go
+++ b/admission/arrivals.go
@@ -37,9 +37,11 @@
 	return resource.Amount{MilliCPU: field(a.MilliCPU), MemoryMB: field(a.MemoryMB), Accelerators: field(a.Accelerators)}
 }
 
-// rates are the rates at which work arrives that goes before a class by its priority, and all work.
+// rates are the rates at which work arrives that goes before a class by its priority, and all work:
+// sums of work that are multiplied by a factor.
 type rates struct {
 	urgent, all resource.Amount
+	factor      float64
 }
 
 // fieldRates are the rates of one resource.
@@ -55,19 +57,20 @@
 }
 
 func (r *rates) of(field func(resource.Amount) int64) fieldRates {
-	return fieldRates{float64(field(r.urgent)), float64(field(r.all))}
+	return fieldRates{float64(field(r.urgent)) * r.factor, float64(field(r.all)) * r.factor}
 }
 
 // rates returns the rates of arriving work, in the pool of a class and of its customer.
 func (a *arrivals) rates(now time.Duration, class Class) (inPool, ofCustomer rates) {
-	factor := a.decay(now) / milliseconds(arrivalPeriod)
+	inPool.factor = a.decay(now) / milliseconds(arrivalPeriod)
+	ofCustomer.factor = inPool.factor
 	for other, work := range a.work {
 		isMoreUrgent := other.Priority < class.Priority
 		if other.Service == class.Service {
-			inPool.add(scaled(work.OnWorkers, factor), isMoreUrgent)
+			inPool.add(work.OnWorkers, isMoreUrgent)
 		}
 		if other.Customer == class.Customer {
-			ofCustomer.add(scaled(work.OfCustomer, factor), isMoreUrgent)
+			ofCustomer.add(work.OfCustomer, isMoreUrgent)
 		}
 	}
 	return inPool, ofCustomer
