control: the log line about admission counts jobs that the estimate leaves out

Scheduled jobs and those with long-running tasks were accepted but neither offered nor admitted in the log line. The test fails without the change.

--- a/internal/control/admission.go
+++ b/internal/control/admission.go
@@ -133,17 +133,19 @@
 	if t.admission == nil {
 		return nil
 	}
+	counts := t.admissionCounts.of(submission.Customer)
 	job := admissionJob(submission)
 	if job == nil {
+		counts.admitted++
 		return nil
 	}
 	refusal := t.admission.Check(now.Sub(t.started), job)
 	if refusal == nil {
 		t.admission.Add(now.Sub(t.started), job)
-		t.admissionCounts.of(job.Customer).admitted++
+		counts.admitted++
 		return nil
 	}
-	t.admissionCounts.of(job.Customer).refused++
+	counts.refused++
 	counter := "jobs_refused_cluster_wait"
 	if refusal.Bottleneck == admission.CustomerLimit {
 		counter = "jobs_refused_limit_wait"
--- a/internal/control/admission_test.go
+++ b/internal/control/admission_test.go
@@ -109,6 +109,16 @@
 	must.NoError(t, err)
 }
 
+// Guards against jobs that the log line about admission leaves out because the estimate doesn't count them.
+func TestAdmissionCountsJobsThatTheEstimateLeavesOut(t *testing.T) {
+	term := controlledTerm(t)
+	job := longJob("a")
+	job.Schedule.Times = 2
+	_, err := term.admitSubmission(job, time.Now())
+	must.NoError(t, err)
+	must.Eq(t, 1, term.admissionCounts.of("").admitted)
+}
+
 // Guards against jobs whose commit fails and whose work refuses others for good.
 func TestAdmissionForgetsAJobWhoseCommitFails(t *testing.T) {
 	term := controlledTerm(t)
