--- a/internal/control/permits.go
+++ b/internal/control/permits.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -59,31 +60,23 @@
 // first. A shorter query could otherwise take a connection that a longer one was planned
 // on, while the connections left over take no long queries.
 func (t *leaderTerm) sendQueries(queries []dispatch.Query) {
-	longestFirst := []queryLength{longQuery, shortQuery, interactiveQuery}
-	if !t.c.cfg.LoadControl {
-		longestFirst = nil
-	}
 	type planned struct {
 		query  dispatch.Query
 		queue  string
 		policy *workflow.AdvicePolicy
+		length queryLength
 	}
-	byLength := map[queryLength][]planned{}
+	all := make([]planned, 0, len(queries))
 	for _, query := range queries {
-		queue, policy := t.advicePolicy(query.Step)
-		switch {
-		case policy == nil:
-		case longestFirst == nil:
-			t.queryAdviser(query, queue, policy)
-		default:
-			length := t.adviserConns.lengthOf(queryDuration(policy, len(query.Workers)))
-			byLength[length] = append(byLength[length], planned{query, queue, policy})
+		if queue, policy := t.advicePolicy(query.Step); policy != nil {
+			all = append(all, planned{query, queue, policy, t.adviserConns.lengthOf(queryDuration(policy, len(query.Workers)))})
 		}
 	}
-	for _, length := range longestFirst {
-		for _, p := range byLength[length] {
-			t.queryAdviser(p.query, p.queue, p.policy)
-		}
+	if t.c.cfg.LoadControl {
+		slices.SortStableFunc(all, func(a, b planned) int { return cmp.Compare(b.length, a.length) })
+	}
+	for _, p := range all {
+		t.queryAdviser(p.query, p.queue, p.policy)
 	}
 }
 
