--- a/admission/admission.go
+++ b/admission/admission.go
@@ -1,7 +1,8 @@
 // Package admission estimates whether a new job can still end while it is worth something, that is,
-// within three times its objective, and refuses one that can't. It handles a load above what the workers can run: one customer that sends
-// 7.5 times its usual rate, or one queue that gets 2.3 times its usual rate, for some seconds. Without
-// it, jobs are accepted that start when they are worth nothing, and delay the others.
+// within three times its objective, and refuses one that can't. It handles a load above what the
+// workers can run: one customer that sends 7.5 times its usual rate, or one queue that gets 2.3 times
+// its usual rate, for some seconds. Without it, jobs are accepted that start when they are worth
+// nothing, and delay the others.
 //
 // The package reads no clock and does no I/O. Times are on the monotonic clock of the caller.
 package admission
@@ -14,9 +15,9 @@
 	"github.com/bilberryferry/bilberryferry/resource"
 )
 
-// worthlessAfterObjectives is the age, as a multiple of its objective, from which on a job has no
+// WorthlessAfterObjectives is the age, as a multiple of its objective, from which on a job has no
 // value any more.
-const worthlessAfterObjectives = 3
+const WorthlessAfterObjectives = 3
 
 // Class is the work that one estimate treats alike.
 type Class struct {
@@ -232,7 +233,8 @@
 	own, all := e.sumAhead(now, job)
 	var totalWeight int64
 	worst := estimate{bottleneck: Cluster, excess: math.Inf(-1)}
-	elapsed := milliseconds(now - e.snapshotAt)
+	// A call that waited for a decision has an earlier time than the snapshot.
+	elapsed := max(milliseconds(now-e.snapshotAt), 0)
 	pool, limit := e.snapshot.Pools[job.Service], e.snapshot.Limits[job.Customer]
 	inPool, ofCustomer := e.arrivals.rates(now, job.Class, e.snapshot.Limits)
 	offered, _ := e.offered.rates(now, job.Class, e.snapshot.Limits)
@@ -309,7 +311,7 @@
 // objective is still worth something. It is never less than the time in which the room does what
 // all of it could do within the objective.
 func (j *Job) longestLateWait() float64 {
-	return max(milliseconds(worthlessAfterObjectives*j.Objective-j.Chain), milliseconds(j.Objective)/usableShare)
+	return max(milliseconds(WorthlessAfterObjectives*j.Objective-j.Chain), milliseconds(j.Objective)/usableShare)
 }
 
 const (
@@ -323,8 +325,8 @@
 	// objective. More would refuse work on days without overload, when single large jobs arrive: what
 	// arrives beyond the room is refused itself.
 	maxSlowdown = 3
-	// usableShare is the share of a room that runs occupy while work waits. In the replayed overload
-	// 0.91 of the cores are busy: gangs start as a whole, and tasks don't divide a worker evenly.
+	// usableShare is the share of a room that runs can occupy while work waits. The rest stays idle,
+	// because gangs start as a whole and tasks don't divide a worker evenly.
 	usableShare = 0.9
 )
 
--- a/admission/arrivals.go
+++ b/admission/arrivals.go
@@ -37,9 +37,11 @@
 	return resource.Amount{MilliCPU: field(a.MilliCPU), MemoryMB: field(a.MemoryMB), Accelerators: field(a.Accelerators)}
 }
 
-// rates are the rates at which work arrives that goes before a class by its priority, and all work.
+// rates are the rates at which work arrives that goes before a class by its priority, and all work:
+// sums of work that are multiplied by a factor.
 type rates struct {
 	urgent, all resource.Amount
+	factor      float64
 }
 
 // fieldRates are the rates of one resource.
@@ -55,43 +57,45 @@
 }
 
 func (r *rates) of(field func(resource.Amount) int64) fieldRates {
-	return fieldRates{float64(field(r.urgent)), float64(field(r.all))}
+	return fieldRates{float64(field(r.urgent)) * r.factor, float64(field(r.all)) * r.factor}
 }
 
 // rates returns the rates of arriving work, in the pool of a class and of its customer. In the pool, a
 // customer counts with its limit at most: more of its work can't run.
 func (a *arrivals) rates(now time.Duration, class Class, limits map[string]Room) (inPool, ofCustomer rates) {
 	factor := a.decay(now) / milliseconds(arrivalPeriod)
+	inPool.factor, ofCustomer.factor = factor, factor
 	byCustomer := map[string]rates{}
 	for other, work := range a.work {
 		isMoreUrgent := other.Priority < class.Priority
 		if other.Service == class.Service {
 			sum := byCustomer[other.Customer]
-			sum.add(scaled(work.OnWorkers, factor), isMoreUrgent)
+			sum.add(work.OnWorkers, isMoreUrgent)
 			byCustomer[other.Customer] = sum
 		}
 		if other.Customer == class.Customer {
-			ofCustomer.add(scaled(work.OfCustomer, factor), isMoreUrgent)
+			ofCustomer.add(work.OfCustomer, isMoreUrgent)
 		}
 	}
 	for name, sum := range byCustomer {
 		limit := limits[name].Total
-		inPool.urgent = inPool.urgent.Plus(capped(sum.urgent, limit))
-		inPool.all = inPool.all.Plus(capped(sum.all, limit))
+		inPool.urgent = inPool.urgent.Plus(capped(sum.urgent, limit, factor))
+		inPool.all = inPool.all.Plus(capped(sum.all, limit, factor))
 	}
 	return inPool, ofCustomer
 }
 
-// capped returns an amount that is at most a limit, of which a field of 0 limits nothing.
-func capped(amount, limit resource.Amount) resource.Amount {
+// capped returns the most of an amount of work whose rate, the work times a factor, doesn't exceed a limit, of
+// which a field of 0 limits nothing.
+func capped(work, limit resource.Amount, factor float64) resource.Amount {
 	field := func(n, most int64) int64 {
-		if most > 0 {
-			return min(n, most)
+		if most > 0 && float64(n)*factor > float64(most) {
+			return int64(float64(most) / factor)
 		}
 		return n
 	}
 	return resource.Amount{
-		MilliCPU: field(amount.MilliCPU, limit.MilliCPU), MemoryMB: field(amount.MemoryMB, limit.MemoryMB),
-		Accelerators: field(amount.Accelerators, limit.Accelerators),
+		MilliCPU: field(work.MilliCPU, limit.MilliCPU), MemoryMB: field(work.MemoryMB, limit.MemoryMB),
+		Accelerators: field(work.Accelerators, limit.Accelerators),
 	}
 }
--- a/internal/control/admission.go
+++ b/internal/control/admission.go
@@ -104,16 +104,21 @@
 }
 
 // admissionJob describes a submission to the estimator; nil if the estimator doesn't count it: the
-// work of scheduled jobs isn't due yet, and that of long-running tasks is unknown.
+// work of scheduled jobs isn't due yet, that of long-running tasks is unknown, and jobs without an
+// objective come after all others in decisions.
 func admissionJob(job *workflow.Submission) *admission.Job {
 	if job.Schedule.Times > 0 || slices.ContainsFunc(job.Steps, func(s workflow.Step) bool { return s.LongRunning }) {
 		return nil
 	}
 	chainMS := criticalPathMS(job.Steps)
+	objective := objectiveFor(&job.Policy, chainMS)
+	if objective <= 0 {
+		return nil
+	}
 	described := &admission.Job{
 		ID:    job.ID,
 		Class: admission.Class{Service: job.Policy.Service, Customer: job.Customer, Priority: job.Policy.Priority},
-		Chain: time.Duration(chainMS) * time.Millisecond, Objective: objectiveFor(&job.Policy, chainMS),
+		Chain: time.Duration(chainMS) * time.Millisecond, Objective: objective,
 	}
 	for i := range job.Steps {
 		step := &job.Steps[i]
@@ -128,24 +133,26 @@
 	if t.admission == nil {
 		return nil
 	}
+	counts := t.admissionCounts.of(submission.Customer)
 	job := admissionJob(submission)
 	if job == nil {
+		counts.admitted++
 		return nil
 	}
 	refusal := t.admission.Check(now.Sub(t.started), job)
 	if refusal == nil {
 		t.admission.Add(now.Sub(t.started), job)
-		t.admissionCounts.of(job.Customer).admitted++
+		counts.admitted++
 		return nil
 	}
-	t.admissionCounts.of(job.Customer).refused++
+	counts.refused++
 	counter := "jobs_refused_cluster_wait"
 	if refusal.Bottleneck == admission.CustomerLimit {
 		counter = "jobs_refused_limit_wait"
 	}
 	t.c.cfg.Counters.Add(counter, 1)
 	return fault.Retry(fault.Overloaded, refusal.RetryAfter, "expected to wait %d ms for %s; worth nothing after %d ms",
-		refusal.Wait.Milliseconds(), refusal.Bottleneck, (worthlessAfterObjectives * job.Objective).Milliseconds())
+		refusal.Wait.Milliseconds(), refusal.Bottleneck, (admission.WorthlessAfterObjectives * job.Objective).Milliseconds())
 }
 
 // admissionCount counts the submissions of a customer since the last log line about admission.
@@ -249,12 +256,17 @@
 	for _, pool := range t.admissionSnapshot.Pools {
 		capacity += pool.Total.MilliCPU
 	}
-	var running workflow.Resources
-	t.c.state.read(func(s *workflow.State) { running = s.CustomerUsage()[name] })
+	var running, limit workflow.Resources
+	t.c.state.read(func(s *workflow.State) {
+		running = s.CustomerUsage()[name]
+		if c := s.Customer(name); c != nil {
+			limit = c.Limit
+		}
+	})
 	waits, _ := t.formatWaits(classes, name, now)
 	t.logger.Log("event", "admission", "customer", name, "offered", count.admitted+count.refused, "admitted", count.admitted, "refused", count.refused,
 		"queued_core_ms", t.admission.Queued(name, false).MilliCPU/1000, "running", formatResources(running),
-		"running_percent", 100*running.MilliCPU/max(capacity, 1), "limit", formatResources(t.admissionSnapshot.Limits[name].Total), "expected_wait_ms", waits)
+		"running_percent", 100*running.MilliCPU/max(capacity, 1), "limit", formatResources(limit), "expected_wait_ms", waits)
 }
 
 // queueClasses returns the services and priorities of the queues, without duplicates, sorted. t.mu
--- a/internal/control/admission_test.go
+++ b/internal/control/admission_test.go
@@ -1,15 +1,18 @@
 package control
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
 	"github.com/shoenig/test/must"
 
 	"github.com/bilberryferry/bilberryferry/admission"
+	"github.com/bilberryferry/bilberryferry/customer"
 	"github.com/bilberryferry/bilberryferry/fault"
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
@@ -91,6 +94,31 @@
 	}
 }
 
+// Guards against refusals because of jobs without an objective. Decisions put them after all others, so
+// their work delays none of these.
+func TestAdmissionCountsNoWorkWithoutAnObjective(t *testing.T) {
+	term := controlledTerm(t)
+	term.decide()
+	for i := range 100 {
+		job := longJob(fmt.Sprint("none", i))
+		job.Policy.Stretch, job.Policy.ObjectiveMS = 0, 0
+		_, err := term.admitSubmission(job, time.Now())
+		must.NoError(t, err)
+	}
+	_, err := term.admitSubmission(longJob("a"), time.Now())
+	must.NoError(t, err)
+}
+
+// Guards against jobs that the log line about admission leaves out because the estimate doesn't count them.
+func TestAdmissionCountsJobsThatTheEstimateLeavesOut(t *testing.T) {
+	term := controlledTerm(t)
+	job := longJob("a")
+	job.Schedule.Times = 2
+	_, err := term.admitSubmission(job, time.Now())
+	must.NoError(t, err)
+	must.Eq(t, 1, term.admissionCounts.of("").admitted)
+}
+
 // Guards against jobs whose commit fails and whose work refuses others for good.
 func TestAdmissionForgetsAJobWhoseCommitFails(t *testing.T) {
 	term := controlledTerm(t)
@@ -189,3 +217,20 @@
 	c[fields[1].(string)]++
 	return nil
 }
+
+// Guards against a logged limit without the part that long-running tasks hold: the running resources
+// beside it include them.
+func TestAdmissionLogsTheConfiguredLimit(t *testing.T) {
+	term := queuedTerm(t, nil, nil)
+	_, err := term.propose(&workflow.Command{Configuration: &workflow.Document{
+		Version: 1 << 41, Source: []byte("{}"), Customers: []customer.Customer{{Name: "c", Weight: 1, Limit: workflow.Resources{MilliCPU: 8000}}},
+	}})
+	must.NoError(t, err)
+	term.admission, term.admissionCounts = admission.NewEstimator(), newAdmissionCounts()
+	term.admissionSnapshot.Limits = map[string]admission.Room{"c": {Total: workflow.Resources{MilliCPU: 2000}}}
+	logged := &bytes.Buffer{}
+	term.logger = log.NewLogfmtLogger(logged)
+	term.countRefused("c")
+	term.reportAdmission(time.Now())
+	must.StrContains(t, logged.String(), "limit=8000/0/0")
+}
