--- a/admission/admission.go
+++ b/admission/admission.go
@@ -150,7 +150,7 @@
 
 // NewEstimator returns an estimator that refuses nothing before its first snapshot.
 func NewEstimator() *Estimator {
-	return &Estimator{added: map[string]Job{}, addedWork: Sums{}, arrivals: arrivals{work: Sums{}}, offered: arrivals{work: Sums{}}, reservations: newReservations(), byCustomer: map[string]resource.Amount{}}
+	return &Estimator{added: map[string]Job{}, addedWork: Sums{}, arrivals: newArrivals(arrivalPeriod), offered: newArrivals(overloadPeriod), reservations: newReservations(), byCustomer: map[string]resource.Amount{}}
 }
 
 // Update replaces the snapshot.
--- a/admission/arrivals.go
+++ b/admission/arrivals.go
@@ -11,16 +11,24 @@
 // bursts that the package handles.
 const arrivalPeriod = 5 * time.Second
 
+// overloadPeriod is the time over which the rate of offered work is averaged: two bursts, so that a single
+// one, after which the pool catches up, doesn't count as sustained overload.
+const overloadPeriod = 10 * time.Second
+
 // arrivals averages the rate at which work is accepted, by class, exponentially weighted.
 type arrivals struct {
 	// work is the accepted work, of which the weight decays; at is the time of the weights.
 	work Sums
 	at   time.Duration
+	// period is the time constant of the weights.
+	period time.Duration
 }
 
+func newArrivals(period time.Duration) arrivals { return arrivals{work: Sums{}, period: period} }
+
 // decay returns the factor of all weights since a.at.
 func (a *arrivals) decay(now time.Duration) float64 {
-	return math.Exp(-float64(now-a.at) / float64(arrivalPeriod))
+	return math.Exp(-float64(now-a.at) / float64(a.period))
 }
 
 func (a *arrivals) add(now time.Duration, class Class, work Work) {
@@ -63,7 +71,7 @@
 // rates returns the rates of arriving work, in the pool of a class and of its customer. In the pool, a
 // customer counts with its limit at most: more of its work can't run.
 func (a *arrivals) rates(now time.Duration, class Class, limits map[string]Room) (inPool, ofCustomer rates) {
-	factor := a.decay(now) / milliseconds(arrivalPeriod)
+	factor := a.decay(now) / milliseconds(a.period)
 	inPool.factor, ofCustomer.factor = factor, factor
 	byCustomer := map[string]rates{}
 	for other, work := range a.work {
