--- a/admission/admission.go
+++ b/admission/admission.go
@@ -141,7 +141,7 @@
 	added     map[string]Job
 	addedWork Sums
 	arrivals  arrivals
-	// offered averages the rate of all jobs that were checked, including refused ones.
+	// offered averages the rate of all jobs that were checked, including refused ones, without retries.
 	offered arrivals
 	reservations
 	// byCustomer is reused by each estimate.
@@ -199,7 +199,10 @@
 	if !e.known || job.Objective <= 0 {
 		return nil
 	}
-	e.offered.add(now, job.Class, job.Work)
+	if _, retried := e.reserved[job.ID]; !retried {
+		// Refusals must not raise the rate by their retries.
+		e.offered.add(now, job.Class, job.Work)
+	}
 	estimate := e.estimate(now, job)
 	if estimate.excess <= estimateTolerance {
 		return nil
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -227,6 +227,20 @@
 	must.NotNil(t, e.Check(0, job("d", "small", 0, 5)), must.Sprint("beyond its share"))
 }
 
+// Guards against an overload that keeps itself up: refused jobs that retry counted as further offered work.
+func TestRetriesDontCountAsOfferedWork(t *testing.T) {
+	s := snapshot(10, nil)
+	s.Pools["s"] = Room{Total: cores(10)}
+	e := updated(s)
+	e.Add(0, job("queued", "", 0, 40))
+	refused := job("refused", "", 0, 1)
+	for i := range 10 {
+		must.NotNil(t, e.Check(time.Duration(i)*100*time.Millisecond, refused))
+	}
+	offered, _ := e.offered.rates(time.Second, refused.Class, nil)
+	must.LessEq(t, refused.Work.OnWorkers.MilliCPU, offered.all.MilliCPU)
+}
+
 // Guards against refusing for what ran seconds ago, while the leader can't decide.
 func TestRunningWorkEndsWithoutDecisions(t *testing.T) {
 	s := snapshot(10, nil)
