--- a/admission/admission.go
+++ b/admission/admission.go
@@ -142,7 +142,7 @@
 	addedWork Sums
 	arrivals  arrivals
 	// offered averages the rate of all jobs that were checked, including refused ones, without retries.
-	offered arrivals
+	offered offers
 	reservations
 	// byCustomer is reused by each estimate.
 	byCustomer map[string]resource.Amount
@@ -150,7 +150,7 @@
 
 // NewEstimator returns an estimator that refuses nothing before its first snapshot.
 func NewEstimator() *Estimator {
-	return &Estimator{added: map[string]Job{}, addedWork: Sums{}, arrivals: newArrivals(arrivalPeriod), offered: newArrivals(overloadPeriod), reservations: newReservations(), byCustomer: map[string]resource.Amount{}}
+	return &Estimator{added: map[string]Job{}, addedWork: Sums{}, arrivals: newArrivals(arrivalPeriod), offered: newOffers(), reservations: newReservations(), byCustomer: map[string]resource.Amount{}}
 }
 
 // Update replaces the snapshot.
@@ -167,6 +167,7 @@
 		}
 	}
 	e.expire(now)
+	e.offered.expire(now)
 }
 
 // Add counts an accepted job until a snapshot includes it, and ends its reservation.
@@ -199,10 +200,7 @@
 	if !e.known || job.Objective <= 0 {
 		return nil
 	}
-	if _, retried := e.reserved[job.ID]; !retried {
-		// Refusals must not raise the rate by their retries.
-		e.offered.add(now, job.Class, job.Work)
-	}
+	e.offered.add(now, job)
 	estimate := e.estimate(now, job)
 	if estimate.excess <= estimateTolerance {
 		return nil
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -232,7 +232,7 @@
 	s := snapshot(10, nil)
 	s.Pools["s"] = Room{Total: cores(10)}
 	e := updated(s)
-	e.Add(0, job("queued", "", 0, 40))
+	e.Add(0, job("queued", "", 0, 1000))
 	refused := job("refused", "", 0, 1)
 	for i := range 10 {
 		must.NotNil(t, e.Check(time.Duration(i)*100*time.Millisecond, refused))
--- a/admission/arrivals.go
+++ b/admission/arrivals.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -40,6 +41,34 @@
 	a.work.Add(class, work)
 }
 
+// offers averages the rate of offered work. A job counts once however often it is retried: otherwise refusals
+// would raise the rate by which jobs are refused.
+type offers struct {
+	arrivals
+	// countedAt holds when each of the latest jobs was counted, at most maxOffers.
+	countedAt map[string]time.Duration
+}
+
+// maxOffers bounds the jobs that are remembered. Beyond it, further jobs aren't counted, which refuses less.
+const maxOffers = 16_384
+
+func newOffers() offers {
+	return offers{arrivals: newArrivals(overloadPeriod), countedAt: map[string]time.Duration{}}
+}
+
+func (o *offers) add(now time.Duration, job *Job) {
+	if _, counted := o.countedAt[job.ID]; counted || len(o.countedAt) >= maxOffers {
+		return
+	}
+	o.countedAt[job.ID] = now
+	o.arrivals.add(now, job.Class, job.Work)
+}
+
+// expire forgets the jobs that were counted longer ago than callers retry.
+func (o *offers) expire(now time.Duration) {
+	maps.DeleteFunc(o.countedAt, func(_ string, at time.Duration) bool { return now-at > maxReservationTime+reservationGrace })
+}
+
 func scaled(a resource.Amount, factor float64) resource.Amount {
 	field := func(n int64) int64 { return int64(float64(n) * factor) }
 	return resource.Amount{MilliCPU: field(a.MilliCPU), MemoryMB: field(a.MemoryMB), Accelerators: field(a.Accelerators)}
