--- a/internal/overload/limiter.go
+++ b/internal/overload/limiter.go
@@ -56,20 +56,20 @@
 
 // DefaultBounds returns the bounds of a core instance.
 //
-// At most 32 submissions and 32 reads can be runnable at once. With some 0.4 ms of processor time until
-// each blocks again, that is about maxDelay. Usually, 120 submissions per second with commits of 30 ms keep
-// 4 calls in service, and 350 reads per second keep fewer. So a quarter of the bounds is enough.
+// At most 32 submissions and 32 reads can be runnable at once, which take about maxDelay until each blocks
+// again. A hundred submissions per second with commits of 30 ms keep 3 calls in service, so a quarter of the
+// bounds is enough for usual loads.
 func DefaultBounds() Bounds {
 	return Bounds{
 		ClassLog: {InService: math.MaxInt, MinInService: math.MaxInt},
-		// Each of some 1,100 workers may keep one heartbeat open until there are orders for it, so a lower
-		// bound would let leases expire. A gateway gives up a try after 900 ms.
+		// Each worker may keep one heartbeat open until there are orders for it, so a bound below the number of
+		// workers would let leases expire. A gateway gives up a try after 900 ms.
 		ClassWork: {InService: 2048, MinInService: 2048, Waiting: 4096, MaxWait: 800 * time.Millisecond},
 		// 32 submissions per commit of 30 ms leave the queue, so 213 within the longest wait. After 200 ms
 		// without a response, a gateway searches for another leader.
 		ClassSubmit: {InService: 32, MinInService: 1, Waiting: 213, MaxWait: 200 * time.Millisecond},
-		// After 150 ms without a response, a gateway asks the leader instead of a follower. A read
-		// takes about 1 ms of this processor, so about 100 leave the queue within the longest wait.
+		// After 150 ms without a response, a gateway asks the leader instead of a follower. As many reads may
+		// wait as leave the queue within the longest wait if each takes a millisecond.
 		ClassRead: {InService: 32, MinInService: 1, Waiting: 100, MaxWait: 100 * time.Millisecond},
 	}
 }
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -45,8 +45,8 @@
 	priorDeviation = 0.3
 	priorWeight    = 8
 	// maxSteps, maxRunsPerStep and maxWorkers bound the memory. Larger steps keep their latest
-	// runs; 32 runs make the mean six times as precise as a run. A deployment has up to 1,100
-	// workers, and incarnations that have ended are forgotten.
+	// runs; 32 runs make the mean six times as precise as a run. Incarnations that have ended are
+	// forgotten, so maxWorkers bounds those that run at the same time.
 	maxSteps       = 2048
 	maxRunsPerStep = 32
 	maxWorkers     = 4096
