--- a/admission/admission.go
+++ b/admission/admission.go
@@ -321,7 +321,7 @@
 	minLeftShare = 0.05
 	// sustainedOverload is the multiple of a pool's capacity from which on offered work counts as overload. Below
 	// it, late jobs still run in the gaps that arriving work leaves; the margin covers single large jobs.
-	sustainedOverload = 1.2
+	sustainedOverload = 1.5
 	// maxSlowdown is the most by which arriving work is taken to slow down a job that can still meet its
 	// objective. More would refuse work on days without overload, when single large jobs arrive: what
 	// arrives beyond the room is refused itself.
