speed, dispatch: fast workers are learned, and tight steps prefer them

Cause: a quarter of the workers is fast, not slow. The median worker is one of the slower ones, so nothing lies below it, and no decision preferred the fast ones. Change: a class of fast workers beside the slow ones, learned, committed and restored in the same way.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -39,8 +39,8 @@
 	reservedQueries, reservedNonInteractiveQueries, reservedLongQueries int
 	// rooms is what the limits of customers leave; customers without a limit are missing.
 	rooms map[string]*customerRoom
-	// slow describes the slow workers, by pool; pools without any are missing.
-	slow map[string]slowClass
+	// speeds describes the pools with workers of different speeds.
+	speeds map[string]poolSpeeds
 	// outlooks holds what the steps of each queue show about the adviser's decisions.
 	outlooks []queueOutlook
 	plan     Plan
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -1,95 +1,145 @@
 package dispatch
 
-import "time"
+import (
+	"cmp"
+	"time"
+
+	"github.com/bilberryferry/bilberryferry/speed"
+)
 
 // speedPreference says which workers a step prefers by their speed.
 type speedPreference uint8
 
 const (
-	// anySpeed: no worker of the pool is slow, or neither of the other two holds.
+	// anySpeed: all workers of the pool are of one class, or neither of the other two holds.
 	anySpeed speedPreference = iota
-	// prefersFast: the objective doesn't leave enough time for a run on a slow worker.
+	// prefersFast: the objective doesn't leave enough time for a run on a worker that isn't of the
+	// fastest class.
 	prefersFast
-	// prefersSlow: the objective does, and little is free on the other workers, which is left to
-	// steps that prefer them.
+	// prefersSlow: the objective does, and little is free on the workers of the fastest class, which
+	// is left to steps that prefer them.
 	prefersSlow
 )
 
-// scarceFreePercent is the percentage of the CPU of the workers that aren't slow below which what is
+// scarceFreePercent is the percentage of the CPU of the workers of the fastest class below which what is
 // free there counts as scarce. With more free, tight steps don't need it to be kept for them, and
-// other steps would only end later on slow workers.
+// other steps would only end later on slower workers.
 const scarceFreePercent = 25
 
-// slowClass describes the slow workers of a pool, and the CPU of the others in thousandths of a
-// core.
-type slowClass struct {
+// ordinaryPercent is the speed of workers that are neither slow nor fast.
+const ordinaryPercent = 100
+
+// poolSpeeds describes the workers of a pool by their speed: those of the fastest class that the pool has,
+// and the slower ones.
+type poolSpeeds struct {
+	fastest, slower classSpeed
+}
+
+// classSpeed sums up the speeds of workers and their CPU in thousandths of a core.
+type classSpeed struct {
 	workers, percentSum int
 	free, capacity      int64
 }
 
-// speed returns the mean speed of the slow workers, relative to the median worker.
-func (c slowClass) speed() float64 { return float64(c.percentSum) / float64(100*c.workers) }
+func (c *classSpeed) add(w *Worker) {
+	c.workers++
+	if w.speedClass == speed.Ordinary {
+		c.percentSum += ordinaryPercent
+	} else {
+		c.percentSum += w.SpeedPercent
+	}
+	c.free += max(w.Free.MilliCPU, 0)
+	c.capacity += w.Capacity.MilliCPU
+}
 
-// fastIsScarce reports whether little is free on workers that aren't slow.
-func (c slowClass) fastIsScarce() bool { return c.free*100 < c.capacity*scarceFreePercent }
+// mean returns the mean speed of the workers, relative to the median worker.
+func (c classSpeed) mean() float64 { return float64(c.percentSum) / float64(ordinaryPercent*c.workers) }
+
+// fastestIsScarce reports whether little is free on the workers of the fastest class.
+func (s poolSpeeds) fastestIsScarce() bool {
+	return s.fastest.free*100 < s.fastest.capacity*scarceFreePercent
+}
 
-// recordSpeeds records the slow workers of each pool.
+// minFastDivisor is the inverse of the share of the workers of a pool that must be fast for the class to
+// count. Otherwise the preference of all tight steps would go to a few workers, perhaps found fast by chance.
+const minFastDivisor = 10
+
+// recordSpeeds records the speeds of each pool with workers of more than one class.
 func (p *planner) recordSpeeds() {
 	for service, workers := range p.byService {
-		var c slowClass
+		fastest := setClasses(workers)
+		var speeds poolSpeeds
 		for _, w := range workers {
-			if w.Slow && w.SpeedPercent > 0 {
-				c.workers++
-				c.percentSum += w.SpeedPercent
+			if w.speedClass == fastest {
+				speeds.fastest.add(w)
 			} else {
-				c.free += max(w.Free.MilliCPU, 0)
-				c.capacity += w.Capacity.MilliCPU
+				speeds.slower.add(w)
 			}
 		}
-		if c.workers == 0 {
+		if speeds.slower.workers == 0 {
 			continue
 		}
-		if p.slow == nil {
-			p.slow = map[string]slowClass{}
+		if p.speeds == nil {
+			p.speeds = map[string]poolSpeeds{}
+		}
+		p.speeds[service] = speeds
+	}
+}
+
+// setClasses sets the classes that count for the workers of a pool, and returns the fastest one.
+func setClasses(workers []*Worker) speed.Class {
+	fast := 0
+	for _, w := range workers {
+		if w.Speed == speed.Fast {
+			fast++
+		}
+	}
+	fastest := speed.Slow
+	for _, w := range workers {
+		w.speedClass = w.Speed
+		if w.Speed == speed.Fast && fast*minFastDivisor < len(workers) {
+			w.speedClass = speed.Ordinary
 		}
-		p.slow[service] = c
+		fastest = min(fastest, w.speedClass)
 	}
+	return fastest
 }
 
 // setPreference determines which workers s prefers by their speed.
 func (p *planner) setPreference(s *Step) {
-	class, anySlow := p.slow[s.Service]
+	speeds, unequal := p.speeds[s.Service]
 	switch {
-	case !anySlow:
+	case !unequal:
 		s.preference = anySpeed
-	case s.Copy || p.isTight(s, class.speed()):
+	case s.Copy || p.isTight(s, speeds):
 		// A copy is to end before a run that takes too long. Copies are placed last, so they take
 		// no fast worker from other steps.
 		s.preference = prefersFast
-	case class.fastIsScarce():
+	case speeds.fastestIsScarce():
 		s.preference = prefersSlow
 	default:
 		s.preference = anySpeed
 	}
 }
 
-// isTight reports whether the objective of s leaves too little time for runs on slow workers of
-// the given speed. It does in either of two cases:
+// isTight reports whether the objective of s leaves too little time for runs on the slower workers of its
+// pool. It does in either of two cases:
 //   - The time until Due is shorter than the estimate on such a worker and the adviser's time.
-//   - A run there takes more than Stretch times the estimate. Estimates of short steps are off by up
-//     to 0.9, and for an estimate that is too short the constant part of the objective seems to
-//     leave enough time.
+//   - A run there takes more than Stretch times as long as on a worker of the fastest class. Estimates of
+//     short steps are off by up to 0.9, and for an estimate that is too short the constant part of the
+//     objective seems to leave enough time.
 //
 // A step that has missed its objective isn't tight, since steps that can still meet theirs need the
 // fast workers more.
-func (p *planner) isTight(s *Step, speed float64) bool {
+func (p *planner) isTight(s *Step, speeds poolSpeeds) bool {
 	if s.Lateness > 0 {
 		return false
 	}
-	if s.Stretch > 0 && s.Stretch*speed < 1 {
+	slower := speeds.slower.mean()
+	if s.Stretch > 0 && s.Stretch*slower < speeds.fastest.mean() {
 		return true
 	}
-	needed := time.Duration(float64(s.Spec.EstimateMS) / speed * float64(time.Millisecond))
+	needed := time.Duration(float64(s.Spec.EstimateMS) / slower * float64(time.Millisecond))
 	if s.NeedsPermit && s.ResponseTime != nil {
 		n := p.limits.WorkersPerQuery
 		if s.Spec.Gang {
@@ -100,22 +150,25 @@
 	return s.Due-p.now < needed
 }
 
-// compareFastFirst puts workers that aren't slow first if s prefers them.
+// compareFastFirst puts faster workers first if s prefers them.
 func compareFastFirst(s *Step, a, b *Worker) int {
 	if s.preference != prefersFast {
 		return 0
 	}
-	return compareBools(a.Slow, b.Slow)
+	return cmp.Compare(a.speedClass, b.speedClass)
 }
 
-// compareSlowFirst puts slow workers first if s prefers them.
+// compareSlowFirst puts slower workers first if s prefers them.
 func compareSlowFirst(s *Step, a, b *Worker) int {
 	if s.preference != prefersSlow {
 		return 0
 	}
-	return compareBools(b.Slow, a.Slow)
+	return cmp.Compare(b.speedClass, a.speedClass)
 }
 
+// noRoomRank is the speedRank of workers without room, after those of all classes.
+const noRoomRank = int(speed.Slow) + 1
+
 // speedRank orders workers by their speed for a step of which n tasks fit on the worker. Fast
 // workers without room come after slow ones with room: a late start is better than none.
 func speedRank(s *Step, w *Worker, n int) int {
@@ -123,9 +176,9 @@
 	case s.preference == anySpeed:
 		return 0
 	case n <= 0:
-		return 2
-	case (s.preference == prefersFast) == w.Slow:
-		return 1
+		return noRoomRank
+	case s.preference == prefersSlow:
+		return -int(w.speedClass)
 	}
-	return 0
+	return int(w.speedClass)
 }
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -12,6 +12,7 @@
 import (
 	"time"
 
+	"github.com/bilberryferry/bilberryferry/speed"
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
 
@@ -44,11 +45,13 @@
 	// Penalty is 0 for a healthy worker and higher for one that failed or stalled
 	// recently. Workers with a lower penalty are chosen first.
 	Penalty int
-	// Slow says that runs on the worker take much longer than on others. SpeedPercent is then
-	// its speed in percent of that of the median worker. Steps with a tight objective prefer
-	// workers that aren't slow; while little is free there, other steps prefer slow ones.
-	Slow         bool
+	// Speed says whether runs on the worker take much longer or shorter than on others. SpeedPercent is
+	// then its speed in percent of that of the median worker, 0 otherwise. Steps with a tight objective
+	// prefer the workers of the fastest class; while little is free there, other steps prefer the others.
+	Speed        speed.Class
 	SpeedPercent int
+	// speedClass is Speed as far as the class counts in the pool; see setClasses.
+	speedClass speed.Class
 	// rank is the position of the worker in the order of IDs; it breaks ties.
 	rank int
 }
--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bilberryferry/bilberryferry/speed"
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
 
@@ -88,9 +89,14 @@
 	return s.failures
 }
 
-// isSlow reports whether the worker's runs take much longer than those of the same steps on
+// speedClass says whether the worker's runs take much longer or shorter than those of the same steps on
 // other workers. t.mu must be held.
-func (s *workerSession) isSlow() bool { return s.speed.Slow && !s.t.disabled.Health }
+func (s *workerSession) speedClass() speed.Class {
+	if s.t.disabled.Health {
+		return speed.Ordinary
+	}
+	return s.speed.Class
+}
 
 // isVerySlow reports whether the worker is so slow that it gets one run at a time, which shows
 // whether it still is. t.mu must be held.
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -8,6 +8,7 @@
 
 	"github.com/bilberryferry/bilberryferry/admission"
 	"github.com/bilberryferry/bilberryferry/dispatch"
+	"github.com/bilberryferry/bilberryferry/speed"
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
 
@@ -141,7 +142,7 @@
 		summary := t.summarizeRuns(s, session, changes, now)
 		workers = append(workers, dispatch.Worker{
 			Worker: state.Worker, Free: free, FreeBeforePlan: free, Releases: summary.releases, Penalty: session.penalty(), Earmarked: t.earmarked[id],
-			Slow: session.isSlow(), SpeedPercent: session.speed.Percent(),
+			Speed: session.speedClass(), SpeedPercent: session.speed.Percent(),
 			Serving: summary.serving, SpareRuns: summary.spareRuns, SpareCPUPercent: session.throttle.share,
 		})
 	}
@@ -223,10 +224,10 @@
 // expectedEnd estimates when a run ends: from its progress if the worker has reported
 // enough of it, else from the job's estimate. A run whose start time isn't known counts
 // as half done. A run that exceeds its estimate is expected to take another tenth of it. On a
-// slow worker the estimate is longer by its speed. t.mu must be held.
+// slow or fast worker the estimate is divided by its speed. t.mu must be held.
 func (s *workerSession) expectedEnd(run workflow.Run, step *workflow.Step, now time.Time) time.Time {
 	estimate := time.Duration(step.EstimateMS) * time.Millisecond
-	if s.isSlow() {
+	if s.speedClass() != speed.Ordinary {
 		estimate = time.Duration(float64(estimate) / s.speed.Relative)
 	}
 	o := s.orders[run.Task]
--- a/internal/control/speeds.go
+++ b/internal/control/speeds.go
@@ -16,7 +16,7 @@
 	// maxExplainedSlowWorkers bounds the slow workers that an explanation lists.
 	maxExplainedSlowWorkers = 10
 	// maxSpeedLogLines bounds the log lines about changes in one classification. A hundred
-	// workers may become slow within a few seconds after a leader has begun.
+	// workers may become slow or fast within a few seconds after a leader has begun.
 	maxSpeedLogLines = 50
 )
 
@@ -34,8 +34,8 @@
 	return learner
 }
 
-// classifySpeeds updates which workers are slow, at most once per speedInterval, and commits the
-// changes. t.mu must be held.
+// classifySpeeds updates which workers are slow or fast, at most once per speedInterval, and commits
+// the changes. t.mu must be held.
 func (t *leaderTerm) classifySpeeds(s *workflow.State, now time.Time) {
 	if now.Sub(t.speedsAt) < speedInterval {
 		return
@@ -47,27 +47,26 @@
 		changes := learner.Classify()
 		for _, change := range changes[:min(len(changes), maxSpeedLogLines)] {
 			e := change.Estimate
-			t.logger.Log("event", "worker_speed", "worker", change.Worker, "service", service, "slow", e.Slow, "very_slow", e.VerySlow,
+			t.logger.Log("event", "worker_speed", "worker", change.Worker, "service", service, "class", e.Class, "very_slow", e.VerySlow,
 				"relative", e.Relative, "uncertainty", e.Uncertainty, "runs", e.Runs)
 		}
 	}
-	slowWorkers := 0
+	workers := map[speed.Class]int64{}
 	var changed []workflow.WorkerSpeed
 	for id, session := range t.sessions {
 		session.speed = t.learnerOf(session.worker.Service).Estimate(id)
-		if session.speed.Slow {
-			slowWorkers++
-		}
-		if state := s.Workers[id]; state != nil && !state.Gone && (state.SpeedPercent > 0) != session.speed.Slow {
+		workers[session.speed.Class]++
+		if state := s.Workers[id]; state != nil && !state.Gone && speed.ClassOfPercent(state.SpeedPercent) != session.speed.Class {
 			changed = append(changed, workflow.WorkerSpeed{Worker: id, SpeedPercent: session.speed.Percent()})
 		}
 	}
-	t.c.cfg.Counters.Set("slow_workers", int64(slowWorkers))
+	t.c.cfg.Counters.Set("slow_workers", workers[speed.Slow])
+	t.c.cfg.Counters.Set("fast_workers", workers[speed.Fast])
 	t.commitSpeeds(changed)
 }
 
-// restoreSpeeds takes over the slow workers from the log: those that an earlier leader found, and
-// those whose session had ended. t.mu must be held.
+// restoreSpeeds takes over the slow and fast workers from the log: those that an earlier leader found,
+// and those whose session had ended. t.mu must be held.
 func (t *leaderTerm) restoreSpeeds(s *workflow.State) {
 	for id, session := range t.sessions {
 		state := s.Workers[id]
@@ -75,15 +74,14 @@
 			continue
 		}
 		learner := t.learnerOf(session.worker.Service)
-		if e := learner.Estimate(id); e.Runs == 0 && !e.Slow {
+		if e := learner.Estimate(id); e.Runs == 0 && e.Class == speed.Ordinary {
 			learner.Restore(id, state.SpeedPercent)
 		}
 	}
 }
 
-// commitSpeeds commits which workers became slow or stopped being slow, unless a commit is in
-// flight. A failed commit needs no retry: the next classification compares with the log again.
-// t.mu must be held.
+// commitSpeeds commits the workers that changed their class, unless a commit is in flight. A failed
+// commit needs no retry: the next classification compares with the log again. t.mu must be held.
 func (t *leaderTerm) commitSpeeds(changed []workflow.WorkerSpeed) {
 	if len(changed) == 0 || t.speedsInFlight {
 		return
@@ -102,7 +100,7 @@
 // t.mu must be held.
 func (t *leaderTerm) explainSpeeds(service string) (slow []SlowWorker, count int) {
 	for id, session := range t.sessions {
-		if e := session.speed; e.Slow && session.worker.Service == service {
+		if e := session.speed; e.Class == speed.Slow && session.worker.Service == service {
 			slow = append(slow, SlowWorker{Worker: id, Speed: e.Relative, Uncertainty: e.Uncertainty, Runs: e.Runs})
 		}
 	}
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -1,6 +1,6 @@
 // Package speed learns how fast workers are from the durations of finished runs. It handles a
-// load of about 1,000 ends of runs per second on a few hundred workers of which some may be slow,
-// where estimates of run times are off by up to 0.9 and 3 runs in 100 take seven times as long.
+// load of about 1,000 ends of runs per second on a few hundred workers of which some may be slow or
+// fast, where estimates of run times are off by up to 0.9 and 3 runs in 100 take seven times as long.
 //
 // Tasks of the same step do the same work, so a run is compared with runs of its step on other
 // workers. A wrong estimate affects all of them alike and cancels out. The package does no I/O,
@@ -18,13 +18,16 @@
 
 const (
 	// MinRuns is the number of compared runs that a worker must have finished before it can
-	// count as slow. With fewer, two or three unlucky runs would decide.
+	// count as slow or fast. With fewer, two or three unlucky runs would decide.
 	MinRuns = 10
 	// slowBelow and slowUntil are speeds relative to the median worker. A worker becomes slow
 	// below the first and stops being slow above the second. Speeds of 0.8 beside 1.0 and 1.25
 	// are ordinary; the gap keeps a worker near the bound from changing its class with each run.
 	slowBelow = 0.7
 	slowUntil = 0.8
+	// A worker becomes fast above fastAbove and stops being fast below fastUntil.
+	fastAbove = 1.5
+	fastUntil = 1.25
 	// verySlowBelow is the relative speed below which a slow worker is very slow.
 	verySlowBelow = 0.4
 	// deviations is how many standard errors the speed must lie below a bound. With fewer, ordinary
@@ -75,7 +78,7 @@
 	runs   int
 	// variance is the weighted variance of what the runs say.
 	variance float64
-	slow     bool
+	class    Class
 	// restoredPercent is the speed that an earlier leader has learned, until enough runs show
 	// the current one; 0 for none.
 	restoredPercent int
@@ -104,22 +107,58 @@
 	// standard error of its logarithm, about the relative error; 0 while no run was compared.
 	Relative, Uncertainty float64
 	// Runs counts the compared runs.
-	Runs int
-	// Slow says that the worker is slow, VerySlow that it is so slow that several runs at a
-	// time would be late.
-	Slow, VerySlow bool
+	Runs  int
+	Class Class
+	// VerySlow says that the worker is so slow that several runs at a time would be late.
+	VerySlow bool
 }
 
-// Percent returns the speed of a slow worker in percent of that of the median worker, at least
-// 1; 0 for a worker that isn't slow.
+// Class classifies a worker by its speed relative to the median worker.
+type Class int8
+
+// Values of Class. The zero value also stands for unknown speeds.
+const (
+	Fast     Class = -1
+	Ordinary Class = 0
+	Slow     Class = 1
+)
+
+// String returns the name of the class in log lines.
+func (c Class) String() string {
+	switch c {
+	case Fast:
+		return "fast"
+	case Slow:
+		return "slow"
+	}
+	return "ordinary"
+}
+
+// ClassOfPercent returns the class of a worker of which Estimate.Percent has returned percent.
+func ClassOfPercent(percent int) Class {
+	switch {
+	case percent == 0:
+		return Ordinary
+	case percent < 100:
+		return Slow
+	}
+	return Fast
+}
+
+// Percent returns the speed of a slow or fast worker in percent of that of the median worker, 1 to 99
+// for a slow one and more than 100 for a fast one; 0 for an ordinary worker.
 func (e Estimate) Percent() int {
-	if !e.Slow {
-		return 0
+	percent := int(math.Round(100 * e.Relative))
+	switch e.Class {
+	case Slow:
+		return min(max(percent, 1), 99)
+	case Fast:
+		return max(percent, 101)
 	}
-	return max(1, int(math.Round(100*e.Relative)))
+	return 0
 }
 
-// Change is a worker that became slow or stopped being slow.
+// Change is a worker that changed its class.
 type Change struct {
 	Worker   string
 	Estimate Estimate
@@ -275,8 +314,8 @@
 	return math.Sqrt(variance / w.weight)
 }
 
-// Classify updates which workers are slow and returns those that changed, in the order of their
-// IDs. It takes time for each worker, so it is called about once a second.
+// Classify updates the classes of the workers and returns the workers that changed theirs, in the order
+// of their IDs. It takes time for each worker, so it is called about once a second.
 func (l *Learner) Classify() []Change {
 	l.judgeFresh()
 	l.recentre()
@@ -286,15 +325,8 @@
 			continue
 		}
 		w.restoredPercent = 0
-		atMost, slow := w.mean+deviations*w.standardError(), w.slow
-		switch {
-		case slow:
-			slow = atMost <= math.Log(slowUntil)
-		case w.runs >= MinRuns:
-			slow = atMost < math.Log(slowBelow)
-		}
-		if slow != w.slow {
-			w.slow = slow
+		if class := w.classify(); class != w.class {
+			w.class = class
 			changes = append(changes, Change{Worker: id, Estimate: w.estimate()})
 		}
 	}
@@ -302,6 +334,25 @@
 	return changes
 }
 
+// classify returns the class that follows from the mean, its uncertainty and the present class.
+func (w *worker) classify() Class {
+	margin := deviations * w.standardError()
+	atMost, atLeast := w.mean+margin, w.mean-margin
+	switch {
+	case w.class == Slow && atMost <= math.Log(slowUntil):
+		return Slow
+	case w.class == Fast && atLeast >= math.Log(fastUntil):
+		return Fast
+	case w.runs < MinRuns:
+		return Ordinary
+	case atMost < math.Log(slowBelow):
+		return Slow
+	case atLeast > math.Log(fastAbove):
+		return Fast
+	}
+	return Ordinary
+}
+
 // recentre makes the median of all measured workers the unit of speed. Comparisons only show
 // ratios of speeds, so without it all means could drift together.
 func (l *Learner) recentre() {
@@ -323,10 +374,10 @@
 	}
 }
 
-// Restore records that an earlier leader found a worker slow, with its speed in percent.
+// Restore records that an earlier leader found a worker slow or fast, with its speed in percent.
 func (l *Learner) Restore(workerID string, percent int) {
 	if w := l.worker(workerID); w != nil && w.runs == 0 && percent > 0 {
-		w.mean, w.weight, w.slow, w.restoredPercent = math.Log(float64(percent)/100), MinRuns/2, true, percent
+		w.mean, w.weight, w.class, w.restoredPercent = math.Log(float64(percent)/100), MinRuns/2, ClassOfPercent(percent), percent
 		w.variance = priorDeviation * priorDeviation
 	}
 }
@@ -359,7 +410,7 @@
 func (w *worker) estimate() Estimate {
 	return Estimate{
 		Relative: math.Exp(w.mean), Uncertainty: w.standardError(), Runs: w.runs,
-		Slow: w.slow, VerySlow: w.slow && w.mean < math.Log(verySlowBelow),
+		Class: w.class, VerySlow: w.class == Slow && w.mean < math.Log(verySlowBelow),
 	}
 }
 
--- a/workflow/apply.go
+++ b/workflow/apply.go
@@ -379,7 +379,7 @@
 	}
 }
 
-// recordSpeeds records which workers are slow. It ignores workers that are gone.
+// recordSpeeds records which workers are slow or fast. It ignores workers that are gone.
 func (s *State) recordSpeeds(speeds []WorkerSpeed) {
 	for _, speed := range speeds {
 		if worker := s.Workers[speed.Worker]; worker != nil && !worker.Gone {
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -227,12 +227,12 @@
 	// Unresolved are the runs that ended with the worker's lease while it is unknown whether
 	// the worker has crashed.
 	Unresolved []RunEnd `cbor:"12,keyasint,omitempty"`
-	// SpeedPercent is the speed of a slow worker in percent of that of the median worker; 0 if
-	// the worker isn't known to be slow.
+	// SpeedPercent is the speed of a slow or fast worker in percent of that of the median worker; 0 if
+	// the worker isn't known to be either.
 	SpeedPercent int `cbor:"16,keyasint,omitempty"`
 }
 
-// WorkerSpeed says that a worker became slow or, with SpeedPercent 0, stopped being slow.
+// WorkerSpeed says that a worker became slow or fast or, with SpeedPercent 0, ordinary.
 type WorkerSpeed struct {
 	Worker       string `cbor:"1,keyasint"`
 	SpeedPercent int    `cbor:"2,keyasint,omitempty"`
