control: decisions let other goroutines run every 2 ms

Cause: decisions take 15 to 35 ms on the leader's share of a core, the runtime interrupts them after 10 ms at the earliest, and the scheduling delay that the gate measures exceeds 25 ms without any flood. Ruled out: the bounds themselves. Change: with load control on, a decision calls Gosched between two steps when 2 ms have passed.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -77,6 +77,9 @@
 	p.holdBackQueries()
 	for _, s := range chosen {
 		p.planStep(s)
+		if limits.Yield != nil {
+			limits.Yield()
+		}
 	}
 	p.releaseQueries()
 	p.queryRoundRobin()
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -231,6 +231,8 @@
 	// more than LongQueryTime. With LongQueryTime 0 no query is long.
 	LongQueries   int
 	LongQueryTime time.Duration
+	// Yield, if not nil, is called after each step, so that the caller can let other goroutines run.
+	Yield func()
 	// Steps is the maximum number of steps that one decision considers; 0 for no bound.
 	Steps int
 	// Round is the sequence number of the decision. It selects which of the steps
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"runtime"
 	"time"
 
 	"github.com/bilberryferry/bilberryferry/dispatch"
@@ -107,6 +108,7 @@
 	t.c.cfg.Counters.Set("adviser_connections_interactive", int64(free.reservedInteractive))
 	if t.c.cfg.LoadControl {
 		limits.InteractiveQueryTime = interactiveQueryThreshold
+		limits.Yield = newYielder(time.Now, runtime.Gosched).yield
 	}
 	limits.Disabled = t.disabled
 	return limits
--- /dev/null
+++ b/internal/control/yield.go
@@ -0,0 +1,30 @@
+package control
+
+import "time"
+
+// maxUninterruptedPlanning is how long a decision plans before other goroutines get their turn.
+// The runtime interrupts a goroutine only after 10 ms. While decisions take 20 ms and more,
+// each call and each report waits that long several times on the leader's only processor, and
+// the delay makes the gate of package overload refuse calls that don't cause it.
+const maxUninterruptedPlanning = 2 * time.Millisecond
+
+// yielder lets other goroutines run during a decision.
+type yielder struct {
+	now       func() time.Time
+	gosched   func()
+	runningAt time.Time
+}
+
+// newYielder returns a yielder for a decision that begins now. gosched lets other goroutines run.
+func newYielder(now func() time.Time, gosched func()) *yielder {
+	return &yielder{now: now, gosched: gosched, runningAt: now()}
+}
+
+// yield lets other goroutines run if none could for maxUninterruptedPlanning.
+func (y *yielder) yield() {
+	if y.now().Sub(y.runningAt) < maxUninterruptedPlanning {
+		return
+	}
+	y.gosched()
+	y.runningAt = y.now()
+}
