oplog: gauges by the value of a label

Cause: gauges by customer must disappear when a customer is no longer among the largest, or when the leader's term ends. A gauge that was set stayed for the life of the process. Ruled out: the customer in the name of the gauge: names may hold any character, and nothing removes old ones. Change: Metrics.SetByLabel replaces all values of a gauge; values of labels are escaped. Test: TestLabelledGaugesReplaceEarlierOnes.

--- a/internal/oplog/metrics.go
+++ b/internal/oplog/metrics.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -25,12 +26,22 @@
 	mu         sync.Mutex
 	counters   map[string]int64
 	gauges     map[string]int64
+	labelled   map[string]labelledGauge
 	histograms map[string]*hdrhistogram.Histogram
 }
 
+// labelledGauge is a gauge with a value for each value of a label.
+type labelledGauge struct {
+	label  string
+	values map[string]int64
+}
+
 // NewMetrics returns Metrics without any values.
 func NewMetrics() *Metrics {
-	return &Metrics{counters: map[string]int64{}, gauges: map[string]int64{}, histograms: map[string]*hdrhistogram.Histogram{}}
+	return &Metrics{
+		counters: map[string]int64{}, gauges: map[string]int64{}, labelled: map[string]labelledGauge{},
+		histograms: map[string]*hdrhistogram.Histogram{},
+	}
 }
 
 // Add adds n to the counter with the name.
@@ -47,6 +58,14 @@
 	m.gauges[name] = n
 }
 
+// SetByLabel sets the gauge with the name for each value of a label, and removes it for all others. The
+// caller bounds their number and must not change values afterwards.
+func (m *Metrics) SetByLabel(name, label string, values map[string]int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.labelled[name] = labelledGauge{label, values}
+}
+
 // Observe records a duration in the histogram with the name. It clamps durations to the
 // histogram's bounds.
 func (m *Metrics) Observe(name string, d time.Duration) {
@@ -80,6 +99,14 @@
 			return err
 		}
 	}
+	for _, name := range sortedKeys(m.labelled) {
+		gauge := m.labelled[name]
+		for _, value := range sortedKeys(gauge.values) {
+			if _, err := fmt.Fprintf(w, "bilberry_%s{%s=\"%s\"} %d\n", name, gauge.label, labelEscapes.Replace(value), gauge.values[value]); err != nil {
+				return err
+			}
+		}
+	}
 	for _, name := range sortedKeys(m.histograms) {
 		h := m.histograms[name]
 		for _, q := range percentiles {
@@ -96,6 +123,9 @@
 	return nil
 }
 
+// labelEscapes escapes the value of a label as the Prometheus text format requires.
+var labelEscapes = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
+
 func sortedKeys[V any](m map[string]V) []string {
 	keys := make([]string, 0, len(m))
 	for k := range m {
--- a/internal/oplog/oplog_test.go
+++ b/internal/oplog/oplog_test.go
@@ -64,3 +64,13 @@
 	must.StrContains(t, w.Body.String(), `bilberry_commit_seconds_count 1`)
 	must.StrContains(t, w.Body.String(), `bilberry_commit_seconds{quantile="0.5"} 0.012`)
 }
+
+// Guards against a label that breaks the line, and against gauges of earlier label values that stay.
+func TestLabelledGaugesReplaceEarlierOnes(t *testing.T) {
+	m := NewMetrics()
+	m.SetByLabel("running", "customer", map[string]int64{"gone": 1})
+	m.SetByLabel("running", "customer", map[string]int64{"a\"\n\\": 2, "b": 3})
+	w := httptest.NewRecorder()
+	m.ServeHTTP(w, nil)
+	must.Eq(t, `bilberry_running{customer="a\"\n\\"} 2`+"\n"+`bilberry_running{customer="b"} 3`+"\n", w.Body.String())
+}
