control: the leader's call Customers, and gauges of the 20 largest customers

Cause: operators saw refusals by customer only in log lines, for one second each and only with load control; usage beside the limit, due share and queued work by customer weren't shown (LOAD.md, part 8). Ruled out: counters in the replicated log: refused submissions would cost commits when there is most to do. The counts behind event=admission as they are: they restart with each line, and leave out jobs that exceed their customer's limit. Change: the leader counts submissions by customer and outcome for its term, also without load control. Customers returns these with usage, limit, weight, due share, queued work and the oldest waiting job, after a log barrier, so that a changed configuration shows at once. Counts of customers that are neither configured nor have work are removed. Tests: TestCustomersTellWhatRunsAndWaits, TestCustomersFollowTheConfigurationAtOnce, TestCustomersTellRefusalsByReason, TestCustomersOfANewLeaderCountFromItsTerm, TestCustomerGaugesAreBounded. Ten changes to the code, one at a time, each made one of them fail; without the barrier none failed, because the fake log applies commands at once.

--- a/customer/share.go
+++ b/customer/share.go
@@ -4,13 +4,27 @@
 // weight gives it among the customers that queue something and itself. queued counts what each
 // customer queues; work without a customer, under the empty name, has the weight of an average one.
 func (d *Directory) QueueShare(n int, name string, queued map[string]int) int {
-	total := d.queueWeight(name)
+	weight, total := d.weightAmong(name, queued)
+	return int(float64(n) * weight / total)
+}
+
+// Share returns the share of a customer as QueueShare does, as a part of 1.
+func (d *Directory) Share(name string, queued map[string]int) float64 {
+	weight, total := d.weightAmong(name, queued)
+	return weight / total
+}
+
+// weightAmong returns the weight of a customer, and the sum of the weights of the customers that queue
+// something and itself.
+func (d *Directory) weightAmong(name string, queued map[string]int) (weight, total float64) {
+	weight = d.queueWeight(name)
+	total = weight
 	for other, count := range queued {
 		if other != name && count > 0 {
 			total += d.queueWeight(other)
 		}
 	}
-	return int(float64(n) * d.queueWeight(name) / total)
+	return weight, total
 }
 
 // queueWeight returns the weight of a customer in a queue, which is above 0, so that nobody is kept
--- a/internal/carrier/fake_test.go
+++ b/internal/carrier/fake_test.go
@@ -252,9 +252,10 @@
 // noCounters discards all counts.
 type noCounters struct{}
 
-func (noCounters) Add(string, int64)             {}
-func (noCounters) Set(string, int64)             {}
-func (noCounters) Observe(string, time.Duration) {}
+func (noCounters) Add(string, int64)                           {}
+func (noCounters) Set(string, int64)                           {}
+func (noCounters) Observe(string, time.Duration)               {}
+func (noCounters) SetByLabel(string, string, map[string]int64) {}
 
 // start sends a start to a worker with a timeout of startTimeout.
 func (c *cluster) start(worker string) error {
--- a/internal/control/admission.go
+++ b/internal/control/admission.go
@@ -146,10 +146,11 @@
 		return nil
 	}
 	counts.refused++
-	counter := "jobs_refused_cluster_wait"
+	counter, total := "jobs_refused_cluster_wait", &t.submissionsOf(submission.Customer).RefusedCluster
 	if refusal.Bottleneck == admission.CustomerLimit {
-		counter = "jobs_refused_limit_wait"
+		counter, total = "jobs_refused_limit_wait", &t.submissionsOf(submission.Customer).RefusedLimit
 	}
+	*total++
 	t.c.cfg.Counters.Add(counter, 1)
 	return fault.Retry(fault.Overloaded, refusal.RetryAfter, "expected to wait %d ms for %s; worth nothing after %d ms",
 		refusal.Wait.Milliseconds(), refusal.Bottleneck, (admission.WorthlessAfterObjectives * job.Objective).Milliseconds())
@@ -181,12 +182,12 @@
 
 // countRefused counts a job of a customer that was refused because the queue is full.
 func (t *leaderTerm) countRefused(customerName string) {
-	if t.admission == nil {
-		return
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.admissionCounts.of(customerName).refused++
+	t.submissionsOf(customerName).RefusedQueue++
+	if t.admission != nil {
+		t.admissionCounts.of(customerName).refused++
+	}
 }
 
 // logRefused logs that a job is refused. With load control the number of lines is bounded.
--- a/internal/control/admit.go
+++ b/internal/control/admit.go
@@ -24,9 +24,14 @@
 
 // setQueueLength records how many steps the last decision found queued, speculative copies
 // excluded. Steps that wait only for their customer's limit count for their customer, but not for
-// all: they take no part in decisions, and must not make the queue full for others.
+// all: they take no part in decisions, and must not make the queue full for others. It also records
+// the capacity of the usable workers.
 func (t *leaderTerm) setQueueLength(input *planInput, plan *dispatch.Plan) {
 	queued, byCustomer := 0, map[string]int{}
+	var capacity workflow.Resources
+	for i := range input.workers {
+		capacity = capacity.Plus(input.workers[i].Capacity)
+	}
 	for i := range input.steps {
 		if s := &input.steps[i]; !s.Copy {
 			queued++
@@ -40,7 +45,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.queuedSteps, t.queuedByCustomer = queued, byCustomer
+	t.queuedSteps, t.queuedByCustomer, t.usableCapacity = queued, byCustomer, capacity
 }
 
 // admitSubmission returns a fault if a new job is to be refused. Otherwise it records that the job is
@@ -68,6 +73,7 @@
 		if err := t.admitByEstimate(job, now); err != nil {
 			return nil, err
 		}
+		t.submissionsOf(job.Customer).Admitted++
 	}
 	t.pendingSubmits[job.ID]++
 	return func() { t.endSubmission(job.ID) }, nil
@@ -158,6 +164,9 @@
 		return nil
 	}
 	t.c.cfg.Counters.Add("jobs_refused_limit", 1)
+	t.mu.Lock()
+	t.submissionsOf(name).RefusedLimit++
+	t.mu.Unlock()
 	return fault.New(fault.Infeasible, "step %d needs more at a time than the limit of the customer allows", step)
 }
 
--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -233,6 +233,64 @@
 	Maintenances []workflow.Maintenance `cbor:"2,keyasint,omitempty"`
 }
 
+// CustomersReply holds the figures of all customers, sorted by name.
+type CustomersReply struct {
+	// Term is the leader's term in the log. The counters start with it: at CountedSinceMS, in Unix
+	// milliseconds by the leader's clock, which is CountedFor ago.
+	Term           uint64           `cbor:"1,keyasint"`
+	CountedSinceMS int64            `cbor:"2,keyasint"`
+	CountedFor     time.Duration    `cbor:"3,keyasint"`
+	Customers      []CustomerStatus `cbor:"4,keyasint,omitempty"`
+	// Capacity is that of the workers that the last full decision could use; it is unset before the
+	// first one of the term.
+	Capacity workflow.Resources `cbor:"5,keyasint"`
+}
+
+// CustomerStatus holds the figures of one customer.
+type CustomerStatus struct {
+	// Name is empty for work without a customer. What such work has running isn't counted.
+	Name string `cbor:"1,keyasint,omitempty"`
+	// Removed says that the configuration in force has no customer with this name any more.
+	Removed     bool             `cbor:"2,keyasint,omitempty"`
+	Submissions SubmissionCounts `cbor:"3,keyasint"`
+	// Running is what counts against Limit. A field of Limit is 0 for none.
+	Running workflow.Resources `cbor:"4,keyasint"`
+	Limit   workflow.Resources `cbor:"5,keyasint"`
+	Weight  float64            `cbor:"6,keyasint,omitempty"`
+	// Share is the part that the weight gives the customer, from 0 to 1, among the customers that
+	// have queued tasks and itself. Due is this part of the capacity, at most the limit.
+	Share float64            `cbor:"7,keyasint,omitempty"`
+	Due   workflow.Resources `cbor:"8,keyasint"`
+	// QueuedTasks haven't started, including those of steps that aren't ready; tasks of scheduled
+	// occurrences count once these are due. QueuedCoreMS is their work by their estimates, without
+	// long-running tasks, whose work is unknown.
+	QueuedTasks  int   `cbor:"9,keyasint,omitempty"`
+	QueuedCoreMS int64 `cbor:"10,keyasint,omitempty"`
+	// WaitingJobs counts the accepted jobs of which no task has started, and OldestWait is the age of
+	// the oldest of them.
+	WaitingJobs int           `cbor:"11,keyasint,omitempty"`
+	OldestWait  time.Duration `cbor:"12,keyasint,omitempty"`
+}
+
+// SubmissionCounts counts the submissions of a customer that reached the leader in its term. Each call
+// counts, so a job that is refused and submitted again counts twice. Repeated calls for a job that is
+// committed or being committed don't count.
+type SubmissionCounts struct {
+	// Admitted also counts jobs whose commit failed afterwards.
+	Admitted int64 `cbor:"1,keyasint,omitempty"`
+	// RefusedQueue counts refusals because the queue is full, RefusedLimit those because of the
+	// customer's limit, and RefusedCluster those because of the expected wait for the cluster.
+	RefusedQueue   int64 `cbor:"2,keyasint,omitempty"`
+	RefusedLimit   int64 `cbor:"3,keyasint,omitempty"`
+	RefusedCluster int64 `cbor:"4,keyasint,omitempty"`
+}
+
+// Refused returns the number of refused submissions.
+func (c SubmissionCounts) Refused() int64 { return c.RefusedQueue + c.RefusedLimit + c.RefusedCluster }
+
+// Offered returns the number of admitted and refused submissions.
+func (c SubmissionCounts) Offered() int64 { return c.Admitted + c.Refused() }
+
 // Method names of the calls between instances.
 const (
 	MethodSubmit           = "submit"
@@ -248,4 +306,5 @@
 	MethodStartWave        = "start_wave"
 	MethodWaveState        = "wave_state"
 	MethodExplain          = "explain"
+	MethodCustomers        = "customers"
 )
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -69,6 +69,8 @@
 	Add(name string, n int64)
 	// Set sets a gauge to n.
 	Set(name string, n int64)
+	// SetByLabel sets a gauge for each value of a label, and removes the gauge for all others.
+	SetByLabel(name, label string, values map[string]int64)
 	// Observe records one duration.
 	Observe(name string, d time.Duration)
 }
--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -368,9 +368,10 @@
 
 type noCounters struct{}
 
-func (noCounters) Add(string, int64)             {}
-func (noCounters) Set(string, int64)             {}
-func (noCounters) Observe(string, time.Duration) {}
+func (noCounters) Add(string, int64)                           {}
+func (noCounters) Set(string, int64)                           {}
+func (noCounters) Observe(string, time.Duration)               {}
+func (noCounters) SetByLabel(string, string, map[string]int64) {}
 
 // testCluster is a controller that leads, with a fake log and fake workers.
 type testCluster struct {
--- a/internal/control/leader_term.go
+++ b/internal/control/leader_term.go
@@ -83,6 +83,12 @@
 	admissionSnapshot admission.Snapshot
 	admissionCounts   admissionCounts
 	admissionLoggedAt time.Time
+	// submissions counts submissions by customer since the start of the term; the empty name stands
+	// for none. customerGaugesAt is when the gauges by customer were last set.
+	submissions      map[string]*SubmissionCounts
+	customerGaugesAt time.Time
+	// usableCapacity is the capacity of the workers that the last full decision could use.
+	usableCapacity workflow.Resources
 	// responseTime is the moving mean of the response times of start calls, minResponseTime
 	// is the shortest of them.
 	responseTime, minResponseTime time.Duration
@@ -172,6 +178,7 @@
 		endedAt:               map[string]time.Time{},
 		checkpoints:           map[workflow.TaskKey]string{},
 		proposedStarts:        map[workflow.TaskKey]string{},
+		submissions:           map[string]*SubmissionCounts{},
 	}
 	if suspended, err := t.suspendedTime(); err == nil {
 		t.suspendedBefore = suspended
@@ -224,6 +231,7 @@
 	}
 	t.planLoop()
 	t.goroutines.wait()
+	t.clearCustomerGauges()
 }
 
 // spawn runs f in a goroutine that run waits for.
--- a/internal/control/load_test.go
+++ b/internal/control/load_test.go
@@ -20,6 +20,9 @@
 func (g gauges) Set(name string, n int64)    { g[name] = n }
 func (gauges) Observe(string, time.Duration) {}
 
+// SetByLabel records the number of values.
+func (g gauges) SetByLabel(name, _ string, values map[string]int64) { g[name] = int64(len(values)) }
+
 // observedTerm returns a leader term, the buffer that receives its log lines, and its
 // gauges.
 func observedTerm() (*leaderTerm, *bytes.Buffer, gauges) {
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -95,6 +95,7 @@
 	t.reportLoad(&input, &plan, start)
 	t.setQueueLength(&input, &plan)
 	t.reportAdmission(start)
+	t.reportCustomers(start)
 	t.applyPlan(&plan, input.copyCandidates)
 }
 
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -35,6 +35,7 @@
 	link.Handle(mux, MethodStartWave, c.StartWave)
 	link.Handle(mux, MethodWaveState, c.WaveState)
 	link.Handle(mux, MethodExplain, c.Explain)
+	link.Handle(mux, MethodCustomers, c.Customers)
 	mux.SetVersion(c.configurationVersion)
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -35,6 +35,7 @@
 // must not be told that the outcome is unknown.
 var readOnlyMethods = map[string]bool{
 	control.MethodState: true, control.MethodEnded: true, control.MethodExplain: true, control.MethodConfiguration: true, control.MethodWaveState: true,
+	control.MethodCustomers: true,
 }
 
 // informingMethods are the methods whose successful responses name the version that a leader has in force
--- a/internal/instance/call_classes.go
+++ b/internal/instance/call_classes.go
@@ -27,6 +27,7 @@
 	control.MethodState:         overload.ClassRead,
 	control.MethodEnded:         overload.ClassRead,
 	control.MethodExplain:       overload.ClassRead,
+	control.MethodCustomers:     overload.ClassRead,
 	control.MethodConfiguration: overload.ClassRead,
 }
 
--- a/internal/instance/operations.go
+++ b/internal/instance/operations.go
@@ -197,6 +197,11 @@
 	return call(ctx, o, control.MethodExplain, r, (*control.Controller).Explain)
 }
 
+// Customers returns the figures of all customers.
+func (o *Operations) Customers(ctx context.Context) (control.CustomersReply, error) {
+	return call(ctx, o, control.MethodCustomers, &control.Empty{}, (*control.Controller).Customers)
+}
+
 // StartWave starts a maintenance wave.
 func (o *Operations) StartWave(ctx context.Context, r *control.WaveCall) error {
 	_, err := call(ctx, o, control.MethodStartWave, r, (*control.Controller).StartWave)
--- a/workflow/owner.go
+++ b/workflow/owner.go
@@ -32,6 +32,11 @@
 	return s.customers.QueueShare(n, name, queued)
 }
 
+// CustomerShare returns the share of a customer as a part of 1; see customer.Directory.
+func (s *State) CustomerShare(name string, queued map[string]int) float64 {
+	return s.customers.Share(name, queued)
+}
+
 // VisibleTo reports whether a customer may see and cancel the job: its owner may, and anybody if it
 // belongs to nobody.
 func (j *Job) VisibleTo(customer string) bool { return j.Customer == "" || j.Customer == customer }
