api, cli: bilberry customers

Cause: the leader's figures by customer had no way to operators (LOAD.md, part 8). Ruled out: a field in an existing message: it needs generated code too, and no message is about customers.

--- a/internal/apiserver/apiserver.go
+++ b/internal/apiserver/apiserver.go
@@ -36,6 +36,7 @@
 	State(ctx context.Context, r *control.StateCall) (control.StateReply, error)
 	Cancel(ctx context.Context, r *control.CancelCall) error
 	Explain(ctx context.Context, r *control.ExplainCall) (control.ExplainReply, error)
+	Customers(ctx context.Context) (control.CustomersReply, error)
 	StartWave(ctx context.Context, r *control.WaveCall) error
 	WaveState(ctx context.Context, r *control.WaveStateCall) (control.WaveStateReply, error)
 }
--- a/internal/apiserver/apiserver_test.go
+++ b/internal/apiserver/apiserver_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/bilberryferry/bilberryferry/api/v1"
 	"github.com/bilberryferry/bilberryferry/dispatch"
@@ -53,6 +54,14 @@
 	}, f.err
 }
 
+func (f *fakeLeader) Customers(context.Context) (control.CustomersReply, error) {
+	return control.CustomersReply{Term: 3, CountedSinceMS: 5000, CountedFor: 2 * time.Second, Capacity: workflow.Resources{MilliCPU: 8}, Customers: []control.CustomerStatus{{
+		Name: "c", Removed: true, Submissions: control.SubmissionCounts{Admitted: 1, RefusedQueue: 2, RefusedLimit: 3, RefusedCluster: 4},
+		Running: workflow.Resources{MilliCPU: 5}, Limit: workflow.Resources{MilliCPU: 6}, Weight: 1.5, Share: 0.25, Due: workflow.Resources{MilliCPU: 2},
+		QueuedTasks: 7, QueuedCoreMS: 8, WaitingJobs: 9, OldestWait: 10 * time.Millisecond,
+	}}}, f.err
+}
+
 func (f *fakeLeader) StartWave(_ context.Context, r *control.WaveCall) error {
 	f.wave = r
 	return f.err
@@ -109,6 +118,19 @@
 	}, f.submitted)
 }
 
+// Guards against figures of customers in the wrong field.
+func TestCustomersAreTranslated(t *testing.T) {
+	status, err := newClient(t, &fakeLeader{}, token).GetCustomers(t.Context(), &apiv1.CustomersRequest{})
+	must.NoError(t, err)
+	must.True(t, proto.Equal(&apiv1.CustomersStatus{
+		Term: 3, CountedSinceUnixMs: 5000, CountedForMs: 2000, Capacity: &apiv1.Resources{CpuMilli: 8}, Customers: []*apiv1.CustomerStatus{{
+			Name: "c", Removed: true, Offered: 10, Admitted: 1, RefusedQueue: 2, RefusedLimit: 3, RefusedCluster: 4,
+			Running: &apiv1.Resources{CpuMilli: 5}, Limit: &apiv1.Resources{CpuMilli: 6, MemoryMib: -1, Accelerators: -1}, Weight: 1.5, Share: 0.25,
+			Due: &apiv1.Resources{CpuMilli: 2}, QueuedTasks: 7, QueuedCoreMs: 8, WaitingJobs: 9, OldestWaitMs: 10,
+		}},
+	}, status), must.Sprint(status))
+}
+
 func TestInvalidCallErrorNamesTheField(t *testing.T) {
 	validSteps := []*apiv1.Step{{Tasks: 1}}
 	for field, r := range map[string]*apiv1.SubmitWorkflowRequest{
--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -163,6 +163,6 @@
 	return []*command{
 		submitCommand(), statusCommand(), watchCommand(), cancelCommand(), scaleCommand(), explainCommand(),
 		drainCommand(), undrainCommand(), configCommand(), quotaCommand(), workersCommand(), instancesCommand(),
-		replaceInstanceCommand(), workflowCommand(), waveCommand(), timelineCommand(), checkSettingsCommand(), versionCommand(), completionCommand(),
+		replaceInstanceCommand(), workflowCommand(), customersCommand(), waveCommand(), timelineCommand(), checkSettingsCommand(), versionCommand(), completionCommand(),
 	}
 }
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -27,6 +27,8 @@
 type fakeEntry struct {
 	apiv1.Scheduler
 	apiv1.Operations
+	apiv1.Workflows
+	customers *apiv1.CustomersStatus
 	submit    func(*apiv1.SubmitRequest) (*apiv1.SubmitResponse, error)
 	cancel    func(*apiv1.CancelRequest) (*apiv1.CancelResponse, error)
 	watch     func(*apiv1.WatchRequest) (*apiv1.StatusResponse, error)
@@ -72,6 +74,13 @@
 	return f.events, nil
 }
 
+func (f *fakeEntry) GetCustomers(context.Context, *apiv1.CustomersRequest) (*apiv1.CustomersStatus, error) {
+	if f.customers == nil {
+		return nil, fault.ToTwirp(fault.New(fault.Unavailable, "no leader is reached"))
+	}
+	return f.customers, nil
+}
+
 func (f *fakeEntry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.mu.Lock()
 	f.calls++
@@ -81,6 +90,10 @@
 		apiv1.NewSchedulerServer(f).ServeHTTP(w, r)
 		return
 	}
+	if strings.HasPrefix(r.URL.Path, apiv1.WorkflowsPathPrefix) {
+		apiv1.NewWorkflowsServer(f).ServeHTTP(w, r)
+		return
+	}
 	apiv1.NewOperationsServer(f).ServeHTTP(w, r)
 }
 
@@ -394,6 +407,25 @@
 	must.SliceEmpty(t, leftovers)
 }
 
+// Guards against an operator who can't tell no limit from a limit of 0, or a removed customer from a
+// configured one, and against a leader that isn't reached but looks like a cell without customers.
+func TestCustomersShowsLimitsAndWhatIsMissing(t *testing.T) {
+	limit, none := &apiv1.Resources{CpuMilli: 2000, MemoryMib: -1, Accelerators: -1}, &apiv1.Resources{CpuMilli: -1, MemoryMib: -1, Accelerators: -1}
+	r := newRunner(t, (&fakeEntry{customers: &apiv1.CustomersStatus{
+		Term: 7, CountedSinceUnixMs: 1000, CountedForMs: 2500, Capacity: &apiv1.Resources{CpuMilli: 8000},
+		Customers: []*apiv1.CustomerStatus{
+			{Limit: none, Share: 0.5}, {Name: "a", Removed: true, Offered: 3, Limit: limit, QueuedCoreMs: 1500, WaitingJobs: 1, OldestWaitMs: 400},
+		},
+	}}).start(t))
+	shown := r.run("customers").stdout
+	must.StrContains(t, shown, "since 1970-01-01T00:00:01Z, for 2.5s, when the leader's term 7 began")
+	must.RegexMatch(t, regexp.MustCompile(`\(none\) .* -  +0 .*50.0 %: 0 cores.* -\na \(removed\) +3 .* 2 cores  .* 1.5 .* 400ms\n`), shown)
+	must.StrContains(t, r.run("customers", "--json").stdout, `"refused_cluster"`)
+	unreached := newRunner(t, (&fakeEntry{}).start(t)).run("customers")
+	must.Eq(t, result{fault.Unavailable.ExitCode(), "", unreached.stderr}, unreached)
+	must.StrContains(t, unreached.stderr, "no leader is reached")
+}
+
 // Authors of scripts rely on docs/CLI.md, so it must list every exit code and command.
 func TestCLIDocNamesEveryExitCodeAndCommand(t *testing.T) {
 	page, err := os.ReadFile("../../docs/CLI.md")
