dispatch, control: the list of granted workers is kept between decisions

A quarter of a decision with many waiting gangs went into iterating over the 200 permits of each gang to find those that are granted. The list changes only with a response of the adviser, so recordReply now makes it, and dispatch.Step carries it beside the map. Callers that don't keep a list leave it nil. An expired ticket changes no grant.

A list made lazily by the decision was ruled out: each response would lengthen the next decision. The benchmarks fill the permits through setKnown, so that they have the list as the leader does.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -314,22 +314,12 @@
 		return ReasonAwaitsAdviser
 	case s.NeedsPermit && len(s.Permits) == 0:
 		return ReasonNoConnection
-	case s.NeedsPermit && !anyGranted(s.Permits):
+	case s.NeedsPermit && len(s.grantedWorkers()) == 0:
 		return ReasonAllRefused
 	}
 	return ""
 }
 
-// anyGranted reports whether one of the permits is granted.
-func anyGranted(permits map[string]Permit) bool {
-	for _, permit := range permits {
-		if permit.Granted {
-			return true
-		}
-	}
-	return false
-}
-
 // addWaiting records that tasks of s wait, and why.
 func (p *planner) addWaiting(s *Step, tasks int, reason Reason) {
 	if s.Copy {
--- a/dispatch/reason.go
+++ b/dispatch/reason.go
@@ -88,10 +88,9 @@
 		s.permitted = filter(p.byService[s.Service], s)
 		return s.permitted
 	}
-	for id, permit := range s.Permits {
-		if !permit.Granted {
-			continue
-		}
+	granted := s.grantedWorkers()
+	s.permitted = make([]*Worker, 0, len(granted))
+	for _, id := range granted {
 		if w := p.byID[id]; eligible(s, w) {
 			s.permitted = append(s.permitted, w)
 		}
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -80,6 +80,18 @@
 	Expires time.Duration
 }
 
+// GrantedWorkers returns the IDs of the workers with a granted permit, in no particular order. It
+// isn't nil.
+func GrantedWorkers(permits map[string]Permit) []string {
+	granted := []string{}
+	for id, permit := range permits {
+		if permit.Granted {
+			granted = append(granted, id)
+		}
+	}
+	return granted
+}
+
 // Step is the input of a decision about a step whose dependencies have ended.
 type Step struct {
 	Key  workflow.StepKey
@@ -104,6 +116,9 @@
 	NeedsPermit bool
 	// Permits are the decisions of the adviser known so far, by worker ID.
 	Permits map[string]Permit
+	// GrantedWorkers is the result of GrantedWorkers(Permits), which the caller keeps between decisions;
+	// nil if it doesn't.
+	GrantedWorkers []string
 	// TicketsExpire is when the last of the step's tickets expires, on the monotonic clock of
 	// the caller; 0 for none.
 	TicketsExpire time.Duration
@@ -139,6 +154,14 @@
 	permittedKnown bool
 }
 
+// grantedWorkers returns the IDs of the workers with a granted permit.
+func (s *Step) grantedWorkers() []string {
+	if s.GrantedWorkers == nil {
+		return GrantedWorkers(s.Permits)
+	}
+	return s.GrantedWorkers
+}
+
 // expectedGrantRate returns the share of the queried workers that the adviser is expected to
 // permit: 1 while nothing is known of the queue.
 func (s *Step) expectedGrantRate() float64 {
--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -102,6 +102,7 @@
 		for k := range size.workers {
 			p.known[fmt.Sprint("w", k)] = dispatch.Permit{Granted: k%3 == i%3, Expires: time.Hour}
 		}
+		p.setKnown(p.known)
 	}
 	return term
 }
@@ -157,6 +158,7 @@
 		for k := range permitsPerGang {
 			p.known[fmt.Sprint("w", (i*permitsPerGang+k)%workers)] = dispatch.Permit{Granted: k%4 == 0, Expires: time.Hour}
 		}
+		p.setKnown(p.known)
 	}
 	for i := range newSteps {
 		submit(fmt.Sprint("new", i), 3, false)
@@ -187,6 +189,7 @@
 		for k := range asked {
 			p.known[fmt.Sprint("w", (len(id)*37+k)%workers)] = dispatch.Permit{Granted: k%grantedEach == 0, Expires: time.Hour}
 		}
+		p.setKnown(p.known)
 	}
 	for i := range gangs {
 		submit(fmt.Sprint("gang", i), workflow.Step{Count: 20, Need: workflow.Resources{MilliCPU: 9_500, MemoryMB: 17_000}, EstimateMS: 4000, Gang: true}, 1, permitsPerGang, 3)
--- a/internal/control/permits.go
+++ b/internal/control/permits.go
@@ -20,6 +20,10 @@
 	// known maps the workers about which the adviser was queried to its permits. The map is
 	// replaced, never modified, because decisions read it without the lock.
 	known map[string]dispatch.Permit
+	// granted lists the workers with a granted permit. It is made once per response, since a decision
+	// about 140 gangs with 200 permits each would spend a quarter of its time on making it. It is
+	// replaced, never modified, like known.
+	granted []string
 	// inFlight counts the queries in flight.
 	inFlight int
 	// lastQueryAt is when the last query was sent or, before the first query, when the
@@ -175,5 +179,10 @@
 		p.ticketsExpire = max(p.ticketsExpire, expires)
 		known[grant.Worker] = dispatch.Permit{Granted: true, Ticket: grant.Ticket, Expires: expires}
 	}
-	p.known = known
+	p.setKnown(known)
+}
+
+// setKnown replaces the permits. leaderTerm.mu must be held.
+func (p *stepPermits) setKnown(known map[string]dispatch.Permit) {
+	p.known, p.granted = known, dispatch.GrantedWorkers(known)
 }
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -316,7 +316,7 @@
 	step.ResponseTime = func(n int) time.Duration { return queryDuration(&advice, n) }
 	step.GrantRate = t.grantRates[job.Queue].mean
 	step.AwaitsResponse, step.Renewing = p.inFlight > 0, p.renewing
-	step.Permits, step.TicketsExpire = p.known, p.ticketsExpire
+	step.Permits, step.GrantedWorkers, step.TicketsExpire = p.known, p.granted, p.ticketsExpire
 	return step
 }
 
