dispatch: a gang that fits nowhere in its pool is skipped early

For each gang a decision looked up its 67 permitted workers by their IDs, only to find that no task fits on nearly all of them. The planner now lists once, for each pool, the workers on which the least demand of all steps fits. A gang whose tasks don't fit on these workers can't start, and its permitted workers needn't be looked up. Free only shrinks during a decision, so no worker is missing.

Going through the roomy workers instead of the granted ones for every step would look up more permits than today while most of the cluster is free.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -15,6 +15,9 @@
 	// byService holds the workers of each pool. Their Free shrinks as the plan grows.
 	byService map[string][]*Worker
 	byID      map[string]*Worker
+	// roomy holds the workers of each pool on which the least demand of the steps fits before the plan.
+	// No task fits on other workers now, since Free only shrinks.
+	roomy map[string][]*Worker
 	// headroom caches the largest free amount of each resource on any worker of a pool.
 	headroom map[string]workflow.Resources
 	// unreservedHeadroom caches the largest amount of each resource that would be free on
@@ -52,15 +55,19 @@
 // SpareRuns fields of workers and the Placed field of steps by what it plans.
 func Decide(now time.Duration, steps []Step, workers []Worker, limits Limits) Plan {
 	p := &planner{
-		now: now, limits: limits, byService: map[string][]*Worker{}, byID: make(map[string]*Worker, len(workers)), headroom: map[string]workflow.Resources{},
+		now: now, limits: limits, byService: map[string][]*Worker{}, byID: make(map[string]*Worker, len(workers)), roomy: map[string][]*Worker{}, headroom: map[string]workflow.Resources{},
 		unreservedHeadroom: map[string]workflow.Resources{}, stopping: map[workflow.TaskKey]bool{}, reservedGangs: map[string]int{}, preemptiblePriority: map[string]int{},
 		rooms: newCustomerRooms(limits.CustomerRoom),
 	}
+	least := leastDemand(steps)
 	for rank, w := range sortedByID(workers) {
 		w.rank = rank
 		p.recordPreemptible(w)
 		p.byService[w.Service] = append(p.byService[w.Service], w)
 		p.byID[w.ID] = w
+		if least.Fits(w.Free) {
+			p.roomy[w.Service] = append(p.roomy[w.Service], w)
+		}
 	}
 	p.recordSpeeds()
 	order := make([]*Step, len(steps))
@@ -96,6 +103,18 @@
 	return order
 }
 
+// leastDemand returns the least amount of each resource that a task of any of the steps occupies.
+func leastDemand(steps []Step) (least workflow.Resources) {
+	for i := range steps {
+		demand := steps[i].Spec.Demand()
+		if i == 0 {
+			least = demand
+		}
+		least = least.Min(demand)
+	}
+	return least
+}
+
 // roundRobinStepDivisor is the inverse of the share of Limits.Steps that a decision chooses
 // round robin instead of by urgency.
 const roundRobinStepDivisor = 4
@@ -385,7 +404,7 @@
 
 // startGang starts all tasks of s or none, and returns how many remain.
 func (p *planner) startGang(s *Step) int {
-	if !s.Spec.Demand().Fits(p.headroomOf(s.Service)) || p.limitFitCount(s) == 0 {
+	if !p.gangFitsInPool(s) || p.limitFitCount(s) == 0 {
 		return len(s.Pending)
 	}
 	chosen := gangWorkers(s, p.candidates(s), len(s.Pending))
@@ -398,6 +417,13 @@
 	return 0
 }
 
+// gangFitsInPool reports whether the pending tasks of a gang fit on the workers of its pool, permitted
+// or not. On a full cluster few workers are roomy, so that this check takes much less time than looking
+// up the permitted workers.
+func (p *planner) gangFitsInPool(s *Step) bool {
+	return fitsOn(s, p.roomy[s.Service], len(s.Pending), fitCount)
+}
+
 // gangWorkers returns a worker for each of n tasks, nil if they don't all fit.
 func gangWorkers(s *Step, usable []*Worker, n int) []*Worker {
 	if s.Spec.SameRack {
--- a/resource/amount.go
+++ b/resource/amount.go
@@ -32,6 +32,13 @@
 	}
 }
 
+// Min returns the smaller of r and other in each resource.
+func (r Amount) Min(other Amount) Amount {
+	return Amount{
+		min(r.MilliCPU, other.MilliCPU), min(r.MemoryMB, other.MemoryMB), min(r.Accelerators, other.Accelerators),
+	}
+}
+
 // Times returns the amount of n tasks that demand r each.
 func (r Amount) Times(n int64) Amount {
 	return Amount{r.MilliCPU * n, r.MemoryMB * n, r.Accelerators * n}
