control: gathering the input of a decision allocates less

The slices of releases and of pending tasks grew from empty, the work by customer was allocated anew for each summary of a worker's runs, and the slice of steps was sized by the waiting steps, which leave out those beyond the bound of a decision. Each run checked for stops and copies looked its job up three times, and each worker wrote the limit of each of its customers back into a map of values.

Slices now have their final size, the work by customer reuses the array of the previous summary (only read under the lock), the slice of steps is sized by the number of steps in the last decision, a job is looked up once per checked run, and limits are changed in place.

Ruled out: checking the runs less often.

--- a/internal/control/admission.go
+++ b/internal/control/admission.go
@@ -63,41 +63,52 @@
 		Pools: map[string]admission.Room{}, Limits: map[string]admission.Room{}, Queued: input.queued, Customers: s.Customers(),
 		Includes: func(job string) bool { return s.Jobs[job] != nil },
 	}
-	usage := s.CustomerUsage()
-	for name, c := range snapshot.Customers {
-		if c.Limited() {
-			snapshot.Limits[name] = admission.Room{Total: c.Limit, Held: usage[name]}
-		}
-	}
+	limits := newCustomerLimits(s)
 	for i := range input.workers {
 		w := &input.workers[i]
-		addWorker(&snapshot, w.Service, w.Capacity, w.Capacity.Minus(w.Free), t.sessions[w.ID].runSummary.runningWork)
+		addWorker(&snapshot, limits, w.Service, w.Capacity, w.Capacity.Minus(w.Free), t.sessions[w.ID].runSummary.runningWork)
 	}
 	if now.Sub(t.started) < maxResponseAge {
 		// Workers that this leader hasn't reached yet aren't known to be unusable.
 		for id, session := range t.sessions {
 			if state := s.Workers[id]; state != nil && !state.Gone && !state.Draining && !session.ready {
 				used, _ := s.Used(id)
-				addWorker(&snapshot, state.Service, state.Capacity, used, nil)
+				addWorker(&snapshot, limits, state.Service, state.Capacity, used, nil)
 			}
 		}
 	}
+	for name, limit := range limits {
+		snapshot.Limits[name] = *limit
+	}
 	t.admission.Update(now.Sub(t.started), snapshot)
 	t.admissionSnapshot = snapshot
 }
 
-// addWorker adds a worker's capacity, what its runs occupy and their work to a snapshot.
-func addWorker(snapshot *admission.Snapshot, service string, capacity, held workflow.Resources, running []customerRuns) {
+// customerLimits are the limits of customers by name, changed in place while a snapshot is made.
+type customerLimits map[string]*admission.Room
+
+func newCustomerLimits(s *workflow.State) customerLimits {
+	limits, usage := customerLimits{}, s.CustomerUsage()
+	for name, c := range s.Customers() {
+		if c.Limited() {
+			limits[name] = &admission.Room{Total: c.Limit, Held: usage[name]}
+		}
+	}
+	return limits
+}
+
+// addWorker adds a worker's capacity, what its runs occupy and their work to a snapshot and to the
+// limits of customers.
+func addWorker(snapshot *admission.Snapshot, limits customerLimits, service string, capacity, held workflow.Resources, running []customerRuns) {
 	pool := snapshot.Pools[service]
 	pool.Total, pool.Held = pool.Total.Plus(capacity), pool.Held.Plus(held)
 	for i := range running {
 		r := &running[i]
 		pool.Rest = pool.Rest.Plus(r.rest.OnWorkers)
 		pool.Total, pool.Held = pool.Total.Minus(r.longRunning.OnWorkers), pool.Held.Minus(r.longRunning.OnWorkers)
-		if limit, limited := snapshot.Limits[r.customer]; limited {
+		if limit := limits[r.customer]; limit != nil {
 			limit.Rest = limit.Rest.Plus(r.rest.OfCustomer)
 			limit.Total, limit.Held = limit.Total.Minus(r.longRunning.OfCustomer), limit.Held.Minus(r.longRunning.OfCustomer)
-			snapshot.Limits[r.customer] = limit
 		}
 	}
 	snapshot.Pools[service] = pool
--- a/internal/control/copies.go
+++ b/internal/control/copies.go
@@ -56,12 +56,15 @@
 	return copyNone
 }
 
-// addCopyCandidate adds a run to the copy candidates if its task should get a speculative
-// copy. t.mu must be held.
-func (input *planInput) addCopyCandidate(t *leaderTerm, s *workflow.State, run workflow.Run, session *workerSession, now time.Time) {
-	job := s.Jobs[run.Task.Job]
+// addCopyCandidate adds a run of a job to the copy candidates if its task should get a
+// speculative copy. t.mu must be held.
+func (input *planInput) addCopyCandidate(t *leaderTerm, job *workflow.Job, run workflow.Run, session *workerSession, now time.Time) {
 	spec := &job.Steps[run.Task.Step]
-	if task := s.Task(run.Task); !spec.AllowsCopies() || task.Live != 1 || task.IsCrashSuspect() {
+	if !spec.AllowsCopies() {
+		return
+	}
+	task := &job.Occurrences[run.Task.Occurrence][run.Task.Step].Tasks[run.Task.Index]
+	if task.Live != 1 || task.IsCrashSuspect() {
 		return
 	}
 	if _, proposed := t.proposedStarts[run.Task]; proposed {
--- a/internal/control/leader_term.go
+++ b/internal/control/leader_term.go
@@ -96,6 +96,8 @@
 	// is how many further steps the last decision didn't consider.
 	waiting          map[workflow.StepKey]*waitingStep
 	stepsBeyondBound int
+	// gatheredSteps is the number of steps in the input of the last full decision.
+	gatheredSteps int
 	// sessions holds the session of each monitored worker, by the ID of its incarnation.
 	sessions map[string]*workerSession
 	// openStarts holds, by worker name, the runs that have ended although a call of their
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -31,7 +31,7 @@
 
 const (
 	// extraStepCapacity is the capacity of the slice of planned steps in excess of the
-	// number of steps that waited at the last decision.
+	// number of steps at the last decision.
 	extraStepCapacity = 64
 	// runCheckInterval is the time between two checks of all runs for stops and copies. The
 	// reasons for either take seconds to arise.
@@ -49,8 +49,8 @@
 	defer t.mu.Unlock()
 	// A full decision covers the changed jobs as well.
 	t.takeChangedJobs()
-	// The number of waiting steps at the last decision estimates the current number.
-	input := planInput{copyCandidates: map[workflow.TaskKey]copyCandidate{}, runsPerWorker: map[workflow.StepKey]map[string]int{}, steps: make([]dispatch.Step, 0, len(t.waiting)+extraStepCapacity)}
+	// The number of steps at the last decision estimates the current number.
+	input := planInput{copyCandidates: map[workflow.TaskKey]copyCandidate{}, runsPerWorker: map[workflow.StepKey]map[string]int{}, steps: make([]dispatch.Step, 0, t.gatheredSteps+extraStepCapacity)}
 	if t.admission != nil {
 		input.queued = admission.Sums{}
 	}
@@ -70,6 +70,7 @@
 		t.updateAdmission(s, &input, now)
 		t.addCopySteps(&input, s, now)
 	})
+	t.gatheredSteps = len(input.steps)
 	return input
 }
 
@@ -82,10 +83,11 @@
 			continue
 		}
 		for _, run := range runs {
-			cause := t.stopCauseOf(s, run, session, now)
+			job := s.Jobs[run.Task.Job]
+			cause := t.stopCauseOf(s, job, run, session, now)
 			if cause == stopNone {
 				if !t.disabled.Copies {
-					input.addCopyCandidate(t, s, run, session, now)
+					input.addCopyCandidate(t, job, run, session, now)
 				}
 			} else if session.stopDue(run, cause, now) {
 				stop := pendingStop{session, run, cause}
@@ -149,8 +151,8 @@
 	return workers
 }
 
-// runSummary holds the properties of a worker's runs that decisions use. A summary is
-// replaced, never modified, because decisions read it without the lock.
+// runSummary holds the properties of a worker's runs that decisions use. releases is replaced,
+// never modified, because decisions read it without the lock.
 type runSummary struct {
 	// changes is the version, in the replicated state, of the worker's runs that the
 	// summary describes.
@@ -159,7 +161,8 @@
 	releases  []dispatch.Release
 	serving   bool
 	spareRuns int
-	// runningWork is the work in progress by customer; it is nil without load control.
+	// runningWork is the work in progress by customer; it is nil without load control. The next
+	// summary reuses its array.
 	runningWork []customerRuns
 }
 
@@ -169,8 +172,9 @@
 	if cached := session.runSummary; cached.changes == changes && now.Sub(cached.at) < maxRunSummaryAge {
 		return cached
 	}
-	summary := runSummary{changes: changes, at: now}
-	for task, run := range s.Runs[session.worker.ID] {
+	runs := s.Runs[session.worker.ID]
+	summary := runSummary{changes: changes, at: now, releases: make([]dispatch.Release, 0, len(runs)), runningWork: session.runSummary.runningWork[:0]}
+	for task, run := range runs {
 		job := s.Jobs[task.Job]
 		if job == nil {
 			continue
@@ -347,6 +351,9 @@
 			return nil
 		}
 		if !task.Done && !task.AwaitsCrashOutcome() && task.Live == 0 && !proposed {
+			if pending == nil {
+				pending = make([]int, 0, len(state.Tasks)-i)
+			}
 			pending = append(pending, i)
 		}
 	}
--- a/internal/control/stops.go
+++ b/internal/control/stops.go
@@ -31,15 +31,14 @@
 	cause   stopCause
 }
 
-// stopCauseOf returns why a run is to be stopped, or stopNone if it isn't. t.mu must be
-// held.
-func (t *leaderTerm) stopCauseOf(s *workflow.State, run workflow.Run, session *workerSession, now time.Time) stopCause {
+// stopCauseOf returns why a run of a job is to be stopped, or stopNone if it isn't. job is nil if
+// there is no such job any more. t.mu must be held.
+func (t *leaderTerm) stopCauseOf(s *workflow.State, job *workflow.Job, run workflow.Run, session *workerSession, now time.Time) stopCause {
 	if t.isOrphaned(run, now) {
 		// Checked first, because the other causes assume that the end of the run will be
 		// reported.
 		return stopOrphaned
 	}
-	job := s.Jobs[run.Task.Job]
 	if job == nil || job.Cancelled || job.Failed {
 		return stopJobEnded
 	}
