replica: the voters of a membership are listed once

A leader listed the voters anew for each message, tick and status, several times each: 54% of the allocations of BenchmarkCommitEnd/8. The list is now kept with the membership that it belongs to. Nothing else about a quorum changes.

--- a/replica/core.go
+++ b/replica/core.go
@@ -196,7 +196,7 @@
 
 // soleVoter reports whether this member is the only voter of the current membership.
 func (c *Core) soleVoter() bool {
-	electorate := voters(c.members.current())
+	electorate := c.members.currentVoters()
 	return len(electorate) == 1 && electorate[0].ID == c.cfg.ID
 }
 
--- a/replica/election.go
+++ b/replica/election.go
@@ -84,7 +84,7 @@
 	if c.campaign.kind == coldStarting {
 		return votersOfAll(c.members.since(c.commit))
 	}
-	return voters(c.members.current())
+	return c.members.currentVoters()
 }
 
 // ignoresVoteRequest reports whether a vote request is dropped without raising the term.
--- a/replica/leader.go
+++ b/replica/leader.go
@@ -114,8 +114,10 @@
 // quorumValue returns the largest value that a majority of the voters reaches. own is
 // this member's value; recovering members count as zero.
 func (c *Core) quorumValue(own uint64, valueOf func(*progress) uint64) uint64 {
-	electorate := voters(c.members.current())
-	values := make([]uint64, 0, len(electorate))
+	electorate := c.members.currentVoters()
+	// The array avoids an allocation for usual numbers of voters.
+	var array [8]uint64
+	values := array[:0]
 	for _, m := range electorate {
 		switch p := c.leaderState.progress[m.ID]; {
 		case m.ID == c.cfg.ID:
@@ -185,7 +187,7 @@
 // diskMatch returns the highest index that some disk voter has synced.
 func (c *Core) diskMatch() uint64 {
 	best := uint64(0)
-	for _, m := range voters(c.members.current()) {
+	for _, m := range c.members.currentVoters() {
 		if !m.HasDisk {
 			continue
 		}
@@ -207,7 +209,7 @@
 // append immediately, and it is short, because all commits wait for the whole interval
 // if the only disk voter was the previous leader and has failed.
 func (c *Core) diskVoterAvailable() bool {
-	for _, m := range voters(c.members.current()) {
+	for _, m := range c.members.currentVoters() {
 		if !m.HasDisk {
 			continue
 		}
@@ -232,7 +234,7 @@
 // markLagging marks the disk voters that miss entries committed without them. They
 // count again once they hold all committed entries.
 func (c *Core) markLagging() {
-	for _, m := range voters(c.members.current()) {
+	for _, m := range c.members.currentVoters() {
 		if p := c.leaderState.progress[m.ID]; m.HasDisk && m.ID != c.cfg.ID {
 			p.lagging = p.match < c.commit && (p.lagging || !c.responsive(p))
 		}
--- a/replica/members.go
+++ b/replica/members.go
@@ -14,17 +14,25 @@
 	versions []membershipVersion
 }
 
-// membershipVersion is the membership that the entry at index set.
+// membershipVersion is the membership that the entry at index set. voters are its members
+// that aren't learners; a leader needs them for each message that it receives.
 type membershipVersion struct {
 	index   uint64
 	members []Member
+	voters  []Member
 }
 
 func newMembershipHistory(index uint64, members []Member) membershipHistory {
-	return membershipHistory{versions: []membershipVersion{{index: index, members: members}}}
+	var m membershipHistory
+	m.push(index, members)
+	return m
 }
 
-func (m *membershipHistory) current() []Member    { return m.versions[len(m.versions)-1].members }
+func (m *membershipHistory) current() []Member { return m.versions[len(m.versions)-1].members }
+
+// currentVoters returns the voters of the latest membership. The caller must not change them.
+func (m *membershipHistory) currentVoters() []Member { return m.versions[len(m.versions)-1].voters }
+
 func (m *membershipHistory) currentIndex() uint64 { return m.versions[len(m.versions)-1].index }
 
 // at returns the membership in force at index.
@@ -54,7 +62,7 @@
 
 // push adds the membership that the entry at index sets.
 func (m *membershipHistory) push(index uint64, members []Member) {
-	m.versions = append(m.versions, membershipVersion{index: index, members: members})
+	m.versions = append(m.versions, membershipVersion{index: index, members: members, voters: voters(members)})
 }
 
 // truncate drops the memberships that entries from index on set.
