node: calls that wait for their interval wake the log once

The log of three members processes calls at most once in 4 ms. Each round that found calls too early scheduled a further wake-up with time.AfterFunc, so that a signal per arriving call or message became two, and most rounds found nothing to do. One timer now wakes the loop when the interval is over. The round also needed a whole status, with the lease and the disk voters, for the number of members; Core.MemberCount returns it.

When calls are processed doesn't change: the timer ends at the same time as before.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -25,6 +25,8 @@
 func (g *Group) Run(ctx context.Context) error {
 	g.clock = newClock(g.cfg.Now(), g.cfg.TickInterval)
 	g.runCtx = ctx
+	g.callsTimer = time.AfterFunc(0, g.signal)
+	defer g.callsTimer.Stop()
 	ticker := time.NewTicker(g.cfg.TickInterval)
 	defer ticker.Stop()
 	err := g.loop(ctx, ticker.C)
@@ -91,9 +93,9 @@
 	if g.calls.empty() {
 		return false
 	}
-	interval := callIntervalPerFollower * time.Duration(len(g.core.Status().Members)-1)
+	interval := callIntervalPerFollower * time.Duration(g.core.MemberCount()-1)
 	if remaining := interval - now.Sub(g.callsProcessedAt); remaining > 0 {
-		time.AfterFunc(remaining, g.signal)
+		g.callsTimer.Reset(remaining)
 		return false
 	}
 	g.callsProcessedAt = now
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -179,8 +179,10 @@
 
 	// Only the goroutine of Run uses clock and the fields after it, up to snapshots.
 	clock clock
-	// callsProcessedAt is when calls were last processed.
+	// callsProcessedAt is when calls were last processed. callsTimer wakes Run when pending
+	// calls that have to wait become due.
 	callsProcessedAt time.Time
+	callsTimer       *time.Timer
 	savedHardState   replica.HardState
 	proposals        map[uint64]pendingProposal
 	barriers         pendingBarriers
--- a/replica/core.go
+++ b/replica/core.go
@@ -288,6 +288,9 @@
 	return out
 }
 
+// MemberCount returns the number of members of the latest membership.
+func (c *Core) MemberCount() int { return len(c.members.current()) }
+
 // Status returns the current state of the member.
 func (c *Core) Status() Status {
 	members := slices.Clone(c.members.current())
