workflow: keys of tasks are formatted without package fmt

Each end of a run is logged with its task, and the end of a job again. Its form is the same, and now tested.

--- a/workflow/job.go
+++ b/workflow/job.go
@@ -4,7 +4,7 @@
 package workflow
 
 import (
-	"fmt"
+	"strconv"
 
 	"github.com/bilberryferry/bilberryferry/resource"
 )
@@ -126,11 +126,14 @@
 
 // String returns the key as logs show it.
 func (k StepKey) String() string {
-	return fmt.Sprintf("%s/%d/%d", k.Job, k.Occurrence, k.Step)
+	return k.Job + "/" + strconv.Itoa(k.Occurrence) + "/" + strconv.Itoa(k.Step)
 }
 
-// String returns the key as logs show it.
-func (k TaskKey) String() string { return fmt.Sprintf("%s/%d", k.StepKey, k.Index) }
+// String returns the key as logs show it. Several log lines of each run show it, so it is built
+// without package fmt.
+func (k TaskKey) String() string {
+	return k.Job + "/" + strconv.Itoa(k.Occurrence) + "/" + strconv.Itoa(k.Step) + "/" + strconv.Itoa(k.Index)
+}
 
 // Run is one start of a task that may be alive on a worker.
 type Run struct {
--- a/workflow/keys_test.go
+++ b/workflow/keys_test.go
@@ -46,3 +46,11 @@
 	check(reflect.TypeFor[Command]())
 	must.True(t, seen[reflect.TypeFor[Policy]()])
 }
+
+// Guards against a change of the form in which log lines and operators' tools name tasks and
+// steps.
+func TestKeysAsLogsShowThem(t *testing.T) {
+	key := TaskKey{StepKey: StepKey{Job: "job-a", Occurrence: 12, Step: 3}, Index: 140}
+	must.Eq(t, "job-a/12/3/140", key.String())
+	must.Eq(t, "job-a/12/3", key.StepKey.String())
+}
