--- a/replica/core.go
+++ b/replica/core.go
@@ -196,7 +196,7 @@
 
 // soleVoter reports whether this member is the only voter of the current membership.
 func (c *Core) soleVoter() bool {
-	electorate := voters(c.members.current())
+	electorate := c.members.currentVoters()
 	return len(electorate) == 1 && electorate[0].ID == c.cfg.ID
 }
 
@@ -288,6 +288,9 @@
 	return out
 }
 
+// MemberCount returns the number of members of the latest membership.
+func (c *Core) MemberCount() int { return len(c.members.current()) }
+
 // Status returns the current state of the member.
 func (c *Core) Status() Status {
 	members := slices.Clone(c.members.current())
