control: starts and ends that are committed while an incarnation is settled no longer repeat runs

Seen: a task has two runs at once.

Cause 1: endIncarnation reads the runs of the ended incarnation once, stops them at the successor and then commits all its runs as ended. A start that is being committed at that time is in the log after the read and before the end: its run ends with the incarnation without a stop at the successor, its task starts elsewhere, and the start is still sent to the shared address, where the successor accepts it. The window is the whole settlement, not only one commit: incremental decisions use workers of a full decision up to 200 ms old, so they can plan starts for an incarnation that is being settled. Change: a session is marked as ending, under the lock, before its runs are read. sendCommittedStart commits a run of such a session as not started instead of sending it. A start that passed the check before is in the log when the runs are read, so it is stopped at the successor. A run that was never sent can't begin, so its task starts again without waiting; runs whose start was answered, and those with an open call, are settled as before. The session now also counts as not ready for workers without a start time.

Ruled out: that a start call which was sent and got no response is the cause. Such a run is in the log when the runs are read, is stopped at the successor, and waits for a report requested after the stop (TestUnansweredStartIsSettledWithSuccessor).

--- a/internal/control/incarnations.go
+++ b/internal/control/incarnations.go
@@ -125,8 +125,6 @@
 		return
 	}
 	s.t.mu.Lock()
-	// A session that isn't ready accounts for its runs until their ends are committed.
-	s.ready = false
 	leaving := s.leaving
 	if !leaving {
 		s.stopOpenStarts()
@@ -215,8 +213,9 @@
 	}
 }
 
-// awaitSuccessorReport waits for a complete report of the successor in response to a poll
-// that is sent from now on. It returns false if the deadline passes first.
+// awaitSuccessorReport waits until the ends of this session's runs are committed that are
+// listed in a complete report of the successor in response to a poll that is sent from now
+// on. It returns false if the deadline passes first.
 func (s *workerSession) awaitSuccessorReport(deadline time.Time) bool {
 	since := time.Now()
 	s.interruptSuccessorPoll()
@@ -252,12 +251,13 @@
 }
 
 // successorReportedSince reports whether the successor has sent a complete report in
-// response to a poll that was sent after since.
+// response to a poll that was sent after since, and the ends in it are committed. A run that
+// is listed as done would otherwise be committed as lost, and its task would start again.
 func (s *workerSession) successorReportedSince(since time.Time) bool {
 	s.t.mu.Lock()
 	defer s.t.mu.Unlock()
 	successor := s.successor()
-	return successor != nil && successor.fullReportSentAt.After(since)
+	return successor != nil && successor.predecessorsReportedAt.After(since)
 }
 
 // endPredecessorRuns commits those of the listed ends that belong to runs assigned to
--- a/internal/control/incarnations_test.go
+++ b/internal/control/incarnations_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -90,6 +92,30 @@
 	must.Eq(t, 1, cluster.started("n2"))
 }
 
+// Guards against this failure: a task starts again after it was done. The report of the next
+// incarnation lists the end of a run, and the run is committed as lost while that end is being
+// committed.
+func TestRunDoneBySuccessorIsNotRepeatedWhileItsEndIsCommitted(t *testing.T) {
+	cluster := clusterWithUnansweredStart(t)
+	must.NoError(t, cluster.deliverDelayedStart())
+	cluster.withWorker("n2", func(f *fakeWorker) { f.finish(task("a", 0), workflow.OutcomeDone) })
+	// commitTime is longer than the pause between two checks whether the successor has reported.
+	const commitTime = 5 * successorCheckInterval
+	cluster.log.mu.Lock()
+	cluster.log.beforeApply = func(c workflow.Command) {
+		if c.Ends != nil && len(c.Ends.Ends) > 0 && c.Ends.Ends[0].Outcome == workflow.OutcomeDone {
+			time.Sleep(commitTime)
+		}
+	}
+	cluster.log.mu.Unlock()
+	// The leader waits for a report of the successor before it knows the successor.
+	cluster.eventually("the end of the incarnation is detected", func() bool { return !cluster.isReady("n1") })
+	time.Sleep(noStartWait)
+	cluster.announceIncarnation("n2", 2)
+	cluster.eventually("the job is done", func() bool { return cluster.phase("a") == workflow.PhaseDone })
+	must.Eq(t, 1, cluster.started("n2"))
+}
+
 // Guards against this failure: a task never runs again. The runs of an ended incarnation
 // count as alive because the next incarnation responds at the same address.
 func TestRunsOfSupersededIncarnationRestart(t *testing.T) {
@@ -249,3 +275,62 @@
 	})
 	must.Error(t, cluster.deliverDelayedStart())
 }
+
+// Guards against this failure: a task has two runs at once. The start of run 1 is being committed
+// for an incarnation while the leader settles the end of that incarnation. The run is committed too
+// late to be stopped at the successor, its end is committed with that of the incarnation, and its
+// start is sent to the shared address, where the successor carries it out.
+func TestStartCommittedWhileIncarnationEndsIsNotSent(t *testing.T) {
+	cluster := newTestCluster(t, nil)
+	cluster.workers.add("n1")
+	cluster.announceIncarnation("n1", 1)
+	cluster.eventually("the worker is ready", func() bool { return cluster.isReady("n1") })
+	// The leader may commit further starts for n1: an incremental decision uses the workers of the
+	// last full decision.
+	var restart, endIncarnation, commitStart sync.Once
+	incarnationEnds, startCommitted := make(chan struct{}), make(chan struct{})
+	cluster.log.mu.Lock()
+	cluster.log.beforeApply = func(c workflow.Command) {
+		switch {
+		case startsOn(c, "n1"):
+			restart.Do(func() {
+				cluster.workers.add("w2")
+				cluster.announce("w2")
+				cluster.restart("n1", "n2")
+				cluster.announceIncarnation("n2", 2)
+				<-incarnationEnds
+			})
+		case c.GoneWorker == "n1":
+			endIncarnation.Do(func() {
+				close(incarnationEnds)
+				<-startCommitted
+				// The start would be sent during this time.
+				time.Sleep(noStartWait)
+			})
+		}
+	}
+	cluster.log.afterApply = func(c workflow.Command) {
+		if startsOn(c, "n1") {
+			commitStart.Do(func() { close(startCommitted) })
+		}
+	}
+	cluster.log.mu.Unlock()
+	cluster.submit("a", oneTask)
+	cluster.eventually("a later run starts", func() bool { return cluster.lastRun("n2") > 1 || cluster.lastRun("w2") > 1 })
+	must.Eq(t, 1, cluster.started("n2")+cluster.started("w2"), must.Sprint("starts carried out"))
+}
+
+// startsOn reports whether a command starts a run on a worker.
+func startsOn(c workflow.Command, worker string) bool {
+	return slices.ContainsFunc(c.Start, func(run workflow.Run) bool { return run.Worker == worker })
+}
+
+// lastRun returns the number of the run that a worker has started last, 0 if there is none.
+func (cluster *testCluster) lastRun(id string) (number int) {
+	cluster.withWorker(id, func(f *fakeWorker) {
+		if f != nil && len(f.starts) > 0 {
+			number = f.starts[len(f.starts)-1].Run.Number
+		}
+	})
+	return number
+}
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -177,22 +177,28 @@
 	}
 }
 
-// sendCommittedStart sends a committed start. If its job has ended or its worker is no
-// longer monitored, it commits the run as not started instead.
+// sendCommittedStart sends a committed start. If its job has ended, its worker is no
+// longer monitored or its incarnation has ended, it commits the run as not started instead.
 //
 // A job may end while its start is being committed. The payload is removed with the job,
 // and the worker would be ordered to run a task with an empty payload.
+//
+// An incarnation may end while a start for it is being committed. The run may be missing
+// from those that settleWithSuccessor stops at the successor. It then ends with the
+// incarnation and its task starts elsewhere, but the successor, which has the same address,
+// would carry out the start.
 func (t *leaderTerm) sendCommittedStart(run workflow.Run, ticket string) {
 	o, payload, checkpoint := t.newOrder(run, ticket)
 	t.mu.Lock()
 	s := t.sessions[run.Worker]
-	if o != nil && s != nil {
+	workerGone := s == nil || s.ending
+	if o != nil && !workerGone {
 		s.addOrder(o)
 	}
 	t.mu.Unlock()
-	if o == nil || s == nil {
+	if o == nil || workerGone {
 		t.logger.Log("event", "start", "task", run.Task, "run", run.Number, "worker", run.Worker,
-			"outcome", "not sent", "job_ended", o == nil, "worker_gone", s == nil)
+			"outcome", "not sent", "job_ended", o == nil, "worker_gone", workerGone)
 		notStarted := &workflow.RunEnds{Worker: run.Worker, Ends: []workflow.RunEnd{
 			{Task: run.Task, Number: run.Number, Outcome: workflow.OutcomeNotStarted},
 		}}
--- a/internal/control/report.go
+++ b/internal/control/report.go
@@ -42,6 +42,11 @@
 			"running", len(report.Running), "ended", len(report.Ended))
 	}
 	s.endPredecessorRuns(append(listed, neverStarted...))
+	if !report.Partial {
+		t.mu.Lock()
+		s.predecessorsReportedAt = sent
+		t.mu.Unlock()
+	}
 	for _, run := range unknown {
 		t.spawn(func() { s.stopUnknownRun(run) })
 	}
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -60,6 +60,9 @@
 	// the sessions of earlier incarnations that have runs whose ends aren't committed yet.
 	superseded   bool
 	predecessors []*workerSession
+	// ending says that the incarnation has ended and the outcomes of its runs are being
+	// determined. No start that is committed from then on is sent.
+	ending       bool
 	confirmation confirmation
 	// incarnationUnconfirmed says that no report has arrived yet, or that a call got no
 	// response since the last report: another incarnation may respond to the next call.
@@ -74,6 +77,9 @@
 	// fullReportSentAt is when the poll was sent whose response was the last complete
 	// report.
 	fullReportSentAt time.Time
+	// predecessorsReportedAt is when the poll was sent whose response was the last complete
+	// report from which all ends of runs of predecessors are committed.
+	predecessorsReportedAt time.Time
 	// leaseEnd is when, by this process's clock, all runs on the worker have ended at the
 	// latest. Polls and starts postpone it when they extend the lease.
 	leaseEnd time.Time
@@ -345,6 +351,10 @@
 // and ends its session. The cause is logged.
 func (s *workerSession) endIncarnation(cause string) {
 	t, crashed := s.t, s.hasCrashed()
+	t.mu.Lock()
+	// A session that isn't ready accounts for its runs until their ends are committed.
+	s.ready, s.ending = false, true
+	t.mu.Unlock()
 	t.logger.Log("event", "worker_gone", "worker", s.worker.ID, "cause", cause, "crashed", crashed)
 	outcome := workflow.OutcomeLost
 	if crashed {
