speed: runs wait for the other runs of their step before they are compared

Cause: runs were compared at the first classification after their end. The runs on fast workers end first, so they were compared with each other, and a restored speed gave way to that. Change: the runs of a step wait until no more have ended for a second, at most four seconds.

--- a/speed/speed.go
+++ b/speed/speed.go
@@ -53,6 +53,9 @@
 	maxSteps       = 2048
 	maxRunsPerStep = 32
 	maxWorkers     = 4096
+	// maxComparisonDelay is how many calls of Classify a run waits at most for the other runs of its
+	// step. Runs on fast workers end first; compared at once, they would be compared with each other.
+	maxComparisonDelay = 4
 	// maxDuration is the longest plausible duration of a run.
 	maxDuration = time.Hour
 )
@@ -87,11 +90,14 @@
 	forgotten  bool
 }
 
-// step holds the latest runs of a step. fresh says that the step is in Learner.fresh.
+// step holds the latest runs of a step.
 type step struct {
-	runs  []run
-	next  int
-	fresh bool
+	runs []run
+	next int
+	// fresh says that the step is in Learner.fresh, growing that a run was added since the last call of
+	// Classify. delayed counts the calls that have left the step in Learner.fresh.
+	fresh, growing bool
+	delayed        int
 }
 
 // run is a finished run. judged says that it has been compared with others.
@@ -172,8 +178,8 @@
 // Done records the duration of a run that completed the whole work of a task. The tasks of the
 // step must end independently of each other. It ignores impossible durations.
 //
-// The run is compared at the next Classify, when more runs of its step have ended: the speeds of
-// single workers aren't known at first, and the mean over many of them is closer to the median.
+// The run is compared in Classify when no more runs of its step end, or maxComparisonDelay calls later:
+// the runs on slower workers end later, and the mean over many runs is closer to the median.
 func (l *Learner) Done(key workflow.StepKey, workerID string, duration time.Duration) {
 	if duration <= 0 || duration > maxDuration {
 		return
@@ -188,24 +194,33 @@
 		s.judgeAll()
 	}
 	s.add(run{worker: w, logDuration: math.Log(float64(duration))})
+	s.growing = true
 	if s.fresh {
 		return
 	}
 	if len(l.fresh) == maxSteps {
-		l.judgeFresh()
+		l.judgeFresh(0)
 	}
 	s.fresh = true
 	l.fresh = append(l.fresh, s)
 }
 
-// judgeFresh compares the runs that have ended since the last call.
-func (l *Learner) judgeFresh() {
+// judgeFresh compares the runs that haven't been compared, except those of growing steps that were
+// delayed less than maxDelay times.
+func (l *Learner) judgeFresh(maxDelay int) {
+	delayed := l.fresh[:0]
 	for _, s := range l.fresh {
+		if s.growing && s.delayed < maxDelay {
+			s.growing = false
+			s.delayed++
+			delayed = append(delayed, s)
+			continue
+		}
 		s.judgeAll()
-		s.fresh = false
+		s.fresh, s.delayed = false, 0
 	}
-	clear(l.fresh)
-	l.fresh = l.fresh[:0]
+	clear(l.fresh[len(delayed):])
+	l.fresh = delayed
 }
 
 // judgeAll compares the runs of a step that haven't been compared.
@@ -317,7 +332,7 @@
 // Classify updates the classes of the workers and returns the workers that changed theirs, in the order
 // of their IDs. It takes time for each worker, so it is called about once a second.
 func (l *Learner) Classify() []Change {
-	l.judgeFresh()
+	l.judgeFresh(maxComparisonDelay)
 	l.recentre()
 	var changes []Change
 	for id, w := range l.workers {
--- a/speed/speed_test.go
+++ b/speed/speed_test.go
@@ -83,6 +83,8 @@
 			total += r
 		}
 	}
+	// The runs of the last step are compared a second later.
+	p.Classify()
 	p.Classify()
 }
 
@@ -284,3 +286,73 @@
 	l.Classify()
 	must.Eq(t, Ordinary, l.Estimate(id(100)).Class)
 }
+
+// endingRun is a run that ends at a time.
+type endingRun struct {
+	at, duration time.Duration
+	step, worker int
+}
+
+// Guards against fast workers that count as ordinary because their runs end first and are compared with
+// each other. Steps of 3 and of 25 tasks begin at the rates of a busy pool; after 10,000 ends, which are 10 s
+// of 1,000 ends a second, nine of ten fast workers must be found.
+func TestFastWorkersAreFoundWhileStepsRun(t *testing.T) {
+	const ends, tick = 10_000, 10 * time.Millisecond
+	random, l := rand.New(rand.NewPCG(1, 2)), NewLearner()
+	var running []endingRun
+	steps := 0
+	begin := func(now time.Duration, tasks int, seconds float64) {
+		steps++
+		work := seconds * math.Exp(0.5*random.NormFloat64())
+		for range tasks {
+			worker := random.IntN(poolSize)
+			task := work * math.Exp(0.3*random.NormFloat64())
+			if random.Float64() < 0.03 {
+				task *= 7
+			}
+			// The leader learns of an end up to 100 ms later.
+			duration := time.Duration((task/mixedFast(worker) + 0.1*random.Float64()) * float64(time.Second))
+			running = append(running, endingRun{now + duration, duration, steps, worker})
+		}
+	}
+	ended := 0
+	for now := time.Duration(0); ended < ends; now += tick {
+		running = slices.DeleteFunc(running, func(r endingRun) bool {
+			if r.at > now {
+				return false
+			}
+			ended++
+			l.Done(workflow.StepKey{Job: fmt.Sprint("j", r.step)}, id(r.worker), r.duration)
+			return true
+		})
+		if random.Float64() < 0.7 {
+			begin(now, 3, 0.68)
+		}
+		if random.Float64() < 0.16 {
+			begin(now, 25, 1.9)
+		}
+		if now%time.Second == 0 {
+			l.Classify()
+		}
+	}
+	found, wrong := 0, 0
+	for i := range poolSize {
+		switch class := l.Estimate(id(i)).Class; {
+		case mixedFast(i) > 1 && class == Fast:
+			found++
+		case mixedFast(i) < 1 && class != Ordinary:
+			wrong++
+		}
+	}
+	t.Logf("%d of 88 fast workers found, %d others", found, wrong)
+	must.GreaterEq(t, 88*9/10, found)
+	must.LessEq(t, (poolSize-88)/100, wrong)
+}
+
+// mixedFast is a pool in which a quarter of the workers runs at 1/0.55, the others at 1/1.2.
+func mixedFast(i int) float64 {
+	if i%4 == 0 {
+		return 1 / 0.55
+	}
+	return 1 / 1.2
+}
