overload, ingress, admission, control: clearer names and comments of load control

Divisors are named as such, the time over which runs release resources has its unit, and overfullFactor its reason. The totals and the order of refused customers leave reportAdmission. No behaviour changes.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -150,7 +150,10 @@
 
 // NewEstimator returns an estimator that refuses nothing before its first snapshot.
 func NewEstimator() *Estimator {
-	return &Estimator{added: map[string]Job{}, addedWork: Sums{}, arrivals: newArrivals(arrivalPeriod), offered: newOffers(), reservations: newReservations(), byCustomer: map[string]resource.Amount{}}
+	return &Estimator{
+		added: map[string]Job{}, addedWork: Sums{}, arrivals: newArrivals(arrivalPeriod), offered: newOffers(),
+		reservations: newReservations(), byCustomer: map[string]resource.Amount{},
+	}
 }
 
 // Update replaces the snapshot.
@@ -403,7 +406,7 @@
 	return max(e.meanWeight, 1)
 }
 
-// fixedPoint returns a weight in thousandths, at least one and at most a million.
+// fixedPoint returns a weight in thousandths, at least one thousandth. Weights above a million count as a million.
 func fixedPoint(weight float64) int64 { return int64(min(max(1000*weight, 1), 1e9)) }
 
 // Queued returns the counted work that hasn't started, of one customer or, with all, of all.
@@ -435,11 +438,11 @@
 	return time.Duration(min(ms, milliseconds(longestWait)) * float64(time.Millisecond))
 }
 
-// drain describes how one resource of a room becomes free. Runs release held evenly over a time of
-// twice their mean rest, because runs that started at any time have half of their estimates left
-// on average.
+// drain describes how one resource of a room becomes free: free is free now, and runs release held
+// evenly over releaseMS milliseconds. This is twice their mean rest, because runs that started at any
+// time have half of their estimates left on average.
 type drain struct {
-	free, held, over float64
+	free, held, releaseMS float64
 }
 
 // newDrain returns how room becomes free if nothing has started in the elapsed milliseconds since
@@ -450,20 +453,20 @@
 	if held <= 0 {
 		return drain{free: total}
 	}
-	over := 2 * float64(field(room.Rest)) / float64(field(room.Held))
-	if over <= elapsed {
+	releaseMS := 2 * float64(field(room.Rest)) / float64(field(room.Held))
+	if releaseMS <= elapsed {
 		return drain{free: total}
 	}
-	left := held * (1 - elapsed/over)
-	return drain{free: total - left, held: left, over: over - elapsed}
+	left := held * (1 - elapsed/releaseMS)
+	return drain{free: total - left, held: left, releaseMS: releaseMS - elapsed}
 }
 
 // workWithin returns how much queued work is done within ms milliseconds.
 func (d drain) workWithin(ms float64) float64 {
-	if ms >= d.over {
-		return (d.free+d.held)*ms - d.held*d.over/2
+	if ms >= d.releaseMS {
+		return (d.free+d.held)*ms - d.held*d.releaseMS/2
 	}
-	return d.free*ms + d.held*ms*ms/(2*d.over)
+	return d.free*ms + d.held*ms*ms/(2*d.releaseMS)
 }
 
 // timeFor returns in how many milliseconds an amount of queued work is done.
@@ -471,8 +474,8 @@
 	if work <= 0 {
 		return 0
 	}
-	if work >= d.workWithin(d.over) {
-		return (work + d.held*d.over/2) / (d.free + d.held)
+	if work >= d.workWithin(d.releaseMS) {
+		return (work + d.held*d.releaseMS/2) / (d.free + d.held)
 	}
-	return 2 * work / (d.free + math.Sqrt(d.free*d.free+2*d.held/d.over*work))
+	return 2 * work / (d.free + math.Sqrt(d.free*d.free+2*d.held/d.releaseMS*work))
 }
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -227,7 +227,7 @@
 	must.NotNil(t, e.Check(0, job("d", "small", 0, 5)), must.Sprint("beyond its share"))
 }
 
-// Guards against an overload that keeps itself up: refused jobs that retry counted as further offered work.
+// Guards against an overload that sustains itself because refused jobs that retry count as further offered work.
 func TestRetriesDontCountAsOfferedWork(t *testing.T) {
 	s := snapshot(10, nil)
 	s.Pools["s"] = Room{Total: cores(10)}
--- a/admission/reservation.go
+++ b/admission/reservation.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// maxReservations bounds the memory of reservations. It is the number of jobs that arrive in 3 s
-	// at ten times the usual rate.
+	// maxReservations bounds the memory of reservations. It is about the number of jobs that arrive in
+	// 3 s at ten times the usual rate.
 	maxReservations = 4096
 	// maxReservationTime is the longest retry time for which a job gets a reservation. Callers have a
 	// total time limit of 3 s and don't retry after it. Reservations for jobs that don't come back
--- a/internal/control/admission.go
+++ b/internal/control/admission.go
@@ -191,6 +191,27 @@
 	return count
 }
 
+// total returns the sum of the counts of all customers.
+func (c *admissionCounts) total() (total admissionCount) {
+	for _, count := range c.byCustomer {
+		total.admitted, total.refused = total.admitted+count.admitted, total.refused+count.refused
+	}
+	return total
+}
+
+// customersWithRefusals returns the customers that had jobs refused, those with the most first.
+func (c *admissionCounts) customersWithRefusals() (names []string) {
+	for name, count := range c.byCustomer {
+		if count.refused > 0 {
+			names = append(names, name)
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(c.byCustomer[b].refused, c.byCustomer[a].refused), cmp.Compare(a, b))
+	})
+	return names
+}
+
 // countRefused counts a job of a customer that was refused because the queue is full.
 func (t *leaderTerm) countRefused(customerName string) {
 	t.mu.Lock()
@@ -236,16 +257,9 @@
 	t.admissionLoggedAt = now
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	counts := t.admissionCounts.byCustomer
+	counts := t.admissionCounts
 	t.admissionCounts = newAdmissionCounts()
-	total := admissionCount{}
-	var refused []string
-	for name, count := range counts {
-		total.admitted, total.refused = total.admitted+count.admitted, total.refused+count.refused
-		if count.refused > 0 {
-			refused = append(refused, name)
-		}
-	}
+	total, refused := counts.total(), counts.customersWithRefusals()
 	classes := t.queueClasses()
 	queued := t.admission.Queued("", true)
 	waits, longest := t.formatWaits(classes, "", now)
@@ -254,11 +268,8 @@
 	t.c.cfg.Counters.Set("queued_core_ms", queued.MilliCPU/1000)
 	t.c.cfg.Counters.Set("expected_wait_ms", longest.Milliseconds())
 	t.c.cfg.Counters.Set("admission_reservations", int64(t.admission.Reservations()))
-	slices.SortFunc(refused, func(a, b string) int {
-		return cmp.Or(cmp.Compare(counts[b].refused, counts[a].refused), cmp.Compare(a, b))
-	})
 	for _, name := range refused[:min(len(refused), maxAdmissionLogCustomers)] {
-		t.logCustomerAdmission(name, counts[name], classes, now)
+		t.logCustomerAdmission(name, counts.byCustomer[name], classes, now)
 	}
 }
 
--- a/internal/control/admit.go
+++ b/internal/control/admit.go
@@ -18,7 +18,8 @@
 	// the queue is full. It is long enough for the queue to drain and short enough for a
 	// caller whose total timeout is 3 s.
 	queueFullRetryAfter = 2 * time.Second
-	// overfullFactor is the multiple of maxQueuedSteps from which on every new job is refused.
+	// overfullFactor is the multiple of maxQueuedSteps from which on every new job is refused. It bounds
+	// the queue where many customers are each below their share.
 	overfullFactor = 2
 )
 
@@ -109,9 +110,8 @@
 // would conclude that the job never runs, although it does.
 //
 // After an outage or in a burst, more jobs arrive than the leader can place. Each
-// accepted job makes decisions longer and delays all other jobs. Without the limit, once
-// 8500 steps were queued, no job met its objective for the rest of the day. A refused
-// caller learns immediately that it has to retry.
+// accepted job makes decisions longer and delays all other jobs, until none meets its
+// objective. A refused caller learns immediately that it has to retry.
 //
 // One customer that sends far more than it may run would otherwise fill the queue, and the jobs of
 // all others would be refused with its own.
--- a/internal/control/adviser_pool.go
+++ b/internal/control/adviser_pool.go
@@ -146,7 +146,7 @@
 	return free
 }
 
-// lengthOf returns the length of a query of the given duration.
+// lengthOf classifies a query by its expected duration.
 func (p *adviserPool) lengthOf(duration time.Duration) queryLength {
 	return p.reservation.lengthOf(duration)
 }
--- a/internal/control/instances.go
+++ b/internal/control/instances.go
@@ -71,7 +71,7 @@
 	return true
 }
 
-// endCommit ends what beginCommit has begun.
+// endCommit lets the address be committed again if needed.
 func (p *adviserPool) endCommit(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/control/query_length.go
+++ b/internal/control/query_length.go
@@ -22,11 +22,11 @@
 	// interactive queries isn't known yet, and the largest share is reserved for them. The
 	// short queries of a backlog would otherwise occupy all connections but one at once.
 	queryLoadLearningTime = 500 * time.Millisecond
-	// maxInteractiveShare and maxShortShare are the inverses of the largest shares of the
-	// connections that are reserved for interactive queries and for short ones. At least a
-	// quarter of the connections is left to long queries.
-	maxInteractiveShare = 4
-	maxShortShare       = 2
+	// interactiveDivisor and shortDivisor give the largest parts of the connections that are
+	// reserved: a quarter for interactive queries and half for short ones. At least a quarter
+	// is left to long queries.
+	interactiveDivisor = 4
+	shortDivisor       = 2
 )
 
 // queryLength classifies queries by how long the adviser is expected to take.
@@ -76,7 +76,7 @@
 	interactive, short queryLoad
 }
 
-// lengthOf returns the length of a query.
+// lengthOf classifies a query by its expected duration.
 func (r *connReservation) lengthOf(duration time.Duration) queryLength {
 	switch {
 	case duration > longQueryThreshold:
@@ -101,7 +101,7 @@
 // queries. The mean load counts from startedAt: without that, a new leader would reserve
 // too few connections for several seconds.
 func (r *connReservation) reservedForInteractive(now time.Time, n int) int {
-	most := n / maxInteractiveShare
+	most := n / interactiveDivisor
 	elapsed := now.Sub(r.startedAt)
 	if elapsed < queryLoadLearningTime {
 		return most
@@ -125,7 +125,7 @@
 		reserved += r.reservedForInteractive(now, n)
 	}
 	if length > shortQuery {
-		reserved += min(connsNeeded(r.short.at(now))+1, n/maxShortShare)
+		reserved += min(connsNeeded(r.short.at(now))+1, n/shortDivisor)
 	}
 	return reserved
 }
--- a/internal/ingress/inflight.go
+++ b/internal/ingress/inflight.go
@@ -4,12 +4,11 @@
 	// bytesPerCall is the memory that a submission in progress takes: its body, which is mostly much
 	// shorter than the longest one, the decoded and encoded forms of it, and the buffers of two connections.
 	bytesPerCall = 64 << 10
-	// memoryShare is the divisor that gives the memory for submissions in progress from the memory of the
-	// process.
-	memoryShare = 8
-	// callerShare is the divisor that gives the calls of one caller from those of all.
-	callerShare = 4
-	// defaultMemoryBytes stands for the memory of a process without a limit.
+	// memoryDivisor gives the memory for submissions in progress: an eighth of the memory of the process.
+	memoryDivisor = 8
+	// callerDivisor gives the calls of one caller while others have calls in progress: a quarter of all.
+	callerDivisor = 4
+	// defaultMemoryBytes is assumed for a process without a memory limit, so that its calls are bounded too.
 	defaultMemoryBytes = 1 << 30
 )
 
@@ -27,12 +26,12 @@
 	if memoryBytes <= 0 {
 		memoryBytes = defaultMemoryBytes
 	}
-	return int(max(memoryBytes/memoryShare/bytesPerCall, callerShare))
+	return int(max(memoryBytes/memoryDivisor/bytesPerCall, callerDivisor))
 }
 
 // NewInFlight returns an InFlight for at most limit calls in progress; limit is at least 4.
 func NewInFlight(limit int) *InFlight {
-	return &InFlight{limit: max(limit, callerShare), byCaller: map[Caller]int{}}
+	return &InFlight{limit: max(limit, callerDivisor), byCaller: map[Caller]int{}}
 }
 
 // Begin reports whether a call of a caller may begin, and counts it if so. End must be called
@@ -42,7 +41,7 @@
 // alone may have three quarters: if it could have all, the first call of another one would find
 // no place until calls that may be held for seconds have ended.
 func (f *InFlight) Begin(c Caller) bool {
-	quarter := f.limit / callerShare
+	quarter := f.limit / callerDivisor
 	own := f.byCaller[c]
 	callerLimit := quarter
 	if own == f.total {
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -131,8 +131,8 @@
 	must.True(t, throttle.Allow(now+throttleWindow, key, 0))
 }
 
-// Guards against a refusal of a leader that accepts: outcomes that lie in the job count as accepted, and
-// half of the calls may be refused before any is refused locally.
+// Guards against local refusals while the leader has time for calls: it refuses jobs for reasons that lie in the
+// job, or accepts half of the calls.
 func TestOutcomesOfOneJobDoNotThrottle(t *testing.T) {
 	for kind, want := range map[fault.Kind]Outcome{
 		fault.Overloaded: Refused, fault.Unknown: Refused, fault.Infeasible: Accepted, fault.Conflict: Accepted,
@@ -214,7 +214,7 @@
 			}
 			began := f.Begin(c)
 			switch {
-			case total >= limit, own < total && own >= limit/callerShare:
+			case total >= limit, own < total && own >= limit/callerDivisor:
 				must.False(t, began)
 			case own == 0 && len(f.byCaller) <= 1:
 				must.True(t, began)
@@ -236,6 +236,6 @@
 // Guards against a bound that doesn't follow the memory: a process of 144 MB may hold 18 MB of calls.
 func TestInFlightFollowsMemory(t *testing.T) {
 	must.Eq(t, 288, MaxInFlight(144<<20))
-	must.Eq(t, callerShare, MaxInFlight(1))
+	must.Eq(t, callerDivisor, MaxInFlight(1))
 	must.Eq(t, 2048, MaxInFlight(0))
 }
--- a/internal/overload/fairness_test.go
+++ b/internal/overload/fairness_test.go
@@ -21,8 +21,8 @@
 // flowCounts are the offered and the served calls by flow.
 type flowCounts struct{ offered, served [fairFlows + 1]int }
 
-// replayFlows replays submissions of fairFlows flows, which each send usualRate calls per second and the flooding flow
-// floodRate. With merged, all are of one flow for the limiter.
+// replayFlows replays submissions of fairFlows flows: the flooding flow sends floodRate calls per second, each
+// other one usualRate. With merged, all are of one flow for the limiter.
 func replayFlows(t *testing.T, usualRate, floodRate float64, merged bool) (counts flowCounts) {
 	limiter, random := NewLimiter(DefaultBounds()), rand.New(rand.NewPCG(3, 4))
 	waiting := map[CallID]int{}
@@ -71,8 +71,8 @@
 	return counts
 }
 
-// Guards against a flow that floods the leader and takes the places of flows that send their usual calls, and against
-// capacity that no flow gets.
+// Guards against a flow that floods the leader and takes the places of flows that send their usual calls, and
+// against capacity that no flow gets.
 func TestFloodingFlowTakesNothingFromOthers(t *testing.T) {
 	for name, test := range map[string]struct {
 		// flood is how many times the usual calls the flooding flow sends, capacity the part of the offered
--- a/internal/overload/gate.go
+++ b/internal/overload/gate.go
@@ -52,19 +52,21 @@
 
 // NewGate returns a gate with the bounds. classOf returns the class of the calls of a method.
 func NewGate(bounds Bounds, classOf func(method string) Class, logger log.Logger, counters Counters) *Gate {
-	g := &Gate{classOf: classOf, logger: logger, counters: counters, now: time.Now, limiter: NewLimiter(bounds), waiting: map[CallID]chan bool{}}
+	g := &Gate{
+		classOf: classOf, logger: logger, counters: counters, now: time.Now,
+		limiter: NewLimiter(bounds), waiting: map[CallID]chan bool{},
+	}
 	g.startReport(g.now())
 	return g
 }
 
-// Arrive decides on a call of a method and a flow. An error of kind Overloaded refuses the call. Otherwise done must be called
-// after the call has been served. If wait isn't nil, the call may be served only after wait has returned nil; if
-// wait returns an error, the call is refused and done must not be called.
+// Arrive decides on a call of a method and a flow. An error of kind Overloaded refuses the call. Otherwise done
+// must be called after the call has been served. If wait isn't nil, the call may be served only after wait has
+// returned nil; if wait returns an error, the call is refused and done must not be called.
 //
-// Arrive lets the other runnable goroutines run once before it returns for a submission or a read that is served.
-// Most of them are calls that reach the gate then and wait or are refused. Otherwise, calls that don't block would be
-// served one after the other on a single processor, the queue would form before the gate, and the gate would
-// never see more than one of them.
+// Arrive yields the processor once before it returns for a submission or a read that is served, so that the other
+// runnable calls reach the gate. On a single processor, calls that don't block would otherwise be served one after
+// the other, and the gate would never see more than one of them.
 func (g *Gate) Arrive(method string, flow uint64) (wait func(context.Context) error, done func(), err error) {
 	class := g.classOf(method)
 	wait, done, err = g.arrive(class, flow)
--- a/internal/overload/gate_test.go
+++ b/internal/overload/gate_test.go
@@ -84,8 +84,8 @@
 	})
 }
 
-// Guards against normal bounds while the monitor is suspended, for example with the whole process: the calls of that
-// time arrive together afterwards.
+// Guards against bounds that stay normal after the monitor was suspended, for example with the whole process: the
+// calls of that time arrive together afterwards.
 func TestSuspendedMonitorReducesBounds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var lines bytes.Buffer
@@ -161,8 +161,8 @@
 	must.Positive(t, refused.Load())
 }
 
-// Guards against a monitor that doesn't see the queue of runnable goroutines, because the runtime prefers a goroutine
-// that a timer has woken.
+// Guards against a monitor that doesn't see the queue of runnable goroutines, because the runtime prefers a
+// goroutine that a timer has woken.
 func TestMonitorWaitsForRunnableGoroutines(t *testing.T) {
 	oneProcessor(t)
 	var delays []time.Duration
@@ -184,7 +184,8 @@
 	}
 }
 
-// Guards against a call that goes on waiting, or is counted as served, after it was refused in favour of another flow.
+// Guards against a call that goes on waiting, or is counted as served, after it was refused in favour of another
+// flow.
 func TestDisplacedCallIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		counters := counterMap{}
--- a/internal/overload/limiter.go
+++ b/internal/overload/limiter.go
@@ -136,8 +136,8 @@
 	return l
 }
 
-// Arrive decides on a new call of a flow, which stands for its caller; 0 is for calls without one. Calls of classes
-// other than ClassSubmit and ClassRead are all of one flow. The ID is valid if the call waits.
+// Arrive decides on a new call of a flow, which stands for its caller; 0 is for calls without one. Calls of
+// classes other than ClassSubmit and ClassRead are all of one flow. The ID is valid if the call waits.
 //
 // If no more calls may wait, a call of the flow with the most waiting calls is refused.
 func (l *Limiter) Arrive(now time.Time, class Class, flow uint64) (CallID, Decision) {
@@ -240,8 +240,8 @@
 	l.settle(now)
 }
 
-// maxHalvings bounds the reduction by one measurement. After a single stall, a quarter of the normal bounds remains,
-// which is enough for the usual load.
+// maxHalvings bounds the reduction by one measurement. After a single stall, a quarter of the normal bounds
+// remains, which is enough for the usual load.
 const maxHalvings = 2
 
 // TakeOutcomes returns the outcomes of waiting calls since it was last called.
@@ -251,7 +251,8 @@
 	return outcomes
 }
 
-// Load is the state of a class.
+// Load is the state of a class: the current bound on calls in service, and the numbers of calls in service and
+// waiting.
 type Load struct{ Bound, InService, Waiting int }
 
 // Load returns the state of a class.
--- a/internal/overload/limiter_test.go
+++ b/internal/overload/limiter_test.go
@@ -189,8 +189,8 @@
 	}
 }
 
-// Guards against bounds that are exceeded, waiting calls that get no outcome or two, classes without precedence, and
-// flows that wait for more than one call of each other flow.
+// Guards against bounds that are exceeded, waiting calls that get no outcome or two, classes without precedence,
+// and flows that wait for more than one call of each other flow.
 func TestLimiterKeepsBoundsAndOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newLimiterModel()
--- a/internal/overload/monitor.go
+++ b/internal/overload/monitor.go
@@ -20,8 +20,8 @@
 
 // Monitor measures how long goroutines wait for the processor, as the goroutine of the log does. It observes the
 // larger of two values: how late its own sleep ends, which shows a process that was suspended, and a quantile
-// of the latencies that the runtime has recorded. The first alone sees no queue of runnable goroutines, because the
-// runtime runs a goroutine that a timer has woken before the others.
+// of the latencies that the runtime has recorded. The first alone sees no queue of runnable goroutines, because
+// the runtime runs a goroutine that a timer has woken before the others.
 type Monitor struct {
 	observe func(now time.Time, delay time.Duration)
 	now     func() time.Time
--- a/internal/overload/replay_test.go
+++ b/internal/overload/replay_test.go
@@ -198,8 +198,8 @@
 	return during
 }
 
-// Guards against a leader that loses its authority to decide under ten times the usual calls, because its log waits
-// for the processor for longer than an election takes, and against bounds that stay low afterwards.
+// Guards against a leader that loses its authority to decide under ten times the usual calls, because its log
+// waits for the processor for longer than an election takes, and against bounds that stay low afterwards.
 func TestBurstLeavesProcessorToLog(t *testing.T) {
 	limiter := NewLimiter(DefaultBounds())
 	r := newReplay(limiter)
