control: log lines about refused jobs are bounded for every reason

Seen by reading: with load control on, refusals of kind Overloaded write at most 20 lines a second, but a customer that floods with jobs larger than its limit, which are refused as Infeasible, writes one line per call. Change: the bound counts all refusals. TestAdmissionLogLinesAreBounded was red with such refusals: 70 lines, 20 allowed.

--- a/internal/control/admission.go
+++ b/internal/control/admission.go
@@ -224,7 +224,7 @@
 
 // logRefused logs that a job is refused. With load control the number of lines is bounded.
 func (t *leaderTerm) logRefused(job *workflow.Submission, queue string, err error) {
-	if t.admission != nil && fault.Is(err, fault.Overloaded) {
+	if t.admission != nil {
 		t.mu.Lock()
 		t.admissionCounts.refusalLines++
 		lines := t.admissionCounts.refusalLines
--- a/internal/control/admission_test.go
+++ b/internal/control/admission_test.go
@@ -191,8 +191,8 @@
 	must.Eq(t, "", bottleneck)
 }
 
-// Guards against a log line for each of hundreds of refused jobs a second, and against counts that
-// aren't reset.
+// Guards against a log line for each of hundreds of refused jobs a second, for whatever reason, and
+// against counts that aren't reset.
 func TestAdmissionLogLinesAreBounded(t *testing.T) {
 	term := controlledTerm(t)
 	lines := map[string]int{}
@@ -200,6 +200,7 @@
 	for i := range 50 {
 		name := fmt.Sprint("c", i)
 		term.logRefused(&workflow.Submission{ID: name}, "q", fault.Retry(fault.Overloaded, time.Second, "full"))
+		term.logRefused(&workflow.Submission{ID: name}, "q", fault.New(fault.Infeasible, "larger than the limit"))
 		term.countRefused(name)
 	}
 	must.Eq(t, maxRefusalLogLines, lines["submit"])
