speed, dispatch, control, platform: clearer names and comments

No change of behaviour. The class of a worker is SpeedClass, and the class that counts in its pool effectiveClass. Checks of tests are unchanged; two tests of customers are renamed.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -15,9 +15,9 @@
 	// byService holds the workers of each pool. Their Free shrinks as the plan grows.
 	byService map[string][]*Worker
 	byID      map[string]*Worker
-	// roomy holds the workers of each pool on which the least demand of the steps fits before the plan.
+	// nonFull holds the workers of each pool on which the least demand of the steps fits before the plan.
 	// No task fits on other workers now, since Free only shrinks.
-	roomy map[string][]*Worker
+	nonFull map[string][]*Worker
 	// headroom caches the largest free amount of each resource on any worker of a pool.
 	headroom map[string]workflow.Resources
 	// unreservedHeadroom caches the largest amount of each resource that would be free on
@@ -55,7 +55,7 @@
 // SpareRuns fields of workers and the Placed field of steps by what it plans.
 func Decide(now time.Duration, steps []Step, workers []Worker, limits Limits) Plan {
 	p := &planner{
-		now: now, limits: limits, byService: map[string][]*Worker{}, byID: make(map[string]*Worker, len(workers)), roomy: map[string][]*Worker{}, headroom: map[string]workflow.Resources{},
+		now: now, limits: limits, byService: map[string][]*Worker{}, byID: make(map[string]*Worker, len(workers)), nonFull: map[string][]*Worker{}, headroom: map[string]workflow.Resources{},
 		unreservedHeadroom: map[string]workflow.Resources{}, stopping: map[workflow.TaskKey]bool{}, reservedGangs: map[string]int{}, preemptiblePriority: map[string]int{},
 		rooms: newCustomerRooms(limits.CustomerRoom),
 	}
@@ -66,7 +66,7 @@
 		p.byService[w.Service] = append(p.byService[w.Service], w)
 		p.byID[w.ID] = w
 		if least.Fits(w.Free) {
-			p.roomy[w.Service] = append(p.roomy[w.Service], w)
+			p.nonFull[w.Service] = append(p.nonFull[w.Service], w)
 		}
 	}
 	p.recordSpeeds()
@@ -421,10 +421,10 @@
 }
 
 // gangFitsInPool reports whether the pending tasks of a gang fit on the workers of its pool, permitted
-// or not. On a full cluster few workers are roomy, so that this check takes much less time than looking
-// up the permitted workers.
+// or not. On a full cluster few workers are in nonFull, so that this check takes much less time than
+// looking up the permitted workers.
 func (p *planner) gangFitsInPool(s *Step) bool {
-	return fitsOn(s, p.roomy[s.Service], len(s.Pending), fitCount)
+	return fitsOn(s, p.nonFull[s.Service], len(s.Pending), fitCount)
 }
 
 // gangWorkers returns a worker for each of n tasks, nil if they don't all fit.
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -43,7 +43,7 @@
 
 func (c *classSpeed) add(w *Worker) {
 	c.workers++
-	if w.speedClass == speed.Ordinary {
+	if w.effectiveClass == speed.Ordinary {
 		c.percentSum += ordinaryPercent
 	} else {
 		c.percentSum += w.SpeedPercent
@@ -67,10 +67,10 @@
 // recordSpeeds records the speeds of each pool with workers of more than one class.
 func (p *planner) recordSpeeds() {
 	for service, workers := range p.byService {
-		fastest := setClasses(workers)
+		fastest := setEffectiveClasses(workers)
 		var speeds poolSpeeds
 		for _, w := range workers {
-			if w.speedClass == fastest {
+			if w.effectiveClass == fastest {
 				speeds.fastest.add(w)
 			} else {
 				speeds.slower.add(w)
@@ -86,21 +86,21 @@
 	}
 }
 
-// setClasses sets the classes that count for the workers of a pool, and returns the fastest one.
-func setClasses(workers []*Worker) speed.Class {
+// setEffectiveClasses sets effectiveClass of the workers of a pool and returns the fastest one.
+func setEffectiveClasses(workers []*Worker) speed.Class {
 	fast := 0
 	for _, w := range workers {
-		if w.Speed == speed.Fast {
+		if w.SpeedClass == speed.Fast {
 			fast++
 		}
 	}
 	fastest := speed.Slow
 	for _, w := range workers {
-		w.speedClass = w.Speed
-		if w.Speed == speed.Fast && fast*minFastDivisor < len(workers) {
-			w.speedClass = speed.Ordinary
+		w.effectiveClass = w.SpeedClass
+		if w.SpeedClass == speed.Fast && fast*minFastDivisor < len(workers) {
+			w.effectiveClass = speed.Ordinary
 		}
-		fastest = min(fastest, w.speedClass)
+		fastest = min(fastest, w.effectiveClass)
 	}
 	return fastest
 }
@@ -155,7 +155,7 @@
 	if s.preference != prefersFast {
 		return 0
 	}
-	return cmp.Compare(a.speedClass, b.speedClass)
+	return cmp.Compare(a.effectiveClass, b.effectiveClass)
 }
 
 // compareSlowFirst puts slower workers first if s prefers them.
@@ -163,7 +163,7 @@
 	if s.preference != prefersSlow {
 		return 0
 	}
-	return cmp.Compare(b.speedClass, a.speedClass)
+	return cmp.Compare(b.effectiveClass, a.effectiveClass)
 }
 
 // noRoomRank is the speedRank of workers without room, after those of all classes.
@@ -178,7 +178,7 @@
 	case n <= 0:
 		return noRoomRank
 	case s.preference == prefersSlow:
-		return -int(w.speedClass)
+		return -int(w.effectiveClass)
 	}
-	return int(w.speedClass)
+	return int(w.effectiveClass)
 }
--- a/dispatch/speed_test.go
+++ b/dispatch/speed_test.go
@@ -75,7 +75,7 @@
 				w.SpeedPercent = 0
 			}
 		}
-		w.Speed = speed.ClassOfPercent(w.SpeedPercent)
+		w.SpeedClass = speed.ClassOfPercent(w.SpeedPercent)
 	}
 }
 
@@ -159,7 +159,7 @@
 		free := workflow.Resources{MilliCPU: 16_000}
 		pool[i] = Worker{Worker: workflow.Worker{ID: fmt.Sprintf("w%02d", i), Service: "s", Capacity: free}, Free: free}
 		if i < slow {
-			pool[i].Speed, pool[i].SpeedPercent = speed.Slow, 46
+			pool[i].SpeedClass, pool[i].SpeedPercent = speed.Slow, 46
 		}
 		if permitted {
 			s.Permits[pool[i].ID] = Permit{Granted: true, Expires: time.Minute}
@@ -172,9 +172,9 @@
 func makeOthersFast(pool []Worker, slow int) {
 	for i := range pool {
 		if i < slow {
-			pool[i].Speed, pool[i].SpeedPercent = speed.Ordinary, 0
+			pool[i].SpeedClass, pool[i].SpeedPercent = speed.Ordinary, 0
 		} else {
-			pool[i].Speed, pool[i].SpeedPercent = speed.Fast, 218
+			pool[i].SpeedClass, pool[i].SpeedPercent = speed.Fast, 218
 		}
 	}
 }
@@ -255,7 +255,7 @@
 func TestFewFastWorkersDontCount(t *testing.T) {
 	const slow = 10
 	pool, s := unequalPool(40, slow, 3, true)
-	pool[slow].Speed, pool[slow].SpeedPercent = speed.Fast, 160
+	pool[slow].SpeedClass, pool[slow].SpeedPercent = speed.Fast, 160
 	s.Stretch, s.Due = 4, time.Minute
 	for i := slow + 1; i < len(pool); i++ {
 		pool[i].Free.MilliCPU = 3000
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -45,13 +45,14 @@
 	// Penalty is 0 for a healthy worker and higher for one that failed or stalled
 	// recently. Workers with a lower penalty are chosen first.
 	Penalty int
-	// Speed says whether runs on the worker take much longer or shorter than on others. SpeedPercent is
+	// SpeedClass says whether runs on the worker take much longer or shorter than on others. SpeedPercent is
 	// then its speed in percent of that of the median worker, 0 otherwise. Steps with a tight objective
 	// prefer the workers of the fastest class; while little is free there, other steps prefer the others.
-	Speed        speed.Class
+	SpeedClass   speed.Class
 	SpeedPercent int
-	// speedClass is Speed as far as the class counts in the pool; see setClasses.
-	speedClass speed.Class
+	// effectiveClass is SpeedClass, but Ordinary for a fast worker of a pool with too few of them; see
+	// setEffectiveClasses.
+	effectiveClass speed.Class
 	// rank is the position of the worker in the order of IDs; it breaks ties.
 	rank int
 }
--- a/internal/cli/customers.go
+++ b/internal/cli/customers.go
@@ -43,7 +43,7 @@
 			textCell("%d", c.GetRefusedLimit()), textCell("%d", c.GetRefusedCluster()), textCell("%s", formatResources(c.GetRunning())),
 			textCell("%s", formatLimit(c.GetLimit())), textCell("%g", c.GetWeight()), textCell("%s", formatDue(c, status.GetCapacity())),
 			textCell("%d", c.GetQueuedTasks()), textCell("%s", units.FormatCores(c.GetQueuedCoreMs())),
-			textCell("%d", c.GetWaitingJobs()), textCell("%s", formatOldest(c)))
+			textCell("%d", c.GetWaitingJobs()), textCell("%s", formatOldestWait(c)))
 	}
 	t.print(s)
 }
@@ -86,8 +86,8 @@
 	return share + ": " + formatResources(c.GetDue())
 }
 
-// formatOldest formats the age of a customer's oldest waiting job; "-" if none waits.
-func formatOldest(c *apiv1.CustomerStatus) string {
+// formatOldestWait formats the age of a customer's oldest waiting job; "-" if none waits.
+func formatOldestWait(c *apiv1.CustomerStatus) string {
 	if c.GetWaitingJobs() == 0 {
 		return "-"
 	}
--- a/internal/control/admission.go
+++ b/internal/control/admission.go
@@ -157,12 +157,14 @@
 		return nil
 	}
 	counts.refused++
-	counter, total := "jobs_refused_cluster_wait", &t.submissionsOf(submission.Customer).RefusedCluster
+	submissions := t.submissionsOf(submission.Customer)
 	if refusal.Bottleneck == admission.CustomerLimit {
-		counter, total = "jobs_refused_limit_wait", &t.submissionsOf(submission.Customer).RefusedLimit
+		submissions.RefusedLimit++
+		t.c.cfg.Counters.Add("jobs_refused_limit_wait", 1)
+	} else {
+		submissions.RefusedCluster++
+		t.c.cfg.Counters.Add("jobs_refused_cluster_wait", 1)
 	}
-	*total++
-	t.c.cfg.Counters.Add(counter, 1)
 	return fault.Retry(fault.Overloaded, refusal.RetryAfter, "expected to wait %d ms for %s; worth nothing after %d ms",
 		refusal.Wait.Milliseconds(), refusal.Bottleneck, (admission.WorthlessAfterObjectives * job.Objective).Milliseconds())
 }
--- a/internal/control/commit_bench_test.go
+++ b/internal/control/commit_bench_test.go
@@ -41,7 +41,8 @@
 	}
 }
 
-// idleMachine is the state machine of a follower, whose processor time doesn't count.
+// idleMachine is the state machine of a follower. It does nothing, so that the measured processor time
+// doesn't contain it.
 type idleMachine struct{}
 
 func (idleMachine) Apply(uint64, []byte) any  { return nil }
@@ -139,9 +140,8 @@
 	return e.machine.Apply(e.index, encoded).(workflow.Result)
 }
 
-// startRuns removes the jobs of the last round and starts benchLiveRuns runs on each worker.
-// It returns the runs by worker.
-func (e *endsBench) startRuns() [][]workflow.Run {
+// removeJobs ends the runs of all jobs and removes the jobs.
+func (e *endsBench) removeJobs() {
 	var ids []string
 	e.machine.read(func(s *workflow.State) {
 		for id := range s.Jobs {
@@ -165,6 +165,10 @@
 	}
 	clear(e.term.startedJobs)
 	clear(e.term.loggedEnds)
+}
+
+// startRuns submits jobs and starts benchLiveRuns runs on each worker. It returns the runs by worker.
+func (e *endsBench) startRuns() [][]workflow.Run {
 	var runs []workflow.Run
 	step := workflow.Step{Count: benchJobTasks, Need: workflow.Resources{MilliCPU: 9_000, MemoryMB: 6_000}, EstimateMS: 6000}
 	for len(runs) < benchWorkers*benchLiveRuns {
@@ -186,8 +190,8 @@
 	return byWorker
 }
 
-// report makes the report of a worker whose runs before first have ended, the one before it
-// since the last report, and applies it.
+// report applies a report of a worker. The runs before the index first have ended, the last of them
+// since the previous report.
 func (e *endsBench) report(worker int, runs []workflow.Run, first int) {
 	e.ends[worker]++
 	ended := runs[first-1]
@@ -228,6 +232,7 @@
 	used := time.Duration(0)
 	for reported := 0; reported < b.N; {
 		b.StopTimer()
+		e.removeJobs()
 		runs := e.startRuns()
 		b.StartTimer()
 		start := cpuTime(b)
--- a/internal/control/customer_status.go
+++ b/internal/control/customer_status.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// customerGaugeInterval is the time between two updates of the gauges by customer.
+	// customerGaugeInterval is the minimum time between two updates of the gauges by customer.
 	customerGaugeInterval = time.Second
-	// maxGaugeCustomers bounds the customers that have gauges.
+	// maxGaugeCustomers bounds the customers that have gauges, and so the size of the metrics page.
 	maxGaugeCustomers = 20
 	// customerLabel is the label of the gauges by customer.
 	customerLabel = "customer"
@@ -89,7 +89,9 @@
 			of(name).Running = running
 		}
 		for _, job := range s.OpenJobs() {
-			t.addQueuedJob(of(job.Customer), job, now)
+			status := of(job.Customer)
+			t.addQueuedTasks(status, job, now)
+			t.addIfWaiting(status, job, now)
 		}
 		queued := make(map[string]int, len(statuses))
 		for name, status := range statuses {
@@ -108,9 +110,9 @@
 	return reply
 }
 
-// addQueuedJob adds what a job has queued to the figures of its customer. t.mu must be held, and only a
-// function that was passed to StateMachine.read may call it.
-func (t *leaderTerm) addQueuedJob(status *CustomerStatus, job *workflow.Job, now time.Time) {
+// addQueuedTasks adds a job's tasks that haven't started and their work to the figures of its customer.
+// t.mu must be held, and only a function that was passed to StateMachine.read may call it.
+func (t *leaderTerm) addQueuedTasks(status *CustomerStatus, job *workflow.Job, now time.Time) {
 	for occurrence := range job.Occurrences {
 		if !job.Due(occurrence, now) {
 			continue
@@ -125,11 +127,17 @@
 			}
 		}
 	}
+}
+
+// addIfWaiting adds a job to the waiting jobs of its customer if none of its tasks has started. t.mu must
+// be held, and only a function that was passed to StateMachine.read may call it.
+func (t *leaderTerm) addIfWaiting(status *CustomerStatus, job *workflow.Job, now time.Time) {
 	if job.Started || t.startedJobs[job.ID] || !job.Due(0, now) {
 		return
 	}
 	since := t.acceptedTime(job.ID)
 	if job.Schedule.Times > 0 {
+		// The due time is wall-clock time, but now.Sub(since) below uses the monotonic clock.
 		since = now.Add(-now.Round(0).Sub(time.UnixMilli(job.Schedule.DueMS(0))))
 	}
 	status.WaitingJobs++
--- a/internal/control/customer_status_test.go
+++ b/internal/control/customer_status_test.go
@@ -23,9 +23,9 @@
 	return reply.Customers[i], reply
 }
 
-// Guards against figures that leave out or mix up customers or tell their keys, and against repeated calls
+// Guards against figures that leave out or mix up customers or contain their keys, and against repeated calls
 // that count twice.
-func TestCustomersTellWhatRunsAndWaits(t *testing.T) {
+func TestCustomersShowWhatRunsAndWaits(t *testing.T) {
 	cluster := newCustomerCluster(t)
 	cluster.workers.add("w1")
 	cluster.announce("w1")
@@ -64,7 +64,7 @@
 }
 
 // Guards against refusals that are counted for the wrong reason.
-func TestCustomersTellRefusalsByReason(t *testing.T) {
+func TestCustomersShowRefusalsByReason(t *testing.T) {
 	term := controlledTerm(t)
 	term.decide()
 	must.Error(t, fill(t, term))
--- a/internal/control/incarnations.go
+++ b/internal/control/incarnations.go
@@ -213,9 +213,9 @@
 	}
 }
 
-// awaitSuccessorReport waits until the ends of this session's runs are committed that are
-// listed in a complete report of the successor in response to a poll that is sent from now
-// on. It returns false if the deadline passes first.
+// awaitSuccessorReport waits for a complete report of the successor in response to a poll that
+// is sent from now on, and until the ends of this session's runs that the report lists are
+// committed. It returns false if the deadline passes first.
 func (s *workerSession) awaitSuccessorReport(deadline time.Time) bool {
 	since := time.Now()
 	s.interruptSuccessorPoll()
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -144,7 +144,7 @@
 		summary := t.summarizeRuns(s, session, changes, now)
 		workers = append(workers, dispatch.Worker{
 			Worker: state.Worker, Free: free, FreeBeforePlan: free, Releases: summary.releases, Penalty: session.penalty(), Earmarked: t.earmarked[id],
-			Speed: session.speedClass(), SpeedPercent: session.speed.Percent(),
+			SpeedClass: session.speedClass(), SpeedPercent: session.speed.Percent(),
 			Serving: summary.serving, SpareRuns: summary.spareRuns, SpareCPUPercent: session.throttle.share,
 		})
 	}
--- a/internal/control/speeds.go
+++ b/internal/control/speeds.go
@@ -51,17 +51,17 @@
 				"relative", e.Relative, "uncertainty", e.Uncertainty, "runs", e.Runs)
 		}
 	}
-	workers := map[speed.Class]int64{}
+	countByClass := map[speed.Class]int64{}
 	var changed []workflow.WorkerSpeed
 	for id, session := range t.sessions {
 		session.speed = t.learnerOf(session.worker.Service).Estimate(id)
-		workers[session.speed.Class]++
+		countByClass[session.speed.Class]++
 		if state := s.Workers[id]; state != nil && !state.Gone && speed.ClassOfPercent(state.SpeedPercent) != session.speed.Class {
 			changed = append(changed, workflow.WorkerSpeed{Worker: id, SpeedPercent: session.speed.Percent()})
 		}
 	}
-	t.c.cfg.Counters.Set("slow_workers", workers[speed.Slow])
-	t.c.cfg.Counters.Set("fast_workers", workers[speed.Fast])
+	t.c.cfg.Counters.Set("slow_workers", countByClass[speed.Slow])
+	t.c.cfg.Counters.Set("fast_workers", countByClass[speed.Fast])
 	t.commitSpeeds(changed)
 }
 
--- a/internal/oplog/metrics.go
+++ b/internal/oplog/metrics.go
@@ -102,7 +102,7 @@
 	for _, name := range sortedKeys(m.labelled) {
 		gauge := m.labelled[name]
 		for _, value := range sortedKeys(gauge.values) {
-			if _, err := fmt.Fprintf(w, "bilberry_%s{%s=\"%s\"} %d\n", name, gauge.label, labelEscapes.Replace(value), gauge.values[value]); err != nil {
+			if _, err := fmt.Fprintf(w, "bilberry_%s{%s=\"%s\"} %d\n", name, gauge.label, labelEscaper.Replace(value), gauge.values[value]); err != nil {
 				return err
 			}
 		}
@@ -123,8 +123,8 @@
 	return nil
 }
 
-// labelEscapes escapes the value of a label as the Prometheus text format requires.
-var labelEscapes = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
+// labelEscaper escapes the value of a label as the Prometheus text format requires.
+var labelEscaper = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
 
 func sortedKeys[V any](m map[string]V) []string {
 	keys := make([]string, 0, len(m))
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -25,7 +25,8 @@
 	// are ordinary; the gap keeps a worker near the bound from changing its class with each run.
 	slowBelow = 0.7
 	slowUntil = 0.8
-	// A worker becomes fast above fastAbove and stops being fast below fastUntil.
+	// A worker becomes fast above fastAbove and stops being fast below fastUntil. Speeds of 1.25 beside
+	// 0.8 and 1.0 are ordinary; the gap has the same reason as that of slow workers.
 	fastAbove = 1.5
 	fastUntil = 1.25
 	// verySlowBelow is the relative speed below which a slow worker is very slow.
@@ -95,16 +96,16 @@
 	runs []run
 	next int
 	// fresh says that the step is in Learner.fresh, growing that a run was added since the last call of
-	// Classify. delayed counts the calls that have left the step in Learner.fresh.
+	// Classify. delayed counts the calls of Classify that have left the step in Learner.fresh.
 	fresh, growing bool
 	delayed        int
 }
 
-// run is a finished run. judged says that it has been compared with others.
+// run is a finished run. compared says that it has been compared with others.
 type run struct {
 	worker      *worker
 	logDuration float64
-	judged      bool
+	compared    bool
 }
 
 // Estimate is what is known of the speed of a worker.
@@ -113,7 +114,8 @@
 	// standard error of its logarithm, about the relative error; 0 while no run was compared.
 	Relative, Uncertainty float64
 	// Runs counts the compared runs.
-	Runs  int
+	Runs int
+	// Class is the class that the last Classify or Restore gave the worker.
 	Class Class
 	// VerySlow says that the worker is so slow that several runs at a time would be late.
 	VerySlow bool
@@ -191,7 +193,7 @@
 	s := l.step(key)
 	if len(s.runs) == maxRunsPerStep {
 		// The run that is replaced must be compared first.
-		s.judgeAll()
+		s.compareAll()
 	}
 	s.add(run{worker: w, logDuration: math.Log(float64(duration))})
 	s.growing = true
@@ -199,15 +201,15 @@
 		return
 	}
 	if len(l.fresh) == maxSteps {
-		l.judgeFresh(0)
+		l.compareFresh(0)
 	}
 	s.fresh = true
 	l.fresh = append(l.fresh, s)
 }
 
-// judgeFresh compares the runs that haven't been compared, except those of growing steps that were
+// compareFresh compares the runs that haven't been compared, except those of growing steps that were
 // delayed less than maxDelay times.
-func (l *Learner) judgeFresh(maxDelay int) {
+func (l *Learner) compareFresh(maxDelay int) {
 	delayed := l.fresh[:0]
 	for _, s := range l.fresh {
 		if s.growing && s.delayed < maxDelay {
@@ -216,18 +218,18 @@
 			delayed = append(delayed, s)
 			continue
 		}
-		s.judgeAll()
+		s.compareAll()
 		s.fresh, s.delayed = false, 0
 	}
 	clear(l.fresh[len(delayed):])
 	l.fresh = delayed
 }
 
-// judgeAll compares the runs of a step that haven't been compared.
-func (s *step) judgeAll() {
+// compareAll compares the runs of a step that haven't been compared.
+func (s *step) compareAll() {
 	for i := range s.runs {
-		if r := &s.runs[i]; !r.judged && !r.worker.forgotten {
-			s.judge(r)
+		if r := &s.runs[i]; !r.compared && !r.worker.forgotten {
+			s.compare(r)
 		}
 	}
 }
@@ -269,9 +271,9 @@
 	s.next = (s.next + 1) % maxRunsPerStep
 }
 
-// judge compares a run with the runs of its step on other workers, if there are any. Runs of the
-// same worker say nothing about its speed.
-func (s *step) judge(r *run) {
+// compare updates the speed of a run's worker by the runs of its step on other workers, if there are
+// any. Runs of the same worker say nothing about its speed.
+func (s *step) compare(r *run) {
 	var buffer [maxRunsPerStep]float64
 	work := buffer[:0]
 	for i := range s.runs {
@@ -282,7 +284,7 @@
 	if len(work) == 0 {
 		return
 	}
-	r.judged = true
+	r.compared = true
 	r.worker.runs++
 	slices.Sort(work)
 	middle, limit := medianOf(work), math.Log(maxResidual)
@@ -332,7 +334,7 @@
 // Classify updates the classes of the workers and returns the workers that changed theirs, in the order
 // of their IDs. It takes time for each worker, so it is called about once a second.
 func (l *Learner) Classify() []Change {
-	l.judgeFresh(maxComparisonDelay)
+	l.compareFresh(maxComparisonDelay)
 	l.recentre()
 	var changes []Change
 	for id, w := range l.workers {
--- a/speed/speed_test.go
+++ b/speed/speed_test.go
@@ -112,9 +112,9 @@
 	for _, c := range []struct {
 		class           Class
 		unusual, others float64
-		// foundPercent of the unusual workers are found after ten runs, and all but missed of a pool after 20.
-		// Most fast ones need more than ten runs; nine of ten must be found within 10 s of 1,000 ends a
-		// second, which are 28 runs a worker.
+		// foundPercent is the percentage of the unusual workers that must be found after ten runs per worker.
+		// missed is how many of a pool may still be missing after 20. Most fast workers need more than ten
+		// runs; nine of ten must be found within 10 s of 1,000 ends per second, which are 28 runs per worker.
 		foundPercent, missed int
 	}{{Slow, 0.55, 1.2, 95, 2}, {Fast, 1.2, 0.55, 0, 8}} {
 		const seeds, unusualWorkers, otherWorkers = 30, 88, 262
@@ -141,9 +141,9 @@
 	}
 }
 
-// Guards against workers that count as slow or fast in a pool in which none is, as 9 to 34 of 350 did. Beside 1.0 and
-// 1.25, runs of a worker of 0.8 may look like those of a slow one for some time, if rarely: the bound is
-// one worker of 350 at a time, and one in 10,000 on average.
+// Guards against workers that count as slow or fast in a pool in which none is, as 9 to 34 of 350 did. Beside
+// 1.0 and 1.25, runs of a worker of 0.8 may look like those of a slow one for some time, if rarely: the bound
+// is one worker of 350 at a time, and one in 10,000 on average.
 func TestNoWorkerOfAnOrdinaryPoolIsSlowOrFast(t *testing.T) {
 	for _, speeds := range [][]float64{{1}, {0.8, 1, 1.25}} {
 		most, sum, checks := 0, 0, 0
