Comments of decisions give their reasons without measured figures

Seen in the last reading of the diff: three comments told shares and times of a measurement. No code changes; the tests of gangs, reasons and grants in dispatch, and of customers and grants in internal/control, pass.

--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -265,8 +265,8 @@
 	// Incremental says that the plan considers only steps that have changed. Unpromising
 	// steps then leave the queries to the steps of the next full decision.
 	Incremental bool
-	// KeepReasons says that gangs without a reservation may keep their LastReason. To determine it anew
-	// takes a third of the time of a decision while many gangs wait.
+	// KeepReasons says that gangs without a reservation may keep their LastReason. While many gangs wait,
+	// determining it anew would be a large part of the decision.
 	KeepReasons bool
 	// CustomerRoom is what each customer with a limit may start beside what it has running.
 	CustomerRoom map[string]workflow.Resources
--- a/internal/control/permits.go
+++ b/internal/control/permits.go
@@ -20,8 +20,8 @@
 	// known maps the workers about which the adviser was queried to its permits. The map is
 	// replaced, never modified, because decisions read it without the lock.
 	known map[string]dispatch.Permit
-	// granted lists the workers with a granted permit. It is made once per response, since a decision
-	// about 140 gangs with 200 permits each would spend a quarter of its time on making it. It is
+	// granted lists the workers with a granted permit. It is made once per response, since
+	// making it for each waiting gang would be a large part of a decision. It is
 	// replaced, never modified, like known.
 	granted []string
 	// inFlight counts the queries in flight.
--- a/internal/control/yield.go
+++ b/internal/control/yield.go
@@ -3,9 +3,9 @@
 import "time"
 
 // maxUninterruptedPlanning is how long a decision plans before other goroutines get their turn.
-// The runtime interrupts a goroutine only after 10 ms. While decisions take 20 ms and more,
-// each call and each report waits that long several times on the leader's only processor, and
-// the delay makes the gate of package overload refuse calls that don't cause it.
+// The runtime interrupts a goroutine only after 10 ms. With a long queue, each call and each report
+// would wait that long several times on the leader's only processor, and the delay would make the
+// gate of package overload refuse calls that don't cause it.
 const maxUninterruptedPlanning = 2 * time.Millisecond
 
 // yielder lets other goroutines run during a decision.
