member: voters are spread over the data centres

Cause: the leader promoted the last fitting learner whatever its data centre. On the fleet two of five voters stood in one data centre at the start, and after that of a cut data centre were replaced a majority stood in one: its loss would stop the log, the loss of its disks lose what was acknowledged. Ruled out: giving the seeds' data centres in the settings (a process isn't told them); keeping them only in the leader's memory (the next leader wouldn't know those of members that are cut off). Change: members announce their data centre, the membership records it, and voterPlanner, a function of the membership and the announcements, spreads the voters: at most as many in a data centre as may fail, the emptiest data centre first, a voter too many moved when it can be. Where the promotion would overfill the data centre of a lost voter, that voter is removed first.

--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -57,7 +57,7 @@
 	c := p.newComponents(adapters.NewDeploymentClient, budget)
 	stateMachine := control.NewStateMachine()
 	logMember := member.New(member.Config{
-		ID: s.Address, Port: s.InternalPort, Seeds: s.seedHosts(), FirstStart: s.FirstStart,
+		ID: s.Address, Port: s.InternalPort, DataCentre: s.DataCentre, Seeds: s.seedHosts(), FirstStart: s.FirstStart,
 		Folder: s.DataFolder, Voters: votersFor(s.ToleratedFailures), Machine: stateMachine, Logger: p.logger,
 	}, c.client, c.mux)
 	var monitor *overload.Monitor
--- a/internal/member/host.go
+++ b/internal/member/host.go
@@ -55,6 +55,8 @@
 	// ID is the instance's IP address; peers reach it at ID:Port.
 	ID   string
 	Port string
+	// DataCentre is the instance's data centre.
+	DataCentre string
 	// Seeds are IP addresses of core instances.
 	Seeds []string
 	// FirstStart says that the whole system starts for the first time, so that the seeds form
@@ -84,8 +86,7 @@
 // New returns a host that isn't running yet, and registers its handlers for peers.
 func New(cfg Config, client *link.Client, mux *link.Mux) *Host {
 	config := peer.Config{ID: cfg.ID}
-	h := &Host{cfg: cfg, client: client, transport: peer.New(config), mux: peer.NewMux(config)}
-	h.liveness.lastSeen = map[string]time.Time{}
+	h := &Host{cfg: cfg, client: client, transport: peer.New(config), mux: peer.NewMux(config), liveness: newLivenessTracker()}
 	mux.HandleHTTP(apiv1.PeerPathPrefix, apiv1.NewPeerServer(exchangeOnly{h.mux}))
 	link.Handle(mux, MethodJoin, h.serveJoin)
 	return h
--- a/internal/member/join.go
+++ b/internal/member/join.go
@@ -31,7 +31,8 @@
 
 // JoinRequest announces an instance to the leader.
 type JoinRequest struct {
-	ID string `cbor:"1,keyasint"`
+	ID         string `cbor:"1,keyasint"`
+	DataCentre string `cbor:"2,keyasint,omitempty"`
 }
 
 // JoinResponse is the membership that includes the instance.
@@ -39,18 +40,26 @@
 	Members []replica.Member `cbor:"1,keyasint"`
 }
 
-// livenessTracker holds when each instance last announced itself to this leader.
+// livenessTracker holds the last announcement of each instance to this leader.
 type livenessTracker struct {
 	mu       sync.Mutex
 	lastSeen map[string]time.Time
+	// dataCentres holds the data centre that each instance has announced.
+	dataCentres map[string]string
 	// leaderSince is when this member became the leader, zero while it doesn't lead.
 	leaderSince time.Time
 }
 
-func (t *livenessTracker) recordSeen(id string, now time.Time) {
+// newLivenessTracker returns a tracker without announcements.
+func newLivenessTracker() livenessTracker {
+	return livenessTracker{lastSeen: map[string]time.Time{}, dataCentres: map[string]string{}}
+}
+
+// recordSeen records an announcement.
+func (t *livenessTracker) recordSeen(r *JoinRequest, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.lastSeen[id] = now
+	t.lastSeen[r.ID], t.dataCentres[r.ID] = now, r.DataCentre
 }
 
 // setLeading records whether this member leads.
@@ -65,16 +74,16 @@
 	}
 }
 
-// timeSinceSeen returns the time since the last announcement of an instance to this
-// leader. The time before this member became the leader doesn't count.
-func (t *livenessTracker) timeSinceSeen(id string, now time.Time) time.Duration {
+// observe returns a member with what its announcements to this leader have shown. The time
+// before this member became the leader doesn't count.
+func (t *livenessTracker) observe(m replica.Member, now time.Time) observedMember {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	last := t.lastSeen[id]
+	last := t.lastSeen[m.ID]
 	if last.Before(t.leaderSince) {
 		last = t.leaderSince
 	}
-	return now.Sub(last)
+	return observedMember{Member: m, sinceSeen: now.Sub(last), announced: t.dataCentres[m.ID]}
 }
 
 // serveJoin records an announcement. It adds an instance that isn't a member as a
@@ -88,13 +97,13 @@
 	if !status.CanDecide {
 		return JoinResponse{}, link.NotLeader(h.Leader())
 	}
-	h.liveness.recordSeen(r.ID, time.Now())
+	h.liveness.recordSeen(r, time.Now())
 	known := slices.ContainsFunc(status.Members, func(m replica.Member) bool { return m.ID == r.ID })
 	if known {
 		return JoinResponse{Members: status.Members}, nil
 	}
 	learner := h.member(r.ID)
-	learner.Learner = true
+	learner.Learner, learner.DataCentre = true, r.DataCentre
 	members := append(status.Members, learner)
 	if err := group.ChangeMembership(ctx, members); err != nil {
 		return JoinResponse{}, err
@@ -129,7 +138,7 @@
 func (h *Host) callJoin(ctx context.Context, address string) (response JoinResponse, leader string, err error) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	err = h.client.Call(ctx, address, MethodJoin, &JoinRequest{ID: h.cfg.ID}, &response)
+	err = h.client.Call(ctx, address, MethodJoin, &JoinRequest{ID: h.cfg.ID, DataCentre: h.cfg.DataCentre}, &response)
 	return response, link.LeaderOf(err), err
 }
 
@@ -156,8 +165,8 @@
 	return nil
 }
 
-// manageMembership keeps the number of voters at Config.Voters while this member leads: a
-// learner that has caught up replaces an unresponsive voter.
+// manageMembership keeps the number and the spread of the voters while this member leads; see
+// voterPlanner.
 func (h *Host) manageMembership(ctx context.Context) error {
 	for wait.For(ctx, manageInterval) {
 		status := h.group.Status()
@@ -183,33 +192,13 @@
 // nextMembership returns the next membership, which differs in one member, and a
 // description of the change for the log. It returns nil when no change is due.
 func (h *Host) nextMembership(status replica.Status, now time.Time) ([]replica.Member, string) {
-	voters, unresponsiveVoter, learner, staleLearner := 0, -1, -1, -1
-	for i, m := range status.Members {
-		sinceSeen := h.liveness.timeSinceSeen(m.ID, now)
+	planner := voterPlanner{self: h.cfg.ID, voters: h.cfg.Voters}
+	for _, m := range status.Members {
+		observed := h.liveness.observe(m, now)
 		if m.ID == h.cfg.ID {
-			sinceSeen = 0
-		}
-		switch {
-		case !m.Learner:
-			voters++
-			if sinceSeen > unresponsiveAfter {
-				unresponsiveVoter = i
-			}
-		case sinceSeen > learnerRemovalDelay:
-			staleLearner = i
-		case sinceSeen < unresponsiveAfter:
-			learner = i
+			observed.sinceSeen, observed.announced = 0, h.cfg.DataCentre
 		}
+		planner.members = append(planner.members, observed)
 	}
-	members := slices.Clone(status.Members)
-	switch {
-	case voters > h.cfg.Voters && unresponsiveVoter >= 0:
-		return slices.Delete(members, unresponsiveVoter, unresponsiveVoter+1), "removed " + status.Members[unresponsiveVoter].ID
-	case learner >= 0 && (voters < h.cfg.Voters || unresponsiveVoter >= 0):
-		members[learner].Learner = false
-		return members, "promoted " + members[learner].ID
-	case staleLearner >= 0:
-		return slices.Delete(members, staleLearner, staleLearner+1), "removed " + status.Members[staleLearner].ID
-	}
-	return nil, ""
+	return planner.next()
 }
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -45,7 +45,7 @@
 			h := New(Config{ID: "own", Voters: 3, Logger: log.NewNopLogger()}, link.NewClient(maxConnections), link.NewMux())
 			h.liveness.setLeading(true, now.Add(-time.Hour))
 			for _, m := range c.members {
-				h.liveness.recordSeen(m.ID, now.Add(-c.sinceSeen[m.ID]))
+				h.liveness.recordSeen(&JoinRequest{ID: m.ID}, now.Add(-c.sinceSeen[m.ID]))
 			}
 			before := slices.Clone(c.members)
 			members, _ := h.nextMembership(replica.Status{Members: c.members}, now)
--- a/replica/types.go
+++ b/replica/types.go
@@ -18,6 +18,8 @@
 	// Incarnation is the latest known start of the member without stored state. Votes
 	// and acknowledgements of earlier incarnations no longer count for a quorum.
 	Incarnation uint64 `cbor:"6,keyasint,omitempty"`
+	// DataCentre is the member's data centre, empty while unknown; the core never reads it.
+	DataCentre string `cbor:"7,keyasint,omitempty"`
 }
 
 // EntryKind says what an entry carries.
