replica, node: learners get their entries once a tick, and calls wait for voters only

Cause: calls are batched for 2 ms times the members without the leader, so that a leader sends few messages. With 25 members of which 5 vote that is 48 ms before each commit; a submission and the start of its tasks each wait for one. Ruled out: no batching at all, since each round is a message to every member. Change: no commit and no read waits for a learner, so the entries of a whole tick go to a learner in one append, and a read round goes to voters only. The interval of calls follows the voters: 8 ms instead of 48. Learners beyond 25 take turns, so that messages a tick don't grow with their number.

--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -1,10 +1,13 @@
 package node
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/bilberryferry/bilberryferry/replica"
 )
 
 // Guards against two failures: calls that arrive before their interval is over wait for the
@@ -15,7 +18,7 @@
 	g.callsTimer = time.AfterFunc(time.Hour, g.signal)
 	t.Cleanup(func() { g.callsTimer.Stop() })
 	must.NoError(t, g.calls.push(&call{kind: callBarrier}))
-	const interval = 2 * callIntervalPerFollower
+	const interval = 2 * callIntervalPerVoter
 	eventually(t, "rounds that aren't delayed", func() bool {
 		start := time.Now()
 		g.callsProcessedAt = start
@@ -39,3 +42,14 @@
 	})
 	must.True(t, g.callsDue(g.callsProcessedAt.Add(interval)))
 }
+
+// Guards against commits that wait longer with each further learner.
+func TestLearnersDoNotDelayCalls(t *testing.T) {
+	members := []replica.Member{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+	for i := range 20 {
+		members = append(members, replica.Member{ID: fmt.Sprint("learner", i), Learner: true})
+	}
+	g, err := Open(Config{Group: "g", ID: "a", Members: members, Machine: &registers{}, Transport: discardTransport{}})
+	must.NoError(t, err)
+	must.Eq(t, 2*callIntervalPerVoter, g.callInterval())
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -93,8 +93,7 @@
 	if g.calls.empty() {
 		return false
 	}
-	interval := callIntervalPerFollower * time.Duration(g.core.MemberCount()-1)
-	if remaining := interval - now.Sub(g.callsProcessedAt); remaining > 0 {
+	if remaining := g.callInterval() - now.Sub(g.callsProcessedAt); remaining > 0 {
 		g.callsTimer.Reset(remaining)
 		return false
 	}
@@ -102,6 +101,11 @@
 	return true
 }
 
+// callInterval returns the minimum time between two rounds that process calls.
+func (g *Group) callInterval() time.Duration {
+	return callIntervalPerVoter * time.Duration(g.core.VoterCount()-1)
+}
+
 // tick passes the ticks that are due to the core.
 func (g *Group) tick() {
 	n := g.clock.due(g.cfg.Now())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -77,12 +77,12 @@
 	maxCatchUpTimeouts = 4
 )
 
-// callIntervalPerFollower, multiplied by the number of other members in the group, is the
-// minimum time between two rounds that process calls. For two followers this time is
-// shorter than a sync of a slow disk. With more followers, a leader that didn't batch calls
-// would send several thousand log messages per second, which takes a large part of a small
-// processor.
-const callIntervalPerFollower = 2 * time.Millisecond
+// callIntervalPerVoter, multiplied by the number of other voters in the group, is the minimum
+// time between two rounds that process calls. For two other voters this time is shorter than
+// a sync of a slow disk. With more, a leader that didn't batch calls would send several
+// thousand log messages per second, which takes a large part of a small processor. Learners
+// don't count: they get the entries of all rounds of a tick together.
+const callIntervalPerVoter = 2 * time.Millisecond
 
 // Config holds the fixed settings of a Group.
 type Config struct {
--- a/replica/append.go
+++ b/replica/append.go
@@ -1,21 +1,48 @@
 package replica
 
+// learnersPerTick is how many learners get their entries at the same tick. A leader thus
+// sends learners a bounded number of messages a tick, however many learners and proposals
+// there are.
+const learnersPerTick = 25
+
 // flushAppends queues the entries that each member lacks, up to MaxInflight appends in
 // flight, and the heartbeats that are due. It runs once for each Ready
 // rather than for each proposal, so that all proposals since the last Ready share one
 // append (group commit).
+//
+// No commit and no read waits for a learner, so the entries of a whole tick share one append
+// to it. Without that, a group of five voters and twenty learners sends five times the
+// messages for each commit.
 func (c *Core) flushAppends() {
 	if c.role != Leader {
 		return
 	}
-	heartbeat := c.leaderState.heartbeatDue || c.leaderState.reads.due
+	s := &c.leaderState
+	learner := 0
 	for _, m := range c.members.current() {
-		if m.ID != c.cfg.ID {
-			c.replicateTo(m.ID, c.leaderState.progress[m.ID], heartbeat)
+		p := s.progress[m.ID]
+		switch {
+		case m.ID == c.cfg.ID:
+		case m.Learner:
+			p.heartbeatDue = p.heartbeatDue || s.heartbeatDue
+			if c.learnerDue(learner) {
+				c.replicateTo(m.ID, p, p.heartbeatDue)
+				p.heartbeatDue = false
+			}
+			learner++
+		default:
+			c.replicateTo(m.ID, p, s.heartbeatDue || s.reads.due)
 		}
 	}
-	c.leaderState.heartbeatDue = false
-	c.leaderState.reads.due = false
+	s.learnersDue, s.heartbeatDue, s.reads.due = false, false, false
+}
+
+// learnerDue reports whether the learner with an index among the learners gets its entries
+// now. Learners beyond learnersPerTick take turns.
+func (c *Core) learnerDue(index int) bool {
+	learners := len(c.members.current()) - len(c.members.currentVoters())
+	groups := uint64((learners + learnersPerTick - 1) / learnersPerTick)
+	return c.leaderState.learnersDue && uint64(index)%groups == c.now%groups
 }
 
 // replicateTo queues the appends, heartbeat or snapshot for one member.
--- a/replica/core.go
+++ b/replica/core.go
@@ -288,8 +288,8 @@
 	return out
 }
 
-// MemberCount returns the number of members of the latest membership.
-func (c *Core) MemberCount() int { return len(c.members.current()) }
+// VoterCount returns the number of voters of the latest membership.
+func (c *Core) VoterCount() int { return len(c.members.currentVoters()) }
 
 // Status returns the current state of the member.
 func (c *Core) Status() Status {
--- a/replica/leader.go
+++ b/replica/leader.go
@@ -16,8 +16,10 @@
 	firstIndex         uint64
 	heartbeatCountdown int
 	heartbeatDue       bool
-	transfer           transfer
-	reads              readRounds
+	// learnersDue says that learners get the entries of the last tick.
+	learnersDue bool
+	transfer    transfer
+	reads       readRounds
 	// quorumTick is the tick at which the messages were sent to which a majority has replied, as of the
 	// last reply.
 	quorumTick uint64
@@ -31,7 +33,7 @@
 	c.campaign = campaign{}
 	c.recovery = recovery{}
 	c.incarnations.merge(MemberIncarnation{ID: c.cfg.ID, Participated: true})
-	c.leaderState = leaderState{progress: map[string]*progress{}, electedTick: c.now, heartbeatDue: true}
+	c.leaderState = leaderState{progress: map[string]*progress{}, electedTick: c.now, heartbeatDue: true, learnersDue: true}
 	c.leaderState.heartbeatCountdown = c.cfg.HeartbeatTicks
 	c.syncProgress()
 	c.leaderState.firstIndex = c.appendEntry(EntryNoop, nil)
@@ -141,6 +143,7 @@
 // tickLeader schedules heartbeats, steps down without a quorum and expires a
 // transfer.
 func (c *Core) tickLeader() {
+	c.leaderState.learnersDue = true
 	c.leaderState.heartbeatCountdown--
 	if c.leaderState.heartbeatCountdown <= 0 {
 		c.leaderState.heartbeatCountdown = c.cfg.HeartbeatTicks
--- a/replica/progress.go
+++ b/replica/progress.go
@@ -21,6 +21,8 @@
 	flow  flowState
 	// probeSent is set after a probe and delays the next one until the next heartbeat.
 	probeSent bool
+	// heartbeatDue says that a learner gets a heartbeat at its next turn.
+	heartbeatDue bool
 	// inflight holds the last index of each append in flight.
 	inflight []uint64
 	// snapshotIndex is the index of the last snapshot sent, and snapshotTick is the tick
