control, carrier: carriers repeat the polls of idle workers

Cause: the leader polled each of 6,000 workers every 1.5 s, and before each acknowledging poll once more, some 5,700 polls a second, a sixth of its busy time, although nine tenths of the workers are idle. Ruled out: longer holds (the worker allows 2 s), polls by the carriers' own decision (a lease and an acknowledgement must stay the leader's). Change: a poll of a worker that has reported nothing and on which nothing runs may be repeated by its carrier until the worker has something to report, fails, or the leader no longer collects. It extends no lease and acknowledges no end, so that another incarnation may receive it. Carriers name the repeated polls in batches, which renews the time of the worker's last response; polls that nobody waits for are withdrawn. Tests: messages don't grow with idle workers; given up, abandoned and lost polls end.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -49,11 +49,16 @@
 	firstNumber uint64
 	// outcomeAdded is closed, and replaced, when an outcome is added.
 	outcomeAdded chan struct{}
+	// repeating are the IDs of the polls that are repeated while their workers are idle, repeated
+	// those of them that were since the last collect reply.
+	repeating   map[uint64]bool
+	repeated    []uint64
+	collectedAt time.Time
 }
 
 // NewCarrier returns a Carrier that has no orders and has seen no leader.
 func NewCarrier(cfg CarrierConfig) *Carrier {
-	return &Carrier{cfg: cfg, incarnation: rand.Uint64() | 1, firstNumber: 1, outcomeAdded: make(chan struct{})}
+	return &Carrier{cfg: cfg, incarnation: rand.Uint64() | 1, firstNumber: 1, outcomeAdded: make(chan struct{}), repeating: map[uint64]bool{}}
 }
 
 // Register serves the carrier's methods on mux.
@@ -70,6 +75,7 @@
 		return CarryReply{Term: currentTerm}, nil
 	}
 	c.cfg.Counters.Add("carried_orders", int64(len(call.Orders)))
+	c.startRepeating(call)
 	ctx = context.WithoutCancel(ctx)
 	for i := range call.Orders {
 		go c.execute(ctx, call.Term, &call.Orders[i])
@@ -89,18 +95,31 @@
 	if term > c.term {
 		c.term = term
 		c.outcomes, c.firstNumber = nil, 1
+		clear(c.repeating)
+		c.repeated = nil
 	}
 	return c.term
 }
 
 // execute makes an order's call to the worker and stores the outcome.
 func (c *Carrier) execute(ctx context.Context, term uint64, order *Order) {
+	for {
+		outcome, err := c.call(ctx, order)
+		if err == nil && outcome.Report != nil && outcome.Report.IsIdle() && c.repeats(term, order.ID) {
+			continue
+		}
+		outcome.ID = order.ID
+		outcome.recordErr(err)
+		c.addOutcome(term, outcome)
+		return
+	}
+}
+
+// call makes one call of an order to the worker.
+func (c *Carrier) call(ctx context.Context, order *Order) (Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, order.CallTimeout)
 	defer cancel()
-	outcome, err := order.callWorker(ctx, c.cfg.Workers)
-	outcome.ID = order.ID
-	outcome.recordErr(err)
-	c.addOutcome(term, outcome)
+	return order.callWorker(ctx, c.cfg.Workers)
 }
 
 // addOutcome stores the outcome of an order sent in term, unless a later term has started.
@@ -108,6 +127,7 @@
 func (c *Carrier) addOutcome(term uint64, outcome Outcome) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	delete(c.repeating, outcome.ID)
 	if term != c.term {
 		return
 	}
@@ -128,6 +148,7 @@
 // incarnation of the carrier or an earlier term. Errors are those of ctx.
 func (c *Carrier) Collect(ctx context.Context, call *CollectCall) (CollectReply, error) {
 	currentTerm := c.adoptTerm(call.Term)
+	c.recordCollect()
 	reply := CollectReply{Term: currentTerm, DataCentre: c.cfg.DataCentre, Incarnation: c.incarnation}
 	if currentTerm != call.Term {
 		return reply, nil
@@ -139,11 +160,13 @@
 		var added <-chan struct{}
 		reply.Outcomes, reply.LastNumber, added = c.outcomesAfter(call)
 		if len(reply.Outcomes) > 0 || call.Incarnation != c.incarnation {
+			reply.Repeated = c.takeRepeated(call.Term)
 			return reply, nil
 		}
 		select {
 		case <-added:
 		case <-holdTimer.C:
+			reply.Repeated = c.takeRepeated(call.Term)
 			return reply, nil
 		case <-ctx.Done():
 			return reply, ctx.Err()
--- a/internal/carrier/direct_share.go
+++ b/internal/carrier/direct_share.go
@@ -69,6 +69,13 @@
 	}
 }
 
+// includesAll reports whether the leader calls all workers directly.
+func (s *directShare) includesAll() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hashLimit == math.MaxUint64
+}
+
 // includes reports whether the leader calls a worker directly.
 func (s *directShare) includes(worker string) bool {
 	s.mu.Lock()
--- a/internal/carrier/fake_test.go
+++ b/internal/carrier/fake_test.go
@@ -196,8 +196,9 @@
 	// startErr is the error of starts; nil means that they succeed.
 	startErr error
 	polls    int
-	// pollHold is how long polls are held.
-	pollHold time.Duration
+	// pollHold is how long polls are held. The first idlePolls of them find an idle worker.
+	pollHold  time.Duration
+	idlePolls int
 	// hangStarts makes starts hang without a response.
 	hangStarts bool
 }
@@ -230,12 +231,15 @@
 	return workerClockMS, nil
 }
 
-// Poll returns one ended and one running run after pollHold.
+// Poll returns one ended and one running run after pollHold, or nothing for the first idlePolls.
 func (w *fakeWorkers) Poll(_ context.Context, _ control.Target, order control.PollOrder) (control.Report, error) {
 	time.Sleep(networkDelay + w.pollHold)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.polls++
+	if w.polls <= w.idlePolls {
+		return control.Report{ClockMS: workerClockMS}, nil
+	}
 	end := workflow.RunEnd{Task: workflow.TaskKey{StepKey: workflow.StepKey{Job: "j", Step: 1}, Index: 2}, Number: 3, Outcome: workflow.OutcomeDone}
 	return control.Report{
 		ClockMS: workerClockMS, Ended: []control.Ended{{Position: order.LastEnd + 1, RunEnd: end}},
--- a/internal/carrier/forwarder.go
+++ b/internal/carrier/forwarder.go
@@ -198,7 +198,7 @@
 
 // Poll requests a worker's report.
 func (f *Forwarder) Poll(ctx context.Context, to control.Target, order control.PollOrder) (control.Report, error) {
-	outcome, err := f.send(ctx, &Order{To: to, Poll: &order})
+	outcome, err := f.send(ctx, &Order{To: to, Poll: &order, CallTimeout: order.CallTimeout})
 	switch {
 	case err != nil:
 		return control.Report{}, err
@@ -226,7 +226,8 @@
 // leader calls the worker directly or no carrier is usable.
 func (f *Forwarder) forward(ctx context.Context, order *Order) (Outcome, error) {
 	var r *route
-	if !f.direct.includes(order.To.Worker) {
+	repeated := order.Poll != nil && order.Poll.Repeat
+	if !f.direct.includes(order.To.Worker) || repeated && !f.direct.includesAll() {
 		r = f.routeTo(order.To)
 	}
 	if r == nil {
--- a/internal/carrier/messages.go
+++ b/internal/carrier/messages.go
@@ -66,6 +66,8 @@
 	// Term is the leader term in which the orders are sent.
 	Term   uint64  `cbor:"1,keyasint"`
 	Orders []Order `cbor:"2,keyasint"`
+	// Withdrawn are the IDs of polls that the carrier is to repeat no longer.
+	Withdrawn []uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // CarryReply returns the carrier's term. If this term is later than the call's, the carrier
@@ -98,6 +100,9 @@
 	Incarnation uint64 `cbor:"5,keyasint"`
 	// Heartbeats are the heartbeats that the carrier's instance received from workers.
 	Heartbeats []control.BufferedHeartbeat `cbor:"6,keyasint,omitempty"`
+	// Repeated are the IDs of the polls that were answered by an idle worker since the last
+	// reply, and repeated.
+	Repeated []uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Outcome is the result of an order.
--- a/internal/carrier/route.go
+++ b/internal/carrier/route.go
@@ -59,6 +59,8 @@
 	responsive bool
 	dataCentre string
 	queue      []*Order
+	// withdrawn are the repeated polls that the carrier is to repeat no longer.
+	withdrawn []uint64
 	// ended says that the loops of the route have ended.
 	ended   bool
 	pending map[uint64]*pendingOrder
@@ -87,6 +89,8 @@
 	result chan orderResult
 	// element is the order's entry in nonPolls; nil for a poll.
 	element *list.Element
+	// onResponse is called when a repeated poll was answered; nil for other orders.
+	onResponse func()
 }
 
 // orderResult is the outcome of an order, or an error if the order has no outcome.
@@ -166,6 +170,8 @@
 	r.pending[order.ID] = p
 	if order.Poll == nil {
 		p.element = r.nonPolls.PushBack(p)
+	} else {
+		p.onResponse = order.Poll.OnResponse
 	}
 	r.queue = append(r.queue, order)
 	r.signal()
@@ -208,11 +214,11 @@
 			return
 		case <-r.wake:
 		}
-		batch := r.nextBatch()
-		if len(batch) == 0 {
+		batch, withdrawn := r.nextBatch(), r.takeWithdrawn()
+		if len(batch)+len(withdrawn) == 0 {
 			continue
 		}
-		go r.sendBatch(ctx, batch)
+		go r.sendBatch(ctx, batch, withdrawn)
 		if !wait.For(ctx, r.messageInterval()) {
 			return
 		}
@@ -244,10 +250,10 @@
 // sendBatch sends the orders of a batch in one message. If the message can't have arrived,
 // the orders fail with errNotForwarded, and the leader calls their workers itself. If it may
 // have arrived, the orders fail with errNoResponse.
-func (r *route) sendBatch(ctx context.Context, batch []*Order) {
+func (r *route) sendBatch(ctx context.Context, batch []*Order, withdrawn []uint64) {
 	ctx, cancel := context.WithTimeout(ctx, roundTripTimeout)
 	defer cancel()
-	call := &CarryCall{Term: r.term, Orders: make([]Order, 0, len(batch))}
+	call := &CarryCall{Term: r.term, Orders: make([]Order, 0, len(batch)), Withdrawn: withdrawn}
 	for _, order := range batch {
 		call.Orders = append(call.Orders, *order)
 	}
@@ -303,6 +309,7 @@
 			wait.For(ctx, unresponsiveRetryInterval)
 			continue
 		}
+		r.applyRepeated(reply.Repeated)
 		r.applyOutcomes(reply.Outcomes)
 		if last.Incarnation != 0 && reply.Incarnation != last.Incarnation {
 			r.failSent(errRestarted)
--- a/internal/carrier/route_test.go
+++ b/internal/carrier/route_test.go
@@ -94,7 +94,7 @@
 	r := newRoute(&ForwarderConfig{Transport: overloadedTransport{}, Logger: log.NewNopLogger(), Counters: noCounters{}}, "a", 1, &atomic.Uint64{})
 	r.setResponsive(true, nil)
 	order := r.enqueue(t.Context(), &Order{})
-	r.sendBatch(t.Context(), r.nextBatch())
+	r.sendBatch(t.Context(), r.nextBatch(), nil)
 	must.ErrorIs(t, resultOf(order), errNoResponse)
 	usable, _ := r.usable(time.Now())
 	must.False(t, usable)
--- a/internal/control/ports.go
+++ b/internal/control/ports.go
@@ -62,6 +62,12 @@
 	LeaseEndMS int64 `cbor:"3,keyasint,omitempty"`
 	// Wait is how long the worker may hold the response until a run ends.
 	Wait time.Duration `cbor:"4,keyasint,omitempty"`
+	// Repeat lets the caller of the worker repeat the poll, as it is, while the reports show an
+	// idle worker. Such a poll acknowledges no end and extends no lease. CallTimeout bounds each
+	// call of it, and OnResponse is called after each response that caused a repetition.
+	Repeat      bool          `cbor:"5,keyasint,omitempty"`
+	CallTimeout time.Duration `cbor:"-"`
+	OnResponse  func()        `cbor:"-"`
 }
 
 // Running is a live run in a worker's report.
@@ -93,6 +99,9 @@
 	Partial bool `cbor:"4,keyasint,omitempty"`
 }
 
+// IsIdle reports whether the worker runs nothing and has no end to list.
+func (r *Report) IsIdle() bool { return len(r.Running) == 0 && len(r.Ended) == 0 && !r.Partial }
+
 // Refusal is the reason why the receiver refused an order.
 type Refusal string
 
--- a/internal/control/report.go
+++ b/internal/control/report.go
@@ -23,6 +23,7 @@
 	}
 	s.endsDelayed = sent.Sub(s.respondedAt) > maxReportGap
 	returned := firstReport && len(s.unresolvedRuns()) > 0
+	s.reportedIdle = report.IsIdle()
 	s.recordReport(report.ClockMS, now)
 	s.confirmation.record(report, sent, s.pollWait, now)
 	listed := listedEnds(report)
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -104,6 +104,8 @@
 	runSummary  runSummary
 	// startSlots has one slot for each start that may be in flight.
 	startSlots chan struct{}
+	// reportedIdle says that the last report listed neither runs nor ends.
+	reportedIdle bool
 	// hasLiveRuns says that the last report listed live runs. advancedAt is when a report
 	// last showed progress, an end, or no live runs.
 	hasLiveRuns bool
@@ -243,7 +245,8 @@
 		case err != nil && s.takePollInterrupted():
 		case err != nil:
 			s.t.mu.Lock()
-			s.recordLostCall(sent, time.Now())
+			// A repeated poll was sent again after each response.
+			s.recordLostCall(later(sent, s.respondedAt), time.Now())
 			s.t.mu.Unlock()
 			if s.recordUnansweredPoll(err) {
 				return
@@ -269,6 +272,12 @@
 		t.logger.Log("event", "tenure", "outcome", "given up", "cause", "the machine was suspended")
 		t.end()
 	}
+	t.mu.Lock()
+	repeats := s.repeatsPoll(now)
+	t.mu.Unlock()
+	if repeats {
+		return s.sendRepeatedPoll(now)
+	}
 	order := PollOrder{Fence: t.fence, LastEnd: s.lastCommittedEnd()}
 	t.mu.Lock()
 	hold, slack := s.pollTimes(now)
@@ -513,3 +522,11 @@
 	}
 	delete(s.t.checkpoints, end.Task)
 }
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
