control: queries don't sort the known instances; checks of all workers are paced by their cost

Cause: each decision and each question to the adviser sorted 608 connections under a lock, and all runs and workers were looked over each 150 ms, 1.5 ms at 6,000 and 11 ms at 12,000 workers. Change: connections are kept in order as they come and go. Checks of all runs, and surveys, follow each other after a hundred times what the last one took, at most a second: stops and copies have seconds.

--- a/internal/control/adviser_pool.go
+++ b/internal/control/adviser_pool.go
@@ -55,8 +55,10 @@
 	adviser    Adviser
 	client     Caller
 
-	mu          sync.Mutex
-	conns       map[string]*adviserConn
+	mu    sync.Mutex
+	conns map[string]*adviserConn
+	// order holds the connections by address.
+	order       []*adviserConn
 	reservation connReservation
 }
 
@@ -64,12 +66,31 @@
 // instance. With loadControl, it reserves connections for interactive queries. started is
 // the start of the leader term.
 func newAdviserPool(own string, adviser Adviser, client Caller, loadControl bool, started time.Time) *adviserPool {
-	return &adviserPool{
-		ownAddress: own, adviser: adviser, client: client, conns: map[string]*adviserConn{own: {address: own}},
+	p := &adviserPool{
+		ownAddress: own, adviser: adviser, client: client, conns: map[string]*adviserConn{},
 		reservation: connReservation{loadControl: loadControl, startedAt: started},
 	}
+	p.add(&adviserConn{address: own})
+	return p
 }
 
+// add adds a connection. p.mu must be held, or p isn't shared yet.
+func (p *adviserPool) add(conn *adviserConn) {
+	p.conns[conn.address] = conn
+	position, _ := slices.BinarySearchFunc(p.order, conn, compareAddresses)
+	p.order = slices.Insert(p.order, position, conn)
+}
+
+// remove removes a connection. p.mu must be held.
+func (p *adviserPool) remove(conn *adviserConn) {
+	delete(p.conns, conn.address)
+	if position, found := slices.BinarySearchFunc(p.order, conn, compareAddresses); found {
+		p.order = slices.Delete(p.order, position, position+1)
+	}
+}
+
+func compareAddresses(a, b *adviserConn) int { return cmp.Compare(a.address, b.address) }
+
 // announceInterval returns the time between two announcements of an instance.
 func (p *adviserPool) announceInterval() time.Duration {
 	p.mu.Lock()
@@ -90,7 +111,7 @@
 	conn := p.conns[address]
 	if conn == nil {
 		conn = &adviserConn{address: address, addedAt: now}
-		p.conns[address] = conn
+		p.add(conn)
 	}
 	conn.lastAnnounced, conn.knownUntil = now, time.Time{}
 }
@@ -98,15 +119,14 @@
 // reachable returns the connections whose instances are announced, or known to a new
 // leader for a short time, and that aren't backing off, ordered by address. p.mu must be held.
 func (p *adviserPool) reachable(now time.Time) []*adviserConn {
-	var usable []*adviserConn
+	usable := make([]*adviserConn, 0, len(p.order))
 	maxAge := maxMissedAnnouncements * p.announceIntervalFor(len(p.conns))
-	for _, candidate := range p.conns {
+	for _, candidate := range p.order {
 		announced := candidate.address == p.ownAddress || now.Sub(candidate.lastAnnounced) < maxAge || now.Before(candidate.knownUntil)
 		if announced && now.After(candidate.backoffUntil) {
 			usable = append(usable, candidate)
 		}
 	}
-	slices.SortFunc(usable, func(a, b *adviserConn) int { return cmp.Compare(a.address, b.address) })
 	return usable
 }
 
--- a/internal/control/adviser_pool_test.go
+++ b/internal/control/adviser_pool_test.go
@@ -90,3 +90,27 @@
 	}
 	must.Eq(t, freeConns{total: 2, nonInteractive: 2, reachable: 2}, pool.available(now))
 }
+
+// Guards against queries that sort all known instances: connections stay in the order of their addresses.
+func TestConnectionsStayOrdered(t *testing.T) {
+	now := time.Now()
+	pool := newTestAdviserPool(30, now)
+	pool.addKnown([]string{"10.0.0.1", "10.1.0.05", "9.0.0.1"}, now)
+	pool.removeGone(now.Add(2 * instanceRetention))
+	must.Len(t, 1, pool.order, must.Sprint("only the leader's own connection is left"))
+	pool.recordAnnouncement("b", now)
+	pool.recordAnnouncement("a", now)
+	pool.recordAnnouncement("b", now)
+	var addresses []string
+	for _, conn := range pool.reachable(now.Add(time.Millisecond)) {
+		addresses = append(addresses, conn.address)
+	}
+	must.Eq(t, []string{"a", "b", "own"}, addresses)
+}
+
+// Guards against checks over all workers that take more of the leader's time the larger the fleet is.
+func TestChecksOfLargeFleetAreFarApart(t *testing.T) {
+	must.Eq(t, runCheckInterval, nextCheckAfter(runCheckInterval, time.Millisecond))
+	must.Eq(t, 500*time.Millisecond, nextCheckAfter(runCheckInterval, 5*time.Millisecond))
+	must.Eq(t, maxCheckInterval, nextCheckAfter(runCheckInterval, time.Second))
+}
--- a/internal/control/instances.go
+++ b/internal/control/instances.go
@@ -53,7 +53,7 @@
 	defer p.mu.Unlock()
 	for _, address := range addresses {
 		if p.conns[address] == nil {
-			p.conns[address] = &adviserConn{address: address, addedAt: now, knownUntil: now.Add(knownInstanceGrace)}
+			p.add(&adviserConn{address: address, addedAt: now, knownUntil: now.Add(knownInstanceGrace)})
 		}
 	}
 }
@@ -91,7 +91,7 @@
 			seenAt = conn.lastAnnounced
 		}
 		if address != p.ownAddress && conn.inFlight == 0 && !conn.committing && now.Sub(seenAt) > instanceRetention {
-			delete(p.conns, address)
+			p.remove(conn)
 		}
 	}
 }
--- a/internal/control/leader_term.go
+++ b/internal/control/leader_term.go
@@ -99,8 +99,10 @@
 	callLostAt time.Time
 	// reasonsAt is when a decision last determined why each gang waits. Only planLoop uses it.
 	reasonsAt time.Time
-	// runsCheckedAt is when all runs were last checked for stops and copies.
-	runsCheckedAt time.Time
+	// runsCheckedAt is when all runs were last checked for stops and copies, runCheckInterval
+	// the time until the next check.
+	runsCheckedAt    time.Time
+	runCheckInterval time.Duration
 	// waiting holds the reason and the waiting time of each waiting step. stepsBeyondBound
 	// is how many further steps the last decision didn't consider.
 	waiting          map[workflow.StepKey]*waitingStep
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -31,9 +31,14 @@
 	// extraStepCapacity is the capacity of the slice of planned steps in excess of the
 	// number of steps at the last decision.
 	extraStepCapacity = 64
-	// runCheckInterval is the time between two checks of all runs for stops and copies. The
-	// reasons for either take seconds to arise.
+	// runCheckInterval is the shortest time between two checks of all runs for stops and copies.
+	// The reasons for either take seconds to arise.
 	runCheckInterval = 150 * time.Millisecond
+	// maxCheckInterval bounds the time between two checks of all runs or workers.
+	maxCheckInterval = time.Second
+	// checkPauseFactor is the pause after a check of all runs or workers, as a multiple of its
+	// duration, so that the checks of a large fleet take a hundredth of the leader's time.
+	checkPauseFactor = 100
 )
 
 // gatherPlanInput collects the input of a full decision. Every runCheckInterval it also
@@ -50,11 +55,13 @@
 	}
 	t.c.state.read(func(s *workflow.State) {
 		t.classifySpeeds(s, now)
-		if now.Sub(t.runsCheckedAt) >= runCheckInterval {
+		if now.Sub(t.runsCheckedAt) >= t.runCheckInterval {
 			t.runsCheckedAt = now
+			start := time.Now()
 			t.countRuns(s, now)
 			t.adoptWorkers(s, now)
 			t.checkRuns(s, now, &input)
+			t.runCheckInterval = nextCheckAfter(runCheckInterval, time.Since(start))
 		}
 		input.customerRoom = t.customerRoom(s)
 		for _, job := range s.OpenJobs() {
@@ -68,6 +75,12 @@
 	return input
 }
 
+// nextCheckAfter returns the time until the next check of all runs or workers if the last one took
+// the given time.
+func nextCheckAfter(shortest, took time.Duration) time.Duration {
+	return min(max(shortest, checkPauseFactor*took), maxCheckInterval)
+}
+
 // checkRuns adds the runs that are to be stopped, and those worth a speculative copy, to
 // the input. t.mu must be held.
 func (t *leaderTerm) checkRuns(s *workflow.State, now time.Time, input *planInput) {
--- a/internal/control/survey.go
+++ b/internal/control/survey.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// surveyInterval is the pause between two surveys of a large fleet.
-	surveyInterval = 500 * time.Millisecond
+	// minSurveyInterval is the shortest pause between two surveys of a large fleet.
+	minSurveyInterval = 500 * time.Millisecond
 	// surveyChunk is the number of workers that a survey looks at before others get the lock.
 	surveyChunk = 128
 )
@@ -34,8 +34,9 @@
 // surveyLoop surveys the workers until the leader term ends.
 func (t *leaderTerm) surveyLoop() {
 	for t.ctx.Err() == nil {
+		start := time.Now()
 		t.surveyFleet()
-		wait.For(t.ctx, surveyInterval)
+		wait.For(t.ctx, nextCheckAfter(minSurveyInterval, time.Since(start)))
 	}
 }
 
