control: an end of a run is logged once

Cause: a worker lists an end until it is committed, and each report logged it again. Change: an end is logged when it is first seen uncommitted. Test: TestUncommittedEndIsSeenFirstOnce.

--- a/internal/control/report.go
+++ b/internal/control/report.go
@@ -34,9 +34,7 @@
 	unknown := s.recordRunning(report, sent, now)
 	// Marked before t.mu is unlocked, so that the runs never count as unaccounted for.
 	s.markKnownEnds(ends)
-	for _, end := range ends {
-		s.uncommittedEnds[end.Task] = end
-	}
+	firstSeen := s.recordUncommittedEnds(ends)
 	if !report.Partial {
 		s.fullReportSentAt = sent
 	}
@@ -59,7 +57,7 @@
 		t.spawn(s.commitWorkerReturned)
 	}
 	if lastEnd > 0 || len(ends) > 0 {
-		s.logEnds(ends)
+		s.logEnds(firstSeen)
 		s.commitEnds(lastEnd, ends)
 	} else if firstReport {
 		t.wake()
@@ -79,6 +77,19 @@
 	}
 }
 
+// recordUncommittedEnds remembers ends until they are committed, and returns those that weren't
+// remembered yet. A worker lists an end in each report until it is committed, which takes long
+// while the log accepts no commands. t.mu must be held.
+func (s *workerSession) recordUncommittedEnds(ends []workflow.RunEnd) (firstSeen []workflow.RunEnd) {
+	for _, end := range ends {
+		if s.uncommittedEnds[end.Task].Number != end.Number {
+			firstSeen = append(firstSeen, end)
+		}
+		s.uncommittedEnds[end.Task] = end
+	}
+	return firstSeen
+}
+
 func (s *workerSession) logEnds(ends []workflow.RunEnd) {
 	for _, end := range ends {
 		s.t.c.cfg.Counters.Add("ends_"+end.Outcome.String(), 1)
