dispatch: tasks of a job prefer one data centre

Cause: tasks go to the workers that suit them best wherever they are, so that a job of four or five tasks has one in each data centre. Ruled out: starting the tasks of the cut data centre again before their leases end (nothing may run twice). Change: a job's home is a data centre drawn by its ID (rendezvous hashing). Of workers that suit a step equally well those of the home with room come first, in queries and in starts; packing decides among them. Tests: tasks of a job start in one data centre, elsewhere where it is full.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -44,6 +44,8 @@
 	rooms map[string]*customerRoom
 	// speeds describes the pools with workers of different speeds.
 	speeds map[string]poolSpeeds
+	// dataCentres holds the data centres of each pool.
+	dataCentres map[string][]string
 	// outlooks holds what the steps of each queue show about the adviser's decisions.
 	outlooks []queueOutlook
 	plan     Plan
@@ -70,6 +72,7 @@
 		}
 	}
 	p.recordSpeeds()
+	p.recordDataCentres()
 	order := make([]*Step, len(steps))
 	for i := range steps {
 		order[i] = &steps[i]
@@ -219,6 +222,7 @@
 // planStep starts what it can of s. For the remaining tasks it plans queries or records why
 // they wait.
 func (p *planner) planStep(s *Step) {
+	p.setHome(s)
 	if p.unschedulable(s) {
 		p.addWaiting(s, len(s.Pending), p.skipReason(s, len(s.Pending)))
 		return
