carrier: two carriers of each data centre get orders

Cause: the pause between two messages to a carrier is 1 ms times the number of carriers, 24 ms with 24 of them, so that the leader's messages don't grow with their number. Each start waited for half of it, and each outcome too. Ruled out: no pause (a message for each start and end, some 2,000 a second), a shorter one for all carriers. Change: of each data centre the first two usable carriers, in the order of their hashes, get its workers' orders; the pause follows the carriers in use, 10 ms with five data centres. The others take over from those that fail. Up to two carriers of a data centre nothing changes. Test: TestFewCarriersOfDataCentreGetOrders.

--- a/internal/carrier/forwarder.go
+++ b/internal/carrier/forwarder.go
@@ -1,13 +1,13 @@
 package carrier
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 
@@ -18,9 +18,9 @@
 const (
 	// membershipInterval is how often the leader checks for new and removed members.
 	membershipInterval = 500 * time.Millisecond
-	// baseMessageInterval, multiplied by the number of carriers, is the pause between two
-	// messages to the same carrier, and between two messages from the same carrier. The
-	// leader's message rate therefore doesn't grow with the number of carriers or workers.
+	// baseMessageInterval, multiplied by the number of carriers that get orders, is the pause
+	// between two messages to the same carrier, and between two messages from the same carrier.
+	// The leader's message rate therefore doesn't grow with the number of carriers or workers.
 	// Orders queued during the pause are sent in one message; an order after an idle time is
 	// sent immediately.
 	baseMessageInterval = time.Millisecond
@@ -50,8 +50,8 @@
 	cfg ForwarderConfig
 
 	mu sync.RWMutex
-	// routes has a route to each other member in the current term. It is empty while this
-	// instance isn't the leader.
+	// routes has a route to each other member in the current term, ordered by rank. It is empty
+	// while this instance isn't the leader.
 	routes []*route
 	// latestTerm manages the routes of the latest leader term of this instance.
 	latestTerm *termRoutes
@@ -128,9 +128,13 @@
 	}
 	var routes []*route
 	for _, r := range t.routes {
-		r.setInterval(baseMessageInterval * time.Duration(len(t.routes)))
 		routes = append(routes, r.route)
 	}
+	slices.SortFunc(routes, func(a, b *route) int { return cmp.Compare(a.rank, b.rank) })
+	interval := baseMessageInterval * time.Duration(carriersInUse(routes))
+	for _, r := range routes {
+		r.setInterval(interval)
+	}
 	t.forwarder.setRoutes(t, routes)
 }
 
@@ -152,31 +156,6 @@
 	}
 }
 
-// routeTo returns the route for a worker, or nil if no carrier is usable. Rendezvous hashing
-// spreads workers evenly over the carriers of their data centre, or over all carriers if the
-// data centre has none. When a carrier is added or removed, only its own workers change their
-// carrier.
-func (f *Forwarder) routeTo(to control.Target) *route {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	now := time.Now()
-	var best *route
-	var bestLocal bool
-	var bestWeight uint64
-	for _, r := range f.routes {
-		usable, dataCentre := r.usable(now)
-		if !usable {
-			continue
-		}
-		local := dataCentre == to.DataCentre
-		weight := xxhash.Sum64String(r.address + "/" + to.Worker)
-		if best == nil || local && !bestLocal || local == bestLocal && weight > bestWeight {
-			best, bestLocal, bestWeight = r, local, weight
-		}
-	}
-	return best
-}
-
 // Start sends a start order and returns the worker's clock in milliseconds.
 func (f *Forwarder) Start(ctx context.Context, to control.Target, order control.StartOrder) (int64, error) {
 	outcome, err := f.send(ctx, &Order{To: to, Start: &order})
--- a/internal/carrier/route.go
+++ b/internal/carrier/route.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/bilberryferry/bilberryferry/internal/link"
@@ -38,7 +39,9 @@
 type route struct {
 	cfg     *ForwarderConfig
 	address string
-	term    uint64
+	// rank orders the carriers of a data centre; those with the lowest ranks get orders.
+	rank uint64
+	term uint64
 	// lastOrderID is the ID of the last order on any route.
 	//
 	// All routes share the counter because a member may leave and return within a term while
@@ -101,7 +104,7 @@
 
 func newRoute(cfg *ForwarderConfig, address string, term uint64, lastOrderID *atomic.Uint64) *route {
 	return &route{
-		cfg: cfg, address: address, term: term, lastOrderID: lastOrderID, wake: make(chan struct{}, 1), contacted: make(chan struct{}),
+		cfg: cfg, address: address, rank: xxhash.Sum64String(address), term: term, lastOrderID: lastOrderID, wake: make(chan struct{}, 1), contacted: make(chan struct{}),
 		interval: baseMessageInterval, pending: map[uint64]*pendingOrder{}, nonPolls: list.New(),
 	}
 }
@@ -367,6 +370,13 @@
 	r.dataCentre = dataCentre
 }
 
+// dataCentreName returns the data centre of the carrier, empty while it isn't known.
+func (r *route) dataCentreName() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.dataCentre
+}
+
 // setResponsive records whether the carrier responds, and logs a change.
 func (r *route) setResponsive(responsive bool, cause error) {
 	r.mu.Lock()
--- a/internal/carrier/route_test.go
+++ b/internal/carrier/route_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/bilberryferry/bilberryferry/fault"
+	"github.com/bilberryferry/bilberryferry/internal/control"
 )
 
 // routeWithOrders returns a route without loops, and a pending order at each stage.
@@ -99,3 +101,36 @@
 	usable, _ := r.usable(time.Now())
 	must.False(t, usable)
 }
+
+// Guards against orders that wait longer the more carriers a data centre has, and against workers that
+// nobody calls when the carriers in use fail.
+func TestFewCarriersOfDataCentreGetOrders(t *testing.T) {
+	f := NewForwarder(ForwarderConfig{Logger: log.NewNopLogger(), Counters: noCounters{}})
+	var routes []*route
+	for i := range 10 {
+		r := newRoute(&f.cfg, fmt.Sprint("carrier", i), 1, &atomic.Uint64{})
+		r.setDataCentre(fmt.Sprint("dc", i%2))
+		r.setResponsive(true, nil)
+		routes = append(routes, r)
+	}
+	must.Eq(t, 2*maxCarriersPerDataCentre, carriersInUse(routes))
+	f.routes = routes
+	inUse := func() map[*route]int {
+		counts := map[*route]int{}
+		for i := range 100 {
+			counts[f.routeTo(control.Target{Worker: fmt.Sprint("w", i), DataCentre: "dc1"})]++
+		}
+		return counts
+	}
+	counts := inUse()
+	must.MapLen(t, maxCarriersPerDataCentre, counts)
+	for r, orders := range counts {
+		must.Eq(t, "dc1", r.dataCentreName())
+		must.Between(t, 30, orders, 70)
+		r.setResponsive(false, nil)
+	}
+	for r := range inUse() {
+		must.Eq(t, "dc1", r.dataCentreName())
+		must.MapNotContainsKey(t, counts, r)
+	}
+}
