node: tests of stops and of commits over HTTP don't depend on a lease that holds

Cause: a leader's lease ends when its machine is busy for its length, and the leader then refuses commands, or loses the leadership, as it should. The tests took that for a failure: one waited for 20 commands to be in flight of which some had been refused, the other asked that none of 100 commands is refused.

--- a/internal/node/http_test.go
+++ b/internal/node/http_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
 	"github.com/shoenig/test/must"
 	"github.com/twitchtv/twirp"
 
@@ -147,11 +148,7 @@
 // and another member must take over with everything that was committed.
 func TestCommitsSurviveLeaderStopOverHTTP(t *testing.T) {
 	h := newHTTPCluster(t, 3, 0)
-	old := h.leader(t)
-	for range 100 {
-		_, err := old.Propose(t.Context(), []byte("command"))
-		must.NoError(t, err)
-	}
+	old := h.proposeAcknowledged(t, 100)
 	committed := old.Status().Commit
 	old.stop()
 	next := h.leader(t)
@@ -161,6 +158,24 @@
 	must.Positive(t, next.transport.Stats()[old.cfg.ID].BytesSent)
 }
 
+// proposeAcknowledged proposes commands until n are acknowledged, and returns the leader that has
+// acknowledged the last one. A leader may refuse a command when its lease has just ended, and lose the
+// leadership, while the machine is busy; what it hasn't acknowledged needn't survive.
+func (h *httpCluster) proposeAcknowledged(t *testing.T, n int) *httpInstance {
+	leader := h.leader(t)
+	for acknowledged, tries := 0, 0; acknowledged < n; tries++ {
+		must.Less(t, 100*n, tries)
+		_, err := leader.Propose(t.Context(), []byte("command"))
+		if err == nil {
+			acknowledged++
+			continue
+		}
+		must.True(t, errors.Is(err, ErrNotLeader) || errors.Is(err, ErrOutcomeUnknown), must.Sprint(err))
+		leader = h.leader(t)
+	}
+	return leader
+}
+
 // BenchmarkCommit measures committed proposals of 60 bytes and the latency that callers
 // see. delay is the network delay in each direction. Without a rate, each caller proposes
 // again as soon as its proposal is committed. With a rate, proposals are made at that rate,
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -179,19 +179,11 @@
 // isn't closed at the stop, so that the next start can't open it.
 func TestStopFailsAllPendingCalls(t *testing.T) {
 	c := newCluster(t, "abc", Config{})
-	leader := c.leader()
-	c.net.isolate(leader.cfg.ID, true)
-	before := leader.Stats().LogEntries
-	var group sync.WaitGroup
-	for i := range 20 {
-		group.Go(func() {
-			_, err := leader.Propose(context.Background(), encodeSet("k", fmt.Sprint(i)))
-			must.Error(t, err)
-		})
-	}
-	eventually(t, "all commands to be in flight", func() bool { return leader.Stats().LogEntries >= before+20 })
+	leader, outcomes := c.isolateWithProposals(20)
 	c.stop(leader.cfg.ID)
-	group.Wait()
+	for range 20 {
+		must.Error(t, <-outcomes)
+	}
 	_, err := leader.Propose(t.Context(), encodeSet("k", "late"))
 	must.True(t, errors.Is(err, ErrStopped))
 	must.False(t, leader.Status().CanDecide)
@@ -200,6 +192,36 @@
 	c.converged(3)
 }
 
+// isolateWithProposals cuts the leader off while n commands that can't be committed are in its log,
+// and returns it with the outcomes of their calls. It starts again if the leader's lease has ended,
+// and the leader has refused a command, before all were in the log.
+func (c *cluster) isolateWithProposals(n int) (*member, <-chan error) {
+	for range 50 {
+		leader := c.leader()
+		c.net.isolate(leader.cfg.ID, true)
+		before := leader.Stats().LogEntries
+		outcomes := make(chan error, n)
+		for i := range n {
+			go func() {
+				_, err := leader.Propose(context.Background(), encodeSet("k", fmt.Sprint(i)))
+				outcomes <- err
+			}()
+		}
+		inFlight := func() bool { return leader.Stats().LogEntries >= before+uint64(n) }
+		eventually(c.t, "the commands to be in flight or refused", func() bool { return inFlight() || len(outcomes) > 0 })
+		if inFlight() {
+			return leader, outcomes
+		}
+		c.net.isolate(leader.cfg.ID, false)
+		for range n {
+			<-outcomes
+		}
+		c.converged(3)
+	}
+	c.t.Fatal("the lease has always ended first")
+	return nil, nil
+}
+
 // Guards against a vote without the acknowledged entries. A member that lost its state
 // receives a snapshot, and power is lost before the snapshot is durable. If the hard state
 // on its disk already said that it has recovered, the member would vote without the
