control: a start after a suspension of the machine ends the leader term

Cause: a suspended leader noticed by its polls, thousands a second, before it extended a lease. Carriers now poll idle workers, so that a start can be the first order after a suspension. Change: a start checks it too. Test: TestNoStartIsSentAfterMachineSuspend.

--- a/internal/control/incremental.go
+++ b/internal/control/incremental.go
@@ -64,9 +64,9 @@
 }
 
 // decideIncrementally plans the changed jobs with the free resources that the last full
-// decision left over, or in a large fleet with what is free now but for what it reserved. The full decision has already offered these resources to the
-// waiting steps, and they exclude what is reserved for gangs, so no step loses resources
-// that it could use now. Steps that the full decision didn't consider go before changed
+// decision left over, or in a large fleet with what is free now without what that decision
+// reserved. The full decision has already offered these resources to the waiting steps, and
+// they exclude what is reserved for gangs, so no step loses resources that it could use now. Steps that the full decision didn't consider go before changed
 // jobs that are less urgent. An incremental decision preempts nothing.
 func (t *leaderTerm) decideIncrementally(now time.Time) {
 	if t.backlog && t.firstSkippedStep == nil || now.Sub(t.leftoverAt) > maxLeftoverAge {
--- a/internal/control/leader_term_test.go
+++ b/internal/control/leader_term_test.go
@@ -104,6 +104,21 @@
 	must.True(t, ended)
 }
 
+// Guards against the same by a start: where nothing runs, carriers poll the workers and no poll of the
+// leader comes before it.
+func TestNoStartIsSentAfterMachineSuspend(t *testing.T) {
+	ended := false
+	cluster := newTestCluster(t, nil)
+	term := newLeaderTerm(context.Background(), func() { ended = true }, cluster.controller, fakeLogTerm)
+	s := term.addSession(worker("w1"), nil)
+	cluster.workers.add("w1")
+	term.suspendedTime = func() (time.Duration, error) { return term.suspendedBefore + 2*time.Second, nil }
+	leaseEnd := s.leaseEnd
+	must.ErrorIs(t, s.callStart(&runOrder{run: workflow.Run{Task: task("a", 0), Number: 1}}, "", ""), errSuspended)
+	must.True(t, ended)
+	must.Eq(t, leaseEnd, s.leaseEnd)
+}
+
 // Guards against this failure: the leader runs out of memory. It keeps the state of ended
 // jobs, each with the adviser's responses for 48 workers, for the whole leader term.
 func TestStateOfEndedJobsIsReleased(t *testing.T) {
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -268,10 +268,7 @@
 // keep its runs indefinitely, and the leader could never tell when they end.
 func (s *workerSession) poll(now time.Time) (Report, error) {
 	t := s.t
-	if t.wasSuspended() {
-		t.logger.Log("event", "tenure", "outcome", "given up", "cause", "the machine was suspended")
-		t.end()
-	}
+	t.endIfSuspended()
 	t.mu.Lock()
 	repeats := s.repeatsPoll(now)
 	t.mu.Unlock()
--- a/internal/control/starts.go
+++ b/internal/control/starts.go
@@ -201,9 +201,15 @@
 	s.t.wake()
 }
 
+// errSuspended is the result of a start that isn't sent because the machine was suspended.
+var errSuspended = errors.New("the machine was suspended")
+
 // callStart makes one call of a start and records its result in the order.
 func (s *workerSession) callStart(o *runOrder, payload, checkpoint string) error {
 	t := s.t
+	if t.endIfSuspended() {
+		return errSuspended
+	}
 	t.mu.Lock()
 	start := StartOrder{
 		Run: o.run, Payload: payload, LeaseEndMS: s.leaseEndMS(time.Now()), Fence: t.fence,
--- a/internal/control/suspend.go
+++ b/internal/control/suspend.go
@@ -23,6 +23,17 @@
 	return time.Duration(boot.Nano() - monotonic.Nano()), nil
 }
 
+// endIfSuspended ends the leader term if the machine was suspended during it, and reports whether
+// it was. It is called before each order that extends a lease.
+func (t *leaderTerm) endIfSuspended() bool {
+	if !t.wasSuspended() {
+		return false
+	}
+	t.logger.Log("event", "tenure", "outcome", "given up", "cause", "the machine was suspended")
+	t.end()
+	return true
+}
+
 // wasSuspended reports whether the machine was suspended during this leader term.
 //
 // The monotonic clock stands still during a suspension. After a suspension of some
