--- a/spec/check.sh
+++ b/spec/check.sh
@@ -126,6 +126,12 @@
 		echo "quick|limit|$mutant|-DTASKS=3"
 	done
 
+	echo "quick|voters|-|-DLOSSES=1"
+	echo "quick|voters|-|-DLOSSES=2 -DSIZE=3"
+	for mutant in ANY_DATA_CENTRE PROMOTE_FIRST; do
+		echo "quick|voters|$mutant|-DLOSSES=2 -DSIZE=3"
+	done
+
 	echo "quick|config|-|-DVERSIONS=3 -DRESTARTS=2"
 	echo "full|config|-|-DVERSIONS=4 -DRESTARTS=3"
 	for mutant in NO_COMPARISON APPLY_BEFORE_ADOPTION ADOPT_OLDER OLD_ANSWER SERVE_AT_ONCE STALE_LEADER_ANSWERS; do
