--- a/internal/control/workerview.go
+++ b/internal/control/workerview.go
@@ -172,6 +172,10 @@
 
 // selectForStep adds the workers that one step may need beside those with a known permit.
 func (v *workerView) selectForStep(step *dispatch.Step, add func(id string)) {
+	if len(step.Permits) >= v.index.Len() {
+		// The adviser has decided about all of them.
+		return
+	}
 	known := func(id string) bool { _, known := step.Permits[id]; return known }
 	n := step.WantedWorkers(&planLimits)
 	v.index.MostFree(requirementOf(step), n, known, add)
