dispatch: the data centre that a job prefers isn't called its home

A home is the one data centre that may start a job elsewhere in the project. No change of what is decided.

--- a/dispatch/customer.go
+++ b/dispatch/customer.go
@@ -73,7 +73,7 @@
 
 // startOnly starts what it can of a step that may not prepare.
 func (p *planner) startOnly(s *Step) {
-	p.setHome(s)
+	p.setDataCentre(s)
 	if left := p.startPending(s); left > 0 {
 		p.addWaiting(s, left, ReasonCustomerLimit)
 	}
--- a/dispatch/home_test.go
+++ b/dispatch/datacentre_test.go
@@ -34,38 +34,38 @@
 
 // Guards against jobs of which nearly each has a task in a data centre that is lost.
 func TestTasksOfJobStartInOneDataCentre(t *testing.T) {
-	homes := map[string]int{}
+	preferred := map[string]int{}
 	for i := range 60 {
 		pool := poolOfThree(9)
 		plan := Decide(0, []Step{step(fmt.Sprint("j", i), 4, 1)}, pool, limits)
 		counts := dataCentresOf(&plan, pool)
 		must.MapLen(t, 1, counts)
 		for dataCentre := range counts {
-			homes[dataCentre]++
+			preferred[dataCentre]++
 		}
 	}
-	for dataCentre, jobs := range homes {
+	for dataCentre, jobs := range preferred {
 		must.GreaterEq(t, 10, jobs, must.Sprint(dataCentre))
 	}
 }
 
 // Guards against tasks that wait for room in one data centre while others have room.
-func TestTasksStartElsewhereWhereHomeIsFull(t *testing.T) {
+func TestTasksStartElsewhereWhereDataCentreIsFull(t *testing.T) {
 	pool := poolOfThree(3)
 	plan := Decide(0, []Step{step("j", 20, 1)}, pool, limits)
 	must.Len(t, 20, plan.Starts)
 	must.MapLen(t, 3, dataCentresOf(&plan, pool))
 }
 
-// Guards against queries that ask about a full home: the workers with room come first.
+// Guards against queries that ask about a full data centre: the workers with room come first.
 func TestQueryAsksAboutWorkersWithRoomFirst(t *testing.T) {
 	pool := poolOfThree(90)
 	s := withPermits(step("j", 4, 1), nil)
 	p := &planner{byService: map[string][]*Worker{"s": sortedByID(pool)}}
 	p.recordDataCentres()
-	p.setHome(&s)
+	p.setDataCentre(&s)
 	for i := range pool {
-		if pool[i].DataCentre == s.home {
+		if pool[i].DataCentre == s.dataCentre {
 			pool[i].Free = cores(0)
 		}
 	}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -222,7 +222,7 @@
 // planStep starts what it can of s. For the remaining tasks it plans queries or records why
 // they wait.
 func (p *planner) planStep(s *Step) {
-	p.setHome(s)
+	p.setDataCentre(s)
 	if p.unschedulable(s) {
 		p.addWaiting(s, len(s.Pending), p.skipReason(s, len(s.Pending)))
 		return
--- a/dispatch/select.go
+++ b/dispatch/select.go
@@ -90,7 +90,7 @@
 
 // comparePreference orders workers by how well they suit one task of s: healthy ones first,
 // then fast ones if s is tight, then those near the data, with little interference and without an
-// earmark, then slow ones if s has slack, then those in the home of s, then the one with the least
+// earmark, then slow ones if s has slack, then those in its data centre, then the one with the least
 // free resources, which keeps whole workers free for gangs.
 func comparePreference(s *Step, a, b *Worker) int {
 	cpuOrder := cmp.Compare(a.Free.MilliCPU, b.Free.MilliCPU)
@@ -101,7 +101,7 @@
 	}
 	return cmp.Or(cmp.Compare(a.Penalty, b.Penalty), compareFastFirst(s, a, b), cmp.Compare(distance(s, a), distance(s, b)),
 		cmp.Compare(interference(s, a), interference(s, b)), compareBools(a.Earmarked, b.Earmarked), compareSlowFirst(s, a, b),
-		cmp.Compare(homeRank(s, a, 1), homeRank(s, b, 1)), cpuOrder, a.rank-b.rank)
+		cmp.Compare(dataCentreRank(s, a, 1), dataCentreRank(s, b, 1)), cpuOrder, a.rank-b.rank)
 }
 
 // compareRunCount puts workers with the fewest runs first, so that a crash of the worker ends
@@ -126,12 +126,13 @@
 type rankedWorker struct {
 	worker             *Worker
 	fitCount, distance int
-	speedRank, home    int
+	speedRank          int
+	dataCentreRank     int
 	milliCPU           int64
 }
 
 // compareFree puts healthy workers first, then those of the preferred speed, then those near the
-// data, then those in the home of the step, then those on which the most tasks fit.
+// data, then those in its data centre, then those on which the most tasks fit.
 func compareFree(a, b *rankedWorker) int {
 	switch {
 	case a.worker.Penalty != b.worker.Penalty:
@@ -140,8 +141,8 @@
 		return a.speedRank - b.speedRank
 	case a.distance != b.distance:
 		return a.distance - b.distance
-	case a.home != b.home:
-		return a.home - b.home
+	case a.dataCentreRank != b.dataCentreRank:
+		return a.dataCentreRank - b.dataCentreRank
 	case a.fitCount != b.fitCount:
 		return b.fitCount - a.fitCount
 	case a.milliCPU != b.milliCPU:
@@ -158,7 +159,7 @@
 	order := make(freeHeap, len(workers))
 	for i, w := range workers {
 		n := fitCount(s, w)
-		order[i] = rankedWorker{w, n, distance(s, w), speedRank(s, w, n), homeRank(s, w, n), w.Free.MilliCPU}
+		order[i] = rankedWorker{w, n, distance(s, w), speedRank(s, w, n), dataCentreRank(s, w, n), w.Free.MilliCPU}
 	}
 	return order.pop()
 }
@@ -170,7 +171,7 @@
 		free := w.Free
 		free.MilliCPU -= w.claimedMilliCPU
 		n := fitCountIn(s, w, free)
-		order[i] = rankedWorker{w, n, distance(s, w), speedRank(s, w, n), homeRank(s, w, n), free.MilliCPU}
+		order[i] = rankedWorker{w, n, distance(s, w), speedRank(s, w, n), dataCentreRank(s, w, n), free.MilliCPU}
 	}
 	return order.pop()
 }
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -148,8 +148,8 @@
 	Suspects map[int]bool
 	// LastReason is why the step waited according to an earlier decision, empty if unknown.
 	LastReason Reason
-	// home is the data centre whose workers the step prefers, empty for none.
-	home string
+	// dataCentre is the data centre whose workers the step prefers, empty for none.
+	dataCentre string
 	// preference says which workers the step prefers by their speed.
 	preference speedPreference
 	// permitted is the result of planner.permitted once permittedKnown is set.
