--- a/dispatch/select.go
+++ b/dispatch/select.go
@@ -90,7 +90,7 @@
 
 // comparePreference orders workers by how well they suit one task of s: healthy ones first,
 // then fast ones if s is tight, then those near the data, with little interference and without an
-// earmark, then slow ones if s has slack, then those in its data centre, then the one with the least
+// earmark, then slow ones if s has slack, then those in the data centre that s prefers, then the one with the least
 // free resources, which keeps whole workers free for gangs.
 func comparePreference(s *Step, a, b *Worker) int {
 	cpuOrder := cmp.Compare(a.Free.MilliCPU, b.Free.MilliCPU)
@@ -132,7 +132,7 @@
 }
 
 // compareFree puts healthy workers first, then those of the preferred speed, then those near the
-// data, then those in its data centre, then those on which the most tasks fit.
+// data, then those in the preferred data centre, then those on which the most tasks fit.
 func compareFree(a, b *rankedWorker) int {
 	switch {
 	case a.worker.Penalty != b.worker.Penalty:
--- a/internal/member/voters.go
+++ b/internal/member/voters.go
@@ -1,7 +1,6 @@
 package member
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -144,7 +143,7 @@
 		if !eligible(&p.members[i]) {
 			continue
 		}
-		if best == none || cmp.Less(counts[p.members[best].DataCentre], counts[p.members[i].DataCentre]) {
+		if best == none || counts[p.members[i].DataCentre] > counts[p.members[best].DataCentre] {
 			best = i
 		}
 	}
