--- a/dispatch/select.go
+++ b/dispatch/select.go
@@ -90,8 +90,8 @@
 
 // comparePreference orders workers by how well they suit one task of s: healthy ones first,
 // then fast ones if s is tight, then those near the data, with little interference and without an
-// earmark, then slow ones if s has slack, then those in the data centre that s prefers, then the one with the least
-// free resources, which keeps whole workers free for gangs.
+// earmark, then slow ones if s has slack, then those in the data centre that s prefers, then the one
+// with the least free resources, which keeps whole workers free for gangs.
 func comparePreference(s *Step, a, b *Worker) int {
 	cpuOrder := cmp.Compare(a.Free.MilliCPU, b.Free.MilliCPU)
 	if s.Spec.UsesSpareCPU {
