--- a/dispatch/datacentre_test.go
+++ b/dispatch/datacentre_test.go
@@ -36,8 +36,10 @@
 func TestTasksOfJobStartInOneDataCentre(t *testing.T) {
 	preferred := map[string]int{}
 	for i := range 60 {
-		pool := poolOfThree(9)
-		plan := Decide(0, []Step{step(fmt.Sprint("j", i), 4, 1)}, pool, limits)
+		// Each worker has room for one task, so that packing doesn't keep them together.
+		pool := poolOfThree(15)
+		plan := Decide(0, []Step{step(fmt.Sprint("j", i), 4, 5)}, pool, limits)
+		must.Len(t, 4, plan.Starts)
 		counts := dataCentresOf(&plan, pool)
 		must.MapLen(t, 1, counts)
 		for dataCentre := range counts {
