--- a/internal/cli/logs.go
+++ b/internal/cli/logs.go
@@ -58,8 +58,8 @@
 	return nil
 }
 
-// summarizeLogs reads the instances' log files and prints, for each queue, how its jobs ended and
-// where the late ones spent their time.
+// summarizeLogs reads the instances' log files and prints, for each queue, how its jobs ended, how
+// many were served by size, and where the late ones spent their time.
 func (s *session) summarizeLogs(files string) error {
 	lines, err := readLogs(files)
 	if err != nil {
@@ -69,6 +69,8 @@
 	for _, q := range jobtrace.Summarize(lines) {
 		fmt.Fprintf(out, "%s: %d in time, %d late by %s in all, %d failed, %d without an end\n",
 			oneLine(q.Queue), q.InTime, q.Late, q.Lateness.Round(time.Second), q.Failed, q.Unfinished)
+		fmt.Fprintf(out, "served: %s of all, %s of the largest tenth, %s of the fifth below it\n",
+			formatService(q.All), formatService(q.Largest), formatService(q.NextLargest))
 		t := newTable("TIME OF LATE JOBS", "ACTIVITY")
 		for _, span := range q.Spans {
 			t.add(textCell("%s", span.Duration.Round(time.Millisecond)), textCell("%s", span.Activity))
@@ -78,6 +80,11 @@
 	return nil
 }
 
+// formatService formats how many jobs were served.
+func formatService(s jobtrace.Service) string {
+	return fmt.Sprintf("%d/%d (%.2f)", s.Served, s.Jobs, s.Share())
+}
+
 // timelineOfLogs reads the named log files and shows the events in them that match the
 // request.
 func (s *session) timelineOfLogs(files string, request *apiv1.EventsRequest, subject, htmlFile string) error {
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -165,18 +165,21 @@
 	defer t.mu.Unlock()
 	t.addBacklog(input, plan, now)
 	var largest *dispatch.Step
-	waitingGangs := 0
+	waitingGangs, lateGangs := 0, 0
 	for i := range input.steps {
 		s := &input.steps[i]
 		if !s.Spec.Gang || s.Copy || t.waiting[s.Key] == nil {
 			continue
 		}
 		waitingGangs++
+		if s.Lateness > 0 {
+			lateGangs++
+		}
 		if largest == nil || cmp.Or(cmp.Compare(dominantShare(s, capacity), dominantShare(largest, capacity)), workflow.CompareSteps(largest.Key, s.Key)) > 0 {
 			largest = s
 		}
 	}
-	fields := []any{"waiting_gangs", waitingGangs}
+	fields := []any{"waiting_gangs", waitingGangs, "late_gangs", lateGangs}
 	fitCount, age := 0, time.Duration(0)
 	if largest != nil {
 		total, permitted := dispatch.FitCounts(largest, input.workers)
@@ -192,6 +195,7 @@
 			"oldest_pieces", total, "oldest_permitted_pieces", permitted)
 	}
 	t.c.cfg.Counters.Set("waiting_gangs", int64(waitingGangs))
+	t.c.cfg.Counters.Set("late_gangs", int64(lateGangs))
 	t.c.cfg.Counters.Set("free_pieces", int64(fitCount))
 	t.c.cfg.Counters.Set("oldest_waiting_ms", age.Milliseconds())
 	return fields
--- a/internal/control/load_test.go
+++ b/internal/control/load_test.go
@@ -68,7 +68,7 @@
 	term, logOutput, counters := observedTerm()
 	now := time.Now()
 	small, large := pendingStep("small", 2, true), pendingStep("large", 9, true)
-	large.NeedsPermit, large.Permits = true, map[string]dispatch.Permit{"w2": {Granted: true}, "w1": {}}
+	large.Lateness, large.NeedsPermit, large.Permits = latenessMissed, true, map[string]dispatch.Permit{"w2": {Granted: true}, "w1": {}}
 	input := &planInput{steps: []dispatch.Step{small, large, pendingStep("behind", 1, false)}, workers: fragmentedWorkers()}
 	input.workers[1].Free, input.workers[1].Reserved = workflow.Resources{MilliCPU: 1000, MemoryMB: 34_000, Accelerators: 1}, workflow.Resources{MilliCPU: 8000, MemoryMB: 16_000}
 	plan := &dispatch.Plan{BeyondBound: 1, Waiting: []dispatch.Waiting{
@@ -83,14 +83,14 @@
 		"milli_cpu=48000 free_milli_cpu=18000 memory_mb=192000 free_memory_mb=109000 accelerators=6 free_accelerators=1",
 		"kept_milli_cpu=8000 kept_memory_mb=16000 largest_free=9000/50000/1",
 		`waiting=2 behind=1 waiting_by="1: behind the steps that one decision goes into; 1: doesn't fit on the workers it knows of, and can't ask now; 1: no room on a worker that may run the step"`,
-		"waiting_gangs=2 largest_gang=large/0/0 largest_gang_tasks=9 largest_gang_each=4000/8000/0 free_pieces=3 permitted_pieces=1",
+		"waiting_gangs=2 late_gangs=1 largest_gang=large/0/0 largest_gang_tasks=9 largest_gang_each=4000/8000/0 free_pieces=3 permitted_pieces=1",
 		`oldest=large/0/0 oldest_ms=3000 oldest_reason="doesn't fit on the workers it knows of, and can't ask now" oldest_tasks=9 oldest_gang=true`,
 		"oldest_pieces=3 oldest_permitted_pieces=1",
 	} {
 		must.StrContains(t, logOutput.String(), want)
 	}
 	for name, want := range map[string]int64{
-		"free_memory_mb": 109_000, "kept_milli_cpu": 8000, "free_pieces": 3, "waiting_gangs": 2, "oldest_waiting_ms": 3000,
+		"free_memory_mb": 109_000, "kept_milli_cpu": 8000, "free_pieces": 3, "waiting_gangs": 2, "late_gangs": 1, "oldest_waiting_ms": 3000,
 		"waiting_steps": 3, "waiting_turn": 1, "waiting_gangs_before": 1, "waiting_room": 1, "waiting_kept": 0,
 	} {
 		must.Eq(t, want, counters[name], must.Sprint(name))
@@ -106,7 +106,7 @@
 	counters["oldest_waiting_ms"], counters["waiting_room"] = 5, 5
 	term.updateWaiting(&dispatch.Plan{}, time.Now())
 	term.reportLoad(&planInput{workers: fragmentedWorkers()}, &dispatch.Plan{}, time.Now())
-	must.StrContains(t, logOutput.String(), "waiting=0 behind=0 waiting_by= waiting_gangs=0 kept_back=")
+	must.StrContains(t, logOutput.String(), "waiting=0 behind=0 waiting_by= waiting_gangs=0 late_gangs=0 kept_back=")
 	must.Eq(t, int64(0), counters["oldest_waiting_ms"])
 	must.Eq(t, int64(0), counters["waiting_room"])
 }
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/bilberryferry/bilberryferry/admission"
 	"github.com/bilberryferry/bilberryferry/fault"
 	"github.com/bilberryferry/bilberryferry/internal/link"
 	"github.com/bilberryferry/bilberryferry/workflow"
@@ -199,10 +200,27 @@
 		c.cfg.Counters.Add("jobs_accepted", 1)
 	}
 	t.logger.Log("event", "submit", "job", id, "queue", queue.Name, "outcome", "accepted", "known", known,
-		"steps", len(r.Steps), "commit_ms", time.Since(start).Milliseconds())
+		"steps", len(r.Steps), "tasks", countTasks(r.Steps), "work_core_ms", estimatedCoreMS(r.Steps), "commit_ms", time.Since(start).Milliseconds())
 	return SubmitReply{Known: known}, nil
 }
 
+// countTasks returns the number of tasks of all steps.
+func countTasks(steps []workflow.Step) (tasks int) {
+	for i := range steps {
+		tasks += steps[i].Count
+	}
+	return tasks
+}
+
+// estimatedCoreMS returns the estimated work of all steps in core-milliseconds.
+func estimatedCoreMS(steps []workflow.Step) (total int64) {
+	for i := range steps {
+		work := admission.WorkOf(steps[i].Demand(), workflow.Resources{}, steps[i].Count, steps[i].EstimateMS)
+		total += work.OnWorkers.MilliCPU / 1000
+	}
+	return total
+}
+
 // State returns the phase of a job, or the number of waiting jobs of a queue.
 func (c *Controller) State(ctx context.Context, r *StateCall) (StateReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
--- /dev/null
+++ b/internal/jobtrace/sizes_test.go
@@ -0,0 +1,38 @@
+package jobtrace
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against a summary that doesn't show that the largest jobs of a queue are served less often
+// than the others.
+func TestSummaryShowsServiceBySize(t *testing.T) {
+	const jobs = 20
+	var log strings.Builder
+	for i := range jobs {
+		fmt.Fprintf(&log, "ts=2026-01-01T00:00:00Z event=submit job=j%d queue=q outcome=accepted work_core_ms=%d\n", i, 1000*(jobs-i))
+	}
+	// j0 and j1 are the largest tenth, j2 to j5 the fifth below it: j0 has no end, j1 ends too late, j2 fails.
+	for i := 1; i < jobs; i++ {
+		end, phase := "02", "done"
+		switch i {
+		case 1:
+			end = "07"
+		case 2:
+			phase = "failed"
+		}
+		fmt.Fprintf(&log, "ts=2026-01-01T00:00:%sZ event=job_ended job=j%d phase=%s objective_ms=2000\n", end, i, phase)
+	}
+	lines, err := Read(strings.NewReader(log.String()))
+	must.NoError(t, err)
+	summaries := Summarize(lines)
+	must.SliceLen(t, 1, summaries)
+	must.Eq(t, Service{Jobs: jobs, Served: 17}, summaries[0].All)
+	must.Eq(t, Service{Jobs: 2}, summaries[0].Largest)
+	must.Eq(t, Service{Jobs: 4, Served: 3}, summaries[0].NextLargest)
+	must.Eq(t, 0.75, summaries[0].NextLargest.Share())
+}
--- a/internal/jobtrace/summary.go
+++ b/internal/jobtrace/summary.go
@@ -20,6 +20,9 @@
 	Lateness time.Duration
 	// Spans are the activities of the late jobs, longest first.
 	Spans []Span
+	// All, Largest and NextLargest say how many jobs were served: of all, of the tenth with the most
+	// estimated work, and of the fifth below it.
+	All, Largest, NextLargest Service
 }
 
 // Summarize returns a summary of each queue, by name, from the log lines of all instances, which
@@ -28,6 +31,7 @@
 	gaps := leaderlessIntervals(lines)
 	summaries := map[string]*QueueSummary{}
 	durations := map[string]map[string]time.Duration{}
+	sizes := map[string][]jobSize{}
 	for _, jobLines := range groupByJob(lines) {
 		accepted := findOutcome(jobLines, "submit", "accepted")
 		if accepted < 0 {
@@ -37,6 +41,7 @@
 		if summaries[queue] == nil {
 			summaries[queue], durations[queue] = &QueueSummary{Queue: queue}, map[string]time.Duration{}
 		}
+		sizes[queue] = append(sizes[queue], sizeOf(jobLines, accepted))
 		late := summaries[queue].countJob(jobLines, accepted)
 		if late == nil {
 			continue
@@ -48,6 +53,7 @@
 	var sorted []QueueSummary
 	for queue, summary := range summaries {
 		summary.Spans = sortedSpans(durations[queue])
+		summary.setServiceBySize(sizes[queue])
 		sorted = append(sorted, *summary)
 	}
 	slices.SortFunc(sorted, func(a, b QueueSummary) int { return cmp.Compare(a.Queue, b.Queue) })
