--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -46,6 +46,24 @@
 	}
 }
 
+// wideGangLoad returns the kinds of jobs that load a pool of 350 workers of 32 cores: gangs of which the
+// adviser permits each on 0.3 of the workers make up half of the work. With load 1 the jobs occupy 0.9
+// of the pool's cores on average.
+func wideGangLoad(load float64) []*replayKind {
+	ms, us := time.Millisecond, time.Microsecond
+	return []*replayKind{
+		{name: "recalc", value: 10.4, rate: 5.96 * load, steps: 1.2, width: 20, widthCV: 0.8, maxWidth: 120, cores: 9, coresCV: 0.4, maxCores: 15, gb: 26, gbCV: 0.5, maxGB: 51,
+			runTime: 4000 * ms, runTimeCV: 0.5, objective: 1000 * ms, stretch: 2.2, priority: 1, gangShare: 1, checkpointingShare: 0.5, baseLatency: 442 * ms, perWorkerLatency: 6370 * us, ticketValidity: 1500 * ms, grantedShare: 0.3, failingShare: 0.05},
+		{name: "build", value: 3.94, rate: 9.85 * load, steps: 1.5, width: 25, widthCV: 0.8, maxWidth: 150, cores: 3.5, coresCV: 0.45, maxCores: 10, gb: 10, gbCV: 0.6, maxGB: 30,
+			runTime: 2700 * ms, runTimeCV: 0.5, objective: 3000 * ms, stretch: 4, priority: 2, checkpointingShare: 0.8, baseLatency: 130 * ms, perWorkerLatency: 1820 * us, ticketValidity: 1500 * ms, grantedShare: 0.45, failingShare: 0.05},
+		{name: "lookup", value: 0.395, rate: 137 * load, steps: 1, width: 3.2, widthCV: 0.8, maxWidth: 19, cores: 5, coresCV: 0.45, maxCores: 15, gb: 14, gbCV: 0.6, maxGB: 43,
+			runTime: 640 * ms, runTimeCV: 0.5, objective: 250 * ms, stretch: 1.5, gangShare: 0.3, baseLatency: 9360 * us, perWorkerLatency: 130 * us, ticketValidity: 1500 * ms, grantedShare: 0.7, failingShare: 0.005},
+	}
+}
+
+// wideGangWorkers are the resources of the workers that wideGangLoad loads.
+var wideGangWorkers = workflow.Resources{MilliCPU: 32_000, MemoryMB: 131_072}
+
 // smallWorkers are the resources of the workers that smallTaskLoad loads.
 var smallWorkers = workflow.Resources{MilliCPU: 16_000, MemoryMB: 65_536}
 
@@ -110,6 +128,26 @@
 	}
 }
 
+// Guards against the starvation of wide gangs: on a loaded pool the tenth of the jobs with the most work,
+// or the fifth below it, is served less than half as often as all jobs of its kind.
+func TestLargestJobsAreServedHalfAsOftenAsAll(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			kinds := wideGangLoad(1)
+			r := newReplay(seed, mixedPoolWorkers, usualConnections, kinds...)
+			r.resize(wideGangWorkers)
+			r.decisionInterval = 50 * time.Millisecond
+			r.play(40*time.Second, drainTime)
+			for _, k := range kinds {
+				all, largest, nextLargest := k.servedShares()
+				must.LessEq(t, largest, all/2, must.Sprintf("%s: largest tenth %.2f, all %.2f", k.name, largest, all))
+				must.LessEq(t, nextLargest, all/2, must.Sprintf("%s: fifth below the largest tenth %.2f, all %.2f", k.name, nextLargest, all))
+			}
+		})
+	}
+}
+
 const (
 	// drainTime is the time after the last submission within which every job that fits must
 	// run. maxIdleWait is the longest time that a job may have no run while twice the
