--- a/dispatch/replay_test.go
+++ b/dispatch/replay_test.go
@@ -208,7 +208,7 @@
 	r.changed = map[string]bool{}
 	limits := r.limits
 	limits.Queries, limits.LongQueries = r.freeConnections()
-	limits.Disabled.Preemption = true
+	limits.Incremental, limits.Disabled.Preemption = true, true
 	plan := Decide(r.now, steps, r.remaining, limits)
 	r.apply(&plan, jobs)
 }
