--- a/internal/cli/logs.go
+++ b/internal/cli/logs.go
@@ -70,7 +70,7 @@
 		fmt.Fprintf(out, "%s: %d in time, %d late by %s in all, %d failed, %d without an end\n",
 			oneLine(q.Queue), q.InTime, q.Late, q.Lateness.Round(time.Second), q.Failed, q.Unfinished)
 		fmt.Fprintf(out, "served: %s of all, %s of the largest tenth, %s of the fifth below it\n",
-			formatService(q.All), formatService(q.Largest), formatService(q.NextLargest))
+			formatServed(q.All), formatServed(q.Largest), formatServed(q.NextLargest))
 		t := newTable("TIME OF LATE JOBS", "ACTIVITY")
 		for _, span := range q.Spans {
 			t.add(textCell("%s", span.Duration.Round(time.Millisecond)), textCell("%s", span.Activity))
@@ -80,8 +80,8 @@
 	return nil
 }
 
-// formatService formats how many jobs were served.
-func formatService(s jobtrace.Service) string {
+// formatServed formats how many jobs were served.
+func formatServed(s jobtrace.ServedJobs) string {
 	return fmt.Sprintf("%d/%d (%.2f)", s.Served, s.Jobs, s.Share())
 }
 
--- a/internal/jobtrace/sizes.go
+++ b/internal/jobtrace/sizes.go
@@ -9,20 +9,20 @@
 	"github.com/bilberryferry/bilberryferry/admission"
 )
 
-// Service counts jobs and those of them that were done while their result was still worth something.
-type Service struct {
+// ServedJobs counts jobs, and those of them that were done before they were worth nothing.
+type ServedJobs struct {
 	Jobs, Served int
 }
 
 // Share returns the share of the jobs that were served; 0 without jobs.
-func (s Service) Share() float64 {
+func (s ServedJobs) Share() float64 {
 	if s.Jobs == 0 {
 		return 0
 	}
 	return float64(s.Served) / float64(s.Jobs)
 }
 
-func (s *Service) add(served bool) {
+func (s *ServedJobs) add(served bool) {
 	s.Jobs++
 	if served {
 		s.Served++
@@ -42,8 +42,8 @@
 	nextLargestDivisor = 5
 )
 
-// setServiceBySize sets All, Largest and NextLargest from the sizes of the queue's jobs.
-func (s *QueueSummary) setServiceBySize(sizes []jobSize) {
+// setServedBySize sets All, Largest and NextLargest from the sizes of the queue's jobs.
+func (s *QueueSummary) setServedBySize(sizes []jobSize) {
 	slices.SortStableFunc(sizes, func(a, b jobSize) int { return cmp.Compare(b.work, a.work) })
 	largest := len(sizes) / largestDivisor
 	nextLargest := largest + len(sizes)/nextLargestDivisor
--- a/internal/jobtrace/sizes_test.go
+++ b/internal/jobtrace/sizes_test.go
@@ -10,7 +10,7 @@
 
 // Guards against a summary that doesn't show that the largest jobs of a queue are served less often
 // than the others.
-func TestSummaryShowsServiceBySize(t *testing.T) {
+func TestSummaryShowsServedJobsBySize(t *testing.T) {
 	const jobs = 20
 	var log strings.Builder
 	for i := range jobs {
@@ -31,8 +31,8 @@
 	must.NoError(t, err)
 	summaries := Summarize(lines)
 	must.SliceLen(t, 1, summaries)
-	must.Eq(t, Service{Jobs: jobs, Served: 17}, summaries[0].All)
-	must.Eq(t, Service{Jobs: 2}, summaries[0].Largest)
-	must.Eq(t, Service{Jobs: 4, Served: 3}, summaries[0].NextLargest)
+	must.Eq(t, ServedJobs{Jobs: jobs, Served: 17}, summaries[0].All)
+	must.Eq(t, ServedJobs{Jobs: 2}, summaries[0].Largest)
+	must.Eq(t, ServedJobs{Jobs: 4, Served: 3}, summaries[0].NextLargest)
 	must.Eq(t, 0.75, summaries[0].NextLargest.Share())
 }
--- a/internal/jobtrace/summary.go
+++ b/internal/jobtrace/summary.go
@@ -22,7 +22,7 @@
 	Spans []Span
 	// All, Largest and NextLargest say how many jobs were served: of all, of the tenth with the most
 	// estimated work, and of the fifth below it.
-	All, Largest, NextLargest Service
+	All, Largest, NextLargest ServedJobs
 }
 
 // Summarize returns a summary of each queue, by name, from the log lines of all instances, which
@@ -53,7 +53,7 @@
 	var sorted []QueueSummary
 	for queue, summary := range summaries {
 		summary.Spans = sortedSpans(durations[queue])
-		summary.setServiceBySize(sizes[queue])
+		summary.setServedBySize(sizes[queue])
 		sorted = append(sorted, *summary)
 	}
 	slices.SortFunc(sorted, func(a, b QueueSummary) int { return cmp.Compare(a.Queue, b.Queue) })
