--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -157,9 +157,10 @@
 }
 
 // waitingLogFields returns the log fields about the waiting gangs, how many of them have missed
-// their objectives, the largest of them, and the oldest waiting step, and sets the gauges for them. The fields include the fit counts of both:
-// how many of their tasks fit into the free resources of the pool, reserved ones
-// included, and how many of these fit on permitted workers.
+// their objectives, the largest of them, and the oldest waiting step, and sets the gauges for
+// them. The fields include the fit counts of the last two: how many of their tasks fit into the
+// free resources of the pool, reserved ones included, and how many of these fit on permitted
+// workers.
 func (t *leaderTerm) waitingLogFields(input *planInput, plan *dispatch.Plan, capacity workflow.Resources, now time.Time) []any {
 	t.mu.Lock()
 	defer t.mu.Unlock()
