Review, case 1: no task starts while each minion runs only tasks that last

Six minions run one small task each that lasts, at 100 percent. A job of two short tasks is accepted and never begins, with a sixteenth of the capacity in use and with no disturbance. The leader takes a worker none of whose percentages rises for one that stands still, and starts nothing there.

Ruled out: too little room, the queue, and a slow start of the workers: the leader's log names "nothing advances on the worker" for all six.

--- a/review/standins/worker.go
+++ b/review/standins/worker.go
@@ -118,13 +118,25 @@
 	number   int
 	began    time.Time
 	length   time.Duration
+	lasts    bool
 	stopping bool
 	row      *ranRun
 }
 
-// jobSpec is the spec of the jobs of these cases; it tells how long a task runs.
+// jobSpec is the spec of the jobs of these cases; it tells how long a task runs, or, for one that lasts,
+// how long it starts up.
 type jobSpec struct {
-	RunMS int `json:"run_ms"`
+	RunMS int  `json:"run_ms"`
+	Lasts bool `json:"lasts"`
+}
+
+// percent returns how far the run is. One that lasts is at work, after its startup, at 100.
+func (r *localRun) percent() int {
+	percent := int(100 * time.Since(r.began) / r.length)
+	if r.lasts {
+		return min(100, percent)
+	}
+	return min(99, percent)
 }
 
 // link is the network between a worker and the system. While it is cut one way, nothing that the
@@ -230,7 +242,7 @@
 			switch {
 			case lapsed:
 				w.finish(task, "lapsed")
-			case time.Since(run.began) > run.length:
+			case !run.lasts && time.Since(run.began) > run.length:
 				w.finish(task, "done")
 			}
 		}
@@ -349,8 +361,7 @@
 		}
 		running := [][]any{}
 		for task, run := range w.running {
-			percent := min(99, int(100*time.Since(run.began)/run.length))
-			running = append(running, []any{task, run.number, "", percent, 1000})
+			running = append(running, []any{task, run.number, "", run.percent(), 1000})
 		}
 		finished := append([][]any{}, w.ends[:min(500, len(w.ends))]...)
 		reply["running"], reply["finished"] = running, finished
@@ -373,7 +384,8 @@
 	var spec jobSpec
 	_ = json.Unmarshal([]byte(o.Spec), &spec)
 	w.running[o.Task] = &localRun{
-		number: o.Run, began: time.Now(), length: time.Duration(spec.RunMS) * time.Millisecond, row: w.ledger.begin(o.Task, w.id, o.Run),
+		number: o.Run, began: time.Now(), length: time.Duration(spec.RunMS) * time.Millisecond, lasts: spec.Lasts,
+		row: w.ledger.begin(o.Task, w.id, o.Run),
 	}
 	return ""
 }
