--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -12,7 +12,7 @@
 func init() { runtime.LockOSThread() }
 
 func main() {
-	cases := map[string]func(rec *recorder, repo string, trouble bool) (broken bool){"leave": leaveCase, "wave": waveCase, "foreign": foreignCase, "lasting": lastingCase}
+	cases := map[string]func(rec *recorder, repo string, trouble bool) (broken bool){"leave": leaveCase, "wave": waveCase, "foreign": foreignCase, "lasting": lastingCase, "idle": idleCase}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standins CASE REPOSITORY RECORD")
 		os.Exit(exitCannotRun)
