control: a shutdown that a worker announced doesn't end its runs

A worker announces its shutdown, a partition keeps the confirmation from it, and it runs on for some seconds, as it may.

Cause: after an announced shutdown, recordUnansweredPoll took one poll without a response as the end of the incarnation, before it looked at the lease, and committed all its runs as lost. Silence fits a worker that has ended and one that is cut off alike.

Ruled out: settleWithSuccessor, which returns early for such a worker; no successor exists in the case, and with the lease waited for the rule holds.

Change: only three things end a worker that announced its shutdown: it has no runs, its lease is over, or the deployment itself confirmed that its machine went down (machineDown, an upkeep order; that path ended workers by the same flag and keeps its speed). So that tasks don't wait for a lease after each planned shutdown, the leader stops the runs of a draining worker when it announces its shutdown, and confirms that when the worker has reported their ends, unless it doesn't answer stops. The call is short and repeated by the instance that got it, so that it neither looks like a lost leader nor holds a search for one.

--- a/internal/control/announce.go
+++ b/internal/control/announce.go
@@ -127,14 +127,20 @@
 	return isNew
 }
 
-// Leave processes the announcement that an incarnation shuts down. The incarnation counts
-// as ended only once a poll confirms it.
-func (c *Controller) Leave(ctx context.Context, r *LeaveCall) (Empty, error) {
+// Leave processes the announcement that an incarnation shuts down now, and stops its runs. The
+// incarnation counts as ended once it has no runs or its lease has expired, and a poll gets no
+// response.
+func (c *Controller) Leave(ctx context.Context, r *LeaveCall) (LeaveReply, error) {
 	t, err := c.currentLeaderTerm(ctx)
 	if err != nil {
-		return Empty{}, err
+		return LeaveReply{}, err
 	}
-	t.logger.Log("event", "worker_left", "worker", r.Worker)
-	t.recordLeaving(t.latestIncarnation(r.Worker, r.Name))
-	return Empty{}, nil
+	s := t.recordLeaving(t.latestIncarnation(r.Worker, r.Name))
+	if s == nil {
+		t.logger.Log("event", "worker_left", "worker", r.Worker, "monitored", false)
+		return LeaveReply{}, nil
+	}
+	reply := LeaveReply{RunsEnding: s.stopLeavingRuns(ctx)}
+	t.logger.Log("event", "worker_left", "worker", r.Worker, "monitored", true, "live_runs", len(s.liveRuns()), "confirmed", !reply.RunsEnding)
+	return reply, nil
 }
--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -115,6 +115,13 @@
 	Name string `cbor:"2,keyasint,omitempty"`
 }
 
+// LeaveReply is the response to LeaveCall.
+type LeaveReply struct {
+	// RunsEnding says that the shutdown isn't confirmed yet, because runs on the worker are being
+	// stopped. The call is to be repeated.
+	RunsEnding bool `cbor:"1,keyasint,omitempty"`
+}
+
 // ConfigureCall submits a version of the configuration.
 type ConfigureCall struct {
 	Document workflow.Document `cbor:"1,keyasint"`
--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -149,8 +149,9 @@
 	ended   []Ended
 	// stopped is the highest run number of each task that was stopped or has ended.
 	stopped map[workflow.TaskKey]int
-	// responsesLost means that calls arrive and their responses are lost.
-	responsesLost bool
+	// responsesLost means that calls arrive and their responses are lost, unreachable that no call
+	// arrives.
+	responsesLost, unreachable bool
 	// delayStarts means that starts get no response and are added to delayedStarts.
 	delayStarts   bool
 	delayedStarts []StartOrder
@@ -161,12 +162,15 @@
 	starts []StartOrder
 	// shares are the shares to which runs were throttled.
 	shares map[workflow.TaskKey]int
-	// leases are the lease ends that polls carried.
-	leases []int64
+	// leases are the lease ends that polls carried. leaseExtendedAt is when a call last extended the lease.
+	leases          []int64
+	leaseExtendedAt time.Time
 	// partial means that reports are partial.
 	partial bool
 	// lostStops is how many further stops get lost.
 	lostStops int
+	// slowStops means that stops get a response before the runs have ended.
+	slowStops bool
 	// superseded means that another incarnation responds at the worker's address.
 	superseded bool
 	// hangingStarts is how many further starts are not carried out and get no response
@@ -220,6 +224,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w := f.byID[to.Worker].current()
+	if w.unreachable {
+		return 0, errNoResponse
+	}
 	if w.superseded || w.misdirectedStarts > 0 {
 		w.misdirectedStarts--
 		return 0, ErrOtherIncarnation
@@ -277,6 +284,7 @@
 		return nil
 	}
 	w.starts = append(w.starts, order)
+	w.leaseExtendedAt = time.Now()
 	w.running[order.Run.Task] = Running{Task: order.Run.Task, Number: order.Run.Number}
 	return nil
 }
@@ -285,12 +293,15 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w := f.byID[to.Worker].current()
+	if w.unreachable {
+		return 0, errNoResponse
+	}
 	if w.lostStops > 0 {
 		w.lostStops--
 		return 0, errNoResponse
 	}
 	w.stopped[order.Run.Task] = max(w.stopped[order.Run.Task], order.Run.Number)
-	if running, ok := w.running[order.Run.Task]; ok && running.Number == order.Run.Number {
+	if running, ok := w.running[order.Run.Task]; ok && running.Number == order.Run.Number && !w.slowStops {
 		w.finish(order.Run.Task, workflow.OutcomeStopped)
 	}
 	if w.responsesLost {
@@ -324,6 +335,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w := f.byID[to.Worker].current()
+	if w.unreachable {
+		return Report{}, errNoResponse
+	}
 	if w.superseded {
 		return Report{}, ErrOtherIncarnation
 	}
@@ -334,6 +348,7 @@
 	}
 	if order.LeaseEndMS > 0 {
 		w.leases = append(w.leases, order.LeaseEndMS)
+		w.leaseExtendedAt = time.Now()
 	}
 	if w.responsesLost {
 		return Report{}, errNoResponse
--- a/internal/control/incarnations.go
+++ b/internal/control/incarnations.go
@@ -17,9 +17,6 @@
 	// expected value, beyond clock drift. It covers the one-way delay of a call and the
 	// scheduling delay of both processes.
 	clockJumpTolerance = 2 * time.Second
-	// leavingRevokedAfter is the time after an announced shutdown from which on a heartbeat
-	// shows that the announcement came from another incarnation.
-	leavingRevokedAfter = 3 * time.Second
 	// supersededPollHold is the longest hold of a poll while ends of runs of the worker's
 	// earlier incarnations aren't committed yet.
 	supersededPollHold = 50 * time.Millisecond
@@ -84,14 +81,6 @@
 	return s.superseded
 }
 
-// revokeLeaving clears leaving if a worker keeps sending heartbeats after an announced
-// shutdown: the announcement came from an earlier incarnation. t.mu must be held.
-func (s *workerSession) revokeLeaving(w *workflow.Worker) {
-	if s.worker.StartedAtMS > 0 && s.leaving && !w.Draining && time.Since(s.leavingSince) > leavingRevokedAfter && !s.t.machines.isCordoned(w.ID) {
-		s.leaving = false
-	}
-}
-
 // mayBeOtherIncarnation reports whether another incarnation of the worker may respond to
 // the next call. t.mu must be held.
 //
--- a/internal/control/leader_term.go
+++ b/internal/control/leader_term.go
@@ -335,17 +335,6 @@
 	}
 }
 
-// recordLeaving records that an incarnation announced its shutdown, and polls it
-// immediately.
-func (t *leaderTerm) recordLeaving(id string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if s := t.sessions[id]; s != nil {
-		s.leaving, s.leavingSince = true, time.Now()
-		s.interruptPoll()
-	}
-}
-
 // hasStarted reports whether a worker has acknowledged or reported a run of the job.
 func (t *leaderTerm) hasStarted(job string) bool {
 	t.mu.Lock()
--- a/internal/control/maintenance.go
+++ b/internal/control/maintenance.go
@@ -189,7 +189,7 @@
 		t.machines.maintenanceStartedAt[m.ID] = time.Now()
 		t.mu.Unlock()
 		if t.commitMaintenance(wave, m, workflow.MaintenanceStarted) == nil {
-			t.recordLeaving(m.Worker)
+			t.recordMachineDown(m.Worker)
 		}
 	case !errors.As(err, &refused):
 	case refused.Reason == RefusedWave || refused.Reason == RefusedInvalid:
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -46,7 +46,9 @@
 	// stopSentAt is when the last stop was sent, stopAckedAt when a stop was first
 	// acknowledged.
 	stopSentAt, stopAckedAt time.Time
-	startedAt               time.Time
+	// stopUnanswered says that the last stop got no response.
+	stopUnanswered bool
+	startedAt      time.Time
 	// percent is the progress at progressAt. firstPercent and firstListedAt belong to the
 	// first report that listed the run; a resumed run doesn't begin at 0 %.
 	percent       int
@@ -85,6 +87,11 @@
 	t := s.t
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	o := s.orders[run.Task]
+	known := o != nil && o.run.Number == run.Number
+	if known {
+		o.stopUnanswered = err != nil
+	}
 	if err != nil {
 		t.logger.Log("event", "stop", "task", run.Task, "run", run.Number, "worker", s.worker.ID,
 			"outcome", "no answer", "err", err)
@@ -92,8 +99,7 @@
 	}
 	now := time.Now()
 	s.recordClock(clockMS, now)
-	o := s.orders[run.Task]
-	if o != nil && o.run.Number == run.Number && o.stopAckedAt.IsZero() {
+	if known && o.stopAckedAt.IsZero() {
 		o.stopAckedAt = now
 		o.unanswered = false
 		// The poll in flight was sent before the acknowledgement, so its report can't prove
--- a/internal/control/polls.go
+++ b/internal/control/polls.go
@@ -88,13 +88,13 @@
 
 // nextPollAt returns when to send the next poll after a report with new ends. The first
 // such report is acknowledged immediately, while it confirms the worker's incarnation, and
-// so is a report that answers a confirming poll. After reports that follow shortly, polls
-// are pauseAfterEnds apart.
+// so is a report that answers a confirming poll. A worker that shuts down waits for the ends of
+// its runs. After reports that follow shortly, polls are pauseAfterEnds apart.
 func (s *workerSession) nextPollAt(now time.Time) time.Time {
 	pause := s.pauseAfterEnds()
 	s.t.mu.Lock()
 	defer s.t.mu.Unlock()
-	if s.confirmation.confirmingPolls > 0 {
+	if s.confirmation.confirmingPolls > 0 || s.leaving {
 		return now
 	}
 	next := s.endsPolledAt.Add(pause)
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -54,8 +54,10 @@
 	// shutdown time that a draining worker has announced.
 	leaving  bool
 	leavesAt time.Time
-	// leavingSince is when the shutdown was announced.
+	// leavingSince is when the shutdown was first announced.
 	leavingSince time.Time
+	// machineDown says that the deployment has ended the worker together with its machine.
+	machineDown bool
 	// superseded says that a later incarnation of the same worker is known. predecessors are
 	// the sessions of earlier incarnations that have runs whose ends aren't committed yet.
 	superseded   bool
@@ -183,9 +185,9 @@
 // leaseEndMS returns the end of a lease that begins now, in milliseconds on the worker's
 // clock, and postpones leaseEnd accordingly. t.mu must be held.
 func (s *workerSession) leaseEndMS(now time.Time) int64 {
-	elapsed := now.Sub(s.clockAt)
-	end := s.clockMS + (elapsed + s.t.lease).Milliseconds()
-	expiry := s.clockAt.Add(leaseUpperBound(elapsed + s.t.lease))
+	elapsed, lease := now.Sub(s.clockAt), s.leaseLength()
+	end := s.clockMS + (elapsed + lease).Milliseconds()
+	expiry := s.clockAt.Add(leaseUpperBound(elapsed + lease))
 	if expiry.After(s.leaseEnd) {
 		s.leaseEnd = expiry
 	}
@@ -316,11 +318,14 @@
 // recordUnansweredPoll updates the session after a poll without a response, and reports
 // whether the session is over. Once the lease has expired, nothing runs on the worker any
 // more, and its runs are committed as lost.
+//
+// An announced shutdown proves nothing before: the worker runs on for seconds if a partition
+// keeps the confirmation from it, and a task that was started elsewhere would run twice.
 func (s *workerSession) recordUnansweredPoll(cause error) bool {
 	t := s.t
 	now := time.Now()
 	t.mu.Lock()
-	wasReady, leaving := s.ready, s.leaving
+	wasReady, leaving, machineDown := s.ready, s.leaving, s.machineDown
 	leaseExpired := now.After(s.leaseEnd)
 	noHeartbeat := now.Sub(s.heartbeatAt) > unresponsiveWorkerTimeout
 	if now.Sub(s.respondedAt) > maxResponseAge {
@@ -331,12 +336,18 @@
 	if wasReady && !nowReady {
 		t.logger.Log("event", "worker_contact", "worker", s.worker.ID, "outcome", "lost", "err", cause)
 	}
-	if leaving {
-		s.endIncarnation("the worker announced its shutdown and doesn't respond")
+	switch {
+	case machineDown:
+		s.endIncarnation("the deployment has taken the machine down")
 		return true
-	}
-	if !leaseExpired {
+	case leaving && !s.hasRuns():
+		s.endIncarnation("the worker announced its shutdown and has no runs")
+		return true
+	case !leaseExpired:
 		return false
+	case leaving:
+		s.endIncarnation("the worker announced its shutdown and its lease expired")
+		return true
 	}
 	s.commitLostRuns("the lease expired without a response", workflow.OutcomeLost, allRuns)
 	if !noHeartbeat {
--- a/internal/control/stops.go
+++ b/internal/control/stops.go
@@ -17,6 +17,7 @@
 	stopCopyDone     stopCause = "another run of the task is done"
 	stopMachineDown  stopCause = "the machine goes down or moves"
 	stopWorkerDrains stopCause = "the worker drains"
+	stopWorkerLeaves stopCause = "the worker shuts down"
 	stopPaused       stopCause = "paused for too long"
 	stopStalled      stopCause = "no progress for too long"
 	stopUnanswered   stopCause = "its start got no response"
@@ -53,6 +54,8 @@
 		return stopMachineDown
 	case t.stopForDrain(s, session, run, now):
 		return stopWorkerDrains
+	case session.leaving && session.worker.Draining && session.ready:
+		return stopWorkerLeaves
 	}
 	o := session.orders[run.Task]
 	switch {
--- a/internal/instance/operations.go
+++ b/internal/instance/operations.go
@@ -180,10 +180,18 @@
 	return call(ctx, o, control.MethodAnnounce, r, (*control.Controller).Announce)
 }
 
-// Leave forwards a worker's announcement that it shuts down to the leader.
+// Leave forwards a worker's announcement that it shuts down to the leader, until the leader
+// confirms it. While runs of the worker are ending, it fails with kind Unavailable once ctx ends.
 func (o *Operations) Leave(ctx context.Context, r *control.LeaveCall) error {
-	_, err := call(ctx, o, control.MethodLeave, r, (*control.Controller).Leave)
-	return err
+	for {
+		reply, err := call(ctx, o, control.MethodLeave, r, (*control.Controller).Leave)
+		switch {
+		case err != nil || !reply.RunsEnding:
+			return err
+		case ctx.Err() != nil:
+			return fault.New(fault.Unavailable, "runs of the worker are ending")
+		}
+	}
 }
 
 // Configure submits a configuration.
