control: a heartbeat alone doesn't end an earlier incarnation

Cause: a heartbeat that names a worker with a later start ended the session of the earlier incarnation at once, and endIncarnation committed all runs whose start was confirmed as lost, before any call had shown that another process responds. A heartbeat of another program may carry the worker's name while the worker runs on.

Change: a superseded incarnation ends when the later one has responded to a poll, when another incarnation responds at its own address, when it has no runs, or when its lease is over. Until then it is polled, gets no task and no longer lease. Its polls are interrupted by the first report of the later incarnation, so that a restart costs one round trip.

Evidence: TestHeartbeatOfLaterIncarnationAloneEndsNoRuns failed 3 of 3 before (the task starts on the second worker).

--- a/internal/control/incarnations.go
+++ b/internal/control/incarnations.go
@@ -60,9 +60,9 @@
 	}
 }
 
-// takeOver marks the session of an earlier incarnation as superseded, which ends it. The
-// reports of this incarnation determine the outcomes of its runs. t.mu must be held, or
-// the leader term isn't shared yet.
+// takeOver marks the session of an earlier incarnation as superseded. The reports of this
+// incarnation determine the outcomes of its runs. t.mu must be held, or the leader term isn't
+// shared yet.
 func (s *workerSession) takeOver(earlier *workerSession) {
 	earlier.superseded = true
 	s.predecessors = append(s.predecessors, earlier)
@@ -81,6 +81,33 @@
 	return s.superseded
 }
 
+// successorProvesEnd reports whether a later incarnation of the worker is known and either responds to polls
+// or takes over no runs.
+//
+// A heartbeat alone proves nothing: one of another program may carry the worker's name while the worker runs on,
+// and each of its tasks that was started elsewhere would run twice.
+func (s *workerSession) successorProvesEnd() bool {
+	if !s.isSuperseded() {
+		return false
+	}
+	if !s.hasRuns() {
+		return true
+	}
+	s.t.mu.Lock()
+	defer s.t.mu.Unlock()
+	successor := s.successor()
+	return successor != nil && !successor.predecessorsReportedAt.IsZero()
+}
+
+// interruptPredecessors ends the held polls of the earlier incarnations that this one took over from.
+func (s *workerSession) interruptPredecessors() {
+	s.t.mu.Lock()
+	defer s.t.mu.Unlock()
+	for _, earlier := range s.predecessors {
+		earlier.interruptPoll()
+	}
+}
+
 // mayBeOtherIncarnation reports whether another incarnation of the worker may respond to
 // the next call. t.mu must be held.
 //
--- a/internal/control/incarnations_test.go
+++ b/internal/control/incarnations_test.go
@@ -125,6 +125,39 @@
 	cluster.eventually("the task starts again", func() bool { return cluster.started("n2") == 1 })
 }
 
+// Guards against a task that runs twice: a heartbeat of another program names a worker that runs on, as if the worker
+// had started again.
+func TestHeartbeatOfLaterIncarnationAloneEndsNoRuns(t *testing.T) {
+	cluster := clusterWithIncarnation(t)
+	cluster.eventually("a report lists the run", func() bool { return cluster.isConfirmed("n1", task("a", 0)) })
+	cluster.workers.add("w2")
+	cluster.announce("w2")
+	cluster.workers.add("n2").unreachable = true
+	foreign := incarnation("n2", 2)
+	foreign.Worker.Address = "elsewhere"
+	_, err := cluster.controller.Announce(context.Background(), foreign)
+	must.NoError(t, err)
+	time.Sleep(noStartWait)
+	must.Eq(t, 0, cluster.started("w2"))
+	cluster.withWorker("n1", func(f *fakeWorker) { must.MapLen(t, 1, f.running) })
+}
+
+// Guards against a task that waits for the lease of a crashed worker although the worker has started again at another
+// address.
+func TestResponseOfLaterIncarnationElsewhereEndsRuns(t *testing.T) {
+	cluster := clusterWithIncarnation(t)
+	cluster.eventually("a report lists the run", func() bool { return cluster.isConfirmed("n1", task("a", 0)) })
+	cluster.withWorker("n1", func(f *fakeWorker) { f.unreachable = true })
+	cluster.workers.add("n2")
+	moved := incarnation("n2", 2)
+	moved.Worker.Address = "elsewhere"
+	restartedAt := time.Now()
+	_, err := cluster.controller.Announce(context.Background(), moved)
+	must.NoError(t, err)
+	cluster.eventually("the task starts again", func() bool { return cluster.started("n2") == 1 })
+	must.Less(t, testLease, time.Since(restartedAt))
+}
+
 // Guards against this failure: a worker isn't used any more because a delayed heartbeat of
 // an ended incarnation replaces the current one.
 func TestStaleHeartbeatOfSupersededIncarnationIsIgnored(t *testing.T) {
@@ -334,3 +367,12 @@
 	})
 	return number
 }
+
+// isConfirmed reports whether a report of the incarnation has confirmed the start of its run of a task.
+func (cluster *testCluster) isConfirmed(id string, key workflow.TaskKey) bool {
+	term := cluster.currentTerm()
+	term.mu.Lock()
+	defer term.mu.Unlock()
+	s := term.sessions[id]
+	return s != nil && s.orders[key] != nil && s.startConfirmed(s.orders[key].run)
+}
--- a/internal/control/report.go
+++ b/internal/control/report.go
@@ -46,8 +46,12 @@
 	s.endPredecessorRuns(append(listed, neverStarted...))
 	if !report.Partial {
 		t.mu.Lock()
+		firstFullReport := s.predecessorsReportedAt.IsZero()
 		s.predecessorsReportedAt = sent
 		t.mu.Unlock()
+		if firstFullReport {
+			s.interruptPredecessors()
+		}
 	}
 	for _, run := range unknown {
 		t.spawn(func() { s.stopUnknownRun(run) })
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -132,6 +132,7 @@
 const (
 	reasonUnresponsive          dispatch.Reason = "the worker hasn't answered lately"
 	reasonLeaving               dispatch.Reason = "the worker leaves"
+	reasonSuperseded            dispatch.Reason = "a later incarnation of the worker is known"
 	reasonCordoned              dispatch.Reason = "the worker's machine is to go down"
 	reasonOverdueOrder          dispatch.Reason = "an order to the worker has no answer"
 	reasonQuarantined           dispatch.Reason = "the worker failed several jobs in a row"
@@ -148,6 +149,8 @@
 	switch {
 	case s.leaving || s.worker.Draining:
 		return reasonLeaving
+	case s.superseded:
+		return reasonSuperseded
 	case !s.ready || now.Sub(s.respondedAt) >= maxResponseAge:
 		return reasonUnresponsive
 	case s.t.machines.isCordoned(s.worker.ID):
@@ -232,8 +235,8 @@
 func (s *workerSession) run() {
 	failed := 0
 	for s.t.ctx.Err() == nil {
-		if s.isSuperseded() {
-			s.endIncarnation("a later incarnation of the worker is known")
+		if s.successorProvesEnd() {
+			s.endIncarnation("a later incarnation of the worker responds")
 			return
 		}
 		sent := time.Now()
@@ -258,7 +261,11 @@
 			}
 		default:
 			failed = 0
-			if s.applyReport(report, sent) && !report.Partial {
+			switch listsNewEnds := s.applyReport(report, sent); {
+			case s.isSuperseded():
+				// The poll wasn't held.
+				wait.For(s.t.ctx, supersededPollHold)
+			case listsNewEnds && !report.Partial:
 				wait.For(s.t.ctx, time.Until(s.nextPollAt(time.Now())))
 			}
 		}
@@ -325,7 +332,7 @@
 	t := s.t
 	now := time.Now()
 	t.mu.Lock()
-	wasReady, leaving, machineDown := s.ready, s.leaving, s.machineDown
+	wasReady, leaving, superseded, machineDown := s.ready, s.leaving, s.superseded, s.machineDown
 	leaseExpired := now.After(s.leaseEnd)
 	noHeartbeat := now.Sub(s.heartbeatAt) > unresponsiveWorkerTimeout
 	if now.Sub(s.respondedAt) > maxResponseAge {
@@ -348,6 +355,9 @@
 	case leaving:
 		s.endIncarnation("the worker announced its shutdown and its lease expired")
 		return true
+	case superseded:
+		s.endIncarnation("a later incarnation of the worker is known and the lease expired")
+		return true
 	}
 	s.commitLostRuns("the lease expired without a response", workflow.OutcomeLost, allRuns)
 	if !noHeartbeat {
