control: simulated workers shut down, and some run on unheard

Workers of the simulation now drain, announce their shutdown and end when it is confirmed. Half of them are cut off shortly before the announcement; these run on for up to 5 s, while the check that no task has two runs looks at the workers themselves. The draws of the other faults stay as they were (a stream of its own).

--- a/internal/control/simulation_test.go
+++ b/internal/control/simulation_test.go
@@ -20,6 +20,8 @@
 type simulation struct {
 	// maxWholeFleet is Config.MaxWholeFleet of the leaders.
 	maxWholeFleet int
+	// leaveInterval is the mean time between two planned shutdowns.
+	leaveInterval time.Duration
 	t             *testing.T
 	seed          uint64
 	params        *simParams
@@ -59,7 +61,7 @@
 	random := rand.New(rand.NewPCG(seed, simulationStream))
 	sim := &simulation{
 		t: t, seed: seed, params: drawParams(random), random: random, state: NewStateMachine(), eventLog: &simLog{},
-		startedAt: time.Now(), steps: map[string][]workflow.Step{},
+		startedAt: time.Now(), steps: map[string][]workflow.Step{}, leaveInterval: meanLeaveInterval,
 	}
 	sim.customers = newSimCustomers(sim, seed)
 	sim.store = &simStore{random: rand.New(rand.NewPCG(seed, simStoreStream)), state: sim.state}
@@ -230,6 +232,7 @@
 	go sim.workers.runTasks(ctx)
 	go sim.sendHeartbeats(ctx)
 	go sim.customers.run()
+	go sim.leaveWorkers(ctx)
 	time.Sleep(simStartupTime)
 	for range sim.params.unplaceable {
 		sim.submit(&sim.params.queues[0], unplaceableSteps(unknownLabel, ""))
@@ -285,13 +288,20 @@
 // the same virtual time isn't seeded, so two runs of a seed differ in their details.
 //
 // BILBERRY_SEEDS sets the number of seeds, BILBERRY_SEED the first one.
-func TestSimulationStartsAllPlaceableWork(t *testing.T) { simulateSeeds(t, 6, 0) }
+func TestSimulationStartsAllPlaceableWork(t *testing.T) { simulateSeeds(t, 6, func(*simulation) {}) }
 
 // Checks the same where decisions consider a selection of the workers, as in a large fleet.
-func TestSimulationWithSelectedWorkersStartsAllPlaceableWork(t *testing.T) { simulateSeeds(t, 4, 1) }
+func TestSimulationWithSelectedWorkersStartsAllPlaceableWork(t *testing.T) {
+	simulateSeeds(t, 4, func(sim *simulation) { sim.maxWholeFleet = 1 })
+}
+
+// Checks the same where workers shut down all the time.
+func TestSimulationWithFrequentShutdownsStartsAllPlaceableWork(t *testing.T) {
+	simulateSeeds(t, 6, func(sim *simulation) { sim.leaveInterval = frequentLeaveInterval })
+}
 
-// simulateSeeds runs the simulation for some seeds, fewer in short mode.
-func simulateSeeds(t *testing.T, defaultSeeds, maxWholeFleet int) {
+// simulateSeeds runs the simulation for some seeds, fewer in short mode. adjust changes it before its start.
+func simulateSeeds(t *testing.T, defaultSeeds int, adjust func(*simulation)) {
 	if testing.Short() {
 		defaultSeeds = 2
 	}
@@ -301,7 +311,7 @@
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				sim := newSimulation(t, uint64(seed))
-				sim.maxWholeFleet = maxWholeFleet
+				adjust(sim)
 				found := sim.run()
 				sim.logSummary()
 				if len(found) > 0 {
@@ -318,8 +328,8 @@
 	defer sim.workers.mu.Unlock()
 	p := sim.params
 	withCrashingTask, withoutCrashingTask := sim.countGivenUp()
-	sim.t.Logf("crashing task chance %.4f, shrinks %t, same names %t; jobs given up: %d with a crashing task, %d without; workers %d, adviser connections %d, permitted share %.2f, lease %v, load %.2f, burst %.2f, unplaceable %d, refused %d, faults %+v; jobs %d, starts %d, queries %d, leaders %d, largest backlog %d, commands refused %d, with unknown outcome %d, virtual time %v",
-		p.crashingTaskProbability, p.capacityShrinks, p.keepsWorkerNames, withCrashingTask, withoutCrashingTask, p.workers, p.adviserConns, p.permittedShare, p.lease, p.load, p.burst, p.unplaceable, p.refused, p.faults, sim.jobs, sim.workers.starts, sim.adviser.queries, sim.term, sim.maxBacklog,
+	sim.t.Logf("shutdowns %d, crashing task chance %.4f, shrinks %t, same names %t; jobs given up: %d with a crashing task, %d without; workers %d, adviser connections %d, permitted share %.2f, lease %v, load %.2f, burst %.2f, unplaceable %d, refused %d, faults %+v; jobs %d, starts %d, queries %d, leaders %d, largest backlog %d, commands refused %d, with unknown outcome %d, virtual time %v",
+		sim.workers.shutdowns, p.crashingTaskProbability, p.capacityShrinks, p.keepsWorkerNames, withCrashingTask, withoutCrashingTask, p.workers, p.adviserConns, p.permittedShare, p.lease, p.load, p.burst, p.unplaceable, p.refused, p.faults, sim.jobs, sim.workers.starts, sim.adviser.queries, sim.term, sim.maxBacklog,
 		sim.store.refused, sim.store.unknownOutcomes, time.Since(sim.startedAt).Round(time.Millisecond))
 }
 
--- a/internal/control/simulation_worker_test.go
+++ b/internal/control/simulation_worker_test.go
@@ -73,6 +73,8 @@
 	completeGangs map[gangRun]bool
 	violations    []string
 	starts        int
+	// shutdowns counts the planned shutdowns.
+	shutdowns int
 	// lastStart is when a task of a step last started.
 	lastStart map[workflow.StepKey]time.Time
 	// allowedOrphans are the runs that a leader may find to be orphaned: those whose start
@@ -100,12 +102,17 @@
 	return w
 }
 
-// crash ends an incarnation and its runs. ws.mu must be held.
+// crash ends an incarnation, and counts the crash for the tasks that run there. ws.mu must be held.
 func (ws *simWorkers) crash(w *simWorker) {
-	w.crashed = true
 	for task := range w.running {
 		ws.crashes[task]++
 	}
+	ws.end(w)
+}
+
+// end ends an incarnation and its runs. ws.mu must be held.
+func (ws *simWorkers) end(w *simWorker) {
+	w.crashed = true
 	clear(w.running)
 	delete(ws.current, w.Address)
 	w.notifyChanged()
