control: starts of a leaving worker are settled with its next incarnation

What callers could see: a task runs twice. A worker doesn't answer a start and announces its shutdown; its next incarnation under the same name carries the start out late, while the task runs elsewhere.

Cause: settleWithSuccessor returned early for each worker that had announced its shutdown, on the belief that nothing follows it.

Change: what proves the end of an incarnation is a type of its own (endProof); endIncarnation takes one, and starts are settled with a successor whenever the proof is that another process responds. No start is sent once an end is proven: the session is marked in the same critical section that finds the proof, where it had no runs.

Evidence: TestUnansweredStartOfLeavingWorkerIsSettledWithSuccessor failed before ("carried out late, while the second run is alive") and holds.

--- a/internal/control/incarnations.go
+++ b/internal/control/incarnations.go
@@ -81,20 +81,24 @@
 	return s.superseded
 }
 
-// successorProvesEnd reports whether a later incarnation of the worker is known and either responds to polls
-// or takes over no runs.
+// endsWithSuccessor reports whether a later incarnation of the worker is known and either responds to polls
+// or takes over no runs, and sets ending then.
 //
 // A heartbeat alone proves nothing: one of another program may carry the worker's name while the worker runs on,
 // and each of its tasks that was started elsewhere would run twice.
-func (s *workerSession) successorProvesEnd() bool {
-	if !s.isSuperseded() {
-		return false
-	}
-	if !s.hasRuns() {
-		return true
-	}
+func (s *workerSession) endsWithSuccessor() bool {
 	s.t.mu.Lock()
 	defer s.t.mu.Unlock()
+	if !s.superseded || s.hasRuns() && !s.successorResponds() {
+		return false
+	}
+	s.setEnding()
+	return true
+}
+
+// successorResponds reports whether the session that took over from this one has had a complete report. t.mu must
+// be held.
+func (s *workerSession) successorResponds() bool {
 	successor := s.successor()
 	return successor != nil && !successor.predecessorsReportedAt.IsZero()
 }
@@ -136,20 +140,14 @@
 // seconds later. The next incarnation has the same address and hasn't seen any fencing
 // token yet, so it would run the task a second time while a run on another worker is
 // alive.
-func (s *workerSession) settleWithSuccessor(cause string, outcome workflow.Outcome) {
+func (s *workerSession) settleWithSuccessor(proof endProof, outcome workflow.Outcome) {
 	if s.worker.StartedAtMS == 0 {
 		return
 	}
 	s.t.mu.Lock()
-	leaving := s.leaving
-	if !leaving {
-		s.stopOpenStarts()
-	}
+	s.stopOpenStarts()
 	s.t.mu.Unlock()
-	if leaving {
-		return
-	}
-	s.commitLostRuns(cause, outcome, s.startConfirmed)
+	s.commitLostRuns(string(proof), outcome, s.startConfirmed)
 	runs := s.liveRuns()
 	if len(runs) == 0 {
 		return
--- a/internal/control/incarnations_test.go
+++ b/internal/control/incarnations_test.go
@@ -376,3 +376,15 @@
 	s := term.sessions[id]
 	return s != nil && s.orders[key] != nil && s.startConfirmed(s.orders[key].run)
 }
+
+// Guards against a task that runs twice: the next incarnation of a worker that announced its shutdown carries out a start
+// that got no response.
+func TestUnansweredStartOfLeavingWorkerIsSettledWithSuccessor(t *testing.T) {
+	cluster := clusterWithUnansweredStart(t)
+	cluster.workers.add("w2")
+	cluster.announce("w2")
+	cluster.leave("n1")
+	cluster.announceIncarnation("n2", 2)
+	cluster.eventually("the task runs again", func() bool { return cluster.started("w2")+cluster.started("n2") == 1 })
+	must.Error(t, cluster.deliverDelayedStart(), must.Sprint("carried out late, while the second run is alive"))
+}
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -235,8 +235,8 @@
 func (s *workerSession) run() {
 	failed := 0
 	for s.t.ctx.Err() == nil {
-		if s.successorProvesEnd() {
-			s.endIncarnation("a later incarnation of the worker responds")
+		if s.endsWithSuccessor() {
+			s.endIncarnation(proofSuccessor)
 			return
 		}
 		sent := time.Now()
@@ -245,7 +245,7 @@
 		case s.t.ctx.Err() != nil:
 			return
 		case errors.Is(err, ErrOtherIncarnation):
-			s.endIncarnation("another incarnation responds")
+			s.endIncarnation(proofOtherIncarnation)
 			return
 		case err != nil && s.takePollInterrupted():
 		case err != nil:
@@ -325,39 +325,31 @@
 // recordUnansweredPoll updates the session after a poll without a response, and reports
 // whether the session is over. Once the lease has expired, nothing runs on the worker any
 // more, and its runs are committed as lost.
-//
-// An announced shutdown proves nothing before: the worker runs on for seconds if a partition
-// keeps the confirmation from it, and a task that was started elsewhere would run twice.
 func (s *workerSession) recordUnansweredPoll(cause error) bool {
 	t := s.t
 	now := time.Now()
 	t.mu.Lock()
-	wasReady, leaving, superseded, machineDown := s.ready, s.leaving, s.superseded, s.machineDown
+	wasReady := s.ready
 	leaseExpired := now.After(s.leaseEnd)
 	noHeartbeat := now.Sub(s.heartbeatAt) > unresponsiveWorkerTimeout
 	if now.Sub(s.respondedAt) > maxResponseAge {
 		s.ready = false
 	}
 	nowReady := s.ready
+	proof := s.proofAfterSilence(now)
+	if proof != "" {
+		s.setEnding()
+	}
 	t.mu.Unlock()
 	if wasReady && !nowReady {
 		t.logger.Log("event", "worker_contact", "worker", s.worker.ID, "outcome", "lost", "err", cause)
 	}
-	switch {
-	case machineDown:
-		s.endIncarnation("the deployment has taken the machine down")
+	if proof != "" {
+		s.endIncarnation(proof)
 		return true
-	case leaving && !s.hasRuns():
-		s.endIncarnation("the worker announced its shutdown and has no runs")
-		return true
-	case !leaseExpired:
+	}
+	if !leaseExpired {
 		return false
-	case leaving:
-		s.endIncarnation("the worker announced its shutdown and its lease expired")
-		return true
-	case superseded:
-		s.endIncarnation("a later incarnation of the worker is known and the lease expired")
-		return true
 	}
 	s.commitLostRuns("the lease expired without a response", workflow.OutcomeLost, allRuns)
 	if !noHeartbeat {
@@ -375,14 +367,13 @@
 }
 
 // endIncarnation commits that the incarnation has ended and nothing runs there any more,
-// and ends its session. The cause is logged.
-func (s *workerSession) endIncarnation(cause string) {
+// and ends its session. The proof is logged.
+func (s *workerSession) endIncarnation(proof endProof) {
 	t, crashed := s.t, s.hasCrashed()
 	t.mu.Lock()
-	// A session that isn't ready accounts for its runs until their ends are committed.
-	s.ready, s.ending = false, true
+	s.setEnding()
 	t.mu.Unlock()
-	t.logger.Log("event", "worker_gone", "worker", s.worker.ID, "cause", cause, "crashed", crashed)
+	t.logger.Log("event", "worker_gone", "worker", s.worker.ID, "cause", proof, "crashed", crashed)
 	outcome := workflow.OutcomeLost
 	if crashed {
 		t.c.cfg.Counters.Add("workers_crashed", 1)
@@ -390,8 +381,10 @@
 	}
 	// The checkpoints and ends in the report of the successor are committed first. The
 	// remaining runs count as lost.
-	s.settleWithSuccessor(cause, outcome)
-	s.commitLostRuns(cause, outcome, allRuns)
+	if proof.hasSuccessor() {
+		s.settleWithSuccessor(proof, outcome)
+	}
+	s.commitLostRuns(string(proof), outcome, allRuns)
 	unresolved := s.unresolvedRuns()
 	t.commitWithRetry(&workflow.Command{GoneWorker: s.worker.ID, Crashed: crashed})
 	t.logEndedJobs(unresolved)
@@ -401,6 +394,10 @@
 	t.wake()
 }
 
+// setEnding keeps starts that are committed from now on from being sent. A session that isn't
+// ready accounts for its runs until their ends are committed. t.mu must be held.
+func (s *workerSession) setEnding() { s.ready, s.ending = false, true }
+
 // allRuns selects all runs of a worker.
 func allRuns(workflow.Run) bool { return true }
 
