control: settling a start doesn't wait for an incarnation that never comes

What callers saw in the soak: after a planned shutdown some tasks began 15 s late.

Cause: settleWithSuccessor waits for a report of the worker's next incarnation. If another worker has taken the address, there is none, and it refuses all orders for the earlier one.

Change: the wait ends when a worker with another name responds at the address.

Evidence: TestRunsOfWorkerWhoseAddressIsTakenRestartSoon, red without it ("never: the task runs again" within 10 s).

--- a/internal/control/incarnations.go
+++ b/internal/control/incarnations.go
@@ -229,7 +229,7 @@
 
 // awaitSuccessorReport waits for a complete report of the successor in response to a poll that
 // is sent from now on, and until the ends of this session's runs that the report lists are
-// committed. It returns false if the deadline passes first.
+// committed. It returns false if the deadline passes or another worker is found at the address first.
 func (s *workerSession) awaitSuccessorReport(deadline time.Time) bool {
 	since := time.Now()
 	s.interruptSuccessorPoll()
@@ -237,6 +237,9 @@
 		if s.successorReportedSince(since) {
 			return true
 		}
+		if s.isAddressTaken() {
+			return false
+		}
 		if !wait.For(s.t.ctx, successorCheckInterval) {
 			return false
 		}
@@ -244,6 +247,19 @@
 	return false
 }
 
+// isAddressTaken reports whether a worker with another name responds at this worker's address. It refuses the orders
+// for this worker.
+func (s *workerSession) isAddressTaken() bool {
+	s.t.mu.Lock()
+	defer s.t.mu.Unlock()
+	for _, other := range s.t.sessions {
+		if other.ready && other.worker.Address == s.worker.Address && other.worker.Name != s.worker.Name {
+			return true
+		}
+	}
+	return false
+}
+
 // interruptSuccessorPoll ends the held poll of the successor, so that the next one is sent
 // immediately.
 func (s *workerSession) interruptSuccessorPoll() {
--- a/internal/control/incarnations_test.go
+++ b/internal/control/incarnations_test.go
@@ -368,6 +368,23 @@
 	return number
 }
 
+// Guards against tasks that wait for a next incarnation that never comes: another worker has taken the address.
+func TestRunsOfWorkerWhoseAddressIsTakenRestartSoon(t *testing.T) {
+	for _, leaves := range []bool{true, false} {
+		cluster := clusterWithUnansweredStart(t)
+		if leaves {
+			cluster.leave("n1")
+		}
+		other := incarnation("n2", 2)
+		other.Worker.Name = "other"
+		restartedAt := time.Now()
+		_, err := cluster.controller.Announce(context.Background(), other)
+		must.NoError(t, err)
+		cluster.eventually("the task runs again", func() bool { return cluster.started("n2") == 1 })
+		must.Less(t, testLease, time.Since(restartedAt), must.Sprintf("leaves: %t", leaves))
+	}
+}
+
 // isConfirmed reports whether a report of the incarnation has confirmed the start of its run of a task.
 func (cluster *testCluster) isConfirmed(id string, key workflow.TaskKey) bool {
 	term := cluster.currentTerm()
