--- a/internal/instance/operations_test.go
+++ b/internal/instance/operations_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/shoenig/test/must"
@@ -89,3 +91,28 @@
 	must.Eq(t, workflow.PhaseActive, phaseOf(t, o, "other"))
 	must.Eq(t, workflow.PhaseCancelled, phaseOf(t, o, "job"))
 }
+
+// startLeaderWithEndingRuns serves a leader that confirms the shutdown of a worker at the given call; 0 for never. It
+// returns the address of the leader.
+func startLeaderWithEndingRuns(t *testing.T, confirmedAt int64) string {
+	var calls atomic.Int64
+	mux := link.NewMux()
+	link.Handle(mux, control.MethodLeave, func(context.Context, *control.LeaveCall) (control.LeaveReply, error) {
+		return control.LeaveReply{RunsEnding: calls.Add(1) != confirmedAt}, nil
+	})
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// Guards against a shutdown that is confirmed while runs of the worker are ending: their tasks would wait for its lease.
+func TestShutdownIsConfirmedOnceRunsHaveEnded(t *testing.T) {
+	const maxConnections = 4
+	for confirmedAt, timeout := range map[int64]time.Duration{1: time.Minute, 3: time.Minute, 0: 100 * time.Millisecond} {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		o := newOperations(gateway.New(link.NewClient(maxConnections), "own", []string{startLeaderWithEndingRuns(t, confirmedAt)}, log.NewNopLogger()))
+		err := o.Leave(ctx, &control.LeaveCall{Worker: "w"})
+		must.Eq(t, confirmedAt > 0, err == nil, must.Sprint(confirmedAt, err))
+	}
+}
