--- a/internal/control/simulation_leaving_test.go
+++ b/internal/control/simulation_leaving_test.go
@@ -29,8 +29,8 @@
 	maxLeaveDowntime = 3 * time.Second
 )
 
-// leaveWorkers makes workers drain and shut down until the faults are over, or none if leaveInterval is 0. The confirmation of some shutdowns is lost in
-// a partition; these workers run on for a while.
+// leaveWorkers makes workers drain and shut down until the faults are over, or none if leaveInterval is 0. The
+// confirmation of some shutdowns is lost in a partition; these workers run on for a while.
 func (sim *simulation) leaveWorkers(ctx context.Context) {
 	if sim.leaveInterval == 0 {
 		return
