jobtrace: adviser time for each job that started, by size

Nothing told an operator what a start costs the adviser, by size: the figure that tells advice in turn from lost reservations.

--- a/internal/cli/logs.go
+++ b/internal/cli/logs.go
@@ -71,6 +71,8 @@
 			oneLine(q.Queue), q.InTime, q.Late, q.Lateness.Round(time.Second), q.Failed, q.Unfinished)
 		fmt.Fprintf(out, "served: %s of all, %s of the largest tenth, %s of the fifth below it\n",
 			formatServed(q.All), formatServed(q.Largest), formatServed(q.NextLargest))
+		fmt.Fprintf(out, "adviser time for each job that started: %s of all, %s of the largest tenth, %s of the fifth below it\n",
+			formatAdviserTime(q.All), formatAdviserTime(q.Largest), formatAdviserTime(q.NextLargest))
 		t := newTable("TIME OF LATE JOBS", "ACTIVITY")
 		for _, span := range q.Spans {
 			t.add(textCell("%s", span.Duration.Round(time.Millisecond)), textCell("%s", span.Activity))
@@ -85,6 +87,11 @@
 	return fmt.Sprintf("%d/%d (%.2f)", s.Served, s.Jobs, s.Share())
 }
 
+// formatAdviserTime formats the adviser time for each job that had a start.
+func formatAdviserTime(s jobtrace.ServedJobs) string {
+	return s.AdviserTimePerStart().Round(time.Millisecond).String()
+}
+
 // timelineOfLogs reads the named log files and shows the events in them that match the
 // request.
 func (s *session) timelineOfLogs(files string, request *apiv1.EventsRequest, subject, htmlFile string) error {
--- a/internal/jobtrace/sizes.go
+++ b/internal/jobtrace/sizes.go
@@ -9,9 +9,12 @@
 	"github.com/bilberryferry/bilberryferry/admission"
 )
 
-// ServedJobs counts jobs, and those of them that were done before they were worth nothing.
+// ServedJobs counts jobs, those of them that had a start, and those that were done before they were worth
+// nothing.
 type ServedJobs struct {
-	Jobs, Served int
+	Jobs, Started, Served int
+	// AdviserTime is the total time that the adviser's connections were occupied by the queries of the jobs.
+	AdviserTime time.Duration
 }
 
 // Share returns the share of the jobs that were served; 0 without jobs.
@@ -22,17 +25,31 @@
 	return float64(s.Served) / float64(s.Jobs)
 }
 
-func (s *ServedJobs) add(served bool) {
+// AdviserTimePerStart returns the adviser time for each job that had a start; 0 if none had.
+func (s ServedJobs) AdviserTimePerStart() time.Duration {
+	if s.Started == 0 {
+		return 0
+	}
+	return s.AdviserTime / time.Duration(s.Started)
+}
+
+func (s *ServedJobs) add(job *jobSize) {
 	s.Jobs++
-	if served {
+	if job.started {
+		s.Started++
+	}
+	if job.served {
 		s.Served++
 	}
+	s.AdviserTime += job.adviserTime
 }
 
-// jobSize is the estimated work of an accepted job in core-milliseconds, and whether it was served.
+// jobSize is the estimated work of an accepted job in core-milliseconds, the time that the adviser spent on
+// its queries, and whether it was started and served.
 type jobSize struct {
-	work   int64
-	served bool
+	work            int64
+	adviserTime     time.Duration
+	started, served bool
 }
 
 const (
@@ -48,12 +65,12 @@
 	largest := len(sizes) / largestDivisor
 	nextLargest := largest + len(sizes)/nextLargestDivisor
 	for i := range sizes {
-		s.All.add(sizes[i].served)
+		s.All.add(&sizes[i])
 		switch {
 		case i < largest:
-			s.Largest.add(sizes[i].served)
+			s.Largest.add(&sizes[i])
 		case i < nextLargest:
-			s.NextLargest.add(sizes[i].served)
+			s.NextLargest.add(&sizes[i])
 		}
 	}
 }
@@ -61,7 +78,7 @@
 // sizeOf returns the size of the job whose lines are given and whether it was served.
 func sizeOf(jobLines []Line, accepted int) jobSize {
 	work, _ := strconv.ParseInt(jobLines[accepted].Get("work_core_ms"), 10, 64)
-	size := jobSize{work: work}
+	size := jobSize{work: work, adviserTime: adviserTimeOf(jobLines), started: findEvent(jobLines, "run_started") >= 0}
 	ended := findEvent(jobLines, "job_ended")
 	if ended < accepted || jobLines[ended].Get("phase") == "failed" {
 		return size
@@ -72,3 +89,15 @@
 	size.served = err != nil || took <= worthlessAfter
 	return size
 }
+
+// adviserTimeOf adds up the times that the queries of a job took.
+func adviserTimeOf(jobLines []Line) (total time.Duration) {
+	for i := range jobLines {
+		if jobLines[i].Event != "permit" {
+			continue
+		}
+		ms, _ := strconv.ParseInt(jobLines[i].Get("ms"), 10, 64)
+		total += time.Duration(ms) * time.Millisecond
+	}
+	return total
+}
