dispatch: wide gangs keep what they have collected: standing reservations

Cause: starvation of the widest requests in a shared queue. A gang of dozens of tasks collects its room over seconds and lost it in four ways, each seen in a trace of the replay: - the one reservation of a pool passed to another gang as the order changed; - when it fitted and no connection was free for its renewal, its resources were given to others (one gang stood 0.3 s from its start for 7 s, with no query left); - while one query was in flight it sent no other, and didn't renew tickets although it fitted; - urgent steps query the workers with the most free resources, which are those that the gang collects on, get tickets for just these, and take its room in each decision.

Now the gangs in time that have waited longest have standing reservations, bounded by a share of the pool's CPU. Such a gang goes first among the steps of its priority, keeps its resources without a connection, may use the queries that are held back, queries on while queries are in flight, renews ahead, keeps to workers for which it has tickets, and leaves scarce fast workers to tight steps. Queries of other steps prefer room that isn't earmarked. While the adviser has spare connections, gangs whose tickets are being renewed hold their room too, and gangs ask about further workers.

--- a/dispatch/gang.go
+++ b/dispatch/gang.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// maxReservedGangs is how many gangs of a pool that don't fit now get a reservation of
-// resources that runs are expected to release. Resources reserved for more gangs would lie
-// idle while runs outlast their expected ends.
+// maxReservedGangs is how many gangs of a pool without a standing reservation get, if they don't fit
+// now, a reservation of resources that runs are expected to release. Resources reserved for more gangs
+// would lie idle while runs outlast their expected ends.
 //
 // Dozens of gangs may wait among hundreds of workers whose runs end much earlier or later than
 // expected. With reservations for many of them a large part of the cores is always free, and
@@ -19,6 +19,9 @@
 // now, or else reserves resources, preempts runs or queries more workers. It returns what the
 // gang waits for.
 func (p *planner) prepareGang(s *Step, granted, unknown []*Worker, left int) Reason {
+	if s.reserving {
+		return p.prepareReserving(s, granted, unknown, left)
+	}
 	if totalFitCount(s, granted) >= left {
 		return p.renewGangTickets(s, granted, left)
 	}
@@ -45,25 +48,34 @@
 // queries more workers than the gang needs, since steps that precede it may take some of the
 // resources meanwhile.
 func (p *planner) renewGangTickets(s *Step, granted []*Worker, left int) Reason {
-	if s.AwaitsResponse {
-		p.reserve(s, fewestWorkersFor(s, workersWithIDs(granted, s.Renewing), left), left)
+	if len(s.Renewing) > 0 {
+		p.hold(s, fewestWorkersFor(s, workersWithIDs(granted, s.Renewing), left), left)
 		return ReasonAwaitsAdviser
 	}
 	if !p.queryInParts(s, fewestWorkersFor(s, granted, int(wantedFreeFactor*float64(left))), true) {
 		// A reservation without a query would leave the resources idle.
 		return ReasonNoConnection
 	}
-	p.reserve(s, fewestWorkersFor(s, granted, left), left)
+	p.hold(s, fewestWorkersFor(s, granted, left), left)
 	return ReasonAwaitsAdviser
 }
 
+// hold reserves resources on workers for a gang whose tickets are being renewed, and earmarks them:
+// steps before the gang would otherwise take them until the tickets arrive, and it renews in vain.
+func (p *planner) hold(s *Step, workers []*Worker, left int) {
+	p.reserve(s, workers, left)
+	p.earmark(workers)
+}
+
 // gangShouldQueryMore reports whether a gang queries workers of unknown permission. It does
-// in three cases:
+// in four cases:
 //
 //   - The gang would hardly fit on its permitted workers even if these ran nothing else.
 //   - Workers of unknown permission have free resources, and the gang either waits long for
 //     its reservation or has none and is known to be permitted on few workers.
 //   - The gang is likely to fit now if it queries workers of unknown permission.
+//   - Workers of unknown permission have free resources, and the adviser has connections to spare. The
+//     resources that are free on permitted workers may be reserved for other gangs.
 func (p *planner) gangShouldQueryMore(s *Step, granted, unknown []*Worker, left int, reservation gangReservation) bool {
 	if len(unknown) == 0 {
 		return false
@@ -73,7 +85,7 @@
 		return true
 	}
 	longWait := reservation.waitsLong(p.now) || !reservation.reserved && empty < wantedEmptyFactor*left
-	return longWait && worthQuerying(s, unknown) || likelyFits(s, granted, unknown, left)
+	return (longWait || p.adviserHasSpareConns()) && worthQuerying(s, unknown) || likelyFits(s, granted, unknown, left)
 }
 
 // likelyFits reports whether the gang fits into the free resources of the permitted workers
@@ -121,17 +133,26 @@
 // same time.
 func (p *planner) gangWorkersToQuery(s *Step, granted, unknown []*Worker, left int) []*Worker {
 	chosen := fewestWorkersFor(s, granted, left)
-	freeFits, emptyFits := float64(totalFitCount(s, chosen)), float64(totalEmptyFitCount(s, granted))
+	fits := gangFits{free: float64(totalFitCount(s, chosen)), empty: float64(totalEmptyFitCount(s, granted))}
+	return p.addUnknownWorkers(s, chosen, fits, unknown, left)
+}
+
+// gangFits is how many tasks of a gang are expected to fit on workers now, and if these ran nothing else.
+type gangFits struct{ free, empty float64 }
+
+// addUnknownWorkers adds workers of unknown permission to those that a gang queries, until the gang is
+// expected to fit. fits counts what fits on the workers that are known or queried already.
+func (p *planner) addUnknownWorkers(s *Step, chosen []*Worker, fits gangFits, unknown []*Worker, left int) []*Worker {
 	grantRate := s.expectedGrantRate()
 	for w := range byUnclaimed(s, unknown) {
 		n := fitCount(s, w)
-		enough := emptyFits >= float64(wantedEmptyFactor*left) && (n == 0 || freeFits >= wantedFreeFactor*float64(left))
+		enough := fits.empty >= float64(wantedEmptyFactor*left) && (n == 0 || fits.free >= wantedFreeFactor*float64(left))
 		if len(chosen) >= maxGangQueries*p.limits.WorkersPerGangQuery || len(chosen) >= p.limits.WorkersPerGangQuery && enough {
 			break
 		}
 		chosen = append(chosen, w)
-		freeFits += grantRate * float64(n)
-		emptyFits += grantRate * float64(emptyFitCount(s, w))
+		fits.free += grantRate * float64(n)
+		fits.empty += grantRate * float64(emptyFitCount(s, w))
 	}
 	return chosen
 }
@@ -185,10 +206,11 @@
 	return false
 }
 
-// expectedFit is the time from which one more task is expected to fit on a worker.
+// expectedFit is the time from which one more task is expected to fit on a worker. For a gang with a
+// standing reservation, usableAt is the time from which the worker is expected to accept its start.
 type expectedFit struct {
-	at     time.Duration
-	worker *Worker
+	at, usableAt time.Duration
+	worker       *Worker
 }
 
 // earmarkLeadTime is how long before a gang's expected fit its workers are earmarked, so
@@ -218,12 +240,13 @@
 // gangs would start more of them, but cost the leader more than is gained: a hundred
 // stops and restarts a second.
 func (p *planner) reserveOrPreempt(s *Step, workers []*Worker, n int) gangReservation {
-	if p.reservedGangs[s.Service] >= maxReservedGangs {
+	mayPreempt := p.reservedGangs[s.Service] < maxReservedGangs
+	if !mayPreempt && !s.reserving {
 		return gangReservation{}
 	}
 	fits := p.expectedGangFits(s, workers, n)
-	soon := fits != nil && fits[n-1].at <= p.now+minPreemptWait
-	if !soon && p.preemptForGang(s, workers, n) {
+	soon := fits != nil && lastFit(fits) <= p.now+minPreemptWait
+	if mayPreempt && !soon && p.preemptForGang(s, workers, n) {
 		p.reservedGangs[s.Service]++
 		return gangReservation{reserved: true, preempted: true}
 	}
@@ -239,7 +262,6 @@
 // and the time of the last fit. Without the reservation small tasks take resources as they come
 // free, and the gang never finds enough at once.
 func (p *planner) reserveExpected(s *Step, fits []expectedFit) ([]*Worker, time.Duration) {
-	n := len(fits)
 	var chosen []*Worker
 	for _, fit := range fits {
 		if !p.limits.Disabled.Reservation {
@@ -249,14 +271,23 @@
 			chosen = append(chosen, fit.worker)
 		}
 	}
-	if fits[n-1].at <= p.now+earmarkLeadTime {
+	at := lastFit(fits)
+	if s.reserving || at <= p.now+earmarkLeadTime {
 		p.earmark(chosen)
 	}
-	return chosen, fits[n-1].at
+	return chosen, at
 }
 
-// expectedGangFits lists when and where each of n tasks of s will fit, the soonest first; nil
-// if that is unknown for one of them.
+// lastFit returns the time from which all of the tasks fit.
+func lastFit(fits []expectedFit) (last time.Duration) {
+	for _, fit := range fits {
+		last = max(last, fit.at)
+	}
+	return last
+}
+
+// expectedGangFits lists when and where each of n tasks of s will fit, the soonest first, or in the order
+// of compareReserved; nil if that is unknown for one of them.
 func (p *planner) expectedGangFits(s *Step, workers []*Worker, n int) []expectedFit {
 	var fits []expectedFit
 	for _, w := range workers {
@@ -266,8 +297,8 @@
 		return nil
 	}
 	slices.SortStableFunc(fits, func(a, b expectedFit) int {
-		if a.at != b.at {
-			return cmp.Compare(a.at, b.at)
+		if order := cmp.Or(compareReserved(s, a, b), cmp.Compare(a.at, b.at)); order != 0 {
+			return order
 		}
 		return cmp.Or(a.worker.Penalty-b.worker.Penalty, compareFastFirst(s, a.worker, b.worker))
 	})
@@ -279,8 +310,12 @@
 	var fits []expectedFit
 	scratch := *w
 	add := func(at time.Duration) {
+		fit := expectedFit{at: at, worker: w}
+		if s.reserving {
+			fit.usableAt = p.usableAt(s, w, at)
+		}
 		for len(fits) < min(fitCount(s, &scratch), n) {
-			fits = append(fits, expectedFit{at: at, worker: w})
+			fits = append(fits, fit)
 		}
 	}
 	add(p.now)
--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -160,12 +160,17 @@
 
 // queriesFor returns how many queries of s about n workers may be sent now.
 func (p *planner) queriesFor(s *Step, n int) int {
-	left := p.limits.Queries
+	queries, nonInteractive, long := p.limits.Queries, p.limits.NonInteractiveQueries, p.limits.LongQueries
+	if s.reserving {
+		// The resources that the gang holds lie idle until its tickets arrive.
+		queries, nonInteractive, long = queries+p.reservedQueries, nonInteractive+p.reservedNonInteractiveQueries, long+p.reservedLongQueries
+	}
+	left := queries
 	if p.isNonInteractive(s, n) {
-		left = min(left, p.limits.NonInteractiveQueries)
+		left = min(left, nonInteractive)
 	}
 	if p.isLong(s, n) {
-		left = min(left, p.limits.LongQueries)
+		left = min(left, long)
 	}
 	return left
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -28,7 +28,8 @@
 	// fitsWithoutTicket says that the last step for which candidates was called fits on a
 	// permitted worker whose ticket has expired.
 	fitsWithoutTicket bool
-	// reservedGangs counts the gangs of each pool that have a reservation.
+	// reservedGangs counts the gangs of each pool that have a reservation for this decision, or for which
+	// it preempts runs.
 	reservedGangs map[string]int
 	// stopping are the runs that the plan stops.
 	stopping map[workflow.TaskKey]bool
@@ -48,7 +49,9 @@
 	dataCentres map[string][]string
 	// outlooks holds what the steps of each queue show about the adviser's decisions.
 	outlooks []queueOutlook
-	plan     Plan
+	// longQueryGangs counts the gangs whose queries are long.
+	longQueryGangs int
+	plan           Plan
 }
 
 // Decide plans starts and queries for steps on workers. Steps are considered in the order
@@ -76,13 +79,16 @@
 	order := make([]*Step, len(steps))
 	for i := range steps {
 		order[i] = &steps[i]
-		order[i].permitted, order[i].permittedKnown = nil, false
+		order[i].permitted, order[i].permittedKnown, order[i].reserving = nil, false, false
 		p.recordOutlook(order[i])
+		p.countLongQueryGang(order[i])
 		p.setPreference(order[i])
 	}
 	slices.SortFunc(order, compareSteps)
 	p.plan.Waiting = make([]Waiting, 0, len(steps))
 	order, startingOnly := p.setAsideLimited(order)
+	p.grantReservations(order)
+	slices.SortFunc(order, compareSteps)
 	chosen := p.selectSteps(order)
 	p.holdBackQueries()
 	for _, s := range chosen {
@@ -203,8 +209,17 @@
 
 // compareSteps defines the order in which a decision considers steps.
 func compareSteps(a, b *Step) int {
-	return cmp.Or(compareBools(a.Copy, b.Copy), cmp.Compare(a.Lateness, b.Lateness), cmp.Compare(a.Priority, b.Priority),
-		cmp.Compare(a.Due, b.Due), workflow.CompareSteps(a.Key, b.Key))
+	return cmp.Or(compareBools(a.Copy, b.Copy), cmp.Compare(a.rankedLateness(), b.rankedLateness()), cmp.Compare(a.Priority, b.Priority),
+		compareBools(!a.reserving, !b.reserving), cmp.Compare(a.Due, b.Due), workflow.CompareSteps(a.Key, b.Key))
+}
+
+// rankedLateness returns the lateness by which a decision orders s. A gang that holds resources for tickets
+// that are being renewed goes with the steps in time, or these would take its resources.
+func (s *Step) rankedLateness() int {
+	if s.reserving {
+		return 0
+	}
+	return s.Lateness
 }
 
 // compareBools orders false before true.
@@ -219,6 +234,13 @@
 	}
 }
 
+// countLongQueryGang adds s to longQueryGangs if it is such a gang.
+func (p *planner) countLongQueryGang(s *Step) {
+	if s.Spec.Gang && s.NeedsPermit && p.limits.LongQueryTime > 0 && p.isLong(s, p.limits.WorkersPerGangQuery) {
+		p.longQueryGangs++
+	}
+}
+
 // planStep starts what it can of s. For the remaining tasks it plans queries or records why
 // they wait.
 func (p *planner) planStep(s *Step) {
@@ -277,7 +299,7 @@
 // decision spends its time on hundreds of workers for each step that can't query, other
 // steps start later, and the backlog keeps growing.
 func (p *planner) blocked(s *Step) bool {
-	mayReserve := s.Spec.Gang && (p.reservedGangs[s.Service] < maxReservedGangs && len(s.Permits) > 0 || len(s.Renewing) > 0 || p.holdsTickets(s))
+	mayReserve := s.Spec.Gang && (s.reserving || p.reservedGangs[s.Service] < maxReservedGangs && len(s.Permits) > 0 || len(s.Renewing) > 0 || p.holdsTickets(s))
 	return s.NeedsPermit && !p.mayQuery(s, 1) && !mayReserve
 }
 
@@ -310,7 +332,7 @@
 func (p *planner) unschedulable(s *Step) bool {
 	mayQueryFirst := s.NeedsPermit && len(s.Permits) == 0 && p.limits.Queries+p.reservedQueries > 0 &&
 		(!p.isNonInteractive(s, 1) || p.limits.NonInteractiveQueries+p.reservedNonInteractiveQueries > 0)
-	if mayQueryFirst || s.Spec.Gang && p.reservedGangs[s.Service] < maxReservedGangs {
+	if mayQueryFirst || s.reserving || s.Spec.Gang && p.reservedGangs[s.Service] < maxReservedGangs {
 		return false
 	}
 	return !s.Spec.Demand().Fits(p.headroomOf(s.Service))
--- a/dispatch/replay_jobs_test.go
+++ b/dispatch/replay_jobs_test.go
@@ -63,15 +63,15 @@
 	unfinished []int
 	// saved is the share of a task's work that the checkpoint of a preempted run holds.
 	saved map[workflow.TaskKey]float64
-	// permits are the adviser's decisions for the current step so far. pendingQueries
-	// counts the step's queries in flight, lastQueryAt is when the last one was sent,
+	// permits are the adviser's decisions for the current step so far. inFlight are the step's
+	// queries in flight, lastQueryAt is when the last one was sent,
 	// renewing are the workers whose tickets are being renewed, and ticketsExpire is when
 	// the step's last ticket expires.
-	permits        map[string]Permit
-	pendingQueries int
-	lastQueryAt    time.Duration
-	renewing       []string
-	ticketsExpire  time.Duration
+	permits       map[string]Permit
+	inFlight      []Query
+	lastQueryAt   time.Duration
+	renewing      []string
+	ticketsExpire time.Duration
 	// ended is when the job ended, 0 before. earnedShare is the share of its value that it
 	// earned.
 	ended       time.Duration
@@ -81,6 +81,17 @@
 	idleSince time.Duration
 }
 
+// querying returns the set of the workers that the queries in flight name.
+func (j *replayJob) querying() map[string]bool {
+	workers := map[string]bool{}
+	for _, query := range j.inFlight {
+		for _, w := range query.Workers {
+			workers[w] = true
+		}
+	}
+	return workers
+}
+
 // logNormal draws a log-normal random number with a mean and a coefficient of variation,
 // but returns at most limit.
 func (r *replay) logNormal(mean, cv, limit float64) float64 {
--- a/dispatch/replay_test.go
+++ b/dispatch/replay_test.go
@@ -138,7 +138,7 @@
 	s := Step{
 		Key: workflow.StepKey{Job: j.id, Step: j.step}, Spec: spec, Service: "s", Priority: k.priority, Due: j.begin + j.estimatedObjective(r), Stretch: k.stretch,
 		Pending: slices.Clone(j.pending[j.step]), NeedsPermit: true, Permits: j.permits, TicketsExpire: j.ticketsExpire, GrantRate: k.grantRate,
-		AwaitsResponse: j.pendingQueries > 0, Renewing: j.renewing, LastQueryAt: j.lastQueryAt,
+		AwaitsResponse: len(j.inFlight) > 0, Renewing: j.renewing, Querying: j.querying(), LastQueryAt: j.lastQueryAt,
 		ResponseTime: func(n int) time.Duration { return k.baseLatency + time.Duration(n)*k.perWorkerLatency },
 	}
 	switch age := r.now - j.begin; {
@@ -296,7 +296,7 @@
 		}
 	}
 	usable[first] = max(usable[first], r.now) + length
-	j.pendingQueries++
+	j.inFlight = append(j.inFlight, query)
 	j.lastQueryAt = r.now
 	if query.Renewal {
 		j.renewing = query.Workers
@@ -310,9 +310,11 @@
 	if j.ended > 0 || j.step != response.key.Step {
 		return
 	}
-	j.pendingQueries--
+	j.inFlight = slices.DeleteFunc(j.inFlight, func(q Query) bool { return slices.Equal(q.Workers, response.query.Workers) })
 	r.markChanged(j)
-	j.renewing = nil
+	if response.query.Renewal {
+		j.renewing = nil
+	}
 	known := maps.Clone(j.permits)
 	unknown, granted := 0, 0
 	for _, w := range response.query.Workers {
@@ -400,7 +402,7 @@
 		return
 	}
 	j.step++
-	j.permits, j.pendingQueries, j.renewing, j.ticketsExpire, j.lastQueryAt = map[string]Permit{}, 0, nil, 0, r.now
+	j.permits, j.inFlight, j.renewing, j.ticketsExpire, j.lastQueryAt = map[string]Permit{}, nil, nil, 0, r.now
 	if j.step < len(j.specs) {
 		return
 	}
--- a/dispatch/select.go
+++ b/dispatch/select.go
@@ -128,11 +128,13 @@
 	fitCount, distance int
 	speedRank          int
 	dataCentreRank     int
+	roomRank           int
 	milliCPU           int64
 }
 
 // compareFree puts healthy workers first, then those of the preferred speed, then those near the
-// data, then those in the preferred data centre, then those on which the most tasks fit.
+// data, then those in the preferred data centre, then those whose room isn't earmarked, then those on which
+// the most tasks fit.
 func compareFree(a, b *rankedWorker) int {
 	switch {
 	case a.worker.Penalty != b.worker.Penalty:
@@ -143,6 +145,8 @@
 		return a.distance - b.distance
 	case a.dataCentreRank != b.dataCentreRank:
 		return a.dataCentreRank - b.dataCentreRank
+	case a.roomRank != b.roomRank:
+		return a.roomRank - b.roomRank
 	case a.fitCount != b.fitCount:
 		return b.fitCount - a.fitCount
 	case a.milliCPU != b.milliCPU:
@@ -151,6 +155,29 @@
 	return a.worker.rank - b.worker.rank
 }
 
+// Values of rankedWorker.roomRank.
+const (
+	roomFree = iota
+	// roomEarmarked: the room is earmarked for a gang.
+	roomEarmarked
+	roomNone
+)
+
+// roomRank orders workers for a step of which n tasks fit on the worker: those with room, then those whose
+// room is earmarked for a gang, then those without room.
+//
+// The workers on which a gang collects its resources have the most free ones. Urgent steps would query just
+// these workers, get tickets for no others and take the gang's resources, so that it never starts.
+func roomRank(s *Step, w *Worker, n int) int {
+	switch {
+	case n <= 0:
+		return roomNone
+	case w.Earmarked && !s.reserving:
+		return roomEarmarked
+	}
+	return roomFree
+}
+
 // byFree yields the workers in the order of compareFree: among equally healthy and near
 // ones, those on which the most tasks of s fit come first, so that a gang spreads over few
 // workers. It sorts lazily with a heap, since gangs and queries need only the first few
@@ -159,7 +186,7 @@
 	order := make(freeHeap, len(workers))
 	for i, w := range workers {
 		n := fitCount(s, w)
-		order[i] = rankedWorker{w, n, distance(s, w), speedRank(s, w, n), dataCentreRank(s, w, n), w.Free.MilliCPU}
+		order[i] = rankedWorker{w, n, distance(s, w), speedRank(s, w, n), dataCentreRank(s, w, n), roomRank(s, w, n), w.Free.MilliCPU}
 	}
 	return order.pop()
 }
@@ -171,7 +198,7 @@
 		free := w.Free
 		free.MilliCPU -= w.claimedMilliCPU
 		n := fitCountIn(s, w, free)
-		order[i] = rankedWorker{w, n, distance(s, w), speedRank(s, w, n), dataCentreRank(s, w, n), free.MilliCPU}
+		order[i] = rankedWorker{w, n, distance(s, w), speedRank(s, w, n), dataCentreRank(s, w, n), roomRank(s, w, n), free.MilliCPU}
 	}
 	return order.pop()
 }
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -137,6 +137,8 @@
 	// awaited.
 	AwaitsResponse bool
 	Renewing       []string
+	// Querying is the set of the workers that the queries in flight name, by ID.
+	Querying map[string]bool
 	// Placed counts the step's live runs by worker. It is set only if Spec.MaxPerWorker is.
 	Placed map[string]int
 	// Copy says that the pending tasks already run and that each may get a speculative copy
@@ -152,6 +154,8 @@
 	dataCentre string
 	// preference says which workers the step prefers by their speed.
 	preference speedPreference
+	// reserving says that the step is a gang with a standing reservation; see planner.grantReservations.
+	reserving bool
 	// permitted is the result of planner.permitted once permittedKnown is set.
 	permitted      []*Worker
 	permittedKnown bool
--- a/internal/control/permits.go
+++ b/internal/control/permits.go
@@ -32,6 +32,9 @@
 	lastQueryAt time.Duration
 	// renewing lists the workers whose tickets the queries in flight renew.
 	renewing []string
+	// querying is the set of the workers that the queries in flight name. It is replaced, never modified,
+	// like known.
+	querying map[string]bool
 	// ticketsExpire is when the last ticket expires, relative to the start of the leader
 	// term.
 	ticketsExpire time.Duration
@@ -99,11 +102,7 @@
 	}
 	t.mu.Lock()
 	p := t.permitsOf(query.Step)
-	p.inFlight++
-	p.lastQueryAt = now.Sub(t.started)
-	if query.Renewal {
-		p.renewing = slices.Concat(p.renewing, query.Workers)
-	}
+	p.recordQuery(query, now.Sub(t.started))
 	t.mu.Unlock()
 	validity := time.Duration(policy.TicketValidityMS) * time.Millisecond
 	t.spawn(func() { t.queryAdviserVia(conn, query, queue, validity, time.Until(responseDue)+queryTimeoutMargin) })
@@ -127,10 +126,7 @@
 		"granted", len(reply.Granted), "renewal", query.Renewal, "ms", now.Sub(start).Milliseconds(), "err", err)
 	t.mu.Lock()
 	p := t.permitsOf(query.Step)
-	p.inFlight--
-	if p.inFlight == 0 {
-		p.renewing = nil
-	}
+	p.recordQueryEnd(query)
 	if err == nil {
 		t.updateGrantRate(queue, p, query.Workers, reply.Granted)
 		p.recordReply(query.Workers, reply, now.Add(reply.TicketValidity).Sub(t.started))
@@ -167,6 +163,35 @@
 	t.grantRates[queue] = share
 }
 
+// recordQuery records that a query was sent, at a time relative to the start of the leader term.
+// leaderTerm.mu must be held.
+func (p *stepPermits) recordQuery(query dispatch.Query, at time.Duration) {
+	p.inFlight++
+	p.lastQueryAt = at
+	if query.Renewal {
+		p.renewing = slices.Concat(p.renewing, query.Workers)
+	}
+	querying := make(map[string]bool, len(p.querying)+len(query.Workers))
+	maps.Copy(querying, p.querying)
+	for _, worker := range query.Workers {
+		querying[worker] = true
+	}
+	p.querying = querying
+}
+
+// recordQueryEnd records that a query is no longer in flight. leaderTerm.mu must be held.
+func (p *stepPermits) recordQueryEnd(query dispatch.Query) {
+	p.inFlight--
+	querying := maps.Clone(p.querying)
+	for _, worker := range query.Workers {
+		delete(querying, worker)
+	}
+	p.querying = querying
+	if query.Renewal {
+		p.renewing = slices.DeleteFunc(slices.Clone(p.renewing), func(worker string) bool { return !querying[worker] })
+	}
+}
+
 // recordReply stores the permits of a response to a query about the queried workers. It
 // records queried workers without a grant as refused. expires is when the tickets expire,
 // relative to the start of the leader term. leaderTerm.mu must be held.
--- a/internal/control/permits_test.go
+++ b/internal/control/permits_test.go
@@ -31,3 +31,20 @@
 	p.recordReply([]string{"w1"}, AdviserReply{}, time.Second)
 	check("w3", "w4")
 }
+
+// Guards against a step that counts tickets as being renewed after the response to their renewal, as long
+// as other queries are in flight.
+func TestRenewalEndsWithItsResponse(t *testing.T) {
+	p := &stepPermits{known: map[string]dispatch.Permit{}}
+	query := dispatch.Query{Workers: []string{"w1", "w2"}}
+	renewal := dispatch.Query{Workers: []string{"w3"}, Renewal: true}
+	p.recordQuery(query, time.Second)
+	p.recordQuery(renewal, 2*time.Second)
+	must.Eq(t, map[string]bool{"w1": true, "w2": true, "w3": true}, p.querying)
+	must.Eq(t, []string{"w3"}, p.renewing)
+	must.Eq(t, 2*time.Second, p.lastQueryAt)
+	p.recordQueryEnd(renewal)
+	must.Eq(t, map[string]bool{"w1": true, "w2": true}, p.querying)
+	must.SliceEmpty(t, p.renewing)
+	must.Eq(t, 1, p.inFlight)
+}
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -199,7 +199,7 @@
 	advice := *job.Policy.Advice
 	step.ResponseTime = func(n int) time.Duration { return queryDuration(&advice, n) }
 	step.GrantRate = t.grantRates[job.Queue].mean
-	step.AwaitsResponse, step.Renewing = p.inFlight > 0, p.renewing
+	step.AwaitsResponse, step.Renewing, step.Querying = p.inFlight > 0, p.renewing, p.querying
 	step.Permits, step.GrantedWorkers, step.TicketsExpire = p.known, p.granted, p.ticketsExpire
 	return step
 }
