--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -11,7 +11,7 @@
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
 
-var replaySeeds = flag.Int("replay.seeds", 0, "number of seeds for which the figures of the replayed load are printed")
+var replaySeeds = flag.Int("replay.seeds", 0, "number of seeds for which the figures of the replayed load are printed and idle gangs are checked")
 var replaySmallTasks = flag.Bool("replay.smalltasks", false, "replay small tasks on small workers instead of the mixed load")
 var replayLoad = flag.Float64("replay.load", 1, "the replayed load as a multiple of the usual one")
 
@@ -111,7 +111,7 @@
 // wait while 55 % of the cores are free. Gangs of failed jobs that must run again wait as
 // well.
 func TestGangsStartWhenTwiceTheirDemandIsFree(t *testing.T) {
-	for seed := range uint64(2) {
+	for seed := range uint64(max(2, *replaySeeds)) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			r := newReplay(seed, mixedPoolWorkers, usualConnections, mixedLoad(1)...)
