--- a/dispatch/select.go
+++ b/dispatch/select.go
@@ -167,12 +167,13 @@
 // room is earmarked for a gang, then those without room.
 //
 // The workers on which a gang collects its resources have the most free ones. Urgent steps would query just
-// these workers, get tickets for no others and take the gang's resources, so that it never starts.
+// these workers, get tickets for no others and take the gang's resources, so that it never starts. Steps
+// without queries can choose among all workers when they start.
 func roomRank(s *Step, w *Worker, n int) int {
 	switch {
 	case n <= 0:
 		return roomNone
-	case w.Earmarked && !s.reserving:
+	case w.Earmarked && s.NeedsPermit && !s.reserving:
 		return roomEarmarked
 	}
 	return roomFree
