--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -44,7 +44,7 @@
 // NewCore returns the daemon of a core instance, which has a disk and is a member
 // of the log.
 func NewCore(adapters CoreAdapters) Daemon {
-	return Daemon{"core", adapters.LoadControlTerms, func(ctx context.Context, p *process) error { return p.runCore(ctx, adapters) }}
+	return Daemon{role: "core", loadControlTerms: adapters.LoadControlTerms, run: func(ctx context.Context, p *process) error { return p.runCore(ctx, adapters) }}
 }
 
 // runCore runs a core instance until ctx ends or a part of it fails.
@@ -58,7 +58,7 @@
 	stateMachine := control.NewStateMachine()
 	logMember := member.New(member.Config{
 		ID: s.Address, Port: s.InternalPort, DataCentre: s.DataCentre, Seeds: s.seedHosts(), FirstStart: s.FirstStart,
-		Folder: s.DataFolder, Voters: votersFor(s.ToleratedFailures), Machine: stateMachine, Logger: p.logger,
+		Folder: s.DataFolder, Files: p.files, Voters: votersFor(s.ToleratedFailures), Machine: stateMachine, Logger: p.logger,
 	}, c.client, c.mux)
 	var monitor *overload.Monitor
 	if s.LoadControl {
--- a/internal/instance/edge.go
+++ b/internal/instance/edge.go
@@ -37,7 +37,7 @@
 // NewEdge returns the daemon of an edge instance, which serves callers and has no
 // disk.
 func NewEdge(adapters EdgeAdapters) Daemon {
-	return Daemon{"edge", adapters.LoadControlTerms, func(ctx context.Context, p *process) error { return p.runEdge(ctx, adapters) }}
+	return Daemon{role: "edge", loadControlTerms: adapters.LoadControlTerms, run: func(ctx context.Context, p *process) error { return p.runEdge(ctx, adapters) }}
 }
 
 // runEdge runs an edge instance until ctx ends or a part of it fails.
--- a/internal/instance/process.go
+++ b/internal/instance/process.go
@@ -24,6 +24,7 @@
 	"github.com/bilberryferry/bilberryferry/internal/oplog"
 	"github.com/bilberryferry/bilberryferry/internal/rpc"
 	"github.com/bilberryferry/bilberryferry/internal/settings"
+	"github.com/bilberryferry/bilberryferry/internal/vfs"
 )
 
 // Limits of the servers and of the resources of a process.
@@ -60,6 +61,7 @@
 	sink         *oplog.Sink
 	logger       log.Logger
 	metrics      *oplog.Metrics
+	files        vfs.FS
 }
 
 // Daemon is one of the two daemons, core or edge; see NewCore and NewEdge.
@@ -68,6 +70,14 @@
 	// loadControlTerms are the terms of a deployment's contract that call for load control.
 	loadControlTerms []string
 	run              func(context.Context, *process) error
+	files            vfs.FS
+}
+
+// WithFiles returns the daemon with another file system for its data folder than that of the
+// operating system.
+func (d Daemon) WithFiles(files vfs.FS) Daemon {
+	d.files = files
+	return d
 }
 
 // Main loads the settings, runs a daemon until SIGTERM or SIGINT and returns the exit
@@ -108,7 +118,7 @@
 	}
 	sink := oplog.NewSink(out)
 	defer sink.Close()
-	p := &process{settings: settings, settingsPath: path, sink: sink, metrics: oplog.NewMetrics()}
+	p := &process{settings: settings, settingsPath: path, sink: sink, metrics: oplog.NewMetrics(), files: d.files}
 	p.logger = oplog.NewLogger(sink, settings.Instance)
 	_ = p.logger.Log("event", "start", "role", d.role, "address", settings.Address, "data_centre", settings.DataCentre,
 		"seeds", len(settings.Seeds), "first_start", settings.FirstStart, "load_control", settings.LoadControl)
--- a/internal/member/host.go
+++ b/internal/member/host.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"net"
-	"os"
 	"path/filepath"
 	"sync"
 	"time"
@@ -22,6 +21,7 @@
 	"github.com/bilberryferry/bilberryferry/internal/link"
 	"github.com/bilberryferry/bilberryferry/internal/node"
 	"github.com/bilberryferry/bilberryferry/internal/peer"
+	"github.com/bilberryferry/bilberryferry/internal/vfs"
 	"github.com/bilberryferry/bilberryferry/replica"
 )
 
@@ -62,8 +62,10 @@
 	// FirstStart says that the whole system starts for the first time, so that the seeds form
 	// the initial membership.
 	FirstStart bool
-	// Folder is a folder on a disk of the instance.
+	// Folder is a folder on a disk of the instance, and Files the file system with it; nil means
+	// that of the operating system.
 	Folder string
+	Files  vfs.FS
 	// Voters is the number of voting members once enough have joined.
 	Voters  int
 	Machine node.Machine
@@ -85,6 +87,9 @@
 
 // New returns a host that isn't running yet, and registers its handlers for peers.
 func New(cfg Config, client *link.Client, mux *link.Mux) *Host {
+	if cfg.Files == nil {
+		cfg.Files = vfs.OS{}
+	}
 	config := peer.Config{ID: cfg.ID}
 	h := &Host{cfg: cfg, client: client, transport: peer.New(config), mux: peer.NewMux(config), liveness: newLivenessTracker()}
 	mux.HandleHTTP(apiv1.PeerPathPrefix, apiv1.NewPeerServer(exchangeOnly{h.mux}))
@@ -104,6 +109,7 @@
 		Group: GroupName, ID: h.cfg.ID, Members: members, Machine: h.cfg.Machine,
 		Transport:    h,
 		Folder:       filepath.Join(h.cfg.Folder, "log"),
+		Files:        h.cfg.Files,
 		TickInterval: tickInterval, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
 		SnapshotEntries: snapshotEntries,
 		Seed:            xxhash.Sum64String(h.cfg.ID),
@@ -198,7 +204,7 @@
 // then be read under a membership that was never in force.
 func (h *Host) initialMembers(ctx context.Context) ([]replica.Member, error) {
 	path := filepath.Join(h.cfg.Folder, membersFile)
-	if data, err := os.ReadFile(path); err == nil {
+	if data, err := h.cfg.Files.ReadFile(path); err == nil {
 		var members []replica.Member
 		if err := cbor.Unmarshal(data, &members); err == nil && len(members) > 0 {
 			return members, nil
@@ -240,14 +246,14 @@
 // saveMembers writes and syncs the file of the initial membership, before the log is
 // opened.
 func (h *Host) saveMembers(path string, members []replica.Member) error {
-	if err := os.MkdirAll(h.cfg.Folder, 0o750); err != nil {
+	if err := h.cfg.Files.MkdirAll(h.cfg.Folder); err != nil {
 		return errors.Wrap(err, "create the data folder")
 	}
 	data, err := cbor.Marshal(members)
 	if err != nil {
 		return errors.Wrap(err, "encode the members")
 	}
-	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o640)
+	f, err := h.cfg.Files.Create(path)
 	if err != nil {
 		return errors.Wrap(err, "create the file of members")
 	}
--- a/internal/node/clock_test.go
+++ b/internal/node/clock_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/bilberryferry/bilberryferry/internal/vfs"
 	"github.com/bilberryferry/bilberryferry/internal/wal"
 	"github.com/bilberryferry/bilberryferry/replica"
 )
@@ -19,7 +20,7 @@
 // openFollower returns a member "a" of a, b and c with stored state of term 1. Its clock is now.
 func openFollower(t *testing.T, now func() time.Time) *Group {
 	folder := t.TempDir()
-	w, _, err := wal.Open(folder)
+	w, _, err := wal.Open(vfs.OS{}, folder)
 	must.NoError(t, err)
 	must.NoError(t, w.Save(&replica.HardState{Term: 1, Incarnation: 1}, nil, true))
 	must.NoError(t, w.Close())
--- a/internal/node/http_test.go
+++ b/internal/node/http_test.go
@@ -22,6 +22,7 @@
 	apiv1 "github.com/bilberryferry/bilberryferry/api/v1"
 	"github.com/bilberryferry/bilberryferry/internal/peer"
 	"github.com/bilberryferry/bilberryferry/internal/rpc"
+	"github.com/bilberryferry/bilberryferry/internal/vfs"
 	"github.com/bilberryferry/bilberryferry/internal/wal"
 	"github.com/bilberryferry/bilberryferry/replica"
 )
@@ -328,7 +329,7 @@
 	const entries = 100_000
 	folder := b.TempDir()
 	members := []replica.Member{{ID: "a", HasDisk: true}}
-	w, _, err := wal.Open(folder)
+	w, _, err := wal.Open(vfs.OS{}, folder)
 	must.NoError(b, err)
 	for i := uint64(1); i <= entries; i++ {
 		hs := &replica.HardState{Term: 1, Vote: "a", Commit: i, Incarnation: 1}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 
+	"github.com/bilberryferry/bilberryferry/internal/vfs"
 	"github.com/bilberryferry/bilberryferry/internal/wal"
 	"github.com/bilberryferry/bilberryferry/replica"
 )
@@ -102,6 +103,8 @@
 	Members []replica.Member
 	// Folder holds the log; empty for a member without a disk.
 	Folder string
+	// Files is the file system with Folder; nil means that of the operating system.
+	Files vfs.FS
 	// TickInterval is the unit of ElectionTicks and HeartbeatTicks.
 	TickInterval time.Duration
 	// ElectionTicks is the shortest election timeout in ticks. If it is 0, ElectionTicks
@@ -155,6 +158,9 @@
 	if cfg.KeepEntries == 0 {
 		cfg.KeepEntries = int(cfg.SnapshotEntries)
 	}
+	if cfg.Files == nil {
+		cfg.Files = vfs.OS{}
+	}
 	if cfg.Now == nil {
 		cfg.Now = steadyNow()
 	}
@@ -226,7 +232,7 @@
 	if g.cfg.Folder == "" {
 		return replica.StoredState{}, nil
 	}
-	w, stored, err := wal.Open(g.cfg.Folder)
+	w, stored, err := wal.Open(g.cfg.Files, g.cfg.Folder)
 	g.wal = w
 	if err == nil {
 		w.OnDiskFull(g.waitForDiskSpace)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -13,6 +13,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/bilberryferry/bilberryferry/fault"
+	"github.com/bilberryferry/bilberryferry/internal/vfs"
 	"github.com/bilberryferry/bilberryferry/internal/wal"
 	"github.com/bilberryferry/bilberryferry/replica"
 )
@@ -228,7 +229,7 @@
 // entries that it had acknowledged.
 func TestCrashDuringRecoveryLeavesMemberRecovering(t *testing.T) {
 	folder := t.TempDir()
-	w, _, err := wal.Open(folder)
+	w, _, err := wal.Open(vfs.OS{}, folder)
 	must.NoError(t, err)
 	g := &Group{wal: w, savedHardState: replica.HardState{Term: 1, Incarnation: 7, Recovering: true}}
 	// A folder at the path of the snapshot's temporary file simulates the crash.
@@ -240,7 +241,7 @@
 		MustSync:  true,
 	}))
 	_ = w.Close()
-	w, stored, err := wal.Open(folder)
+	w, stored, err := wal.Open(vfs.OS{}, folder)
 	must.NoError(t, err)
 	defer w.Close()
 	must.True(t, stored.HardState.Recovering)
--- a/internal/wal/disk_full_test.go
+++ b/internal/wal/disk_full_test.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/shoenig/test/must"
 
+	"github.com/bilberryferry/bilberryferry/internal/vfs"
 	"github.com/bilberryferry/bilberryferry/replica"
 )
 
@@ -22,16 +23,16 @@
 
 // limitedFile accepts freeBytes more bytes, like a file on a disk that is almost full.
 type limitedFile struct {
-	segmentFile
+	vfs.File
 	freeBytes int
 }
 
 func (f *limitedFile) Write(p []byte) (int, error) {
 	if len(p) <= f.freeBytes {
 		f.freeBytes -= len(p)
-		return f.segmentFile.Write(p)
+		return f.File.Write(p)
 	}
-	n, err := f.segmentFile.Write(p[:f.freeBytes])
+	n, err := f.File.Write(p[:f.freeBytes])
 	f.freeBytes = 0
 	if err != nil {
 		return n, err
@@ -46,7 +47,7 @@
 	folder := t.TempDir()
 	w, _ := mustOpen(t, folder, oneSegmentBytes)
 	saveOneByOne(t, w, &replica.HardState{Term: 1}, entryRange(1, 3, 1))
-	full := &limitedFile{segmentFile: w.file, freeBytes: partialRecordBytes}
+	full := &limitedFile{File: w.file, freeBytes: partialRecordBytes}
 	w.file = full
 	waits := 0
 	w.OnDiskFull(func() bool {
@@ -68,7 +69,7 @@
 	folder := t.TempDir()
 	w, _ := mustOpen(t, folder, oneSegmentBytes)
 	saveOneByOne(t, w, &replica.HardState{Term: 1}, entryRange(1, 3, 1))
-	w.file = &limitedFile{segmentFile: w.file, freeBytes: partialRecordBytes}
+	w.file = &limitedFile{File: w.file, freeBytes: partialRecordBytes}
 	w.OnDiskFull(func() bool { return false })
 	for range 2 {
 		err := w.Save(nil, entryRange(4, 4, 1), true)
@@ -81,7 +82,7 @@
 // Without a callback a full disk is a failed write.
 func TestFullDiskFailsWriteWithoutCallback(t *testing.T) {
 	w, _ := mustOpen(t, t.TempDir(), oneSegmentBytes)
-	w.file = &limitedFile{segmentFile: w.file}
+	w.file = &limitedFile{File: w.file}
 	must.ErrorIs(t, w.Save(&replica.HardState{Term: 1}, nil, true), syscall.ENOSPC)
 	must.ErrorIs(t, w.Close(), syscall.ENOSPC)
 }
--- a/internal/wal/files.go
+++ b/internal/wal/files.go
@@ -4,12 +4,12 @@
 	"crypto/rand"
 	"encoding/binary"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
-	"slices"
 	"strings"
-	"syscall"
 
+	"github.com/bilberryferry/bilberryferry/internal/vfs"
 	"github.com/cockroachdb/errors"
 )
 
@@ -44,14 +44,14 @@
 }
 
 // listFiles returns the files of a log folder.
-func listFiles(folder string) (logFiles, error) {
-	found, err := os.ReadDir(folder)
+func listFiles(files vfs.FS, folder string) (logFiles, error) {
+	names, err := files.List(folder)
 	if err != nil {
 		return logFiles{}, errors.Wrap(err, "list the log folder")
 	}
 	var l logFiles
-	for _, f := range found {
-		path := filepath.Join(folder, f.Name())
+	for _, name := range names {
+		path := filepath.Join(folder, name)
 		switch filepath.Ext(path) {
 		case segmentSuffix:
 			l.segments = append(l.segments, path)
@@ -61,8 +61,6 @@
 			l.temporaries = append(l.temporaries, path)
 		}
 	}
-	slices.Sort(l.segments)
-	slices.Sort(l.snapshots)
 	return l, nil
 }
 
@@ -75,12 +73,12 @@
 // writeAtomically writes a file under a temporary name, syncs it, renames it and
 // syncs the folder, so that after a crash the file is either missing or complete.
 // It returns the file, open for writing at its end.
-func writeAtomically(path string, content ...[]byte) (*os.File, error) {
-	f, err := os.OpenFile(path+temporarySuffix, os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o640)
+func writeAtomically(files vfs.FS, path string, content ...[]byte) (vfs.File, error) {
+	f, err := files.Create(path + temporarySuffix)
 	if err != nil {
 		return nil, errors.Wrap(err, "create a file of the log")
 	}
-	if err := writeSyncRename(f, path, content); err != nil {
+	if err := writeSyncRename(files, f, path, content); err != nil {
 		_ = f.Close()
 		return nil, errors.Wrapf(err, "write %s", path)
 	}
@@ -88,7 +86,7 @@
 }
 
 // writeSyncRename fills the temporary file f and renames it to path.
-func writeSyncRename(f *os.File, path string, content [][]byte) error {
+func writeSyncRename(files vfs.FS, f vfs.File, path string, content [][]byte) error {
 	for _, b := range content {
 		if _, err := f.Write(b); err != nil {
 			return err
@@ -97,26 +95,17 @@
 	if err := f.Sync(); err != nil {
 		return err
 	}
-	if err := os.Rename(path+temporarySuffix, path); err != nil {
+	if err := files.Rename(path+temporarySuffix, path); err != nil {
 		return err
 	}
-	return syncFolder(filepath.Dir(path))
-}
-
-func syncFolder(folder string) error {
-	d, err := os.Open(folder)
-	if err != nil {
-		return errors.Wrap(err, "open the log folder")
-	}
-	defer d.Close()
-	return errors.Wrap(d.Sync(), "sync the log folder")
+	return errors.Wrap(files.SyncFolder(filepath.Dir(path)), "sync the log folder")
 }
 
 // removeFiles deletes files in the given order, oldest first, so that a crash in between
 // leaves no gap. It ignores missing files.
-func removeFiles(paths []string) error {
+func removeFiles(files vfs.FS, paths []string) error {
 	for _, p := range paths {
-		if err := os.Remove(p); err != nil && !errors.Is(err, os.ErrNotExist) {
+		if err := files.Remove(p); err != nil && !errors.Is(err, os.ErrNotExist) {
 			return errors.Wrap(err, "remove an old file of the log")
 		}
 	}
@@ -124,18 +113,13 @@
 }
 
 // lockFolder takes the lock of a folder, or fails if another process has it. The records of
-// two writers would interleave, and Open would report damage. The kernel releases the lock
-// when the process ends.
-func lockFolder(folder string) (*os.File, error) {
-	f, err := os.OpenFile(filepath.Join(folder, lockName), os.O_RDWR|os.O_CREATE, 0o640)
-	if err != nil {
-		return nil, errors.Wrap(err, "open the lock file")
-	}
-	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
-		_ = f.Close()
+// two writers would interleave, and Open would report damage.
+func lockFolder(files vfs.FS, folder string) (io.Closer, error) {
+	lock, err := files.Lock(filepath.Join(folder, lockName))
+	if errors.Is(err, vfs.ErrLocked) {
 		return nil, errors.Wrapf(err, "log folder %s is in use by another process", folder)
 	}
-	return f, nil
+	return lock, errors.Wrap(err, "open the lock file")
 }
 
 func newSalt() uint64 {
--- a/internal/wal/recover.go
+++ b/internal/wal/recover.go
@@ -1,8 +1,7 @@
 package wal
 
 import (
-	"os"
-
+	"github.com/bilberryferry/bilberryferry/internal/vfs"
 	"github.com/bilberryferry/bilberryferry/replica"
 	"github.com/cockroachdb/errors"
 )
@@ -17,6 +16,7 @@
 
 // recoveredLog is the content of a log folder. Reading it changes no file.
 type recoveredLog struct {
+	files    vfs.FS
 	state    logState
 	segments []segment
 	snapshot replica.Snapshot
@@ -30,15 +30,15 @@
 }
 
 // recoverFiles reads the segments and the newest snapshot of a folder.
-func recoverFiles(files logFiles) (*recoveredLog, error) {
-	r := &recoveredLog{}
+func recoverFiles(fsys vfs.FS, files logFiles) (*recoveredLog, error) {
+	r := &recoveredLog{files: fsys}
 	for i, path := range files.segments {
 		if err := r.readSegment(path, i == 0, i == len(files.segments)-1); err != nil {
 			return nil, err
 		}
 	}
 	if n := len(files.snapshots); n > 0 {
-		s, err := readSnapshot(files.snapshots[n-1])
+		s, err := readSnapshot(fsys, files.snapshots[n-1])
 		if err != nil {
 			return nil, err
 		}
@@ -49,7 +49,7 @@
 
 // readSegment applies the records of one segment.
 func (r *recoveredLog) readSegment(path string, oldest, newest bool) error {
-	file, err := os.ReadFile(path)
+	file, err := r.files.ReadFile(path)
 	if err != nil {
 		return errors.Wrap(err, "read a segment")
 	}
--- a/internal/wal/snapshot.go
+++ b/internal/wal/snapshot.go
@@ -2,8 +2,8 @@
 
 import (
 	"bytes"
-	"os"
 
+	"github.com/bilberryferry/bilberryferry/internal/vfs"
 	"github.com/bilberryferry/bilberryferry/replica"
 	"github.com/cockroachdb/errors"
 )
@@ -16,7 +16,7 @@
 	if err := encodeFrame(&frame, s, head.salt, headerSize); err != nil {
 		return err
 	}
-	f, err := writeAtomically(numberedPath(w.folder, s.Index, snapshotSuffix), head.encode(), frame.Bytes())
+	f, err := writeAtomically(w.files, numberedPath(w.folder, s.Index, snapshotSuffix), head.encode(), frame.Bytes())
 	if err != nil {
 		return err
 	}
@@ -24,8 +24,8 @@
 }
 
 // readSnapshot reads a snapshot file. Damage is a *DamageError.
-func readSnapshot(path string) (replica.Snapshot, error) {
-	file, err := os.ReadFile(path)
+func readSnapshot(files vfs.FS, path string) (replica.Snapshot, error) {
+	file, err := files.ReadFile(path)
 	if err != nil {
 		return replica.Snapshot{}, errors.Wrap(err, "read a snapshot")
 	}
@@ -76,7 +76,7 @@
 // removeOld deletes the files that the newest snapshot replaces. The snapshot and the
 // record that names it are durable by now, so a crash meanwhile loses nothing.
 func (w *WAL) removeOld() error {
-	files, err := listFiles(w.folder)
+	files, err := listFiles(w.files, w.folder)
 	if err != nil {
 		return err
 	}
@@ -90,5 +90,5 @@
 		old = append(old, w.segments[0].path)
 		w.segments = w.segments[1:]
 	}
-	return removeFiles(old)
+	return removeFiles(w.files, old)
 }
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -11,9 +11,9 @@
 import (
 	"bytes"
 	"io"
-	"os"
 	"syscall"
 
+	"github.com/bilberryferry/bilberryferry/internal/vfs"
 	"github.com/bilberryferry/bilberryferry/replica"
 	"github.com/cockroachdb/errors"
 )
@@ -26,15 +26,16 @@
 // because data that the kernel has dropped from its cache can't be synced again. A
 // write to a full disk is the exception, see OnDiskFull.
 type WAL struct {
+	files        vfs.FS
 	folder       string
 	segmentBytes int64
-	lockFile     *os.File
+	lock         io.Closer
 
 	state    logState
 	segments []segment
 	// file is the last segment. salt, length and synced are its salt, its length and the
 	// length that is synced, both in bytes.
-	file   segmentFile
+	file   vfs.File
 	salt   uint64
 	length int64
 	synced int64
@@ -47,14 +48,6 @@
 	counters counters
 }
 
-// segmentFile is the part of os.File that the log uses for its last segment.
-type segmentFile interface {
-	io.WriteSeeker
-	io.Closer
-	Truncate(size int64) error
-	Sync() error
-}
-
 // ErrDiskFull marks the error of a write to a full disk after the callback of
 // OnDiskFull returned false. Earlier records are whole.
 var ErrDiskFull = errors.New("the disk is full")
@@ -88,22 +81,22 @@
 	return errors.Wrap(err, "seek to the end of the log")
 }
 
-// Open opens the log in folder, which it creates if it is missing, and returns the stored
+// Open opens the log in a folder of a file system, which it creates if it is missing, and returns the stored
 // state, which it has made durable. A *DamageError means that a file doesn't contain what
 // was written to it; in this case Open has changed nothing.
-func Open(folder string) (*WAL, replica.StoredState, error) {
-	return open(folder, DefaultSegmentBytes)
+func Open(files vfs.FS, folder string) (*WAL, replica.StoredState, error) {
+	return open(files, folder, DefaultSegmentBytes)
 }
 
-func open(folder string, segmentBytes int64) (*WAL, replica.StoredState, error) {
-	if err := os.MkdirAll(folder, 0o750); err != nil {
+func open(files vfs.FS, folder string, segmentBytes int64) (*WAL, replica.StoredState, error) {
+	if err := files.MkdirAll(folder); err != nil {
 		return nil, replica.StoredState{}, errors.Wrap(err, "create the log folder")
 	}
-	lockFile, err := lockFolder(folder)
+	lock, err := lockFolder(files, folder)
 	if err != nil {
 		return nil, replica.StoredState{}, err
 	}
-	w := &WAL{folder: folder, segmentBytes: segmentBytes, lockFile: lockFile}
+	w := &WAL{files: files, folder: folder, segmentBytes: segmentBytes, lock: lock}
 	stored, err := w.load()
 	if err != nil {
 		_ = w.closeFiles()
@@ -114,11 +107,11 @@
 
 // load reads the files and opens the last segment for writing.
 func (w *WAL) load() (replica.StoredState, error) {
-	files, err := listFiles(w.folder)
+	listed, err := listFiles(w.files, w.folder)
 	if err != nil {
 		return replica.StoredState{}, err
 	}
-	found, err := recoverFiles(files)
+	found, err := recoverFiles(w.files, listed)
 	if err != nil {
 		return replica.StoredState{}, err
 	}
@@ -129,7 +122,7 @@
 	}
 	found.state.dropData()
 	w.state, w.segments = found.state, found.segments
-	if err := removeFiles(files.temporaries); err != nil {
+	if err := removeFiles(w.files, listed.temporaries); err != nil {
 		return replica.StoredState{}, err
 	}
 	return stored, w.openLastSegment(found)
@@ -142,7 +135,7 @@
 	if len(w.segments) == 0 {
 		return w.startSegment()
 	}
-	f, err := os.OpenFile(w.segments[len(w.segments)-1].path, os.O_RDWR, 0o640)
+	f, err := w.files.OpenFile(w.segments[len(w.segments)-1].path)
 	if err != nil {
 		return errors.Wrap(err, "open the last segment")
 	}
@@ -281,12 +274,12 @@
 		return err
 	}
 	path := numberedPath(w.folder, next, segmentSuffix)
-	f, err := writeAtomically(path, head.encode(), w.buffer.Bytes())
+	f, err := writeAtomically(w.files, path, head.encode(), w.buffer.Bytes())
 	for err != nil {
 		if err := w.waitToRetry(err); err != nil {
 			return err
 		}
-		f, err = writeAtomically(path, head.encode(), w.buffer.Bytes())
+		f, err = writeAtomically(w.files, path, head.encode(), w.buffer.Bytes())
 	}
 	if w.file != nil {
 		_ = w.file.Close()
@@ -327,5 +320,5 @@
 	if w.err == nil {
 		w.err = errors.New("log is closed")
 	}
-	return errors.CombineErrors(err, w.lockFile.Close())
+	return errors.CombineErrors(err, w.lock.Close())
 }
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"testing"
 
+	"github.com/bilberryferry/bilberryferry/internal/vfs"
 	"github.com/bilberryferry/bilberryferry/replica"
 	"github.com/cockroachdb/errors"
 	"github.com/shoenig/test/must"
@@ -32,7 +33,7 @@
 
 func mustOpen(t must.T, folder string, segmentBytes int64) (*WAL, replica.StoredState) {
 	t.Helper()
-	w, stored, err := open(folder, segmentBytes)
+	w, stored, err := open(vfs.OS{}, folder, segmentBytes)
 	must.NoError(t, err)
 	return w, stored
 }
@@ -64,7 +65,7 @@
 
 func lastSegment(t must.T, folder string) string {
 	t.Helper()
-	files, err := listFiles(folder)
+	files, err := listFiles(vfs.OS{}, folder)
 	must.NoError(t, err)
 	return files.segments[len(files.segments)-1]
 }
@@ -91,7 +92,7 @@
 	folder := t.TempDir()
 	w, _ := mustOpen(t, folder, smallSegmentBytes)
 	defer w.Close()
-	_, _, err := Open(folder)
+	_, _, err := Open(vfs.OS{}, folder)
 	must.ErrorContains(t, err, "in use by another process")
 }
 
@@ -121,7 +122,7 @@
 	stored = readBack(t, folder)
 	must.Eq(t, s, stored.Snapshot)
 	must.Eq(t, entryRange(66, 67, 4), stored.Entries)
-	files, err := listFiles(folder)
+	files, err := listFiles(vfs.OS{}, folder)
 	must.NoError(t, err)
 	must.Len(t, 1, files.snapshots)
 }
@@ -170,7 +171,7 @@
 	must.NoError(t, w.Save(nil, entryRange(31, 31, 1), true))
 	must.Eq(t, segments, len(w.segments))
 	must.NoError(t, w.Close())
-	files, err := listFiles(folder)
+	files, err := listFiles(vfs.OS{}, folder)
 	must.NoError(t, err)
 	for i, path := range files.segments {
 		whole, err := os.ReadFile(path)
@@ -185,7 +186,7 @@
 			flipped[at] ^= 0x10
 			damagedFile := filepath.Join(damagedFolder, filepath.Base(path))
 			must.NoError(t, os.WriteFile(damagedFile, flipped, 0o600))
-			_, _, err := open(damagedFolder, smallSegmentBytes)
+			_, _, err := open(vfs.OS{}, damagedFolder, smallSegmentBytes)
 			var damage *DamageError
 			must.True(t, errors.As(err, &damage), must.Sprintf("offset %d of %s: %v", at, path, err))
 			must.Eq(t, damagedFile, damage.File)
@@ -279,14 +280,14 @@
 		saveOneByOne(t, w, nil, entryRange(1, 60, 1))
 		must.NoError(t, w.SaveSnapshot(replica.Snapshot{Index: 20, Term: 1}))
 		must.NoError(t, w.Close())
-		files, err := listFiles(folder)
+		files, err := listFiles(vfs.OS{}, folder)
 		must.NoError(t, err)
 		missingFile := files.segments[1]
 		if name == "snapshots" {
 			missingFile = files.snapshots[0]
 		}
 		must.NoError(t, os.Remove(missingFile))
-		_, _, err = open(folder, smallSegmentBytes)
+		_, _, err = open(vfs.OS{}, folder, smallSegmentBytes)
 		var damage *DamageError
 		must.True(t, errors.As(err, &damage), must.Sprint(name))
 	}
