member, wal: the names of the membership and of the log are durable before anything is acknowledged

Cause: saveMembers synced the file 'members' and not its folder, and Open of the log made its folder without a sync of the folder above it. A member without 'members' waits to be added by a leader that can't exist; without the folder of the log it starts with an empty one.

Change: 'members' is written like a segment (temporary file, sync, rename, sync of the folder); the data folder is made with durable parents; Open syncs the folder above the log. The sync at Open also covers names that an earlier process made and was killed before it synced them.

--- a/internal/member/host.go
+++ b/internal/member/host.go
@@ -47,8 +47,12 @@
 	transferTimeout = 1500 * time.Millisecond
 )
 
-// membersFile is the name of the file that stores the initial membership.
-const membersFile = "members"
+// Names in the data folder: the file that stores the initial membership, and the folder of the
+// log.
+const (
+	membersFile = "members"
+	logFolder   = "log"
+)
 
 // Config holds the fixed settings of a Host.
 type Config struct {
@@ -108,7 +112,7 @@
 	group, err := node.Open(node.Config{
 		Group: GroupName, ID: h.cfg.ID, Members: members, Machine: h.cfg.Machine,
 		Transport:    h,
-		Folder:       filepath.Join(h.cfg.Folder, "log"),
+		Folder:       filepath.Join(h.cfg.Folder, logFolder),
 		Files:        h.cfg.Files,
 		TickInterval: tickInterval, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
 		SnapshotEntries: snapshotEntries,
@@ -243,25 +247,19 @@
 	return replica.Member{ID: id, Address: h.address(id), HasDisk: true}
 }
 
-// saveMembers writes and syncs the file of the initial membership, before the log is
-// opened.
+// saveMembers makes the file of the initial membership durable, with its name, before the log
+// is opened.
 func (h *Host) saveMembers(path string, members []replica.Member) error {
-	if err := h.cfg.Files.MkdirAll(h.cfg.Folder); err != nil {
+	if err := vfs.MkdirAllDurable(h.cfg.Files, h.cfg.Folder); err != nil {
 		return errors.Wrap(err, "create the data folder")
 	}
 	data, err := cbor.Marshal(members)
 	if err != nil {
 		return errors.Wrap(err, "encode the members")
 	}
-	f, err := h.cfg.Files.Create(path)
+	f, err := vfs.WriteAtomically(h.cfg.Files, path, data)
 	if err != nil {
-		return errors.Wrap(err, "create the file of members")
-	}
-	if _, err := f.Write(data); err != nil {
-		return errors.CombineErrors(errors.Wrap(err, "write the file of members"), f.Close())
-	}
-	if err := f.Sync(); err != nil {
-		return errors.CombineErrors(errors.Wrap(err, "sync the file of members"), f.Close())
+		return errors.Wrap(err, "store the members")
 	}
 	return errors.Wrap(f.Close(), "close the file of members")
 }
--- a/internal/wal/files.go
+++ b/internal/wal/files.go
@@ -14,10 +14,9 @@
 )
 
 const (
-	segmentSuffix   = ".segment"
-	snapshotSuffix  = ".snapshot"
-	temporarySuffix = ".tmp"
-	lockName        = "lock"
+	segmentSuffix  = ".segment"
+	snapshotSuffix = ".snapshot"
+	lockName       = "lock"
 )
 
 // DamageError says that a file doesn't contain what was written to it. Nothing in the
@@ -57,7 +56,7 @@
 			l.segments = append(l.segments, path)
 		case snapshotSuffix:
 			l.snapshots = append(l.snapshots, path)
-		case temporarySuffix:
+		case vfs.TemporarySuffix:
 			l.temporaries = append(l.temporaries, path)
 		}
 	}
@@ -70,37 +69,6 @@
 	return filepath.Join(folder, fmt.Sprintf("%020d%s", number, suffix))
 }
 
-// writeAtomically writes a file under a temporary name, syncs it, renames it and
-// syncs the folder, so that after a crash the file is either missing or complete.
-// It returns the file, open for writing at its end.
-func writeAtomically(files vfs.FS, path string, content ...[]byte) (vfs.File, error) {
-	f, err := files.Create(path + temporarySuffix)
-	if err != nil {
-		return nil, errors.Wrap(err, "create a file of the log")
-	}
-	if err := writeSyncRename(files, f, path, content); err != nil {
-		_ = f.Close()
-		return nil, errors.Wrapf(err, "write %s", path)
-	}
-	return f, nil
-}
-
-// writeSyncRename fills the temporary file f and renames it to path.
-func writeSyncRename(files vfs.FS, f vfs.File, path string, content [][]byte) error {
-	for _, b := range content {
-		if _, err := f.Write(b); err != nil {
-			return err
-		}
-	}
-	if err := f.Sync(); err != nil {
-		return err
-	}
-	if err := files.Rename(path+temporarySuffix, path); err != nil {
-		return err
-	}
-	return errors.Wrap(files.SyncFolder(filepath.Dir(path)), "sync the log folder")
-}
-
 // removeFiles deletes files in the given order, oldest first, so that a crash in between
 // leaves no gap. It ignores missing files.
 func removeFiles(files vfs.FS, paths []string) error {
--- a/internal/wal/snapshot.go
+++ b/internal/wal/snapshot.go
@@ -16,7 +16,7 @@
 	if err := encodeFrame(&frame, s, head.salt, headerSize); err != nil {
 		return err
 	}
-	f, err := writeAtomically(w.files, numberedPath(w.folder, s.Index, snapshotSuffix), head.encode(), frame.Bytes())
+	f, err := vfs.WriteAtomically(w.files, numberedPath(w.folder, s.Index, snapshotSuffix), head.encode(), frame.Bytes())
 	if err != nil {
 		return err
 	}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -11,6 +11,7 @@
 import (
 	"bytes"
 	"io"
+	"path/filepath"
 	"syscall"
 
 	"github.com/bilberryferry/bilberryferry/internal/vfs"
@@ -92,6 +93,10 @@
 	if err := files.MkdirAll(folder); err != nil {
 		return nil, replica.StoredState{}, errors.Wrap(err, "create the log folder")
 	}
+	// Without its name in the folder above, a loss of power removes the log with everything synced in it.
+	if err := files.SyncFolder(filepath.Dir(folder)); err != nil {
+		return nil, replica.StoredState{}, errors.Wrap(err, "sync the folder above the log")
+	}
 	lock, err := lockFolder(files, folder)
 	if err != nil {
 		return nil, replica.StoredState{}, err
@@ -274,12 +279,12 @@
 		return err
 	}
 	path := numberedPath(w.folder, next, segmentSuffix)
-	f, err := writeAtomically(w.files, path, head.encode(), w.buffer.Bytes())
+	f, err := vfs.WriteAtomically(w.files, path, head.encode(), w.buffer.Bytes())
 	for err != nil {
 		if err := w.waitToRetry(err); err != nil {
 			return err
 		}
-		f, err = writeAtomically(w.files, path, head.encode(), w.buffer.Bytes())
+		f, err = vfs.WriteAtomically(w.files, path, head.encode(), w.buffer.Bytes())
 	}
 	if w.file != nil {
 		_ = w.file.Close()
