--- /dev/null
+++ b/internal/wal/powerloss_test.go
@@ -0,0 +1,148 @@
+package wal
+
+import (
+	"maps"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+
+	"github.com/bilberryferry/bilberryferry/internal/vfs"
+	"github.com/bilberryferry/bilberryferry/internal/vfs/powerloss"
+	"github.com/bilberryferry/bilberryferry/replica"
+)
+
+const (
+	// lossesPerOperation is the number of losses of power that a test draws after each operation.
+	lossesPerOperation = 20
+	powerLossFolder    = "data/log"
+)
+
+// newDataDisk returns a disk on which only the data folder is.
+func newDataDisk(t must.T) *powerloss.Disk {
+	disk := powerloss.NewDisk()
+	must.NoError(t, disk.Apply(powerloss.Operation{Kind: powerloss.Mkdir, Path: "data"}))
+	must.NoError(t, disk.Apply(powerloss.Operation{Kind: powerloss.Settle}))
+	return disk
+}
+
+// logUser does what a member does with its log, and remembers what the log has to keep.
+type logUser struct {
+	// synced is the last entry of a Save that was synced.
+	synced uint64
+	// term is the term of the last hard state that was synced.
+	term uint64
+	// snapshot is the last snapshot that was adopted.
+	snapshot uint64
+}
+
+// run opens the log, saves entries in several segments and replaces them by snapshots, until an
+// operation fails.
+func (u *logUser) run(files *powerloss.Memory) error {
+	w, stored, err := open(files, powerLossFolder, smallSegmentBytes)
+	if err != nil {
+		return err
+	}
+	next := stored.Snapshot.Index + 1
+	if n := len(stored.Entries); n > 0 {
+		next = stored.Entries[n-1].Index + 1
+	}
+	for range 2 {
+		for range 30 {
+			term := u.term + 1
+			hs := &replica.HardState{Term: term}
+			if err := w.Save(hs, []replica.Entry{entry(next, 1), entry(next+1, 1)}, false); err != nil {
+				return err
+			}
+			if err := w.Save(nil, []replica.Entry{entry(next+2, 1)}, true); err != nil {
+				return err
+			}
+			next += 3
+			u.synced, u.term = next-1, term
+		}
+		s := replica.Snapshot{Index: next - 4, Term: 1, Data: []byte("state")}
+		if err := w.SaveSnapshot(s); err != nil {
+			return err
+		}
+		u.snapshot = s.Index
+	}
+	return w.Close()
+}
+
+// check opens a log after a loss of power and checks that it has what was synced.
+func (u *logUser) check(t must.T, disk *powerloss.Disk) {
+	t.Helper()
+	_, stored, err := open(powerloss.NewMemory(disk, powerloss.Unlimited), powerLossFolder, smallSegmentBytes)
+	must.NoError(t, err)
+	must.GreaterEq(t, u.snapshot, stored.Snapshot.Index)
+	must.GreaterEq(t, u.term, stored.HardState.Term)
+	last := stored.Snapshot.Index
+	for _, e := range stored.Entries {
+		must.Eq(t, last+1, e.Index)
+		last = e.Index
+	}
+	must.GreaterEq(t, u.synced, last)
+}
+
+// Guards against synced entries that a loss of power takes away, and against files in the states
+// that it leaves, removed names that come back among them, which Open refuses as damage.
+func TestLogSurvivesLossOfPowerAfterEachOperation(t *testing.T) {
+	whole := powerloss.NewMemory(newDataDisk(t), powerloss.Unlimited)
+	must.NoError(t, new(logUser).run(whole))
+	for limit := range whole.Operations() + 1 {
+		files := powerloss.NewMemory(newDataDisk(t), limit)
+		user := new(logUser)
+		_ = user.run(files)
+		random := rand.New(rand.NewPCG(1, uint64(limit)))
+		for range lossesPerOperation {
+			user.check(t, files.LosePower(random))
+		}
+	}
+}
+
+// Guards against a member that refuses its log because of files that a snapshot has replaced: a
+// loss of power may bring any of them back. A missing file that no snapshot covers must still
+// be refused, whichever of the others are back.
+func TestReplacedSegmentsMayComeBackInAnySubset(t *testing.T) {
+	folder, restored := t.TempDir(), filepath.Join(t.TempDir(), "restored")
+	w, _ := mustOpen(t, folder, smallSegmentBytes)
+	saveOneByOne(t, w, &replica.HardState{Term: 1}, entryRange(1, 80, 1))
+	before := make(map[string][]byte)
+	for _, s := range w.segments {
+		content, err := os.ReadFile(s.path)
+		must.NoError(t, err)
+		before[filepath.Base(s.path)] = content
+	}
+	must.NoError(t, w.SaveSnapshot(replica.Snapshot{Index: 40, Term: 1}))
+	must.NoError(t, w.Close())
+	files, err := listFiles(vfs.OS{}, folder)
+	must.NoError(t, err)
+	for _, path := range files.segments {
+		delete(before, filepath.Base(path))
+	}
+	removed := slices.Sorted(maps.Keys(before))
+	must.Greater(t, 2, len(removed))
+	must.Greater(t, 2, len(files.segments))
+	for subset := range 1 << len(removed) {
+		for _, missing := range append([]string{""}, files.segments[:len(files.segments)-1]...) {
+			copyFolder(t, folder, restored)
+			for i, name := range removed {
+				if subset>>i&1 == 1 {
+					must.NoError(t, os.WriteFile(filepath.Join(restored, name), before[name], 0o600))
+				}
+			}
+			if missing == "" {
+				must.Eq(t, entryRange(41, 80, 1), readBack(t, restored).Entries)
+				continue
+			}
+			must.NoError(t, os.Remove(filepath.Join(restored, filepath.Base(missing))))
+			_, _, err := open(vfs.OS{}, restored, smallSegmentBytes)
+			var damage *DamageError
+			must.True(t, errors.As(err, &damage), must.Sprintf("subset %b without %s: %v", subset, missing, err))
+		}
+	}
+}
--- a/internal/wal/recover.go
+++ b/internal/wal/recover.go
@@ -27,13 +27,17 @@
 	salt   uint64
 	length int64
 	torn   bool
+	// replaced are the files of segments before a gap, which the snapshot replaces.
+	replaced []string
 }
 
 // recoverFiles reads the segments and the newest snapshot of a folder.
 func recoverFiles(fsys vfs.FS, files logFiles) (*recoveredLog, error) {
 	r := &recoveredLog{files: fsys}
-	for i, path := range files.segments {
-		if err := r.readSegment(path, i == 0, i == len(files.segments)-1); err != nil {
+	var segments []string
+	r.replaced, segments = splitAtLastGap(files.segments)
+	for i, path := range segments {
+		if err := r.readSegment(path, i == 0, i == len(segments)-1); err != nil {
 			return nil, err
 		}
 	}
@@ -47,6 +51,18 @@
 	return r, r.reconcileSnapshot()
 }
 
+// splitAtLastGap divides segments into those before the last gap in their numbers and those
+// after it. After a loss of power any of the segments that a snapshot replaced may be back,
+// because their removal isn't synced. The first record after the gap repeats all state but the
+// entries, and reconcileSnapshot refuses a log whose snapshot doesn't cover the entries before it.
+func splitAtLastGap(segments []string) (before, after []string) {
+	start := max(0, len(segments)-1)
+	for start > 0 && numberInPath(segments[start-1])+1 == numberInPath(segments[start]) {
+		start--
+	}
+	return segments[:start], segments[start:]
+}
+
 // readSegment applies the records of one segment.
 func (r *recoveredLog) readSegment(path string, oldest, newest bool) error {
 	file, err := r.files.ReadFile(path)
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -127,7 +127,7 @@
 	}
 	found.state.dropData()
 	w.state, w.segments = found.state, found.segments
-	if err := removeFiles(w.files, listed.temporaries); err != nil {
+	if err := removeFiles(w.files, append(found.replaced, listed.temporaries...)); err != nil {
 		return replica.StoredState{}, err
 	}
 	return stored, w.openLastSegment(found)
