control: a machine that isn't known yet hasn't left, so its wave isn't done

Cause: keepUnreadable keeps only machines that the same leader term has read before. On the first read of a term a machine of an unreadable entry was missing, and dropRemovedMachines committed at once that it needs no maintenance.

Ruled out: the platform's decoding, which counts the entry as unreadable.

Change: while entries can't be read, a machine that the list lacks is unknown: it isn't planned, its order that was sent still counts as down, and its wave isn't done.

Test: TestWaveWaitsForMachineThatIsNotKnownYet failed before ('m2 outcome=left', the wave was done).

--- a/internal/control/maintenance.go
+++ b/internal/control/maintenance.go
@@ -101,7 +101,7 @@
 			listed, exists := t.machines.byID[id]
 			recorded := w.Maintenances[id]
 			switch {
-			case !exists || recorded.Stage == workflow.MaintenanceNotNeeded, recorded.Stage == workflow.MaintenanceStarted && t.backFromMaintenance(listed, recorded, now):
+			case !exists && recorded.Stage == 0, t.maintenanceOver(listed, exists, recorded, now):
 			case recorded.Stage != 0:
 				// An order without a response may still be carried out, so the machine counts as
 				// down.
@@ -122,6 +122,19 @@
 	return input
 }
 
+// maintenanceOver reports whether the maintenance of a machine is over or not needed any more. A
+// machine that the list lacks has left if all entries could be read. t.mu must be held.
+func (t *leaderTerm) maintenanceOver(listed ListedMachine, exists bool, recorded workflow.Maintenance, now time.Time) bool {
+	switch {
+	case !exists:
+		return t.machines.unreadable == 0
+	case recorded.Stage == workflow.MaintenanceStarted:
+		return t.backFromMaintenance(listed, recorded, now)
+	default:
+		return recorded.Stage == workflow.MaintenanceNotNeeded
+	}
+}
+
 // backFromMaintenance reports whether a machine is back from its maintenance: the duration
 // of a maintenance has passed since it began, and another incarnation runs on the machine.
 // Neither is sufficient alone: the list may lag and still show the machine as up, and the
@@ -206,9 +219,12 @@
 }
 
 // dropRemovedMachines commits that machines which have left the deployment need no
-// maintenance any more. The machine list, which was read completely, doesn't contain
-// them.
+// maintenance any more: the machine list doesn't contain them, and all of its entries could be
+// read. While some couldn't, the machine of such an entry may be among the missing ones.
 func (t *leaderTerm) dropRemovedMachines(w *workflow.WaveState) {
+	if t.machines.unreadable > 0 {
+		return
+	}
 	for _, id := range w.Machines {
 		_, exists := t.machines.byID[id]
 		if !exists && w.Maintenances[id].Stage < workflow.MaintenanceStarted {
--- a/internal/control/maintenance_test.go
+++ b/internal/control/maintenance_test.go
@@ -36,6 +36,8 @@
 	moves         []string
 	// loseResponse makes the next maintenance order succeed without a response.
 	loseResponse bool
+	// unreadable is the machine whose entry in the list can't be read.
+	unreadable string
 }
 
 func newFakeMachines(ids ...string) *fakeMachines {
@@ -57,6 +59,9 @@
 	slices.Sort(ids)
 	at := max(slices.Index(ids, page), 0)
 	response := MachinePage{Machines: []ListedMachine{*f.byID[ids[at]]}}
+	if ids[at] == f.unreadable {
+		response = MachinePage{Unreadable: 1}
+	}
 	if at+1 < len(ids) {
 		response.Next = ids[at+1]
 	}
@@ -396,6 +401,29 @@
 	must.Eq(t, []string{"m2 to s"}, machines.moves)
 }
 
+// Guards against reporting a wave as done without the maintenance of a machine whose entry can't
+// be read from the first read of a leader term on: what isn't known hasn't left.
+func TestWaveWaitsForMachineThatIsNotKnownYet(t *testing.T) {
+	machines := newFakeMachines("m1", "m2")
+	machines.unreadable = "m2"
+	cluster := newMachineCluster(t, machines)
+	cluster.startWave(workflow.Wave{ID: 1, Machines: []string{"m1", "m2"}, DurationMS: 60_000, MaxDown: 1})
+	cluster.eventually("the other machine has been down", func() bool {
+		machines.mu.Lock()
+		defer machines.mu.Unlock()
+		return machines.incarnations["m1"] == 1
+	})
+	time.Sleep(2 * machineListInterval)
+	must.False(t, cluster.waveDone(1))
+	machines.mu.Lock()
+	machines.unreadable = ""
+	machines.mu.Unlock()
+	cluster.eventually("the wave is done", func() bool { return cluster.waveDone(1) })
+	machines.mu.Lock()
+	defer machines.mu.Unlock()
+	must.Eq(t, 1, machines.incarnations["m2"])
+}
+
 // Guards against reporting a wave as done without the maintenance of one machine: the list
 // is read completely first, then one of its entries is damaged. The machine of an
 // unreadable entry must not count as removed.
