wal, member, node: a start beside a full disk waits for space

What callers saw: a core process that ends by itself at each start for as long as its disk is full.

Ruled out: the writes of a running member's Save; they waited already (TestSaveRetriesWhileDiskIsFull).

EDQUOT counts as full, and EFBIG too: no segment comes near a limit of a file system, so it comes from the process's limit on file sizes, which an operator can raise while the process runs, as nothing of the refused write was acknowledged.

Open: a sync that fails with ENOSPC stays final, and so does the removal of a file.

The tests of a running member's full disk set the callback in a field; what they check is the same.

--- a/internal/cell/serve.go
+++ b/internal/cell/serve.go
@@ -17,6 +17,7 @@
 	"github.com/bilberryferry/bilberryferry/internal/peer"
 	"github.com/bilberryferry/bilberryferry/internal/settings"
 	"github.com/bilberryferry/bilberryferry/internal/wait"
+	"github.com/bilberryferry/bilberryferry/internal/wal"
 	"github.com/bilberryferry/bilberryferry/replica"
 )
 
@@ -47,7 +48,10 @@
 			p.transport.SetPeer(instance.ID, instance.Cell)
 		}
 	}
-	c, err := p.openGroups()
+	c, err := p.openGroups(ctx)
+	if errors.Is(err, wal.ErrDiskFull) && ctx.Err() != nil {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -63,22 +67,22 @@
 
 // openGroups opens the log of the data centre, the logs that this instance witnesses
 // and, on a configuration voter, the configuration log.
-func (p *process) openGroups() (*Cell, error) {
+func (p *process) openGroups(ctx context.Context) (*Cell, error) {
 	s, instance := p.base.Settings, p.base.Instance
 	machine := NewStateMachine(instance.DataCentre, p.base.Events)
-	home, err := p.open(cellPrefix+instance.DataCentre, cellMembers(s, instance.DataCentre), machine)
+	home, err := p.open(ctx, cellPrefix+instance.DataCentre, cellMembers(s, instance.DataCentre), machine)
 	if err != nil {
 		return nil, err
 	}
 	for _, dataCentre := range instance.WitnessFor {
-		if _, err := p.open(cellPrefix+dataCentre, cellMembers(s, dataCentre), NewStateMachine(dataCentre, nil)); err != nil {
+		if _, err := p.open(ctx, cellPrefix+dataCentre, cellMembers(s, dataCentre), NewStateMachine(dataCentre, nil)); err != nil {
 			return nil, err
 		}
 	}
 	logs := Logs{Home: home, StateMachine: machine, Groups: map[string]Group{instance.DataCentre: home}}
 	if instance.ConfigVoter {
 		logs.Register = conf.NewRegister()
-		voters, err := p.open(configGroup, members(s.ConfigVoters(), ""), logs.Register)
+		voters, err := p.open(ctx, configGroup, members(s.ConfigVoters(), ""), logs.Register)
 		if err != nil {
 			return nil, err
 		}
@@ -90,7 +94,7 @@
 
 // open opens the log of one replication group and registers the group for messages of
 // peers. The log is on disk if the instance has a disk.
-func (p *process) open(name string, members []replica.Member, machine node.Machine) (*node.Group, error) {
+func (p *process) open(ctx context.Context, name string, members []replica.Member, machine node.Machine) (*node.Group, error) {
 	b := p.base
 	timing := b.Settings.Timing
 	config := node.Config{
@@ -104,7 +108,7 @@
 	if b.Instance.DataFolder != "" {
 		config.Folder = filepath.Join(b.Instance.DataFolder, name)
 	}
-	group, err := node.Open(config)
+	group, err := node.Open(ctx, config)
 	if err != nil {
 		return nil, errors.Wrapf(err, "group %s", name)
 	}
--- a/internal/control/commit_bench_test.go
+++ b/internal/control/commit_bench_test.go
@@ -72,7 +72,7 @@
 		if i == 0 {
 			cfg.Machine = machine
 		}
-		g, err := node.Open(cfg)
+		g, err := node.Open(ctx, cfg)
 		must.NoError(b, err)
 		network.mu.Lock()
 		network.members[m.ID] = g
--- /dev/null
+++ b/internal/member/disk_full_test.go
@@ -0,0 +1,58 @@
+package member
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/shoenig/test/must"
+
+	"github.com/bilberryferry/bilberryferry/internal/link"
+	"github.com/bilberryferry/bilberryferry/internal/vfs"
+	"github.com/bilberryferry/bilberryferry/internal/vfs/faulty"
+)
+
+const (
+	// refusedWrites is how often a disk refuses a write before it has free space again.
+	refusedWrites = 2
+	// endlessRefusals are more refusals than a test waits for.
+	endlessRefusals = 1 << 30
+	// stopDelay is when a test stops a member that waits.
+	stopDelay = 250 * time.Millisecond
+)
+
+// newLoggedHost returns the host of a seed on a file system, with a log in lines.
+func newLoggedHost(files vfs.FS, folder string, firstStart bool, lines *bytes.Buffer) *Host {
+	return New(Config{
+		ID: "10.0.0.1", Port: "7", Seeds: []string{"10.0.0.1", "10.0.0.2", "10.0.0.3"}, FirstStart: firstStart,
+		Folder: folder, Files: files, Logger: log.NewLogfmtLogger(log.NewSyncWriter(lines)),
+	}, link.NewClient(maxConnections), link.NewMux())
+}
+
+// Guards against a first start that ends because the disk is full.
+func TestFirstStartWaitsWhileDiskIsFull(t *testing.T) {
+	for at := range 3 {
+		var lines bytes.Buffer
+		files := faulty.New(vfs.OS{}, at, refusedWrites, syscall.ENOSPC)
+		h := newLoggedHost(files, t.TempDir()+"/data", true, &lines)
+		members, err := h.initialMembers(t.Context())
+		must.NoError(t, err, must.Sprintf("full at write %d", at))
+		must.Len(t, 3, members)
+		must.Eq(t, 1, strings.Count(lines.String(), "outcome=full"))
+		must.Eq(t, 1, strings.Count(lines.String(), `outcome="free space again"`))
+	}
+}
+
+// Guards against a member that can't be stopped while it waits for its full disk at its first start.
+func TestFirstStartBesideFullDiskEndsWithContext(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), stopDelay)
+	defer cancel()
+	h := newLoggedHost(faulty.New(vfs.OS{}, 0, endlessRefusals, syscall.ENOSPC), t.TempDir()+"/data", true, new(bytes.Buffer))
+	_, err := h.initialMembers(ctx)
+	must.ErrorIs(t, err, syscall.ENOSPC)
+	must.Error(t, ctx.Err())
+}
--- a/internal/member/host.go
+++ b/internal/member/host.go
@@ -109,7 +109,7 @@
 	if err != nil {
 		return nil, err
 	}
-	group, err := node.Open(node.Config{
+	group, err := node.Open(ctx, node.Config{
 		Group: GroupName, ID: h.cfg.ID, Members: members, Machine: h.cfg.Machine,
 		Transport:    h,
 		Folder:       filepath.Join(h.cfg.Folder, logFolder),
@@ -222,7 +222,7 @@
 			return nil, err
 		}
 	}
-	return members, h.saveMembers(path, members)
+	return members, h.saveMembers(ctx, path, members)
 }
 
 // seedMembers returns the seeds as members if this instance is a seed at the first start of
@@ -248,8 +248,23 @@
 }
 
 // saveMembers makes the file of the initial membership durable, with its name, before the log
-// is opened.
-func (h *Host) saveMembers(path string, members []replica.Member) error {
+// is opened. While the disk is full, it waits until a write succeeds or ctx ends.
+func (h *Host) saveMembers(ctx context.Context, path string, members []replica.Member) error {
+	space := vfs.SpaceWaiter{Logger: h.cfg.Logger}
+	for {
+		err := h.writeMembers(path, members)
+		if err == nil {
+			space.Succeeded()
+			return nil
+		}
+		if !vfs.IsDiskFull(err) || !space.Wait(ctx) {
+			return err
+		}
+	}
+}
+
+// writeMembers makes one attempt to write the file of the initial membership.
+func (h *Host) writeMembers(path string, members []replica.Member) error {
 	if err := vfs.MkdirAllDurable(h.cfg.Files, h.cfg.Folder); err != nil {
 		return errors.Wrap(err, "create the data folder")
 	}
--- a/internal/member/powerloss_test.go
+++ b/internal/member/powerloss_test.go
@@ -36,7 +36,7 @@
 	if _, err := newSeedHost(files, true).initialMembers(ctx); err != nil {
 		return false, false
 	}
-	w, _, err := wal.Open(files, filepath.Join(dataFolder, logFolder))
+	w, _, err := wal.Open(files, filepath.Join(dataFolder, logFolder), nil)
 	if err != nil {
 		return true, false
 	}
@@ -70,7 +70,7 @@
 				must.NoError(t, err, must.Sprintf("after operation %d", limit))
 				must.Len(t, 3, members)
 			}
-			_, stored, err := wal.Open(left, filepath.Join(dataFolder, logFolder))
+			_, stored, err := wal.Open(left, filepath.Join(dataFolder, logFolder), nil)
 			must.NoError(t, err)
 			if entrySynced {
 				must.Len(t, 1, stored.Entries, must.Sprintf("after operation %d", limit))
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -49,7 +49,7 @@
 	for i := range 20 {
 		members = append(members, replica.Member{ID: fmt.Sprint("learner", i), Learner: true})
 	}
-	g, err := Open(Config{Group: "g", ID: "a", Members: members, Machine: &registers{}, Transport: discardTransport{}})
+	g, err := Open(t.Context(), Config{Group: "g", ID: "a", Members: members, Machine: &registers{}, Transport: discardTransport{}})
 	must.NoError(t, err)
 	must.Eq(t, 2*callIntervalPerVoter, g.callInterval())
 }
--- a/internal/node/clock_test.go
+++ b/internal/node/clock_test.go
@@ -20,11 +20,11 @@
 // openFollower returns a member "a" of a, b and c with stored state of term 1. Its clock is now.
 func openFollower(t *testing.T, now func() time.Time) *Group {
 	folder := t.TempDir()
-	w, _, err := wal.Open(vfs.OS{}, folder)
+	w, _, err := wal.Open(vfs.OS{}, folder, nil)
 	must.NoError(t, err)
 	must.NoError(t, w.Save(&replica.HardState{Term: 1, Incarnation: 1}, nil, true))
 	must.NoError(t, w.Close())
-	g, err := Open(Config{
+	g, err := Open(t.Context(), Config{
 		Group: "g", ID: "a", Members: []replica.Member{{ID: "a", HasDisk: true}, {ID: "b", HasDisk: true}, {ID: "c", HasDisk: true}},
 		Folder: folder, Machine: &registers{values: map[string]string{}}, Transport: discardTransport{}, Now: now,
 	})
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -170,7 +170,7 @@
 			cfg.Folder = filepath.Join(c.folder, id)
 		}
 	}
-	g, err := Open(cfg)
+	g, err := Open(c.t.Context(), cfg)
 	must.NoError(c.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &member{Group: g, machine: machine, cancel: cancel, runErr: make(chan error, 1)}
--- a/internal/node/http_test.go
+++ b/internal/node/http_test.go
@@ -104,7 +104,7 @@
 	mux := peer.NewMux(peer.Config{ID: self.ID})
 	var opened []*Group
 	for _, name := range groups {
-		g, err := Open(Config{
+		g, err := Open(t.Context(), Config{
 			Group: name, ID: self.ID, Members: members, Folder: filepath.Join(folder, name),
 			Machine: &counter{}, Transport: transport,
 		})
@@ -329,7 +329,7 @@
 	const entries = 100_000
 	folder := b.TempDir()
 	members := []replica.Member{{ID: "a", HasDisk: true}}
-	w, _, err := wal.Open(vfs.OS{}, folder)
+	w, _, err := wal.Open(vfs.OS{}, folder, nil)
 	must.NoError(b, err)
 	for i := uint64(1); i <= entries; i++ {
 		hs := &replica.HardState{Term: 1, Vote: "a", Commit: i, Incarnation: 1}
@@ -342,7 +342,7 @@
 		copied := filepath.Join(b.TempDir(), fmt.Sprint(time.Now().UnixNano()))
 		must.NoError(b, os.CopyFS(copied, original))
 		b.StartTimer()
-		g, err := Open(Config{Group: "bench", ID: "a", Members: members, Folder: copied, Machine: &counter{}, Transport: memberTransport{net: &network{}}})
+		g, err := Open(b.Context(), Config{Group: "bench", ID: "a", Members: members, Folder: copied, Machine: &counter{}, Transport: memberTransport{net: &network{}}})
 		must.NoError(b, err)
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan error, 1)
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -7,7 +7,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/bilberryferry/bilberryferry/internal/wait"
 	"github.com/bilberryferry/bilberryferry/internal/wal"
 	"github.com/bilberryferry/bilberryferry/replica"
 )
@@ -174,7 +173,7 @@
 		if err := g.write(r); err != nil {
 			return err
 		}
-		g.recordDiskSpace()
+		g.diskSpace.Succeeded()
 	}
 	if r.HardState != nil {
 		g.savedHardState = *r.HardState
@@ -206,35 +205,14 @@
 	return g.wal.SaveSnapshot(*r.Snapshot)
 }
 
-// diskFullRetryInterval is the time between two attempts to write to a full disk.
-const diskFullRetryInterval = 100 * time.Millisecond
-
 // waitForDiskSpace waits before the next attempt to write to a full disk. It returns
-// false when the member must stop, or when Run has not been called yet.
+// false when the member must stop.
 //
 // A disk may be full only for a short time. If the member failed instead of waiting, its
 // process would exit, and fail again after each restart, ten times within 5 s. While the
 // member waits, it acknowledges nothing and its leader lease expires by its own clock, as
 // on a disk that stalls.
-func (g *Group) waitForDiskSpace() bool {
-	if g.runCtx == nil {
-		return false
-	}
-	if g.diskFullSince.IsZero() {
-		g.diskFullSince = time.Now()
-		_ = g.logger.Log("event", "disk", "outcome", "full")
-	}
-	return wait.For(g.runCtx, diskFullRetryInterval)
-}
-
-// recordDiskSpace logs that a write succeeded again after the disk was full.
-func (g *Group) recordDiskSpace() {
-	if g.diskFullSince.IsZero() {
-		return
-	}
-	_ = g.logger.Log("event", "disk", "outcome", "free space again", "full_ms", time.Since(g.diskFullSince).Milliseconds())
-	g.diskFullSince = time.Time{}
-}
+func (g *Group) waitForDiskSpace() bool { return g.diskSpace.Wait(g.runCtx) }
 
 // stop ends the member: pending calls fail, and the log is synced and closed.
 func (g *Group) stop() error {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -177,10 +177,10 @@
 	core   *replica.Core
 	wal    *wal.WAL
 	logger log.Logger
-	// runCtx ends when the member must stop; nil until Run. diskFullSince is when the
-	// disk was found full, zero while it has free space. Only Run uses these two fields.
-	runCtx        context.Context
-	diskFullSince time.Time
+	// runCtx ends when the member must stop: that of Open, then that of Run. Only Open and Run
+	// use diskSpace.
+	runCtx    context.Context
+	diskSpace vfs.SpaceWaiter
 
 	// wake has a buffer of one. A value in it means that calls or inbox hold work.
 	wake  chan struct{}
@@ -206,8 +206,9 @@
 }
 
 // Open reads the member's log, if it has one, and restores the state machine from the
-// snapshot in it. Run applies the entries after the snapshot.
-func Open(cfg Config) (*Group, error) {
+// snapshot in it. Run applies the entries after the snapshot. While the disk is full, Open waits
+// until a write succeeds or ctx ends; then the error is wal.ErrDiskFull.
+func Open(ctx context.Context, cfg Config) (*Group, error) {
 	if err := cfg.normalize(); err != nil {
 		return nil, err
 	}
@@ -217,7 +218,9 @@
 		wake:      make(chan struct{}, 1),
 		proposals: map[uint64]pendingProposal{},
 		done:      make(chan struct{}),
+		runCtx:    ctx,
 	}
+	g.diskSpace.Logger = g.logger
 	stored, err := g.openLog()
 	if err != nil {
 		return nil, err
@@ -232,12 +235,13 @@
 	if g.cfg.Folder == "" {
 		return replica.StoredState{}, nil
 	}
-	w, stored, err := wal.Open(g.cfg.Files, g.cfg.Folder)
-	g.wal = w
-	if err == nil {
-		w.OnDiskFull(g.waitForDiskSpace)
+	w, stored, err := wal.Open(g.cfg.Files, g.cfg.Folder, g.waitForDiskSpace)
+	if err != nil {
+		return stored, errors.Wrapf(err, "log of group %s", g.cfg.Group)
 	}
-	return stored, errors.Wrapf(err, "log of group %s", g.cfg.Group)
+	g.wal = w
+	g.diskSpace.Succeeded()
+	return stored, nil
 }
 
 func (g *Group) closeLog() error {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -229,7 +229,7 @@
 // entries that it had acknowledged.
 func TestCrashDuringRecoveryLeavesMemberRecovering(t *testing.T) {
 	folder := t.TempDir()
-	w, _, err := wal.Open(vfs.OS{}, folder)
+	w, _, err := wal.Open(vfs.OS{}, folder, nil)
 	must.NoError(t, err)
 	g := &Group{wal: w, savedHardState: replica.HardState{Term: 1, Incarnation: 7, Recovering: true}}
 	// A folder at the path of the snapshot's temporary file simulates the crash.
@@ -241,7 +241,7 @@
 		MustSync:  true,
 	}))
 	_ = w.Close()
-	w, stored, err := wal.Open(vfs.OS{}, folder)
+	w, stored, err := wal.Open(vfs.OS{}, folder, nil)
 	must.NoError(t, err)
 	defer w.Close()
 	must.True(t, stored.HardState.Recovering)
--- a/internal/node/snapshot.go
+++ b/internal/node/snapshot.go
@@ -2,11 +2,9 @@
 
 import (
 	"sync"
-	"syscall"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
+	"github.com/bilberryferry/bilberryferry/internal/vfs"
 	"github.com/bilberryferry/bilberryferry/replica"
 )
 
@@ -86,7 +84,7 @@
 // snapshot that is older than one received from another member.
 func (g *Group) completeSnapshot(r snapshotResult) error {
 	g.snapshots.running = false
-	if errors.Is(r.err, syscall.ENOSPC) {
+	if vfs.IsDiskFull(r.err) {
 		// The log continues without this snapshot, and a later snapshot covers its
 		// entries. The next Open removes the temporary file that the failed write left.
 		_ = g.logger.Log("event", "snapshot", "outcome", "failed", "err", r.err)
--- a/internal/wal/disk_full_test.go
+++ b/internal/wal/disk_full_test.go
@@ -8,6 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/bilberryferry/bilberryferry/internal/vfs"
+	"github.com/bilberryferry/bilberryferry/internal/vfs/faulty"
 	"github.com/bilberryferry/bilberryferry/replica"
 )
 
@@ -50,13 +51,13 @@
 	full := &limitedFile{File: w.file, freeBytes: partialRecordBytes}
 	w.file = full
 	waits := 0
-	w.OnDiskFull(func() bool {
+	w.onDiskFull = func() bool {
 		waits++
 		if waits == 3 {
 			full.freeBytes = freedBytes
 		}
 		return true
-	})
+	}
 	saveOneByOne(t, w, nil, entryRange(4, 6, 1))
 	must.Eq(t, 3, waits)
 	must.NoError(t, w.Close())
@@ -70,7 +71,7 @@
 	w, _ := mustOpen(t, folder, oneSegmentBytes)
 	saveOneByOne(t, w, &replica.HardState{Term: 1}, entryRange(1, 3, 1))
 	w.file = &limitedFile{File: w.file, freeBytes: partialRecordBytes}
-	w.OnDiskFull(func() bool { return false })
+	w.onDiskFull = func() bool { return false }
 	for range 2 {
 		err := w.Save(nil, entryRange(4, 4, 1), true)
 		must.True(t, errors.Is(err, ErrDiskFull), must.Sprint(err))
@@ -86,3 +87,76 @@
 	must.ErrorIs(t, w.Save(&replica.HardState{Term: 1}, nil, true), syscall.ENOSPC)
 	must.ErrorIs(t, w.Close(), syscall.ENOSPC)
 }
+
+// refusedWrites is how often a disk refuses a write before it has free space again.
+const refusedWrites = 3
+
+// fullDiskErrors are the errors of a write that finds no space.
+var fullDiskErrors = []error{syscall.ENOSPC, syscall.EDQUOT, syscall.EFBIG}
+
+// Guards against a process that ends at each start while its disk is full.
+func TestOpenWaitsWhileDiskIsFull(t *testing.T) {
+	for _, full := range fullDiskErrors {
+		for at := 0; ; at++ {
+			folder := t.TempDir()
+			// A new log, then one with a snapshot, which Open adopts again.
+			waits, accepted := openBesideFullDisk(t, folder, at, full)
+			must.Eq(t, expectedWaits(at, accepted), waits)
+			w, _ := mustOpen(t, folder, smallSegmentBytes)
+			saveOneByOne(t, w, &replica.HardState{Term: 1}, entryRange(1, 80, 1))
+			must.NoError(t, w.SaveSnapshot(replica.Snapshot{Index: 40, Term: 1}))
+			must.NoError(t, w.Close())
+			waits, acceptedAgain := openBesideFullDisk(t, folder, at, full)
+			must.Eq(t, expectedWaits(at, acceptedAgain), waits)
+			must.Eq(t, entryRange(41, 80, 1), readBack(t, folder).Entries)
+			if at > accepted && at > acceptedAgain {
+				break
+			}
+		}
+	}
+}
+
+// openBesideFullDisk opens and closes a log whose disk is full at one of its writes. It returns
+// how often the log waited, and how many writes were accepted.
+func openBesideFullDisk(t *testing.T, folder string, at int, full error) (waits, accepted int) {
+	files := faulty.New(vfs.OS{}, at, refusedWrites, full)
+	w, _, err := open(files, folder, smallSegmentBytes, func() bool { waits++; return true })
+	must.NoError(t, err, must.Sprintf("full at write %d", at))
+	accepted = files.Accepted()
+	must.NoError(t, w.Close())
+	return waits, accepted
+}
+
+// expectedWaits returns how often Open waits if the disk is full at a write. A file that is
+// written anew has more writes than its first attempt needed, all of which are accepted.
+func expectedWaits(at, accepted int) int {
+	if at >= accepted {
+		return 0
+	}
+	return refusedWrites
+}
+
+// Guards against a start that can't be stopped while its disk is full, and against one that
+// leaves the log unusable.
+func TestOpenBesideFullDiskCanBeStopped(t *testing.T) {
+	folder := t.TempDir()
+	files := faulty.New(vfs.OS{}, 0, refusedWrites, syscall.ENOSPC)
+	_, _, err := open(files, folder, smallSegmentBytes, func() bool { return false })
+	must.True(t, errors.Is(err, ErrDiskFull), must.Sprint(err))
+	must.SliceEmpty(t, readBack(t, folder).Entries)
+}
+
+// Guards against a member that ends because its disk is full when it installs the snapshot of
+// another member.
+func TestSaveSnapshotRetriesWhileDiskIsFull(t *testing.T) {
+	folder := t.TempDir()
+	w, _ := mustOpen(t, folder, oneSegmentBytes)
+	saveOneByOne(t, w, &replica.HardState{Term: 1}, entryRange(1, 3, 1))
+	waits := 0
+	w.files = faulty.New(vfs.OS{}, 1, refusedWrites, syscall.ENOSPC)
+	w.onDiskFull = func() bool { waits++; return true }
+	must.NoError(t, w.SaveSnapshot(replica.Snapshot{Index: 9, Term: 1}))
+	must.Eq(t, refusedWrites, waits)
+	must.NoError(t, w.Close())
+	must.Eq(t, 9, readBack(t, folder).Snapshot.Index)
+}
--- a/internal/wal/files.go
+++ b/internal/wal/files.go
@@ -4,7 +4,6 @@
 	"crypto/rand"
 	"encoding/binary"
 	"fmt"
-	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -80,16 +79,6 @@
 	return nil
 }
 
-// lockFolder takes the lock of a folder, or fails if another process has it. The records of
-// two writers would interleave, and Open would report damage.
-func lockFolder(files vfs.FS, folder string) (io.Closer, error) {
-	lock, err := files.Lock(filepath.Join(folder, lockName))
-	if errors.Is(err, vfs.ErrLocked) {
-		return nil, errors.Wrapf(err, "log folder %s is in use by another process", folder)
-	}
-	return lock, errors.Wrap(err, "open the lock file")
-}
-
 func newSalt() uint64 {
 	var b [8]byte
 	_, _ = rand.Read(b[:]) // crypto/rand.Read never fails; it crashes the program instead.
--- a/internal/wal/powerloss_test.go
+++ b/internal/wal/powerloss_test.go
@@ -43,7 +43,7 @@
 // run opens the log, saves entries in several segments and replaces them by snapshots, until an
 // operation fails.
 func (u *logUser) run(files *powerloss.Memory) error {
-	w, stored, err := open(files, powerLossFolder, smallSegmentBytes)
+	w, stored, err := open(files, powerLossFolder, smallSegmentBytes, nil)
 	if err != nil {
 		return err
 	}
@@ -76,7 +76,7 @@
 // check opens a log after a loss of power and checks that it has what was synced.
 func (u *logUser) check(t must.T, disk *powerloss.Disk) {
 	t.Helper()
-	_, stored, err := open(powerloss.NewMemory(disk, powerloss.Unlimited), powerLossFolder, smallSegmentBytes)
+	_, stored, err := open(powerloss.NewMemory(disk, powerloss.Unlimited), powerLossFolder, smallSegmentBytes, nil)
 	must.NoError(t, err)
 	must.GreaterEq(t, u.snapshot, stored.Snapshot.Index)
 	must.GreaterEq(t, u.term, stored.HardState.Term)
@@ -140,7 +140,7 @@
 				continue
 			}
 			must.NoError(t, os.Remove(filepath.Join(restored, filepath.Base(missing))))
-			_, _, err := open(vfs.OS{}, restored, smallSegmentBytes)
+			_, _, err := open(vfs.OS{}, restored, smallSegmentBytes, nil)
 			var damage *DamageError
 			must.True(t, errors.As(err, &damage), must.Sprintf("subset %b without %s: %v", subset, missing, err))
 		}
--- a/internal/wal/snapshot.go
+++ b/internal/wal/snapshot.go
@@ -65,9 +65,10 @@
 	return w.setErr(w.removeOld())
 }
 
-// SaveSnapshot makes a snapshot durable and replaces the log up to its entry.
+// SaveSnapshot makes a snapshot durable and replaces the log up to its entry. It retries while
+// the disk is full, see Open.
 func (w *WAL) SaveSnapshot(s replica.Snapshot) error {
-	if err := w.WriteSnapshot(s); err != nil {
+	if err := w.retryWhileFull(func() error { return w.WriteSnapshot(s) }); err != nil {
 		return w.setErr(err)
 	}
 	return w.AdoptSnapshot(s)
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -12,7 +12,6 @@
 	"bytes"
 	"io"
 	"path/filepath"
-	"syscall"
 
 	"github.com/bilberryferry/bilberryferry/internal/vfs"
 	"github.com/bilberryferry/bilberryferry/replica"
@@ -25,7 +24,7 @@
 // WAL is an open log. Its methods are not safe for concurrent use, except
 // WriteSnapshot and Counters. After a failed write or sync every further call fails,
 // because data that the kernel has dropped from its cache can't be synced again. A
-// write to a full disk is the exception, see OnDiskFull.
+// write to a full disk is the exception, see Open.
 type WAL struct {
 	files        vfs.FS
 	folder       string
@@ -43,29 +42,34 @@
 	buffer bytes.Buffer
 	// err is the first failure, or says that the log is closed.
 	err error
-	// onDiskFull is nil until OnDiskFull is called.
+	// onDiskFull waits before the next write to a full disk, see Open; it may be nil.
 	onDiskFull func() bool
 
 	counters counters
 }
 
-// ErrDiskFull marks the error of a write to a full disk after the callback of
-// OnDiskFull returned false. Earlier records are whole.
+// ErrDiskFull marks the error of a write to a full disk after the callback of Open
+// returned false. Earlier records are whole.
 var ErrDiskFull = errors.New("the disk is full")
 
-// OnDiskFull sets a callback for writes of a record or a segment to a full disk. wait
-// blocks until the next try and returns true to retry, or false to fail with
-// ErrDiskFull. Without a callback a write to a full disk fails like any other write.
-//
-// A disk that is full for some seconds must not stop the member. No part of the record
-// was acknowledged yet, so the log truncates the partial record and is as before the
-// write. A failed sync is never retried.
-func (w *WAL) OnDiskFull(wait func() bool) { w.onDiskFull = wait }
+// retryWhileFull runs write again as long as it finds the disk full and the callback allows
+// another attempt.
+func (w *WAL) retryWhileFull(write func() error) error {
+	for {
+		err := write()
+		if err == nil {
+			return nil
+		}
+		if err := w.waitToRetry(err); err != nil {
+			return err
+		}
+	}
+}
 
 // waitToRetry waits after a failed write and returns nil if the caller must retry the write.
 func (w *WAL) waitToRetry(err error) error {
 	switch {
-	case !errors.Is(err, syscall.ENOSPC) || w.onDiskFull == nil:
+	case !vfs.IsDiskFull(err) || w.onDiskFull == nil:
 		return err
 	case !w.onDiskFull():
 		return errors.Mark(err, ErrDiskFull)
@@ -85,23 +89,26 @@
 // Open opens the log in a folder of a file system, which it creates if it is missing, and returns the stored
 // state, which it has made durable. A *DamageError means that a file doesn't contain what
 // was written to it; in this case Open has changed nothing.
-func Open(files vfs.FS, folder string) (*WAL, replica.StoredState, error) {
-	return open(files, folder, DefaultSegmentBytes)
+//
+// onDiskFull is a callback for writes that find the disk full, those of Open included. It
+// blocks until the next attempt and returns true to retry, or false to fail with ErrDiskFull.
+// Without a callback a write to a full disk fails like any other write.
+//
+// A disk that is full for some seconds must not stop the member. No part of the record
+// was acknowledged yet, so the log truncates the partial record and is as before the
+// write. A failed sync of the log is never retried.
+func Open(files vfs.FS, folder string, onDiskFull func() bool) (*WAL, replica.StoredState, error) {
+	return open(files, folder, DefaultSegmentBytes, onDiskFull)
 }
 
-func open(files vfs.FS, folder string, segmentBytes int64) (*WAL, replica.StoredState, error) {
-	if err := files.MkdirAll(folder); err != nil {
-		return nil, replica.StoredState{}, errors.Wrap(err, "create the log folder")
-	}
-	// Without its name in the folder above, a loss of power removes the log with everything synced in it.
-	if err := files.SyncFolder(filepath.Dir(folder)); err != nil {
-		return nil, replica.StoredState{}, errors.Wrap(err, "sync the folder above the log")
+func open(files vfs.FS, folder string, segmentBytes int64, onDiskFull func() bool) (*WAL, replica.StoredState, error) {
+	w := &WAL{files: files, folder: folder, segmentBytes: segmentBytes, onDiskFull: onDiskFull}
+	if err := w.createFolder(); err != nil {
+		return nil, replica.StoredState{}, err
 	}
-	lock, err := lockFolder(files, folder)
-	if err != nil {
+	if err := w.retryWhileFull(w.lockFolder); err != nil {
 		return nil, replica.StoredState{}, err
 	}
-	w := &WAL{files: files, folder: folder, segmentBytes: segmentBytes, lock: lock}
 	stored, err := w.load()
 	if err != nil {
 		_ = w.closeFiles()
@@ -110,6 +117,26 @@
 	return w, stored, nil
 }
 
+// createFolder creates the folder of the log, with a durable name: without its name in the
+// folder above, a loss of power removes the log with everything synced in it.
+func (w *WAL) createFolder() error {
+	if err := w.retryWhileFull(func() error { return w.files.MkdirAll(w.folder) }); err != nil {
+		return errors.Wrap(err, "create the log folder")
+	}
+	return errors.Wrap(w.files.SyncFolder(filepath.Dir(w.folder)), "sync the folder above the log")
+}
+
+// lockFolder takes the lock of the folder, or fails if another process has it. The records of
+// two writers would interleave, and Open would report damage.
+func (w *WAL) lockFolder() error {
+	lock, err := w.files.Lock(filepath.Join(w.folder, lockName))
+	if errors.Is(err, vfs.ErrLocked) {
+		return errors.Wrapf(err, "log folder %s is in use by another process", w.folder)
+	}
+	w.lock = lock
+	return errors.Wrap(err, "open the lock file")
+}
+
 // load reads the files and opens the last segment for writing.
 func (w *WAL) load() (replica.StoredState, error) {
 	listed, err := listFiles(w.files, w.folder)
@@ -213,8 +240,8 @@
 	return nil
 }
 
-// write appends a record to the segment. It retries while the disk is full, see
-// OnDiskFull; any other failure is final.
+// write appends a record to the segment. It retries while the disk is full, see Open; any
+// other failure is final.
 func (w *WAL) write(r *record) error {
 	if w.err != nil {
 		return w.err
@@ -279,12 +306,13 @@
 		return err
 	}
 	path := numberedPath(w.folder, next, segmentSuffix)
-	f, err := vfs.WriteAtomically(w.files, path, head.encode(), w.buffer.Bytes())
-	for err != nil {
-		if err := w.waitToRetry(err); err != nil {
-			return err
-		}
+	var f vfs.File
+	err := w.retryWhileFull(func() (err error) {
 		f, err = vfs.WriteAtomically(w.files, path, head.encode(), w.buffer.Bytes())
+		return err
+	})
+	if err != nil {
+		return err
 	}
 	if w.file != nil {
 		_ = w.file.Close()
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -33,7 +33,7 @@
 
 func mustOpen(t must.T, folder string, segmentBytes int64) (*WAL, replica.StoredState) {
 	t.Helper()
-	w, stored, err := open(vfs.OS{}, folder, segmentBytes)
+	w, stored, err := open(vfs.OS{}, folder, segmentBytes, nil)
 	must.NoError(t, err)
 	return w, stored
 }
@@ -92,7 +92,7 @@
 	folder := t.TempDir()
 	w, _ := mustOpen(t, folder, smallSegmentBytes)
 	defer w.Close()
-	_, _, err := Open(vfs.OS{}, folder)
+	_, _, err := Open(vfs.OS{}, folder, nil)
 	must.ErrorContains(t, err, "in use by another process")
 }
 
@@ -186,7 +186,7 @@
 			flipped[at] ^= 0x10
 			damagedFile := filepath.Join(damagedFolder, filepath.Base(path))
 			must.NoError(t, os.WriteFile(damagedFile, flipped, 0o600))
-			_, _, err := open(vfs.OS{}, damagedFolder, smallSegmentBytes)
+			_, _, err := open(vfs.OS{}, damagedFolder, smallSegmentBytes, nil)
 			var damage *DamageError
 			must.True(t, errors.As(err, &damage), must.Sprintf("offset %d of %s: %v", at, path, err))
 			must.Eq(t, damagedFile, damage.File)
@@ -287,7 +287,7 @@
 			missingFile = files.snapshots[0]
 		}
 		must.NoError(t, os.Remove(missingFile))
-		_, _, err = open(vfs.OS{}, folder, smallSegmentBytes)
+		_, _, err = open(vfs.OS{}, folder, smallSegmentBytes, nil)
 		var damage *DamageError
 		must.True(t, errors.As(err, &damage), must.Sprint(name))
 	}
