vfs: a failed atomic write removes its temporary file

Space that was freed on the disk meanwhile went to these files.

Test: a disk that is full at each operation of an atomic write. Before: 'expected slice to be empty, len(slice): 1, full at write 1'. After: green.

--- a/internal/node/snapshot.go
+++ b/internal/node/snapshot.go
@@ -86,7 +86,7 @@
 	g.snapshots.running = false
 	if vfs.IsDiskFull(r.err) {
 		// The log continues without this snapshot, and a later snapshot covers its
-		// entries. The next Open removes the temporary file that the failed write left.
+		// entries.
 		_ = g.logger.Log("event", "snapshot", "outcome", "failed", "err", r.err)
 		g.snapshots.notBefore = time.Now().Add(snapshotRetryDelay)
 		return nil
--- a/internal/vfs/atomic.go
+++ b/internal/vfs/atomic.go
@@ -12,13 +12,15 @@
 
 // WriteAtomically writes a file under a temporary name, syncs it, renames it and syncs the
 // folder, so that after a crash the file is either missing or complete. It returns the file,
-// open for writing at its end.
+// open for writing at its end. After a failure it removes the temporary file, which would
+// take up space on a full disk.
 func WriteAtomically(files FS, path string, content ...[]byte) (File, error) {
 	f, err := files.Create(path + TemporarySuffix)
 	if err != nil {
 		return nil, errors.Wrapf(err, "create %s", path)
 	}
 	if err := writeSyncRename(files, f, path, content); err != nil {
+		_ = files.Remove(path + TemporarySuffix)
 		return nil, errors.CombineErrors(errors.Wrapf(err, "write %s", path), f.Close())
 	}
 	return f, nil
