member: a removed member that knows no leader announces itself to the others

What callers saw: after a cut of a data centre, one of six core instances that was removed from the membership meanwhile never came back. The cluster runs with one disk fewer until an operator replaces the instance.

Cause: without a known leader, announce takes the addresses of the known members, and skipped the whole round if the first of them was this instance, a test that was meant for "this instance leads". A removed member gets no heartbeats, so it knows no leader, and an instance that is first in its own list of members never announced itself again, not even after a restart. The first seed is first in that list until it was removed once. The same loop dropped the leader that another member names, so a member whose list doesn't hold the current leader, as the leader joined later, didn't return either.

Change: only a leader skips the round; a member that knows no leader tries all others and follows the leader that they name, as join does.

--- a/internal/member/join.go
+++ b/internal/member/join.go
@@ -117,15 +117,9 @@
 func (h *Host) join(ctx context.Context) ([]replica.Member, error) {
 	addresses := h.Addresses()
 	for i := 0; ctx.Err() == nil; i++ {
-		response, leader, err := h.callJoin(ctx, addresses[i%len(addresses)])
-		if err == nil {
+		if response, err := h.callJoinThrough(ctx, addresses[i%len(addresses)]); err == nil {
 			return response.Members, nil
 		}
-		if leader != "" {
-			if response, _, err := h.callJoin(ctx, leader); err == nil {
-				return response.Members, nil
-			}
-		}
 		if i%len(addresses) == len(addresses)-1 {
 			wait.For(ctx, announceInterval)
 		}
@@ -133,6 +127,16 @@
 	return nil, errors.Wrap(ctx.Err(), "stopped before a leader was found")
 }
 
+// callJoinThrough makes an announcement to an address and, if that instance names another one as
+// the leader, to that one.
+func (h *Host) callJoinThrough(ctx context.Context, address string) (JoinResponse, error) {
+	response, leader, err := h.callJoin(ctx, address)
+	if err != nil && leader != "" {
+		response, _, err = h.callJoin(ctx, leader)
+	}
+	return response, err
+}
+
 // callJoin makes one announcement to an address. If that instance doesn't lead, it returns
 // the address of the leader that the instance names, if any.
 func (h *Host) callJoin(ctx context.Context, address string) (response JoinResponse, leader string, err error) {
@@ -146,23 +150,34 @@
 // after it was removed while unreachable.
 func (h *Host) announce(ctx context.Context) error {
 	for wait.For(ctx, announceInterval) {
-		addresses := []string{h.Leader()}
-		if addresses[0] == "" {
-			addresses = h.Addresses()
-		}
-		if addresses[0] == h.address(h.cfg.ID) {
+		h.announceOnce(ctx)
+	}
+	return nil
+}
+
+// announceOnce announces this instance to the leader. While no leader is known, it tries the
+// other known members in turn until a leader has this instance in its membership.
+//
+// A failure isn't logged: the next announcement follows after announceInterval, and the leader
+// logs which unresponsive members it removes.
+func (h *Host) announceOnce(ctx context.Context) {
+	own, leader := h.address(h.cfg.ID), h.Leader()
+	switch leader {
+	case own:
+		return
+	case "":
+	default:
+		_, _, _ = h.callJoin(ctx, leader)
+		return
+	}
+	for _, address := range h.Addresses() {
+		if address == own {
 			continue
 		}
-		for _, address := range addresses {
-			// A failure isn't logged: the next announcement follows after
-			// announceInterval, and the leader logs which unresponsive members it
-			// removes.
-			if _, _, err := h.callJoin(ctx, address); err == nil {
-				break
-			}
+		if _, err := h.callJoinThrough(ctx, address); err == nil {
+			return
 		}
 	}
-	return nil
 }
 
 // manageMembership keeps the number and the spread of the voters while this member leads; see
