member: a seed without state joins through whoever sends it messages of the log

Cause: an instance without a stored membership asked only the seeds of its settings for the leader. That site has one seed per zone. "no response from the leader" is the text for any call that may have been executed by some instance, also by one that answers 404 while it waits to join.

Ruled out by reading: a gate that holds its lock (package overload delivers only to registered calls), the limits of connections.

Change: such an instance also asks the last sender of messages of the log. As soon as it has joined, it names the leader to the edge instances that ask it as a seed.

Test: TestMemberWithoutStateJoinsThroughSenderOfLogMessages.

--- a/internal/member/announce_test.go
+++ b/internal/member/announce_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"testing"
 	"time"
 
@@ -11,6 +10,10 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/bilberryferry/bilberryferry/internal/link"
+	"github.com/bilberryferry/bilberryferry/internal/peer"
+	"github.com/bilberryferry/bilberryferry/internal/rpc"
+	"github.com/bilberryferry/bilberryferry/internal/wait"
+	"github.com/bilberryferry/bilberryferry/replica"
 )
 
 // announcementTimeout bounds the wait for an announcement, which is due every announceInterval.
@@ -20,9 +23,14 @@
 func serveJoins(t *testing.T, address string, serve func(*JoinRequest) (JoinResponse, error)) (port string) {
 	mux := link.NewMux()
 	link.Handle(mux, MethodJoin, func(_ context.Context, r *JoinRequest) (JoinResponse, error) { return serve(r) })
+	return serveInternal(t, address, mux)
+}
+
+// serveInternal serves the calls of other instances at address until the test ends, and returns the port.
+func serveInternal(t *testing.T, address string, mux *link.Mux) (port string) {
 	listener, err := net.Listen("tcp", address)
 	must.NoError(t, err)
-	server := &http.Server{Handler: mux}
+	server := rpc.NewServer(mux)
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 	_, port, err = net.SplitHostPort(listener.Addr().String())
@@ -97,3 +105,39 @@
 	startAnnouncing(t, "127.0.0.1", port, "127.0.0.2", "127.0.0.1")
 	awaitAnnouncement(t, announced, "127.0.0.1")
 }
+
+// sendLogMessages makes the instance with the ID from send messages of the log to another one until the test ends.
+func sendLogMessages(t *testing.T, from, to, port string) {
+	transport := peer.New(peer.Config{ID: from})
+	transport.SetPeer(to, net.JoinHostPort(to, port))
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- transport.Run(ctx) }()
+	go func() {
+		for wait.For(ctx, tickInterval) {
+			transport.Send(GroupName, to, []byte("message"))
+		}
+	}()
+	t.Cleanup(func() {
+		cancel()
+		must.NoError(t, <-done)
+	})
+}
+
+// Guards against a seed that lost its disk and waits without end because no other seed knows the
+// leader, while the leader sends it messages of the log.
+func TestMemberWithoutStateJoinsThroughSenderOfLogMessages(t *testing.T) {
+	const own, leader, seed = "127.0.0.1", "127.0.0.2", "127.0.0.3"
+	members := []replica.Member{{ID: leader}, {ID: own}}
+	port := serveJoins(t, net.JoinHostPort(leader, "0"), func(*JoinRequest) (JoinResponse, error) { return JoinResponse{Members: members}, nil })
+	serveJoins(t, net.JoinHostPort(seed, port), func(*JoinRequest) (JoinResponse, error) { return JoinResponse{}, link.NotLeader("") })
+	mux := link.NewMux()
+	h := New(Config{ID: own, Port: port, Seeds: []string{own, seed}, Folder: t.TempDir(), Logger: log.NewNopLogger()}, link.NewClient(maxConnections), mux)
+	serveInternal(t, net.JoinHostPort(own, port), mux)
+	sendLogMessages(t, leader, own, port)
+	ctx, cancel := context.WithTimeout(t.Context(), announcementTimeout)
+	defer cancel()
+	joined, err := h.initialMembers(ctx)
+	must.NoError(t, err)
+	must.Eq(t, members, joined)
+}
--- a/internal/member/host.go
+++ b/internal/member/host.go
@@ -87,6 +87,8 @@
 
 	mu       sync.Mutex
 	stopping bool
+	// lastSender is the ID of the instance that sent the last message of the log, "" for none.
+	lastSender string
 }
 
 // New returns a host that isn't running yet, and registers its handlers for peers.
@@ -96,7 +98,7 @@
 	}
 	config := peer.Config{ID: cfg.ID}
 	h := &Host{cfg: cfg, client: client, transport: peer.New(config), mux: peer.NewMux(config), liveness: newLivenessTracker()}
-	mux.HandleHTTP(apiv1.PeerPathPrefix, apiv1.NewPeerServer(exchangeOnly{h.mux}))
+	mux.HandleHTTP(apiv1.PeerPathPrefix, apiv1.NewPeerServer(exchangeOnly{h.mux, h.recordSender}))
 	link.Handle(mux, MethodJoin, h.serveJoin)
 	return h
 }
@@ -266,13 +268,21 @@
 
 // exchangeOnly serves the Exchange call, which carries the messages of the log. The other
 // calls between instances belong to data centres with logs of their own.
-type exchangeOnly struct{ mux *peer.Mux }
+type exchangeOnly struct {
+	mux *peer.Mux
+	// recordSender records the ID of an instance whose messages were accepted.
+	recordSender func(id string)
+}
 
 var errNotServed = twirp.NewError(twirp.Unimplemented, "not served by an instance of a shared log")
 
 // Exchange receives messages of the log.
 func (e exchangeOnly) Exchange(ctx context.Context, r *apiv1.ExchangeRequest) (*apiv1.ExchangeResponse, error) {
-	return e.mux.Exchange(ctx, r)
+	response, err := e.mux.Exchange(ctx, r)
+	if err == nil {
+		e.recordSender(r.From)
+	}
+	return response, err
 }
 
 // Offer is not served.
--- a/internal/member/join.go
+++ b/internal/member/join.go
@@ -115,18 +115,43 @@
 // join announces this instance to the known addresses in turn until a leader has it in its
 // membership, and returns that membership. It fails only when ctx ends.
 func (h *Host) join(ctx context.Context) ([]replica.Member, error) {
-	addresses := h.Addresses()
-	for i := 0; ctx.Err() == nil; i++ {
-		if response, err := h.callJoinThrough(ctx, addresses[i%len(addresses)]); err == nil {
-			return response.Members, nil
-		}
-		if i%len(addresses) == len(addresses)-1 {
-			wait.For(ctx, announceInterval)
+	for ctx.Err() == nil {
+		for _, address := range h.joinAddresses() {
+			if response, err := h.callJoinThrough(ctx, address); err == nil {
+				return response.Members, nil
+			}
 		}
+		wait.For(ctx, announceInterval)
 	}
 	return nil, errors.Wrap(ctx.Err(), "stopped before a leader was found")
 }
 
+// joinAddresses returns the known addresses, and that of the last sender of messages of the log.
+//
+// A seed that has lost its state is still in the membership, so the leader sends it messages of
+// the log. They may be all that names the leader: the other seeds may be down, removed, or
+// without state too.
+func (h *Host) joinAddresses() []string {
+	addresses := h.Addresses()
+	if sender := h.sender(); sender != "" && !slices.Contains(addresses, h.address(sender)) {
+		addresses = append(addresses, h.address(sender))
+	}
+	return addresses
+}
+
+// recordSender records the instance that sent a message of the log.
+func (h *Host) recordSender(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lastSender = id
+}
+
+func (h *Host) sender() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.lastSender
+}
+
 // callJoinThrough makes an announcement to an address and, if that instance names another one as
 // the leader, to that one.
 func (h *Host) callJoinThrough(ctx context.Context, address string) (JoinResponse, error) {
