--- a/internal/member/join.go
+++ b/internal/member/join.go
@@ -115,24 +115,53 @@
 // join announces this instance to the known addresses in turn until a leader has it in its
 // membership, and returns that membership. It fails only when ctx ends.
 func (h *Host) join(ctx context.Context) ([]replica.Member, error) {
-	addresses := h.Addresses()
-	for i := 0; ctx.Err() == nil; i++ {
-		response, leader, err := h.callJoin(ctx, addresses[i%len(addresses)])
-		if err == nil {
-			return response.Members, nil
-		}
-		if leader != "" {
-			if response, _, err := h.callJoin(ctx, leader); err == nil {
+	for ctx.Err() == nil {
+		for _, address := range h.joinAddresses() {
+			if response, err := h.callJoinThrough(ctx, address); err == nil {
 				return response.Members, nil
 			}
 		}
-		if i%len(addresses) == len(addresses)-1 {
-			wait.For(ctx, announceInterval)
-		}
+		wait.For(ctx, announceInterval)
 	}
 	return nil, errors.Wrap(ctx.Err(), "stopped before a leader was found")
 }
 
+// joinAddresses returns the known addresses, and that of the last sender of messages of the log.
+//
+// A seed that has lost its state is still in the membership, so the leader sends it messages of
+// the log. They may be all that names the leader: the other seeds may be down, removed, or
+// without state too.
+func (h *Host) joinAddresses() []string {
+	addresses := h.Addresses()
+	if sender := h.sender(); sender != "" && !slices.Contains(addresses, h.address(sender)) {
+		addresses = append(addresses, h.address(sender))
+	}
+	return addresses
+}
+
+// recordSender records the instance that sent a message of the log.
+func (h *Host) recordSender(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lastSender = id
+}
+
+func (h *Host) sender() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.lastSender
+}
+
+// callJoinThrough makes an announcement to an address and, if that instance names another one as
+// the leader, to that one.
+func (h *Host) callJoinThrough(ctx context.Context, address string) (JoinResponse, error) {
+	response, leader, err := h.callJoin(ctx, address)
+	if err != nil && leader != "" {
+		response, _, err = h.callJoin(ctx, leader)
+	}
+	return response, err
+}
+
 // callJoin makes one announcement to an address. If that instance doesn't lead, it returns
 // the address of the leader that the instance names, if any.
 func (h *Host) callJoin(ctx context.Context, address string) (response JoinResponse, leader string, err error) {
@@ -146,23 +175,34 @@
 // after it was removed while unreachable.
 func (h *Host) announce(ctx context.Context) error {
 	for wait.For(ctx, announceInterval) {
-		addresses := []string{h.Leader()}
-		if addresses[0] == "" {
-			addresses = h.Addresses()
-		}
-		if addresses[0] == h.address(h.cfg.ID) {
+		h.announceOnce(ctx)
+	}
+	return nil
+}
+
+// announceOnce announces this instance to the leader. While no leader is known, it tries the
+// other known members in turn until a leader has this instance in its membership.
+//
+// A failure isn't logged: the next announcement follows after announceInterval, and the leader
+// logs which unresponsive members it removes.
+func (h *Host) announceOnce(ctx context.Context) {
+	own, leader := h.address(h.cfg.ID), h.Leader()
+	switch leader {
+	case own:
+		return
+	case "":
+	default:
+		_, _, _ = h.callJoin(ctx, leader)
+		return
+	}
+	for _, address := range h.Addresses() {
+		if address == own {
 			continue
 		}
-		for _, address := range addresses {
-			// A failure isn't logged: the next announcement follows after
-			// announceInterval, and the leader logs which unresponsive members it
-			// removes.
-			if _, _, err := h.callJoin(ctx, address); err == nil {
-				break
-			}
+		if _, err := h.callJoinThrough(ctx, address); err == nil {
+			return
 		}
 	}
-	return nil
 }
 
 // manageMembership keeps the number and the spread of the voters while this member leads; see
