powerloss: a record goes on after half an operation

What callers saw: nothing; a harness with real processes would stop with "decode the record" when a process was killed by a plain SIGKILL halfway through the record of an operation and started again.

Cause: ReadRecord passes over half an operation at the end, and NewRecorder appended the next one behind it.

Change: NewRecorder cuts the record after the last whole operation.

Test: TestRecordGoesOnAfterHalfAnOperation. Before: "decode the record: cbor: cannot unmarshal positive integer into Go value of type powerloss.Operation". After: green.

--- a/internal/vfs/powerloss/powerloss_test.go
+++ b/internal/vfs/powerloss/powerloss_test.go
@@ -137,3 +137,23 @@
 	must.NoError(t, err)
 	must.StrHasPrefix(t, "ab", string(content))
 }
+
+// Guards against a record that can't be read any more after a process was killed halfway through
+// the record of an operation.
+func TestRecordGoesOnAfterHalfAnOperation(t *testing.T) {
+	folder, record := t.TempDir(), filepath.Join(t.TempDir(), "record")
+	r, err := NewRecorder(folder, record)
+	must.NoError(t, err)
+	write(t, r, filepath.Join(folder, "f"), "ab")
+	info, err := os.Stat(record)
+	must.NoError(t, err)
+	must.NoError(t, os.Truncate(record, info.Size()-1))
+	r, err = NewRecorder(folder, record)
+	must.NoError(t, err)
+	must.NoError(t, write(t, r, filepath.Join(folder, "g"), "cd").Sync())
+	must.NoError(t, r.SyncFolder(folder))
+	d, err := ReadRecord(record)
+	must.NoError(t, err)
+	must.Eq(t, map[string]bool{"cd": true}, contents(d, "g"))
+	must.MapContainsKeys(t, contents(d, "f"), []string{"", "ab"})
+}
--- a/internal/vfs/powerloss/recorder.go
+++ b/internal/vfs/powerloss/recorder.go
@@ -32,7 +32,7 @@
 // NewRecorder opens the record of a folder. Without a record, what the folder holds is
 // durable. With one, what the last process did and couldn't record any more is recorded now.
 func NewRecorder(folder, record string) (*Recorder, error) {
-	known, err := ReadRecord(record)
+	known, length, err := readRecord(record)
 	isNew := errors.Is(err, os.ErrNotExist)
 	if isNew {
 		known, err = NewDisk(), nil
@@ -44,6 +44,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "open the record")
 	}
+	if err := f.Truncate(length); err != nil {
+		return nil, errors.Wrap(err, "cut half of an operation off the record")
+	}
 	r := &Recorder{folder: filepath.Clean(folder), record: f, open: map[*recordedFile]bool{}}
 	if err := r.recordDifferences(known); err != nil {
 		return nil, err
@@ -57,22 +60,29 @@
 // ReadRecord returns the disk after all operations of a record. A process that was killed may
 // leave half of an operation at the end.
 func ReadRecord(record string) (*Disk, error) {
+	d, _, err := readRecord(record)
+	return d, err
+}
+
+// readRecord also returns the length in bytes of the whole operations.
+func readRecord(record string) (d *Disk, length int64, err error) {
 	data, err := os.ReadFile(record)
 	if err != nil {
-		return nil, errors.Wrap(err, "read the record")
+		return nil, 0, errors.Wrap(err, "read the record")
 	}
-	d := NewDisk()
+	d = NewDisk()
 	for decoder := cbor.NewDecoder(bytes.NewReader(data)); ; {
 		var o Operation
 		if err := decoder.Decode(&o); err != nil {
 			if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
-				return d, nil
+				return d, length, nil
 			}
-			return nil, errors.Wrap(err, "decode the record")
+			return nil, 0, errors.Wrap(err, "decode the record")
 		}
 		if err := d.Apply(o); err != nil {
-			return nil, errors.Wrapf(err, "operation %d on %s", o.Kind, o.Path)
+			return nil, 0, errors.Wrapf(err, "operation %d on %s", o.Kind, o.Path)
 		}
+		length = int64(decoder.NumBytesRead())
 	}
 }
 
