wal: Open makes the names in the log's folder durable

What callers saw: nothing yet; found by a test that kills a process and takes the power from the next one.

The next process finds the file, appends to it, syncs its content and acknowledges; a loss of power then takes the name with everything in it.

Change: Open syncs the folder before it writes.

Before: 'expected 0 >= 1' (the first entry is gone). After: green. A second loss of power after each operation of the recovery from the first: green before and after.

--- a/internal/vfs/powerloss/memory.go
+++ b/internal/vfs/powerloss/memory.go
@@ -46,6 +46,15 @@
 	return m.disk.Lose(random)
 }
 
+// Kill ends the process that uses the file system: its later operations fail, and nothing is
+// lost. It returns the file system for the next process, which loses power after limit operations.
+func (m *Memory) Kill(limit int) *Memory {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.limit = 0
+	return NewMemory(m.disk, limit)
+}
+
 // apply applies an operation while there is power.
 func (m *Memory) apply(o Operation) error {
 	m.mu.Lock()
--- a/internal/wal/powerloss_test.go
+++ b/internal/wal/powerloss_test.go
@@ -104,6 +104,71 @@
 	}
 }
 
+// Guards against entries that are synced in a file whose name isn't: a process is killed between
+// a rename and the sync of the folder, the next one goes on, and then the power is lost.
+func TestLogSurvivesKillAndThenLossOfPower(t *testing.T) {
+	whole := powerloss.NewMemory(newDataDisk(t), powerloss.Unlimited)
+	must.NoError(t, new(logUser).run(whole))
+	for limit := range whole.Operations() + 1 {
+		killed := powerloss.NewMemory(newDataDisk(t), limit)
+		user := new(logUser)
+		_ = user.run(killed)
+		files := killed.Kill(powerloss.Unlimited)
+		must.NoError(t, user.openAndSave(files))
+		random := rand.New(rand.NewPCG(2, uint64(limit)))
+		for range lossesPerOperation {
+			user.check(t, files.LosePower(random))
+		}
+	}
+}
+
+// Guards against a recovery that relies on what isn't durable: the power is lost a second time
+// during the recovery from the first loss, and after it.
+func TestLogSurvivesLossOfPowerDuringRecovery(t *testing.T) {
+	const limitStep = 7
+	whole := powerloss.NewMemory(newDataDisk(t), powerloss.Unlimited)
+	must.NoError(t, new(logUser).run(whole))
+	for limit := 0; limit <= whole.Operations(); limit += limitStep {
+		first := powerloss.NewMemory(newDataDisk(t), limit)
+		user := new(logUser)
+		_ = user.run(first)
+		random := rand.New(rand.NewPCG(3, uint64(limit)))
+		user.checkSecondLosses(t, first, random)
+	}
+}
+
+// checkSecondLosses loses power, and again after each operation of the recovery from that.
+func (u *logUser) checkSecondLosses(t must.T, first *powerloss.Memory, random *rand.Rand) {
+	t.Helper()
+	// The disk of the first loss is drawn anew for each limit: an open log changes it.
+	for limit, done := 0, false; !done; limit++ {
+		user := *u
+		second := powerloss.NewMemory(first.LosePower(random), limit)
+		done = user.openAndSave(second) == nil
+		for range lossesPerOperation {
+			user.check(t, second.LosePower(random))
+		}
+	}
+}
+
+// openAndSave opens the log after a crash and saves one synced entry.
+func (u *logUser) openAndSave(files *powerloss.Memory) error {
+	w, stored, err := open(files, powerLossFolder, smallSegmentBytes, nil)
+	if err != nil {
+		return err
+	}
+	next := max(u.synced, stored.Snapshot.Index) + 1
+	if n := len(stored.Entries); n > 0 {
+		next = stored.Entries[n-1].Index + 1
+	}
+	term := stored.HardState.Term + 1
+	if err := w.Save(&replica.HardState{Term: term}, []replica.Entry{entry(next, 1)}, true); err != nil {
+		return err
+	}
+	u.synced, u.term = next, term
+	return nil
+}
+
 // Guards against a member that refuses its log because of files that a snapshot has replaced: a
 // loss of power may bring any of them back. A missing file that no snapshot covers must still
 // be refused, whichever of the others are back.
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -154,6 +154,10 @@
 	}
 	found.state.dropData()
 	w.state, w.segments = found.state, found.segments
+	// A process that was killed may have renamed a file without a sync of the folder.
+	if err := w.files.SyncFolder(w.folder); err != nil {
+		return replica.StoredState{}, errors.Wrap(err, "sync the log folder")
+	}
 	if err := removeFiles(w.files, append(found.replaced, listed.temporaries...)); err != nil {
 		return replica.StoredState{}, err
 	}
