member, node: a log without members, members without a log, and a group without any state are recognised

Cause: a member without the file of its initial membership joins whatever its log holds, and an empty log is taken for a first start.

Ruled out: that the membership is lost with the file.

Change: without the file, a member takes the last membership that its log knows to be committed and writes the file anew. If the log has none, it joins as before. It logs 'members_file outcome=missing' with what the log has. A member that waits to be added logs for whom, once in 10 s. A log that is empty though the membership was stored (and first_start is false) is logged as log_empty and treated as a lost disk, as before; a leader elected by voters of which none kept any state logs state_lost. wal.Read reads a log without a change.

--- a/internal/member/disk_full_test.go
+++ b/internal/member/disk_full_test.go
@@ -39,7 +39,7 @@
 		var lines bytes.Buffer
 		files := faulty.New(vfs.OS{}, at, refusedWrites, syscall.ENOSPC)
 		h := newLoggedHost(files, t.TempDir()+"/data", true, &lines)
-		members, err := h.initialMembers(t.Context())
+		members, _, err := h.initialMembers(t.Context())
 		must.NoError(t, err, must.Sprintf("full at write %d", at))
 		must.Len(t, 3, members)
 		must.Eq(t, 1, strings.Count(lines.String(), "outcome=full"))
@@ -52,7 +52,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), stopDelay)
 	defer cancel()
 	h := newLoggedHost(faulty.New(vfs.OS{}, 0, endlessRefusals, syscall.ENOSPC), t.TempDir()+"/data", true, new(bytes.Buffer))
-	_, err := h.initialMembers(ctx)
+	_, _, err := h.initialMembers(ctx)
 	must.ErrorIs(t, err, syscall.ENOSPC)
 	must.Error(t, ctx.Err())
 }
--- a/internal/member/host.go
+++ b/internal/member/host.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"os"
 	"path/filepath"
 	"sync"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/twitchtv/twirp"
 	"golang.org/x/sync/errgroup"
 
@@ -22,6 +24,7 @@
 	"github.com/bilberryferry/bilberryferry/internal/node"
 	"github.com/bilberryferry/bilberryferry/internal/peer"
 	"github.com/bilberryferry/bilberryferry/internal/vfs"
+	"github.com/bilberryferry/bilberryferry/internal/wal"
 	"github.com/bilberryferry/bilberryferry/replica"
 )
 
@@ -105,7 +108,7 @@
 // and unless this instance is a seed at the first start of the system, it waits until a
 // leader has added the instance and takes the leader's membership.
 func (h *Host) Open(ctx context.Context) (*node.Group, error) {
-	members, err := h.initialMembers(ctx)
+	members, stored, err := h.initialMembers(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -114,6 +117,7 @@
 		Transport:    h,
 		Folder:       filepath.Join(h.cfg.Folder, logFolder),
 		Files:        h.cfg.Files,
+		ExpectState:  stored && !h.cfg.FirstStart,
 		TickInterval: tickInterval, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
 		SnapshotEntries: snapshotEntries,
 		Seed:            xxhash.Sum64String(h.cfg.ID),
@@ -205,24 +209,61 @@
 
 // initialMembers returns the membership that the log starts with. It is stored in a file,
 // because a later start may have other seeds in its settings, and the log on disk would
-// then be read under a membership that was never in force.
-func (h *Host) initialMembers(ctx context.Context) ([]replica.Member, error) {
+// then be read under a membership that was never in force. stored is true if an earlier run
+// has stored the membership or the log.
+func (h *Host) initialMembers(ctx context.Context) (members []replica.Member, stored bool, err error) {
 	path := filepath.Join(h.cfg.Folder, membersFile)
-	if data, err := h.cfg.Files.ReadFile(path); err == nil {
-		var members []replica.Member
-		if err := cbor.Unmarshal(data, &members); err == nil && len(members) > 0 {
-			return members, nil
-		}
-		_ = h.cfg.Logger.Log("event", "members_file", "outcome", "unreadable, joining again")
+	if members := h.readMembers(path); members != nil {
+		return members, true, nil
+	}
+	members, stored, err = h.membersOfLog()
+	if err != nil {
+		return nil, stored, err
+	}
+	if members == nil {
+		members = h.seedMembers()
 	}
-	members := h.seedMembers()
 	if members == nil {
-		var err error
 		if members, err = h.join(ctx); err != nil {
-			return nil, err
+			return nil, stored, err
 		}
 	}
-	return members, h.saveMembers(ctx, path, members)
+	return members, stored, h.saveMembers(ctx, path, members)
+}
+
+// readMembers returns the membership in a file, or nil if the file is missing or unreadable.
+func (h *Host) readMembers(path string) []replica.Member {
+	data, err := h.cfg.Files.ReadFile(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	var members []replica.Member
+	if err == nil {
+		err = cbor.Unmarshal(data, &members)
+	}
+	if err != nil || len(members) == 0 {
+		_ = level.Error(h.cfg.Logger).Log("event", "members_file", "outcome", "unreadable", "err", err)
+		return nil
+	}
+	return members
+}
+
+// membersOfLog returns the last membership that the log knows to be committed, or nil if there is
+// none. stored is true if the log has any state; then the file of the initial membership should
+// be there, and its absence is logged.
+func (h *Host) membersOfLog() (members []replica.Member, stored bool, err error) {
+	state, err := wal.Read(h.cfg.Files, filepath.Join(h.cfg.Folder, logFolder))
+	if err != nil || state.Empty() {
+		return nil, false, err
+	}
+	last := state.Snapshot.Index
+	if n := len(state.Entries); n > 0 {
+		last = state.Entries[n-1].Index
+	}
+	_ = level.Error(h.cfg.Logger).Log("event", "members_file", "outcome", "missing", "log_last", last,
+		"snapshot", state.Snapshot.Index, "term", state.HardState.Term)
+	members, err = state.CommittedMembers()
+	return members, true, err
 }
 
 // seedMembers returns the seeds as members if this instance is a seed at the first start of
--- a/internal/member/join.go
+++ b/internal/member/join.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -24,6 +25,9 @@
 	manageInterval = 250 * time.Millisecond
 	// changeTimeout bounds one change of the membership.
 	changeTimeout = time.Second
+	// joinLogInterval is the minimum time between two log lines of an instance that waits to be
+	// added.
+	joinLogInterval = 10 * time.Second
 )
 
 // MethodJoin is the name of the method by which an instance announces itself to the leader of the log.
@@ -116,6 +120,7 @@
 // membership, and returns that membership. It fails only when ctx ends.
 func (h *Host) join(ctx context.Context) ([]replica.Member, error) {
 	addresses := h.Addresses()
+	var lastLogged time.Time
 	for i := 0; ctx.Err() == nil; i++ {
 		response, leader, err := h.callJoin(ctx, addresses[i%len(addresses)])
 		if err == nil {
@@ -127,6 +132,10 @@
 			}
 		}
 		if i%len(addresses) == len(addresses)-1 {
+			if time.Since(lastLogged) >= joinLogInterval {
+				lastLogged = time.Now()
+				_ = h.cfg.Logger.Log("event", "join", "outcome", "waiting for a leader", "asked", strings.Join(addresses, ","), "err", err)
+			}
 			wait.For(ctx, announceInterval)
 		}
 	}
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -71,11 +71,11 @@
 func TestInitialMembersSurviveRestart(t *testing.T) {
 	folder := t.TempDir()
 	first := New(Config{ID: "10.0.0.1", Port: "7", Seeds: []string{"10.0.0.1", "10.0.0.2"}, FirstStart: true, Folder: folder, Logger: log.NewNopLogger()}, link.NewClient(maxConnections), link.NewMux())
-	members, err := first.initialMembers(t.Context())
+	members, _, err := first.initialMembers(t.Context())
 	must.NoError(t, err)
 	must.Eq(t, "10.0.0.1:7", members[0].Address)
 	again := New(Config{ID: "10.0.0.1", Port: "7", Seeds: []string{"10.0.0.9"}, Folder: folder, Logger: log.NewNopLogger()}, link.NewClient(maxConnections), link.NewMux())
-	stored, err := again.initialMembers(t.Context())
+	stored, _, err := again.initialMembers(t.Context())
 	must.NoError(t, err)
 	must.Eq(t, members, stored)
 }
--- a/internal/member/powerloss_test.go
+++ b/internal/member/powerloss_test.go
@@ -33,7 +33,7 @@
 // startAndSave stores the initial membership and one synced entry, as the first start of a seed
 // does. It returns how far it came before the power was lost.
 func startAndSave(ctx context.Context, files vfs.FS) (membersStored, entrySynced bool) {
-	if _, err := newSeedHost(files, true).initialMembers(ctx); err != nil {
+	if _, _, err := newSeedHost(files, true).initialMembers(ctx); err != nil {
 		return false, false
 	}
 	w, _, err := wal.Open(files, filepath.Join(dataFolder, logFolder), nil)
@@ -65,7 +65,7 @@
 		random := rand.New(rand.NewPCG(1, uint64(limit)))
 		for range lossesPerOperation {
 			left := powerloss.NewMemory(files.LosePower(random), powerloss.Unlimited)
-			members, err := newSeedHost(left, false).initialMembers(ctx)
+			members, _, err := newSeedHost(left, false).initialMembers(ctx)
 			if membersStored {
 				must.NoError(t, err, must.Sprintf("after operation %d", limit))
 				must.Len(t, 3, members)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"github.com/bilberryferry/bilberryferry/internal/vfs"
 	"github.com/bilberryferry/bilberryferry/internal/wal"
@@ -105,6 +106,9 @@
 	Folder string
 	// Files is the file system with Folder; nil means that of the operating system.
 	Files vfs.FS
+	// ExpectState says that an earlier run of the member has stored state. If the log is empty
+	// nevertheless, the member logs that and is treated as one that has lost its disk.
+	ExpectState bool
 	// TickInterval is the unit of ElectionTicks and HeartbeatTicks.
 	TickInterval time.Duration
 	// ElectionTicks is the shortest election timeout in ticks. If it is 0, ElectionTicks
@@ -187,6 +191,9 @@
 	calls callQueue
 	inbox inbox
 
+	// lostState is true from a start without the expected state until the log has an entry.
+	lostState bool
+
 	// Only the goroutine of Run uses clock and the fields after it, up to snapshots.
 	clock clock
 	// callsProcessedAt is when calls were last processed. callsTimer wakes Run when pending
@@ -268,6 +275,10 @@
 		return err
 	}
 	g.core, g.savedHardState = core, stored.HardState
+	if g.cfg.ExpectState && stored.Empty() {
+		g.lostState = true
+		_ = level.Error(g.logger).Log("event", "log_empty", "reason", "the member has run before; its log is treated as lost")
+	}
 	g.snapshots.done = make(chan snapshotResult, 1)
 	if stored.Snapshot.Index > 0 {
 		if err := g.cfg.Machine.Restore(stored.Snapshot.Data); err != nil {
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"github.com/bilberryferry/bilberryferry/replica"
 )
 
@@ -60,6 +62,7 @@
 
 func (g *Group) publish() replica.Status {
 	s := g.core.Status()
+	g.reportLostState(s)
 	if g.published.set(s, g.clock.statusExpiry()) {
 		_ = g.logger.Log("event", "leadership", "role", roleName(s.Role), "term", s.Term,
 			"leader", s.Leader, "can_decide", s.CanDecide)
@@ -67,6 +70,19 @@
 	return s
 }
 
+// reportLostState logs that this member leads a group that has lost all its state: the member
+// expected state and found none, and the first entry of its log is that of its own election, so
+// no voter that elected it had an entry.
+func (g *Group) reportLostState(s replica.Status) {
+	if !g.lostState || s.Last == 0 {
+		return
+	}
+	g.lostState = false
+	if s.Role == replica.Leader {
+		_ = level.Error(g.logger).Log("event", "state_lost", "reason", "no voter kept any state of an earlier run", "term", s.Term)
+	}
+}
+
 func roleName(r replica.Role) string {
 	switch r {
 	case replica.Follower:
--- a/internal/wal/recover.go
+++ b/internal/wal/recover.go
@@ -51,6 +51,15 @@
 	return r, r.reconcileSnapshot()
 }
 
+// stored returns a copy of the state that was read.
+func (r *recoveredLog) stored() replica.StoredState {
+	return replica.StoredState{
+		HardState: r.state.hardState,
+		Snapshot:  r.snapshot,
+		Entries:   append([]replica.Entry(nil), r.state.entries...),
+	}
+}
+
 // splitAtLastGap divides segments into those before the last gap in their numbers and those
 // after it. After a loss of power any of the segments that a snapshot replaced may be back,
 // because their removal isn't synced. The first record after the gap repeats all state but the
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -11,6 +11,7 @@
 import (
 	"bytes"
 	"io"
+	"os"
 	"path/filepath"
 
 	"github.com/bilberryferry/bilberryferry/internal/vfs"
@@ -117,6 +118,23 @@
 	return w, stored, nil
 }
 
+// Read returns the stored state of a log, which is the zero value if the folder is missing. It
+// changes nothing. The log must not be open.
+func Read(files vfs.FS, folder string) (replica.StoredState, error) {
+	listed, err := listFiles(files, folder)
+	if errors.Is(err, os.ErrNotExist) {
+		return replica.StoredState{}, nil
+	}
+	if err != nil {
+		return replica.StoredState{}, err
+	}
+	found, err := recoverFiles(files, listed)
+	if err != nil {
+		return replica.StoredState{}, err
+	}
+	return found.stored(), nil
+}
+
 // createFolder creates the folder of the log, with a durable name: without its name in the
 // folder above, a loss of power removes the log with everything synced in it.
 func (w *WAL) createFolder() error {
@@ -147,11 +165,7 @@
 	if err != nil {
 		return replica.StoredState{}, err
 	}
-	stored := replica.StoredState{
-		HardState: found.state.hardState,
-		Snapshot:  found.snapshot,
-		Entries:   append([]replica.Entry(nil), found.state.entries...),
-	}
+	stored := found.stored()
 	found.state.dropData()
 	w.state, w.segments = found.state, found.segments
 	// A process that was killed may have renamed a file without a sync of the folder.
--- a/replica/core.go
+++ b/replica/core.go
@@ -83,8 +83,8 @@
 	return c, nil
 }
 
-// empty reports whether the member starts without stored state.
-func (s *StoredState) empty() bool {
+// Empty reports whether the member starts without stored state.
+func (s *StoredState) Empty() bool {
 	hs := &s.HardState
 	noState := hs.Term == 0 && hs.Vote == "" && hs.Incarnation == 0
 	return noState && s.Snapshot.Index == 0 && len(s.Entries) == 0
@@ -130,10 +130,10 @@
 	}
 	c.incarnations.merge(MemberIncarnation{ID: c.cfg.ID, Incarnation: c.incarnation})
 	c.recordMemberIncarnations(stored.Snapshot.Members)
-	if stored.empty() || stored.HardState.Recovering {
+	if stored.Empty() || stored.HardState.Recovering {
 		c.role = Recovering
 	}
-	if !stored.empty() {
+	if !stored.Empty() {
 		c.savedState = stored.HardState
 	}
 }
--- a/replica/members.go
+++ b/replica/members.go
@@ -138,6 +138,18 @@
 	return members, nil
 }
 
+// CommittedMembers returns the last membership that the stored state knows to be committed, or
+// nil if it has none. It may take the place of Config.Members, because the memberships before it
+// can't come into force again.
+func (s *StoredState) CommittedMembers() ([]Member, error) {
+	for _, e := range slices.Backward(s.Entries) {
+		if e.Kind == EntryMembership && e.Index <= s.HardState.Commit {
+			return decodeMembers(e.Data)
+		}
+	}
+	return s.Snapshot.Members, nil
+}
+
 // checkMembers returns ErrConfig for a membership with an empty or duplicate ID or
 // without a voter that may lead.
 func checkMembers(members []Member) error {
