--- a/internal/member/powerloss_test.go
+++ b/internal/member/powerloss_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
+	"net/http/httptest"
 	"path/filepath"
 	"testing"
 
@@ -78,3 +80,43 @@
 		}
 	}
 }
+
+// startLeader serves joins with a membership until the test ends, and returns its host and port.
+func startLeader(t *testing.T, members []replica.Member) (host, port string) {
+	mux := link.NewMux()
+	link.Handle(mux, MethodJoin, func(context.Context, *JoinRequest) (JoinResponse, error) {
+		return JoinResponse{Members: members}, nil
+	})
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	host, port, err := net.SplitHostPort(server.Listener.Addr().String())
+	must.NoError(t, err)
+	return host, port
+}
+
+// Guards against a member that has joined, or has joined again in place of one whose disk was
+// lost, and doesn't know the membership after a loss of power.
+func TestJoinSurvivesLossOfPower(t *testing.T) {
+	members := []replica.Member{{ID: "10.0.0.2", HasDisk: true}, {ID: "10.0.0.9", Learner: true, HasDisk: true}}
+	host, port := startLeader(t, members)
+	newJoiner := func(files vfs.FS) *Host {
+		return New(Config{
+			ID: "10.0.0.9", Port: port, Seeds: []string{host}, Folder: dataFolder, Files: files, Logger: log.NewNopLogger(),
+		}, link.NewClient(maxConnections), link.NewMux())
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel() // A member without stored members gives up at once instead of joining.
+	for limit, joined := 0, false; !joined; limit++ {
+		files := powerloss.NewMemory(newDiskWithFolder(t), limit)
+		_, _, err := newJoiner(files).initialMembers(t.Context())
+		joined = err == nil
+		random := rand.New(rand.NewPCG(2, uint64(limit)))
+		for range lossesPerOperation {
+			left := powerloss.NewMemory(files.LosePower(random), powerloss.Unlimited)
+			found, _, err := newJoiner(left).initialMembers(ctx)
+			if joined || err == nil {
+				must.Eq(t, members, found, must.Sprintf("after operation %d", limit))
+			}
+		}
+	}
+}
--- a/internal/wal/powerloss_test.go
+++ b/internal/wal/powerloss_test.go
@@ -1,11 +1,13 @@
 package wal
 
 import (
+	"bytes"
 	"maps"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -82,7 +84,8 @@
 	must.GreaterEq(t, u.term, stored.HardState.Term)
 	last := stored.Snapshot.Index
 	for _, e := range stored.Entries {
-		must.Eq(t, last+1, e.Index)
+		want := entry(last+1, 1)
+		must.True(t, e.Index == want.Index && e.Term == want.Term && bytes.Equal(e.Data, want.Data), must.Sprint(e))
 		last = e.Index
 	}
 	must.GreaterEq(t, u.synced, last)
@@ -169,6 +172,86 @@
 	return nil
 }
 
+// snapshotHook runs save before each operation on the files of a snapshot, as a member saves
+// entries while another goroutine writes the snapshot.
+type snapshotHook struct {
+	*powerloss.Memory
+	save func() error
+}
+
+func (h *snapshotHook) Create(path string) (vfs.File, error) {
+	if err := h.saveBefore(path); err != nil {
+		return nil, err
+	}
+	return h.Memory.Create(path)
+}
+
+func (h *snapshotHook) Rename(from, to string) error {
+	if err := h.saveBefore(from); err != nil {
+		return err
+	}
+	return h.Memory.Rename(from, to)
+}
+
+// saveBefore runs save if path belongs to a snapshot.
+func (h *snapshotHook) saveBefore(path string) error {
+	if strings.Contains(path, snapshotSuffix) {
+		return h.save()
+	}
+	return nil
+}
+
+// runWithConcurrentSnapshots saves entries, also while snapshots of them are written, until an
+// operation fails.
+func (u *logUser) runWithConcurrentSnapshots(files *powerloss.Memory) error {
+	hook := &snapshotHook{Memory: files}
+	w, _, err := open(hook, powerLossFolder, smallSegmentBytes, nil)
+	if err != nil {
+		return err
+	}
+	hook.save = func() error {
+		for range 8 {
+			if err := w.Save(&replica.HardState{Term: u.term + 1}, []replica.Entry{entry(u.synced+1, 1)}, true); err != nil {
+				return err
+			}
+			u.synced, u.term = u.synced+1, u.term+1
+		}
+		return nil
+	}
+	for range 3 {
+		if err := hook.save(); err != nil {
+			return err
+		}
+		s := replica.Snapshot{Index: u.synced, Term: 1, Data: []byte("state")}
+		if err := w.WriteSnapshot(s); err != nil {
+			return err
+		}
+		if err := hook.save(); err != nil {
+			return err
+		}
+		if err := w.AdoptSnapshot(s); err != nil {
+			return err
+		}
+		u.snapshot = s.Index
+	}
+	return w.Close()
+}
+
+// Guards against entries that are lost because a snapshot is written while they are saved.
+func TestLogSurvivesLossOfPowerDuringConcurrentSnapshot(t *testing.T) {
+	whole := powerloss.NewMemory(newDataDisk(t), powerloss.Unlimited)
+	must.NoError(t, new(logUser).runWithConcurrentSnapshots(whole))
+	for limit := range whole.Operations() + 1 {
+		files := powerloss.NewMemory(newDataDisk(t), limit)
+		user := new(logUser)
+		_ = user.runWithConcurrentSnapshots(files)
+		random := rand.New(rand.NewPCG(4, uint64(limit)))
+		for range lossesPerOperation {
+			user.check(t, files.LosePower(random))
+		}
+	}
+}
+
 // Guards against a member that refuses its log because of files that a snapshot has replaced: a
 // loss of power may bring any of them back. A missing file that no snapshot covers must still
 // be refused, whichever of the others are back.
