wal, daemon: all folders above a log get durable names

What callers saw: nothing yet; read. bilberry-celld makes its data folder without a sync of the folder above, and Open synced only the name of the log's own folder. A loss of power after the first start could take the data folder with every acknowledged entry in it.

Change: Open makes the log's folder and its missing parents with a sync each, and so does the daemon.

Not changed, read only: the event file and the timeline that the command writes. No state depends on them and nothing is acknowledged by them; both may be empty or missing after a loss of power.

Test: a log in folders that Open makes, power taken after each operation. Before: 'expected 0 >= 1'. After: green. The daemon's own call has no test: it uses the operating system's files.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -29,6 +29,7 @@
 	"github.com/bilberryferry/bilberryferry/internal/peer"
 	"github.com/bilberryferry/bilberryferry/internal/rpc"
 	"github.com/bilberryferry/bilberryferry/internal/settings"
+	"github.com/bilberryferry/bilberryferry/internal/vfs"
 )
 
 // cellRole is the role of the process that stores the state of its data centre.
@@ -129,7 +130,7 @@
 	if instance.DataFolder == "" || role != cellRole {
 		return nil, nil
 	}
-	if err := os.MkdirAll(instance.DataFolder, 0o755); err != nil {
+	if err := vfs.MkdirAllDurable(vfs.OS{}, instance.DataFolder); err != nil {
 		return nil, err
 	}
 	return event.OpenFile(filepath.Join(instance.DataFolder, "events.jsonl"), event.DefaultFileBytes)
--- a/internal/wal/powerloss_test.go
+++ b/internal/wal/powerloss_test.go
@@ -107,6 +107,21 @@
 	}
 }
 
+// Guards against a log that is lost with a folder above it, which Open has made.
+func TestLogInNewFoldersSurvivesLossOfPower(t *testing.T) {
+	whole := powerloss.NewMemory(powerloss.NewDisk(), powerloss.Unlimited)
+	must.NoError(t, new(logUser).openAndSave(whole))
+	for limit := range whole.Operations() + 1 {
+		files := powerloss.NewMemory(powerloss.NewDisk(), limit)
+		user := new(logUser)
+		_ = user.openAndSave(files)
+		random := rand.New(rand.NewPCG(5, uint64(limit)))
+		for range lossesPerOperation {
+			user.check(t, files.LosePower(random))
+		}
+	}
+}
+
 // Guards against entries that are synced in a file whose name isn't: a process is killed between
 // a rename and the sync of the folder, the next one goes on, and then the power is lost.
 func TestLogSurvivesKillAndThenLossOfPower(t *testing.T) {
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -135,10 +135,10 @@
 	return found.stored(), nil
 }
 
-// createFolder creates the folder of the log, with a durable name: without its name in the
-// folder above, a loss of power removes the log with everything synced in it.
+// createFolder creates the folder of the log and its missing parents, with durable names:
+// without them, a loss of power removes the log with everything synced in it.
 func (w *WAL) createFolder() error {
-	if err := w.retryWhileFull(func() error { return w.files.MkdirAll(w.folder) }); err != nil {
+	if err := w.retryWhileFull(func() error { return vfs.MkdirAllDurable(w.files, w.folder) }); err != nil {
 		return errors.Wrap(err, "create the log folder")
 	}
 	return errors.Wrap(w.files.SyncFolder(filepath.Dir(w.folder)), "sync the folder above the log")
