--- a/internal/member/announce_test.go
+++ b/internal/member/announce_test.go
@@ -137,7 +137,7 @@
 	sendLogMessages(t, leader, own, port)
 	ctx, cancel := context.WithTimeout(t.Context(), announcementTimeout)
 	defer cancel()
-	joined, err := h.initialMembers(ctx)
+	joined, _, err := h.initialMembers(ctx)
 	must.NoError(t, err)
 	must.Eq(t, members, joined)
 }
--- a/internal/member/join.go
+++ b/internal/member/join.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -24,6 +25,9 @@
 	manageInterval = 250 * time.Millisecond
 	// changeTimeout bounds one change of the membership.
 	changeTimeout = time.Second
+	// joinLogInterval is the minimum time between two log lines of an instance that waits to be
+	// added.
+	joinLogInterval = 10 * time.Second
 )
 
 // MethodJoin is the name of the method by which an instance announces itself to the leader of the log.
@@ -115,12 +119,20 @@
 // join announces this instance to the known addresses in turn until a leader has it in its
 // membership, and returns that membership. It fails only when ctx ends.
 func (h *Host) join(ctx context.Context) ([]replica.Member, error) {
+	var lastLogged time.Time
 	for ctx.Err() == nil {
-		for _, address := range h.joinAddresses() {
-			if response, err := h.callJoinThrough(ctx, address); err == nil {
+		addresses := h.joinAddresses()
+		var err error
+		for _, address := range addresses {
+			var response JoinResponse
+			if response, err = h.callJoinThrough(ctx, address); err == nil {
 				return response.Members, nil
 			}
 		}
+		if time.Since(lastLogged) >= joinLogInterval {
+			lastLogged = time.Now()
+			_ = h.cfg.Logger.Log("event", "join", "outcome", "waiting for a leader", "asked", strings.Join(addresses, ","), "err", err)
+		}
 		wait.For(ctx, announceInterval)
 	}
 	return nil, errors.Wrap(ctx.Err(), "stopped before a leader was found")
