instance, hangup: SIGHUP while a process starts or stops doesn't end it

What callers saw: processes that end by themselves around a reload of the settings (FAULT).

Cause: the handler of SIGHUP was installed by watchSettings, after the settings had been read and the sockets opened, and removed when watchSettings ended. Before and after, the default action of SIGHUP ends the process. And watchSettings read the file anew when it began, so a change between the load and that read was never applied.

Change: package hangup installs the handler when it is initialized, which is before most other packages (0.9 of 3.7 ms of the initialization, GODEBUG=inittrace=1), and never removes it. watchSettings compares with the content that was loaded.

Tests, on daemons that run as processes of their own. Before: the write to a settings fifo whose daemon got a SIGHUP while it read failed with 'broken pipe', as the daemon had ended; a core daemon that got SIGHUPs after SIGTERM ended with 'signal: hangup' in 8 of 10 runs; no 'event=reload' in 20 s for a change right after the load. After: 5 runs of each green.

--- a/cmd/bilberry-edged/main.go
+++ b/cmd/bilberry-edged/main.go
@@ -5,8 +5,9 @@
 import (
 	"os"
 
+	"github.com/bilberryferry/bilberryferry/internal/hangup"
 	"github.com/bilberryferry/bilberryferry/internal/instance"
 	"github.com/bilberryferry/bilberryferry/platform"
 )
 
-func main() { os.Exit(instance.Main(platform.NewEdge())) }
+func main() { os.Exit(instance.Main(platform.NewEdge(), hangup.Signals)) }
--- a/internal/instance/process.go
+++ b/internal/instance/process.go
@@ -56,12 +56,15 @@
 
 // process holds the settings, the log and the metrics of a running daemon.
 type process struct {
-	settings     *Settings
-	settingsPath string
-	sink         *oplog.Sink
-	logger       log.Logger
-	metrics      *oplog.Metrics
-	files        vfs.FS
+	settings *Settings
+	// settingsContent is the content of the file at settingsPath that settings were read from.
+	settingsPath, settingsContent string
+	// hangups receives SIGHUP; nil if the daemon doesn't own the signals of its process.
+	hangups <-chan os.Signal
+	sink    *oplog.Sink
+	logger  log.Logger
+	metrics *oplog.Metrics
+	files   vfs.FS
 }
 
 // Daemon is one of the two daemons, core or edge; see NewCore and NewEdge.
@@ -71,6 +74,7 @@
 	loadControlTerms []string
 	run              func(context.Context, *process) error
 	files            vfs.FS
+	hangups          <-chan os.Signal
 }
 
 // WithFiles returns the daemon with another file system for its data folder than that of the
@@ -81,8 +85,10 @@
 }
 
 // Main loads the settings, runs a daemon until SIGTERM or SIGINT and returns the exit
-// code. The path of the settings file is the first argument, or else SettingsEnv.
-func Main(d Daemon) int {
+// code. The path of the settings file is the first argument, or else SettingsEnv. Each signal
+// of hangups makes it check that file for changes.
+func Main(d Daemon, hangups <-chan os.Signal) int {
+	d.hangups = hangups
 	path := os.Getenv(SettingsEnv)
 	if len(os.Args) > 1 {
 		path = os.Args[1]
@@ -108,7 +114,7 @@
 // Run runs a daemon with the settings file at path until ctx ends. It writes its log to
 // out.
 func (d Daemon) Run(ctx context.Context, path string, out io.Writer) error {
-	settings, err := Load(path)
+	settings, content, err := Load(path)
 	if err != nil {
 		return errors.Mark(err, errSettings)
 	}
@@ -118,7 +124,10 @@
 	}
 	sink := oplog.NewSink(out)
 	defer sink.Close()
-	p := &process{settings: settings, settingsPath: path, sink: sink, metrics: oplog.NewMetrics(), files: d.files}
+	p := &process{
+		settings: settings, settingsPath: path, settingsContent: content, hangups: d.hangups,
+		sink: sink, metrics: oplog.NewMetrics(), files: d.files,
+	}
 	p.logger = oplog.NewLogger(sink, settings.Instance)
 	_ = p.logger.Log("event", "start", "role", d.role, "address", settings.Address, "data_centre", settings.DataCentre,
 		"seeds", len(settings.Seeds), "first_start", settings.FirstStart, "load_control", settings.LoadControl)
@@ -242,33 +251,27 @@
 	}
 }
 
-// watchSettings calls changed with the new settings when the file has changed. It checks
+// watchSettings calls changed with the new settings when the file has changed since its load. It checks
 // the file at SIGHUP and at each reloadInterval. A file that is unreadable or invalid
 // changes nothing.
 func (p *process) watchSettings(ctx context.Context, changed func(*Settings)) error {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
-	lastContent, err := os.ReadFile(p.settingsPath)
-	if err != nil {
-		_ = p.logger.Log("event", "reload", "outcome", "unreadable", "err", err)
-	}
+	lastContent := p.settingsContent
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-hangups:
+		case <-p.hangups:
 		case <-ticker.C:
 		}
 		p.logDropped()
 		data, err := os.ReadFile(p.settingsPath)
-		if err != nil || string(data) == string(lastContent) {
+		if err != nil || string(data) == lastContent {
 			continue
 		}
-		lastContent = data
-		settings, err := Parse(string(data))
+		lastContent = string(data)
+		settings, err := Parse(lastContent)
 		_ = p.logger.Log("event", "reload", "err", err)
 		if err == nil {
 			changed(settings)
--- a/internal/instance/settings.go
+++ b/internal/instance/settings.go
@@ -101,13 +101,14 @@
 	MaintenanceDuration:  settings.Duration(2 * time.Second),
 }
 
-// Load reads and validates a settings file.
-func Load(path string) (*Settings, error) {
+// Load reads and validates a settings file. It also returns the content of the file.
+func Load(path string) (*Settings, string, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return nil, errors.Wrap(err, "read the settings")
+		return nil, "", errors.Wrap(err, "read the settings")
 	}
-	return Parse(string(data))
+	settings, err := Parse(string(data))
+	return settings, string(data), err
 }
 
 // Parse parses and validates settings in TOML. The error of an invalid setting is a fault
