member: an instance without seeds waits for them

What callers saw: a core process that ends by itself within moments of each start.

Cause: join took the addresses modulo their number, so a core instance whose settings name no seeds panicked with 'integer divide by zero' unless 'members' was stored; found with a daemon started without seeds. And join never learned of seeds that the settings name later, as only the gateway got them.

Change: join waits announceInterval between rounds over the present addresses, however many there are, and logs 'event=join outcome=no_seeds' once. A reload passes the seeds to the member too.

Test: an instance without seeds that gets one later. Before: 'panic: runtime error: integer divide by zero'.

--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -72,7 +72,10 @@
 	workCtx, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 	group, groupCtx := errgroup.WithContext(workCtx)
-	p.serveComponents(groupCtx, group, c)
+	p.serveComponents(groupCtx, group, c, func(next *Settings) {
+		c.gateway.SetSeeds(next.seedAddresses())
+		logMember.SetSeeds(next.seedHosts())
+	})
 	if monitor != nil {
 		group.Go(func() error { return monitor.Run(groupCtx) })
 	}
--- a/internal/instance/edge.go
+++ b/internal/instance/edge.go
@@ -63,7 +63,7 @@
 	workCtx, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 	group, groupCtx := errgroup.WithContext(workCtx)
-	p.serveComponents(groupCtx, group, c)
+	p.serveComponents(groupCtx, group, c, func(next *Settings) { c.gateway.SetSeeds(next.seedAddresses()) })
 	serve(group, entryServer)
 	serve(group, readinessServer)
 	group.Go(func() error { return c.gateway.AnnounceToLeader(groupCtx) })
--- a/internal/instance/process.go
+++ b/internal/instance/process.go
@@ -224,15 +224,13 @@
 	return c
 }
 
-// serveComponents serves other instances, the metrics and the product API, and applies
-// changed settings.
-func (p *process) serveComponents(ctx context.Context, group *errgroup.Group, c *components) {
+// serveComponents serves other instances, the metrics and the product API, and calls changed
+// with changed settings.
+func (p *process) serveComponents(ctx context.Context, group *errgroup.Group, c *components, changed func(*Settings)) {
 	serve(group, c.internalServer)
 	c.metricsServer = p.serveMetrics(group)
 	p.serveAPI(group, c)
-	group.Go(func() error {
-		return p.watchSettings(ctx, func(next *Settings) { c.gateway.SetSeeds(next.seedAddresses()) })
-	})
+	group.Go(func() error { return p.watchSettings(ctx, changed) })
 }
 
 // close ends the servers of serveComponents.
--- a/internal/member/host.go
+++ b/internal/member/host.go
@@ -87,6 +87,8 @@
 
 	mu       sync.Mutex
 	stopping bool
+	// seeds are the latest seeds, which an instance that joins announces itself to.
+	seeds []string
 }
 
 // New returns a host that isn't running yet, and registers its handlers for peers.
@@ -95,7 +97,7 @@
 		cfg.Files = vfs.OS{}
 	}
 	config := peer.Config{ID: cfg.ID}
-	h := &Host{cfg: cfg, client: client, transport: peer.New(config), mux: peer.NewMux(config), liveness: newLivenessTracker()}
+	h := &Host{cfg: cfg, seeds: cfg.Seeds, client: client, transport: peer.New(config), mux: peer.NewMux(config), liveness: newLivenessTracker()}
 	mux.HandleHTTP(apiv1.PeerPathPrefix, apiv1.NewPeerServer(exchangeOnly{h.mux}))
 	link.Handle(mux, MethodJoin, h.serveJoin)
 	return h
@@ -190,13 +192,26 @@
 		}
 	}
 	if len(addresses) == 0 {
-		for _, seed := range h.cfg.Seeds {
+		for _, seed := range h.latestSeeds() {
 			addresses = append(addresses, h.address(seed))
 		}
 	}
 	return addresses
 }
 
+// SetSeeds replaces the seeds. The initial membership of a first start isn't affected.
+func (h *Host) SetSeeds(seeds []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.seeds = seeds
+}
+
+func (h *Host) latestSeeds() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.seeds
+}
+
 func (h *Host) currentGroup() *node.Group {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/member/join.go
+++ b/internal/member/join.go
@@ -115,24 +115,30 @@
 // join announces this instance to the known addresses in turn until a leader has it in its
 // membership, and returns that membership. It fails only when ctx ends.
 func (h *Host) join(ctx context.Context) ([]replica.Member, error) {
-	addresses := h.Addresses()
-	for i := 0; ctx.Err() == nil; i++ {
-		response, leader, err := h.callJoin(ctx, addresses[i%len(addresses)])
-		if err == nil {
-			return response.Members, nil
-		}
-		if leader != "" {
-			if response, _, err := h.callJoin(ctx, leader); err == nil {
-				return response.Members, nil
+	if len(h.Addresses()) == 0 {
+		_ = h.cfg.Logger.Log("event", "join", "outcome", "no_seeds")
+	}
+	for ctx.Err() == nil {
+		for _, address := range h.Addresses() {
+			if members, ok := h.joinAt(ctx, address); ok {
+				return members, nil
 			}
 		}
-		if i%len(addresses) == len(addresses)-1 {
-			wait.For(ctx, announceInterval)
-		}
+		wait.For(ctx, announceInterval)
 	}
 	return nil, errors.Wrap(ctx.Err(), "stopped before a leader was found")
 }
 
+// joinAt announces this instance to an address and to the leader that the address names, and
+// returns the membership if one of them leads.
+func (h *Host) joinAt(ctx context.Context, address string) ([]replica.Member, bool) {
+	response, leader, err := h.callJoin(ctx, address)
+	if err != nil && leader != "" {
+		response, _, err = h.callJoin(ctx, leader)
+	}
+	return response.Members, err == nil
+}
+
 // callJoin makes one announcement to an address. If that instance doesn't lead, it returns
 // the address of the leader that the instance names, if any.
 func (h *Host) callJoin(ctx context.Context, address string) (response JoinResponse, leader string, err error) {
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -1,6 +1,8 @@
 package member
 
 import (
+	"context"
+	"net"
 	"slices"
 	"testing"
 	"time"
@@ -9,6 +11,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/bilberryferry/bilberryferry/internal/link"
+	"github.com/bilberryferry/bilberryferry/internal/rpc"
 	"github.com/bilberryferry/bilberryferry/replica"
 )
 
@@ -79,3 +82,31 @@
 	must.NoError(t, err)
 	must.Eq(t, members, stored)
 }
+
+// joinTestTimeout bounds the wait of a test for an instance that joins.
+const joinTestTimeout = 10 * time.Second
+
+// Guards against a panic of an instance whose settings name no seeds yet, and one that never
+// learns of the seeds that they name later.
+func TestInstanceWithoutSeedsJoinsOnceItHasThem(t *testing.T) {
+	const seed = "127.0.0.1"
+	mux := link.NewMux()
+	link.Handle(mux, MethodJoin, func(context.Context, *JoinRequest) (JoinResponse, error) {
+		return JoinResponse{Members: []replica.Member{voter(seed)}}, nil
+	})
+	listener, err := net.Listen("tcp", seed+":0")
+	must.NoError(t, err)
+	server := rpc.NewServer(mux)
+	t.Cleanup(func() { _ = server.Close() })
+	go func() { _ = server.Serve(listener) }()
+	_, port, err := net.SplitHostPort(listener.Addr().String())
+	must.NoError(t, err)
+
+	h := New(Config{ID: "127.0.0.2", Port: port, Folder: t.TempDir(), Logger: log.NewNopLogger()}, link.NewClient(maxConnections), link.NewMux())
+	ctx, cancel := context.WithTimeout(t.Context(), joinTestTimeout)
+	defer cancel()
+	time.AfterFunc(announceInterval/2, func() { h.SetSeeds([]string{seed}) })
+	members, err := h.initialMembers(ctx)
+	must.NoError(t, err)
+	must.Eq(t, []replica.Member{voter(seed)}, members)
+}
