instance: a process waits for an address that is in use

What callers saw: a process that ends by itself within moments of its start (FAULT), perhaps several times. Where several instances share the ports of one machine, an outgoing connection or the process before it may hold a port for a while, and two roles on a machine share the port of the metrics.

Cause: ListenAndServe failed once, and any server's error ends the process.

The other parts go on. An edge instance isn't ready until its entry listens.

Tests: edge and core daemons as processes of their own, all addresses held for a second. Before: 'listen tcp 127.0.0.1:39237: bind: address already in use', exit status 1. After: each address listens, one line for each; SIGTERM meanwhile ends with exit status 0.

--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -79,7 +79,7 @@
 	if monitor != nil {
 		group.Go(func() error { return monitor.Run(groupCtx) })
 	}
-	serve(group, controlServer)
+	p.serve(groupCtx, group, controlServer)
 	group.Go(func() error { return p.runLogMember(ctx, groupCtx, c, logMember, stateMachine) })
 	group.Go(func() error {
 		awaitStop(ctx, groupCtx)
--- a/internal/instance/daemon_test.go
+++ b/internal/instance/daemon_test.go
@@ -141,19 +141,28 @@
 }
 
 // daemonSettings are the settings of a daemon on loopback with addresses of its own.
-type daemonSettings struct{ internalPort, listeners string }
+type daemonSettings struct {
+	internalPort, listeners string
+	// listenAddresses are the addresses that listeners name.
+	listenAddresses []string
+}
 
 // newDaemonSettings returns the settings of a daemon of a role with free addresses.
 func newDaemonSettings(t *testing.T, role string) daemonSettings {
 	_, port, err := net.SplitHostPort(freeAddress(t))
 	must.NoError(t, err)
-	s := daemonSettings{internalPort: port}
+	first, second := freeAddress(t), freeAddress(t)
 	if role == edgeRole {
-		s.listeners = fmt.Sprintf("entry = %q\nreadiness = %q\n", freeAddress(t), freeAddress(t))
-	} else {
-		s.listeners = fmt.Sprintf("control = %q\ndata_folder = %q\n", freeAddress(t), t.TempDir())
+		listeners := fmt.Sprintf("entry = %q\nreadiness = %q\n", first, second)
+		return daemonSettings{internalPort: port, listeners: listeners, listenAddresses: []string{first, second}}
 	}
-	return s
+	listeners := fmt.Sprintf("control = %q\ndata_folder = %q\n", first, t.TempDir())
+	return daemonSettings{internalPort: port, listeners: listeners, listenAddresses: []string{first}}
+}
+
+// addresses returns all addresses that the daemon listens on.
+func (s daemonSettings) addresses() []string {
+	return append([]string{net.JoinHostPort("127.0.0.1", s.internalPort)}, s.listenAddresses...)
 }
 
 // text returns the settings file, with further lines at its end.
--- a/internal/instance/edge.go
+++ b/internal/instance/edge.go
@@ -52,11 +52,11 @@
 		c.gateway.LimitUnsent()
 		c.operations.loadControl = newLoadControl(s.maxSubmissions(budget), p.metrics, p.logger)
 	}
-	var stopping atomic.Bool
+	var entryListens, stopping atomic.Bool
 	entryServer := newServer(s.EntryAddress, adapters.NewEntryHandler(c.operations, p.logger))
 	descriptors.LimitServer(entryServer, "entry", budget.FromExternal, false, p.metrics)
 	readinessServer := newServer(s.ReadinessAddress, readinessHandler(adapters.ReadinessPath, func() bool {
-		return !stopping.Load() && c.gateway.InContact()
+		return entryListens.Load() && !stopping.Load() && c.gateway.InContact()
 	}))
 	descriptors.LimitServer(readinessServer, "readiness", maxAuxiliaryConnections, false, p.metrics)
 
@@ -64,8 +64,8 @@
 	defer stopWork()
 	group, groupCtx := errgroup.WithContext(workCtx)
 	p.serveComponents(groupCtx, group, c, func(next *Settings) { c.gateway.SetSeeds(next.seedAddresses()) })
-	serve(group, entryServer)
-	serve(group, readinessServer)
+	p.serveAndNotify(groupCtx, group, entryServer, func() { entryListens.Store(true) })
+	p.serve(groupCtx, group, readinessServer)
 	group.Go(func() error { return c.gateway.AnnounceToLeader(groupCtx) })
 	group.Go(func() error { return c.operations.loadControl.logRefusals(groupCtx) })
 	group.Go(func() error {
--- /dev/null
+++ b/internal/instance/listen_test.go
@@ -0,0 +1,73 @@
+package instance
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/shoenig/test/must"
+)
+
+// heldFor is how long another socket holds an address in these tests.
+const heldFor = time.Second
+
+// Guards against a process that ends because another socket holds one of its addresses for a moment.
+func TestProcessWaitsForAddressInUse(t *testing.T) {
+	for _, role := range []string{edgeRole, coreRole} {
+		settings := newDaemonSettings(t, role)
+		metrics := freeAddress(t)
+		addresses := append(settings.addresses(), metrics)
+		for _, address := range addresses {
+			holder, err := net.Listen("tcp", address)
+			must.NoError(t, err)
+			time.AfterFunc(heldFor, func() { _ = holder.Close() })
+		}
+		daemon := startDaemon(t, role, writeSettings(t, settings.text("metrics_address = \""+metrics+"\"")))
+		daemon.awaitLog(t, "outcome=address_in_use")
+		for _, address := range addresses {
+			daemon.awaitLog(t, "event=listen address="+address+" outcome=listening")
+			conn, err := net.Dial("tcp", address)
+			must.NoError(t, err)
+			must.NoError(t, conn.Close())
+		}
+		must.Eq(t, len(addresses), strings.Count(daemon.output.String(), "outcome=address_in_use"))
+		daemon.stop(t)
+	}
+}
+
+// Guards against a process that doesn't stop because it waits for an address.
+func TestProcessStopsWhileAddressIsInUse(t *testing.T) {
+	settings := newDaemonSettings(t, coreRole)
+	for _, address := range settings.addresses() {
+		holder, err := net.Listen("tcp", address)
+		must.NoError(t, err)
+		defer holder.Close()
+	}
+	daemon := startDaemon(t, coreRole, writeSettings(t, settings.text()))
+	daemon.awaitLog(t, "outcome=address_in_use")
+	daemon.stop(t)
+}
+
+// Guards against an instance that counts as ready before it listens, and a wait that doesn't end
+// when the process stops.
+func TestAddressInUseDoesNotCountAsListening(t *testing.T) {
+	holder, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer holder.Close()
+	listening := make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error)
+	server := newServer(holder.Addr().String(), http.NewServeMux())
+	go func() { ended <- listenAndServe(ctx, server, log.NewNopLogger(), func() { close(listening) }) }()
+	select {
+	case <-listening:
+		t.Fatal("listens on an address in use")
+	case <-time.After(2 * listenRetryInterval):
+	}
+	cancel()
+	must.NoError(t, <-ended)
+}
--- a/internal/instance/process.go
+++ b/internal/instance/process.go
@@ -152,30 +152,30 @@
 }
 
 // serve runs a server in group until Shutdown or Close is called.
-func serve(group *errgroup.Group, server *http.Server) {
-	group.Go(func() error {
-		if err := server.ListenAndServe(); err != http.ErrServerClosed {
-			return err
-		}
-		return nil
-	})
+func (p *process) serve(ctx context.Context, group *errgroup.Group, server *http.Server) {
+	p.serveAndNotify(ctx, group, server, func() {})
+}
+
+// serveAndNotify is like serve and calls listening once the server listens.
+func (p *process) serveAndNotify(ctx context.Context, group *errgroup.Group, server *http.Server, listening func()) {
+	group.Go(func() error { return listenAndServe(ctx, server, p.logger, listening) })
 }
 
 // serveMetrics serves the metrics if the settings name an address. It returns the server
 // in either case.
-func (p *process) serveMetrics(group *errgroup.Group) *http.Server {
+func (p *process) serveMetrics(ctx context.Context, group *errgroup.Group) *http.Server {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", p.metrics)
 	server := newServer(p.settings.MetricsAddress, mux)
 	descriptors.LimitServer(server, "metrics", maxAuxiliaryConnections, false, p.metrics)
 	if p.settings.MetricsAddress != "" {
-		serve(group, server)
+		p.serve(ctx, group, server)
 	}
 	return server
 }
 
 // serveAPI serves the product API if the settings name an address.
-func (p *process) serveAPI(group *errgroup.Group, c *components) {
+func (p *process) serveAPI(ctx context.Context, group *errgroup.Group, c *components) {
 	c.apiServer = newInternalServer(p.settings.APIAddress, nil)
 	descriptors.LimitServer(c.apiServer, "api", maxAuxiliaryConnections, false, p.metrics)
 	if p.settings.APIAddress == "" {
@@ -187,7 +187,7 @@
 		return
 	}
 	c.apiServer.Handler = apiserver.New(c.operations, token, p.logger)
-	serve(group, c.apiServer)
+	p.serve(ctx, group, c.apiServer)
 }
 
 // components are the clients and servers that both daemons have.
@@ -227,9 +227,9 @@
 // serveComponents serves other instances, the metrics and the product API, and calls changed
 // with changed settings.
 func (p *process) serveComponents(ctx context.Context, group *errgroup.Group, c *components, changed func(*Settings)) {
-	serve(group, c.internalServer)
-	c.metricsServer = p.serveMetrics(group)
-	p.serveAPI(group, c)
+	p.serve(ctx, group, c.internalServer)
+	c.metricsServer = p.serveMetrics(ctx, group)
+	p.serveAPI(ctx, group, c)
 	group.Go(func() error { return p.watchSettings(ctx, changed) })
 }
 
