instance: no error of accept ends a process

What callers saw: nothing that we could reproduce; found by reading net/http. It repeats accept after EMFILE, ENFILE and time-outs only. accept on Linux also returns ENOBUFS and ENOMEM, EPERM of a firewall, and errors of the new connection (EPROTO, ENETDOWN, EHOSTUNREACH and others): Serve returns them, and the process ends.

Change: the listener repeats accept after any error but its own end, 20 ms later, and logs at most one line in 10 s ('event=accept').

Test: a listener whose first eight accepts fail, one error each. Before: the server ended at ENOBUFS, 'connection reset by peer'. That a real kernel returns these errors here was not tried.

--- a/internal/instance/listen.go
+++ b/internal/instance/listen.go
@@ -16,7 +16,8 @@
 const (
 	// listenRetryInterval is the time between two attempts to listen on an address in use.
 	listenRetryInterval = 50 * time.Millisecond
-	// listenLogInterval is the time between two log lines about an address that stays in use.
+	// listenLogInterval is the time between two log lines about an address that stays in use or
+	// a listener whose accepts fail.
 	listenLogInterval = 10 * time.Second
 )
 
@@ -32,10 +33,7 @@
 		return err
 	}
 	listening()
-	if err := server.Serve(listener); err != http.ErrServerClosed {
-		return err
-	}
-	return nil
+	return serveListener(ctx, server, listener, logger)
 }
 
 // listenWhenFree listens on a TCP address as soon as no other socket uses it. Any other error
@@ -63,3 +61,41 @@
 		}
 	}
 }
+
+// serveListener serves on a listener until Shutdown or Close of the server is called.
+func serveListener(ctx context.Context, server *http.Server, listener net.Listener, logger log.Logger) error {
+	err := server.Serve(&retryingListener{Listener: listener, ctx: ctx, logger: logger})
+	if err != http.ErrServerClosed {
+		return err
+	}
+	return nil
+}
+
+// acceptRetryInterval is the time between two attempts to accept a connection after an error.
+const acceptRetryInterval = 20 * time.Millisecond
+
+// retryingListener is a listener whose Accept fails only once it is closed. A lack of descriptors
+// or of memory, and errors of the new connection that accept returns on Linux, pass.
+type retryingListener struct {
+	net.Listener
+	ctx        context.Context
+	logger     log.Logger
+	lastLogged time.Time
+}
+
+// Accept waits for the next connection.
+func (l *retryingListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err == nil || errors.Is(err, net.ErrClosed) {
+			return conn, err
+		}
+		if time.Since(l.lastLogged) >= listenLogInterval {
+			l.lastLogged = time.Now()
+			_ = l.logger.Log("event", "accept", "address", l.Addr(), "err", err)
+		}
+		if !wait.For(l.ctx, acceptRetryInterval) {
+			return nil, err
+		}
+	}
+}
--- a/internal/instance/listen_test.go
+++ b/internal/instance/listen_test.go
@@ -1,10 +1,12 @@
 package instance
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -71,3 +73,38 @@
 	cancel()
 	must.NoError(t, <-ended)
 }
+
+// flakyListener is a listener whose first accepts fail.
+type flakyListener struct {
+	net.Listener
+	failures []error
+}
+
+func (l *flakyListener) Accept() (net.Conn, error) {
+	if len(l.failures) > 0 {
+		err := l.failures[0]
+		l.failures = l.failures[1:]
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: err}
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a process that ends because the kernel can't accept one connection.
+func TestServerSurvivesErrorsOfAccept(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	flaky := &flakyListener{Listener: listener, failures: []error{
+		syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EPROTO, syscall.ENETDOWN, syscall.EHOSTUNREACH, syscall.EPERM,
+	}}
+	var logged bytes.Buffer
+	server := newServer("", http.NewServeMux())
+	ended := make(chan error)
+	go func() { ended <- serveListener(t.Context(), server, flaky, log.NewLogfmtLogger(&logged)) }()
+	client := &http.Client{Timeout: daemonTimeout}
+	response, err := client.Get("http://" + listener.Addr().String())
+	must.NoError(t, err)
+	must.NoError(t, response.Body.Close())
+	must.NoError(t, server.Close())
+	must.NoError(t, <-ended)
+	must.Eq(t, 1, strings.Count(logged.String(), "event=accept"), must.Sprint(logged.String()))
+}
