replica: a member whose wall clock went back is heard again

A member that starts without state after its clock was set back (or before it is set at all, after a boot) is never heard again while all processes run; where the others need it, for instance in a cold start after lost state, there is no leader.

Cause: the other members drop every message of an incarnation that is earlier than the known one. recordOwnIncarnation takes a later incarnation once a message names the earlier start, but no one sent such a message: known incarnations are left out while the digest of the last accepted message matches, and the dropped requests didn't change that digest.

Change: a dropped request for the state is answered with the known incarnations. The reply names the dropped incarnation as its nonce, so it counts for nothing else. The member then takes an incarnation as it did before on any message that names a later one.

Why it stays safe: a recovering member has given no vote or acknowledgement; a grant of a cold start is bound to the incarnation that it was asked under, and the term and the vote of the process stay. What is new is only that the message comes more often. That uncovers a fault of the old code: two starts that learn of the same incarnation both took the next one, so a delayed vote of the first would count as the second's. The distance now depends on the start (below 2^20, as a wall clock 17 minutes ahead at most); two starts with different clocks take the same with a probability of about 10^-6. Two starts within one millisecond of the same clock still have one incarnation: not mended.

Tests: a member restarts under incarnation 1 in groups without, with one and with three disks; two of three members lose state and clock, and the third starts them cold.

--- /dev/null
+++ b/replica/clock_step_test.go
@@ -0,0 +1,74 @@
+package replica
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// maxRecoverySteps is the number of steps within which a member without state recovers.
+const maxRecoverySteps = 1000
+
+// restartUnder restarts a member without state under an incarnation.
+func (n *simNode) restartUnder(incarnation uint64) {
+	n.crash(true)
+	n.fixedIncarnation = incarnation
+	n.restartStep = n.s.step + 1
+}
+
+// awaitFollower runs until a member follows the leader.
+func (s *sim) awaitFollower(t *testing.T, n *simNode) {
+	t.Helper()
+	for range maxRecoverySteps {
+		s.run(1)
+		if n.core != nil && roleOf(n) == Follower {
+			break
+		}
+	}
+	must.SliceEmpty(t, s.violations)
+	must.Eq(t, Follower, roleOf(n), must.Sprint(s.describe()))
+}
+
+// Guards against a member that isn't heard again: it starts without state after its wall clock
+// was set back, and all others drop its messages as those of an earlier incarnation.
+func TestMemberRecoversAfterItsClockWentBack(t *testing.T) {
+	for _, disks := range []int{0, 1, 3} {
+		s := newSimWithLeader(t, simOptions{voters: 3, disks: disks})
+		n := s.liveFollower(s.leader())
+		// The first restart makes the incarnation the latest of all.
+		n.restartUnder(0)
+		s.run(1)
+		s.awaitFollower(t, n)
+		n.restartUnder(1)
+		s.run(1)
+		s.awaitFollower(t, n)
+	}
+}
+
+// Guards against a group that never cold starts because the members that lost their state aren't
+// heard again.
+func TestGroupColdStartsAfterClocksWentBack(t *testing.T) {
+	s := newSimWithLeader(t, simOptions{voters: 3, disks: 1})
+	for i, n := range s.nodes[1:] {
+		n.restartUnder(uint64(i + 1))
+	}
+	for s.leader() != nil {
+		s.run(1)
+	}
+	s.waitForLeader(t)
+}
+
+// Guards against a delayed vote or acknowledgement of one start that counts as that of the next,
+// since both took the same incarnation after they had learned of the same earlier one.
+func TestStartsTakeDifferentIncarnations(t *testing.T) {
+	const known = 20
+	taken := map[uint64]bool{}
+	for start := uint64(1); start < known; start++ {
+		c, err := New(Config{ID: "n0", Incarnation: start, Members: []Member{{ID: "n0"}, {ID: "n1"}, {ID: "n2"}}}, StoredState{})
+		must.NoError(t, err)
+		stepFromPeer(t, c, Message{Type: MsgAppend, From: "n1", Term: 3}, MemberIncarnation{ID: "n0", Incarnation: known})
+		must.Greater(t, known, c.incarnation)
+		must.False(t, taken[c.incarnation], must.Sprint(c.incarnation))
+		taken[c.incarnation] = true
+	}
+}
--- a/replica/config.go
+++ b/replica/config.go
@@ -23,10 +23,11 @@
 	// ID names the member. It is unique in the group and never reused for another
 	// member.
 	ID string
-	// Incarnation must grow from one start without stored state to the next of the
-	// same ID, and must not be zero. Pass the wall clock in milliseconds at process
-	// start: a cold start also derives its term from it, so that terms don't recur
-	// even when all members have lost their state.
+	// Incarnation must differ between the starts of the same ID without stored state, and
+	// must not be zero. Pass the wall clock in milliseconds at process start: a cold start
+	// also derives its term from it, so that terms don't recur even when all members have
+	// lost their state. After a clock that went back, the member takes a later incarnation
+	// once another member tells it of an earlier start.
 	Incarnation uint64
 	// HasDisk says that the caller syncs each Ready to disk and passes it back as
 	// StoredState.
--- a/replica/random_test.go
+++ b/replica/random_test.go
@@ -28,6 +28,11 @@
 	"3 voters, changes":             {voters: 3, disks: 1, spares: 2, membershipChanges: true},
 	"3 voters, changes, no disk":    {voters: 3, spares: 2, membershipChanges: true},
 	"3 voters, changes, power loss": {voters: 3, disks: 1, spares: 2, membershipChanges: true, powerLoss: true},
+	"3 voters, 1 disk, clocks":      {voters: 3, disks: 1, clockSteps: true},
+	"3 voters, all disks, clocks":   {voters: 3, disks: 3, clockSteps: true},
+	"4 voters, 2 disks, clocks":     {voters: 4, disks: 2, clockSteps: true},
+	"5 voters, 2 disks, clocks":     {voters: 5, disks: 2, clockSteps: true},
+	"3 voters, changes, clocks":     {voters: 3, disks: 1, spares: 2, membershipChanges: true, clockSteps: true},
 }
 
 // faultOutcomeCounts are the values of simOptions.faultOutcomes that the seeds use in turn,
--- a/replica/sim_test.go
+++ b/replica/sim_test.go
@@ -35,7 +35,10 @@
 // downtime of a member.
 const (
 	storedBeforeCrashProbability = 0.5
-	maxDownSteps                 = 60
+	// clockStepProbability is the probability that the wall clock of a member is set back
+	// before its start.
+	clockStepProbability = 0.5
+	maxDownSteps         = 60
 )
 
 // simOptions selects the group and the faults of a simulation.
@@ -49,6 +52,8 @@
 	faults            bool
 	powerLoss         bool
 	membershipChanges bool
+	// clockSteps sets the wall clock of a member back before some of its starts.
+	clockSteps bool
 }
 
 // sim simulates a group on an in-memory network and in-memory disks. All random
@@ -104,6 +109,9 @@
 	stateHash     uint64
 	commit        uint64
 	restartStep   int // step at which a crashed member restarts
+	// fixedIncarnation is the incarnation of the next start if it isn't 0, as after a clock
+	// that was set back.
+	fixedIncarnation uint64
 }
 
 func newSim(seed uint64, opt simOptions) *sim {
@@ -139,6 +147,13 @@
 
 func (n *simNode) start() {
 	n.incarnation = uint64(n.s.step+1) * incarnationsPerTerm
+	if n.s.opt.clockSteps && n.s.chance(clockStepProbability) {
+		n.s.counts["clocks set back"]++
+		n.incarnation = 1 + uint64(n.s.rand.Int64N(int64(n.incarnation)))
+	}
+	if n.fixedIncarnation != 0 {
+		n.incarnation, n.fixedIncarnation = n.fixedIncarnation, 0
+	}
 	stored := StoredState{HardState: n.stored.HardState, Snapshot: n.stored.Snapshot, Entries: slices.Clone(n.stored.Entries)}
 	core, err := New(Config{
 		ID: n.id, Incarnation: n.incarnation, HasDisk: n.disk, Members: n.s.initialMembers(), Seed: n.incarnation + uint64(n.s.rand.Uint32()),
--- a/replica/step.go
+++ b/replica/step.go
@@ -1,6 +1,11 @@
 package replica
 
-import "github.com/cockroachdb/errors"
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+)
 
 // Step handles a message from another member. It drops messages of superseded
 // incarnations, for another incarnation of this member, and of past terms without an
@@ -39,7 +44,7 @@
 		return errors.Wrapf(ErrBadMessage, "from %q to %q", m.From, m.To)
 	}
 	if m.Incarnation < c.incarnations.of(m.From) {
-		// The sender has since restarted without state under a later incarnation.
+		c.onEarlierIncarnation(m)
 		return nil
 	}
 	c.recordIncarnations(m)
@@ -80,6 +85,19 @@
 	return nil
 }
 
+// onEarlierIncarnation drops a message of an incarnation of the sender that is earlier than the
+// known one. If it requests state, the sender may be the latest process after all, whose
+// wall clock went back. It gets the known incarnations in reply, so that it takes a later one
+// (see recordOwnIncarnation); otherwise nobody would hear it again. The reply counts for
+// nothing else: it names the earlier incarnation in Nonce.
+func (c *Core) onEarlierIncarnation(m Message) {
+	if m.Type != MsgState {
+		return
+	}
+	c.peerDigest[m.From] = m.IncarnationDigest
+	c.send(Message{Type: MsgStateReply, To: m.From, Term: c.term, Nonce: m.Incarnation, Recovering: c.role == Recovering})
+}
+
 // recordIncarnations merges the incarnations that the message carries.
 func (c *Core) recordIncarnations(m Message) {
 	c.recordIncarnation(MemberIncarnation{ID: m.From, Incarnation: m.Incarnation})
@@ -108,19 +126,29 @@
 // recordOwnIncarnation handles a message that knows a later incarnation of this member
 // than the one it runs under. A wall clock that went back between two starts causes this.
 // A recovering member has given no vote or acknowledgement yet and takes an even later
-// incarnation. On any other member the message means that the same ID runs twice, and
+// incarnation, which differs from that of another start that learned of the same one; a delayed
+// vote of that start would otherwise count as this member's. On any other member the message means that the same ID runs twice, and
 // the process stops.
 func (c *Core) recordOwnIncarnation(incarnation uint64) {
 	if incarnation <= c.incarnation {
 		return
 	}
 	invariant(c.role == Recovering, "%s: runs under incarnation %d, but incarnation %d is known: the ID may run twice", c.cfg.ID, c.incarnation, incarnation)
-	c.incarnation = incarnation + 1
+	c.incarnation = incarnation + 1 + c.startDigest()%maxIncarnationSkip
 	c.incarnations.merge(MemberIncarnation{ID: c.cfg.ID, Incarnation: c.incarnation})
 	c.recovery = recovery{}
 	c.campaign = campaign{}
 }
 
+// maxIncarnationSkip bounds the distance between the incarnation that a member learns of and the
+// later one that it takes.
+const maxIncarnationSkip = 1 << 20
+
+// startDigest returns a number that differs between the starts of a member.
+func (c *Core) startDigest() uint64 {
+	return xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(c.cfg.ID), c.cfg.Incarnation))
+}
+
 // incarnationsKnown reports whether this member knows all incarnations that the
 // sender knew. Only then may the sender's vote or acknowledgement be counted.
 func (c *Core) incarnationsKnown(m Message) bool {
