--- /dev/null
+++ b/internal/instance/listen.go
@@ -0,0 +1,101 @@
+package instance
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+
+	"github.com/bilberryferry/bilberryferry/internal/wait"
+)
+
+const (
+	// listenRetryInterval is the time between two attempts to listen on an address in use.
+	listenRetryInterval = 50 * time.Millisecond
+	// listenLogInterval is the time between two log lines about an address that stays in use or
+	// a listener whose accepts fail.
+	listenLogInterval = 10 * time.Second
+)
+
+// listenAndServe serves until Shutdown or Close of the server is called. While the address is in
+// use it tries again until ctx ends; another process on the machine may hold the port for a
+// moment, for instance for an outgoing connection. It calls listening once it listens.
+func listenAndServe(ctx context.Context, server *http.Server, logger log.Logger, listening func()) error {
+	listener, err := listenWhenFree(ctx, server.Addr, logger)
+	if err != nil {
+		if ctx.Err() != nil {
+			return nil
+		}
+		return err
+	}
+	listening()
+	return serveListener(ctx, server, listener, logger)
+}
+
+// listenWhenFree listens on a TCP address as soon as no other socket uses it. Any other error
+// is returned at once.
+func listenWhenFree(ctx context.Context, address string, logger log.Logger) (net.Listener, error) {
+	if address == "" {
+		return nil, errors.New("no address to listen on")
+	}
+	started := time.Now()
+	var lastLogged time.Time
+	for {
+		listener, err := net.Listen("tcp", address)
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			if err == nil && !lastLogged.IsZero() {
+				_ = logger.Log("event", "listen", "address", address, "outcome", "listening", "waited", time.Since(started))
+			}
+			return listener, err
+		}
+		if time.Since(lastLogged) >= listenLogInterval {
+			lastLogged = time.Now()
+			_ = logger.Log("event", "listen", "address", address, "outcome", "address_in_use")
+		}
+		if !wait.For(ctx, listenRetryInterval) {
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// serveListener serves on a listener until Shutdown or Close of the server is called.
+func serveListener(ctx context.Context, server *http.Server, listener net.Listener, logger log.Logger) error {
+	err := server.Serve(&retryingListener{Listener: listener, ctx: ctx, logger: logger})
+	if err != http.ErrServerClosed {
+		return err
+	}
+	return nil
+}
+
+// acceptRetryInterval is the time between two attempts to accept a connection after an error.
+const acceptRetryInterval = 20 * time.Millisecond
+
+// retryingListener is a listener whose Accept fails only once it is closed. A lack of descriptors
+// or of memory, and errors of the new connection that accept returns on Linux, pass.
+type retryingListener struct {
+	net.Listener
+	ctx        context.Context
+	logger     log.Logger
+	lastLogged time.Time
+}
+
+// Accept waits for the next connection.
+func (l *retryingListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err == nil || errors.Is(err, net.ErrClosed) {
+			return conn, err
+		}
+		if time.Since(l.lastLogged) >= listenLogInterval {
+			l.lastLogged = time.Now()
+			_ = l.logger.Log("event", "accept", "address", l.Addr(), "err", err)
+		}
+		if !wait.For(l.ctx, acceptRetryInterval) {
+			return nil, err
+		}
+	}
+}
--- a/internal/member/host.go
+++ b/internal/member/host.go
@@ -92,6 +92,8 @@
 	stopping bool
 	// lastSender is the ID of the instance that sent the last message of the log, "" for none.
 	lastSender string
+	// seeds are the latest seeds, which an instance that joins announces itself to.
+	seeds []string
 }
 
 // New returns a host that isn't running yet, and registers its handlers for peers.
@@ -100,7 +102,7 @@
 		cfg.Files = vfs.OS{}
 	}
 	config := peer.Config{ID: cfg.ID}
-	h := &Host{cfg: cfg, client: client, transport: peer.New(config), mux: peer.NewMux(config), liveness: newLivenessTracker()}
+	h := &Host{cfg: cfg, seeds: cfg.Seeds, client: client, transport: peer.New(config), mux: peer.NewMux(config), liveness: newLivenessTracker()}
 	mux.HandleHTTP(apiv1.PeerPathPrefix, apiv1.NewPeerServer(exchangeOnly{h.mux, h.recordSender}))
 	link.Handle(mux, MethodJoin, h.serveJoin)
 	return h
@@ -196,13 +198,26 @@
 		}
 	}
 	if len(addresses) == 0 {
-		for _, seed := range h.cfg.Seeds {
+		for _, seed := range h.latestSeeds() {
 			addresses = append(addresses, h.address(seed))
 		}
 	}
 	return addresses
 }
 
+// SetSeeds replaces the seeds. The initial membership of a first start isn't affected.
+func (h *Host) SetSeeds(seeds []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.seeds = seeds
+}
+
+func (h *Host) latestSeeds() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.seeds
+}
+
 func (h *Host) currentGroup() *node.Group {
 	h.mu.Lock()
 	defer h.mu.Unlock()
