control: runs that can't advance say nothing about their worker

An ordinary job is accepted and stays pending; a lasting task isn't started again after its worker has crashed, though other workers have nearly all of their cores free.

Cause: a worker counted as stalled when none of its listed runs had raised its percentage for 0.7 s. A task that lasts stays at 100 while it is at work, a run that is done stays at 100 until its end is reported, and a paused run stays where it is. None of them can advance, so such a worker was always stalled.

Change: a worker is stalled only if its last report lists a run that can advance (below 100 percent and not paused) and none has advanced. Runs that the log doesn't know still count as evidence, as before.

--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -13,8 +13,8 @@
 	quarantineAfter = 3
 	// quarantineFor is how long a quarantined worker gets no task.
 	quarantineFor = 4 * time.Second
-	// stallTimeout is the time after which a worker counts as stalled if none of its runs has
-	// advanced by a percent. The longest tasks take 16 s, so they advance by a percent in
+	// stallTimeout is the time after which a worker counts as stalled if it has runs that can
+	// advance and none has advanced by a percent. The longest tasks take 16 s, so they advance by a percent in
 	// 0.16 s.
 	stallTimeout = 700 * time.Millisecond
 	// stalledPollHold is the longest hold of a poll of a stalled worker. The hold is short
@@ -102,22 +102,28 @@
 // whether it still is. t.mu must be held.
 func (s *workerSession) isVerySlow() bool { return s.speed.VerySlow }
 
-// isStalled reports whether the worker responds but none of its runs advances: its last
-// report shows the same percentages as one that is older by stallTimeout. The times of
-// the reports count, not the current time, because progress between two reports isn't
-// visible. t.mu must be held.
+// isStalled reports whether the worker responds but none of its runs advances although at
+// least one could: its last report shows the same percentages as one that is older by
+// stallTimeout. The times of the reports count, not the current time, because progress
+// between two reports isn't visible. t.mu must be held.
 func (s *workerSession) isStalled() bool {
-	return s.hasLiveRuns && s.respondedAt.Sub(s.advancedAt) > stallTimeout
+	return s.canAdvance && s.respondedAt.Sub(s.advancedAt) > stallTimeout
 }
 
-// recordAdvance records whether a report showed progress. t.mu must be held.
-func (s *workerSession) recordAdvance(report Report, advanced bool, now time.Time) {
-	s.hasLiveRuns = len(report.Running) > 0
-	if advanced || len(report.Ended) > 0 || !s.hasLiveRuns {
+// recordAdvance records whether a report showed progress, and whether it listed a run that
+// can advance. t.mu must be held.
+func (s *workerSession) recordAdvance(report Report, canAdvance, advanced bool, now time.Time) {
+	s.canAdvance = canAdvance
+	if advanced || len(report.Ended) > 0 || !canAdvance {
 		s.advancedAt = now
 	}
 }
 
+// canAdvance reports whether the percentage of a listed run can still increase. That of a
+// long-running task stays at completePercent while the task is at work, and that of a paused
+// run stays where it is; neither says anything about the worker. t.mu must be held.
+func (o *runOrder) canAdvance() bool { return o.percent < completePercent && o.share != 0 }
+
 // recordProgress records the reported progress of a run, and reports whether the run has
 // advanced. t.mu must be held.
 func (o *runOrder) recordProgress(percent int, now time.Time) bool {
--- a/internal/control/report.go
+++ b/internal/control/report.go
@@ -151,11 +151,12 @@
 // those runs that the log doesn't have and that are to be stopped now. t.mu must be held.
 func (s *workerSession) recordRunning(report Report, sent, now time.Time) []workflow.Run {
 	var unknown []workflow.Run
-	advanced := false
+	canAdvance, advanced := false, false
 	s.t.c.state.read(func(state *workflow.State) {
 		for _, r := range report.Running {
 			run, ok := state.Runs[s.worker.ID][r.Task]
 			if !ok || run.Number != r.Number {
+				canAdvance = true
 				unknownRun := workflow.Run{Task: r.Task, Number: r.Number, Worker: s.worker.ID}
 				if now.Sub(s.unknownRuns[unknownRun]) > stopRetryInterval {
 					s.unknownRuns[unknownRun] = now
@@ -180,10 +181,11 @@
 				o.listedByPollSentAt = sent
 				advanced = o.recordProgress(r.Percent, now) || advanced
 			}
+			canAdvance = canAdvance || o == nil || o.canAdvance()
 		}
 		s.updateThrottle(state, report, now)
 	})
-	s.recordAdvance(report, advanced, now)
+	s.recordAdvance(report, canAdvance, advanced, now)
 	return unknown
 }
 
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -108,10 +108,10 @@
 	startSlots chan struct{}
 	// reportedIdle says that the last report listed neither runs nor ends.
 	reportedIdle bool
-	// hasLiveRuns says that the last report listed live runs. advancedAt is when a report
-	// last showed progress, an end, or no live runs.
-	hasLiveRuns bool
-	advancedAt  time.Time
+	// canAdvance says that the last report listed a run whose percentage can increase.
+	// advancedAt is when a report last showed progress, an end, or no such run.
+	canAdvance bool
+	advancedAt time.Time
 	// cancelPoll cancels the poll in flight, or the last one.
 	cancelPoll context.CancelFunc
 	// pollDue is when the response to the poll in flight becomes overdue. pollWait is how
