instance: requests in flight get a final response before a process ends

Cause: an edge instance gives the requests in flight the shutdown time less 3.2 s (2.8 s of 6 s). Shutdown then fails and the process exits, whatever is still in flight. A client may wait up to 10 s, so a request that waits for a leader, as while two core instances stop together, is cut.

Change: drain cancels the contexts of the requests that are still in flight at the time limit and waits up to 0.5 s more, half of what was reserved for the end. The handlers then respond as at a deadline: 503 with Retry-After if nothing was sent to a leader, 504 if the outcome is unknown.

--- a/internal/instance/edge.go
+++ b/internal/instance/edge.go
@@ -54,6 +54,7 @@
 	}
 	var stopping atomic.Bool
 	entryServer := newServer(s.EntryAddress, adapters.NewEntryHandler(c.operations, p.logger))
+	cancelRequests := setRequestContext(entryServer)
 	descriptors.LimitServer(entryServer, "entry", budget.FromExternal, false, p.metrics)
 	readinessServer := newServer(s.ReadinessAddress, readinessHandler(adapters.ReadinessPath, func() bool {
 		return !stopping.Load() && c.gateway.InContact()
@@ -73,7 +74,7 @@
 		stopping.Store(true)
 		_ = p.logger.Log("event", "unready", "cause", "stopping")
 		wait.For(groupCtx, unreadyGrace)
-		p.stopEdge(entryServer)
+		p.stopEdge(entryServer, cancelRequests)
 		stopWork()
 		_ = readinessServer.Close()
 		c.close()
@@ -82,15 +83,14 @@
 	return group.Wait()
 }
 
-// stopEdge stops accepting requests and waits until the requests in flight have ended. It
-// leaves exitReserve of the shutdown time.
-func (p *process) stopEdge(entryServer *http.Server) {
+// stopEdge stops accepting requests and waits until the requests in flight have got their
+// responses. It leaves exitReserve of the shutdown time, of which the last responses take
+// finalResponseTime at most.
+func (p *process) stopEdge(entryServer *http.Server, cancelRequests func()) {
 	timeout := p.settings.Bounds.ShutdownTimeout.Std() - unreadyGrace - exitReserve
 	shutdownCtx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	// Shutdown fails if requests are still in flight at the time limit. The end of
-	// the process closes their connections.
-	_ = entryServer.Shutdown(shutdownCtx)
+	drain(shutdownCtx, entryServer, cancelRequests)
 }
 
 // readinessHandler responds to the readiness check with status 200, or with 503 while
