instance: a stopping server reads what has arrived before it closes

A core instance loses the requests of all of its clients at once: workers, operators.

Cause: Shutdown closes the listener and all idle connections. The kernel resets the connections in the listen queue and those with requests that the process hasn't read. A process that gets too little processor time handles SIGTERM first and reads afterwards; a core instance that doesn't lead shuts down at once.

Ruled out: handlers that were still running. Shutdown waits for these, and heartbeats and queries end within 0.9 s.

Change: before Shutdown a server goes on accepting and reading for 250 ms, with Connection: close on its responses, so that clients leave by themselves. An edge takes the first 250 ms from the 2.2 s for the balancer; a core instance stops 250 ms later.

TestSettledServerRespondsToRequestsThatItReadsLate fails without the pause, for an idle connection and for one in the listen queue: read: connection reset by peer and passes now.

--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -67,7 +67,7 @@
 		monitor = overload.NewMonitor(gate.Observe)
 	}
 	controlServer := newServer(s.ControlAddress, adapters.NewControlHandler(c.operations, p.logger))
-	cancelRequests := setRequestContext(controlServer)
+	controlDrainer := newDrainer(controlServer)
 	descriptors.LimitServer(controlServer, "control", budget.FromExternal, true, p.metrics)
 
 	workCtx, stopWork := context.WithCancel(context.WithoutCancel(ctx))
@@ -81,7 +81,7 @@
 	group.Go(func() error { return p.runLogMember(ctx, groupCtx, c, logMember, stateMachine) })
 	group.Go(func() error {
 		awaitStop(ctx, groupCtx)
-		p.stopCore(logMember, controlServer, cancelRequests, c, stopWork)
+		p.stopCore(logMember, controlDrainer, c, stopWork)
 		return nil
 	})
 	return group.Wait()
@@ -158,11 +158,12 @@
 // stopCore transfers the leadership while this instance still responds to other instances,
 // stops the servers and ends the background work. The transfer and the wait for requests in
 // flight take half of the shutdown time at most, and the last responses finalResponseTime.
-func (p *process) stopCore(logMember *member.Host, controlServer *http.Server, cancelRequests func(), c *components, stopWork func()) {
+func (p *process) stopCore(logMember *member.Host, controlDrainer *drainer, c *components, stopWork func()) {
 	shutdownCtx, cancel := context.WithTimeout(context.Background(), p.settings.Bounds.ShutdownTimeout.Std()/2)
 	defer cancel()
 	logMember.TransferLeadership(shutdownCtx)
-	drain(shutdownCtx, controlServer, cancelRequests)
+	controlDrainer.settle(shutdownCtx)
+	controlDrainer.drain(shutdownCtx)
 	stopWork()
 	c.close()
 }
--- a/internal/instance/drain_test.go
+++ b/internal/instance/drain_test.go
@@ -1,8 +1,10 @@
 package instance
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -21,17 +23,17 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		_, _ = io.WriteString(w, "stopping")
 	}))
-	cancelRequests := setRequestContext(server.Config)
+	drainer := newDrainer(server.Config)
 	server.Start()
 	defer server.Close()
-	defer cancelRequests()
+	defer drainer.cancelRequests()
 	drained := make(chan struct{})
 	go func() {
 		defer close(drained)
 		<-received
 		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
 		defer cancel()
-		drain(ctx, server.Config, cancelRequests)
+		drainer.drain(ctx)
 	}()
 	client := &http.Client{Timeout: 5 * time.Second}
 	response, err := client.Get(server.URL)
@@ -43,3 +45,69 @@
 	must.Eq(t, "stopping", string(body))
 	<-drained
 }
+
+// delayedListener accepts each connection, and reads from it, later than its client sent.
+type delayedListener struct {
+	net.Listener
+	delay time.Duration
+}
+
+func (l delayedListener) Accept() (net.Conn, error) {
+	time.Sleep(l.delay)
+	conn, err := l.Listener.Accept()
+	return delayedConn{conn, l.delay}, err
+}
+
+type delayedConn struct {
+	net.Conn
+	delay time.Duration
+}
+
+func (c delayedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	time.Sleep(c.delay)
+	return n, err
+}
+
+// Guards against a busy process that closes its listener, or an idle connection, when a request has arrived there
+// that it hasn't read yet.
+func TestSettledServerRespondsToRequestsThatItReadsLate(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		keptAlive bool
+	}{{"idle connection", true}, {"connection in the listen queue", false}} {
+		t.Run(c.name, func(t *testing.T) {
+			server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+			server.Listener = delayedListener{server.Listener, settleInterval / 4}
+			drainer := newDrainer(server.Config)
+			server.Start()
+			defer server.Close()
+			conn, err := net.Dial("tcp", server.Listener.Addr().String())
+			must.NoError(t, err)
+			defer conn.Close()
+			reader := bufio.NewReader(conn)
+			exchange := func(afterSend func()) *http.Response {
+				_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+				must.NoError(t, err)
+				afterSend()
+				response, err := http.ReadResponse(reader, nil)
+				must.NoError(t, err)
+				return response
+			}
+			if c.keptAlive {
+				must.False(t, exchange(func() {}).Close)
+			}
+			stopped := make(chan struct{})
+			response := exchange(func() {
+				go func() {
+					defer close(stopped)
+					drainer.settle(t.Context())
+					drainer.drain(t.Context())
+				}()
+			})
+			must.Eq(t, http.StatusOK, response.StatusCode)
+			must.True(t, response.Close)
+			<-stopped
+		})
+	}
+}
--- a/internal/instance/edge.go
+++ b/internal/instance/edge.go
@@ -54,7 +54,7 @@
 	}
 	var stopping atomic.Bool
 	entryServer := newServer(s.EntryAddress, adapters.NewEntryHandler(c.operations, p.logger))
-	cancelRequests := setRequestContext(entryServer)
+	entryDrainer := newDrainer(entryServer)
 	descriptors.LimitServer(entryServer, "entry", budget.FromExternal, false, p.metrics)
 	readinessServer := newServer(s.ReadinessAddress, readinessHandler(adapters.ReadinessPath, func() bool {
 		return !stopping.Load() && c.gateway.InContact()
@@ -73,8 +73,7 @@
 		awaitStop(ctx, groupCtx)
 		stopping.Store(true)
 		_ = p.logger.Log("event", "unready", "cause", "stopping")
-		wait.For(groupCtx, unreadyGrace)
-		p.stopEdge(entryServer, cancelRequests)
+		p.stopEdge(groupCtx, entryDrainer)
 		stopWork()
 		_ = readinessServer.Close()
 		c.close()
@@ -83,14 +82,15 @@
 	return group.Wait()
 }
 
-// stopEdge stops accepting requests and waits until the requests in flight have got their
-// responses. It leaves exitReserve of the shutdown time, of which the last responses take
-// finalResponseTime at most.
-func (p *process) stopEdge(entryServer *http.Server, cancelRequests func()) {
-	timeout := p.settings.Bounds.ShutdownTimeout.Std() - unreadyGrace - exitReserve
-	shutdownCtx, cancel := context.WithTimeout(context.Background(), timeout)
+// stopEdge accepts requests for unreadyGrace, unless workCtx ends before, and then waits until
+// those in flight have got their responses. It leaves exitReserve of the shutdown time, of
+// which the last responses take finalResponseTime at most.
+func (p *process) stopEdge(workCtx context.Context, entryDrainer *drainer) {
+	shutdownCtx, cancel := context.WithTimeout(context.Background(), p.settings.Bounds.ShutdownTimeout.Std()-exitReserve)
 	defer cancel()
-	drain(shutdownCtx, entryServer, cancelRequests)
+	wait.For(workCtx, unreadyGrace-settleInterval)
+	entryDrainer.settle(shutdownCtx)
+	entryDrainer.drain(shutdownCtx)
 }
 
 // readinessHandler responds to the readiness check with status 200, or with 503 while
