--- a/internal/instance/edge.go
+++ b/internal/instance/edge.go
@@ -54,6 +54,7 @@
 	}
 	var entryListens, stopping atomic.Bool
 	entryServer := newServer(s.EntryAddress, adapters.NewEntryHandler(c.operations, p.logger))
+	entryDrainer := newDrainer(entryServer)
 	descriptors.LimitServer(entryServer, "entry", budget.FromExternal, false, p.metrics)
 	readinessServer := newServer(s.ReadinessAddress, readinessHandler(adapters.ReadinessPath, func() bool {
 		return entryListens.Load() && !stopping.Load() && c.gateway.InContact()
@@ -72,8 +73,7 @@
 		awaitStop(ctx, groupCtx)
 		stopping.Store(true)
 		_ = p.logger.Log("event", "unready", "cause", "stopping")
-		wait.For(groupCtx, unreadyGrace)
-		p.stopEdge(entryServer)
+		p.stopEdge(groupCtx, entryDrainer)
 		stopWork()
 		_ = readinessServer.Close()
 		c.close()
@@ -82,15 +82,15 @@
 	return group.Wait()
 }
 
-// stopEdge stops accepting requests and waits until the requests in flight have ended. It
-// leaves exitReserve of the shutdown time.
-func (p *process) stopEdge(entryServer *http.Server) {
-	timeout := p.settings.Bounds.ShutdownTimeout.Std() - unreadyGrace - exitReserve
-	shutdownCtx, cancel := context.WithTimeout(context.Background(), timeout)
+// stopEdge accepts requests for unreadyGrace, unless workCtx ends before, and then waits until
+// those in flight have got their responses. It leaves exitReserve of the shutdown time, of
+// which the last responses take finalResponseTime at most.
+func (p *process) stopEdge(workCtx context.Context, entryDrainer *drainer) {
+	shutdownCtx, cancel := context.WithTimeout(context.Background(), p.settings.Bounds.ShutdownTimeout.Std()-exitReserve)
 	defer cancel()
-	// Shutdown fails if requests are still in flight at the time limit. The end of
-	// the process closes their connections.
-	_ = entryServer.Shutdown(shutdownCtx)
+	wait.For(workCtx, unreadyGrace-settleInterval)
+	entryDrainer.settle(shutdownCtx)
+	entryDrainer.drain(shutdownCtx)
 }
 
 // readinessHandler responds to the readiness check with status 200, or with 503 while
