link: a call that an instance doesn't serve yet did nothing

What callers saw: a request that no instance has executed ends as "may have been executed" (Unknown: "no response from the leader") while some core instance waits to join, instead of a refusal that may be repeated.

Cause: an instance registers most methods only after its log is open. Until then it answers 404, which the client took for a response that can't be decoded, of kind Unknown.

Change: a Mux answers calls of other methods as an instance that doesn't lead: nothing was done, look elsewhere.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -205,8 +205,15 @@
 	version atomic.Pointer[func() uint64]
 }
 
-// NewMux returns a Mux without methods.
-func NewMux() *Mux { return &Mux{http: http.NewServeMux()} }
+// NewMux returns a Mux without methods. It responds to calls of other methods as an instance that isn't
+// the leader does: an instance that is still starting doesn't serve all methods, and did nothing.
+func NewMux() *Mux {
+	m := &Mux{http: http.NewServeMux()}
+	m.http.HandleFunc(pathPrefix, func(w http.ResponseWriter, _ *http.Request) {
+		writeResponse(w, errorEnvelope(NotLeader("")))
+	})
+	return m
+}
 
 // SetVersion makes each response name configuration versions: those recorded with
 // RecordVersions while the call was served, or else the result of version from before the
