oplog: a reader of the metrics that accepts nothing doesn't stop all that counts

What callers would see: a core instance that answers no call.

Cause: the response to /metrics was written while the metrics were locked, and the server of the metrics has no limit on the time of a write. A reader that vanishes or is frozen with a full window keeps the lock, and whoever counts waits: the gate holds its own lock meanwhile, so no call passes it.

Change: the text is made under the lock and written after it.

--- a/internal/oplog/metrics.go
+++ b/internal/oplog/metrics.go
@@ -1,6 +1,7 @@
 package oplog
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -138,6 +139,9 @@
 // ServeHTTP serves the metrics as text.
 func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	// The metrics are locked only while the text is made: a reader may accept it slowly or never.
+	var text bytes.Buffer
+	_ = m.write(&text) // writing to a Buffer can't fail
 	// A write error means that the client has disconnected.
-	_ = m.write(w)
+	_, _ = w.Write(text.Bytes())
 }
