--- a/internal/vfs/powerloss/powerloss_test.go
+++ b/internal/vfs/powerloss/powerloss_test.go
@@ -157,3 +157,20 @@
 	must.Eq(t, map[string]bool{"cd": true}, contents(d, "g"))
 	must.MapContainsKeys(t, contents(d, "f"), []string{"", "ab"})
 }
+
+// Guards against a record that takes durable files for unsynced ones after a process was killed while
+// it began the record.
+func TestFilesAreDurableAfterUnfinishedStartOfRecord(t *testing.T) {
+	folder, record := t.TempDir(), filepath.Join(t.TempDir(), "record")
+	must.NoError(t, os.WriteFile(filepath.Join(folder, "f"), []byte("ab"), 0o600))
+	loop := filepath.Join(folder, "loop")
+	must.NoError(t, os.Symlink(loop, loop))
+	_, err := NewRecorder(folder, record)
+	must.Error(t, err)
+	must.NoError(t, os.Remove(loop))
+	_, err = NewRecorder(folder, record)
+	must.NoError(t, err)
+	d, err := ReadRecord(record)
+	must.NoError(t, err)
+	must.Eq(t, map[string]bool{"ab": true}, contents(d, "f"))
+}
--- a/internal/vfs/powerloss/recorder.go
+++ b/internal/vfs/powerloss/recorder.go
@@ -29,6 +29,10 @@
 	open map[*recordedFile]bool
 }
 
+// unfinishedSuffix is the end of the name of a record that doesn't say yet what the folder holds. A
+// process that is killed meanwhile leaves no record.
+const unfinishedSuffix = ".unfinished"
+
 // NewRecorder opens the record of a folder. Without a record, what the folder holds is
 // durable. With one, what the last process did and couldn't record any more is recorded now.
 func NewRecorder(folder, record string) (*Recorder, error) {
@@ -40,7 +44,11 @@
 	if err != nil {
 		return nil, err
 	}
-	f, err := os.OpenFile(record, os.O_WRONLY|os.O_CREATE|os.O_APPEND, 0o600)
+	path := record
+	if isNew {
+		path += unfinishedSuffix
+	}
+	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_APPEND, 0o600)
 	if err != nil {
 		return nil, errors.Wrap(err, "open the record")
 	}
@@ -51,10 +59,13 @@
 	if err := r.recordDifferences(known); err != nil {
 		return nil, err
 	}
-	if isNew {
-		return r, r.add(Operation{Kind: Settle})
+	if !isNew {
+		return r, nil
+	}
+	if err := r.add(Operation{Kind: Settle}); err != nil {
+		return nil, err
 	}
-	return r, nil
+	return r, errors.Wrap(os.Rename(path, record), "finish the start of the record")
 }
 
 // ReadRecord returns the disk after all operations of a record. A process that was killed may
