instance: a process waits for settings that are still being written

What callers saw: a process that ends at its start with exit status 2 (FAULT), each time that the platform writes the settings in place while it starts. A cut between two lines could also be whole and valid, so that the process ran with the defaults of the missing bounds: a reload applies the seeds alone.

Change: Load reads a missing or invalid file again, every 20 ms for a second, then fails with the same message as before. An invalid file that is whole isn't refused at once: it can't be told from one cut between two lines.

Not done: an unknown control_mode, and a fraction in limits or fault_tolerance, still end the process with a message that names the field.

--- a/internal/instance/process.go
+++ b/internal/instance/process.go
@@ -114,7 +114,7 @@
 // Run runs a daemon with the settings file at path until ctx ends. It writes its log to
 // out.
 func (d Daemon) Run(ctx context.Context, path string, out io.Writer) error {
-	settings, content, err := Load(path)
+	settings, content, err := Load(ctx, path)
 	if err != nil {
 		return errors.Mark(err, errSettings)
 	}
--- a/internal/instance/settings.go
+++ b/internal/instance/settings.go
@@ -5,6 +5,7 @@
 package instance
 
 import (
+	"context"
 	"net"
 	"os"
 	"slices"
@@ -16,6 +17,7 @@
 	"github.com/bilberryferry/bilberryferry/dispatch"
 	"github.com/bilberryferry/bilberryferry/fault"
 	"github.com/bilberryferry/bilberryferry/internal/settings"
+	"github.com/bilberryferry/bilberryferry/internal/wait"
 )
 
 // SettingsEnv is the environment variable with the path of the settings file.
@@ -101,8 +103,29 @@
 	MaintenanceDuration:  settings.Duration(2 * time.Second),
 }
 
-// Load reads and validates a settings file. It also returns the content of the file.
-func Load(path string) (*Settings, string, error) {
+const (
+	// loadTimeout is how long Load waits for a valid settings file.
+	loadTimeout = time.Second
+	// loadRetryInterval is the time between two reads of an invalid settings file.
+	loadRetryInterval = 20 * time.Millisecond
+)
+
+// Load reads and validates a settings file. It also returns the content of the file. If the file
+// is missing or invalid, Load reads it again until loadTimeout has passed or ctx ends, since the
+// file may still be being written. A cut off file can be whole TOML that lacks a setting, so no
+// error is exempt.
+func Load(ctx context.Context, path string) (*Settings, string, error) {
+	started := time.Now()
+	for {
+		settings, content, err := loadOnce(path)
+		if err == nil || time.Since(started) >= loadTimeout || !wait.For(ctx, loadRetryInterval) {
+			return settings, content, err
+		}
+	}
+}
+
+// loadOnce reads and validates a settings file.
+func loadOnce(path string) (*Settings, string, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, "", errors.Wrap(err, "read the settings")
