instance: a log without a reader doesn't end a process

What callers saw: processes that end by themselves when whatever reads their log is restarted (FAULT).

Cause: in Go a write to standard output or error that fails with EPIPE ends the process by SIGPIPE. The sink ignores errors of writes, but it never got one.

Change: Main ignores SIGPIPE. Writes then fail with EPIPE, on sockets as before.

--- a/internal/instance/process.go
+++ b/internal/instance/process.go
@@ -89,6 +89,8 @@
 // of hangups makes it check that file for changes.
 func Main(d Daemon, hangups <-chan os.Signal) int {
 	d.hangups = hangups
+	// Otherwise a write to standard output or error ends the process once the reader is gone.
+	signal.Ignore(syscall.SIGPIPE)
 	path := os.Getenv(SettingsEnv)
 	if len(os.Args) > 1 {
 		path = os.Args[1]
