instance: the cause of a failure is on standard error

What callers saw: a process that ends with exit status 1 and nothing on standard error; the cause was only in the log on standard output, which a blocked or closed pipe loses.

Change: Main prints every error that ends the process to standard error. The exit codes stay.

--- a/internal/instance/daemon_test.go
+++ b/internal/instance/daemon_test.go
@@ -65,9 +65,16 @@
 
 // startDaemon starts a daemon of a role with the settings file at path.
 func startDaemon(t *testing.T, role, path string) *daemonProcess {
-	d := &daemonProcess{ended: make(chan struct{})}
-	d.cmd = daemonCommand(role, path)
-	d.cmd.Stdout, d.cmd.Stderr = &d.output, &d.output
+	return startCommand(t, daemonCommand(role, path))
+}
+
+// startCommand starts a command that runs a daemon. It collects the output unless the command
+// has one already.
+func startCommand(t *testing.T, cmd *exec.Cmd) *daemonProcess {
+	d := &daemonProcess{ended: make(chan struct{}), cmd: cmd}
+	if cmd.Stdout == nil {
+		cmd.Stdout, cmd.Stderr = &d.output, &d.output
+	}
 	must.NoError(t, d.cmd.Start())
 	go func() {
 		_ = d.cmd.Wait()
--- a/internal/instance/logpipe_test.go
+++ b/internal/instance/logpipe_test.go
@@ -11,18 +11,9 @@
 
 // startWithOutput starts an edge daemon whose standard output and error are file.
 func startWithOutput(t *testing.T, settings daemonSettings, file *os.File) *daemonProcess {
-	d := &daemonProcess{ended: make(chan struct{}), cmd: daemonCommand(edgeRole, writeSettings(t, settings.text()))}
-	d.cmd.Stdout, d.cmd.Stderr = file, file
-	must.NoError(t, d.cmd.Start())
-	go func() {
-		_ = d.cmd.Wait()
-		close(d.ended)
-	}()
-	t.Cleanup(func() {
-		_ = d.cmd.Process.Kill()
-		<-d.ended
-	})
-	return d
+	cmd := daemonCommand(edgeRole, writeSettings(t, settings.text()))
+	cmd.Stdout, cmd.Stderr = file, file
+	return startCommand(t, cmd)
 }
 
 // awaitListening waits until the daemon listens on an address.
--- a/internal/instance/process.go
+++ b/internal/instance/process.go
@@ -99,15 +99,14 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	err := d.Run(ctx, path, os.Stdout)
-	switch {
-	case err == nil:
+	if err == nil {
 		return ExitOK
-	case errors.Is(err, errSettings):
-		fmt.Fprintln(os.Stderr, err)
+	}
+	fmt.Fprintln(os.Stderr, err)
+	if errors.Is(err, errSettings) {
 		return ExitSettings
-	default:
-		return ExitFailed
 	}
+	return ExitFailed
 }
 
 // errSettings marks errors of the settings file.
