replica: a known red test, a later incarnation that one voter of five knows ends the member

What callers would see: with five voters (two tolerated losses), a process that ends by itself, with a disk again at each start, after: its state is lost and its clock is ahead at the start, one voter alone hears of that start, the state is lost again, it recovers with the three others under its right clock, and the one voter is back. Not mended here: recordOwnIncarnation panics on a member that isn't recovering, as its ID may run twice.

Groups of three ask both other voters, so that the one is always among them.

A mend to check: such a member becomes Recovering under a later incarnation instead, as if its state were lost now, and only a member that can't (its membership leaves it as the only voter) panics. The model of spec/ would have to show that this counts as a loss within the tolerance.

--- a/replica/clock_step_test.go
+++ b/replica/clock_step_test.go
@@ -72,3 +72,32 @@
 		taken[c.incarnation] = true
 	}
 }
+
+// Guards against a member that panics, with a disk at each start: one voter alone knows a later
+// incarnation, from a start whose clock was ahead and whose state is lost.
+func TestMemberSurvivesLaterIncarnationThatFewKnow(t *testing.T) {
+	for _, disks := range []int{0, 5} {
+		s := newSimWithLeader(t, simOptions{voters: 5, disks: disks})
+		s.ensureLeader(t, "n0")
+		witness, restarted := s.nodes[3], s.nodes[4]
+		for _, o := range s.nodes[:3] {
+			s.blockedLinks[[2]string{restarted.id, o.id}] = true
+			s.blockedLinks[[2]string{witness.id, o.id}] = true
+		}
+		restarted.restartUnder(100 * maxIncarnationSkip)
+		s.run(20)
+		must.Eq(t, 100*maxIncarnationSkip, witness.core.incarnations.of(restarted.id))
+		must.Less(t, maxIncarnationSkip, s.nodes[0].core.incarnations.of(restarted.id))
+
+		s.inTransit = nil
+		clear(s.blockedLinks)
+		s.isolate(witness)
+		restarted.restartUnder(0)
+		s.run(1)
+		s.awaitFollower(t, restarted)
+
+		clear(s.blockedLinks)
+		s.run(maxRecoverySteps)
+		s.awaitFollower(t, restarted)
+	}
+}
