--- a/internal/instance/process.go
+++ b/internal/instance/process.go
@@ -89,6 +89,8 @@
 // of hangups makes it check that file for changes.
 func Main(d Daemon, hangups <-chan os.Signal) int {
 	d.hangups = hangups
+	// Otherwise a write to standard output or error ends the process once the reader is gone.
+	signal.Ignore(syscall.SIGPIPE)
 	path := os.Getenv(SettingsEnv)
 	if len(os.Args) > 1 {
 		path = os.Args[1]
@@ -97,15 +99,14 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	err := d.Run(ctx, path, os.Stdout)
-	switch {
-	case err == nil:
+	if err == nil {
 		return ExitOK
-	case errors.Is(err, errSettings):
-		fmt.Fprintln(os.Stderr, err)
+	}
+	fmt.Fprintln(os.Stderr, err)
+	if errors.Is(err, errSettings) {
 		return ExitSettings
-	default:
-		return ExitFailed
 	}
+	return ExitFailed
 }
 
 // errSettings marks errors of the settings file.
@@ -114,7 +115,7 @@
 // Run runs a daemon with the settings file at path until ctx ends. It writes its log to
 // out.
 func (d Daemon) Run(ctx context.Context, path string, out io.Writer) error {
-	settings, content, err := Load(path)
+	settings, content, err := Load(ctx, path)
 	if err != nil {
 		return errors.Mark(err, errSettings)
 	}
