instance: the last responses fit into the time of the shutdown

Seen: since requests in flight get a final response, an edge instance may end 5.5 s after SIGTERM instead of 5.0 s (of 6 s), for instance if a client never sends the rest of a body. On a busy machine the platform kills it then.

Change: the contexts are cancelled 0.2 s before the end of the wait, at 4.8 s, and the last responses take until 5.1 s at most. A request with the default time limit (2.55 s of 3 s) that comes at the end of the 2.2 s for the balancer has still ended by then. A core instance does the same within half of its time.

TestStoppingEdgeLeavesTimeForItsExit failed before (5.5s <= 5.25s) and passes.

--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -157,9 +157,10 @@
 
 // stopCore transfers the leadership while this instance still responds to other instances,
 // stops the servers and ends the background work. The transfer and the wait for requests in
-// flight take half of the shutdown time at most, and the last responses finalResponseTime.
+// flight take half of the shutdown time at most, and the last responses finalResponseTime
+// less cancelLead.
 func (p *process) stopCore(logMember *member.Host, controlDrainer *drainer, c *components, stopWork func()) {
-	shutdownCtx, cancel := context.WithTimeout(context.Background(), p.settings.Bounds.ShutdownTimeout.Std()/2)
+	shutdownCtx, cancel := context.WithTimeout(context.Background(), p.settings.Bounds.ShutdownTimeout.Std()/2-cancelLead)
 	defer cancel()
 	logMember.TransferLeadership(shutdownCtx)
 	controlDrainer.settle(shutdownCtx)
--- a/internal/instance/drain.go
+++ b/internal/instance/drain.go
@@ -12,8 +12,9 @@
 
 const (
 	// finalResponseTime bounds how long requests take to respond once their contexts have been
-	// cancelled.
-	finalResponseTime = 500 * time.Millisecond
+	// cancelled, cancelLead is how long before the end of the wait for them that happens.
+	finalResponseTime = 300 * time.Millisecond
+	cancelLead        = 200 * time.Millisecond
 	// settleInterval is how long a server still accepts requests before it shuts down. A pause
 	// that takes maxSettleDelay longer shows that the process got too little processor time; it
 	// is repeated, maxSettlePauses in all.
--- a/internal/instance/drain_test.go
+++ b/internal/instance/drain_test.go
@@ -7,10 +7,14 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/bilberryferry/bilberryferry/internal/settings"
 )
 
 // Guards against a request that waits for the leader longer than the process may take to stop, and whose
@@ -111,3 +115,49 @@
 		})
 	}
 }
+
+// pipeListener accepts the server's ends of pipes.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.UnixAddr{Name: "pipe"} }
+
+// Guards against an edge instance that waits for a request whose body stays incomplete until the platform kills it,
+// with the time for its other work used up.
+func TestStoppingEdgeLeavesTimeForItsExit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { _, _ = io.ReadAll(r.Body) })}
+		drainer := newDrainer(server)
+		listener := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+		go func() { _ = server.Serve(listener) }()
+		client, accepted := net.Pipe()
+		defer func() { _, _ = client.Close(), server.Close() }()
+		defer drainer.cancelRequests()
+		listener.conns <- accepted
+		_, err := io.WriteString(client, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nhalf")
+		must.NoError(t, err)
+		p := &process{settings: &Settings{}}
+		const shutdownTimeout = 6 * time.Second
+		p.settings.Bounds.ShutdownTimeout = settings.Duration(shutdownTimeout)
+		stopped := time.Now()
+		p.stopEdge(t.Context(), drainer)
+		must.LessEq(t, shutdownTimeout-exitReserve*3/4, time.Since(stopped))
+	})
+}
--- a/internal/instance/edge.go
+++ b/internal/instance/edge.go
@@ -84,9 +84,9 @@
 
 // stopEdge accepts requests for unreadyGrace, unless workCtx ends before, and then waits until
 // those in flight have got their responses. It leaves exitReserve of the shutdown time, of
-// which the last responses take finalResponseTime at most.
+// which the last responses take finalResponseTime less cancelLead at most.
 func (p *process) stopEdge(workCtx context.Context, entryDrainer *drainer) {
-	shutdownCtx, cancel := context.WithTimeout(context.Background(), p.settings.Bounds.ShutdownTimeout.Std()-exitReserve)
+	shutdownCtx, cancel := context.WithTimeout(context.Background(), p.settings.Bounds.ShutdownTimeout.Std()-exitReserve-cancelLead)
 	defer cancel()
 	wait.For(workCtx, unreadyGrace-settleInterval)
 	entryDrainer.settle(shutdownCtx)
