instance: SIGHUP during the start doesn't end the process

Seen by operators: a process ends by itself (signal: hangup) when its settings change while it starts.

Cause: watchSettings is the first to receive SIGHUP, after the settings have been read and the components built, and stops when the work ends. Outside of that time SIGHUP has its default effect, which is to end the process.

Change: Main receives SIGHUP before it reads the settings, and for good.

--- a/internal/instance/process.go
+++ b/internal/instance/process.go
@@ -88,6 +88,7 @@
 		path = os.Args[1]
 	}
 	debug.SetGCPercent(gcPercent)
+	ignoreUnhandledHangups()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	err := d.Run(ctx, path, os.Stdout)
@@ -102,6 +103,11 @@
 	}
 }
 
+// ignoreUnhandledHangups makes SIGHUP have no effect while watchSettings doesn't receive it. By
+// default it would end the process, for instance if the settings file changes while the process
+// starts.
+func ignoreUnhandledHangups() { signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP) }
+
 // errSettings marks errors of the settings file.
 var errSettings = errors.New("settings")
 
