instance: settings that change during the start are applied

Found by reading, beside SIGHUP during the start; not seen in a run of real processes.

Cause: the start reads the settings file, and watchSettings read it once more to know what has changed since. A change between the two was taken for what was in force, and never applied: the instance kept its old seeds until the file changed again.

Change: watchSettings compares with the text that the settings were parsed from.

TestSettingsChangedDuringStartAreApplied failed before (nothing was applied in 5 s: -{"10.1.0.16", "10.2.0.33"} +nil) and passes now.

--- a/internal/instance/process.go
+++ b/internal/instance/process.go
@@ -248,17 +248,14 @@
 	}
 }
 
-// watchSettings calls changed with the new settings when the file has changed. It checks
-// the file at SIGHUP and at each reloadInterval. A file that is unreadable or invalid
+// watchSettings calls changed with the new settings when the file has changed since the
+// process read it at its start. It checks the file at SIGHUP and at each reloadInterval. A file that is unreadable or invalid
 // changes nothing.
 func (p *process) watchSettings(ctx context.Context, changed func(*Settings)) error {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
-	lastContent, err := os.ReadFile(p.settingsPath)
-	if err != nil {
-		_ = p.logger.Log("event", "reload", "outcome", "unreadable", "err", err)
-	}
+	lastContent := p.settings.text
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	for {
@@ -270,11 +267,11 @@
 		}
 		p.logDropped()
 		data, err := os.ReadFile(p.settingsPath)
-		if err != nil || string(data) == string(lastContent) {
+		if err != nil || string(data) == lastContent {
 			continue
 		}
-		lastContent = data
-		settings, err := Parse(string(data))
+		lastContent = string(data)
+		settings, err := Parse(lastContent)
 		_ = p.logger.Log("event", "reload", "err", err)
 		if err == nil {
 			changed(settings)
--- a/internal/instance/settings.go
+++ b/internal/instance/settings.go
@@ -23,6 +23,8 @@
 
 // Settings are the settings of one process of a deployment.
 type Settings struct {
+	// text is the content of the file that the settings were parsed from.
+	text string
 	// Instance is the name of this instance in logs.
 	Instance   string `toml:"instance"`
 	DataCentre string `toml:"data_centre"`
@@ -113,7 +115,7 @@
 // Parse parses and validates settings in TOML. The error of an invalid setting is a fault
 // that names the field.
 func Parse(text string) (*Settings, error) {
-	s := &Settings{Bounds: defaultBounds}
+	s := &Settings{text: text, Bounds: defaultBounds}
 	meta, err := toml.Decode(text, s)
 	if err != nil {
 		return nil, fault.Field("settings", "%v", err)
