--- a/internal/member/join.go
+++ b/internal/member/join.go
@@ -131,13 +131,22 @@
 		}
 		if time.Since(lastLogged) >= joinLogInterval {
 			lastLogged = time.Now()
-			_ = h.cfg.Logger.Log("event", "join", "outcome", "waiting for a leader", "asked", strings.Join(addresses, ","), "err", err)
+			h.logJoin(addresses, err)
 		}
 		wait.For(ctx, announceInterval)
 	}
 	return nil, errors.Wrap(ctx.Err(), "stopped before a leader was found")
 }
 
+// logJoin logs that no leader was found at the addresses.
+func (h *Host) logJoin(addresses []string, err error) {
+	outcome := "waiting for a leader"
+	if len(addresses) == 0 {
+		outcome = "no_seeds"
+	}
+	_ = h.cfg.Logger.Log("event", "join", "outcome", outcome, "asked", strings.Join(addresses, ","), "err", err)
+}
+
 // joinAddresses returns the known addresses, and that of the last sender of messages of the log.
 //
 // A seed that has lost its state is still in the membership, so the leader sends it messages of
