instance: a process waits for an address that the machine doesn't have yet

Seen by operators: nothing that was shown on a real boot; by reading. A process that starts before the machine's address is up ended by itself (EADDRNOTAVAIL), as it did for an address in use.

Change: both are tried again, with a line each.

Test: TestListenWaitsForAddressOfTheMachine. Before: 'listen tcp 192.0.2.1:0: bind: cannot assign requested address'. After: green.

--- a/internal/instance/listen.go
+++ b/internal/instance/listen.go
@@ -21,9 +21,10 @@
 	listenLogInterval = 10 * time.Second
 )
 
-// listenAndServe serves until Shutdown or Close of the server is called. While the address is in
-// use it tries again until ctx ends; another process on the machine may hold the port for a
-// moment, for instance for an outgoing connection. It calls listening once it listens.
+// listenAndServe serves until Shutdown or Close of the server is called. While the address can't be
+// had it tries again until ctx ends: another process on the machine may hold the port for a
+// moment, for instance for an outgoing connection, and a machine that boots may not have its
+// address yet. It calls listening once it listens.
 func listenAndServe(ctx context.Context, server *http.Server, logger log.Logger, listening func()) error {
 	listener, err := listenWhenFree(ctx, server.Addr, logger)
 	if err != nil {
@@ -36,8 +37,8 @@
 	return serveListener(ctx, server, listener, logger)
 }
 
-// listenWhenFree listens on a TCP address as soon as no other socket uses it. Any other error
-// is returned at once.
+// listenWhenFree listens on a TCP address as soon as the machine has it and no other socket uses
+// it. Any other error is returned at once.
 func listenWhenFree(ctx context.Context, address string, logger log.Logger) (net.Listener, error) {
 	if address == "" {
 		return nil, errors.New("no address to listen on")
@@ -46,7 +47,7 @@
 	var lastLogged time.Time
 	for {
 		listener, err := net.Listen("tcp", address)
-		if !errors.Is(err, syscall.EADDRINUSE) {
+		if !isTemporary(err) {
 			if err == nil && !lastLogged.IsZero() {
 				_ = logger.Log("event", "listen", "address", address, "outcome", "listening", "waited", time.Since(started))
 			}
@@ -54,7 +55,7 @@
 		}
 		if time.Since(lastLogged) >= listenLogInterval {
 			lastLogged = time.Now()
-			_ = logger.Log("event", "listen", "address", address, "outcome", "address_in_use")
+			_ = logger.Log("event", "listen", "address", address, "outcome", unavailableOutcome(err))
 		}
 		if !wait.For(ctx, listenRetryInterval) {
 			return nil, ctx.Err()
@@ -62,6 +63,19 @@
 	}
 }
 
+// isTemporary reports whether a failed attempt to listen may succeed later.
+func isTemporary(err error) bool {
+	return errors.Is(err, syscall.EADDRINUSE) || errors.Is(err, syscall.EADDRNOTAVAIL)
+}
+
+// unavailableOutcome returns the outcome in the log of an attempt that failed with a temporary error.
+func unavailableOutcome(err error) string {
+	if errors.Is(err, syscall.EADDRNOTAVAIL) {
+		return "address_not_available"
+	}
+	return "address_in_use"
+}
+
 // serveListener serves on a listener until Shutdown or Close of the server is called.
 func serveListener(ctx context.Context, server *http.Server, listener net.Listener, logger log.Logger) error {
 	err := server.Serve(&retryingListener{Listener: listener, ctx: ctx, logger: logger})
--- a/internal/instance/listen_test.go
+++ b/internal/instance/listen_test.go
@@ -54,6 +54,15 @@
 	daemon.stop(t)
 }
 
+// Guards against a process that ends because the machine doesn't have its address yet.
+func TestListenWaitsForAddressOfTheMachine(t *testing.T) {
+	const documentationAddress = "192.0.2.1:0" // which no machine has
+	ctx, cancel := context.WithTimeout(t.Context(), 3*listenRetryInterval)
+	defer cancel()
+	_, err := listenWhenFree(ctx, documentationAddress, log.NewNopLogger())
+	must.ErrorIs(t, err, context.DeadlineExceeded)
+}
+
 // Guards against an instance that counts as ready before it listens, and a wait that doesn't end
 // when the process stops.
 func TestAddressInUseDoesNotCountAsListening(t *testing.T) {
