control: a machine that needs no maintenance isn't down

A wave of one machine at a time could stop: while an entry of the machine list can't be read, a machine of it that needs no maintenance and has left counted as down.

Change: the stage is looked at before the list. Test: TestMachineWithoutMaintenanceIsNotDownWhileListIsUnreadable. Before: 'expected slice to be empty', len 1. After: green.

--- a/internal/control/maintenance.go
+++ b/internal/control/maintenance.go
@@ -126,12 +126,12 @@
 // machine that the list lacks has left if all entries could be read. t.mu must be held.
 func (t *leaderTerm) maintenanceOver(listed ListedMachine, exists bool, recorded workflow.Maintenance, now time.Time) bool {
 	switch {
+	case recorded.Stage == workflow.MaintenanceNotNeeded:
+		return true
 	case !exists:
 		return t.machines.unreadable == 0
-	case recorded.Stage == workflow.MaintenanceStarted:
-		return t.backFromMaintenance(listed, recorded, now)
 	default:
-		return recorded.Stage == workflow.MaintenanceNotNeeded
+		return recorded.Stage == workflow.MaintenanceStarted && t.backFromMaintenance(listed, recorded, now)
 	}
 }
 
--- a/internal/control/maintenance_test.go
+++ b/internal/control/maintenance_test.go
@@ -424,6 +424,20 @@
 	must.Eq(t, 1, machines.incarnations["m2"])
 }
 
+// Guards against a wave that stops because a machine that needs no maintenance and has left counts
+// as down while another entry of the list can't be read.
+func TestMachineWithoutMaintenanceIsNotDownWhileListIsUnreadable(t *testing.T) {
+	cluster := newTestCluster(t, nil)
+	term, err := cluster.controller.currentLeaderTerm(context.Background())
+	must.NoError(t, err)
+	term.machines.byID, term.machines.unreadable = map[string]ListedMachine{}, 1
+	wave := workflow.WaveState{
+		Wave:         workflow.Wave{ID: 1, Machines: []string{"m1"}, MaxDown: 1},
+		Maintenances: map[string]workflow.Maintenance{"m1": {Wave: 1, Machine: "m1", Stage: workflow.MaintenanceNotNeeded}},
+	}
+	must.SliceEmpty(t, term.waveMachines(&wave, map[string]bool{}, time.Now()).machines)
+}
+
 // Guards against reporting a wave as done without the maintenance of one machine: the list
 // is read completely first, then one of its entries is damaged. The machine of an
 // unreadable entry must not count as removed.
