replica: raised incarnations stay near the wall clock

Terms follow from incarnations in a cold start, so they would run ahead too.

Change: the distance is below 16 s.

Tests: TestRaisedIncarnationsStayNearTheClock; TestLowerIncarnationIsRaisedOrPanics has an upper bound again.

--- a/replica/clock_step_test.go
+++ b/replica/clock_step_test.go
@@ -73,6 +73,32 @@
 	}
 }
 
+// Guards against incarnations, and terms that follow from them, that run ahead of the clock: after
+// one start with the clock unset, each start with the right clock is raised further.
+func TestRaisedIncarnationsStayNearTheClock(t *testing.T) {
+	const (
+		startInterval = 10_000 // milliseconds
+		starts        = 100
+	)
+	clock := uint64(1 << 40)
+	known := clock
+	for i := range uint64(starts) {
+		incarnation := clock + i*startInterval
+		if i == 0 {
+			incarnation = 1
+		}
+		c, err := New(Config{ID: "n0", Incarnation: incarnation, Members: []Member{{ID: "n0"}, {ID: "n1"}, {ID: "n2"}}}, StoredState{})
+		must.NoError(t, err)
+		stepFromPeer(t, c, Message{Type: MsgAppend, From: "n1", Term: 3}, MemberIncarnation{ID: "n0", Incarnation: known})
+		must.Greater(t, known, c.incarnation)
+		known = c.incarnation
+		must.LessEq(t, clock+i*startInterval+4*maxIncarnationSkip, known)
+	}
+}
+
+// laterThanAll is an incarnation that no start with the right clock reaches in a simulation.
+const laterThanAll = 1 << 20
+
 // Guards against a member that panics, with a disk at each start: one voter alone knows a later
 // incarnation, from a start whose clock was ahead and whose state is lost.
 func TestMemberSurvivesLaterIncarnationThatFewKnow(t *testing.T) {
@@ -84,10 +110,10 @@
 			s.blockedLinks[[2]string{restarted.id, o.id}] = true
 			s.blockedLinks[[2]string{witness.id, o.id}] = true
 		}
-		restarted.restartUnder(100 * maxIncarnationSkip)
+		restarted.restartUnder(100 * laterThanAll)
 		s.run(20)
-		must.Eq(t, 100*maxIncarnationSkip, witness.core.incarnations.of(restarted.id))
-		must.Less(t, maxIncarnationSkip, s.nodes[0].core.incarnations.of(restarted.id))
+		must.Eq(t, 100*laterThanAll, witness.core.incarnations.of(restarted.id))
+		must.Less(t, laterThanAll, s.nodes[0].core.incarnations.of(restarted.id))
 
 		s.inTransit = nil
 		clear(s.blockedLinks)
--- a/replica/lease_test.go
+++ b/replica/lease_test.go
@@ -181,6 +181,7 @@
 	c := coreWithoutState(t)
 	stepFromPeer(t, c, Message{Type: MsgAppend, From: "n1", Term: 3}, MemberIncarnation{ID: "n0", Incarnation: 20})
 	must.Greater(t, 20, c.incarnation)
+	must.LessEq(t, 21+maxIncarnationSkip, c.incarnation)
 	d := candidateCore(t, "n0", "n1", "n2")
 	must.Panic(t, func() {
 		stepFromPeer(t, d, Message{Type: MsgAppend, From: "n1", Term: 9}, MemberIncarnation{ID: "n0", Incarnation: 20})
--- a/replica/step.go
+++ b/replica/step.go
@@ -127,8 +127,8 @@
 // than the one it runs under. A wall clock that went back between two starts causes this.
 // A recovering member has given no vote or acknowledgement yet and takes an even later
 // incarnation, which differs from that of another start that learned of the same one; a delayed
-// vote of that start would otherwise count as this member's. On any other member the message means that the same ID runs twice, and
-// the process stops.
+// vote of that start would otherwise count as this member's. On any other member the message
+// means that the same ID runs twice, and the process stops.
 func (c *Core) recordOwnIncarnation(incarnation uint64) {
 	if incarnation <= c.incarnation {
 		return
@@ -141,8 +141,9 @@
 }
 
 // maxIncarnationSkip bounds the distance between the incarnation that a member learns of and the
-// later one that it takes.
-const maxIncarnationSkip = 1 << 20
+// later one that it takes, in milliseconds of the wall clock. It is short, so that the incarnations
+// of a member that starts again and again don't run ahead of its clock.
+const maxIncarnationSkip = 16 * incarnationsPerTerm
 
 // startDigest returns a number that differs between the starts of a member.
 func (c *Core) startDigest() uint64 {
