node: a start waits for the lock of a process that is still stopping

Change: opening the log is tried again until the process is told to stop, with one line. wal.Open refuses as before (TestSecondProcessIsRefused).

Test: TestStartWaitsForLockOfStoppingProcess. Before: 'in use by another process: locked by another process'. After: green.

--- a/internal/cell/serve.go
+++ b/internal/cell/serve.go
@@ -16,6 +16,7 @@
 	"github.com/bilberryferry/bilberryferry/internal/node"
 	"github.com/bilberryferry/bilberryferry/internal/peer"
 	"github.com/bilberryferry/bilberryferry/internal/settings"
+	"github.com/bilberryferry/bilberryferry/internal/vfs"
 	"github.com/bilberryferry/bilberryferry/internal/wait"
 	"github.com/bilberryferry/bilberryferry/internal/wal"
 	"github.com/bilberryferry/bilberryferry/replica"
@@ -49,7 +50,7 @@
 		}
 	}
 	c, err := p.openGroups(ctx)
-	if errors.Is(err, wal.ErrDiskFull) && ctx.Err() != nil {
+	if ctx.Err() != nil && errors.IsAny(err, wal.ErrDiskFull, vfs.ErrLocked) {
 		return nil
 	}
 	if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/bilberryferry/bilberryferry/internal/vfs"
+	"github.com/bilberryferry/bilberryferry/internal/wait"
 	"github.com/bilberryferry/bilberryferry/internal/wal"
 	"github.com/bilberryferry/bilberryferry/replica"
 )
@@ -213,8 +214,9 @@
 }
 
 // Open reads the member's log, if it has one, and restores the state machine from the
-// snapshot in it. Run applies the entries after the snapshot. While the disk is full, Open waits
-// until a write succeeds or ctx ends; then the error is wal.ErrDiskFull.
+// snapshot in it. Run applies the entries after the snapshot. While the disk is full or another
+// process has the log locked, Open waits until ctx ends; then the error is wal.ErrDiskFull or
+// vfs.ErrLocked.
 func Open(ctx context.Context, cfg Config) (*Group, error) {
 	if err := cfg.normalize(); err != nil {
 		return nil, err
@@ -238,11 +240,22 @@
 	return g, nil
 }
 
+// lockRetryInterval is the time between two attempts to open a log that another process has locked.
+const lockRetryInterval = 50 * time.Millisecond
+
+// openLog opens the log on disk, if the member has one. While another process has it locked, such as
+// an earlier process of the instance that is still stopping, it tries again until runCtx ends.
 func (g *Group) openLog() (replica.StoredState, error) {
 	if g.cfg.Folder == "" {
 		return replica.StoredState{}, nil
 	}
 	w, stored, err := wal.Open(g.cfg.Files, g.cfg.Folder, g.waitForDiskSpace)
+	if errors.Is(err, vfs.ErrLocked) {
+		_ = g.logger.Log("event", "log_open", "outcome", "locked", "err", err)
+	}
+	for errors.Is(err, vfs.ErrLocked) && wait.For(g.runCtx, lockRetryInterval) {
+		w, stored, err = wal.Open(g.cfg.Files, g.cfg.Folder, g.waitForDiskSpace)
+	}
 	if err != nil {
 		return stored, errors.Wrapf(err, "log of group %s", g.cfg.Group)
 	}
