instance: an accept that fails while the process stops is no failure

What callers saw: nothing; found by the review. An accept that failed with ENOMEM, ENOBUFS or EPROTO between the end of the work and the end of the listener made the process exit as failed at a regular stop.

Test: TestErrorOfAcceptWhileStoppingIsNoFailure. Before: 'accept tcp: cannot allocate memory'. After: green.

--- a/internal/instance/listen.go
+++ b/internal/instance/listen.go
@@ -79,10 +79,10 @@
 // serveListener serves on a listener until Shutdown or Close of the server is called.
 func serveListener(ctx context.Context, server *http.Server, listener net.Listener, logger log.Logger) error {
 	err := server.Serve(&retryingListener{Listener: listener, ctx: ctx, logger: logger})
-	if err != http.ErrServerClosed {
-		return err
+	if err == http.ErrServerClosed || ctx.Err() != nil {
+		return nil
 	}
-	return nil
+	return err
 }
 
 // acceptRetryInterval is the time between two attempts to accept a connection after an error.
--- a/internal/instance/listen_test.go
+++ b/internal/instance/listen_test.go
@@ -63,6 +63,17 @@
 	must.ErrorIs(t, err, context.DeadlineExceeded)
 }
 
+// Guards against a process that is told to stop and ends as failed, because an accept fails meanwhile.
+func TestErrorOfAcceptWhileStoppingIsNoFailure(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer listener.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	flaky := &flakyListener{Listener: listener, failures: []error{syscall.ENOMEM}}
+	must.NoError(t, serveListener(ctx, newServer("", http.NewServeMux()), flaky, log.NewNopLogger()))
+}
+
 // Guards against an instance that counts as ready before it listens, and a wait that doesn't end
 // when the process stops.
 func TestAddressInUseDoesNotCountAsListening(t *testing.T) {
