instance: calls in flight of other instances get their response when a process stops

What callers saw: nothing that was traced; found by the review, by reading. When a leader stops, a call that an edge instance has forwarded to it was reset, so that its caller got 504 (may have been executed); a call of the product API lost its connection.

Change: the internal servers are shut down, for 200 ms at most, before they are closed. The work that such calls wait for has ended by then, so they fail at once with what is known.

Test: TestCallsInFlightGetTheirResponseWhenProcessStops. Before: 'Get ...: EOF'. After: green.

--- a/internal/instance/process.go
+++ b/internal/instance/process.go
@@ -47,6 +47,10 @@
 	maxAuxiliaryConnections = 32
 )
 
+// internalCloseTimeout bounds how long calls in flight of other instances, and of the product API, may
+// still respond when the process stops.
+const internalCloseTimeout = 200 * time.Millisecond
+
 // Exit codes of the daemons.
 const (
 	ExitOK       = 0
@@ -235,10 +239,16 @@
 }
 
 // close ends the servers of serveComponents.
+// Calls in flight have internalCloseTimeout to respond: the work that they wait for has ended, so
+// they fail at once, and their callers learn whether anything was done.
 func (c *components) close() {
-	_ = c.internalServer.Close()
-	_ = c.metricsServer.Close()
-	_ = c.apiServer.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), internalCloseTimeout)
+	defer cancel()
+	var closing errgroup.Group
+	for _, server := range []*http.Server{c.internalServer, c.metricsServer, c.apiServer} {
+		closing.Go(func() error { return errors.CombineErrors(server.Shutdown(ctx), server.Close()) })
+	}
+	_ = closing.Wait()
 }
 
 // awaitStop waits until the process is asked to stop (ctx ends) or a part of the process
--- a/internal/instance/process_test.go
+++ b/internal/instance/process_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"io"
+	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/shoenig/test/must"
@@ -14,6 +17,33 @@
 	"github.com/bilberryferry/bilberryferry/internal/oplog"
 )
 
+// Guards against calls of other instances and of the product API that are cut when a process stops, so
+// that their callers don't learn whether anything was done.
+func TestCallsInFlightGetTheirResponseWhenProcessStops(t *testing.T) {
+	handlerTime := internalCloseTimeout / 4
+	entered := make(chan struct{}, 1)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		entered <- struct{}{}
+		time.Sleep(handlerTime)
+		w.WriteHeader(http.StatusTeapot)
+	})
+	for _, called := range []string{"internal", "api"} {
+		servers := map[string]*http.Server{"internal": newInternalServer("", handler), "api": newInternalServer("", handler)}
+		c := &components{internalServer: servers["internal"], apiServer: servers["api"], metricsServer: newServer("", handler)}
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		must.NoError(t, err)
+		go func() { _ = servers[called].Serve(listener) }()
+		go func() {
+			<-entered
+			c.close()
+		}()
+		response, err := http.Get("http://" + listener.Addr().String())
+		must.NoError(t, err, must.Sprint(called))
+		must.Eq(t, http.StatusTeapot, response.StatusCode)
+		must.NoError(t, response.Body.Close())
+	}
+}
+
 // Guards against seeds that stay unknown because the settings file changes after the process has read it at its
 // start and before it watches the file.
 func TestSettingsChangedDuringStartAreApplied(t *testing.T) {
