--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -14,8 +14,8 @@
 	// quarantineFor is how long a quarantined worker gets no task.
 	quarantineFor = 4 * time.Second
 	// stallTimeout is the time after which a worker counts as stalled if it has runs that can
-	// advance and none has advanced by a percent. The longest tasks take 16 s, so they advance by a percent in
-	// 0.16 s.
+	// advance and none has advanced by a percent. The longest tasks take 16 s, so they advance by
+	// a percent in 0.16 s.
 	stallTimeout = 700 * time.Millisecond
 	// stalledPollHold is the longest hold of a poll of a stalled worker. The hold is short
 	// because the next report shows whether a run advances again.
--- a/internal/instance/drain_test.go
+++ b/internal/instance/drain_test.go
@@ -139,8 +139,8 @@
 
 func (l *pipeListener) Addr() net.Addr { return &net.UnixAddr{Name: "pipe"} }
 
-// Guards against an edge instance that waits for a request whose body stays incomplete until the platform kills it,
-// with the time for its other work used up.
+// Guards against an edge instance that waits for a request whose body stays incomplete until the
+// process is killed, with the time for its other work used up.
 func TestStoppingEdgeLeavesTimeForItsExit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { _, _ = io.ReadAll(r.Body) })}
--- a/internal/instance/load_test.go
+++ b/internal/instance/load_test.go
@@ -30,7 +30,7 @@
 	must.StrContains(t, daemon.output.String(), "internal_port")
 }
 
-// renderedSettings is the template of the deploy file as the platform renders it.
+// renderedSettings is the template of the deploy file as it is rendered.
 const renderedSettings = `data_centre = "thamel-hall"
 address = "10.1.0.15"
 internal_port = "7720"
@@ -67,8 +67,8 @@
 	must.StrHasSuffix(t, "\ninstance = \"{{node}}\"\n", string(template))
 }
 
-// Guards against a template that renders a key without a value, which isn't TOML, where a field of
-// the platform is empty or absent.
+// Guards against a template that renders a key without a value, which isn't TOML, where a value is
+// empty or absent.
 func TestTemplateQuotesOrSkipsEachAbsentValue(t *testing.T) {
 	template, err := os.ReadFile("../../deploy/settings.toml.tmpl")
 	must.NoError(t, err)
--- a/internal/instance/process.go
+++ b/internal/instance/process.go
@@ -238,9 +238,9 @@
 	group.Go(func() error { return p.watchSettings(ctx, changed) })
 }
 
-// close ends the servers of serveComponents.
-// Calls in flight have internalCloseTimeout to respond: the work that they wait for has ended, so
-// they fail at once, and their callers learn whether anything was done.
+// close ends the servers of serveComponents. Calls in flight have internalCloseTimeout to respond:
+// the work that they wait for has ended, so they fail at once, and their callers learn whether
+// anything was done.
 func (c *components) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), internalCloseTimeout)
 	defer cancel()
@@ -260,8 +260,8 @@
 	}
 }
 
-// watchSettings calls changed with the new settings when the file has changed since its load. It checks
-// the file at SIGHUP and at each reloadInterval. A file that is unreadable or invalid
+// watchSettings calls changed with the new settings when the file has changed since its load. It
+// checks the file at SIGHUP and at each reloadInterval. A file that is unreadable or invalid
 // changes nothing.
 func (p *process) watchSettings(ctx context.Context, changed func(*Settings)) error {
 	lastContent := p.settingsContent
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -205,8 +205,9 @@
 	version atomic.Pointer[func() uint64]
 }
 
-// NewMux returns a Mux without methods. It responds to calls of other methods as an instance that isn't
-// the leader does: an instance that is still starting doesn't serve all methods, and did nothing.
+// NewMux returns a Mux without methods. It responds to calls of other methods as an instance that
+// isn't the leader does: an instance that is still starting doesn't serve all methods, and did
+// nothing.
 func NewMux() *Mux {
 	m := &Mux{http: http.NewServeMux()}
 	m.http.HandleFunc(pathPrefix, func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/member/join.go
+++ b/internal/member/join.go
@@ -208,11 +208,10 @@
 // logs which unresponsive members it removes.
 func (h *Host) announceOnce(ctx context.Context) {
 	own, leader := h.address(h.cfg.ID), h.Leader()
-	switch leader {
-	case own:
+	if leader == own {
 		return
-	case "":
-	default:
+	}
+	if leader != "" {
 		_, _, _ = h.callJoin(ctx, leader)
 		return
 	}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -87,9 +87,9 @@
 	return errors.Wrap(err, "seek to the end of the log")
 }
 
-// Open opens the log in a folder of a file system, which it creates if it is missing, and returns the stored
-// state, which it has made durable. A *DamageError means that a file doesn't contain what
-// was written to it; in this case Open has changed nothing.
+// Open opens the log in a folder of a file system, which it creates if it is missing, and returns
+// the stored state, which it has made durable. A *DamageError means that a file doesn't contain
+// what was written to it; in this case Open has changed nothing.
 //
 // onDiskFull is a callback for writes that find the disk full, those of Open included. It
 // blocks until the next attempt and returns true to retry, or false to fail with ErrDiskFull.
