--- a/internal/instance/drain.go
+++ b/internal/instance/drain.go
@@ -51,9 +51,8 @@
 // after the response.
 //
 // Shutdown closes the listener and all idle connections, and the kernel resets those with
-// requests that the process hasn't read yet. On a busy machine these may have waited for
-// hundreds of milliseconds. A pause that isn't delayed shows that the process has had the time
-// to read them.
+// requests that the process hasn't read yet. A pause that isn't delayed shows that the process
+// has had the time to read them.
 func (d *drainer) settle(ctx context.Context) {
 	d.closing.Store(true)
 	for range maxSettlePauses {
