control: lost runs tell how far their start had got and how long the lease was over

A run that is lost by a lease that ended before its start was sent is told by start="not sent" (or "no order") beside a large lease_over_ms; a run lost by silence has start=confirmed and a small one.

--- a/internal/control/crash.go
+++ b/internal/control/crash.go
@@ -96,6 +96,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.c.cfg.Counters.Add("runs_lost", int64(len(ends)))
+	now := time.Now()
 	for _, end := range ends {
 		o := s.orders[end.Task]
 		known := o != nil && o.run.Number == end.Number
@@ -104,10 +105,35 @@
 			age = s.aliveFor(o)
 		}
 		t.logger.Log("event", "run_lost", "task", end.Task, "run", end.Number, "worker", s.worker.ID,
-			"age_ms", age.Milliseconds(), "age_known", known, "beside", len(ends)-1, "outcome", end.Outcome, "cause", cause)
+			"age_ms", age.Milliseconds(), "age_known", known, "start", startStageOf(o, end.Number),
+			"lease_over_ms", now.Sub(s.leaseEnd).Milliseconds(), "beside", len(ends)-1, "outcome", end.Outcome, "cause", cause)
 	}
 }
 
+// startStage is how far the start of a run has got, as logged.
+type startStage string
+
+const (
+	// startStageNoOrder: this session hasn't ordered the run. An earlier leader or session may have.
+	startStageNoOrder   startStage = "no order"
+	startStageNotSent   startStage = "not sent"
+	startStageSent      startStage = "sent"
+	startStageConfirmed startStage = "confirmed"
+)
+
+// startStageOf returns the stage of the start of a run whose task has the order o, or nil. t.mu must be held.
+func startStageOf(o *runOrder, number int) startStage {
+	switch {
+	case o == nil || o.run.Number != number:
+		return startStageNoOrder
+	case !o.startedAt.IsZero() || o.listed:
+		return startStageConfirmed
+	case o.openCalls > 0:
+		return startStageSent
+	}
+	return startStageNotSent
+}
+
 // unresolvedRuns returns the runs that ended when the worker's lease expired and for
 // which a crash may still turn out to be the cause. t.mu need not be held.
 func (s *workerSession) unresolvedRuns() (ends []workflow.RunEnd) {
