control: a proof that a lease is over ends only the runs it was checked with

Cause: repeated polls of idle workers extend no lease, so the lease of an idle worker ends while the worker is alive. A poll without a response then read 'lease over' under the lock, let go of it, and committed as lost every run that the log had for the worker by then, without a look at starts that were being committed or sent, nor at a lease that a start had extended since. The start was sent all the same: nothing asked whether the run was still alive in the log. A carrier that ends fails the polls of all its idle workers at once.

Ruled out by the record: a change of leader (one term throughout), a late start by the worker.

Change: the expiry of the lease and the runs that it ends are taken under one lock; from then on their starts aren't sent (mayStart is asked in the step that extends the lease, and before an order is made). A session that is given up is marked as ending first, so that no start extends a lease that the worker's next session doesn't know of.

The flag endKnown of an order became endsKnown of the session, since a run may be known to end before it has an order; two tests set it by markKnownEnds now, as strict as before.

--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -68,7 +68,7 @@
 // member is done, so the durations of its members are equal and say nothing about the workers.
 func (s *workerSession) recordPace(end workflow.RunEnd, now time.Time) {
 	o := s.orders[end.Task]
-	if o == nil || o.run.Number != end.Number || o.startedAt.IsZero() || o.resumed || o.endKnown {
+	if o == nil || o.run.Number != end.Number || o.startedAt.IsZero() || o.resumed || s.isEndKnown(o.run) {
 		return
 	}
 	duration := now.Sub(o.startedAt)
--- a/internal/control/leader_term.go
+++ b/internal/control/leader_term.go
@@ -270,6 +270,7 @@
 		inherited:       map[workflow.TaskKey]int{},
 		orders:          map[workflow.TaskKey]*runOrder{},
 		uncommittedEnds: map[workflow.TaskKey]workflow.RunEnd{},
+		endsKnown:       map[workflow.TaskKey]int{},
 		unknownRuns:     map[workflow.Run]time.Time{},
 		heartbeatAt:     time.Now(),
 		// The first response may come from an incarnation that the log doesn't have.
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -26,8 +26,6 @@
 	// orphaned says that the run is being stopped because no pending event would report its
 	// end.
 	orphaned bool
-	// endKnown says that the end of the run is known and only has to be committed.
-	endKnown bool
 	// listedByPollSentAt is when the poll was sent whose report last listed the run as
 	// alive.
 	listedByPollSentAt time.Time
--- a/internal/control/orphans.go
+++ b/internal/control/orphans.go
@@ -60,7 +60,7 @@
 		return s.inherited[run.Task] == run.Number
 	}
 	switch {
-	case o.endKnown, o.startInProgress, o.unanswered && o.abandoned:
+	case s.isEndKnown(run), o.startInProgress, o.unanswered && o.abandoned:
 		return true
 	case !o.orphaned && now.Sub(o.stopSentAt) < 2*stopRetryInterval:
 		return true
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -184,7 +184,8 @@
 }
 
 // sendCommittedStart sends a committed start. If its job has ended, its worker is no
-// longer monitored or its incarnation has ended, it commits the run as not started instead.
+// longer monitored, its incarnation has ended or the run counts as ended, it commits the run as not
+// started instead.
 //
 // A job may end while its start is being committed. The payload is removed with the job,
 // and the worker would be ordered to run a task with an empty payload.
@@ -197,14 +198,14 @@
 	o, payload, checkpoint := t.newOrder(run, ticket)
 	t.mu.Lock()
 	s := t.sessions[run.Worker]
-	workerGone := s == nil || s.ending
-	if o != nil && !workerGone {
+	mayStart := s != nil && s.mayStart(run)
+	if o != nil && mayStart {
 		s.addOrder(o)
 	}
 	t.mu.Unlock()
-	if o == nil || workerGone {
+	if o == nil || !mayStart {
 		t.logger.Log("event", "start", "task", run.Task, "run", run.Number, "worker", run.Worker,
-			"outcome", "not sent", "job_ended", o == nil, "worker_gone", workerGone)
+			"outcome", "not sent", "job_ended", o == nil, "worker_gone", s == nil, "run_ended", s != nil && !mayStart)
 		notStarted := &workflow.RunEnds{Worker: run.Worker, Ends: []workflow.RunEnd{
 			{Task: run.Task, Number: run.Number, Outcome: workflow.OutcomeNotStarted},
 		}}
--- a/internal/control/quick_restart_test.go
+++ b/internal/control/quick_restart_test.go
@@ -100,7 +100,7 @@
 		term.mu.Lock()
 		defer term.mu.Unlock()
 		s := term.sessions["n1"]
-		return s != nil && s.orders[task("a", 0)].endKnown
+		return s != nil && s.isEndKnown(workflow.Run{Task: task("a", 0), Number: 1})
 	})
 	cluster.restart("n1", "n2")
 	cluster.announceIncarnation("n2", 2)
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -90,6 +90,9 @@
 	orders    map[workflow.TaskKey]*runOrder
 	// uncommittedEnds are the ends that reports have shown and that aren't committed yet.
 	uncommittedEnds map[workflow.TaskKey]workflow.RunEnd
+	// endsKnown maps each task to the latest of its runs whose end is known and not committed yet:
+	// the leader proposes the end repeatedly, or the worker lists it in its reports.
+	endsKnown map[workflow.TaskKey]int
 	// unknownRuns are runs that the worker reports and the log doesn't have, with the time
 	// of the last stop that was sent for each.
 	unknownRuns map[workflow.Run]time.Time
@@ -325,20 +328,27 @@
 // recordUnansweredPoll updates the session after a poll without a response, and reports
 // whether the session is over. Once the lease has expired, nothing runs on the worker any
 // more, and its runs are committed as lost.
+//
+// An idle worker's lease expires although the worker is alive, since repeated polls don't extend
+// it. The expiry is therefore checked together with the runs that it ends: the start of a run that
+// the log gets later extends the lease.
 func (s *workerSession) recordUnansweredPoll(cause error) bool {
 	t := s.t
 	now := time.Now()
+	var ends collectedEnds
 	t.mu.Lock()
 	wasReady := s.ready
 	leaseExpired := now.After(s.leaseEnd)
-	noHeartbeat := now.Sub(s.heartbeatAt) > unresponsiveWorkerTimeout
 	if now.Sub(s.respondedAt) > maxResponseAge {
 		s.ready = false
 	}
 	nowReady := s.ready
 	proof := s.proofAfterSilence(now)
-	if proof != "" {
+	switch {
+	case proof != "":
 		s.setEnding()
+	case leaseExpired:
+		ends = s.collectEnds(workflow.OutcomeLost, allRuns)
 	}
 	t.mu.Unlock()
 	if wasReady && !nowReady {
@@ -351,8 +361,23 @@
 	if !leaseExpired {
 		return false
 	}
-	s.commitLostRuns("the lease expired without a response", workflow.OutcomeLost, allRuns)
-	if !noHeartbeat {
+	s.commitCollectedEnds("the lease expired without a response", ends)
+	return s.giveUpIfSilent(now)
+}
+
+// giveUpIfSilent ends the session of a worker without runs that has sent no heartbeat for
+// unresponsiveWorkerTimeout, and reports whether it did.
+func (s *workerSession) giveUpIfSilent(now time.Time) bool {
+	t := s.t
+	t.mu.Lock()
+	silent := now.Sub(s.heartbeatAt) > unresponsiveWorkerTimeout && !s.hasRuns()
+	if silent {
+		// A start that is sent from now on would extend a lease that the next session of the
+		// worker doesn't know of.
+		s.setEnding()
+	}
+	t.mu.Unlock()
+	if !silent {
 		return false
 	}
 	if unresolved := s.unresolvedRuns(); len(unresolved) > 0 {
@@ -401,54 +426,55 @@
 // allRuns selects all runs of a worker.
 func allRuns(workflow.Run) bool { return true }
 
+// collectedEnds are ends of runs that can't be alive any more: those that the worker has
+// reported, and those of lost runs.
+type collectedEnds struct {
+	reported, lost []workflow.RunEnd
+}
+
 // commitLostRuns commits the end of those runs of a worker for which selected returns
 // true. They can't be alive any more. The cause is logged.
 func (s *workerSession) commitLostRuns(cause string, outcome workflow.Outcome, selected func(workflow.Run) bool) {
-	s.commitReportedEnds(selected)
-	ends := s.lostEnds(outcome, selected)
-	if len(ends) == 0 {
-		return
-	}
-	s.t.logger.Log("event", "runs_lost", "worker", s.worker.ID, "runs", len(ends), "cause", cause)
-	s.logLostRuns(ends, cause)
-	s.commitEnds(0, ends)
-}
-
-// commitReportedEnds commits the ends that the worker has reported for those of its runs for
-// which selected returns true. The log may have refused them when they were reported, and
-// the worker can't list them again.
-func (s *workerSession) commitReportedEnds(selected func(workflow.Run) bool) {
-	var ends []workflow.RunEnd
 	s.t.mu.Lock()
-	s.t.c.state.read(func(state *workflow.State) {
-		for task, run := range state.Runs[s.worker.ID] {
-			if end, reported := s.uncommittedEnds[task]; reported && end.Number == run.Number && selected(run) {
-				ends = append(ends, end)
-			}
-		}
-	})
+	ends := s.collectEnds(outcome, selected)
 	s.t.mu.Unlock()
-	if len(ends) > 0 {
-		s.commitEnds(0, ends)
+	s.commitCollectedEnds(cause, ends)
+}
+
+// commitCollectedEnds commits ends. The cause of lost runs is logged.
+func (s *workerSession) commitCollectedEnds(cause string, ends collectedEnds) {
+	if len(ends.reported) > 0 {
+		s.commitEnds(0, ends.reported)
+	}
+	if len(ends.lost) == 0 {
+		return
 	}
+	s.t.logger.Log("event", "runs_lost", "worker", s.worker.ID, "runs", len(ends.lost), "cause", cause)
+	s.logLostRuns(ends.lost, cause)
+	s.commitEnds(0, ends.lost)
 }
 
-// lostEnds returns ends with the given outcome for the selected runs, with their last
-// checkpoints.
-func (s *workerSession) lostEnds(outcome workflow.Outcome, selected func(workflow.Run) bool) []workflow.RunEnd {
-	var ends []workflow.RunEnd
-	s.t.mu.Lock()
-	defer s.t.mu.Unlock()
+// collectEnds returns the ends of those runs of the worker for which selected returns true, and
+// keeps their starts from being sent from now on. A run whose end the worker has reported ends by
+// that: the log may have refused the end when it was reported, and the worker can't list it again.
+// Other runs get the given outcome and their last checkpoints. t.mu must be held.
+func (s *workerSession) collectEnds(outcome workflow.Outcome, selected func(workflow.Run) bool) (ends collectedEnds) {
 	s.t.c.state.read(func(state *workflow.State) {
 		for task, run := range state.Runs[s.worker.ID] {
 			if !selected(run) {
 				continue
 			}
-			ends = append(ends, workflow.RunEnd{
+			if end, reported := s.uncommittedEnds[task]; reported && end.Number == run.Number {
+				ends.reported = append(ends.reported, end)
+				continue
+			}
+			ends.lost = append(ends.lost, workflow.RunEnd{
 				Task: task, Number: run.Number, Outcome: outcome, Checkpoint: s.t.checkpoints[task], Suspicion: s.suspicion(run),
 			})
 		}
 	})
+	s.markKnownEnds(ends.reported)
+	s.markKnownEnds(ends.lost)
 	return ends
 }
 
@@ -476,8 +502,7 @@
 	s.t.wake()
 }
 
-// recordKnownEnds marks runs whose end is known: until the end is committed, the leader
-// proposes it repeatedly or the worker lists it in its reports.
+// recordKnownEnds marks runs whose end is known.
 func (s *workerSession) recordKnownEnds(ends []workflow.RunEnd) {
 	s.t.mu.Lock()
 	defer s.t.mu.Unlock()
@@ -487,12 +512,26 @@
 // markKnownEnds is recordKnownEnds for callers that hold t.mu.
 func (s *workerSession) markKnownEnds(ends []workflow.RunEnd) {
 	for _, end := range ends {
-		if o := s.orders[end.Task]; o != nil && o.run.Number == end.Number {
-			o.endKnown = true
-		}
+		s.endsKnown[end.Task] = max(s.endsKnown[end.Task], end.Number)
 	}
 }
 
+// isEndKnown reports whether the end of a run is known and not committed yet. t.mu must be held.
+func (s *workerSession) isEndKnown(run workflow.Run) bool { return s.endsKnown[run.Task] >= run.Number }
+
+// mayStart reports whether the start of a run may be sent: the session goes on, and the log has the
+// run and isn't about to get its end. t.mu must be held.
+func (s *workerSession) mayStart(run workflow.Run) (may bool) {
+	if s.ending || s.isEndKnown(run) {
+		return false
+	}
+	s.t.c.state.read(func(state *workflow.State) {
+		alive, ok := state.Runs[run.Worker][run.Task]
+		may = ok && alive.Number == run.Number
+	})
+	return may
+}
+
 // commitWithRetry proposes a command until it is committed. It reports false if the leader
 // term ends first.
 //
@@ -527,6 +566,9 @@
 	if s.uncommittedEnds[end.Task].Number <= end.Number {
 		delete(s.uncommittedEnds, end.Task)
 	}
+	if s.endsKnown[end.Task] <= end.Number {
+		delete(s.endsKnown, end.Task)
+	}
 	if o := s.orders[end.Task]; o != nil && o.run.Number > end.Number {
 		return
 	}
--- a/internal/control/speeds_test.go
+++ b/internal/control/speeds_test.go
@@ -26,7 +26,7 @@
 	term.sessions = map[string]*workerSession{}
 	for i := range 10 {
 		id := fmt.Sprint("w", i)
-		term.sessions[id] = &workerSession{t: term, worker: worker(id), ready: true, orders: map[workflow.TaskKey]*runOrder{}}
+		term.sessions[id] = &workerSession{t: term, worker: worker(id), ready: true, orders: map[workflow.TaskKey]*runOrder{}, endsKnown: map[workflow.TaskKey]int{}}
 	}
 	return &measuredPool{t: t, term: term, state: workflow.NewState(), now: time.Now()}
 }
@@ -95,7 +95,7 @@
 func TestRunsThatSayNothingAboutSpeedAreIgnored(t *testing.T) {
 	for name, change := range map[string]func(*workerSession, *runOrder){
 		"gang":       func(_ *workerSession, o *runOrder) { o.gang = true },
-		"reported":   func(_ *workerSession, o *runOrder) { o.endKnown = true },
+		"reported":   func(s *workerSession, o *runOrder) { s.markKnownEnds([]workflow.RunEnd{{Task: o.run.Task, Number: o.run.Number}}) },
 		"resumed":    func(_ *workerSession, o *runOrder) { o.resumed = true },
 		"spare":      func(_ *workerSession, o *runOrder) { o.usesSpareCPU = true },
 		"late":       func(s *workerSession, _ *runOrder) { s.endsDelayed = true },
--- a/internal/control/starts.go
+++ b/internal/control/starts.go
@@ -78,10 +78,10 @@
 }
 
 // outcomeUnknown reports whether a call that failed with err may still be carried out.
-// That is ruled out only if the worker refused it or another incarnation responded.
+// That is ruled out only if it wasn't sent, the worker refused it or another incarnation responded.
 func outcomeUnknown(err error) bool {
 	var refused *RefusedError
-	return !errors.Is(err, ErrOtherIncarnation) && !errors.As(err, &refused)
+	return !errors.Is(err, ErrOtherIncarnation) && !errors.Is(err, errWithdrawn) && !errors.As(err, &refused)
 }
 
 // settleStartAttempts determines the outcome of a start from the results of its calls. If
@@ -104,6 +104,7 @@
 			s.interruptPoll()
 			s.t.mu.Unlock()
 			return
+		case errors.Is(err, errWithdrawn):
 		case errors.As(err, &refused):
 			s.recordRefusal(o, refused.Reason)
 			lastRefusal = refused
@@ -115,7 +116,7 @@
 	switch {
 	case unanswered:
 		s.abandonUnlessListed(o)
-	case lastRefusal.Reason != RefusedStaleFence:
+	case lastRefusal != nil && lastRefusal.Reason != RefusedStaleFence:
 		s.commitEnds(0, []workflow.RunEnd{{Task: o.run.Task, Number: o.run.Number, Outcome: workflow.OutcomeNotStarted}})
 	}
 }
@@ -201,9 +202,19 @@
 	s.t.wake()
 }
 
+// errWithdrawn is the result of a start that isn't sent because its run is about to end or has
+// ended. Whoever found that end commits it.
+var errWithdrawn = errors.New("the run has ended")
+
 // errSuspended is the result of a start that isn't sent because the machine was suspended.
 var errSuspended = errors.New("the machine was suspended")
 
+func (s *workerSession) logWithdrawn(run workflow.Run) {
+	s.t.c.cfg.Counters.Add("starts_withdrawn", 1)
+	s.t.logger.Log("event", "start", "task", run.Task, "run", run.Number, "worker", s.worker.ID,
+		"outcome", "not sent", "cause", errWithdrawn)
+}
+
 // callStart makes one call of a start and records its result in the order.
 func (s *workerSession) callStart(o *runOrder, payload, checkpoint string) error {
 	t := s.t
@@ -211,6 +222,11 @@
 		return errSuspended
 	}
 	t.mu.Lock()
+	if !s.mayStart(o.run) {
+		t.mu.Unlock()
+		s.logWithdrawn(o.run)
+		return errWithdrawn
+	}
 	start := StartOrder{
 		Run: o.run, Payload: payload, LeaseEndMS: s.leaseEndMS(time.Now()), Fence: t.fence,
 		Checkpoint: checkpoint, Ticket: o.ticket,
