carrier: orders expire on the carrier's clock, so none is carried out late

Callers see TWICE: a task starts again after it was done, or beside its next run, at a worker that has started again under its ID.

Cause: the time limit of an order was a duration, which the carrier began to count when it executed the order. A carrier that stood still (SIGSTOP, a suspended machine, a busy process) carried out the orders in its hands and in its socket buffers when it went on, each with its full time limit, tens of seconds after the leader had given them up. The worker's next incarnation has seen no fencing token and has another clock, so it refuses nothing.

Ruled out: a shorter time limit (it begins to count too late, however short it is), and the leader's memory of open starts (15 s; a stall may be longer).

Change: each reply to collect carries a reading of the carrier's clock, which counts suspensions. At any later moment the carrier's clock shows at least that reading plus the time since on the leader's clock, less the drift. The leader translates the moment at which it gives up an order, reckoned before the order is queued, to this bound. The carrier begins no order after it, limits the call to the time that remains, and answers "expired", which the leader takes for not executed. A call names the incarnation whose clock was read; another one refuses it. A carrier carries out orders without an expiry as before, which leaders of earlier versions send. The random test stalls carriers, too.

Not covered: a carrier that is stopped in the instructions between the check and the write to the worker's socket.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-kit/log"
+
 	"github.com/bilberryferry/bilberryferry/internal/control"
 	"github.com/bilberryferry/bilberryferry/internal/link"
 )
@@ -30,6 +32,11 @@
 	// and not yet reported to the leader.
 	CollectHeartbeats func() []control.BufferedHeartbeat
 	Counters          control.Counters
+	// Clock is a steady clock that counts the time for which the machine is suspended. nil means
+	// package boottime.
+	Clock func() time.Duration
+	// Logger logs expired orders; nil logs nothing.
+	Logger log.Logger
 }
 
 // Carrier makes calls to workers on behalf of the current leader. It is safe for concurrent
@@ -39,6 +46,7 @@
 	// incarnation identifies this Carrier. It is random, so that it differs after a restart,
 	// and never 0, which means that a CollectCall names no incarnation.
 	incarnation uint64
+	expired     expiredOrders
 
 	mu sync.Mutex
 	// term is the latest leader term seen.
@@ -58,7 +66,7 @@
 
 // NewCarrier returns a Carrier that has no orders and has seen no leader.
 func NewCarrier(cfg CarrierConfig) *Carrier {
-	return &Carrier{cfg: cfg, incarnation: rand.Uint64() | 1, firstNumber: 1, outcomeAdded: make(chan struct{}), repeating: map[uint64]bool{}}
+	return &Carrier{cfg: cfg.withDefaults(), incarnation: rand.Uint64() | 1, firstNumber: 1, outcomeAdded: make(chan struct{}), repeating: map[uint64]bool{}}
 }
 
 // Register serves the carrier's methods on mux.
@@ -69,11 +77,14 @@
 
 // Carry starts to execute the orders of a call and returns immediately; the leader fetches
 // their outcomes with Collect. If the carrier has seen a later term, Carry executes no order
-// and returns that term.
+// and returns that term. It executes none either if the call names another incarnation.
 func (c *Carrier) Carry(ctx context.Context, call *CarryCall) (CarryReply, error) {
 	if currentTerm := c.adoptTerm(call.Term); currentTerm != call.Term {
 		return CarryReply{Term: currentTerm}, nil
 	}
+	if call.Incarnation != 0 && call.Incarnation != c.incarnation {
+		return CarryReply{Term: call.Term, OtherIncarnation: true}, nil
+	}
 	c.cfg.Counters.Add("carried_orders", int64(len(call.Orders)))
 	c.startRepeating(call)
 	ctx = context.WithoutCancel(ctx)
@@ -101,23 +112,20 @@
 	return c.term
 }
 
-// execute makes an order's call to the worker and stores the outcome.
+// execute makes an order's call to the worker, unless the order has expired, and stores the outcome.
 func (c *Carrier) execute(ctx context.Context, term uint64, order *Order) {
-	for {
-		outcome, err := c.call(ctx, order)
-		if err == nil && outcome.Report != nil && outcome.Report.IsIdle() && c.repeats(term, order.ID) {
-			continue
-		}
-		outcome.ID = order.ID
-		outcome.recordErr(err)
-		c.addOutcome(term, outcome)
-		return
+	outcome, err := c.callOnce(ctx, order)
+	for err == nil && outcome.Report != nil && outcome.Report.IsIdle() && c.repeats(term, order.ID) {
+		outcome, err = c.call(ctx, order, order.CallTimeout)
 	}
+	outcome.ID = order.ID
+	outcome.recordErr(err)
+	c.addOutcome(term, outcome)
 }
 
-// call makes one call of an order to the worker.
-func (c *Carrier) call(ctx context.Context, order *Order) (Outcome, error) {
-	ctx, cancel := context.WithTimeout(ctx, order.CallTimeout)
+// call makes one call of an order to the worker, within timeout.
+func (c *Carrier) call(ctx context.Context, order *Order, timeout time.Duration) (Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return order.callWorker(ctx, c.cfg.Workers)
 }
@@ -160,13 +168,13 @@
 		var added <-chan struct{}
 		reply.Outcomes, reply.LastNumber, added = c.outcomesAfter(call)
 		if len(reply.Outcomes) > 0 || call.Incarnation != c.incarnation {
-			reply.Repeated = c.takeRepeated(call.Term)
+			reply.Repeated, reply.Clock = c.takeRepeated(call.Term), c.cfg.Clock()
 			return reply, nil
 		}
 		select {
 		case <-added:
 		case <-holdTimer.C:
-			reply.Repeated = c.takeRepeated(call.Term)
+			reply.Repeated, reply.Clock = c.takeRepeated(call.Term), c.cfg.Clock()
 			return reply, nil
 		case <-ctx.Done():
 			return reply, ctx.Err()
--- a/internal/carrier/fake_test.go
+++ b/internal/carrier/fake_test.go
@@ -40,15 +40,18 @@
 	carriers map[string]*Carrier
 	workers  map[string]*fakeWorkers
 	// refusing instances refuse connections, unresponsive ones accept messages without
-	// processing them, and those in droppingReplies process messages and send no reply.
-	refusing, unresponsive, droppingReplies map[string]bool
-	callCounts                              map[string]int
+	// processing them, those in droppingReplies process messages and send no reply, and stalled
+	// ones process messages when they go on.
+	refusing, unresponsive, droppingReplies, stalled map[string]bool
+	callCounts                                       map[string]int
+	counters                                         *countersByName
 }
 
 func newCluster(t *testing.T, carriers int) *cluster {
 	c := &cluster{
 		t: t, carriers: map[string]*Carrier{}, workers: map[string]*fakeWorkers{},
-		refusing: map[string]bool{}, unresponsive: map[string]bool{}, droppingReplies: map[string]bool{}, callCounts: map[string]int{},
+		refusing: map[string]bool{}, unresponsive: map[string]bool{}, droppingReplies: map[string]bool{}, stalled: map[string]bool{},
+		callCounts: map[string]int{}, counters: &countersByName{},
 	}
 	c.members = []string{"leader"}
 	c.workers["leader"] = &fakeWorkers{}
@@ -60,16 +63,31 @@
 	}
 	c.forwarder = NewForwarder(ForwarderConfig{
 		OwnAddress: "leader", Members: c.currentMembers, Transport: c,
-		DirectWorkers: c.workers["leader"], ApplyHeartbeats: func([]control.BufferedHeartbeat) {}, Logger: log.NewNopLogger(), Counters: noCounters{},
+		DirectWorkers: c.workers["leader"], ApplyHeartbeats: func([]control.BufferedHeartbeat) {}, Logger: log.NewNopLogger(), Counters: noCounters{}, Clock: leaderClock,
 	})
 	return c
 }
 
+const (
+	// leaderBootTime and carrierBootTime are how long the machines have been up at the epoch of
+	// simulated time; their clocks differ.
+	leaderBootTime  = 3 * time.Hour
+	carrierBootTime = time.Hour
+)
+
+// simulatedEpoch is the start of simulated time.
+var simulatedEpoch = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func leaderClock() time.Duration  { return leaderBootTime + time.Since(simulatedEpoch) }
+func carrierClock() time.Duration { return carrierBootTime + time.Since(simulatedEpoch) }
+
 // restart replaces an instance's carrier by one without orders or outcomes.
 func (c *cluster) restart(name string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.carriers[name] = newTestCarrier(c.workers[name], "dc-"+name)
+	carrier := newTestCarrier(c.workers[name], "dc-"+name)
+	carrier.cfg.Counters = c.counters
+	c.carriers[name] = carrier
 }
 
 func (c *cluster) currentMembers() []string {
@@ -88,7 +106,7 @@
 
 func newTestCarrier(workers control.Workers, dataCentre string) *Carrier {
 	return NewCarrier(CarrierConfig{
-		Workers: workers, DataCentre: dataCentre, Counters: noCounters{},
+		Workers: workers, DataCentre: dataCentre, Counters: noCounters{}, Clock: carrierClock,
 		CollectHeartbeats: func() []control.BufferedHeartbeat { return nil },
 	})
 }
@@ -150,6 +168,11 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
+	if c.hasFault(c.stalled, address) {
+		go c.serveLater(address, carrier, method, request)
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	response, err := serve(ctx, carrier, method, request)
 	if err == nil && c.hasFault(c.droppingReplies, address) {
 		<-ctx.Done()
@@ -162,6 +185,21 @@
 	return copyMessage(response, reply)
 }
 
+// endStalls lets all stalled carriers go on.
+func (c *cluster) endStalls() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(c.stalled)
+}
+
+// serveLater passes a call to a carrier once the carrier is no longer stalled.
+func (c *cluster) serveLater(address string, carrier *Carrier, method string, request any) {
+	for c.hasFault(c.stalled, address) {
+		time.Sleep(networkDelay)
+	}
+	_, _ = serve(context.Background(), carrier, method, request)
+}
+
 // serve passes a call to a carrier.
 func serve(ctx context.Context, carrier *Carrier, method string, request any) (any, error) {
 	if method == MethodCarry {
@@ -261,6 +299,28 @@
 func (noCounters) Observe(string, time.Duration)               {}
 func (noCounters) SetByLabel(string, string, map[string]int64) {}
 
+// countersByName keeps counts and discards all other figures.
+type countersByName struct {
+	noCounters
+	mu     sync.Mutex
+	counts map[string]int64
+}
+
+func (c *countersByName) Add(name string, n int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.counts == nil {
+		c.counts = map[string]int64{}
+	}
+	c.counts[name] += n
+}
+
+func (c *countersByName) value(name string) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.counts[name]
+}
+
 // start sends a start to a worker with a timeout of startTimeout.
 func (c *cluster) start(worker string) error {
 	ctx, cancel := context.WithTimeout(c.t.Context(), startTimeout)
--- a/internal/carrier/forwarder.go
+++ b/internal/carrier/forwarder.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 
+	"github.com/bilberryferry/bilberryferry/internal/boottime"
 	"github.com/bilberryferry/bilberryferry/internal/control"
 	"github.com/bilberryferry/bilberryferry/internal/wait"
 )
@@ -42,6 +43,9 @@
 	ApplyHeartbeats func([]control.BufferedHeartbeat)
 	Logger          log.Logger
 	Counters        control.Counters
+	// Clock is a steady clock that counts the time for which the machine is suspended. nil means
+	// package boottime.
+	Clock func() time.Duration
 }
 
 // Forwarder sends the leader's orders to workers, by direct calls up to a rate and through
@@ -61,7 +65,12 @@
 }
 
 // NewForwarder returns a Forwarder of an instance that isn't the leader.
-func NewForwarder(cfg ForwarderConfig) *Forwarder { return &Forwarder{cfg: cfg} }
+func NewForwarder(cfg ForwarderConfig) *Forwarder {
+	if cfg.Clock == nil {
+		cfg.Clock = boottime.Now
+	}
+	return &Forwarder{cfg: cfg}
+}
 
 // Lead opens routes to the other members for a leader term. The routes stay open until ctx
 // ends. Lead returns when the first call to each carrier has succeeded or failed, after
@@ -187,11 +196,11 @@
 	return *outcome.Report, nil
 }
 
-// errNotForwarded says that no carrier can have received an order.
-var errNotForwarded = errors.New("no carrier received the order")
+// errNotForwarded says that no carrier can execute an order.
+var errNotForwarded = errors.New("no carrier executes the order")
 
 // send forwards an order to a carrier. It calls the worker directly if no carrier can
-// have received the order.
+// execute the order.
 func (f *Forwarder) send(ctx context.Context, order *Order) (Outcome, error) {
 	f.direct.countOrder()
 	outcome, err := f.forward(ctx, order)
--- a/internal/carrier/messages.go
+++ b/internal/carrier/messages.go
@@ -40,8 +40,11 @@
 	Stop     *control.StopOrder     `cbor:"4,keyasint,omitempty"`
 	Throttle *control.ThrottleOrder `cbor:"5,keyasint,omitempty"`
 	Poll     *control.PollOrder     `cbor:"6,keyasint,omitempty"`
-	// CallTimeout is how long the carrier waits for the worker's response.
+	// CallTimeout is how long the carrier waits for the worker's response to a repeated poll.
 	CallTimeout time.Duration `cbor:"7,keyasint"`
+	// Expiry is the time on the carrier's clock at which the leader gives up the order at the
+	// earliest. The carrier doesn't begin to execute it then, and waits no longer for the response.
+	Expiry time.Duration `cbor:"8,keyasint,omitempty"`
 }
 
 // callWorker makes the order's call through workers and returns the error of that call.
@@ -68,12 +71,16 @@
 	Orders []Order `cbor:"2,keyasint"`
 	// Withdrawn are the IDs of polls that the carrier is to repeat no longer.
 	Withdrawn []uint64 `cbor:"3,keyasint,omitempty"`
+	// Incarnation is the incarnation of the carrier on whose clock the orders expire. It is 0 in
+	// calls of earlier versions, whose orders have no expiry.
+	Incarnation uint64 `cbor:"4,keyasint,omitempty"`
 }
 
-// CarryReply returns the carrier's term. If this term is later than the call's, the carrier
-// executes none of the orders.
+// CarryReply returns the carrier's term. If this term is later than the call's, or if the call names
+// another incarnation, the carrier executes none of the orders.
 type CarryReply struct {
-	Term uint64 `cbor:"1,keyasint"`
+	Term             uint64 `cbor:"1,keyasint"`
+	OtherIncarnation bool   `cbor:"2,keyasint,omitempty"`
 }
 
 // CollectCall requests the outcomes of orders.
@@ -103,6 +110,8 @@
 	// Repeated are the IDs of the polls that were answered by an idle worker since the last
 	// reply, and repeated.
 	Repeated []uint64 `cbor:"7,keyasint,omitempty"`
+	// Clock is what the carrier's clock showed before the reply was sent.
+	Clock time.Duration `cbor:"8,keyasint,omitempty"`
 }
 
 // Outcome is the result of an order.
@@ -118,6 +127,8 @@
 	OtherIncarnation bool `cbor:"5,keyasint,omitempty"`
 	// NoResponse is the error of a call that may or may not have been executed.
 	NoResponse string `cbor:"6,keyasint,omitempty"`
+	// Expired says that the order had expired, and that the carrier hasn't executed it.
+	Expired bool `cbor:"7,keyasint,omitempty"`
 }
 
 // errNoResponse says that an order may or may not have been executed.
@@ -126,6 +137,8 @@
 // err returns the error that the outcome represents, or nil if the worker executed the order.
 func (o *Outcome) err() error {
 	switch {
+	case o.Expired:
+		return errors.Wrap(errNotForwarded, "the order expired at the carrier")
 	case o.OtherIncarnation:
 		return control.ErrOtherIncarnation
 	case o.Refused != "":
--- a/internal/carrier/random_test.go
+++ b/internal/carrier/random_test.go
@@ -12,7 +12,7 @@
 	"pgregory.net/rapid"
 )
 
-// Carriers stop responding, restart and refuse connections while orders are forwarded. Every
+// Carriers stop responding, stand still, restart and refuse connections while orders are forwarded. Every
 // order must end within its timeout of 600 ms, a successful one must have reached its worker,
 // and no order may reach a worker twice. If an outcome is matched to another order, the
 // leader treats an executed start as lost, or an unsent one as executed.
@@ -54,6 +54,7 @@
 	}
 	group.Wait()
 	c.endTerm()
+	c.endStalls()
 	time.Sleep(settleTime)
 	sent := c.startsByWorker()
 	for worker, ok := range succeeded {
@@ -67,7 +68,7 @@
 // injectFault changes the behaviour of one random carrier.
 func (c *cluster) injectFault(random *rand.Rand, carriers int) {
 	name := fmt.Sprintf("carrier-%d", random.IntN(carriers))
-	switch random.IntN(4) {
+	switch random.IntN(5) {
 	case 0:
 		c.setFault(c.unresponsive, name, !c.hasFault(c.unresponsive, name))
 	case 1:
@@ -76,5 +77,7 @@
 		c.setFault(c.droppingReplies, name, !c.hasFault(c.droppingReplies, name))
 	case 3:
 		c.restart(name)
+	case 4:
+		c.setFault(c.stalled, name, !c.hasFault(c.stalled, name))
 	}
 }
--- a/internal/carrier/route.go
+++ b/internal/carrier/route.go
@@ -1,9 +1,9 @@
 package carrier
 
 import (
+	"cmp"
 	"container/list"
 	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -61,7 +61,9 @@
 	// dataCentre is the data centre of the carrier.
 	responsive bool
 	dataCentre string
-	queue      []*Order
+	// reading is the reading of the carrier's clock by which orders expire.
+	reading clockReading
+	queue   []*Order
 	// withdrawn are the repeated polls that the carrier is to repeat no longer.
 	withdrawn []uint64
 	// ended says that the loops of the route have ended.
@@ -87,7 +89,9 @@
 // pendingOrder is an order without an outcome.
 type pendingOrder struct {
 	enqueuedAt time.Time
-	stage      stage
+	// deadline is when the leader gives up the order, by its own clock.
+	deadline time.Duration
+	stage    stage
 	// result receives the outcome or an error; it has a buffer of one.
 	result chan orderResult
 	// element is the order's entry in nonPolls; nil for a poll.
@@ -163,6 +167,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		order.CallTimeout = time.Until(deadline)
 	}
+	p.deadline = r.cfg.Clock() + cmp.Or(order.CallTimeout, maxCallTime)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.ended {
@@ -256,14 +261,17 @@
 func (r *route) sendBatch(ctx context.Context, batch []*Order, withdrawn []uint64) {
 	ctx, cancel := context.WithTimeout(ctx, roundTripTimeout)
 	defer cancel()
-	call := &CarryCall{Term: r.term, Orders: make([]Order, 0, len(batch)), Withdrawn: withdrawn}
-	for _, order := range batch {
-		call.Orders = append(call.Orders, *order)
+	call, ok := r.newCarryCall(batch, withdrawn)
+	if !ok {
+		r.failBatch(batch, errNotForwarded)
+		return
 	}
 	r.cfg.Counters.Add("order_messages", 1)
 	var reply CarryReply
 	err := r.cfg.Transport.Call(ctx, r.address, MethodCarry, call, &reply)
 	switch {
+	case err == nil && reply.Term == r.term && reply.OtherIncarnation:
+		r.failBatch(batch, errors.Wrap(errNotForwarded, errRestarted.Error()))
 	case err == nil && reply.Term == r.term:
 		r.markSent(batch)
 		return
@@ -312,6 +320,7 @@
 			wait.For(ctx, unresponsiveRetryInterval)
 			continue
 		}
+		r.recordClock(&reply)
 		r.applyRepeated(reply.Repeated)
 		r.applyOutcomes(reply.Outcomes)
 		if last.Incarnation != 0 && reply.Incarnation != last.Incarnation {
@@ -334,13 +343,6 @@
 // markContacted ends a new leader's wait for the first response of the carrier.
 func (r *route) markContacted() { r.contactedOnce.Do(func() { close(r.contacted) }) }
 
-// errOtherTerm is the cause when a carrier follows another leader.
-var errOtherTerm = errors.New("the carrier follows another leader")
-
-// errRestarted is the cause when pending orders fail because a new incarnation of the carrier
-// has responded.
-var errRestarted = errors.New("the carrier has restarted")
-
 // collectOnce makes one collect call that acknowledges the outcomes of the last reply. It
 // fails if the carrier is in another term.
 func (r *route) collectOnce(ctx context.Context, last *CollectReply) (CollectReply, error) {
@@ -387,64 +389,3 @@
 	r.responsive = responsive
 	_ = r.cfg.Logger.Log("event", "carrier", "carrier", r.address, "term", r.term, "present", responsive, "err", cause)
 }
-
-// failUncollected completes orders after a failed collect call, so that callers don't wait
-// for outcomes that may not arrive. Orders that were sent fail with errNoResponse, because
-// they may have been executed. Queued orders fail with errNotForwarded, because they can't
-// have arrived; without that distinction a leader would wait for runs that never started.
-// Orders whose message is in flight are left to sendBatch, which is told what became of it.
-//
-// After a call that shows another leader all orders fail with errNoResponse: this leader
-// must not call the workers itself any more.
-func (r *route) failUncollected(cause error) {
-	if errors.Is(cause, errOtherTerm) {
-		r.failStages(cause, func(stage) error { return errNoResponse })
-		return
-	}
-	r.failStages(cause, func(s stage) error {
-		switch s {
-		case stageQueued:
-			return errNotForwarded
-		case stageSent:
-			return errNoResponse
-		}
-		return nil
-	})
-}
-
-// failSent completes the orders that a previous incarnation of the carrier may have
-// received with errNoResponse. Queued orders go to the new incarnation.
-func (r *route) failSent(cause error) {
-	r.failStages(cause, func(s stage) error {
-		if s == stageQueued {
-			return nil
-		}
-		return errNoResponse
-	})
-}
-
-// end completes all orders, and makes later ones fail with errNotForwarded.
-func (r *route) end(cause error) {
-	r.mu.Lock()
-	r.ended = true
-	r.mu.Unlock()
-	r.failStages(cause, func(s stage) error {
-		if s == stageQueued {
-			return errNotForwarded
-		}
-		return errNoResponse
-	})
-}
-
-// failStages completes each pending order with the error that errOf returns for its stage;
-// orders for which it returns nil stay pending.
-func (r *route) failStages(cause error, errOf func(stage) error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for id, p := range r.pending {
-		if err := errOf(p.stage); err != nil {
-			r.complete(id, orderResult{err: errors.Wrap(err, cause.Error())})
-		}
-	}
-	r.queue = slices.DeleteFunc(r.queue, func(order *Order) bool { return r.pending[order.ID] == nil })
-}
--- a/internal/carrier/route_test.go
+++ b/internal/carrier/route_test.go
@@ -17,7 +17,7 @@
 
 // routeWithOrders returns a route without loops, and a pending order at each stage.
 func routeWithOrders(t *testing.T) (r *route, queued, sending, sent *pendingOrder) {
-	r = newRoute(&ForwarderConfig{Logger: log.NewNopLogger(), Counters: noCounters{}}, "a", 1, &atomic.Uint64{})
+	r = newRoute(&ForwarderConfig{Logger: log.NewNopLogger(), Counters: noCounters{}, Clock: leaderClock}, "a", 1, &atomic.Uint64{})
 	sent = r.enqueue(t.Context(), &Order{})
 	r.markSent(r.nextBatch())
 	sending = r.enqueue(t.Context(), &Order{})
@@ -93,7 +93,8 @@
 // Guards against orders that wait for an outcome although the carrier has refused their message because of load, and
 // against a carrier that gets further orders meanwhile.
 func TestOverloadedCarrierCountsAsLostCall(t *testing.T) {
-	r := newRoute(&ForwarderConfig{Transport: overloadedTransport{}, Logger: log.NewNopLogger(), Counters: noCounters{}}, "a", 1, &atomic.Uint64{})
+	r := newRoute(&ForwarderConfig{Transport: overloadedTransport{}, Logger: log.NewNopLogger(), Counters: noCounters{}, Clock: leaderClock}, "a", 1, &atomic.Uint64{})
+	r.recordClock(&CollectReply{Incarnation: 1})
 	r.setResponsive(true, nil)
 	order := r.enqueue(t.Context(), &Order{})
 	r.sendBatch(t.Context(), r.nextBatch(), nil)
--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -132,7 +132,7 @@
 	var localCarrier *carrier.Carrier
 	if !cfg.OrdersByHeartbeat {
 		localCarrier = carrier.NewCarrier(carrier.CarrierConfig{
-			Workers: c.deployment, DataCentre: p.settings.DataCentre, Counters: p.metrics,
+			Workers: c.deployment, DataCentre: p.settings.DataCentre, Counters: p.metrics, Logger: p.logger,
 			CollectHeartbeats: func() []control.BufferedHeartbeat { return controller.CollectHeartbeats() },
 		})
 		forwarder := carrier.NewForwarder(carrier.ForwarderConfig{
