--- a/internal/carrier/forwarder.go
+++ b/internal/carrier/forwarder.go
@@ -41,8 +41,11 @@
 	DirectWorkers control.Workers
 	// ApplyHeartbeats processes the heartbeats that other instances received.
 	ApplyHeartbeats func([]control.BufferedHeartbeat)
-	Logger          log.Logger
-	Counters        control.Counters
+	// MaxDirectCallsPerSecond bounds the calls to workers that the leader makes itself although a
+	// carrier could make them. 0 stands for the default, a negative value for no such calls.
+	MaxDirectCallsPerSecond int
+	Logger                  log.Logger
+	Counters                control.Counters
 	// Clock is a steady clock that counts the time for which the machine is suspended. nil means
 	// package boottime.
 	Clock func() time.Duration
@@ -69,7 +72,7 @@
 	if cfg.Clock == nil {
 		cfg.Clock = boottime.Now
 	}
-	return &Forwarder{cfg: cfg}
+	return &Forwarder{cfg: cfg, direct: directShare{maxPerSecond: directLimit(cfg.MaxDirectCallsPerSecond)}}
 }
 
 // Lead opens routes to the other members for a leader term. The routes stay open until ctx
