carrier: the bound of the leader's direct calls can be configured

A harness with few orders can't send them through carriers: up to 500 calls a second the leader makes all calls itself. ForwarderConfig gets MaxDirectCallsPerSecond; its zero value keeps the bound, a negative one forwards everything that a carrier can take.

--- a/internal/carrier/direct_share.go
+++ b/internal/carrier/direct_share.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// maxDirectCallsPerSecond bounds the calls to workers that the leader makes itself. This
-	// rate leaves the leader most of the time of a small processor for its decisions.
-	maxDirectCallsPerSecond = 500
+	// defaultMaxDirectCallsPerSecond bounds the calls to workers that the leader makes itself.
+	// This rate leaves the leader most of the time of a small processor for its decisions.
+	defaultMaxDirectCallsPerSecond = 500
 	// rateWeight is the weight of the latest value in the moving average of the orders per
 	// second.
 	rateWeight = 0.3
@@ -25,7 +25,9 @@
 // would only delay starts and ends of runs. At several thousand, direct calls would take the
 // time that the leader needs for its decisions.
 type directShare struct {
-	orderCount atomic.Int64
+	// maxPerSecond bounds the direct calls per second; 0 means that there are none.
+	maxPerSecond float64
+	orderCount   atomic.Int64
 
 	mu sync.Mutex
 	// ordersPerSecond is a moving average.
@@ -36,6 +38,14 @@
 	hashLimit uint64
 }
 
+// directLimit returns the bound of the direct calls per second that a configured value stands for.
+func directLimit(configured int) float64 {
+	if configured == 0 {
+		return defaultMaxDirectCallsPerSecond
+	}
+	return float64(max(configured, 0))
+}
+
 // reset starts a leader term without direct calls, because a new leader polls all workers at
 // the same time, which is the leader's highest load.
 func (s *directShare) reset(now time.Time) {
@@ -63,10 +73,18 @@
 		s.ordersPerSecond = latest
 	}
 	s.ordersPerSecond += rateWeight * (latest - s.ordersPerSecond)
-	s.hashLimit = math.MaxUint64
-	if s.ordersPerSecond > maxDirectCallsPerSecond {
-		s.hashLimit = uint64(maxDirectCallsPerSecond / s.ordersPerSecond * math.MaxUint64)
+	s.hashLimit = s.limitFor(s.ordersPerSecond)
+}
+
+// limitFor returns the hash limit at a rate of orders.
+func (s *directShare) limitFor(ordersPerSecond float64) uint64 {
+	switch {
+	case s.maxPerSecond == 0:
+		return 0
+	case ordersPerSecond > s.maxPerSecond:
+		return uint64(s.maxPerSecond / ordersPerSecond * math.MaxUint64)
 	}
+	return math.MaxUint64
 }
 
 // includesAll reports whether the leader calls all workers directly.
--- a/internal/carrier/direct_share_test.go
+++ b/internal/carrier/direct_share_test.go
@@ -17,10 +17,10 @@
 	sampledWorkers = 1000
 )
 
-// countDirectWorkers returns how many of 1000 workers the leader calls directly after 20
+// countDirectWorkers returns how many of 1000 workers a leader with a configured bound calls directly after 20
 // updates at a constant rate of orders.
-func countDirectWorkers(ordersPerSecond int) (direct int) {
-	var s directShare
+func countDirectWorkers(maxDirectCallsPerSecond, ordersPerSecond int) (direct int) {
+	s := directShare{maxPerSecond: directLimit(maxDirectCallsPerSecond)}
 	now := time.Now()
 	s.reset(now)
 	for range shareUpdates {
@@ -41,13 +41,21 @@
 // Guards against orders that are forwarded at a low rate, which delays the starts and ends of
 // tasks. At higher rates the leader must make about 500 calls per second itself.
 func TestLeaderWithFewOrdersCallsWorkersDirectly(t *testing.T) {
-	must.Eq(t, sampledWorkers, countDirectWorkers(400))
-	must.Between(t, 200, countDirectWorkers(2000), 300)
-	must.Between(t, 70, countDirectWorkers(5000), 130)
+	must.Eq(t, sampledWorkers, countDirectWorkers(0, 400))
+	must.Between(t, 200, countDirectWorkers(0, 2000), 300)
+	must.Between(t, 70, countDirectWorkers(0, 5000), 130)
+}
+
+// Guards against this failure: the setting for the direct calls has no effect.
+func TestDirectCallsAreBoundedAsConfigured(t *testing.T) {
+	must.Eq(t, 0, countDirectWorkers(-1, 400))
+	must.Eq(t, 0, countDirectWorkers(-1, 0))
+	must.Between(t, 200, countDirectWorkers(100, 400), 300)
+	must.Eq(t, sampledWorkers, countDirectWorkers(5000, 4000))
 }
 
 func TestDirectShareGrowsWhenOrdersDecrease(t *testing.T) {
-	var s directShare
+	s := directShare{maxPerSecond: directLimit(0)}
 	now := time.Now()
 	s.reset(now)
 	must.False(t, s.includes("w"), must.Sprint("a new leader must forward its first polls"))
--- a/internal/carrier/forwarder.go
+++ b/internal/carrier/forwarder.go
@@ -40,8 +40,11 @@
 	DirectWorkers control.Workers
 	// ApplyHeartbeats processes the heartbeats that other instances received.
 	ApplyHeartbeats func([]control.BufferedHeartbeat)
-	Logger          log.Logger
-	Counters        control.Counters
+	// MaxDirectCallsPerSecond bounds the calls to workers that the leader makes itself although a
+	// carrier could make them. 0 stands for the default, a negative value for no such calls.
+	MaxDirectCallsPerSecond int
+	Logger                  log.Logger
+	Counters                control.Counters
 }
 
 // Forwarder sends the leader's orders to workers, by direct calls up to a rate and through
@@ -61,7 +64,9 @@
 }
 
 // NewForwarder returns a Forwarder of an instance that isn't the leader.
-func NewForwarder(cfg ForwarderConfig) *Forwarder { return &Forwarder{cfg: cfg} }
+func NewForwarder(cfg ForwarderConfig) *Forwarder {
+	return &Forwarder{cfg: cfg, direct: directShare{maxPerSecond: directLimit(cfg.MaxDirectCallsPerSecond)}}
+}
 
 // Lead opens routes to the other members for a leader term. The routes stay open until ctx
 // ends. Lead returns when the first call to each carrier has succeeded or failed, after
