instance: the leader's direct calls have a setting

direct_calls bounds the calls a second that a leader makes to workers itself while carriers are present. Without it the default stays; with 0 carriers make all calls, which a fault soak of few orders needs so that carriers get any. A negative value is refused with the name of the field.

--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -138,7 +138,7 @@
 		forwarder := carrier.NewForwarder(carrier.ForwarderConfig{
 			OwnAddress: c.internalAddress, Members: cfg.Members, Transport: c.client, DirectWorkers: c.deployment,
 			ApplyHeartbeats: func(heartbeats []control.BufferedHeartbeat) { controller.ApplyCollectedHeartbeats(heartbeats) },
-			Logger:          p.logger, Counters: p.metrics,
+			Logger:          p.logger, Counters: p.metrics, MaxDirectCallsPerSecond: p.settings.maxDirectCallsPerSecond(),
 		})
 		cfg.Workers, cfg.OnElected = forwarder, forwarder.Lead
 	}
--- a/internal/instance/settings.go
+++ b/internal/instance/settings.go
@@ -62,6 +62,10 @@
 	// WorkerOrders is how workers get their orders: "push" for calls to the workers,
 	// "heartbeat" for orders in the responses to heartbeats. Empty means "push".
 	WorkerOrders string `toml:"worker_orders"`
+	// MaxDirectCalls bounds the calls per second that a leader makes to workers itself; the other
+	// core instances make the rest. With 0 they make all. Without the setting, the default of the
+	// forwarder applies.
+	MaxDirectCalls *int `toml:"direct_calls"`
 	// MachineListAddress is the address of the deployment's list of machines; empty if there
 	// is no such list.
 	MachineListAddress string `toml:"machine_list"`
@@ -168,6 +172,9 @@
 	if s.WorkerOrders != "" && s.WorkerOrders != ordersPush && s.WorkerOrders != ordersHeartbeat {
 		return fault.Field("worker_orders", "%q is neither %q nor %q", s.WorkerOrders, ordersPush, ordersHeartbeat)
 	}
+	if s.MaxDirectCalls != nil && *s.MaxDirectCalls < 0 {
+		return fault.Field("direct_calls", "%d is negative", *s.MaxDirectCalls)
+	}
 	if s.APIAddress != "" && s.APITokenFile == "" {
 		return fault.Field("api_token", "missing: want the file with the token that callers of the API present")
 	}
@@ -187,6 +194,18 @@
 	return nil
 }
 
+// maxDirectCallsPerSecond returns the bound of a leader's direct calls as the forwarder takes it: 0 for the
+// default, a negative number for none.
+func (s *Settings) maxDirectCallsPerSecond() int {
+	switch {
+	case s.MaxDirectCalls == nil:
+		return 0
+	case *s.MaxDirectCalls == 0:
+		return -1
+	}
+	return *s.MaxDirectCalls
+}
+
 // Values of Settings.WorkerOrders.
 const (
 	ordersPush      = "push"
--- a/internal/instance/settings_test.go
+++ b/internal/instance/settings_test.go
@@ -44,6 +44,7 @@
 		{`instances_lost = 1`, `instances_lost = -1`, "instances_lost"},
 		{`instances_lost = 1`, `api = "10.1.0.16:7400"`, "api_token"},
 		{`instances_lost = 1`, `worker_orders = "pull"`, "worker_orders"},
+		{`instances_lost = 1`, `direct_calls = -1`, "direct_calls"},
 		{`first_start = true`, `first = true`, "first"},
 		{`lease_max = "10000ms"`, `lease_max = "10000"`, "settings"},
 		{`lease_max = "10000ms"`, `lease_max =`, "settings"},
@@ -55,6 +56,15 @@
 	}
 }
 
+// Guards against this failure: a leader that is to make no calls to workers itself makes as many as without the setting.
+func TestDirectCallsOfZeroDifferFromTheDefault(t *testing.T) {
+	for text, want := range map[string]int{"": 0, "direct_calls = 0": -1, "direct_calls = 40": 40} {
+		s, err := Parse(text + "\n" + validSettings)
+		must.NoError(t, err)
+		must.Eq(t, want, s.maxDirectCallsPerSecond(), must.Sprint(text))
+	}
+}
+
 func TestVotersKeepMajorityAfterToleratedFailures(t *testing.T) {
 	must.Eq(t, 3, votersFor(0))
 	must.Eq(t, 3, votersFor(1))
