control: unanswered polls are counted, those beside an expired lease apart

A harness that harms carriers must show that repeated polls of idle workers failed and that leases were over by then; no counter told either.

--- a/internal/control/repeated_poll.go
+++ b/internal/control/repeated_poll.go
@@ -48,7 +48,20 @@
 	target := s.target()
 	t.mu.Unlock()
 	t.c.cfg.Counters.Add("looks", 1)
-	return t.c.cfg.Workers.Poll(ctx, target, order)
+	report, err := t.c.cfg.Workers.Poll(ctx, target, order)
+	if err != nil {
+		s.countFailedRepetition()
+	}
+	return report, err
+}
+
+// countFailedRepetition counts a repeated poll without a response, unless interruptPoll ended it.
+func (s *workerSession) countFailedRepetition() {
+	s.t.mu.Lock()
+	defer s.t.mu.Unlock()
+	if !s.pollInterrupted && s.t.ctx.Err() == nil {
+		s.t.c.cfg.Counters.Add("repeated_polls_failed", 1)
+	}
 }
 
 // recordRepetition records a response to a repeated poll.
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -339,6 +339,7 @@
 	t.mu.Lock()
 	wasReady := s.ready
 	leaseExpired := now.After(s.leaseEnd)
+	t.countUnansweredPoll(leaseExpired)
 	if now.Sub(s.respondedAt) > maxResponseAge {
 		s.ready = false
 	}
@@ -365,6 +366,14 @@
 	return s.giveUpIfSilent(now)
 }
 
+// countUnansweredPoll counts a poll without a response, and whether the worker's lease was over.
+func (t *leaderTerm) countUnansweredPoll(leaseExpired bool) {
+	t.c.cfg.Counters.Add("polls_unanswered", 1)
+	if leaseExpired {
+		t.c.cfg.Counters.Add("polls_unanswered_lease_over", 1)
+	}
+}
+
 // giveUpIfSilent ends the session of a worker without runs that has sent no heartbeat for
 // unresponsiveWorkerTimeout, and reports whether it did.
 func (s *workerSession) giveUpIfSilent(now time.Time) bool {
