control: an open start is kept when its order is dropped

What callers see: a task starts again after it was done, or runs on two workers (TWICE).

Cause: a run may end while a call of its start has got no response; the worker's next incarnation under the same ID may carry that call out, so the run is remembered and stopped there. The run is remembered when its order is removed after the commit of its end. Each commit also wakes the planner, which counts the runs and drops the orders whose runs the log no longer has. If it came first, the order was gone and the open start forgotten.

Ruled out: the path through addOrder (the next run is ordered first), which remembers it already.

Change: the planner remembers the open start of each order that it drops.

--- a/internal/control/incarnations_test.go
+++ b/internal/control/incarnations_test.go
@@ -309,6 +309,39 @@
 	must.Error(t, cluster.deliverDelayedStart())
 }
 
+// Guards against this failure: a task starts again after it was done. A run ends although calls of its
+// start may still be carried out; the leader counts the runs after that end is committed and before it
+// removes the state of the run. The worker's next incarnation carries out one of the calls.
+func TestOpenStartIsKeptWhenItsOrderIsDroppedFirst(t *testing.T) {
+	cluster := newTestCluster(t, nil)
+	cluster.log.mu.Lock()
+	cluster.log.afterApply = func(c workflow.Command) {
+		if c.Ends != nil {
+			cluster.currentRunCounts()
+		}
+	}
+	cluster.log.mu.Unlock()
+	cluster.workers.add("n1").delayStarts = true
+	cluster.announceIncarnation("n1", 1)
+	cluster.submit("a", oneTask)
+	cluster.eventually("no call of the first start gets a response", func() bool {
+		delayed := 0
+		cluster.withWorker("n1", func(f *fakeWorker) {
+			delayed = len(f.delayedStarts)
+			f.delayStarts = delayed < maxStartAttempts
+		})
+		return delayed == maxStartAttempts
+	})
+	cluster.eventually("another run starts", func() bool { return cluster.started("n1") == 1 })
+	cluster.withWorker("n1", func(f *fakeWorker) { f.finish(task("a", 0), workflow.OutcomeDone) })
+	cluster.eventually("the job is done", func() bool { return cluster.phase("a") == workflow.PhaseDone })
+	cluster.restart("n1", "n2")
+	cluster.announceIncarnation("n2", 2)
+	cluster.eventually("the next incarnation is ready", func() bool { return cluster.isReady("n2") })
+	time.Sleep(noStartWait)
+	must.Error(t, cluster.deliverDelayedStart(), must.Sprint("carried out late, after the task was done"))
+}
+
 // Guards against this failure: a task has two runs at once. The start of run 1 is being committed
 // for an incarnation while the leader settles the end of that incarnation. The run is committed too
 // late to be stopped at the successor, its end is committed with that of the incarnation, and its
--- a/internal/control/orphans.go
+++ b/internal/control/orphans.go
@@ -118,8 +118,12 @@
 // order. That order would never get a response, and the worker would get no task when it
 // returns.
 func (s *workerSession) dropStaleOrders(state *workflow.State) {
-	runs := state.Runs[s.worker.ID]
-	maps.DeleteFunc(s.orders, func(task workflow.TaskKey, o *runOrder) bool {
-		return !o.startInProgress && runs[task].Number != o.run.Number
-	})
+	runs, now := state.Runs[s.worker.ID], time.Now()
+	for task, o := range s.orders {
+		if o.startInProgress || runs[task].Number == o.run.Number {
+			continue
+		}
+		s.recordOpenStart(o, now)
+		delete(s.orders, task)
+	}
 }
