control: open starts of a superseded incarnation are stopped at the next one at once

Cause: when the session of a worker's next incarnation begins, the leader stops the ended runs there of whose start a call may still be carried out. Runs of the earlier incarnation that ended after that were remembered, and nobody stopped them: their ends were being committed while the next incarnation was announced (a machine that is down, a lease that is over). The next incarnation, which has the same address and ID, may carry out such a call seconds later.

Ruled out: ends by another incarnation's response settle their runs at that incarnation first.

Change: a run that is remembered for a superseded session is stopped at the next incarnation at once.

--- a/internal/control/incarnations.go
+++ b/internal/control/incarnations.go
@@ -169,7 +169,7 @@
 const maxStartDelay = unresponsiveWorkerTimeout
 
 // recordOpenStart remembers a run that has ended if a call of its start may still be carried
-// out. t.mu must be held.
+// out, and stops it at the next incarnation if that is known already. t.mu must be held.
 func (s *workerSession) recordOpenStart(o *runOrder, now time.Time) {
 	if o == nil || o.openCalls == 0 || s.worker.StartedAtMS == 0 {
 		return
@@ -181,6 +181,10 @@
 	}
 	maps.DeleteFunc(open, func(_ workflow.Run, endedAt time.Time) bool { return now.Sub(endedAt) > maxStartDelay })
 	open[o.run] = now
+	if s.superseded {
+		// The next incarnation was told of the open starts that were known when its session began.
+		s.t.spawn(func() { s.stopAtSuccessor(o.run, now.Add(maxStartDelay)) })
+	}
 }
 
 // stopOpenStarts stops, at the incarnation that responds at the worker's address, the ended
--- a/internal/control/incarnations_test.go
+++ b/internal/control/incarnations_test.go
@@ -342,6 +342,38 @@
 	must.Error(t, cluster.deliverDelayedStart(), must.Sprint("carried out late, after the task was done"))
 }
 
+// Guards against this failure: a task has two runs at once. The machine of a worker is down, and its
+// next incarnation is announced while the ends of its lost runs are being committed. That incarnation
+// carries out a call of the start of such a run, which got no response before.
+func TestOpenStartOfRunLostWithMachineIsStoppedAtNextIncarnation(t *testing.T) {
+	cluster := clusterWithUnansweredStart(t)
+	cluster.workers.add("w2")
+	cluster.announce("w2")
+	cluster.withWorker("n1", func(f *fakeWorker) { f.successor, f.unreachable = nil, true })
+	var announceNext sync.Once
+	cluster.log.mu.Lock()
+	cluster.log.beforeApply = func(c workflow.Command) {
+		if c.Ends == nil {
+			return
+		}
+		announceNext.Do(func() {
+			cluster.restart("n1", "n2")
+			cluster.withWorker("n1", func(f *fakeWorker) { f.unreachable = false })
+			next := incarnation("n2", 2)
+			// It gets no tasks of its own.
+			next.Worker.Draining = true
+			_, err := cluster.controller.Announce(context.Background(), next)
+			must.NoError(t, err)
+			cluster.eventually("the next incarnation is ready", func() bool { return cluster.isReady("n2") })
+		})
+	}
+	cluster.log.mu.Unlock()
+	cluster.currentTerm().recordMachineDown("n1")
+	cluster.eventually("the task runs elsewhere", func() bool { return cluster.started("w2") == 1 })
+	time.Sleep(noStartWait)
+	must.Error(t, cluster.deliverDelayedStart(), must.Sprint("carried out late, while the second run is alive"))
+}
+
 // Guards against this failure: a task has two runs at once. The start of run 1 is being committed
 // for an incarnation while the leader settles the end of that incarnation. The run is committed too
 // late to be stopped at the successor, its end is committed with that of the incarnation, and its
