control: a heartbeat that arrives after a later one proves nothing about runs

What callers see: a task runs twice where orders are delivered in the responses to heartbeats (control_mode heartbeat).

Cause: the report of each heartbeat replaced the one before, whatever its sequence number, and counted as a confirmation of orders. A heartbeat that a partition or a daemon delayed carries a report from before the start of a run: it settled the run as never started, and the task started again.

Ruled out: polls of workers that the leader calls; their reports answer the poll.

Change: a heartbeat whose sequence number isn't higher than that of the worker's last one is ignored and answered without orders. Mailboxes belong to one incarnation, whose numbers increase.

--- a/internal/control/announce.go
+++ b/internal/control/announce.go
@@ -103,7 +103,7 @@
 	t.recordHeartbeat(&r.Worker, r.Remaining)
 	reply := AnnouncementReply{HeartbeatAddress: c.heartbeatAddress(r.Worker.ID)}
 	if c.heartbeats != nil && r.Report != nil && t.monitors(r.Worker.ID) {
-		orders := c.heartbeats.exchange(ctx, r.Worker.ID, t.fence, *r.Report)
+		orders := c.heartbeats.exchange(ctx, r.Worker.ID, t.fence, r.Sequence, *r.Report)
 		reply.Orders = &orders
 	}
 	return reply, nil
--- a/internal/control/heartbeat_transport.go
+++ b/internal/control/heartbeat_transport.go
@@ -80,7 +80,9 @@
 	// orderAdded is closed when an order is added, heartbeatReceived when a heartbeat
 	// arrives.
 	orderAdded, heartbeatReceived chan struct{}
-	report                        Report
+	// report is the report of the heartbeat with the highest sequence number, which is sequence.
+	report   Report
+	sequence uint64
 }
 
 // heartbeatOrder is an order whose arrival isn't confirmed yet. start is empty in a stop.
@@ -121,9 +123,18 @@
 
 // exchange records the report of a heartbeat and returns the orders for its response. If
 // there is no order, it waits up to heartbeatHold for one.
-func (h *heartbeatTransport) exchange(ctx context.Context, worker string, fence uint64, report Report) HeartbeatOrders {
+//
+// It ignores a heartbeat that arrives after a later one of the worker: its report may have been made
+// before the worker received an order, and would prove that the order never arrived. A sequence of 0
+// is unknown.
+func (h *heartbeatTransport) exchange(ctx context.Context, worker string, fence, sequence uint64, report Report) HeartbeatOrders {
 	h.mu.Lock()
 	box := h.mailboxOf(worker)
+	if sequence > 0 && sequence <= box.sequence {
+		h.mu.Unlock()
+		return HeartbeatOrders{Fence: fence, NextIn: heartbeatInterval}
+	}
+	box.sequence = sequence
 	box.recordHeartbeat(report, time.Now())
 	idle := len(box.starts) == 0 && len(box.stops) == 0
 	orderAdded := box.orderAdded
--- a/internal/control/heartbeat_transport_test.go
+++ b/internal/control/heartbeat_transport_test.go
@@ -142,21 +142,21 @@
 	ctx, cancel := context.WithTimeout(context.Background(), transportTimeout)
 	defer cancel()
 	stopped := make(chan error, 1)
-	transport.exchange(ctx, "w1", fence, Report{})
+	transport.exchange(ctx, "w1", fence, 0, Report{})
 	go func() {
 		_, err := transport.Stop(ctx, Target{Worker: "w1"}, StopOrder{Run: run, Fence: fence})
 		stopped <- err
 	}()
-	for len(transport.exchange(ctx, "w1", fence, Report{}).Stops) == 0 {
+	for len(transport.exchange(ctx, "w1", fence, 0, Report{}).Stops) == 0 {
 		continue
 	}
-	transport.exchange(ctx, "w1", fence, Report{})
+	transport.exchange(ctx, "w1", fence, 0, Report{})
 	select {
 	case <-stopped:
 		t.Fatal("a single heartbeat proved that the stop arrived; it may come from a broken connection")
 	case <-time.After(noResultWait):
 	}
-	transport.exchange(ctx, "w1", fence, Report{})
+	transport.exchange(ctx, "w1", fence, 0, Report{})
 	must.NoError(t, <-stopped)
 }
 
@@ -170,21 +170,46 @@
 	ctx, cancel := context.WithTimeout(context.Background(), transportTimeout)
 	defer cancel()
 	got := make(chan Report, 1)
-	transport.exchange(ctx, "w1", oldFence, Report{})
-	transport.exchange(ctx, "w1", oldFence, Report{})
+	transport.exchange(ctx, "w1", oldFence, 0, Report{})
+	transport.exchange(ctx, "w1", oldFence, 0, Report{})
 	go func() {
 		report, err := transport.Poll(ctx, Target{Worker: "w1"}, PollOrder{Fence: newFence})
 		must.NoError(t, err)
 		got <- report
 	}()
 	time.Sleep(noResultWait)
-	transport.exchange(ctx, "w1", newFence, Report{ClockMS: 1})
-	transport.exchange(ctx, "w1", newFence, Report{ClockMS: 2})
+	transport.exchange(ctx, "w1", newFence, 0, Report{ClockMS: 1})
+	transport.exchange(ctx, "w1", newFence, 0, Report{ClockMS: 2})
 	select {
 	case <-got:
 		t.Fatal("a poll returned a report that may be older than the fence")
 	case <-time.After(noResultWait):
 	}
-	transport.exchange(ctx, "w1", newFence, Report{ClockMS: 3})
+	transport.exchange(ctx, "w1", newFence, 0, Report{ClockMS: 3})
 	must.Eq(t, int64(3), (<-got).ClockMS)
 }
+
+// Guards against this failure: a task runs twice. A heartbeat that a worker sent before it started a run
+// arrives after heartbeats that list the run, and its report proves that the run never started.
+func TestDelayedHeartbeatSettlesNoRun(t *testing.T) {
+	cluster := newTestCluster(t, func(cluster *testCluster) {
+		cluster.controller.heartbeats = newHeartbeatTransport(cluster.controller.cfg.Workers)
+		cluster.controller.cfg.Workers = cluster.controller.heartbeats
+		cluster.commitInheritedRun()
+	})
+	send := func(sequence uint64, running ...Running) HeartbeatOrders {
+		reply, err := cluster.controller.Announce(context.Background(), &Announcement{
+			Worker: worker("w1"), Sequence: sequence, Report: &Report{ClockMS: fakeClockMS, Running: running},
+		})
+		must.NoError(t, err)
+		return *reply.Orders
+	}
+	running := Running{Task: task("a", 0), Number: 1}
+	send(2, running)
+	send(3, running)
+	must.Eq(t, HeartbeatOrders{Fence: fakeLogTerm, NextIn: heartbeatInterval}, send(1))
+	must.Eq(t, HeartbeatOrders{Fence: fakeLogTerm, NextIn: heartbeatInterval}, send(3))
+	time.Sleep(noStartWait)
+	cluster.controller.state.read(func(s *workflow.State) { must.MapLen(t, 1, s.Runs["w1"]) })
+	must.SliceEmpty(t, send(4, running).Starts)
+}
--- a/internal/control/settle_test.go
+++ b/internal/control/settle_test.go
@@ -151,16 +151,21 @@
 // log that an earlier leader committed.
 func clusterWithInheritedRun(t *testing.T, prepare func(*fakeWorker)) *testCluster {
 	return newTestCluster(t, func(cluster *testCluster) {
-		w1 := worker("w1")
-		cluster.commit(&workflow.Command{Worker: &w1})
-		cluster.commit(&workflow.Command{Submit: &workflow.Submission{
-			ID: "a", Queue: "h/q/", Payload: "p", Steps: []workflow.Step{oneTask}, Policy: workflow.Policy{Service: "s", MaxAttempts: 3},
-		}})
-		cluster.commit(&workflow.Command{Start: []workflow.Run{{Task: task("a", 0), Worker: "w1"}}})
+		cluster.commitInheritedRun()
 		prepare(cluster.workers.add("w1"))
 	})
 }
 
+// commitInheritedRun commits a run of job a's only task on worker w1, as an earlier leader does.
+func (cluster *testCluster) commitInheritedRun() {
+	w1 := worker("w1")
+	cluster.commit(&workflow.Command{Worker: &w1})
+	cluster.commit(&workflow.Command{Submit: &workflow.Submission{
+		ID: "a", Queue: "h/q/", Payload: "p", Steps: []workflow.Step{oneTask}, Policy: workflow.Policy{Service: "s", MaxAttempts: 3},
+	}})
+	cluster.commit(&workflow.Command{Start: []workflow.Run{{Task: task("a", 0), Worker: "w1"}}})
+}
+
 // Guards against this failure: a task runs twice after a change of leader. The new
 // leader's poll doesn't carry the fencing token that blocks old orders, the report shows
 // no run, and the old leader's start arrives afterwards.
