control: no start is sent before the worker's clock is known

What callers see: none was seen; a task may run on two workers (TWICE).

Cause: a worker is given up and announced again while a start for it is being committed. The start was sent by the new session, which has had no report: its lease was computed from a clock reading that doesn't exist (- ms), so the new session's end of the lease wasn't postponed, while the worker keeps its earlier, longer lease and may hold the run by that. The next poll without a response would count the run as lost.

Ruled out: a session that had a report and stopped responding; it knows the clock.

Change: a start is sent only by a session that knows the clock by which its leases end.

--- a/internal/control/lease_proof_test.go
+++ b/internal/control/lease_proof_test.go
@@ -97,3 +97,40 @@
 	time.Sleep(noStartWait)
 	must.Eq(t, 2, cluster.started("w1"), must.Sprint("starts carried out"))
 }
+
+// Guards against this failure: a start is sent with a lease that ends before it begins, because the worker
+// was given up and announced again while the start was being committed. The worker holds its runs for as
+// long as its earlier lease, which the new session doesn't know of.
+func TestNoStartIsSentBeforeTheClockOfTheWorkerIsKnown(t *testing.T) {
+	cluster := newTestCluster(t, nil)
+	cluster.workers.add("w1")
+	cluster.announce("w1")
+	s := cluster.expireLease("w1")
+	var replaceSession, answer sync.Once
+	cluster.log.mu.Lock()
+	cluster.log.beforeApply = func(c workflow.Command) {
+		if !startsOn(c, "w1") {
+			return
+		}
+		replaceSession.Do(func() {
+			cluster.workers.mu.Lock()
+			s.t.mu.Lock()
+			s.heartbeatAt = time.Now().Add(-2 * unresponsiveWorkerTimeout)
+			s.t.mu.Unlock()
+			must.True(t, s.recordUnansweredPoll(errNoResponse))
+			cluster.announce("w1")
+		})
+	}
+	cluster.log.afterApply = func(c workflow.Command) {
+		if startsOn(c, "w1") {
+			// The first report of the new session comes after the first start has been sent.
+			time.AfterFunc(noStartWait, func() { answer.Do(cluster.workers.mu.Unlock) })
+		}
+	}
+	cluster.log.mu.Unlock()
+	cluster.submit("a", oneTask)
+	cluster.eventually("the task starts", func() bool { return cluster.started("w1") > 0 })
+	cluster.withWorker("w1", func(f *fakeWorker) {
+		must.Positive(t, f.starts[0].LeaseEndMS, must.Sprint("the lease of the start"))
+	})
+}
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -519,10 +519,10 @@
 // isEndKnown reports whether the end of a run is known and not committed yet. t.mu must be held.
 func (s *workerSession) isEndKnown(run workflow.Run) bool { return s.endsKnown[run.Task] >= run.Number }
 
-// mayStart reports whether the start of a run may be sent: the session goes on, and the log has the
-// run and isn't about to get its end. t.mu must be held.
+// mayStart reports whether the start of a run may be sent: the session goes on and knows the clock by
+// which its leases end, and the log has the run and isn't about to get its end. t.mu must be held.
 func (s *workerSession) mayStart(run workflow.Run) (may bool) {
-	if s.ending || s.isEndKnown(run) {
+	if s.ending || s.clockAt.IsZero() || s.isEndKnown(run) {
 		return false
 	}
 	s.t.c.state.read(func(state *workflow.State) {
