--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -328,14 +328,9 @@
 // recordUnansweredPoll updates the session after a poll without a response, and reports
 // whether the session is over. Once the lease has expired, nothing runs on the worker any
 // more, and its runs are committed as lost.
-//
-// An idle worker's lease expires although the worker is alive, since repeated polls don't extend
-// it. The expiry is therefore checked together with the runs that it ends: the start of a run that
-// the log gets later extends the lease.
 func (s *workerSession) recordUnansweredPoll(cause error) bool {
 	t := s.t
 	now := time.Now()
-	var ends collectedEnds
 	t.mu.Lock()
 	wasReady := s.ready
 	leaseExpired := now.After(s.leaseEnd)
@@ -344,13 +339,7 @@
 		s.ready = false
 	}
 	nowReady := s.ready
-	proof := s.proofAfterSilence(now)
-	switch {
-	case proof != "":
-		s.setEnding()
-	case leaseExpired:
-		ends = s.collectEnds(workflow.OutcomeLost, allRuns)
-	}
+	proof, ends := s.takeProofAfterSilence(now)
 	t.mu.Unlock()
 	if wasReady && !nowReady {
 		t.logger.Log("event", "worker_contact", "worker", s.worker.ID, "outcome", "lost", "err", cause)
@@ -528,10 +517,10 @@
 // isEndKnown reports whether the end of a run is known and not committed yet. t.mu must be held.
 func (s *workerSession) isEndKnown(run workflow.Run) bool { return s.endsKnown[run.Task] >= run.Number }
 
-// mayStart reports whether the start of a run may be sent: the session goes on, and the log has the
-// run and isn't about to get its end. t.mu must be held.
+// mayStart reports whether the start of a run may be sent: the session goes on and knows the clock by
+// which its leases end, and the log has the run and isn't about to get its end. t.mu must be held.
 func (s *workerSession) mayStart(run workflow.Run) (may bool) {
-	if s.ending || s.isEndKnown(run) {
+	if s.ending || s.clockAt.IsZero() || s.isEndKnown(run) {
 		return false
 	}
 	s.t.c.state.read(func(state *workflow.State) {
