control: simulated calls that take long use connections, as the platform's do

The simulation looked a worker up when a call began, so no call could reach the next incarnation. With callDelay, a call on an open connection arrives at the incarnation of that connection or nowhere; one that finds its connection closed opens another and arrives at whoever is there by then. A poll acknowledges ends only on a connection of the addressed incarnation, which is the rule of platform/connection.go.

--- a/internal/control/quick_restart_test.go
+++ b/internal/control/quick_restart_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -83,6 +84,33 @@
 	}
 }
 
+// Guards against the same failure where calls take long: the worker restarts while the poll that
+// acknowledges its predecessor's ends is on its way.
+func TestQuickRestartDuringPollGetsNoAcknowledgementOfPredecessor(t *testing.T) {
+	for _, c := range []struct{ callDelay, downtime time.Duration }{
+		{30 * time.Millisecond, 20 * time.Millisecond},
+		{100 * time.Millisecond, 20 * time.Millisecond},
+		{100 * time.Millisecond, 50 * time.Millisecond},
+	} {
+		inAdvance, rightly, moments := 0, 0, 0
+		for moment := time.Duration(0); moment < 600*time.Millisecond; moment += 15 * time.Millisecond {
+			synctest.Test(t, func(t *testing.T) {
+				sim := newQuickRestartSimulation(t)
+				sim.params.callDelay = c.callDelay
+				moments++
+				if endsAcknowledgedInAdvance(sim, moment, c.downtime) > 0 {
+					inAdvance++
+				}
+				if slices.ContainsFunc(sim.workers.incarnations, func(w *simWorker) bool { return w.acknowledged > 0 }) {
+					rightly++
+				}
+			})
+		}
+		must.Eq(t, moments, rightly)
+		must.Eq(t, 0, inAdvance, must.Sprintf("of %d moments, %v one way, worker back after %v", moments, c.callDelay, c.downtime))
+	}
+}
+
 // Guards against this failure: a task starts again after it was done. A worker lists the end of
 // its run while the log refuses commands, and restarts before the end is committed. The leader
 // knows that the task is done and must not count its run as lost with the worker.
--- a/internal/control/simulation_params_test.go
+++ b/internal/control/simulation_params_test.go
@@ -43,6 +43,9 @@
 	capacityShrinks         bool
 	// keepsWorkerNames makes a worker return under its previous name.
 	keepsWorkerNames bool
+	// callDelay, unless 0, is how long a call to a worker takes one way. Calls then use
+	// connections, and have no other faults.
+	callDelay time.Duration
 }
 
 // faultRates are the probabilities of the faults of one call: a lost call never arrives,
--- a/internal/control/simulation_poll_test.go
+++ b/internal/control/simulation_poll_test.go
@@ -24,6 +24,10 @@
 	if err != nil {
 		return Report{}, err
 	}
+	if outcome.otherConn {
+		// The platform's client acknowledges ends only on a connection of the incarnation.
+		o.LastEnd = 0
+	}
 	changed, err := ws.applyPoll(w, o)
 	if err != nil {
 		return Report{}, err
--- a/internal/control/simulation_test.go
+++ b/internal/control/simulation_test.go
@@ -67,7 +67,7 @@
 	sim.store = &simStore{random: rand.New(rand.NewPCG(seed, simStoreStream)), state: sim.state}
 	sim.workers = &simWorkers{
 		checkLimits: sim.customers.checkLimits,
-		params:      sim.params, seed: seed, stepOf: sim.stepOf, eventLog: sim.eventLog, current: map[string]*simWorker{}, calls: map[string]int{},
+		params:      sim.params, seed: seed, stepOf: sim.stepOf, eventLog: sim.eventLog, current: map[string]*simWorker{}, conns: map[string]*simWorker{}, calls: map[string]int{},
 		startedAt: map[workflow.TaskKey][]time.Time{}, doneAt: map[workflow.TaskKey]time.Time{}, completeGangs: map[gangRun]bool{},
 		lastStart: map[workflow.StepKey]time.Time{}, allowedOrphans: map[string]bool{},
 		crashes: map[workflow.TaskKey]int{}, startsAfterThirdCrash: map[workflow.TaskKey]int{},
--- a/internal/control/simulation_worker_test.go
+++ b/internal/control/simulation_worker_test.go
@@ -62,6 +62,8 @@
 	incarnations []*simWorker
 	// current is the current incarnation at each address.
 	current map[string]*simWorker
+	// conns has the incarnation to which the connection to an address belongs.
+	conns map[string]*simWorker
 	// calls counts the calls of each kind for a run on a worker, so that the outcome of a
 	// call doesn't depend on the order of other calls.
 	calls map[string]int
@@ -138,6 +140,8 @@
 	// call is carried out after that time, and its caller gets no response.
 	lost, unanswered, misdirected bool
 	late                          time.Duration
+	// otherConn says that the connection wasn't known to belong to the addressed incarnation.
+	otherConn bool
 }
 
 // maxLateness bounds the time until a late call is carried out.
@@ -213,6 +217,9 @@
 
 // reach returns the worker at which a call arrives, and the drawn outcome of the call.
 func (ws *simWorkers) reach(ctx context.Context, kind string, to Target, run workflow.Run) (*simWorker, callOutcome, error) {
+	if ws.params.callDelay > 0 {
+		return ws.reachOverConn(ctx, to)
+	}
 	ws.mu.Lock()
 	w := ws.current[to.Address]
 	if w == nil || !w.reachable(time.Now()) {
