--- a/internal/control/end_proof_test.go
+++ b/internal/control/end_proof_test.go
@@ -152,3 +152,27 @@
 	cluster.controller.state.read(func(s *workflow.State) { term.adoptWorkers(s, later) })
 	must.Between(t, testLease, term.sessions["w1"].leaseEnd.Sub(later), 2*testMaxLease)
 }
+
+// Guards against this failure: a task runs twice. A worker refuses a start because it has seen a later leader, and
+// the run counts as not started: what becomes of it is that leader's to decide.
+func TestStaleFencingTokenSettlesNoRun(t *testing.T) {
+	cluster := clusterWithStartedTask(t)
+	s := cluster.detachedSession("w1", time.Minute)
+	o := &runOrder{run: workflow.Run{Task: task("a", 0), Number: 1, Worker: "w1"}}
+	s.settleStartAttempts(o, []error{&RefusedError{RefusedStaleFence}})
+	cluster.controller.state.read(func(state *workflow.State) { must.MapLen(t, 1, state.Runs["w1"]) })
+	s.settleStartAttempts(o, []error{&RefusedError{RefusedNoCapacity}})
+	cluster.controller.state.read(func(state *workflow.State) { must.MapEmpty(t, state.Runs["w1"]) })
+}
+
+// Guards against this failure: a task runs twice. The runs of an unreachable worker count as ended after a change
+// of leader before the last lease of the earlier leader has expired.
+func TestSessionOfNewLeaderOutlastsLeasesOfEarlierLeader(t *testing.T) {
+	term := newTestCluster(t, nil).currentTerm()
+	term.mu.Lock()
+	defer term.mu.Unlock()
+	s := term.addSession(worker("w1"), nil)
+	// The worker's clock may run slow, and the earlier leader led for a while after this term began.
+	longest := testLease * 100 / 98
+	must.GreaterEq(t, longest+predecessorSlack, s.leaseEnd.Sub(term.started))
+}
