control: one tenure in a term of the log; a leader that gives up its tenure steps down

What callers see: a task runs twice, or starts again after it was done, or a worker gets more than it holds, after a leader gave up its tenure (its machine was suspended, or a machine had orders of a later leader) while its member still led.

Cause: Controller.Run began the next tenure in the same term of the log, with the same fencing token. neverStarted settles an inherited run that a worker's first report doesn't list, because the worker has accepted this tenure's token and refuses older orders. With the same token it refuses none of the earlier tenure's starts that are still on their way. Commands of the earlier tenure could be committed after the next one had read the state, too.

Ruled out: nothing in the record of the users shows a suspension; this is a mend of its own.

Change: a leader whose tenure has ended while it leads gives up its term (replica.Core.StepDown, node.Group.StepDown), and Run begins no second tenure in the term of the last one. StepDown names its term, so a late call ends no later leadership; it is repeated until the term changes. A deliberate step-down doesn't count as a late leader in the election timeout. A group of one member elects it again, in a new term. Giving up a tenure costs an election now; other users of the leadership follow the term and are unchanged (internal/member: CanDecide; internal/carrier: the term of each call; internal/cell never ends a term alone).

The simulated log commits the commands of an ended tenure while its member leads, as a real log does. A violation in the simulation during the faults ended in a deadlock report in place of the violation; the faults are ended first now.

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -117,12 +117,20 @@
 }
 
 // Run runs a leader term whenever this member may decide. It returns nil when ctx ends.
+//
+// It runs at most one in each term of the log, whose number is the fencing token: a worker that accepts the token
+// of a later leader term refuses the orders of the earlier one, which may still be on their way. A leader
+// term that ends while this member leads therefore ends the leadership too.
 func (c *Controller) Run(ctx context.Context) error {
+	var lastTerm uint64
 	for ctx.Err() == nil {
 		changed := c.log.Changed()
 		status := c.log.Status()
-		if status.CanDecide {
-			c.runLeaderTerm(ctx, status.Term)
+		switch {
+		case status.Term == lastTerm:
+			c.stepDown(ctx, status)
+		case status.CanDecide && c.runLeaderTerm(ctx, status.Term):
+			lastTerm = status.Term
 			continue
 		}
 		waitForStatusChange(ctx, changed)
@@ -130,6 +138,19 @@
 	return nil
 }
 
+// stepDown gives up the leadership if this member still leads.
+func (c *Controller) stepDown(ctx context.Context, status replica.Status) {
+	if status.Role != replica.Leader {
+		return
+	}
+	outcome := "stepped down"
+	err := c.log.StepDown(ctx, status.Term)
+	if err != nil {
+		outcome = "not stepped down"
+	}
+	_ = c.cfg.Logger.Log("event", "tenure", "outcome", outcome, "term", status.Term, "err", err)
+}
+
 // statusPollInterval is the longest time between two checks of the log's status, and thus
 // the longest delay until a change of CanDecide is noticed.
 const statusPollInterval = 200 * time.Millisecond
@@ -142,14 +163,14 @@
 	wait.Closed(ctx, changed)
 }
 
-// runLeaderTerm runs one leader term and returns when this member stops leading.
-func (c *Controller) runLeaderTerm(ctx context.Context, term uint64) {
+// runLeaderTerm runs one leader term and returns when it has ended. It returns false if none has begun.
+func (c *Controller) runLeaderTerm(ctx context.Context, term uint64) (begun bool) {
 	termCtx, end := context.WithCancel(ctx)
 	defer end()
 	if err := c.log.Barrier(termCtx); err != nil {
 		_ = c.cfg.Logger.Log("event", "tenure", "outcome", "not begun", "term", term, "err", err)
 		wait.For(ctx, statusPollInterval)
-		return
+		return false
 	}
 	if c.cfg.OnElected != nil {
 		c.cfg.OnElected(termCtx, term)
@@ -162,6 +183,7 @@
 	t.run()
 	c.setLeaderTerm(nil)
 	_ = c.cfg.Logger.Log("event", "tenure", "outcome", "ended", "term", term)
+	return true
 }
 
 // endOnLeadershipLoss calls end as soon as this member no longer leads in term.
--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	// fakeLogTerm is the term of a fakeLog, and so the fencing token of its leader.
+	// fakeLogTerm is the first term of a fakeLog, and so the fencing token of its leader.
 	// staleFence is the fencing token of an earlier leader.
 	fakeLogTerm = 7
 	staleFence  = 6
@@ -30,8 +30,7 @@
 	testMaxConns = 100
 )
 
-// fakeLog is the log of a single member that always leads and commits each command
-// immediately.
+// fakeLog is the log of a single member that leads and commits each command immediately.
 type fakeLog struct {
 	state *StateMachine
 	mu    sync.Mutex
@@ -42,6 +41,8 @@
 	beforeApply func(workflow.Command)
 	// delayedUntil is when the log's goroutine continues after a delay.
 	delayedUntil time.Time
+	// stepDowns counts how often the member gave up its leadership. It is elected again immediately.
+	stepDowns uint64
 	// endErrors are the errors of the next commands that end runs.
 	endErrors []error
 	// submitError is the error of commands that submit jobs; nil for none.
@@ -134,7 +135,19 @@
 }
 
 func (l *fakeLog) Status() replica.Status {
-	return replica.Status{Role: replica.Leader, Term: fakeLogTerm, CanDecide: l.remainingDelay() <= 0}
+	canDecide := l.remainingDelay() <= 0
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return replica.Status{Role: replica.Leader, Term: fakeLogTerm + l.stepDowns, CanDecide: canDecide}
+}
+
+func (l *fakeLog) StepDown(_ context.Context, term uint64) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if term == fakeLogTerm+l.stepDowns {
+		l.stepDowns++
+	}
+	return nil
 }
 
 func (l *fakeLog) Changed() <-chan struct{} { return make(chan struct{}) }
--- a/internal/control/leader_term_test.go
+++ b/internal/control/leader_term_test.go
@@ -119,6 +119,28 @@
 	must.Eq(t, leaseEnd, s.leaseEnd)
 }
 
+// Guards against this failure: a task runs twice. A leader gives up its tenure while its member still leads, and
+// begins the next one with the same fencing token. It takes a run that a worker doesn't report for never
+// started, although the start of the earlier tenure is still on its way.
+func TestStartOfEarlierTenureIsRefused(t *testing.T) {
+	cluster := newTestCluster(t, nil)
+	cluster.workers.add("w1").delayStarts = true
+	cluster.announce("w1")
+	cluster.submit("a", oneTask)
+	cluster.eventually("the start is sent", func() (sent bool) {
+		cluster.withWorker("w1", func(f *fakeWorker) { sent = len(f.delayedStarts) > 0 })
+		return sent
+	})
+	cluster.withWorker("w1", func(f *fakeWorker) { f.delayStarts = false })
+	cluster.currentTerm().end()
+	cluster.eventually("the next tenure starts the task", func() bool { return cluster.started("w1") == 1 })
+	cluster.withWorker("w1", func(f *fakeWorker) {
+		late := f.delayedStarts[0]
+		must.Less(t, f.starts[0].Run.Number, late.Run.Number)
+		must.Error(t, f.startRun(late), must.Sprint("carried out late, while the second run is alive"))
+	})
+}
+
 // Guards against this failure: the leader runs out of memory. It keeps the state of ended
 // jobs, each with the adviser's responses for 48 workers, for the whole leader term.
 func TestStateOfEndedJobsIsReleased(t *testing.T) {
--- a/internal/control/simulation_replica_test.go
+++ b/internal/control/simulation_replica_test.go
@@ -30,6 +30,8 @@
 	unknownOutcome [][]byte
 	// refused counts the refused commands, unknownOutcomes those with an unknown outcome.
 	refused, unknownOutcomes int
+	// term is the highest term that a member has led.
+	term uint64
 }
 
 // commitAt returns when a command that is proposed now is committed. s.mu must be held.
@@ -47,10 +49,8 @@
 }
 
 // resolveUnknownOutcomes commits half of the commands with an unknown outcome and drops
-// the others.
+// the others. s.mu must be held.
 func (s *simStore) resolveUnknownOutcomes() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	for _, encoded := range s.unknownOutcome {
 		if oneIn(s.random, 2) {
 			s.index++
@@ -63,15 +63,63 @@
 // simReplica is the log as one leader sees it.
 type simReplica struct {
 	store *simStore
-	term  uint64
-	// lost is closed when the leadership is lost.
+	// store.mu guards the other fields. term is the term that the member led last, lost is closed when
+	// it has lost the leadership of that term.
+	term uint64
 	lost chan struct{}
+	// replaced means that another member has been told to lead.
+	replaced bool
+}
+
+// newSimReplica returns a replica that leads in a new term.
+func newSimReplica(store *simStore) *simReplica {
+	r := &simReplica{store: store}
+	r.elect()
+	return r
 }
 
-// leadershipLost reports whether the leader has lost its leadership.
-func (r *simReplica) leadershipLost() bool {
+// elect makes the member lead in a new term, unless another one was told to lead.
+func (r *simReplica) elect() {
+	r.store.mu.Lock()
+	defer r.store.mu.Unlock()
+	if r.replaced {
+		return
+	}
+	r.store.resolveUnknownOutcomes()
+	r.store.term++
+	r.term, r.lost = r.store.term, make(chan struct{})
+}
+
+// replace makes the member lose the leadership to another one.
+func (r *simReplica) replace() {
+	r.store.mu.Lock()
+	defer r.store.mu.Unlock()
+	r.replaced = true
+	r.lose()
+}
+
+// lose makes the member lose the leadership if it leads. r.store.mu must be held.
+func (r *simReplica) lose() {
+	if !isClosed(r.lost) {
+		close(r.lost)
+	}
+}
+
+// StepDown makes the member give up its leadership. It is elected again later.
+func (r *simReplica) StepDown(_ context.Context, term uint64) error {
+	r.store.mu.Lock()
+	defer r.store.mu.Unlock()
+	if r.term != term || isClosed(r.lost) {
+		return nil
+	}
+	r.lose()
+	time.AfterFunc(randomDuration(r.store.random, time.Millisecond, maxLeaderlessTime), r.elect)
+	return nil
+}
+
+func isClosed(c <-chan struct{}) bool {
 	select {
-	case <-r.lost:
+	case <-c:
 		return true
 	default:
 		return false
@@ -87,7 +135,7 @@
 // r.store.mu must be held.
 func (r *simReplica) refusal(now time.Time) error {
 	switch {
-	case r.leadershipLost():
+	case isClosed(r.lost):
 		return notProposed(node.ErrNotLeader)
 	case now.Before(r.store.fullUntil):
 		r.store.refused++
@@ -99,6 +147,7 @@
 func (r *simReplica) Propose(ctx context.Context, encoded []byte) (any, error) {
 	s, now := r.store, time.Now()
 	s.mu.Lock()
+	lost := r.lost
 	err := r.refusal(now)
 	if err == nil && now.Before(s.delayedUntil) {
 		s.refused++
@@ -116,22 +165,55 @@
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-	case <-r.lost:
+	case <-lost:
 	case <-ctx.Done():
+		if errors.Is(ctx.Err(), context.Canceled) {
+			// The tenure has ended. A member that still leads commits the command all the same.
+			go s.commitUnlessLost(encoded, at, lost)
+			return nil, unknownOutcomeError()
+		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if r.leadershipLost() || ctx.Err() != nil {
-		s.unknownOutcome = append(s.unknownOutcome, encoded)
-		s.unknownOutcomes++
-		return nil, errors.Mark(fault.New(fault.Unavailable, "the outcome of the command is unknown"), node.ErrOutcomeUnknown)
+	if isClosed(lost) || ctx.Err() != nil {
+		s.addUnknownOutcome(encoded)
+		return nil, unknownOutcomeError()
 	}
 	s.index++
 	return s.state.Apply(s.index, encoded), nil
 }
 
+func unknownOutcomeError() error {
+	return errors.Mark(fault.New(fault.Unavailable, "the outcome of the command is unknown"), node.ErrOutcomeUnknown)
+}
+
+// addUnknownOutcome records a command whose outcome is unknown. s.mu must be held.
+func (s *simStore) addUnknownOutcome(encoded []byte) {
+	s.unknownOutcome = append(s.unknownOutcome, encoded)
+	s.unknownOutcomes++
+}
+
+// commitUnlessLost commits a command at the given time, unless its leader loses the leadership before.
+func (s *simStore) commitUnlessLost(encoded []byte, at time.Time, lost <-chan struct{}) {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-lost:
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if isClosed(lost) {
+		s.addUnknownOutcome(encoded)
+		return
+	}
+	s.index++
+	s.state.Apply(s.index, encoded)
+}
+
 func (r *simReplica) Barrier(ctx context.Context) error {
 	r.store.mu.Lock()
+	lost := r.lost
 	err := r.refusal(time.Now())
 	delay := time.Until(r.store.delayedUntil)
 	r.store.mu.Unlock()
@@ -139,23 +221,25 @@
 		return err
 	}
 	wait.For(ctx, max(delay, 0)+time.Millisecond)
-	if r.leadershipLost() {
+	if isClosed(lost) {
 		return notProposed(node.ErrNotLeader)
 	}
 	return ctx.Err()
 }
 
 func (r *simReplica) Status() replica.Status {
-	if r.leadershipLost() {
-		return replica.Status{Role: replica.Follower, Term: r.term + 1}
-	}
 	r.store.mu.Lock()
 	defer r.store.mu.Unlock()
+	if isClosed(r.lost) {
+		return replica.Status{Role: replica.Follower, Term: r.term}
+	}
 	return replica.Status{Role: replica.Leader, Term: r.term, CanDecide: !time.Now().Before(r.store.delayedUntil)}
 }
 
 func (r *simReplica) Changed() <-chan struct{} {
-	if r.leadershipLost() {
+	r.store.mu.Lock()
+	defer r.store.mu.Unlock()
+	if isClosed(r.lost) {
 		return make(chan struct{})
 	}
 	return r.lost
--- a/internal/control/simulation_test.go
+++ b/internal/control/simulation_test.go
@@ -22,18 +22,22 @@
 	maxWholeFleet int
 	// leaveInterval is the mean time between two planned shutdowns.
 	leaveInterval time.Duration
-	t             *testing.T
-	seed          uint64
-	params        *simParams
-	random        *rand.Rand
-	state         *StateMachine
-	store         *simStore
-	workers       *simWorkers
-	adviser       *simAdviser
-	eventLog      *simLog
-	customers     *simCustomers
-	startedAt     time.Time
-	jobs          int
+	// tenureInterval is the mean time between two ends of a tenure whose member still leads, 0 for none.
+	// tenureEnds counts them.
+	tenureInterval time.Duration
+	tenureEnds     int
+	t              *testing.T
+	seed           uint64
+	params         *simParams
+	random         *rand.Rand
+	state          *StateMachine
+	store          *simStore
+	workers        *simWorkers
+	adviser        *simAdviser
+	eventLog       *simLog
+	customers      *simCustomers
+	startedAt      time.Time
+	jobs           int
 	// workBudget and adviserBudget are how much work, in millicores times milliseconds,
 	// and adviser time, in milliseconds, the load may still use.
 	workBudget, adviserBudget float64
@@ -45,7 +49,6 @@
 	leader     *Controller
 	log        *simReplica
 	stop       func()
-	term       uint64
 	faultsOver bool
 }
 
@@ -112,11 +115,9 @@
 
 // startLeader starts the next leader.
 func (sim *simulation) startLeader() {
-	sim.store.resolveUnknownOutcomes()
 	sim.mu.Lock()
 	defer sim.mu.Unlock()
-	sim.term++
-	sim.log = &simReplica{store: sim.store, term: sim.term, lost: make(chan struct{})}
+	sim.log = newSimReplica(sim.store)
 	sim.leader = New(Config{
 		Address: ownAddress, Bounds: Bounds{MaxLease: sim.params.lease, EndedJobRetention: time.Minute}, Workers: sim.workers, Adviser: sim.adviser, Client: sim.adviser,
 		Logger: log.With(log.NewLogfmtLogger(sim.eventLog), "ms", log.Valuer(virtualMS)), Counters: noCounters{},
@@ -143,7 +144,7 @@
 // changeLeader makes the leader lose its leadership. The leader notices within
 // statusPollInterval, and another one starts up to maxLeaderlessTime later.
 func (sim *simulation) changeLeader() {
-	close(sim.log.lost)
+	sim.log.replace()
 	time.Sleep(randomDuration(sim.random, 0, statusPollInterval))
 	sim.stop()
 	time.Sleep(randomDuration(sim.random, 0, maxLeaderlessTime))
@@ -233,6 +234,7 @@
 	go sim.sendHeartbeats(ctx)
 	go sim.customers.run()
 	go sim.leaveWorkers(ctx)
+	go sim.endTenures(ctx)
 	time.Sleep(simStartupTime)
 	for range sim.params.unplaceable {
 		sim.submit(&sim.params.queues[0], unplaceableSteps(unknownLabel, ""))
@@ -242,10 +244,12 @@
 			sim.submit(queue, unplaceableSteps("", refusedImage))
 		}
 	}
-	if found := sim.runWithFaults(); len(found) > 0 {
+	found := sim.runWithFaults()
+	// Also after a violation: the goroutines that change customers must end before the simulation does.
+	sim.endFaults()
+	if len(found) > 0 {
 		return found
 	}
-	sim.endFaults()
 	return sim.awaitCompletion()
 }
 
@@ -335,8 +339,8 @@
 	defer sim.workers.mu.Unlock()
 	p := sim.params
 	withCrashingTask, withoutCrashingTask := sim.countGivenUp()
-	sim.t.Logf("shutdowns %d, crashing task chance %.4f, shrinks %t, same names %t; jobs given up: %d with a crashing task, %d without; workers %d, adviser connections %d, permitted share %.2f, lease %v, load %.2f, burst %.2f, unplaceable %d, refused %d, faults %+v; jobs %d, starts %d, queries %d, leaders %d, largest backlog %d, commands refused %d, with unknown outcome %d, virtual time %v",
-		sim.workers.shutdowns, p.crashingTaskProbability, p.capacityShrinks, p.keepsWorkerNames, withCrashingTask, withoutCrashingTask, p.workers, p.adviserConns, p.permittedShare, p.lease, p.load, p.burst, p.unplaceable, p.refused, p.faults, sim.jobs, sim.workers.starts, sim.adviser.queries, sim.term, sim.maxBacklog,
+	sim.t.Logf("shutdowns %d, crashing task chance %.4f, shrinks %t, same names %t; jobs given up: %d with a crashing task, %d without; workers %d, adviser connections %d, permitted share %.2f, lease %v, load %.2f, burst %.2f, unplaceable %d, refused %d, faults %+v; jobs %d, starts %d, queries %d, leaders %d, tenures that ended alone %d, largest backlog %d, commands refused %d, with unknown outcome %d, virtual time %v",
+		sim.workers.shutdowns, p.crashingTaskProbability, p.capacityShrinks, p.keepsWorkerNames, withCrashingTask, withoutCrashingTask, p.workers, p.adviserConns, p.permittedShare, p.lease, p.load, p.burst, p.unplaceable, p.refused, p.faults, sim.jobs, sim.workers.starts, sim.adviser.queries, sim.store.term, sim.tenureEnds, sim.maxBacklog,
 		sim.store.refused, sim.store.unknownOutcomes, time.Since(sim.startedAt).Round(time.Millisecond))
 }
 
--- a/internal/instance/operations_test.go
+++ b/internal/instance/operations_test.go
@@ -23,6 +23,7 @@
 
 func (followerLog) Propose(context.Context, []byte) (any, error) { return nil, link.ErrNotLeader }
 func (followerLog) Barrier(context.Context) error                { return link.ErrNotLeader }
+func (followerLog) StepDown(context.Context, uint64) error       { return nil }
 func (followerLog) Status() replica.Status                       { return replica.Status{Leader: "leader"} }
 func (followerLog) Changed() <-chan struct{}                     { return make(chan struct{}) }
 
--- a/internal/node/apply.go
+++ b/internal/node/apply.go
@@ -27,6 +27,9 @@
 			g.proposeMembership(c)
 		case callTransfer:
 			c.reply(nil, g.faultOrNil(g.core.Transfer(c.transferee)))
+		case callStepDown:
+			g.core.StepDown(c.term)
+			c.reply(nil, nil)
 		case callForceStart:
 			c.reply(nil, g.faultOrNil(g.core.ForceStart()))
 		}
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -12,7 +12,7 @@
 )
 
 // These errors mark the faults of kind Unavailable that Propose, Barrier,
-// ChangeMembership and Transfer return. Compare with errors.Is.
+// ChangeMembership, Transfer and StepDown return. Compare with errors.Is.
 var (
 	// ErrNotLeader means that nothing was proposed, because this member isn't a leader
 	// that can decide (see replica.Status.CanDecide) or is transferring the leadership.
@@ -48,6 +48,7 @@
 	callBarrier
 	callMembership
 	callTransfer
+	callStepDown
 	callForceStart
 )
 
@@ -57,6 +58,8 @@
 	command    []byte
 	members    []replica.Member
 	transferee string
+	// term is the term whose leadership callStepDown gives up.
+	term uint64
 	// outcome has a buffer of one, so that reply never blocks.
 	outcome chan outcome
 }
@@ -199,6 +202,14 @@
 	}
 }
 
+// StepDown gives up the leadership of a term, if this member leads in it. The member may be elected again, in a
+// later term. Pending calls fail as after any loss of the leadership. Errors are as for Propose, but a
+// member that doesn't lead in the term returns none.
+func (g *Group) StepDown(ctx context.Context, term uint64) error {
+	_, err := g.execute(ctx, &call{kind: callStepDown, term: term})
+	return err
+}
+
 // transferToAny tries the voters in turn until the core accepts a transfer to one.
 func (g *Group) transferToAny(ctx context.Context, s replica.Status) error {
 	var errs error
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,6 +53,8 @@
 	// Barrier waits until this member has applied everything that was committed before
 	// the call. It fails on a member that doesn't lead.
 	Barrier(ctx context.Context) error
+	// StepDown gives up the leadership of a term, if this member leads in it.
+	StepDown(ctx context.Context, term uint64) error
 	// Status returns this member's view of the group.
 	Status() replica.Status
 	// Changed returns a channel that is closed at the next change of role, leader, term
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -151,6 +151,23 @@
 	c.converged(3)
 }
 
+// Guards against this failure: a leader that has stepped down leads in the same term again, or its group accepts no
+// writes any more; a group of one member has to elect it again.
+func TestLeaderThatStepsDownIsElectedInLaterTerm(t *testing.T) {
+	c := newCluster(t, "a", Config{})
+	c.set("k", "1")
+	old := c.leader()
+	term := old.Status().Term
+	must.NoError(t, old.StepDown(t.Context(), term-1))
+	must.True(t, old.Status().CanDecide)
+	must.NoError(t, old.StepDown(t.Context(), term))
+	eventually(t, "the end of the leadership", func() bool { return old.Status().Role != replica.Leader || old.Status().Term > term })
+	must.Greater(t, term, c.leader().Status().Term)
+	c.set("k", "2")
+	must.NoError(t, old.StepDown(t.Context(), term), must.Sprint("repeated"))
+	c.converged(3)
+}
+
 // A change of two members in one call must be refused as invalid. A change of one member
 // must succeed, and so must a repeat of the same call.
 func TestMembershipChangesOneMemberAtATime(t *testing.T) {
--- a/replica/scenario_test.go
+++ b/replica/scenario_test.go
@@ -320,6 +320,45 @@
 	must.SliceEmpty(t, s.violations)
 }
 
+// Guards against this failure: a leader that has given up its leadership decides in the same term again, and
+// what it orders can't be told from what it ordered before; or the group gets no leader any more.
+func TestLeaderThatStepsDownLeadsOnlyInLaterTerm(t *testing.T) {
+	for _, opt := range []simOptions{{voters: 3}, {voters: 3, witness: true}, {voters: 1, disks: 1}} {
+		s := newSimWithLeader(t, opt)
+		l := s.leader()
+		term := l.core.term
+		l.core.StepDown(term - 1)
+		must.True(t, l.core.Status().CanDecide, must.Sprint("the leadership of another term was given up"))
+		l.core.StepDown(term)
+		must.Eq(t, Follower, roleOf(l))
+		_, _, err := l.core.Propose([]byte("x"))
+		must.ErrorIs(t, err, ErrNotLeader)
+		for range maxElectionSteps {
+			s.run(1)
+			must.False(t, l.core.term == term && roleOf(l) == Leader)
+		}
+		must.Greater(t, term, s.waitForLeader(t).core.term)
+	}
+}
+
+// Guards against this failure: acknowledgements that are under way when a leader steps down, or a repeated
+// step-down, disturb the next term.
+func TestLateRepliesAfterStepDownChangeNothing(t *testing.T) {
+	c := leaderCore(t, "n0", "n1", "n2")
+	ackAll(t, c, "n1", c.now)
+	must.True(t, c.Status().CanDecide)
+	term := c.term
+	c.StepDown(term)
+	c.StepDown(term)
+	ackAll(t, c, "n1", c.now)
+	ackAll(t, c, "n2", c.now)
+	must.Eq(t, Follower, c.Status().Role)
+	must.Eq(t, term, c.term)
+	must.False(t, c.Status().CanDecide)
+	must.ErrorIs(t, c.ReadIndex(1), ErrNotLeader)
+	must.Eq(t, 0, c.heartbeatGaps.widest, must.Sprint("a deliberate step-down counts as a late leader"))
+}
+
 // The first leader of a new group is partitioned before any other member receives an
 // append from it, so the others haven't taken part yet. When the partition ends, the
 // group must start without an operator.
--- a/replica/sim_faults_test.go
+++ b/replica/sim_faults_test.go
@@ -9,6 +9,8 @@
 	// loss of power. It is above the bounds of the cases in injectFault and below each of
 	// faultOutcomeCounts.
 	powerLossOutcome = 100
+	// stepDownOutcome is the random outcome at which injectFault makes the leader step down.
+	stepDownOutcome = 69
 	// diskLossProbability is the probability that a crash erases the disk.
 	diskLossProbability = 0.2
 	// twoWayProbability is the probability that a partition blocks a link in both
@@ -62,6 +64,11 @@
 		}
 	case kind < 68 && s.opt.membershipChanges:
 		s.proposeRandomChange()
+	case kind == stepDownOutcome:
+		if l := s.leader(); l != nil && !l.paused {
+			l.core.StepDown(l.core.term)
+			s.counts["step-downs"]++
+		}
 	case kind == powerLossOutcome && s.opt.powerLoss:
 		s.losePower()
 	}
--- a/replica/transfer.go
+++ b/replica/transfer.go
@@ -60,3 +60,15 @@
 	}
 	c.leaderState.transfer = transfer{}
 }
+
+// StepDown makes this member give up the leadership of a term; it does nothing if the member doesn't lead in
+// that term. The member may be elected again, in a later term. Until then it refuses votes like a former
+// leader whose lease may still be valid.
+//
+// A leader whose right to decide is in doubt steps down instead of beginning again: what it has ordered
+// in this term can't be told from what it would order next.
+func (c *Core) StepDown(term uint64) {
+	if c.role == Leader && c.term == term {
+		c.follow(c.term, "")
+	}
+}
