spec: a model of proofs that are older than what they are used for

proof.pml: a worker whose lease ends while it is idle and alive, polls without a response, starts that are committed first and sent later, ends that are committed later than they are proved, and two tenures of one leader. A witness shows that a lease is found over while a committed start isn't sent yet.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -108,6 +108,12 @@
 		echo "quick|order|$mutant|-DRUNS=2"
 	done
 
+	echo "quick|proof|-|-DRUNS=2"
+	echo "full|proof|-|-DRUNS=3"
+	for mutant in SENT_AFTER_END READ_LATER SAME_TOKEN WITNESS_END_OF_IDLE_WORKER; do
+		echo "quick|proof|$mutant|-DRUNS=2"
+	done
+
 	echo "quick|carrier|-|-DLAST=7"
 	for mutant in RELATIVE RENEWS NO_TERM KEEPS_OUTCOMES NO_PREDECESSOR; do
 		echo "quick|carrier|$mutant|-DLAST=7"
