control: a suspension between the confirmed leadership and the tenure ends the tenure

What callers could see: two leaders extend leases, so a task runs twice.

Cause: a tenure compared the steady clocks from the moment when its state was built, after the barrier. A suspension in between wasn't seen: the barrier proves the leadership only up to its own time, and another leader may have taken over meanwhile.

Change: the clocks are read before the barrier.

Nothing in the record of the users shows a suspension.

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -90,6 +90,8 @@
 	// heartbeatBuffer holds heartbeats that this instance received until the leader
 	// collects them.
 	heartbeatBuffer heartbeatBuffer
+	// suspendedTime returns how long the machine has been suspended since it booted.
+	suspendedTime func() (time.Duration, error)
 
 	mu         sync.Mutex
 	leaderTerm *leaderTerm
@@ -98,7 +100,7 @@
 // New returns a controller that proposes commands to replicatedLog. state must be the
 // state machine of that log.
 func New(cfg Config, state *StateMachine, replicatedLog node.Log) *Controller {
-	c := &Controller{cfg: cfg, state: state, log: replicatedLog}
+	c := &Controller{cfg: cfg, state: state, log: replicatedLog, suspendedTime: suspendedTime}
 	state.setOnConfigured(c.recordConfiguration)
 	if cfg.OrdersByHeartbeat {
 		c.heartbeats = newHeartbeatTransport(cfg.Workers)
@@ -167,6 +169,8 @@
 func (c *Controller) runLeaderTerm(ctx context.Context, term uint64) (begun bool) {
 	termCtx, end := context.WithCancel(ctx)
 	defer end()
+	// The barrier proves nothing about the time after a suspension that follows it.
+	suspendedBefore, clockErr := c.suspendedTime()
 	if err := c.log.Barrier(termCtx); err != nil {
 		_ = c.cfg.Logger.Log("event", "tenure", "outcome", "not begun", "term", term, "err", err)
 		wait.For(ctx, statusPollInterval)
@@ -176,6 +180,9 @@
 		c.cfg.OnElected(termCtx, term)
 	}
 	t := newLeaderTerm(termCtx, end, c, term)
+	if clockErr == nil {
+		t.suspendedBefore = suspendedBefore
+	}
 	workers := len(t.sessions)
 	c.setLeaderTerm(t)
 	_ = c.cfg.Logger.Log("event", "tenure", "outcome", "begun", "term", term, "workers", workers)
--- a/internal/control/leader_term.go
+++ b/internal/control/leader_term.go
@@ -44,8 +44,8 @@
 	// fence is the fencing token of all orders of this leader term: its term in the log.
 	fence   uint64
 	started time.Time
-	// suspendedBefore is how long the machine had been suspended, in total, when the leader
-	// term began.
+	// suspendedBefore is how long the machine had been suspended, in total, before the log
+	// confirmed the leadership.
 	suspendedBefore time.Duration
 	suspendedTime   func() (time.Duration, error)
 	// lease is the duration of the leases that this leader term grants to workers.
@@ -166,7 +166,7 @@
 // orders.
 func newLeaderTerm(ctx context.Context, end func(), c *Controller, term uint64) *leaderTerm {
 	t := &leaderTerm{
-		c: c, ctx: ctx, end: end, fence: term, started: time.Now(), suspendedTime: suspendedTime,
+		c: c, ctx: ctx, end: end, fence: term, started: time.Now(), suspendedTime: c.suspendedTime,
 		logger:                log.With(c.cfg.Logger, "term", term),
 		disabled:              c.cfg.Disabled,
 		wakePlanner:           make(chan struct{}, 1),
--- a/internal/control/leader_term_test.go
+++ b/internal/control/leader_term_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -119,6 +120,28 @@
 	must.Eq(t, leaseEnd, s.leaseEnd)
 }
 
+// Guards against this failure: two leaders extend leases. The machine of a new leader is suspended after the log has
+// confirmed its leadership and before its tenure begins, and another leader takes over meanwhile.
+func TestSuspensionBeforeTenureEndsIt(t *testing.T) {
+	var suspended atomic.Int64
+	cluster := newTestCluster(t, func(cluster *testCluster) {
+		cluster.controller.suspendedTime = func() (time.Duration, error) { return time.Duration(suspended.Load()), nil }
+		cluster.controller.cfg.OnElected = func(_ context.Context, term uint64) {
+			if term == fakeLogTerm {
+				suspended.Store(int64(2 * time.Second))
+			}
+		}
+	})
+	cluster.workers.add("w1")
+	cluster.announce("w1")
+	cluster.eventually("the next tenure begins", func() bool {
+		term, err := cluster.controller.currentLeaderTerm(context.Background())
+		return err == nil && term.fence > fakeLogTerm
+	})
+	cluster.submit("a", oneTask)
+	cluster.eventually("the task starts", func() bool { return cluster.started("w1") == 1 })
+}
+
 // Guards against this failure: a task runs twice. A leader gives up its tenure while its member still leads, and
 // begins the next one with the same fencing token. It takes a run that a worker doesn't report for never
 // started, although the start of the earlier tenure is still on its way.
