--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -90,6 +90,8 @@
 	// heartbeatBuffer holds heartbeats that this instance received until the leader
 	// collects them.
 	heartbeatBuffer heartbeatBuffer
+	// suspendedTime returns how long the machine has been suspended since it booted.
+	suspendedTime func() (time.Duration, error)
 
 	mu         sync.Mutex
 	leaderTerm *leaderTerm
@@ -98,7 +100,7 @@
 // New returns a controller that proposes commands to replicatedLog. state must be the
 // state machine of that log.
 func New(cfg Config, state *StateMachine, replicatedLog node.Log) *Controller {
-	c := &Controller{cfg: cfg, state: state, log: replicatedLog}
+	c := &Controller{cfg: cfg, state: state, log: replicatedLog, suspendedTime: suspendedTime}
 	state.setOnConfigured(c.recordConfiguration)
 	if cfg.OrdersByHeartbeat {
 		c.heartbeats = newHeartbeatTransport(cfg.Workers)
@@ -117,12 +119,20 @@
 }
 
 // Run runs a leader term whenever this member may decide. It returns nil when ctx ends.
+//
+// It runs at most one in each term of the log, whose number is the fencing token: a worker that accepts the token
+// of a later leader term refuses the orders of the earlier one, which may still be on their way. A leader
+// term that ends while this member leads therefore ends the leadership too.
 func (c *Controller) Run(ctx context.Context) error {
+	var lastTerm uint64
 	for ctx.Err() == nil {
 		changed := c.log.Changed()
 		status := c.log.Status()
-		if status.CanDecide {
-			c.runLeaderTerm(ctx, status.Term)
+		switch {
+		case status.Term == lastTerm:
+			c.stepDown(ctx, status)
+		case status.CanDecide && c.runLeaderTerm(ctx, status.Term):
+			lastTerm = status.Term
 			continue
 		}
 		waitForStatusChange(ctx, changed)
@@ -130,6 +140,19 @@
 	return nil
 }
 
+// stepDown gives up the leadership if this member still leads.
+func (c *Controller) stepDown(ctx context.Context, status replica.Status) {
+	if status.Role != replica.Leader {
+		return
+	}
+	outcome := "stepped down"
+	err := c.log.StepDown(ctx, status.Term)
+	if err != nil {
+		outcome = "not stepped down"
+	}
+	_ = c.cfg.Logger.Log("event", "tenure", "outcome", outcome, "term", status.Term, "err", err)
+}
+
 // statusPollInterval is the longest time between two checks of the log's status, and thus
 // the longest delay until a change of CanDecide is noticed.
 const statusPollInterval = 200 * time.Millisecond
@@ -142,19 +165,24 @@
 	wait.Closed(ctx, changed)
 }
 
-// runLeaderTerm runs one leader term and returns when this member stops leading.
-func (c *Controller) runLeaderTerm(ctx context.Context, term uint64) {
+// runLeaderTerm runs one leader term and returns when it has ended. It returns false if none has begun.
+func (c *Controller) runLeaderTerm(ctx context.Context, term uint64) (begun bool) {
 	termCtx, end := context.WithCancel(ctx)
 	defer end()
+	// The barrier proves nothing about the time after a suspension that follows it.
+	suspendedBefore, clockErr := c.suspendedTime()
 	if err := c.log.Barrier(termCtx); err != nil {
 		_ = c.cfg.Logger.Log("event", "tenure", "outcome", "not begun", "term", term, "err", err)
 		wait.For(ctx, statusPollInterval)
-		return
+		return false
 	}
 	if c.cfg.OnElected != nil {
 		c.cfg.OnElected(termCtx, term)
 	}
 	t := newLeaderTerm(termCtx, end, c, term)
+	if clockErr == nil {
+		t.suspendedBefore = suspendedBefore
+	}
 	workers := len(t.sessions)
 	c.setLeaderTerm(t)
 	_ = c.cfg.Logger.Log("event", "tenure", "outcome", "begun", "term", term, "workers", workers)
@@ -162,6 +190,7 @@
 	t.run()
 	c.setLeaderTerm(nil)
 	_ = c.cfg.Logger.Log("event", "tenure", "outcome", "ended", "term", term)
+	return true
 }
 
 // endOnLeadershipLoss calls end as soon as this member no longer leads in term.
