control: a run that a worker's next incarnation is still stopping isn't lost

Callers see a task with two runs at once on workers that are up: a worker restarts under its ID within some 100 ms, a start on its way to the earlier incarnation arrives at the next one, and while that one stops the run the task's next run starts elsewhere (33 to 70 ms side by side).

Cause: settleWithSuccessor stops the runs at the next incarnation and waits for one complete report; then all runs that are left count as lost. A report that lists such a run as running, because its stop takes up to 200 ms, counted too. Now the wait goes on until a report lists none of the runs as running; their ends are committed with the report that lists them.

Ruled out: a lease taken for over (both lines run_lost say that 2.8 s were left), a change of the leader, a carrier without the term check.

--- a/internal/control/incarnations.go
+++ b/internal/control/incarnations.go
@@ -159,7 +159,7 @@
 		stops.Go(func() error { s.stopAtSuccessor(run, started.Add(unresponsiveWorkerTimeout)); return nil })
 	}
 	_ = stops.Wait()
-	listed := s.awaitSuccessorReport(started.Add(unresponsiveWorkerTimeout))
+	listed := s.awaitSuccessorReport(runs, started.Add(unresponsiveWorkerTimeout))
 	s.t.logger.Log("event", "next_life", "worker", s.worker.ID, "runs", len(runs), "listed", listed,
 		"ms", time.Since(started).Milliseconds())
 }
@@ -228,13 +228,14 @@
 }
 
 // awaitSuccessorReport waits for a complete report of the successor in response to a poll that
-// is sent from now on, and until the ends of this session's runs that the report lists are
-// committed. It returns false if the deadline passes or another worker is found at the address first.
-func (s *workerSession) awaitSuccessorReport(deadline time.Time) bool {
+// is sent from now on and lists none of the runs as running, and until the ends of this session's
+// runs that the report lists are committed. It returns false if the deadline passes or another
+// worker is found at the address first.
+func (s *workerSession) awaitSuccessorReport(runs []workflow.Run, deadline time.Time) bool {
 	since := time.Now()
 	s.interruptSuccessorPoll()
 	for time.Now().Before(deadline) {
-		if s.successorReportedSince(since) {
+		if s.successorReportedSince(since, runs) {
 			return true
 		}
 		if s.isAddressTaken() {
@@ -281,13 +282,19 @@
 }
 
 // successorReportedSince reports whether the successor has sent a complete report in
-// response to a poll that was sent after since, and the ends in it are committed. A run that
-// is listed as done would otherwise be committed as lost, and its task would start again.
-func (s *workerSession) successorReportedSince(since time.Time) bool {
+// response to a poll that was sent after since, the ends in it are committed and it lists none of
+// the runs as running. A run that is listed as done would otherwise be committed as lost, and its
+// task would start again; a run that was stopped may go on for a while after the stop.
+func (s *workerSession) successorReportedSince(since time.Time, runs []workflow.Run) bool {
 	s.t.mu.Lock()
 	defer s.t.mu.Unlock()
 	successor := s.successor()
-	return successor != nil && successor.predecessorsReportedAt.After(since)
+	return successor != nil && successor.predecessorsReportedAt.After(since) && !successor.listsRunning(runs)
+}
+
+// listsRunning reports whether the last complete report lists one of the runs as running. t.mu must be held.
+func (s *workerSession) listsRunning(runs []workflow.Run) bool {
+	return slices.ContainsFunc(runs, func(run workflow.Run) bool { return s.listedRunning[run.Task] == run.Number })
 }
 
 // endPredecessorRuns commits those of the listed ends that belong to runs assigned to
--- a/internal/control/incarnations_test.go
+++ b/internal/control/incarnations_test.go
@@ -80,6 +80,33 @@
 	must.Error(t, cluster.deliverDelayedStart(), must.Sprint("carried out late, while the second run is alive"))
 }
 
+// Guards against this failure: a task has two runs at once. The worker's next incarnation carries out a start
+// that was sent to the first one, and lists the run as running while it stops it.
+func TestRunBeingStoppedBySuccessorKeepsItsTask(t *testing.T) {
+	cluster := clusterWithUnansweredStart(t)
+	cluster.withWorker("n2", func(f *fakeWorker) { f.slowStops = true })
+	must.NoError(t, cluster.deliverDelayedStart())
+	cluster.workers.add("w2")
+	cluster.announce("w2")
+	cluster.announceIncarnation("n2", 2)
+	starts := func() int { return cluster.started("n2") + cluster.started("w2") }
+	polled := func() (polls int) {
+		cluster.withWorker("n2", func(f *fakeWorker) { polls = len(f.polls) })
+		return polls
+	}
+	stoppedAt := 0
+	cluster.eventually("the run is stopped", func() bool {
+		stopped := false
+		cluster.withWorker("n2", func(f *fakeWorker) { stopped = f.stopped[task("a", 0)] > 0 })
+		stoppedAt = polled()
+		return stopped
+	})
+	cluster.eventually("the worker reports that the run goes on", func() bool { return polled() >= stoppedAt+4 })
+	must.Eq(t, 1, starts())
+	cluster.withWorker("n2", func(f *fakeWorker) { f.finish(task("a", 0), workflow.OutcomeStopped) })
+	cluster.eventually("the task starts again", func() bool { return starts() == 2 })
+}
+
 // Guards against this failure: a task runs twice. A start got no response from the first
 // incarnation of a worker, but the next incarnation has carried out that start, and the
 // run has ended.
--- a/internal/control/report.go
+++ b/internal/control/report.go
@@ -47,7 +47,7 @@
 	if !report.Partial {
 		t.mu.Lock()
 		firstFullReport := s.predecessorsReportedAt.IsZero()
-		s.predecessorsReportedAt = sent
+		s.predecessorsReportedAt, s.listedRunning = sent, runningNumbers(report)
 		t.mu.Unlock()
 		if firstFullReport {
 			s.interruptPredecessors()
@@ -69,6 +69,15 @@
 	return listsNewEnds
 }
 
+// runningNumbers returns the number of the run of each task that a report lists as running.
+func runningNumbers(report Report) map[workflow.TaskKey]int {
+	numbers := make(map[workflow.TaskKey]int, len(report.Running))
+	for _, r := range report.Running {
+		numbers[r.Task] = r.Number
+	}
+	return numbers
+}
+
 // recordReport records that this incarnation of the worker has just responded to a poll.
 // clockMS is the worker's clock in milliseconds, 0 if unknown. t.mu must be held.
 func (s *workerSession) recordReport(clockMS int64, now time.Time) {
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -82,6 +82,8 @@
 	// predecessorsReportedAt is when the poll was sent whose response was the last complete
 	// report from which all ends of runs of predecessors are committed.
 	predecessorsReportedAt time.Time
+	// listedRunning maps each task to its run that the last complete report lists as running.
+	listedRunning map[workflow.TaskKey]int
 	// leaseEnd is when, by this process's clock, all runs on the worker have ended at the
 	// latest. Polls and starts postpone it when they extend the lease.
 	leaseEnd time.Time
