--- a/internal/control/speeds_test.go
+++ b/internal/control/speeds_test.go
@@ -94,8 +94,10 @@
 // together, ends are reported late or again, a run resumes from a checkpoint or gets spare CPU.
 func TestRunsThatSayNothingAboutSpeedAreIgnored(t *testing.T) {
 	for name, change := range map[string]func(*workerSession, *runOrder){
-		"gang":       func(_ *workerSession, o *runOrder) { o.gang = true },
-		"reported":   func(s *workerSession, o *runOrder) { s.markKnownEnds([]workflow.RunEnd{{Task: o.run.Task, Number: o.run.Number}}) },
+		"gang": func(_ *workerSession, o *runOrder) { o.gang = true },
+		"reported": func(s *workerSession, o *runOrder) {
+			s.markKnownEnds([]workflow.RunEnd{{Task: o.run.Task, Number: o.run.Number}})
+		},
 		"resumed":    func(_ *workerSession, o *runOrder) { o.resumed = true },
 		"spare":      func(_ *workerSession, o *runOrder) { o.usesSpareCPU = true },
 		"late":       func(s *workerSession, _ *runOrder) { s.endsDelayed = true },
