carrier: orders whose time limit is over are not carried out

Seen by callers: a task that is done starts again on the next incarnation of a worker (rule TWICE), or a worker gets more than it holds.

Cause: a carrier that is frozen (stopped, without processor time) finds the messages that arrived meanwhile when it goes on, and gave each order its full time limit from then on. The leader has given the orders up seconds before, has had the run started by another call, and the worker may have restarted under its name: its next incarnation knows nothing of the run.

Ruled out: an order already in a call when the carrier freezes (its own time limit ends by the monotonic clock); the fencing token (same leader).

Change: a carrier's collect replies tell its own clock, as worker reports do. The leader says in each message when, by that clock, it was sent, and the carrier ends what is older than its time limit without a call (counter carried_orders_expired) and gives the rest what is left of it. The leader's idea of that clock lags by the way of one reply, so an order seems older than it is, never younger. A clock of another incarnation counts for nothing: its process hadn't started yet.

Open: an order younger than its limit may still reach a next incarnation that is there within 600 ms.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -39,6 +39,7 @@
 	// incarnation identifies this Carrier. It is random, so that it differs after a restart,
 	// and never 0, which means that a CollectCall names no incarnation.
 	incarnation uint64
+	startedAt   time.Time
 
 	mu sync.Mutex
 	// term is the latest leader term seen.
@@ -58,7 +59,7 @@
 
 // NewCarrier returns a Carrier that has no orders and has seen no leader.
 func NewCarrier(cfg CarrierConfig) *Carrier {
-	return &Carrier{cfg: cfg, incarnation: rand.Uint64() | 1, firstNumber: 1, outcomeAdded: make(chan struct{}), repeating: map[uint64]bool{}}
+	return &Carrier{cfg: cfg, incarnation: rand.Uint64() | 1, startedAt: time.Now(), firstNumber: 1, outcomeAdded: make(chan struct{}), repeating: map[uint64]bool{}}
 }
 
 // Register serves the carrier's methods on mux.
@@ -77,8 +78,13 @@
 	c.cfg.Counters.Add("carried_orders", int64(len(call.Orders)))
 	c.startRepeating(call)
 	ctx = context.WithoutCancel(ctx)
+	age := c.ageOf(call)
 	for i := range call.Orders {
-		go c.execute(ctx, call.Term, &call.Orders[i])
+		if order := &call.Orders[i]; order.CallTimeout > 0 && age >= order.CallTimeout {
+			c.refuseExpired(call.Term, order)
+			continue
+		}
+		go c.execute(ctx, call.Term, &call.Orders[i], age)
 	}
 	return CarryReply{Term: call.Term}, nil
 }
@@ -102,9 +108,11 @@
 }
 
 // execute makes an order's call to the worker and stores the outcome.
-func (c *Carrier) execute(ctx context.Context, term uint64, order *Order) {
+func (c *Carrier) execute(ctx context.Context, term uint64, order *Order, age time.Duration) {
 	for {
-		outcome, err := c.call(ctx, order)
+		outcome, err := c.call(ctx, order, order.CallTimeout-age)
+		// The time limit of a repeated poll applies to each repetition.
+		age = 0
 		if err == nil && outcome.Report != nil && outcome.Report.IsIdle() && c.repeats(term, order.ID) {
 			continue
 		}
@@ -116,8 +124,8 @@
 }
 
 // call makes one call of an order to the worker.
-func (c *Carrier) call(ctx context.Context, order *Order) (Outcome, error) {
-	ctx, cancel := context.WithTimeout(ctx, order.CallTimeout)
+func (c *Carrier) call(ctx context.Context, order *Order, timeout time.Duration) (Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return order.callWorker(ctx, c.cfg.Workers)
 }
@@ -160,13 +168,13 @@
 		var added <-chan struct{}
 		reply.Outcomes, reply.LastNumber, added = c.outcomesAfter(call)
 		if len(reply.Outcomes) > 0 || call.Incarnation != c.incarnation {
-			reply.Repeated = c.takeRepeated(call.Term)
+			reply.Repeated, reply.Clock = c.takeRepeated(call.Term), c.clock()
 			return reply, nil
 		}
 		select {
 		case <-added:
 		case <-holdTimer.C:
-			reply.Repeated = c.takeRepeated(call.Term)
+			reply.Repeated, reply.Clock = c.takeRepeated(call.Term), c.clock()
 			return reply, nil
 		case <-ctx.Done():
 			return reply, ctx.Err()
--- a/internal/carrier/messages.go
+++ b/internal/carrier/messages.go
@@ -68,6 +68,10 @@
 	Orders []Order `cbor:"2,keyasint"`
 	// Withdrawn are the IDs of polls that the carrier is to repeat no longer.
 	Withdrawn []uint64 `cbor:"3,keyasint,omitempty"`
+	// SentAt is when the call was sent, or a little earlier, on the carrier's own clock. It is valid
+	// only for the carrier's incarnation that the call names.
+	SentAt      time.Duration `cbor:"4,keyasint,omitempty"`
+	Incarnation uint64        `cbor:"5,keyasint,omitempty"`
 }
 
 // CarryReply returns the carrier's term. If this term is later than the call's, the carrier
@@ -103,6 +107,8 @@
 	// Repeated are the IDs of the polls that were answered by an idle worker since the last
 	// reply, and repeated.
 	Repeated []uint64 `cbor:"7,keyasint,omitempty"`
+	// Clock is the carrier's own clock, which counts from the start of its incarnation.
+	Clock time.Duration `cbor:"8,keyasint,omitempty"`
 }
 
 // Outcome is the result of an order.
--- a/internal/carrier/route.go
+++ b/internal/carrier/route.go
@@ -61,6 +61,7 @@
 	// dataCentre is the data centre of the carrier.
 	responsive bool
 	dataCentre string
+	clock      carrierClock
 	queue      []*Order
 	// withdrawn are the repeated polls that the carrier is to repeat no longer.
 	withdrawn []uint64
@@ -260,6 +261,7 @@
 	for _, order := range batch {
 		call.Orders = append(call.Orders, *order)
 	}
+	r.stamp(call, time.Now())
 	r.cfg.Counters.Add("order_messages", 1)
 	var reply CarryReply
 	err := r.cfg.Transport.Call(ctx, r.address, MethodCarry, call, &reply)
@@ -321,6 +323,7 @@
 			r.cfg.ApplyHeartbeats(reply.Heartbeats)
 		}
 		last = reply
+		r.recordClock(&reply, time.Now())
 		r.setDataCentre(reply.DataCentre)
 		r.setResponsive(true, nil)
 		r.markContacted()
