control: a poll sent at the acknowledgement of a stop settles the run

Seen by callers: nothing runs twice; a task whose start got no response waits for a second longer (run_claimed) before it starts elsewhere.

Cause: neverStarted wanted the stop's acknowledgement before the poll was sent, accountsFor counted the run as unaccounted for unless the poll was sent before the acknowledgement. With the same time in both no event settled the run. An acknowledgement interrupts the held poll, and in virtual time the next one is sent at the very same moment.

Ruled out: a lost stop (no line of one), a restart of the worker, the carriers (each of both stops had its answer).

Change: equal times count as proof. The worker had recorded the stop before its acknowledgement arrived, and a poll sent at that moment reaches it later.

--- a/internal/control/report.go
+++ b/internal/control/report.go
@@ -197,7 +197,7 @@
 // inherited run counts as never started because the worker accepted this leader's fencing
 // token before it made the report, and refuses the older order from then on. A run that
 // this leader ordered counts as never started if the worker had acknowledged a stop
-// before the poll was sent, since it refuses the run from then on.
+// when the poll was sent, since it refuses the run from then on.
 func (s *workerSession) neverStarted(report Report, ends []workflow.RunEnd, sent time.Time) []workflow.RunEnd {
 	if report.Partial {
 		return nil
@@ -216,7 +216,7 @@
 				continue
 			}
 			o := s.orders[task]
-			stopped := o != nil && o.run.Number == run.Number && !o.stopAckedAt.IsZero() && o.stopAckedAt.Before(sent)
+			stopped := o != nil && o.run.Number == run.Number && !o.stopAckedAt.IsZero() && !o.stopAckedAt.After(sent)
 			inherited := o == nil && s.inherited[task] == run.Number
 			if stopped || inherited {
 				settled = append(settled, workflow.RunEnd{Task: task, Number: run.Number, Outcome: workflow.OutcomeNotStarted})
--- a/internal/control/unreported_runs_test.go
+++ b/internal/control/unreported_runs_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -36,6 +37,20 @@
 	cluster.eventually("the task runs again", func() bool { return cluster.started("w1") == 2 })
 }
 
+// Guards against this failure: a run waits for a second until it is claimed. Its worker has
+// acknowledged its stop at the moment at which the next poll is sent, and neither the report nor any
+// later event counts as the one that settles it.
+func TestPollSentAtTheAcknowledgementOfAStopSettlesTheRun(t *testing.T) {
+	cluster := clusterWithStartedTask(t)
+	term := cluster.currentTerm()
+	term.mu.Lock()
+	defer term.mu.Unlock()
+	s, now := term.sessions["w1"], time.Now()
+	s.orders[task("a", 0)].stopAckedAt = now
+	must.SliceLen(t, 1, s.neverStarted(Report{}, nil, now))
+	must.SliceEmpty(t, s.neverStarted(Report{}, nil, now.Add(-time.Nanosecond)))
+}
+
 // Guards against this failure: a task never runs again. Its start is committed just after
 // the leader stopped monitoring its worker, and the commit of the run's end fails.
 func TestRunOnUnmonitoredWorkerIsSettled(t *testing.T) {
