control: simulation with carriers, idle phases and quick restarts

Now real Forwarders and Carriers stand between the simulated leaders and workers, on a simulated transport. Carriers end without a word or orderly, freeze and go on, are cut off from the leader or from the workers, and are slow, in series and overlapping, with orders in hand; the load is bursts of wide steps between idle phases of 1.5 to 2.5 leases; workers restart after 20 to 600 ms. Commits take up to 5 ms from their application until the proposer goes on, as under load.

--- a/internal/control/simulation_faults_test.go
+++ b/internal/control/simulation_faults_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"fmt"
 	"time"
 )
@@ -17,6 +18,9 @@
 func (sim *simulation) runWithFaults() []string {
 	start := time.Now()
 	nextFaultAt := start.Add(randomDuration(sim.random, 0, sim.params.faultInterval))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go sim.disturb(ctx, start)
 	for time.Since(start) < sim.params.faultPeriod {
 		time.Sleep(simTick)
 		sim.submitLoad(time.Since(start))
@@ -36,6 +40,9 @@
 // adviser time, the load counts as at least 1. Jobs are submitted while both budgets are
 // positive.
 func (sim *simulation) submitLoad(age time.Duration) {
+	if sim.carriers != nil && !sim.phases.isBurst(age) {
+		return
+	}
 	load := sim.params.load
 	if age >= sim.params.burstStart && age < sim.params.burstStart+sim.params.burstDuration {
 		load = max(load, sim.params.burst)
--- a/internal/control/simulation_replica_test.go
+++ b/internal/control/simulation_replica_test.go
@@ -12,6 +12,7 @@
 	"github.com/bilberryferry/bilberryferry/internal/node"
 	"github.com/bilberryferry/bilberryferry/internal/wait"
 	"github.com/bilberryferry/bilberryferry/replica"
+	"github.com/bilberryferry/bilberryferry/workflow"
 )
 
 // simStore is the state that the logs of all leaders share.
@@ -28,6 +29,10 @@
 	// unknownOutcome holds the commands whose outcome was unknown when their leader lost
 	// the leadership.
 	unknownOutcome [][]byte
+	// wakeRandom draws how long after the application of a command its proposer goes on; nil means
+	// that it goes on at once. onStarts is called after the application of starts; it may be nil.
+	wakeRandom *rand.Rand
+	onStarts   func([]workflow.Run)
 	// refused counts the refused commands, unknownOutcomes those with an unknown outcome.
 	refused, unknownOutcomes int
 }
@@ -119,6 +124,24 @@
 	case <-r.lost:
 	case <-ctx.Done():
 	}
+	result, err := r.finish(ctx, encoded)
+	time.Sleep(s.drawWakeDelay())
+	return result, err
+}
+
+// drawWakeDelay draws how long after the application of a command its proposer goes on.
+func (s *simStore) drawWakeDelay() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.wakeRandom == nil {
+		return 0
+	}
+	return randomDuration(s.wakeRandom, 0, maxWakeDelay)
+}
+
+// finish applies a proposed command, unless the leadership is lost or ctx has ended.
+func (r *simReplica) finish(ctx context.Context, encoded []byte) (any, error) {
+	s := r.store
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if r.leadershipLost() || ctx.Err() != nil {
@@ -127,7 +150,11 @@
 		return nil, errors.Mark(fault.New(fault.Unavailable, "the outcome of the command is unknown"), node.ErrOutcomeUnknown)
 	}
 	s.index++
-	return s.state.Apply(s.index, encoded), nil
+	applied := s.state.Apply(s.index, encoded)
+	if result, ok := applied.(workflow.Result); ok && len(result.Started) > 0 && s.onStarts != nil {
+		s.onStarts(result.Started)
+	}
+	return applied, nil
 }
 
 func (r *simReplica) Barrier(ctx context.Context) error {
--- a/internal/control/simulation_test.go
+++ b/internal/control/simulation_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"regexp"
 	"strings"
 	"sync"
 	"testing"
@@ -32,8 +33,14 @@
 	adviser       *simAdviser
 	eventLog      *simLog
 	customers     *simCustomers
-	startedAt     time.Time
-	jobs          int
+	// carriers make the calls to the workers, with phases of the load, draws from phaseRandom and
+	// counts; without carriers the leader calls the workers itself.
+	carriers    SimCarriers
+	phases      simPhases
+	phaseRandom *rand.Rand
+	counts      *SimCarrierCounts
+	startedAt   time.Time
+	jobs        int
 	// workBudget and adviserBudget are how much work, in millicores times milliseconds,
 	// and adviser time, in milliseconds, the load may still use.
 	workBudget, adviserBudget float64
@@ -117,8 +124,9 @@
 	defer sim.mu.Unlock()
 	sim.term++
 	sim.log = &simReplica{store: sim.store, term: sim.term, lost: make(chan struct{})}
+	path, openPath := sim.orderPath()
 	sim.leader = New(Config{
-		Address: ownAddress, Bounds: Bounds{MaxLease: sim.params.lease, EndedJobRetention: time.Minute}, Workers: sim.workers, Adviser: sim.adviser, Client: sim.adviser,
+		Address: ownAddress, Bounds: Bounds{MaxLease: sim.params.lease, EndedJobRetention: time.Minute}, Workers: path, OnElected: openPath, Adviser: sim.adviser, Client: sim.adviser,
 		Logger: log.With(log.NewLogfmtLogger(sim.eventLog), "ms", log.Valuer(virtualMS)), Counters: noCounters{},
 		Leader: func() string { return ownAddress }, Members: func() []string { return nil }, MaxWholeFleet: sim.maxWholeFleet,
 	}, sim.state, sim.log)
@@ -223,6 +231,7 @@
 	}
 	sim.startLeader()
 	defer func() {
+		sim.setFaultsOver()
 		sim.stop()
 		// Calls in flight end before the simulation does.
 		time.Sleep(2 * commitTimeout)
@@ -259,11 +268,16 @@
 	return nil
 }
 
-// endFaults ends the load and all faults.
-func (sim *simulation) endFaults() {
+// setFaultsOver ends the goroutines that make faults.
+func (sim *simulation) setFaultsOver() {
 	sim.mu.Lock()
+	defer sim.mu.Unlock()
 	sim.faultsOver = true
-	sim.mu.Unlock()
+}
+
+// endFaults ends the load and all faults.
+func (sim *simulation) endFaults() {
+	sim.setFaultsOver()
 	sim.workers.mu.Lock()
 	sim.workers.faultsOver = true
 	sim.workers.restoreCapacities()
@@ -271,6 +285,9 @@
 	sim.store.mu.Lock()
 	sim.store.slowUntil, sim.store.delayedUntil, sim.store.fullUntil = time.Time{}, time.Time{}, time.Time{}
 	sim.store.mu.Unlock()
+	if sim.carriers != nil {
+		sim.carriers.EndFaults()
+	}
 	sim.customers.finish()
 	sim.eventLog.logf("faults over")
 }
@@ -323,6 +340,8 @@
 				sim.logSummary()
 				if len(found) > 0 {
 					t.Errorf("%s\n%s", strings.Join(found, "\n"), sim.eventLog.linesAbout(jobsNamedIn(found)...))
+					t.Logf("the tasks and workers:\n%s", sim.eventLog.linesAbout(tasksNamedIn(found)...))
+					t.Logf("the carriers:\n%s", sim.eventLog.linesAbout(carrierFaultLine))
 				}
 			})
 		})
@@ -338,8 +357,29 @@
 	sim.t.Logf("shutdowns %d, crashing task chance %.4f, shrinks %t, same names %t; jobs given up: %d with a crashing task, %d without; workers %d, adviser connections %d, permitted share %.2f, lease %v, load %.2f, burst %.2f, unplaceable %d, refused %d, faults %+v; jobs %d, starts %d, queries %d, leaders %d, largest backlog %d, commands refused %d, with unknown outcome %d, virtual time %v",
 		sim.workers.shutdowns, p.crashingTaskProbability, p.capacityShrinks, p.keepsWorkerNames, withCrashingTask, withoutCrashingTask, p.workers, p.adviserConns, p.permittedShare, p.lease, p.load, p.burst, p.unplaceable, p.refused, p.faults, sim.jobs, sim.workers.starts, sim.adviser.queries, sim.term, sim.maxBacklog,
 		sim.store.refused, sim.store.unknownOutcomes, time.Since(sim.startedAt).Round(time.Millisecond))
+	if sim.counts != nil {
+		sim.t.Log("reached: ", sim.counts)
+	}
 }
 
+// tasksNamedIn returns the words by which log lines name the tasks and the workers of the findings.
+func tasksNamedIn(found []string) (tasks []string) {
+	for _, f := range found {
+		for word := range strings.FieldsSeq(f) {
+			if task := strings.TrimPrefix(word, "task="); strings.Contains(task, "/") {
+				tasks = append(tasks, "task="+task+" ")
+			}
+			if id := strings.TrimPrefix(word, "worker="); workerID.MatchString(id) {
+				tasks = append(tasks, "worker="+id, "worker "+id, "to "+id)
+			}
+		}
+	}
+	return tasks
+}
+
+// workerID matches the ID of a simulated worker.
+var workerID = regexp.MustCompile(`^w\d+\.\d+$`)
+
 // jobsNamedIn returns the words by which log lines name the jobs of the findings.
 func jobsNamedIn(found []string) []string {
 	var jobs []string
