--- a/internal/control/simulation_replica_test.go
+++ b/internal/control/simulation_replica_test.go
@@ -12,6 +12,7 @@
 	"github.com/bilberryferry/bilberryferry/internal/node"
 	"github.com/bilberryferry/bilberryferry/internal/wait"
 	"github.com/bilberryferry/bilberryferry/replica"
+	"github.com/bilberryferry/bilberryferry/workflow"
 )
 
 // simStore is the state that the logs of all leaders share.
@@ -28,6 +29,10 @@
 	// unknownOutcome holds the commands whose outcome was unknown when their leader lost
 	// the leadership.
 	unknownOutcome [][]byte
+	// wakeRandom draws how long after the application of a command its proposer goes on; nil means
+	// that it goes on at once. onStarts is called after the application of starts; it may be nil.
+	wakeRandom *rand.Rand
+	onStarts   func([]workflow.Run)
 	// refused counts the refused commands, unknownOutcomes those with an unknown outcome.
 	refused, unknownOutcomes int
 	// term is the highest term that a member has led.
@@ -173,6 +178,23 @@
 			return nil, unknownOutcomeError()
 		}
 	}
+	result, err := s.finish(ctx, encoded, lost)
+	time.Sleep(s.drawWakeDelay())
+	return result, err
+}
+
+// drawWakeDelay draws how long after the application of a command its proposer goes on.
+func (s *simStore) drawWakeDelay() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.wakeRandom == nil {
+		return 0
+	}
+	return randomDuration(s.wakeRandom, 0, maxWakeDelay)
+}
+
+// finish applies a proposed command, unless the leadership is lost or ctx has ended.
+func (s *simStore) finish(ctx context.Context, encoded []byte, lost <-chan struct{}) (any, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if isClosed(lost) || ctx.Err() != nil {
@@ -180,7 +202,11 @@
 		return nil, unknownOutcomeError()
 	}
 	s.index++
-	return s.state.Apply(s.index, encoded), nil
+	applied := s.state.Apply(s.index, encoded)
+	if result, ok := applied.(workflow.Result); ok && len(result.Started) > 0 && s.onStarts != nil {
+		s.onStarts(result.Started)
+	}
+	return applied, nil
 }
 
 func unknownOutcomeError() error {
