control: heartbeats that arrive together after a partition confirm no order

What callers see: a task runs twice where orders are delivered in the responses to heartbeats.

Cause: two heartbeats soon after a response prove that its orders arrived. Heartbeats that a partition held back arrive one soon after the other, although their worker got a response to none of them: the second and third confirmed a fencing token or a stop that the worker had never received, and their old reports settled runs as never started.

Ruled out: their sequence numbers increase, so that they aren't late ones.

--- a/internal/control/heartbeat_transport.go
+++ b/internal/control/heartbeat_transport.go
@@ -157,7 +157,7 @@
 // A stop or the fencing token has arrived if enough prompt heartbeats followed the
 // response that carried it.
 func (box *mailbox) recordHeartbeat(report Report, now time.Time) {
-	prompt := !box.respondedAt.IsZero() && now.Sub(box.respondedAt) < promptHeartbeatMax
+	prompt := !box.respondedAt.IsZero() && now.Sub(box.respondedAt) < promptHeartbeatMax && box.madePromptly(report)
 	if prompt && box.fence > 0 {
 		box.confirmations++
 	} else {
@@ -185,6 +185,12 @@
 	box.heartbeatReceived = make(chan struct{})
 }
 
+// madePromptly reports whether the worker made a report, by its own clock, soon after its last one. Heartbeats that
+// were held back on their way may arrive together, although the worker waited in vain for each response.
+func (box *mailbox) madePromptly(report Report) bool {
+	return time.Duration(report.ClockMS-box.report.ClockMS)*time.Millisecond < promptHeartbeatMax
+}
+
 // recordStartDelivered confirms the start of a task if a report shows its run or a later
 // one.
 func (box *mailbox) recordStartDelivered(task workflow.TaskKey, number int) {
--- a/internal/control/heartbeat_transport_test.go
+++ b/internal/control/heartbeat_transport_test.go
@@ -213,3 +213,35 @@
 	cluster.controller.state.read(func(s *workflow.State) { must.MapLen(t, 1, s.Runs["w1"]) })
 	must.SliceEmpty(t, send(4, running).Starts)
 }
+
+// Guards against this failure: a task runs twice after a change of leader. Heartbeats that a partition held back
+// arrive together; the worker has received no response to any of them, and their reports prove that a run never
+// started.
+func TestHeartbeatsHeldBackTogetherConfirmNothing(t *testing.T) {
+	transport := newHeartbeatTransport(nil)
+	ctx, cancel := context.WithTimeout(context.Background(), transportTimeout)
+	defer cancel()
+	got := make(chan Report, 1)
+	go func() {
+		report, err := transport.Poll(ctx, Target{Worker: "w1"}, PollOrder{Fence: fakeLogTerm})
+		must.NoError(t, err)
+		got <- report
+	}()
+	time.Sleep(noResultWait)
+	clockMS := int64(fakeClockMS)
+	for sequence := range uint64(2 * requiredConfirmations) {
+		transport.exchange(ctx, "w1", fakeLogTerm, sequence+1, Report{ClockMS: clockMS})
+		clockMS += heartbeatTimeout.Milliseconds()
+	}
+	select {
+	case <-got:
+		t.Fatal("a poll returned a report that was made before the worker had the fencing token")
+	case <-time.After(noResultWait):
+	}
+	const first = 10
+	for sequence := range uint64(2 * requiredConfirmations) {
+		transport.exchange(ctx, "w1", fakeLogTerm, first+sequence, Report{ClockMS: clockMS})
+		clockMS += heartbeatInterval.Milliseconds()
+	}
+	must.Greater(t, int64(fakeClockMS)+4*heartbeatTimeout.Milliseconds()-1, (<-got).ClockMS)
+}
