--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -151,8 +151,28 @@
 	c.converged(3)
 }
 
+// Guards against this failure: a group of one member accepts no writes any more once the member has stepped down.
+func TestSoleMemberThatStepsDownLeadsInLaterTerm(t *testing.T) {
+	cfg := soleMemberConfig(vfs.OS{}, t.TempDir())
+	cfg.TickInterval = 5 * time.Millisecond
+	g, err := Open(t.Context(), cfg)
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- g.Run(ctx) }()
+	eventually(t, "a leader", func() bool { return g.Status().CanDecide })
+	term := g.Status().Term
+	must.NoError(t, g.StepDown(t.Context(), term))
+	eventually(t, "a leader in a later term", func() bool { return g.Status().CanDecide && g.Status().Term > term })
+	must.NoError(t, g.Barrier(t.Context()))
+	_, err = g.Propose(t.Context(), encodeSet("k", "1"))
+	must.NoError(t, err)
+	cancel()
+	must.NoError(t, <-ended)
+}
+
 // Guards against this failure: a leader that has stepped down leads in the same term again, or its group accepts no
-// writes any more; a group of one member has to elect it again.
+// writes any more.
 func TestLeaderThatStepsDownIsElectedInLaterTerm(t *testing.T) {
 	c := newCluster(t, "a", Config{})
 	c.set("k", "1")
