--- a/internal/control/simulation_carriers_test.go
+++ b/internal/control/simulation_carriers_test.go
@@ -38,6 +38,8 @@
 	// workers is followed by a fault of a carrier at once. If one of these workers has a lease that is
 	// over, the fault is the sudden end of its carrier: the only one that a leader learns of at once.
 	startsPerCarrierFault = 2
+	// maxCarrierStopTime bounds how long a stop takes.
+	maxCarrierStopTime = 600 * time.Millisecond
 	// carrierFaultInterval is the mean time between two other faults of carriers.
 	carrierFaultInterval = 400 * time.Millisecond
 )
@@ -133,6 +135,7 @@
 	})
 	sim.store.wakeRandom = rand.New(rand.NewPCG(sim.seed, simWakeStream))
 	sim.store.onStarts = sim.disturbStarts(random)
+	sim.workers.maxStopTime = maxCarrierStopTime
 	sim.phaseRandom = random
 }
 
--- a/internal/control/simulation_worker_test.go
+++ b/internal/control/simulation_worker_test.go
@@ -44,6 +44,8 @@
 	duration  time.Duration
 	fails     bool
 	gang      bool
+	// stopping says that a stop of the run takes its time.
+	stopping bool
 }
 
 // simWorkers implements the calls to all workers, and records violated invariants.
@@ -54,6 +56,8 @@
 	stepOf func(workflow.TaskKey) *workflow.Step
 	// checkLimits checks the limits of the customers after a start.
 	checkLimits func()
+	// maxStopTime bounds how long a stop takes; 0 means that runs end at their stops.
+	maxStopTime time.Duration
 	// eventLog holds the log lines of the leaders and the workers.
 	eventLog *simLog
 
@@ -350,12 +354,32 @@
 		w.fence = o.Fence
 		w.stopped[o.Run.Task] = max(w.stopped[o.Run.Task], o.Run.Number)
 		if run := w.running[o.Run.Task]; run != nil && run.number <= o.Run.Number {
-			ws.finish(w, o.Run.Task, workflow.OutcomeStopped)
+			ws.stopRun(w, o.Run.Task, run)
 		}
 		return nil
 	})
 }
 
+// stopRun ends a run after the time that its stop takes, unless the run ends before. ws.mu must be held.
+func (ws *simWorkers) stopRun(w *simWorker, task workflow.TaskKey, run *simRun) {
+	if ws.maxStopTime == 0 {
+		ws.finish(w, task, workflow.OutcomeStopped)
+		return
+	}
+	if run.stopping {
+		return
+	}
+	run.stopping = true
+	stopTime := time.Duration(seededFloat(ws.seed, "stop", w.ID, task, run.number) * float64(ws.maxStopTime))
+	time.AfterFunc(stopTime, func() {
+		ws.mu.Lock()
+		defer ws.mu.Unlock()
+		if w.running[task] == run {
+			ws.finish(w, task, workflow.OutcomeStopped)
+		}
+	})
+}
+
 func (ws *simWorkers) Throttle(context.Context, Target, ThrottleOrder) (int64, error) {
 	return 0, nil
 }
