ownedconn: a message for one incarnation goes out on any connection once, not from then on

A worker that closes connections while it shuts down does so just before it starts again.

Change: only messages that differ by connection are counted, and the count begins anew after the one that goes out on any connection. What remains: one in four polls of a worker that closes each connection is guarded by the age of the report alone.

--- a/internal/ownedconn/client.go
+++ b/internal/ownedconn/client.go
@@ -53,7 +53,9 @@
 // Confirm records that the addressed incarnation has responded.
 func (r *Response) Confirm() {
 	r.request.confirmConn()
-	r.client.closed.record(r.request.incarnation, r.closed)
+	if !r.request.anyConn {
+		r.client.closed.record(r.request.incarnation, r.closed)
+	}
 }
 
 // Disown records that the incarnation doesn't respond on the current connection any more. Something
@@ -83,7 +85,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "encode %s", m.Path)
 	}
-	if m.Unbound == nil || c.closed.exhausted(m.Incarnation) {
+	if m.Unbound == nil || c.closed.takeExhausted(m.Incarnation) {
 		return newAnyConnRequest(m.Incarnation, bound), nil
 	}
 	unbound, err := json.Marshal(m.Unbound)
--- a/internal/ownedconn/request.go
+++ b/internal/ownedconn/request.go
@@ -13,7 +13,7 @@
 )
 
 // MaxClosedConns is how many responses in a row may close their connection before an incarnation gets
-// bound bodies on new connections too: no connection is ever known to be its own.
+// one bound body on a new connection: no connection is ever known to be its own.
 const MaxClosedConns = 3
 
 // ownedConn is a connection to an incarnation. A process that ends takes its connections with it, so a
@@ -140,18 +140,23 @@
 
 func (b *connBody) Close() error { return nil }
 
-// closedConns counts, by incarnation, the responses in a row that closed their connection. It is safe
-// for concurrent use.
+// closedConns counts, by incarnation, the messages in a row that differ by connection and whose
+// responses closed their connection. It is safe for concurrent use.
 type closedConns struct {
 	mu     sync.Mutex
 	counts map[string]int
 }
 
-// exhausted reports whether an incarnation gets bound bodies on any connection.
-func (c *closedConns) exhausted(incarnation string) bool {
+// takeExhausted reports whether the next message to an incarnation is bound on any connection, and
+// counts anew. Otherwise all further ones would be, also those that reach the next incarnation.
+func (c *closedConns) takeExhausted(incarnation string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.counts[incarnation] >= MaxClosedConns
+	if c.counts[incarnation] < MaxClosedConns {
+		return false
+	}
+	delete(c.counts, incarnation)
+	return true
 }
 
 // record records a response, and whether it closed its connection.
