--- a/internal/control/heartbeat_transport.go
+++ b/internal/control/heartbeat_transport.go
@@ -134,7 +134,7 @@
 		h.mu.Unlock()
 		return HeartbeatOrders{Fence: fence, NextIn: heartbeatInterval}
 	}
-	box.sequence = sequence
+	box.sequence = max(box.sequence, sequence)
 	box.recordHeartbeat(report, time.Now())
 	idle := len(box.starts) == 0 && len(box.stops) == 0
 	orderAdded := box.orderAdded
