control: a run that a worker's next incarnation lists as running isn't lost before its lease

What callers see: two runs of a task at once.

Change: while that report lists the run and the successor's lease isn't over, the deadline doesn't count.

--- a/internal/control/incarnations.go
+++ b/internal/control/incarnations.go
@@ -234,11 +234,12 @@
 // awaitSuccessorReport waits for a complete report of the successor in response to a poll that
 // is sent from now on and lists none of the runs as running, and until the ends of this session's
 // runs that the report lists are committed. It returns false if the deadline passes or another
-// worker is found at the address first.
+// worker is found at the address first; the deadline doesn't count while the successor may run one
+// of the runs.
 func (s *workerSession) awaitSuccessorReport(runs []workflow.Run, deadline time.Time) bool {
 	since := time.Now()
 	s.interruptSuccessorPoll()
-	for time.Now().Before(deadline) {
+	for time.Now().Before(deadline) || s.successorMayRun(runs, time.Now()) {
 		if s.successorReportedSince(since, runs) {
 			return true
 		}
@@ -296,6 +297,15 @@
 	return successor != nil && successor.predecessorsReportedAt.After(since) && !successor.listsRunning(runs)
 }
 
+// successorMayRun reports whether the last complete report of the successor lists one of the runs as
+// running and its lease isn't over.
+func (s *workerSession) successorMayRun(runs []workflow.Run, now time.Time) bool {
+	s.t.mu.Lock()
+	defer s.t.mu.Unlock()
+	successor := s.successor()
+	return successor != nil && successor.listsRunning(runs) && !now.After(successor.leaseEnd)
+}
+
 // listsRunning reports whether the last complete report lists one of the runs as running. t.mu must be held.
 func (s *workerSession) listsRunning(runs []workflow.Run) bool {
 	return slices.ContainsFunc(runs, func(run workflow.Run) bool { return s.listedRunning[run.Task] == run.Number })
--- a/internal/control/incarnations_test.go
+++ b/internal/control/incarnations_test.go
@@ -114,6 +114,22 @@
 	cluster.eventually("the task starts again", func() bool { return starts() == 2 })
 }
 
+// Guards against this failure: a task has two runs at once. The worker's next incarnation goes on with a run of the
+// first one for longer than the leader waits for its end, or doesn't respond any more while it runs it.
+func TestRunOfSuccessorIsNotLostBeforeItsLease(t *testing.T) {
+	cluster := newTestCluster(t, nil)
+	term := newLeaderTerm(t.Context(), func() {}, cluster.controller, fakeLogTerm)
+	run := workflow.Run{Task: task("a", 0), Number: 1, Worker: "n1"}
+	first := term.addSession(incarnation("n1", 1).Worker, nil)
+	next := term.addSession(incarnation("n2", 2).Worker, nil)
+	next.predecessors = []*workerSession{first}
+	next.listedRunning = map[workflow.TaskKey]int{run.Task: run.Number}
+	next.leaseEnd = time.Now().Add(noStartWait)
+	started, deadline := time.Now(), time.Now().Add(-time.Second)
+	must.False(t, first.awaitSuccessorReport([]workflow.Run{run}, deadline))
+	must.GreaterEq(t, noStartWait, time.Since(started))
+}
+
 // Guards against this failure: a task runs twice. A start got no response from the first
 // incarnation of a worker, but the next incarnation has carried out that start, and the
 // run has ended.
