--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-kit/log"
 
+	"github.com/bilberryferry/bilberryferry/internal/boottime"
 	"github.com/bilberryferry/bilberryferry/internal/control"
 	"github.com/bilberryferry/bilberryferry/internal/link"
 )
@@ -39,6 +40,17 @@
 	Logger log.Logger
 }
 
+// withDefaults sets the fields of the configuration that have defaults.
+func (cfg CarrierConfig) withDefaults() CarrierConfig {
+	if cfg.Clock == nil {
+		cfg.Clock = boottime.Now
+	}
+	if cfg.Logger == nil {
+		cfg.Logger = log.NewNopLogger()
+	}
+	return cfg
+}
+
 // Carrier makes calls to workers on behalf of the current leader. It is safe for concurrent
 // use.
 type Carrier struct {
--- a/internal/carrier/expiry.go
+++ b/internal/carrier/expiry.go
@@ -4,10 +4,6 @@
 	"context"
 	"sync"
 	"time"
-
-	"github.com/go-kit/log"
-
-	"github.com/bilberryferry/bilberryferry/internal/boottime"
 )
 
 const (
@@ -114,14 +110,3 @@
 	_ = cfg.Logger.Log("event", "carrier", "outcome", "orders expired", "orders", e.unlogged, "late_ms", late.Milliseconds())
 	e.loggedAt, e.unlogged = now, 0
 }
-
-// withDefaults sets the fields of the configuration that have defaults.
-func (cfg CarrierConfig) withDefaults() CarrierConfig {
-	if cfg.Clock == nil {
-		cfg.Clock = boottime.Now
-	}
-	if cfg.Logger == nil {
-		cfg.Logger = log.NewNopLogger()
-	}
-	return cfg
-}
