control: a worker that lists a run that the log doesn't have gets no task

What callers see: a worker gets more than fits. Its next incarnation has carried out starts that were meant for its predecessor and is stopping these runs; the log has none of them there, and the leader gave their room away before the stops were through.

Change: the worker is unschedulable while its last report lists such a run.

--- a/internal/control/report.go
+++ b/internal/control/report.go
@@ -161,11 +161,12 @@
 func (s *workerSession) recordRunning(report Report, sent, now time.Time) []workflow.Run {
 	var unknown []workflow.Run
 	canAdvance, advanced := false, false
+	s.listsUnknownRuns = false
 	s.t.c.state.read(func(state *workflow.State) {
 		for _, r := range report.Running {
 			run, ok := state.Runs[s.worker.ID][r.Task]
 			if !ok || run.Number != r.Number {
-				canAdvance = true
+				canAdvance, s.listsUnknownRuns = true, true
 				unknownRun := workflow.Run{Task: r.Task, Number: r.Number, Worker: s.worker.ID}
 				if now.Sub(s.unknownRuns[unknownRun]) > stopRetryInterval {
 					s.unknownRuns[unknownRun] = now
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -98,6 +98,8 @@
 	// unknownRuns are runs that the worker reports and the log doesn't have, with the time
 	// of the last stop that was sent for each.
 	unknownRuns map[workflow.Run]time.Time
+	// listsUnknownRuns says that the last report listed a live run that the log doesn't have.
+	listsUnknownRuns bool
 	// failures counts consecutive failures: failed runs of different jobs, starts without a
 	// response, and stalled runs. failedJob is the job of the last failed run.
 	failures         int
@@ -140,6 +142,7 @@
 	reasonSuperseded            dispatch.Reason = "a later incarnation of the worker is known"
 	reasonCordoned              dispatch.Reason = "the worker's machine is to go down"
 	reasonOverdueOrder          dispatch.Reason = "an order to the worker has no answer"
+	reasonUnknownRuns           dispatch.Reason = "the worker runs something that the log doesn't have"
 	reasonQuarantined           dispatch.Reason = "the worker failed several jobs in a row"
 	reasonStalled               dispatch.Reason = "nothing advances on the worker"
 	reasonSlow                  dispatch.Reason = "the worker is slow and has a run"
@@ -162,6 +165,8 @@
 		return reasonCordoned
 	case s.hasOverdueOrder(now):
 		return reasonOverdueOrder
+	case s.listsUnknownRuns:
+		return reasonUnknownRuns
 	case s.onProbation():
 		return reasonProbation
 	case suspects[s.worker.DataCentre]:
--- a/internal/control/unreported_runs_test.go
+++ b/internal/control/unreported_runs_test.go
@@ -183,3 +183,27 @@
 		cluster.log.state.Apply(cluster.log.index, encoded)
 	}
 }
+
+// Guards against this failure: a worker gets more than fits. Its next incarnation carries out a start that was meant
+// for it, the leader stops the run, which the log doesn't have there, and the stop takes its time.
+func TestWorkerWithUnknownRunGetsNoTask(t *testing.T) {
+	cluster := newTestCluster(t, nil)
+	unknown := task("unknown", 0)
+	cluster.workers.add("w1")
+	cluster.announce("w1")
+	cluster.eventually("the worker is ready", func() bool { return cluster.isReady("w1") })
+	cluster.withWorker("w1", func(f *fakeWorker) {
+		f.running[unknown] = Running{Task: unknown, Number: 1}
+		f.slowStops = true
+	})
+	cluster.eventually("the unknown run is stopped", func() bool {
+		stopped := false
+		cluster.withWorker("w1", func(f *fakeWorker) { stopped = f.stopped[unknown] == 1 })
+		return stopped
+	})
+	cluster.submit("a", oneTask)
+	time.Sleep(noStartWait)
+	must.Eq(t, 0, cluster.started("w1"))
+	cluster.withWorker("w1", func(f *fakeWorker) { f.finish(unknown, workflow.OutcomeStopped) })
+	cluster.eventually("the task starts", func() bool { return cluster.started("w1") == 1 })
+}
