--- a/internal/member/announce_test.go
+++ b/internal/member/announce_test.go
@@ -38,6 +38,35 @@
 	return port
 }
 
+// maxPortTries bounds the search for a port that is free on several hosts.
+const maxPortTries = 100
+
+// freePort returns a port that is free on all hosts: one that is free on the first may be in use on another.
+func freePort(t *testing.T, hosts ...string) string {
+	for range maxPortTries {
+		if port := tryFreePort(t, hosts); port != "" {
+			return port
+		}
+	}
+	t.Fatal("no port is free on all hosts")
+	return ""
+}
+
+// tryFreePort returns a port that the system gives for the first host, or "" if it isn't free on all others.
+func tryFreePort(t *testing.T, hosts []string) string {
+	port := "0"
+	for _, host := range hosts {
+		listener, err := net.Listen("tcp", net.JoinHostPort(host, port))
+		if err != nil {
+			return ""
+		}
+		defer func() { _ = listener.Close() }()
+		_, port, err = net.SplitHostPort(listener.Addr().String())
+		must.NoError(t, err)
+	}
+	return port
+}
+
 // emptyMachine is a state machine without state.
 type emptyMachine struct{}
 
@@ -129,7 +158,8 @@
 func TestMemberWithoutStateJoinsThroughSenderOfLogMessages(t *testing.T) {
 	const own, leader, seed = "127.0.0.1", "127.0.0.2", "127.0.0.3"
 	members := []replica.Member{{ID: leader}, {ID: own}}
-	port := serveJoins(t, net.JoinHostPort(leader, "0"), func(*JoinRequest) (JoinResponse, error) { return JoinResponse{Members: members}, nil })
+	port := freePort(t, leader, seed, own)
+	serveJoins(t, net.JoinHostPort(leader, port), func(*JoinRequest) (JoinResponse, error) { return JoinResponse{Members: members}, nil })
 	serveJoins(t, net.JoinHostPort(seed, port), func(*JoinRequest) (JoinResponse, error) { return JoinResponse{}, link.NotLeader("") })
 	mux := link.NewMux()
 	h := New(Config{ID: own, Port: port, Seeds: []string{own, seed}, Folder: t.TempDir(), Logger: log.NewNopLogger()}, link.NewClient(maxConnections), mux)
