instance: load control is on unless the settings switch it off

Cause: bounds on calls, admission and the throttle of the edges acted only where the contract of the deployment names one term. An instance is short of processor because of what it has to do, not because of what a contract names. Ruled out as the cause of the total collapse: the garbage collector (3% of the samples), decisions (8%). Change: load_control is true by default; terms are read and ignored, so that older settings stay valid.

--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -35,8 +35,6 @@
 type CoreAdapters struct {
 	// NewDeploymentClient returns the client of the deployment.
 	NewDeploymentClient func(DeploymentAddresses) DeploymentClient
-	// LoadControlTerms are the terms of a deployment's contract that call for load control.
-	LoadControlTerms []string
 	// NewControlHandler returns the handler of the control address.
 	NewControlHandler func(operations *Operations, logger log.Logger) http.Handler
 }
@@ -44,7 +42,7 @@
 // NewCore returns the daemon of a core instance, which has a disk and is a member
 // of the log.
 func NewCore(adapters CoreAdapters) Daemon {
-	return Daemon{role: "core", loadControlTerms: adapters.LoadControlTerms, run: func(ctx context.Context, p *process) error { return p.runCore(ctx, adapters) }}
+	return Daemon{role: "core", run: func(ctx context.Context, p *process) error { return p.runCore(ctx, adapters) }}
 }
 
 // runCore runs a core instance until ctx ends or a part of it fails.
--- a/internal/instance/edge.go
+++ b/internal/instance/edge.go
@@ -26,8 +26,6 @@
 type EdgeAdapters struct {
 	// NewDeploymentClient returns the client of the deployment.
 	NewDeploymentClient func(DeploymentAddresses) DeploymentClient
-	// LoadControlTerms are the terms of a deployment's contract that call for load control.
-	LoadControlTerms []string
 	// NewEntryHandler returns the handler of the callers' address.
 	NewEntryHandler func(operations *Operations, logger log.Logger) http.Handler
 	// ReadinessPath is the path of the readiness check of the platform's balancer.
@@ -37,7 +35,7 @@
 // NewEdge returns the daemon of an edge instance, which serves callers and has no
 // disk.
 func NewEdge(adapters EdgeAdapters) Daemon {
-	return Daemon{role: "edge", loadControlTerms: adapters.LoadControlTerms, run: func(ctx context.Context, p *process) error { return p.runEdge(ctx, adapters) }}
+	return Daemon{role: "edge", run: func(ctx context.Context, p *process) error { return p.runEdge(ctx, adapters) }}
 }
 
 // runEdge runs an edge instance until ctx ends or a part of it fails.
--- a/internal/instance/process.go
+++ b/internal/instance/process.go
@@ -8,7 +8,6 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
-	"slices"
 	"syscall"
 	"time"
 
@@ -73,12 +72,10 @@
 
 // Daemon is one of the two daemons, core or edge; see NewCore and NewEdge.
 type Daemon struct {
-	role string
-	// loadControlTerms are the terms of a deployment's contract that call for load control.
-	loadControlTerms []string
-	run              func(context.Context, *process) error
-	files            vfs.FS
-	hangups          <-chan os.Signal
+	role    string
+	run     func(context.Context, *process) error
+	files   vfs.FS
+	hangups <-chan os.Signal
 }
 
 // WithFiles returns the daemon with another file system for its data folder than that of the
@@ -123,7 +120,6 @@
 	if err != nil {
 		return errors.Mark(err, errSettings)
 	}
-	settings.LoadControl = settings.LoadControl || slices.ContainsFunc(settings.Terms, func(term string) bool { return slices.Contains(d.loadControlTerms, term) })
 	if settings.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(settings.MemoryMB) << 20 * memoryLimitPercent / 100)
 	}
--- a/internal/instance/settings.go
+++ b/internal/instance/settings.go
@@ -72,11 +72,11 @@
 	// ToleratedFailures is how many core instances may fail at the same time.
 	ToleratedFailures int    `toml:"instances_lost"`
 	Bounds            Bounds `toml:"bounds"`
-	// Terms names the parts of the deployment's contract that are in force, in the deployment's own
-	// words; the adapters say which parts of the product they call for.
+	// Terms is accepted and ignored, so that settings written for earlier versions stay valid.
 	Terms []string `toml:"terms"`
-	// LoadControl switches on the control of overload: bounds on calls by rank, admission by what can
-	// end in time, and bounds for each customer at the edge instances. Terms can call for it too.
+	// LoadControl is the control of overload: bounds on calls by rank, admission by what can end in
+	// time, and bounds for each customer at the edge instances. It is on without the setting, because
+	// any instance can be short of processor.
 	LoadControl bool `toml:"load_control"`
 	// DisabledMechanisms switches off mechanisms of the scheduler, to measure the effect
 	// of each.
@@ -141,7 +141,7 @@
 // Parse parses and validates settings in TOML. The error of an invalid setting is a fault
 // that names the field.
 func Parse(text string) (*Settings, error) {
-	s := &Settings{Bounds: defaultBounds}
+	s := &Settings{Bounds: defaultBounds, LoadControl: true}
 	meta, err := toml.Decode(text, s)
 	if err != nil {
 		return nil, fault.Field("settings", "%v", err)
