--- a/internal/carrier/forwarder.go
+++ b/internal/carrier/forwarder.go
@@ -14,6 +14,7 @@
 	"github.com/bilberryferry/bilberryferry/internal/boottime"
 	"github.com/bilberryferry/bilberryferry/internal/control"
 	"github.com/bilberryferry/bilberryferry/internal/wait"
+	"github.com/bilberryferry/bilberryferry/internal/worktime"
 )
 
 const (
@@ -46,6 +47,8 @@
 	MaxDirectCallsPerSecond int
 	Logger                  log.Logger
 	Counters                control.Counters
+	// Work sums up the time of messages to and from carriers; nil sums up nothing.
+	Work *worktime.Ledger
 	// Clock is a steady clock that counts the time for which the machine is suspended. nil means
 	// package boottime.
 	Clock func() time.Duration
--- a/internal/carrier/route.go
+++ b/internal/carrier/route.go
@@ -13,6 +13,7 @@
 
 	"github.com/bilberryferry/bilberryferry/internal/link"
 	"github.com/bilberryferry/bilberryferry/internal/wait"
+	"github.com/bilberryferry/bilberryferry/internal/worktime"
 )
 
 const (
@@ -320,6 +321,7 @@
 			wait.For(ctx, unresponsiveRetryInterval)
 			continue
 		}
+		processed := r.cfg.Work.Track(worktime.Collect)
 		r.recordClock(&reply)
 		r.applyRepeated(reply.Repeated)
 		r.applyOutcomes(reply.Outcomes)
@@ -329,6 +331,7 @@
 		if len(reply.Heartbeats) > 0 {
 			r.cfg.ApplyHeartbeats(reply.Heartbeats)
 		}
+		processed()
 		last = reply
 		r.setDataCentre(reply.DataCentre)
 		r.setResponsive(true, nil)
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -13,6 +13,7 @@
 	"github.com/bilberryferry/bilberryferry/internal/link"
 	"github.com/bilberryferry/bilberryferry/internal/node"
 	"github.com/bilberryferry/bilberryferry/internal/wait"
+	"github.com/bilberryferry/bilberryferry/internal/worktime"
 	"github.com/bilberryferry/bilberryferry/replica"
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
@@ -60,6 +61,8 @@
 	Client   Caller
 	Logger   log.Logger
 	Counters Counters
+	// Work sums up the time of decisions and reports; nil sums up nothing.
+	Work *worktime.Ledger
 	// Leader returns the address of the current leader, Members the addresses of all core
 	// members.
 	Leader  func() string
--- a/internal/control/incremental.go
+++ b/internal/control/incremental.go
@@ -6,6 +6,7 @@
 
 	"github.com/bilberryferry/bilberryferry/dispatch"
 	"github.com/bilberryferry/bilberryferry/internal/wait"
+	"github.com/bilberryferry/bilberryferry/internal/worktime"
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
 
@@ -85,6 +86,7 @@
 	limits.Incremental, limits.Disabled.Preemption = true, true
 	plan := dispatch.Decide(now.Sub(t.started), input.steps, input.workers, limits)
 	t.c.cfg.Counters.Observe("decide_fresh", time.Since(now))
+	t.c.cfg.Work.Add(worktime.DecideChanged, time.Since(now)-t.yielder.yielded)
 	t.applyPlan(&plan, nil)
 }
 
--- a/internal/control/leader_term.go
+++ b/internal/control/leader_term.go
@@ -59,11 +59,12 @@
 	jobsChanged chan struct{}
 	goroutines  goroutineGroup
 	view        *workerView
-	// Only planLoop uses the following fields. loadLoggedAt is when the load was last
-	// logged, decisions counts the full decisions. leftoverWorkers holds the workers with
+	// Only planLoop uses the following fields. yielder is that of the current decision.
+	// loadLoggedAt is when the load was last logged, decisions counts the full decisions. leftoverWorkers holds the workers with
 	// the free resources that the last full decision left over, leftoverAt is its time.
 	// backlog says that more steps waited than that decision considered. firstSkippedStep
 	// is the most urgent step that it didn't consider.
+	yielder          *yielder
 	loadLoggedAt     time.Time
 	decisions        int
 	leftoverWorkers  []dispatch.Worker
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bilberryferry/bilberryferry/dispatch"
+	"github.com/bilberryferry/bilberryferry/internal/worktime"
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
 
@@ -89,6 +90,7 @@
 	t.leftoverWorkers, t.leftoverAt, t.backlog, t.firstSkippedStep = input.workers, start, plan.FirstSkipped != nil, plan.FirstSkipped
 	t.recordReserved(input.workers)
 	t.c.cfg.Counters.Observe("decide", time.Since(start))
+	t.c.cfg.Work.Add(worktime.Decide, time.Since(start)-t.yielder.yielded)
 	if len(plan.Preemptions) > 0 {
 		t.preempt(plan.Preemptions, start)
 	}
@@ -108,9 +110,10 @@
 	limits.Queries, limits.NonInteractiveQueries, limits.LongQueries = free.total, free.nonInteractive, free.long
 	t.c.cfg.Counters.Set("adviser_connections", int64(free.reachable))
 	t.c.cfg.Counters.Set("adviser_connections_interactive", int64(free.reservedInteractive))
+	t.yielder = newYielder(time.Now, runtime.Gosched)
 	if t.c.cfg.LoadControl {
 		limits.InteractiveQueryTime = interactiveQueryThreshold
-		limits.Yield = newYielder(time.Now, runtime.Gosched).yield
+		limits.Yield = t.yielder.yield
 	}
 	limits.Disabled = t.disabled
 	return limits
--- a/internal/control/report.go
+++ b/internal/control/report.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bilberryferry/bilberryferry/internal/worktime"
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
 
@@ -15,6 +16,7 @@
 func (s *workerSession) applyReport(report Report, sent time.Time) (listsNewEnds bool) {
 	t := s.t
 	now := time.Now()
+	processed := t.c.cfg.Work.Track(worktime.Report)
 	t.mu.Lock()
 	firstReport := !s.ready
 	s.ready = true
@@ -60,6 +62,7 @@
 		// Only this report shows that the worker responds again; later reports don't.
 		t.spawn(s.commitWorkerReturned)
 	}
+	processed()
 	if lastEnd > 0 || len(ends) > 0 {
 		s.logEnds(firstSeen)
 		s.commitEnds(lastEnd, ends)
--- a/internal/control/yield.go
+++ b/internal/control/yield.go
@@ -13,6 +13,8 @@
 	now       func() time.Time
 	gosched   func()
 	runningAt time.Time
+	// yielded is the time that others had.
+	yielded time.Duration
 }
 
 // newYielder returns a yielder for a decision that begins now. gosched lets other goroutines run.
@@ -25,6 +27,8 @@
 	if y.now().Sub(y.runningAt) < maxUninterruptedPlanning {
 		return
 	}
+	before := y.now()
 	y.gosched()
 	y.runningAt = y.now()
+	y.yielded += y.runningAt.Sub(before)
 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -203,8 +203,14 @@
 	gate atomic.Pointer[Gate]
 	// version is nil until SetVersion is called.
 	version atomic.Pointer[func() uint64]
+	// recorder is nil until SetRecorder is called.
+	recorder atomic.Pointer[Recorder]
 }
 
+// Recorder is told of each call that was served or refused: how long that took, and whether its caller had
+// disconnected by then, so that nobody gets the response.
+type Recorder func(method string, took time.Duration, abandoned bool)
+
 // NewMux returns a Mux without methods. It responds to calls of other methods as an instance that
 // isn't the leader does: an instance that is still starting doesn't serve all methods, and did
 // nothing.
@@ -226,6 +232,16 @@
 // Requests of a pattern passed to HandleHTTP don't pass the gate.
 func (m *Mux) SetGate(gate Gate) { m.gate.Store(&gate) }
 
+// SetRecorder makes m tell recorder of each call.
+func (m *Mux) SetRecorder(recorder Recorder) { m.recorder.Store(&recorder) }
+
+// record tells the recorder of a call that began at start.
+func (m *Mux) record(r *http.Request, method string, start time.Time) {
+	if recorder := m.recorder.Load(); recorder != nil {
+		(*recorder)(method, time.Since(start), r.Context().Err() != nil)
+	}
+}
+
 func (m *Mux) currentVersion() uint64 {
 	if version := m.version.Load(); version != nil {
 		return (*version)()
@@ -242,6 +258,7 @@
 // Handle makes m serve the calls of a method with serve.
 func Handle[Request, Reply any](m *Mux, method string, serve func(context.Context, *Request) (Reply, error)) {
 	m.http.HandleFunc("POST "+pathPrefix+method, func(w http.ResponseWriter, r *http.Request) {
+		defer m.record(r, method, time.Now())
 		done, err := m.enter(w, r, method)
 		if err != nil {
 			// The server discards a body of up to 256 KB and keeps the connection open, which takes less time
--- a/internal/member/host.go
+++ b/internal/member/host.go
@@ -25,6 +25,7 @@
 	"github.com/bilberryferry/bilberryferry/internal/peer"
 	"github.com/bilberryferry/bilberryferry/internal/vfs"
 	"github.com/bilberryferry/bilberryferry/internal/wal"
+	"github.com/bilberryferry/bilberryferry/internal/worktime"
 	"github.com/bilberryferry/bilberryferry/replica"
 )
 
@@ -76,7 +77,9 @@
 	// Voters is the number of voting members once enough have joined.
 	Voters  int
 	Machine node.Machine
-	Logger  log.Logger
+	// Work sums up the time of the log; nil sums up nothing.
+	Work   *worktime.Ledger
+	Logger log.Logger
 }
 
 // Host is one member with its connections to the others.
@@ -126,6 +129,7 @@
 		SnapshotEntries: snapshotEntries,
 		Seed:            xxhash.Sum64String(h.cfg.ID),
 		Logger:          h.cfg.Logger,
+		Work:            h.cfg.Work,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bilberryferry/bilberryferry/internal/wal"
+	"github.com/bilberryferry/bilberryferry/internal/worktime"
 	"github.com/bilberryferry/bilberryferry/replica"
 )
 
@@ -34,7 +35,7 @@
 
 func (g *Group) loop(ctx context.Context, ticks <-chan time.Time) error {
 	for {
-		err := g.runRound()
+		err := g.trackRound()
 		if errors.Is(err, wal.ErrDiskFull) && ctx.Err() != nil {
 			return nil
 		}
@@ -59,6 +60,15 @@
 	}
 }
 
+// trackRound runs a round and adds its time without that of the disk to the ledger.
+func (g *Group) trackRound() error {
+	start := time.Now()
+	g.diskTime = 0
+	err := g.runRound()
+	g.cfg.Work.Add(worktime.Log, time.Since(start)-g.diskTime)
+	return err
+}
+
 // runRound processes ticks, messages, calls and the Readys that follow from them. It makes up for missed ticks
 // first: a member that was paused must know how much time has passed before it treats a
 // message as recent or decides anything.
@@ -170,7 +180,10 @@
 // save writes what must survive a restart, and syncs it when the core requires that.
 func (g *Group) save(r replica.Ready) error {
 	if g.wal != nil {
-		if err := g.write(r); err != nil {
+		start := time.Now()
+		err := g.write(r)
+		g.diskTime += time.Since(start)
+		if err != nil {
 			return err
 		}
 		g.diskSpace.Succeeded()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/bilberryferry/bilberryferry/internal/vfs"
 	"github.com/bilberryferry/bilberryferry/internal/wait"
 	"github.com/bilberryferry/bilberryferry/internal/wal"
+	"github.com/bilberryferry/bilberryferry/internal/worktime"
 	"github.com/bilberryferry/bilberryferry/replica"
 )
 
@@ -114,6 +115,8 @@
 	ExpectState bool
 	// TickInterval is the unit of ElectionTicks and HeartbeatTicks.
 	TickInterval time.Duration
+	// Work sums up the time of the log's rounds; nil sums up nothing.
+	Work *worktime.Ledger
 	// ElectionTicks is the shortest election timeout in ticks. If it is 0, ElectionTicks
 	// and HeartbeatTicks both get their defaults.
 	ElectionTicks  int
@@ -188,6 +191,8 @@
 	// use diskSpace.
 	runCtx    context.Context
 	diskSpace vfs.SpaceWaiter
+	// diskTime is the time that this round has spent on the disk. Only Run uses it.
+	diskTime time.Duration
 
 	// wake has a buffer of one. A value in it means that calls or inbox hold work.
 	wake  chan struct{}
