carrier: a leader that is short of processor leaves the calls to workers to the carriers

What callers saw: with half of the processor urgent jobs took seconds to start. Cause: the leader makes up to 500 calls a second to workers itself, a constant that doesn't know the processor. Change: the bound halves while the mean scheduling delay of an update interval is above 10 ms and grows again below 5 ms. Without carriers the leader still makes all calls. TestLeaderShortOfProcessorLeavesCallsToCarriers fails with a constant bound.

--- a/internal/carrier/direct_share.go
+++ b/internal/carrier/direct_share.go
@@ -16,6 +16,12 @@
 	// rateWeight is the weight of the latest value in the moving average of the orders per
 	// second.
 	rateWeight = 0.3
+	// longDelay is the scheduling delay above which the bound of the direct calls is halved: other
+	// instances have processor to spare, the leader hasn't. Below shortDelay it grows again, by
+	// boundStep of its full value with each update.
+	longDelay  = 10 * time.Millisecond
+	shortDelay = 5 * time.Millisecond
+	boundStep  = 1.0 / 16
 )
 
 // directShare selects the workers that the leader calls directly: all of them at a low rate
@@ -23,13 +29,19 @@
 //
 // At a few hundred orders per second the leader can make all calls itself, and a carrier
 // would only delay starts and ends of runs. At several thousand, direct calls would take the
-// time that the leader needs for its decisions.
+// time that the leader needs for its decisions. How many it can make depends on its processor
+// and on its other work, so the bound follows the scheduling delay.
 type directShare struct {
 	// maxPerSecond bounds the direct calls per second; 0 means that there are none.
 	maxPerSecond float64
-	orderCount   atomic.Int64
+	// schedulingDelay returns the mean scheduling delay of this process since it was last called; nil
+	// counts as none.
+	schedulingDelay func() time.Duration
+	orderCount      atomic.Int64
 
 	mu sync.Mutex
+	// boundShare is the share of maxPerSecond that bounds the direct calls now, from 0 to 1.
+	boundShare float64
 	// ordersPerSecond is a moving average.
 	ordersPerSecond float64
 	lastUpdate      time.Time
@@ -52,7 +64,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.orderCount.Store(0)
-	s.ordersPerSecond, s.lastUpdate, s.hashLimit = 0, now, 0
+	s.ordersPerSecond, s.lastUpdate, s.hashLimit, s.boundShare = 0, now, 0, 1
 }
 
 // countOrder counts an order, direct or forwarded.
@@ -73,16 +85,31 @@
 		s.ordersPerSecond = latest
 	}
 	s.ordersPerSecond += rateWeight * (latest - s.ordersPerSecond)
+	s.adaptBound()
 	s.hashLimit = s.limitFor(s.ordersPerSecond)
 }
 
-// limitFor returns the hash limit at a rate of orders.
+// adaptBound adapts the bound to the scheduling delay since the last update. s.mu must be held.
+func (s *directShare) adaptBound() {
+	if s.schedulingDelay == nil {
+		return
+	}
+	switch delay := s.schedulingDelay(); {
+	case delay > longDelay:
+		s.boundShare /= 2
+	case delay < shortDelay:
+		s.boundShare = min(s.boundShare+boundStep, 1)
+	}
+}
+
+// limitFor returns the hash limit at a rate of orders. s.mu must be held.
 func (s *directShare) limitFor(ordersPerSecond float64) uint64 {
+	bound := s.maxPerSecond * s.boundShare
 	switch {
-	case s.maxPerSecond == 0:
+	case bound == 0:
 		return 0
-	case ordersPerSecond > s.maxPerSecond:
-		return uint64(s.maxPerSecond / ordersPerSecond * math.MaxUint64)
+	case ordersPerSecond > bound:
+		return uint64(bound / ordersPerSecond * math.MaxUint64)
 	}
 	return math.MaxUint64
 }
--- a/internal/carrier/direct_share_test.go
+++ b/internal/carrier/direct_share_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -67,3 +68,23 @@
 	}
 	must.True(t, s.includes("w"))
 }
+
+// Guards against a leader that makes as many calls itself as ever although it is short of processor, while the
+// other instances idle.
+func TestLeaderShortOfProcessorLeavesCallsToCarriers(t *testing.T) {
+	delay := 2 * longDelay
+	s := directShare{maxPerSecond: directLimit(0), schedulingDelay: func() time.Duration { return delay }}
+	now := time.Now()
+	s.reset(now)
+	update := func(times int) (direct float64) {
+		for range times {
+			now = now.Add(time.Second)
+			s.orderCount.Store(500)
+			s.update(now)
+		}
+		return float64(s.hashLimit) / math.MaxUint64
+	}
+	must.LessEq(t, 0.1, update(5))
+	delay = 0
+	must.Eq(t, 1, update(30))
+}
--- a/internal/carrier/forwarder.go
+++ b/internal/carrier/forwarder.go
@@ -45,8 +45,11 @@
 	// MaxDirectCallsPerSecond bounds the calls to workers that the leader makes itself although a
 	// carrier could make them. 0 stands for the default, a negative value for no such calls.
 	MaxDirectCallsPerSecond int
-	Logger                  log.Logger
-	Counters                control.Counters
+	// SchedulingDelay returns the mean scheduling delay of this process since it was last called. While it is
+	// long, the leader makes fewer calls itself. nil counts as no delay.
+	SchedulingDelay func() time.Duration
+	Logger          log.Logger
+	Counters        control.Counters
 	// Work sums up the time of messages to and from carriers; nil sums up nothing.
 	Work *worktime.Ledger
 	// Clock is a steady clock that counts the time for which the machine is suspended. nil means
@@ -75,7 +78,7 @@
 	if cfg.Clock == nil {
 		cfg.Clock = boottime.Now
 	}
-	return &Forwarder{cfg: cfg, direct: directShare{maxPerSecond: directLimit(cfg.MaxDirectCallsPerSecond)}}
+	return &Forwarder{cfg: cfg, direct: directShare{maxPerSecond: directLimit(cfg.MaxDirectCallsPerSecond), schedulingDelay: cfg.SchedulingDelay}}
 }
 
 // Lead opens routes to the other members for a leader term. The routes stay open until ctx
--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/go-kit/log"
 	"golang.org/x/sync/errgroup"
@@ -13,7 +14,6 @@
 	"github.com/bilberryferry/bilberryferry/internal/member"
 	replicatedlog "github.com/bilberryferry/bilberryferry/internal/node"
 	"github.com/bilberryferry/bilberryferry/internal/overload"
-	"github.com/bilberryferry/bilberryferry/internal/worktime"
 )
 
 // DeploymentClient calls the workers, the adviser and the machine list of a
@@ -55,16 +55,19 @@
 	}
 	c := p.newComponents(adapters.NewDeploymentClient, budget)
 	stateMachine := control.NewStateMachine()
-	work := newWorkLog(p.logger, c.mux)
+	work := newWorkLog(p.logger, p.work, c.mux)
 	logMember := member.New(member.Config{
 		ID: s.Address, Port: s.InternalPort, DataCentre: s.DataCentre, Seeds: s.seedHosts(), FirstStart: s.FirstStart,
-		Folder: s.DataFolder, Files: p.files, Voters: votersFor(s.ToleratedFailures), Machine: stateMachine, Work: work.parts, Logger: p.logger,
+		Folder: s.DataFolder, Files: p.files, Voters: votersFor(s.ToleratedFailures), Machine: stateMachine, Work: p.work, Logger: p.logger,
 	}, c.client, c.mux)
 	var monitor *overload.Monitor
 	if s.LoadControl {
 		gate := overload.NewGate(overload.DefaultBounds(), callClass, p.logger, p.metrics)
 		c.mux.SetGate(gate)
-		monitor = overload.NewMonitor(gate.Observe)
+		monitor = overload.NewMonitor(func(now time.Time, delay time.Duration) {
+			gate.Observe(now, delay)
+			p.schedulingDelay.Add(delay)
+		})
 	}
 	controlServer := newServer(s.ControlAddress, adapters.NewControlHandler(c.operations, p.logger))
 	controlDrainer := newDrainer(controlServer)
@@ -82,7 +85,7 @@
 	}
 	p.serve(groupCtx, group, controlServer)
 	group.Go(func() error { return work.run(groupCtx) })
-	group.Go(func() error { return p.runLogMember(ctx, groupCtx, c, logMember, stateMachine, work.parts) })
+	group.Go(func() error { return p.runLogMember(ctx, groupCtx, c, logMember, stateMachine) })
 	group.Go(func() error {
 		awaitStop(ctx, groupCtx)
 		p.stopCore(logMember, controlDrainer, c, stopWork)
@@ -94,7 +97,7 @@
 // runLogMember opens the log and runs this member of it until workCtx ends. On an
 // instance that joins the log, opening waits for a leader. If stopCtx ends during that
 // wait, runLogMember returns nil.
-func (p *process) runLogMember(stopCtx, workCtx context.Context, c *components, logMember *member.Host, stateMachine *control.StateMachine, work *worktime.Ledger) error {
+func (p *process) runLogMember(stopCtx, workCtx context.Context, c *components, logMember *member.Host, stateMachine *control.StateMachine) error {
 	openCtx, cancelOpen := context.WithCancel(workCtx)
 	defer cancelOpen()
 	detachStop := context.AfterFunc(stopCtx, cancelOpen)
@@ -111,7 +114,7 @@
 		Address: c.internalAddress, PublicAddress: s.ControlAddress, Workers: c.deployment, Adviser: c.deployment, Client: c.client,
 		Logger: p.logger, Counters: p.metrics, Leader: logMember.Leader, Members: logMember.Addresses,
 		Bounds: s.controlBounds(), Disabled: s.DisabledMechanisms, Instance: s.Instance, LoadControl: s.LoadControl, OrdersByHeartbeat: s.WorkerOrders == ordersHeartbeat,
-		Work: work,
+		Work: p.work,
 	}
 	if s.MachineListAddress != "" {
 		cfg.Machines = c.deployment
@@ -140,7 +143,8 @@
 		forwarder := carrier.NewForwarder(carrier.ForwarderConfig{
 			OwnAddress: c.internalAddress, Members: cfg.Members, Transport: c.client, DirectWorkers: c.deployment,
 			ApplyHeartbeats: func(heartbeats []control.BufferedHeartbeat) { controller.ApplyCollectedHeartbeats(heartbeats) },
-			Logger:          p.logger, Counters: p.metrics, Work: cfg.Work, MaxDirectCallsPerSecond: p.settings.maxDirectCallsPerSecond(),
+			Logger:          p.logger, Counters: p.metrics, Work: p.work,
+			MaxDirectCallsPerSecond: p.settings.maxDirectCallsPerSecond(), SchedulingDelay: p.schedulingDelay.Take,
 		})
 		cfg.Workers, cfg.OnElected = forwarder, forwarder.Lead
 	}
--- a/internal/instance/process.go
+++ b/internal/instance/process.go
@@ -21,9 +21,11 @@
 	"github.com/bilberryferry/bilberryferry/internal/gateway"
 	"github.com/bilberryferry/bilberryferry/internal/link"
 	"github.com/bilberryferry/bilberryferry/internal/oplog"
+	"github.com/bilberryferry/bilberryferry/internal/overload"
 	"github.com/bilberryferry/bilberryferry/internal/rpc"
 	"github.com/bilberryferry/bilberryferry/internal/settings"
 	"github.com/bilberryferry/bilberryferry/internal/vfs"
+	"github.com/bilberryferry/bilberryferry/internal/worktime"
 )
 
 // Limits of the servers and of the resources of a process.
@@ -68,6 +70,9 @@
 	logger  log.Logger
 	metrics *oplog.Metrics
 	files   vfs.FS
+	// work sums up the time of a core instance's parts. schedulingDelay is measured while load control is on.
+	work            *worktime.Ledger
+	schedulingDelay overload.MeanDelay
 }
 
 // Daemon is one of the two daemons, core or edge; see NewCore and NewEdge.
@@ -127,7 +132,7 @@
 	defer sink.Close()
 	p := &process{
 		settings: settings, settingsPath: path, settingsContent: content, hangups: d.hangups,
-		sink: sink, metrics: oplog.NewMetrics(), files: d.files,
+		sink: sink, metrics: oplog.NewMetrics(), files: d.files, work: worktime.NewLedger(),
 	}
 	p.logger = oplog.NewLogger(sink, settings.Instance)
 	_ = p.logger.Log("event", "start", "role", d.role, "address", settings.Address, "data_centre", settings.DataCentre,
--- a/internal/instance/worklog.go
+++ b/internal/instance/worklog.go
@@ -27,9 +27,9 @@
 	processorTime time.Duration
 }
 
-// newWorkLog returns a workLog that records the calls that mux serves.
-func newWorkLog(logger log.Logger, mux *link.Mux) *workLog {
-	w := &workLog{logger: logger, parts: worktime.NewLedger(), calls: worktime.NewLedger(), abandoned: worktime.NewLedger()}
+// newWorkLog returns a workLog of parts and of the calls that mux serves.
+func newWorkLog(logger log.Logger, parts *worktime.Ledger, mux *link.Mux) *workLog {
+	w := &workLog{logger: logger, parts: parts, calls: worktime.NewLedger(), abandoned: worktime.NewLedger()}
 	mux.SetRecorder(w.recordCall)
 	return w
 }
--- a/internal/overload/monitor.go
+++ b/internal/overload/monitor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"runtime/metrics"
+	"sync"
 	"time"
 
 	"github.com/bilberryferry/bilberryferry/internal/wait"
@@ -90,3 +91,30 @@
 	}
 	return 0
 }
+
+// MeanDelay averages measured scheduling delays. It is safe for concurrent use.
+type MeanDelay struct {
+	mu    sync.Mutex
+	total time.Duration
+	count int
+}
+
+// Add adds a delay.
+func (m *MeanDelay) Add(delay time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.total += delay
+	m.count++
+}
+
+// Take returns the mean of the delays since the last call, 0 if there were none.
+func (m *MeanDelay) Take() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.count == 0 {
+		return 0
+	}
+	mean := m.total / time.Duration(m.count)
+	m.total, m.count = 0, 0
+	return mean
+}
