admission: a leader that is short of processor sheds the less urgent jobs first

Cause: admission knows the room on workers and the limits of customers, not the processor that decides, starts and ends the runs; the gate refuses submissions whatever their urgency. A job is refused by the hash of its ID, so that its retries are refused too.

--- /dev/null
+++ b/admission/shedder.go
@@ -0,0 +1,85 @@
+package admission
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// sheddingDelay is the mean scheduling delay above which jobs are shed. Each job goes through tens of
+	// goroutines on its way to its first start, so urgent jobs are late at a multiple of it.
+	sheddingDelay = 10 * time.Millisecond
+	// calmDelay is the mean scheduling delay below which shedding decreases.
+	calmDelay = 5 * time.Millisecond
+	// keptShare is the share of the jobs of a priority that is always admitted. A delay that jobs don't cause,
+	// such as that of a flood of calls, can't keep out all of them, and no priority starves.
+	keptShare = 0.5
+	// levelStep is by how much one observation beyond sheddingDelay raises the level; a delay of several times
+	// sheddingDelay raises it by up to maxLevelSteps steps. calmLevelStep is by how much a calm one lowers it.
+	levelStep     = 0.05
+	maxLevelSteps = 4
+	calmLevelStep = 0.1
+	// shedRetryAfter is the shortest delay after which callers of shed jobs are told to retry.
+	shedRetryAfter = time.Second
+)
+
+// ShedInterval is the time between two observations of a Shedder.
+const ShedInterval = 100 * time.Millisecond
+
+// Shedder decides which new jobs to refuse while the leader is short of processor. The less urgent ones are refused
+// first, so that those that are admitted end in time. Without it, all jobs are admitted and all are late. It isn't
+// safe for concurrent use.
+type Shedder struct {
+	// level is how much is shed: with n priorities, from 0 for nothing to n for all but keptShare of each. Between i
+	// and i+1, the share of the i-th least urgent priority decreases.
+	level float64
+	// priorities are those that jobs may have, the least urgent first.
+	priorities []int
+}
+
+// SetPriorities sets the priorities that jobs may have, in any order.
+func (s *Shedder) SetPriorities(priorities []int) {
+	s.priorities = slices.Clone(priorities)
+	slices.Sort(s.priorities)
+	s.priorities = slices.Compact(s.priorities)
+	slices.Reverse(s.priorities)
+	s.level = min(s.level, float64(len(s.priorities)))
+}
+
+// Observe adapts the level to the mean scheduling delay of the last ShedInterval.
+func (s *Shedder) Observe(delay time.Duration) {
+	switch {
+	case delay > sheddingDelay:
+		steps := min(float64(delay)/float64(sheddingDelay), maxLevelSteps)
+		s.level = min(s.level+steps*levelStep, float64(len(s.priorities)))
+	case delay < calmDelay:
+		s.level = max(s.level-calmLevelStep, 0)
+	}
+}
+
+// Level returns how much is shed: 0 for nothing, 1 for each priority of which half of the jobs are refused.
+func (s *Shedder) Level() float64 { return s.level }
+
+// Admits reports whether a new job of a priority is admitted. A job that is refused would be refused again unless
+// less is shed, so that retries don't undo the decision.
+func (s *Shedder) Admits(job string, priority int) bool {
+	return float64(xxhash.Sum64String(job))/math.MaxUint64 <= s.admittedShare(priority)
+}
+
+// admittedShare returns the share of the jobs of a priority that are admitted.
+func (s *Shedder) admittedShare(priority int) float64 {
+	rank := slices.Index(s.priorities, priority)
+	if rank < 0 {
+		return 1
+	}
+	shed := min(max(s.level-float64(rank), 0), 1)
+	return 1 - (1-keptShare)*shed
+}
+
+// RetryAfter returns when the caller of a shed job should retry, in whole seconds: later if more is shed.
+func (s *Shedder) RetryAfter() time.Duration {
+	return shedRetryAfter + time.Duration(math.Round(s.level))*time.Second
+}
--- a/internal/control/admission.go
+++ b/internal/control/admission.go
@@ -162,6 +162,12 @@
 		return nil
 	}
 	counts := t.admissionCounts.of(submission.Customer)
+	if !t.shedder.Admits(submission.ID, submission.Policy.Priority) {
+		counts.refused++
+		t.submissionsOf(submission.Customer).RefusedCluster++
+		t.c.cfg.Counters.Add("jobs_refused_processor", 1)
+		return fault.Retry(fault.Overloaded, t.shedder.RetryAfter(), "the leader is short of processor")
+	}
 	job := admissionJob(submission)
 	if job == nil {
 		counts.admitted++
@@ -283,7 +289,9 @@
 	queued := t.admission.Queued("", true)
 	waits, longest := t.formatWaits(classes, "", now)
 	t.logger.Log("event", "admission", "offered", total.admitted+total.refused, "admitted", total.admitted, "refused", total.refused,
-		"reservations", t.admission.Reservations(), "queued_core_ms", queued.MilliCPU/1000, "expected_wait_ms", waits)
+		"reservations", t.admission.Reservations(), "queued_core_ms", queued.MilliCPU/1000, "expected_wait_ms", waits,
+		"shedding_percent", int64(100*t.shedder.Level()))
+	t.c.cfg.Counters.Set("shedding_percent", int64(100*t.shedder.Level()))
 	t.c.cfg.Counters.Set("queued_core_ms", queued.MilliCPU/1000)
 	t.c.cfg.Counters.Set("expected_wait_ms", longest.Milliseconds())
 	t.c.cfg.Counters.Set("admission_reservations", int64(t.admission.Reservations()))
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -46,7 +46,10 @@
 	// LoadControl switches on admission by what can end in time, and connections to the adviser that
 	// are kept for the shortest queries.
 	LoadControl bool
-	Workers     Workers
+	// SchedulingDelay returns the mean scheduling delay of this process since it was last called; nil counts as
+	// no delay. With load control, new jobs are refused while it is long.
+	SchedulingDelay func() time.Duration
+	Workers         Workers
 	// OnElected is called at the start of each leader term, before any worker is polled.
 	// Whatever it starts must stop when ctx ends. It may be nil.
 	OnElected func(ctx context.Context, term uint64)
--- a/internal/control/leader_term.go
+++ b/internal/control/leader_term.go
@@ -82,6 +82,7 @@
 	// admission estimates the waits of new jobs; it is nil without load control. The other
 	// fields hold what reportAdmission needs.
 	admission         *admission.Estimator
+	shedder           admission.Shedder
 	admissionSnapshot admission.Snapshot
 	admissionCounts   admissionCounts
 	admissionLoggedAt time.Time
@@ -236,6 +237,9 @@
 	t.mu.Unlock()
 	t.spawn(t.cleanupLoop)
 	t.spawn(t.surveyLoop)
+	if t.c.cfg.LoadControl && t.c.cfg.SchedulingDelay != nil {
+		t.spawn(t.shedLoop)
+	}
 	if t.c.cfg.Machines != nil {
 		t.spawn(t.machineLoop)
 	}
--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -66,7 +66,8 @@
 		c.mux.SetGate(gate)
 		monitor = overload.NewMonitor(func(now time.Time, delay time.Duration) {
 			gate.Observe(now, delay)
-			p.schedulingDelay.Add(delay)
+			p.delayForCarriers.Add(delay)
+			p.delayForLeader.Add(delay)
 		})
 	}
 	controlServer := newServer(s.ControlAddress, adapters.NewControlHandler(c.operations, p.logger))
@@ -114,7 +115,7 @@
 		Address: c.internalAddress, PublicAddress: s.ControlAddress, Workers: c.deployment, Adviser: c.deployment, Client: c.client,
 		Logger: p.logger, Counters: p.metrics, Leader: logMember.Leader, Members: logMember.Addresses,
 		Bounds: s.controlBounds(), Disabled: s.DisabledMechanisms, Instance: s.Instance, LoadControl: s.LoadControl, OrdersByHeartbeat: s.WorkerOrders == ordersHeartbeat,
-		Work: p.work,
+		Work: p.work, SchedulingDelay: p.delayForLeader.Take,
 	}
 	if s.MachineListAddress != "" {
 		cfg.Machines = c.deployment
@@ -144,7 +145,7 @@
 			OwnAddress: c.internalAddress, Members: cfg.Members, Transport: c.client, DirectWorkers: c.deployment,
 			ApplyHeartbeats: func(heartbeats []control.BufferedHeartbeat) { controller.ApplyCollectedHeartbeats(heartbeats) },
 			Logger:          p.logger, Counters: p.metrics, Work: p.work,
-			MaxDirectCallsPerSecond: p.settings.maxDirectCallsPerSecond(), SchedulingDelay: p.schedulingDelay.Take,
+			MaxDirectCallsPerSecond: p.settings.maxDirectCallsPerSecond(), SchedulingDelay: p.delayForCarriers.Take,
 		})
 		cfg.Workers, cfg.OnElected = forwarder, forwarder.Lead
 	}
--- a/internal/instance/process.go
+++ b/internal/instance/process.go
@@ -70,9 +70,10 @@
 	logger  log.Logger
 	metrics *oplog.Metrics
 	files   vfs.FS
-	// work sums up the time of a core instance's parts. schedulingDelay is measured while load control is on.
-	work            *worktime.Ledger
-	schedulingDelay overload.MeanDelay
+	// work sums up the time of a core instance's parts. The scheduling delays are measured while load control is
+	// on: each reader has a mean of its own, since the time of its last reading.
+	work                             *worktime.Ledger
+	delayForCarriers, delayForLeader overload.MeanDelay
 }
 
 // Daemon is one of the two daemons, core or edge; see NewCore and NewEdge.
