carrier: fewer and larger messages while the leader is short of processor; shedding begins at 6 ms

Cause: messages to and from carriers follow each other by 1 ms a carrier, however long the leader's goroutines wait for the processor: some 400 calls a second with few orders each. Change: the pause is at least twice the mean scheduling delay, at most 40 ms. Shedding and fewer direct calls begin at a mean delay of 6 ms (10 before) and end below 3 ms: a job waits for the processor some tens of times before it starts.

--- a/admission/shedder.go
+++ b/admission/shedder.go
@@ -11,9 +11,9 @@
 const (
 	// sheddingDelay is the mean scheduling delay above which jobs are shed. Each job goes through tens of
 	// goroutines on its way to its first start, so urgent jobs are late at a multiple of it.
-	sheddingDelay = 10 * time.Millisecond
+	sheddingDelay = 6 * time.Millisecond
 	// calmDelay is the mean scheduling delay below which shedding decreases.
-	calmDelay = 5 * time.Millisecond
+	calmDelay = 3 * time.Millisecond
 	// keptShare is the share of the jobs of a priority that is always admitted. A delay that jobs don't cause,
 	// such as that of a flood of calls, can't keep out all of them, and no priority starves.
 	keptShare = 0.5
--- a/admission/shedder_test.go
+++ b/admission/shedder_test.go
@@ -61,7 +61,7 @@
 	for i := range 100 {
 		job := fmt.Sprint("job-", i)
 		first := s.Admits(job, 2)
-		s.Observe(7 * time.Millisecond)
+		s.Observe((sheddingDelay + calmDelay) / 2)
 		must.Eq(t, first, s.Admits(job, 2))
 	}
 	must.GreaterEq(t, 2*time.Second, s.RetryAfter())
--- a/internal/carrier/direct_share.go
+++ b/internal/carrier/direct_share.go
@@ -19,8 +19,8 @@
 	// longDelay is the scheduling delay above which the bound of the direct calls is halved: other
 	// instances have processor to spare, the leader hasn't. Below shortDelay it grows again, by
 	// boundStep of its full value with each update.
-	longDelay  = 10 * time.Millisecond
-	shortDelay = 5 * time.Millisecond
+	longDelay  = 6 * time.Millisecond
+	shortDelay = 3 * time.Millisecond
 	boundStep  = 1.0 / 16
 )
 
@@ -34,10 +34,7 @@
 type directShare struct {
 	// maxPerSecond bounds the direct calls per second; 0 means that there are none.
 	maxPerSecond float64
-	// schedulingDelay returns the mean scheduling delay of this process since it was last called; nil
-	// counts as none.
-	schedulingDelay func() time.Duration
-	orderCount      atomic.Int64
+	orderCount   atomic.Int64
 
 	mu sync.Mutex
 	// boundShare is the share of maxPerSecond that bounds the direct calls now, from 0 to 1.
@@ -71,8 +68,8 @@
 func (s *directShare) countOrder() { s.orderCount.Add(1) }
 
 // update adds the rate of orders since the last update to the moving average, and sets the
-// share of direct calls by that average.
-func (s *directShare) update(now time.Time) {
+// share of direct calls by that average and by the mean scheduling delay since then.
+func (s *directShare) update(now time.Time, schedulingDelay time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	elapsed := now.Sub(s.lastUpdate)
@@ -85,16 +82,13 @@
 		s.ordersPerSecond = latest
 	}
 	s.ordersPerSecond += rateWeight * (latest - s.ordersPerSecond)
-	s.adaptBound()
+	s.adaptBound(schedulingDelay)
 	s.hashLimit = s.limitFor(s.ordersPerSecond)
 }
 
-// adaptBound adapts the bound to the scheduling delay since the last update. s.mu must be held.
-func (s *directShare) adaptBound() {
-	if s.schedulingDelay == nil {
-		return
-	}
-	switch delay := s.schedulingDelay(); {
+// adaptBound adapts the bound to a scheduling delay. s.mu must be held.
+func (s *directShare) adaptBound(delay time.Duration) {
+	switch {
 	case delay > longDelay:
 		s.boundShare /= 2
 	case delay < shortDelay:
--- a/internal/carrier/direct_share_test.go
+++ b/internal/carrier/direct_share_test.go
@@ -29,7 +29,7 @@
 		for range ordersPerSecond / updatesPerSecond {
 			s.countOrder()
 		}
-		s.update(now)
+		s.update(now, 0)
 	}
 	for i := range sampledWorkers {
 		if s.includes(fmt.Sprint("worker-", i)) {
@@ -61,10 +61,10 @@
 	s.reset(now)
 	must.False(t, s.includes("w"), must.Sprint("a new leader must forward its first polls"))
 	s.orderCount.Store(5000)
-	s.update(now.Add(time.Second))
+	s.update(now.Add(time.Second), 0)
 	must.Less(t, ^uint64(0)/5, s.hashLimit)
 	for i := range 30 {
-		s.update(now.Add(time.Duration(2+i) * time.Second))
+		s.update(now.Add(time.Duration(2+i)*time.Second), 0)
 	}
 	must.True(t, s.includes("w"))
 }
@@ -72,19 +72,17 @@
 // Guards against a leader that makes as many calls itself as ever although it is short of processor, while the
 // other instances idle.
 func TestLeaderShortOfProcessorLeavesCallsToCarriers(t *testing.T) {
-	delay := 2 * longDelay
-	s := directShare{maxPerSecond: directLimit(0), schedulingDelay: func() time.Duration { return delay }}
+	s := directShare{maxPerSecond: directLimit(0)}
 	now := time.Now()
 	s.reset(now)
-	update := func(times int) (direct float64) {
+	update := func(times int, delay time.Duration) (direct float64) {
 		for range times {
 			now = now.Add(time.Second)
 			s.orderCount.Store(500)
-			s.update(now)
+			s.update(now, delay)
 		}
 		return float64(s.hashLimit) / math.MaxUint64
 	}
-	must.LessEq(t, 0.1, update(5))
-	delay = 0
-	must.Eq(t, 1, update(30))
+	must.LessEq(t, 0.1, update(5, 2*longDelay))
+	must.Eq(t, 1, update(30, 0))
 }
--- a/internal/carrier/forwarder.go
+++ b/internal/carrier/forwarder.go
@@ -26,6 +26,11 @@
 	// Orders queued during the pause are sent in one message; an order after an idle time is
 	// sent immediately.
 	baseMessageInterval = time.Millisecond
+	// delayedMessageFactor is the shortest pause as a multiple of the leader's mean scheduling delay,
+	// maxMessageInterval is the longest pause that follows from it. A leader that is short of processor
+	// puts more orders into a message; each waits for the processor for longer than for its message.
+	delayedMessageFactor = 2
+	maxMessageInterval   = 40 * time.Millisecond
 	// firstContactTimeout bounds a new leader's wait for the first response of each carrier;
 	// it is enough for a few round trips.
 	firstContactTimeout = 60 * time.Millisecond
@@ -46,7 +51,7 @@
 	// carrier could make them. 0 stands for the default, a negative value for no such calls.
 	MaxDirectCallsPerSecond int
 	// SchedulingDelay returns the mean scheduling delay of this process since it was last called. While it is
-	// long, the leader makes fewer calls itself. nil counts as no delay.
+	// long, the leader makes fewer calls itself and sends fewer messages. nil counts as no delay.
 	SchedulingDelay func() time.Duration
 	Logger          log.Logger
 	Counters        control.Counters
@@ -78,7 +83,10 @@
 	if cfg.Clock == nil {
 		cfg.Clock = boottime.Now
 	}
-	return &Forwarder{cfg: cfg, direct: directShare{maxPerSecond: directLimit(cfg.MaxDirectCallsPerSecond), schedulingDelay: cfg.SchedulingDelay}}
+	if cfg.SchedulingDelay == nil {
+		cfg.SchedulingDelay = func() time.Duration { return 0 }
+	}
+	return &Forwarder{cfg: cfg, direct: directShare{maxPerSecond: directLimit(cfg.MaxDirectCallsPerSecond)}}
 }
 
 // Lead opens routes to the other members for a leader term. The routes stay open until ctx
@@ -91,7 +99,7 @@
 	f.latestTerm = t
 	f.mu.Unlock()
 	f.direct.reset(time.Now())
-	t.refresh()
+	t.refresh(0)
 	t.awaitContact()
 	go t.run()
 }
@@ -125,13 +133,15 @@
 func (t *termRoutes) run() {
 	defer t.forwarder.setRoutes(t, nil)
 	for wait.For(t.ctx, membershipInterval) {
-		t.refresh()
-		t.forwarder.direct.update(time.Now())
+		delay := t.forwarder.cfg.SchedulingDelay()
+		t.refresh(delay)
+		t.forwarder.direct.update(time.Now(), delay)
 	}
 }
 
-// refresh opens routes to new members and closes those to removed members.
-func (t *termRoutes) refresh() {
+// refresh opens routes to new members, closes those to removed members, and adapts the pause between
+// messages to their number and to the leader's mean scheduling delay.
+func (t *termRoutes) refresh(schedulingDelay time.Duration) {
 	members := t.forwarder.cfg.Members()
 	for address, r := range t.routes {
 		if !slices.Contains(members, address) {
@@ -149,13 +159,19 @@
 		routes = append(routes, r.route)
 	}
 	slices.SortFunc(routes, func(a, b *route) int { return cmp.Compare(a.rank, b.rank) })
-	interval := baseMessageInterval * time.Duration(carriersInUse(routes))
+	interval := messageInterval(carriersInUse(routes), schedulingDelay)
 	for _, r := range routes {
 		r.setInterval(interval)
 	}
 	t.forwarder.setRoutes(t, routes)
 }
 
+// messageInterval returns the pause between two messages of a route, with a number of carriers in use.
+func messageInterval(carriers int, schedulingDelay time.Duration) time.Duration {
+	usual := baseMessageInterval * time.Duration(carriers)
+	return max(usual, min(delayedMessageFactor*schedulingDelay, maxMessageInterval))
+}
+
 // open starts a route to the carrier at address.
 func (t *termRoutes) open(address string) *openRoute {
 	r := newRoute(&t.forwarder.cfg, address, t.term, &t.forwarder.lastOrderID)
--- a/internal/carrier/route_test.go
+++ b/internal/carrier/route_test.go
@@ -135,3 +135,13 @@
 		must.MapNotContainsKey(t, counts, r)
 	}
 }
+
+// Guards against a leader that is short of processor and takes a large part of it for messages with few orders each,
+// and against orders that wait for ever longer.
+func TestMessagesAreRarerWhileProcessorIsShort(t *testing.T) {
+	must.Eq(t, 5*time.Millisecond, messageInterval(5, 0))
+	must.Eq(t, 5*time.Millisecond, messageInterval(5, time.Millisecond))
+	must.Eq(t, 30*time.Millisecond, messageInterval(5, 15*time.Millisecond))
+	must.Eq(t, maxMessageInterval, messageInterval(5, time.Second))
+	must.Eq(t, 60*time.Millisecond, messageInterval(60, time.Second))
+}
