--- a/admission/shedder_test.go
+++ b/admission/shedder_test.go
@@ -35,7 +35,7 @@
 func TestLessUrgentJobsAreShedFirst(t *testing.T) {
 	s := newTestShedder()
 	must.Eq(t, 1000, countAdmitted(s, 2))
-	observe(s, 20*time.Millisecond, time.Second)
+	observe(s, 2*sheddingDelay, time.Second)
 	must.Between(t, 450, countAdmitted(s, 2), 550)
 	must.Eq(t, 1000, countAdmitted(s, 1))
 	must.Eq(t, 1000, countAdmitted(s, 0))
@@ -57,7 +57,7 @@
 // Guards against a refused job that is admitted at its retry, which adds calls and sheds nothing.
 func TestRetriesOfShedJobsAreShed(t *testing.T) {
 	s := newTestShedder()
-	observe(s, 20*time.Millisecond, time.Second)
+	observe(s, 2*sheddingDelay, time.Second)
 	for i := range 100 {
 		job := fmt.Sprint("job-", i)
 		first := s.Admits(job, 2)
