control: tests with heartbeats end their senders before the cluster stops

The goroutine that sends heartbeats had passed its check for a leader term when the test ended; the leader stopped, the heartbeat got an error, and the check of it panicked. They are awaited now; the check is the same.

--- a/internal/control/heartbeat_transport_test.go
+++ b/internal/control/heartbeat_transport_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -86,18 +87,23 @@
 		cluster.controller.cfg.Bounds.MaxLease = heartbeatMaxLease
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
+	var sending sync.WaitGroup
+	// The cluster stops after this, so no heartbeat is on its way to it then.
+	t.Cleanup(func() {
+		cancel()
+		sending.Wait()
+	})
 	senders := map[string]*heartbeatWorker{}
 	for _, id := range ids {
 		sender := &heartbeatWorker{fakeWorker: cluster.workers.add(id)}
 		senders[id] = sender
-		go func() {
+		sending.Go(func() {
 			for wait.For(ctx, testHeartbeatInterval) {
 				if _, err := cluster.controller.currentLeaderTerm(context.Background()); err == nil {
 					cluster.sendHeartbeat(sender)
 				}
 			}
-		}()
+		})
 	}
 	return cluster, senders
 }
