admission: more urgent jobs keep a larger share while the leader is short of processor

Half of each priority was kept. The least urgent jobs have the most tasks, so a smaller share of them leaves room for more of the urgent ones: 0.45, 0.55 and 0.65 with three priorities.

--- a/admission/shedder.go
+++ b/admission/shedder.go
@@ -14,9 +14,11 @@
 	sheddingDelay = 6 * time.Millisecond
 	// calmDelay is the mean scheduling delay below which shedding decreases.
 	calmDelay = 3 * time.Millisecond
-	// keptShare is the share of the jobs of a priority that is always admitted. A delay that jobs don't cause,
-	// such as that of a flood of calls, can't keep out all of them, and no priority starves.
-	keptShare = 0.5
+	// leastKeptShare and mostKeptShare are the ends of the range of the shares of jobs that are always
+	// admitted; the share of a priority grows with its urgency. A delay that jobs don't cause, such as that of a flood of calls,
+	// can't keep out all of them, and no priority starves.
+	leastKeptShare = 0.4
+	mostKeptShare  = 0.7
 	// levelStep is by how much one observation beyond sheddingDelay raises the level; a delay of several times
 	// sheddingDelay raises it by up to maxLevelSteps steps. calmLevelStep is by how much a calm one lowers it.
 	levelStep     = 0.05
@@ -33,8 +35,8 @@
 // first, so that those that are admitted end in time. Without it, all jobs are admitted and all are late. It isn't
 // safe for concurrent use.
 type Shedder struct {
-	// level is how much is shed: with n priorities, from 0 for nothing to n for all but keptShare of each. Between i
-	// and i+1, the share of the i-th least urgent priority decreases.
+	// level is how much is shed: with n priorities, from 0 for nothing to n for all that may be. Between i and i+1,
+	// the share of the i-th least urgent priority decreases.
 	level float64
 	// priorities are those that jobs may have, the least urgent first.
 	priorities []int
@@ -60,7 +62,7 @@
 	}
 }
 
-// Level returns how much is shed: 0 for nothing, 1 for each priority of which half of the jobs are refused.
+// Level returns how much is shed: 0 for nothing, 1 for each priority of which as few jobs as possible are admitted.
 func (s *Shedder) Level() float64 { return s.level }
 
 // Admits reports whether a new job of a priority is admitted. A job that is refused would be refused again unless
@@ -76,7 +78,14 @@
 		return 1
 	}
 	shed := min(max(s.level-float64(rank), 0), 1)
-	return 1 - (1-keptShare)*shed
+	return 1 - (1-s.keptShare(rank))*shed
+}
+
+// keptShare returns the share of the jobs that is always admitted, of the priority with a rank from the least urgent
+// one on.
+func (s *Shedder) keptShare(rank int) float64 {
+	position := (float64(rank) + 0.5) / float64(len(s.priorities))
+	return leastKeptShare + (mostKeptShare-leastKeptShare)*position
 }
 
 // RetryAfter returns when the caller of a shed job should retry, in whole seconds: later if more is shed.
