--- a/internal/control/admission.go
+++ b/internal/control/admission.go
@@ -155,24 +155,25 @@
 	return described
 }
 
-// admitByEstimate returns a fault of kind Overloaded for a job that is expected to be worth nothing
-// when it ends; otherwise the estimate counts the job. t.mu must be held.
+// admitByEstimate returns a fault of kind Overloaded for a job that is shed because the leader is short of
+// processor, or that is expected to be worth nothing when it ends; otherwise the estimate counts the job.
+// t.mu must be held.
 func (t *leaderTerm) admitByEstimate(submission *workflow.Submission, now time.Time) error {
 	if t.admission == nil {
 		return nil
 	}
 	counts := t.admissionCounts.of(submission.Customer)
+	job := admissionJob(submission)
+	if job == nil {
+		counts.admitted++
+		return nil
+	}
 	if !t.shedder.Admits(submission.ID, submission.Policy.Priority) {
 		counts.refused++
 		t.submissionsOf(submission.Customer).RefusedCluster++
 		t.c.cfg.Counters.Add("jobs_refused_processor", 1)
 		return fault.Retry(fault.Overloaded, t.shedder.RetryAfter(), "the leader is short of processor")
 	}
-	job := admissionJob(submission)
-	if job == nil {
-		counts.admitted++
-		return nil
-	}
 	refusal := t.admission.Check(now.Sub(t.started), job)
 	if refusal == nil {
 		t.admission.Add(now.Sub(t.started), job)
