admission, carrier: a short stall sheds little; fewer direct calls from a delay of 10 ms on

Bursts of some hundred milliseconds shed jobs and sent calls by the longer way for seconds. Change: the level follows a moving mean of the delay, in which one observation counts as at most four times the threshold; it falls twice as fast. The leader's own calls decrease from 10 ms on (6), messages follow each other by the delay (twice it).

--- a/admission/shedder.go
+++ b/admission/shedder.go
@@ -19,11 +19,14 @@
 	// can't keep out all of them, and no priority starves.
 	leastKeptShare = 0.4
 	mostKeptShare  = 0.7
-	// levelStep is by how much one observation beyond sheddingDelay raises the level; a delay of several times
-	// sheddingDelay raises it by up to maxLevelSteps steps. calmLevelStep is by how much a calm one lowers it.
+	// delayWeight is the weight of the latest observation in the moving mean of the delay, in which one counts as
+	// at most maxDelayFactor times sheddingDelay: a short stall sheds little, and is soon forgotten.
+	delayWeight    = 0.3
+	maxDelayFactor = 4
+	// levelStep is by how much an observation raises the level for each sheddingDelay that the mean has.
+	// calmLevelStep is by how much a calm one lowers it.
 	levelStep     = 0.05
-	maxLevelSteps = 4
-	calmLevelStep = 0.1
+	calmLevelStep = 0.2
 	// shedRetryAfter is the shortest delay after which callers of shed jobs are told to retry.
 	shedRetryAfter = time.Second
 )
@@ -38,6 +41,8 @@
 	// level is how much is shed: with n priorities, from 0 for nothing to n for all that may be. Between i and i+1,
 	// the share of the i-th least urgent priority decreases.
 	level float64
+	// delay is the moving mean of the observed delays.
+	delay time.Duration
 	// priorities are those that jobs may have, the least urgent first.
 	priorities []int
 }
@@ -53,11 +58,13 @@
 
 // Observe adapts the level to the mean scheduling delay of the last ShedInterval.
 func (s *Shedder) Observe(delay time.Duration) {
+	latest := min(delay, maxDelayFactor*sheddingDelay)
+	s.delay += time.Duration(delayWeight * float64(latest-s.delay))
 	switch {
-	case delay > sheddingDelay:
-		steps := min(float64(delay)/float64(sheddingDelay), maxLevelSteps)
+	case s.delay > sheddingDelay:
+		steps := float64(s.delay) / float64(sheddingDelay)
 		s.level = min(s.level+steps*levelStep, float64(len(s.priorities)))
-	case delay < calmDelay:
+	case s.delay < calmDelay:
 		s.level = max(s.level-calmLevelStep, 0)
 	}
 }
--- a/internal/carrier/direct_share.go
+++ b/internal/carrier/direct_share.go
@@ -19,8 +19,8 @@
 	// longDelay is the scheduling delay above which the bound of the direct calls is halved: other
 	// instances have processor to spare, the leader hasn't. Below shortDelay it grows again, by
 	// boundStep of its full value with each update.
-	longDelay  = 6 * time.Millisecond
-	shortDelay = 3 * time.Millisecond
+	longDelay  = 10 * time.Millisecond
+	shortDelay = 5 * time.Millisecond
 	boundStep  = 1.0 / 16
 )
 
--- a/internal/carrier/forwarder.go
+++ b/internal/carrier/forwarder.go
@@ -26,11 +26,10 @@
 	// Orders queued during the pause are sent in one message; an order after an idle time is
 	// sent immediately.
 	baseMessageInterval = time.Millisecond
-	// delayedMessageFactor is the shortest pause as a multiple of the leader's mean scheduling delay,
-	// maxMessageInterval is the longest pause that follows from it. A leader that is short of processor
-	// puts more orders into a message; each waits for the processor for longer than for its message.
-	delayedMessageFactor = 2
-	maxMessageInterval   = 40 * time.Millisecond
+	// maxMessageInterval is the longest pause that follows from the leader's mean scheduling delay. A leader
+	// that is short of processor puts more orders into a message; each waits for the processor for longer
+	// than for its message.
+	maxMessageInterval = 40 * time.Millisecond
 	// firstContactTimeout bounds a new leader's wait for the first response of each carrier;
 	// it is enough for a few round trips.
 	firstContactTimeout = 60 * time.Millisecond
@@ -169,7 +168,7 @@
 // messageInterval returns the pause between two messages of a route, with a number of carriers in use.
 func messageInterval(carriers int, schedulingDelay time.Duration) time.Duration {
 	usual := baseMessageInterval * time.Duration(carriers)
-	return max(usual, min(delayedMessageFactor*schedulingDelay, maxMessageInterval))
+	return max(usual, min(schedulingDelay, maxMessageInterval))
 }
 
 // open starts a route to the carrier at address.
