--- a/admission/shedder.go
+++ b/admission/shedder.go
@@ -15,8 +15,8 @@
 	// calmDelay is the mean scheduling delay below which shedding decreases.
 	calmDelay = 3 * time.Millisecond
 	// leastKeptShare and mostKeptShare are the ends of the range of the shares of jobs that are always
-	// admitted; the share of a priority grows with its urgency. A delay that jobs don't cause, such as that of a flood of calls,
-	// can't keep out all of them, and no priority starves.
+	// admitted; the share of a priority grows with its urgency. A delay that jobs don't cause, such as that of
+	// a flood of calls, can't keep out all of them, and no priority starves.
 	leastKeptShare = 0.4
 	mostKeptShare  = 0.7
 	// delayWeight is the weight of the latest observation in the moving mean of the delay, in which one counts as
@@ -38,8 +38,9 @@
 // first, so that those that are admitted end in time. Without it, all jobs are admitted and all are late. It isn't
 // safe for concurrent use.
 type Shedder struct {
-	// level is how much is shed: with n priorities, from 0 for nothing to n for all that may be. Between i and i+1,
-	// the share of the i-th least urgent priority decreases.
+	// level is how much is shed. With n priorities it lies between 0, where all jobs are admitted, and n, where of
+	// each priority only the share that is always admitted is. Between i and i+1, the admitted share of priorities[i]
+	// decreases.
 	level float64
 	// delay is the moving mean of the observed delays.
 	delay time.Duration
@@ -88,8 +89,7 @@
 	return 1 - (1-s.keptShare(rank))*shed
 }
 
-// keptShare returns the share of the jobs that is always admitted, of the priority with a rank from the least urgent
-// one on.
+// keptShare returns the share of the jobs of priorities[rank] that is always admitted.
 func (s *Shedder) keptShare(rank int) float64 {
 	position := (float64(rank) + 0.5) / float64(len(s.priorities))
 	return leastKeptShare + (mostKeptShare-leastKeptShare)*position
--- a/internal/carrier/forwarder.go
+++ b/internal/carrier/forwarder.go
@@ -54,7 +54,7 @@
 	SchedulingDelay func() time.Duration
 	Logger          log.Logger
 	Counters        control.Counters
-	// Work sums up the time of messages to and from carriers; nil sums up nothing.
+	// Work sums up the time that the processing of collected outcomes takes; nil sums up nothing.
 	Work *worktime.Ledger
 	// Clock is a steady clock that counts the time for which the machine is suspended. nil means
 	// package boottime.
--- a/internal/control/admission.go
+++ b/internal/control/admission.go
@@ -168,11 +168,9 @@
 		counts.admitted++
 		return nil
 	}
-	if !t.shedder.Admits(submission.ID, submission.Policy.Priority) {
+	if err := t.shed(submission); err != nil {
 		counts.refused++
-		t.submissionsOf(submission.Customer).RefusedCluster++
-		t.c.cfg.Counters.Add("jobs_refused_processor", 1)
-		return fault.Retry(fault.Overloaded, t.shedder.RetryAfter(), "the leader is short of processor")
+		return err
 	}
 	refusal := t.admission.Check(now.Sub(t.started), job)
 	if refusal == nil {
@@ -193,6 +191,17 @@
 		refusal.Wait.Milliseconds(), refusal.Bottleneck, (admission.WorthlessAfterObjectives * job.Objective).Milliseconds())
 }
 
+// shed returns a fault of kind Overloaded for a job that is refused because the leader is short of processor. t.mu
+// must be held.
+func (t *leaderTerm) shed(submission *workflow.Submission) error {
+	if t.shedder.Admits(submission.ID, submission.Policy.Priority) {
+		return nil
+	}
+	t.submissionsOf(submission.Customer).RefusedCluster++
+	t.c.cfg.Counters.Add("jobs_refused_processor", 1)
+	return fault.Retry(fault.Overloaded, t.shedder.RetryAfter(), "the leader is short of processor")
+}
+
 // admissionCount counts the submissions of a customer since the last log line about admission.
 type admissionCount struct{ admitted, refused int }
 
--- a/internal/control/leader_term.go
+++ b/internal/control/leader_term.go
@@ -79,10 +79,11 @@
 	// queuedByCustomer counts the queued steps of each customer, including those that wait only for
 	// their customer's limit; the empty name stands for none.
 	queuedByCustomer map[string]int
+	// shedder decides which new jobs are refused while this process is short of processor.
+	shedder admission.Shedder
 	// admission estimates the waits of new jobs; it is nil without load control. The other
 	// fields hold what reportAdmission needs.
 	admission         *admission.Estimator
-	shedder           admission.Shedder
 	admissionSnapshot admission.Snapshot
 	admissionCounts   admissionCounts
 	admissionLoggedAt time.Time
