--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -286,7 +286,7 @@
 	// Admitted also counts jobs whose commit failed afterwards.
 	Admitted int64 `cbor:"1,keyasint,omitempty"`
 	// RefusedQueue counts refusals because the queue is full, RefusedLimit those because of the
-	// customer's limit, and RefusedCluster those because of the expected wait for the cluster.
+	// customer's limit, and RefusedCluster those because of the expected wait for the cluster, or because the leader is short of processor.
 	RefusedQueue   int64 `cbor:"2,keyasint,omitempty"`
 	RefusedLimit   int64 `cbor:"3,keyasint,omitempty"`
 	RefusedCluster int64 `cbor:"4,keyasint,omitempty"`
