--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -47,6 +47,7 @@
 	// stopUnanswered says that the last stop got no response.
 	stopUnanswered bool
 	startedAt      time.Time
+	timing         runTiming
 	// percent is the progress at progressAt. firstPercent and firstListedAt belong to the
 	// first report that listed the run; a resumed run doesn't begin at 0 %.
 	percent       int
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -203,6 +203,7 @@
 	s := t.sessions[run.Worker]
 	mayStart := s != nil && s.mayStart(run)
 	if o != nil && mayStart {
+		o.timing.startCommittedAt = time.Now()
 		s.addOrder(o)
 	}
 	t.mu.Unlock()
--- a/internal/control/report.go
+++ b/internal/control/report.go
@@ -26,6 +26,7 @@
 	s.endsDelayed = sent.Sub(s.respondedAt) > maxReportGap
 	returned := firstReport && len(s.unresolvedRuns()) > 0
 	s.reportedIdle = report.IsIdle()
+	respondedAt := s.respondedAt
 	s.recordReport(report.ClockMS, now)
 	s.confirmation.record(report, sent, s.pollWait, now)
 	listed := listedEnds(report)
@@ -37,6 +38,7 @@
 	// Marked before t.mu is unlocked, so that the runs never count as unaccounted for.
 	s.markKnownEnds(ends)
 	firstSeen := s.recordUncommittedEnds(ends)
+	s.recordEndTimings(firstSeen, &report, sent, respondedAt, now)
 	if !report.Partial {
 		s.fullReportSentAt = sent
 	}
@@ -115,8 +117,8 @@
 }
 
 // logEndedJobs logs the jobs that ended with these ends of runs, with the age and the
-// objective of each job.
-func (t *leaderTerm) logEndedJobs(ends []workflow.RunEnd) {
+// objective of each job, and with the parts of that time if timings has the run that ended last.
+func (t *leaderTerm) logEndedJobs(ends []workflow.RunEnd, timings map[workflow.TaskKey]runTiming) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
@@ -128,8 +130,9 @@
 			}
 			t.loggedEnds[job.ID] = true
 			accepted := t.acceptedTime(job.ID)
-			t.logger.Log("event", "job_ended", "job", job.ID, "phase", job.Phase(), "age_ms", now.Sub(accepted).Milliseconds(),
-				"age_known", !accepted.IsZero(), "objective_ms", objectiveOf(job).Milliseconds(), "last_task", end.Task, "last_outcome", end.Outcome)
+			fields := []any{"event", "job_ended", "job", job.ID, "phase", job.Phase(), "age_ms", now.Sub(accepted).Milliseconds(),
+				"age_known", !accepted.IsZero(), "objective_ms", objectiveOf(job).Milliseconds(), "last_task", end.Task, "last_outcome", end.Outcome}
+			t.logger.Log(append(fields, timings[end.Task].logFields(accepted, now)...)...)
 			t.logCrashingTask(s, job)
 		}
 	})
--- a/internal/control/run_ends.go
+++ b/internal/control/run_ends.go
@@ -73,11 +73,12 @@
 		return
 	}
 	s.t.mu.Lock()
+	timings := s.takeTimings(ends)
 	for _, end := range ends {
 		s.forgetRun(end)
 	}
 	s.t.mu.Unlock()
-	s.t.logEndedJobs(ends)
+	s.t.logEndedJobs(ends, timings)
 	s.t.wake()
 }
 
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -387,7 +387,7 @@
 	}
 	if unresolved := s.unresolvedRuns(); len(unresolved) > 0 {
 		t.commitWithRetry(&workflow.Command{Ends: &workflow.RunEnds{Worker: s.worker.ID, Unmonitored: true}})
-		t.logEndedJobs(unresolved)
+		t.logEndedJobs(unresolved, nil)
 	}
 	t.mu.Lock()
 	delete(t.sessions, s.worker.ID)
@@ -417,7 +417,7 @@
 	s.commitLostRuns(string(proof), outcome, allRuns)
 	unresolved := s.unresolvedRuns()
 	t.commitWithRetry(&workflow.Command{GoneWorker: s.worker.ID, Crashed: crashed})
-	t.logEndedJobs(unresolved)
+	t.logEndedJobs(unresolved, nil)
 	t.mu.Lock()
 	delete(t.sessions, s.worker.ID)
 	t.mu.Unlock()
--- a/internal/control/starts.go
+++ b/internal/control/starts.go
@@ -259,6 +259,7 @@
 	o.unanswered = false
 	if o.startedAt.IsZero() {
 		o.startedAt = now
+		o.timing.startClockMS = clockMS
 	}
 	t.startedJobs[o.run.Task.Job] = true
 	if o.usesSpareCPU && s.throttle.serving {
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -89,6 +89,9 @@
 	PhaseCancelled
 )
 
+// Ended reports whether a job in this phase is over.
+func (p Phase) Ended() bool { return p >= PhaseDone }
+
 // String returns the phase as logs show it.
 func (p Phase) String() string {
 	names := [...]string{"none", "pending", "active", "done", "failed", "cancelled"}
