peermem: each server holds a bounded number of bytes for its clients

Cause: what a client can make a process hold was bounded by counts of things: connections, submissions (64 KiB reckoned for each, a legal one has 262,144 bytes). Headers had the default bound of 1 MiB a connection. A body that was refused before it was read was waited for without a time limit, and its connection counted as active, so that no newcomer could have its place.

Ruled out: a lower bound on submissions (says nothing of headers, of chunks, or of the other addresses); the collector's soft limit (near it the collector runs without end).

Change: a budget for each server, an eighth of the memory for callers, workers and instances each (a thirty-second for the auxiliary servers). It counts the bytes that arrive on each connection until its request is over, so every form counts, and what is announced before it arrives. Large requests leave a quarter to small ones; the oldest that has stalled is ended for a new one; a refusal says 503 with Retry-After, nothing has run then. HTTP/2 connections reserve their receive buffer, their bodies are counted as they are read. Headers have 32 KiB, bodies 10 s, a refused body 1 s, a response that isn't read 10 s; receive buffers are 16 KiB.

--- a/internal/instance/edge.go
+++ b/internal/instance/edge.go
@@ -53,11 +53,11 @@
 	var entryListens, stopping atomic.Bool
 	entryServer := newServer(s.EntryAddress, adapters.NewEntryHandler(c.operations, p.logger))
 	entryDrainer := newDrainer(entryServer)
-	descriptors.LimitServer(entryServer, "entry", budget.FromExternal, false, p.metrics)
+	p.limitServer(entryServer, "entry", budget.FromExternal, false, externalMemoryDivisor)
 	readinessServer := newServer(s.ReadinessAddress, readinessHandler(adapters.ReadinessPath, func() bool {
 		return entryListens.Load() && !stopping.Load() && c.gateway.InContact()
 	}))
-	descriptors.LimitServer(readinessServer, "readiness", maxAuxiliaryConnections, false, p.metrics)
+	p.limitServer(readinessServer, "readiness", maxAuxiliaryConnections, false, auxiliaryMemoryDivisor)
 
 	workCtx, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
--- a/internal/instance/listen.go
+++ b/internal/instance/listen.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 
+	"github.com/bilberryferry/bilberryferry/internal/peermem"
 	"github.com/bilberryferry/bilberryferry/internal/wait"
 )
 
@@ -24,8 +25,9 @@
 // listenAndServe serves until Shutdown or Close of the server is called. While the address can't be
 // had it tries again until ctx ends: another process on the machine may hold the port for a
 // moment, for instance for an outgoing connection, and a machine that boots may not have its
-// address yet. It calls listening once it listens.
-func listenAndServe(ctx context.Context, server *http.Server, logger log.Logger, listening func()) error {
+// address yet. It calls listening once it listens. The connections are
+// counted against budget.
+func listenAndServe(ctx context.Context, server *http.Server, budget *peermem.Budget, logger log.Logger, listening func()) error {
 	listener, err := listenWhenFree(ctx, server.Addr, logger)
 	if err != nil {
 		if ctx.Err() != nil {
@@ -34,9 +36,21 @@
 		return err
 	}
 	listening()
-	return serveListener(ctx, server, listener, logger)
+	return serveListener(ctx, server, budget.Listener(listener), logger)
 }
 
+// listenConfig makes connections receive at most receiveBuffer bytes that the process hasn't read. The size of the
+// window is agreed on when a connection is opened, so that it is set on the listening socket.
+var listenConfig = net.ListenConfig{Control: func(_, _ string, socket syscall.RawConn) (err error) {
+	controlErr := socket.Control(func(fd uintptr) {
+		err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+	})
+	return errors.CombineErrors(controlErr, err)
+}}
+
+// receiveBuffer is the size of the receive buffer of a connection. The operating system doubles it.
+const receiveBuffer = 16 << 10
+
 // listenWhenFree listens on a TCP address as soon as the machine has it and no other socket uses
 // it. Any other error is returned at once.
 func listenWhenFree(ctx context.Context, address string, logger log.Logger) (net.Listener, error) {
@@ -46,7 +60,7 @@
 	started := time.Now()
 	var lastLogged time.Time
 	for {
-		listener, err := net.Listen("tcp", address)
+		listener, err := listenConfig.Listen(ctx, "tcp", address)
 		if !isTemporary(err) {
 			if err == nil && !lastLogged.IsZero() {
 				_ = logger.Log("event", "listen", "address", address, "outcome", "listening", "waited", time.Since(started))
--- a/internal/instance/listen_test.go
+++ b/internal/instance/listen_test.go
@@ -12,6 +12,9 @@
 
 	"github.com/go-kit/log"
 	"github.com/shoenig/test/must"
+
+	"github.com/bilberryferry/bilberryferry/internal/oplog"
+	"github.com/bilberryferry/bilberryferry/internal/peermem"
 )
 
 // heldFor is how long another socket holds an address in these tests.
@@ -84,7 +87,9 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error)
 	server := newServer(holder.Addr().String(), http.NewServeMux())
-	go func() { ended <- listenAndServe(ctx, server, log.NewNopLogger(), func() { close(listening) }) }()
+	go func() {
+		ended <- listenAndServe(ctx, server, peermem.NewBudget("test", 1<<20, log.NewNopLogger(), oplog.NewMetrics()), log.NewNopLogger(), func() { close(listening) })
+	}()
 	select {
 	case <-listening:
 		t.Fatal("listens on an address in use")
--- a/internal/instance/process.go
+++ b/internal/instance/process.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -22,6 +23,7 @@
 	"github.com/bilberryferry/bilberryferry/internal/link"
 	"github.com/bilberryferry/bilberryferry/internal/oplog"
 	"github.com/bilberryferry/bilberryferry/internal/overload"
+	"github.com/bilberryferry/bilberryferry/internal/peermem"
 	"github.com/bilberryferry/bilberryferry/internal/rpc"
 	"github.com/bilberryferry/bilberryferry/internal/settings"
 	"github.com/bilberryferry/bilberryferry/internal/vfs"
@@ -70,6 +72,8 @@
 	logger  log.Logger
 	metrics *oplog.Metrics
 	files   vfs.FS
+	// budgets bound the memory that each server holds for its clients.
+	budgets map[*http.Server]*peermem.Budget
 	// work sums up the time of a core instance's parts. The scheduling delays are measured while load control is
 	// on: each reader has a mean of its own, since the time of its last reading.
 	work                             *worktime.Ledger
@@ -134,6 +138,7 @@
 	p := &process{
 		settings: settings, settingsPath: path, settingsContent: content, hangups: d.hangups,
 		sink: sink, metrics: oplog.NewMetrics(), files: d.files, work: worktime.NewLedger(),
+		budgets: map[*http.Server]*peermem.Budget{},
 	}
 	p.logger = oplog.NewLogger(sink, settings.Instance)
 	_ = p.logger.Log("event", "start", "role", d.role, "address", settings.Address, "data_centre", settings.DataCentre,
@@ -158,6 +163,32 @@
 	return server
 }
 
+// Shares of the memory of a process that its servers hold for their clients, as divisors. A request takes up to
+// three times its size while it is decoded.
+const (
+	externalMemoryDivisor  = 8
+	internalMemoryDivisor  = 8
+	auxiliaryMemoryDivisor = 32
+	// defaultMemoryMB is assumed for a process without a memory limit.
+	defaultMemoryMB = 1024
+)
+
+// memoryRetryAfter is when a client should retry, in seconds, whose request was refused for want of memory.
+const memoryRetryAfter = "1"
+
+// refuseForMemory responds to a request that was refused for want of memory and hasn't run.
+func refuseForMemory(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Retry-After", memoryRetryAfter)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// limitServer bounds the connections of a server and the memory that it holds for its clients.
+func (p *process) limitServer(server *http.Server, name string, connections int, perHost bool, memoryDivisor int64) {
+	descriptors.LimitServer(server, name, connections, perHost, p.metrics)
+	memory := int64(cmp.Or(p.settings.MemoryMB, defaultMemoryMB)) << 20
+	p.budgets[server] = peermem.NewBudget(name, memory/memoryDivisor, p.logger, p.metrics)
+}
+
 // serve runs a server in group until Shutdown or Close is called.
 func (p *process) serve(ctx context.Context, group *errgroup.Group, server *http.Server) {
 	p.serveAndNotify(ctx, group, server, func() {})
@@ -165,7 +196,9 @@
 
 // serveAndNotify is like serve and calls listening once the server listens.
 func (p *process) serveAndNotify(ctx context.Context, group *errgroup.Group, server *http.Server, listening func()) {
-	group.Go(func() error { return listenAndServe(ctx, server, p.logger, listening) })
+	budget := p.budgets[server]
+	budget.Serve(server, refuseForMemory)
+	group.Go(func() error { return listenAndServe(ctx, server, budget, p.logger, listening) })
 }
 
 // serveMetrics serves the metrics if the settings name an address. It returns the server
@@ -174,7 +207,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", p.metrics)
 	server := newServer(p.settings.MetricsAddress, mux)
-	descriptors.LimitServer(server, "metrics", maxAuxiliaryConnections, false, p.metrics)
+	p.limitServer(server, "metrics", maxAuxiliaryConnections, false, auxiliaryMemoryDivisor)
 	if p.settings.MetricsAddress != "" {
 		p.serve(ctx, group, server)
 	}
@@ -184,7 +217,7 @@
 // serveAPI serves the product API if the settings name an address.
 func (p *process) serveAPI(ctx context.Context, group *errgroup.Group, c *components) {
 	c.apiServer = newInternalServer(p.settings.APIAddress, nil)
-	descriptors.LimitServer(c.apiServer, "api", maxAuxiliaryConnections, false, p.metrics)
+	p.limitServer(c.apiServer, "api", maxAuxiliaryConnections, false, auxiliaryMemoryDivisor)
 	if p.settings.APIAddress == "" {
 		return
 	}
@@ -227,7 +260,7 @@
 	c.gateway.SetCounters(p.metrics)
 	c.operations = newOperations(c.gateway)
 	c.internalServer = newInternalServer(c.internalAddress, c.mux)
-	descriptors.LimitServer(c.internalServer, "internal", budget.FromInstances, true, p.metrics)
+	p.limitServer(c.internalServer, "internal", budget.FromInstances, true, internalMemoryDivisor)
 	return c
 }
 
--- a/internal/jsonbody/jsonbody.go
+++ b/internal/jsonbody/jsonbody.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bilberryferry/bilberryferry/fault"
+	"github.com/bilberryferry/bilberryferry/internal/peermem"
 )
 
 // ContentType is the media type of the bodies.
@@ -24,6 +25,9 @@
 // couldn't be received whole has the kind fault.Unavailable and is marked ErrIncomplete.
 func Decode(body io.Reader, limit int64, v any) ([]byte, error) {
 	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if errors.Is(err, peermem.ErrMemory) {
+		return nil, fault.New(fault.Overloaded, "%v", err)
+	}
 	if err != nil {
 		return nil, errors.Mark(fault.New(fault.Unavailable, "the body can't be read: %v", err), ErrIncomplete)
 	}
