--- a/internal/instance/flow_test.go
+++ b/internal/instance/flow_test.go
@@ -60,7 +60,7 @@
 	})
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
-	o := newOperations(gateway.New(link.NewClient(testMaxSubmissions), "own", []string{strings.TrimPrefix(server.URL, "http://")}, log.NewNopLogger()))
+	o := newOperations(gateway.New(link.NewClient(testMaxSubmissions), "own", []string{strings.TrimPrefix(server.URL, "http://")}, log.NewNopLogger()), log.NewNopLogger())
 	_, err := o.Configuration(t.Context())
 	must.NoError(t, err)
 	gate.take()
--- a/internal/instance/loadcontrol_test.go
+++ b/internal/instance/loadcontrol_test.go
@@ -44,7 +44,7 @@
 	t.Cleanup(server.Close)
 	lines := &bytes.Buffer{}
 	g := gateway.New(link.NewClient(testMaxSubmissions), "own", []string{strings.TrimPrefix(server.URL, "http://")}, log.NewNopLogger())
-	o := newOperations(g)
+	o := newOperations(g, log.NewNopLogger())
 	o.loadControl = newLoadControl(testMaxSubmissions, oplog.NewMetrics(), log.NewLogfmtLogger(lines))
 	return o, lines
 }
--- a/internal/instance/operations.go
+++ b/internal/instance/operations.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
 
 	"github.com/bilberryferry/bilberryferry/fault"
 	"github.com/bilberryferry/bilberryferry/internal/control"
@@ -19,14 +21,15 @@
 // the leader that the gateway knows. It is safe for concurrent use.
 type Operations struct {
 	gateway         *gateway.Gateway
+	logger          log.Logger
 	localController atomic.Pointer[control.Controller]
 	unknownKeys     *unknownKeys
 	// loadControl is nil if load control is off.
 	loadControl *loadControl
 }
 
-func newOperations(g *gateway.Gateway) *Operations {
-	return &Operations{gateway: g, unknownKeys: newUnknownKeys(time.Now)}
+func newOperations(g *gateway.Gateway, logger log.Logger) *Operations {
+	return &Operations{gateway: g, logger: logger, unknownKeys: newUnknownKeys(time.Now)}
 }
 
 // forPrincipal makes a call for a principal, unless too many calls with unknown keys were denied.
@@ -112,8 +115,12 @@
 
 // Submit submits a job. It fails immediately if the leader can't be reached.
 func (o *Operations) Submit(ctx context.Context, r *control.SubmitCall) (reply control.SubmitReply, err error) {
-	defer func() { err = o.loadControl.recordSubmission(r, err) }()
 	receivedAt := time.Now()
+	defer func() {
+		if err = o.loadControl.recordSubmission(r, err); err == nil {
+			_ = o.logger.Log("event", "request", "method", http.MethodPost, "path", r.Address.Path, "outcome", "accepted", "ms", time.Since(receivedAt).Milliseconds())
+		}
+	}()
 	ctx = o.withFlow(ctx, r.Principal)
 	if !o.gateway.InContact() {
 		return control.SubmitReply{}, fault.Retry(fault.Unavailable, gateway.RetryAfter, "no leader is reached")
@@ -131,6 +138,11 @@
 func (o *Operations) State(ctx context.Context, r *control.StateCall) (reply control.StateReply, err error) {
 	receivedAt := time.Now()
 	ctx = o.withFlow(ctx, r.Principal)
+	defer func() {
+		if err == nil && reply.Phase.Ended() {
+			_ = o.logger.Log("event", "request", "method", http.MethodGet, "path", r.Address.Path, "outcome", reply.Phase)
+		}
+	}()
 	err = o.forPrincipal(r.Principal, func() error {
 		if phase, known := o.endedPhase(ctx, receivedAt, r); known {
 			reply = control.StateReply{Phase: phase}
--- a/internal/instance/operations_test.go
+++ b/internal/instance/operations_test.go
@@ -64,7 +64,7 @@
 // hasn't told it the newest version.
 func TestLaggingFollowerDoesNotRespondFromOlderConfiguration(t *testing.T) {
 	const leaderVersion, maxConnections = 65, 100
-	o := newOperations(gateway.New(link.NewClient(maxConnections), "own", []string{startLeader(t, leaderVersion)}, log.NewNopLogger()))
+	o := newOperations(gateway.New(link.NewClient(maxConnections), "own", []string{startLeader(t, leaderVersion)}, log.NewNopLogger()), log.NewNopLogger())
 	o.setLocalController(newFollower(t, cancelledJobV62()...))
 	must.Eq(t, workflow.PhaseActive, phaseOf(t, o, "job"))
 	must.Eq(t, workflow.PhaseActive, phaseOf(t, o, "other"))
@@ -87,7 +87,7 @@
 // that the leader named a moment ago responds itself.
 func TestInformedFollowerRespondsForEndedJob(t *testing.T) {
 	const maxConnections = 100
-	o := newOperations(gateway.New(link.NewClient(maxConnections), "own", []string{startLeader(t, documentV62.Version)}, log.NewNopLogger()))
+	o := newOperations(gateway.New(link.NewClient(maxConnections), "own", []string{startLeader(t, documentV62.Version)}, log.NewNopLogger()), log.NewNopLogger())
 	o.setLocalController(newFollower(t, cancelledJobV62()...))
 	must.Eq(t, workflow.PhaseActive, phaseOf(t, o, "other"))
 	must.Eq(t, workflow.PhaseCancelled, phaseOf(t, o, "job"))
@@ -112,7 +112,7 @@
 	for confirmedAt, timeout := range map[int64]time.Duration{1: time.Minute, 3: time.Minute, 0: 100 * time.Millisecond} {
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
-		o := newOperations(gateway.New(link.NewClient(maxConnections), "own", []string{startLeaderWithEndingRuns(t, confirmedAt)}, log.NewNopLogger()))
+		o := newOperations(gateway.New(link.NewClient(maxConnections), "own", []string{startLeaderWithEndingRuns(t, confirmedAt)}, log.NewNopLogger()), log.NewNopLogger())
 		err := o.Leave(ctx, &control.LeaveCall{Worker: "w"})
 		must.Eq(t, confirmedAt > 0, err == nil, must.Sprint(confirmedAt, err))
 	}
--- a/internal/instance/process.go
+++ b/internal/instance/process.go
@@ -258,7 +258,7 @@
 	})
 	c.gateway = gateway.New(c.client, c.internalAddress, s.seedAddresses(), p.logger)
 	c.gateway.SetCounters(p.metrics)
-	c.operations = newOperations(c.gateway)
+	c.operations = newOperations(c.gateway, p.logger)
 	c.internalServer = newInternalServer(c.internalAddress, c.mux)
 	p.limitServer(c.internalServer, "internal", budget.FromInstances, true, internalMemoryDivisor)
 	return c
