jsonbody: documents whose decoded form takes many times their size are rejected

Cause: the check for duplicate names recurses without a bound and makes a map for each level; a decoded step takes some 150 bytes and its other form more, where three bytes stand in the body. Bytes of the body were the only bound.

The error is that of an invalid body.

--- a/internal/jsonbody/jsonbody.go
+++ b/internal/jsonbody/jsonbody.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"runtime"
 	"strings"
 	"time"
 
@@ -34,7 +35,11 @@
 	if int64(len(data)) > limit {
 		return nil, errors.Mark(fault.Field("body", "longer than %d bytes", limit), ErrTooLong)
 	}
-	if err := checkDuplicateNames(data); err != nil {
+	if len(data) > largeBody {
+		decoding <- struct{}{}
+		defer func() { <-decoding }()
+	}
+	if err := checkDocument(data); err != nil {
 		return nil, fault.Field("body", "%v", err)
 	}
 	if err := json.Unmarshal(data, v); err != nil {
@@ -67,48 +72,88 @@
 // ErrIncomplete marks the error of a body that wasn't received whole.
 var ErrIncomplete = errors.New("body incomplete")
 
+const (
+	// maxDepth bounds how deeply arrays and objects are nested. Each level takes many times the bytes of its brackets.
+	maxDepth = 32
+	// A row of a report has six values in 38 bytes. freeValues and bytesPerValue bound the values of a document: freeValues, and one more for each bytesPerValue bytes
+	// of it. A decoded value takes many times the bytes of an empty object.
+	freeValues    = 1000
+	bytesPerValue = 5
+	// largeBody is the size from which bodies are decoded one after the other for each processor.
+	largeBody = 16 << 10
+)
+
+// decoding has a place for each large body that may be decoded at the same time.
+var decoding = make(chan struct{}, runtime.GOMAXPROCS(0))
+
 var (
 	errDuplicateName = errors.New("duplicate name")
 	errTrailingData  = errors.New("data after the end of the document")
+	errTooDeep       = errors.Newf("nested more than %d deep", maxDepth)
+	errTooManyValues = errors.New("too many values for its size")
 )
 
-// checkDuplicateNames rejects duplicate names in an object and data after the document.
-func checkDuplicateNames(data []byte) error {
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.UseNumber()
-	if err := checkValue(decoder); err != nil {
+// documentCheck checks a document before it is decoded.
+type documentCheck struct {
+	decoder *json.Decoder
+	// depth is the number of open arrays and objects, valuesLeft how many more values may come.
+	depth, valuesLeft int
+}
+
+// checkDocument rejects duplicate names in an object, data after the document, and documents whose decoded form takes
+// many times their size.
+func checkDocument(data []byte) error {
+	c := &documentCheck{decoder: json.NewDecoder(bytes.NewReader(data)), valuesLeft: freeValues + len(data)/bytesPerValue}
+	c.decoder.UseNumber()
+	if err := c.checkValue(); err != nil {
 		return err
 	}
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+	if _, err := c.decoder.Token(); !errors.Is(err, io.EOF) {
 		return errTrailingData
 	}
 	return nil
 }
 
-func checkValue(decoder *json.Decoder) error {
-	token, err := decoder.Token()
+func (c *documentCheck) checkValue() error {
+	if c.valuesLeft--; c.valuesLeft < 0 {
+		return errTooManyValues
+	}
+	token, err := c.decoder.Token()
 	if err != nil {
 		return err
 	}
 	switch token {
 	case json.Delim('{'):
-		return checkObject(decoder)
+		return c.nested(c.checkObject)
 	case json.Delim('['):
-		for decoder.More() {
-			if err := checkValue(decoder); err != nil {
-				return err
-			}
-		}
-		_, err = decoder.Token()
-		return err
+		return c.nested(c.checkArray)
 	}
 	return nil
 }
 
-func checkObject(decoder *json.Decoder) error {
+// nested checks the rest of an array or object, one level deeper.
+func (c *documentCheck) nested(check func() error) error {
+	if c.depth++; c.depth > maxDepth {
+		return errTooDeep
+	}
+	defer func() { c.depth-- }()
+	return check()
+}
+
+func (c *documentCheck) checkArray() error {
+	for c.decoder.More() {
+		if err := c.checkValue(); err != nil {
+			return err
+		}
+	}
+	_, err := c.decoder.Token()
+	return err
+}
+
+func (c *documentCheck) checkObject() error {
 	seenNames := map[string]bool{}
-	for decoder.More() {
-		token, err := decoder.Token()
+	for c.decoder.More() {
+		token, err := c.decoder.Token()
 		if err != nil {
 			return err
 		}
@@ -118,11 +163,11 @@
 			return errors.Wrapf(errDuplicateName, "%q", name)
 		}
 		seenNames[folded] = true
-		if err := checkValue(decoder); err != nil {
+		if err := c.checkValue(); err != nil {
 			return err
 		}
 	}
-	_, err := decoder.Token()
+	_, err := c.decoder.Token()
 	return err
 }
 
