control: what callers wait for is forgotten when the last of them leaves

A job that is cancelled, or that nobody asks for again, left an entry of the waits behind until the leader term ended; found by reading. The test of the wait checks now that nothing is left.

--- a/internal/control/end_wait.go
+++ b/internal/control/end_wait.go
@@ -20,40 +20,61 @@
 	maxEndWaits = 512
 )
 
-// endWaits holds the callers that wait for the end of a job. leaderTerm.mu guards it.
+// endWaits holds the callers that wait for the end of a job. leaderTerm.mu guards it, but for the two bounds, which
+// don't change.
 //
 // Callers often ask for the state of a job right after its last task has ended. The report of that end is
 // then on its way or being committed. If they were told that the job is active, they would learn of its end
 // only by their next request, long after it.
 type endWaits struct {
 	reportWait, commitWait time.Duration
-	// waiting has a channel for each job that callers wait for; it is closed when the job has ended.
-	waiting map[string]chan struct{}
+	// waiting has the jobs that callers wait for, callers is the number of all these callers.
+	waiting map[string]*endWait
 	callers int
 	// committing counts the done runs of each job whose ends are being committed.
 	committing map[string]int
 }
 
+// endWait is the wait of callers for one job.
+type endWait struct {
+	callers int
+	// ended is closed when the job has ended.
+	ended chan struct{}
+}
+
 func newEndWaits() endWaits {
-	return endWaits{reportWait: maxReportWait, commitWait: maxCommitWait, waiting: map[string]chan struct{}{}, committing: map[string]int{}}
+	return endWaits{reportWait: maxReportWait, commitWait: maxCommitWait, waiting: map[string]*endWait{}, committing: map[string]int{}}
 }
 
-// begin returns the channel that is closed when a job has ended, or nil if too many callers wait.
-func (w *endWaits) begin(job string) <-chan struct{} {
+// begin adds a caller that waits for a job, and returns nil if too many callers wait. leave must be called
+// otherwise.
+func (w *endWaits) begin(job string) *endWait {
 	if w.callers >= maxEndWaits {
 		return nil
 	}
+	wait := w.waiting[job]
+	if wait == nil {
+		wait = &endWait{ended: make(chan struct{})}
+		w.waiting[job] = wait
+	}
 	w.callers++
-	if w.waiting[job] == nil {
-		w.waiting[job] = make(chan struct{})
+	wait.callers++
+	return wait
+}
+
+// leave removes a caller that waits for a job.
+func (w *endWaits) leave(job string, wait *endWait) {
+	w.callers--
+	wait.callers--
+	if wait.callers == 0 && w.waiting[job] == wait {
+		delete(w.waiting, job)
 	}
-	return w.waiting[job]
 }
 
 // notify ends the waits for a job.
 func (w *endWaits) notify(job string) {
-	if ended := w.waiting[job]; ended != nil {
-		close(ended)
+	if wait := w.waiting[job]; wait != nil {
+		close(wait.ended)
 		delete(w.waiting, job)
 	}
 }
@@ -73,28 +94,27 @@
 // awaitEnd waits until a job has ended if that may happen at any moment: for a short time while each of its
 // unfinished tasks has a run, and longer while an end of one of them is being committed.
 func (t *leaderTerm) awaitEnd(ctx context.Context, job string) {
-	wait := t.reportWaitOf(job)
-	if wait <= 0 {
+	reportWait := t.reportWaitOf(job)
+	if reportWait <= 0 {
 		return
 	}
 	t.mu.Lock()
-	ended := t.endWaits.begin(job)
-	commitWait := t.endWaits.commitWait
+	wait := t.endWaits.begin(job)
 	t.mu.Unlock()
-	if ended == nil {
+	if wait == nil {
 		return
 	}
-	defer t.leaveEndWait()
+	defer t.leaveEndWait(job, wait)
 	link.LeaveGate(ctx)
-	if !waitClosed(ctx, ended, wait) && t.isCommittingEnd(job) {
-		waitClosed(ctx, ended, commitWait)
+	if !waitClosed(ctx, wait.ended, reportWait) && t.isCommittingEnd(job) {
+		waitClosed(ctx, wait.ended, t.endWaits.commitWait)
 	}
 }
 
-func (t *leaderTerm) leaveEndWait() {
+func (t *leaderTerm) leaveEndWait(job string, wait *endWait) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.endWaits.callers--
+	t.endWaits.leave(job, wait)
 }
 
 // isCommittingEnd reports whether the end of a done run of a job is being committed.
--- a/internal/control/end_wait_test.go
+++ b/internal/control/end_wait_test.go
@@ -65,6 +65,13 @@
 	<-reached
 	time.AfterFunc(eventuallyInterval, release)
 	must.Eq(t, workflow.PhaseDone, cluster.stateOf("a"))
+	term, err := cluster.controller.currentLeaderTerm(context.Background())
+	must.NoError(t, err)
+	cluster.eventually("nothing is left of the wait", func() bool {
+		term.mu.Lock()
+		defer term.mu.Unlock()
+		return term.endWaits.callers == 0 && len(term.endWaits.waiting) == 0 && len(term.endWaits.committing) == 0
+	})
 }
 
 // Guards against this failure: callers of a job that never ends, or whose end can't be near, are answered late.
--- a/internal/control/leader_term.go
+++ b/internal/control/leader_term.go
@@ -134,7 +134,8 @@
 	pendingSubmits map[string]int
 	// loggedEnds holds the jobs whose end has been logged.
 	loggedEnds map[string]bool
-	endWaits   endWaits
+	// endWaits holds the callers that wait for the end of a job.
+	endWaits endWaits
 	// changedJobs holds the jobs that changed since the last decision.
 	changedJobs map[string]bool
 	// earmarked holds the workers on which the last decision earmarked free resources for a
--- a/internal/jsonbody/jsonbody.go
+++ b/internal/jsonbody/jsonbody.go
@@ -75,8 +75,8 @@
 const (
 	// maxDepth bounds how deeply arrays and objects are nested. Each level takes many times the bytes of its brackets.
 	maxDepth = 32
-	// A row of a report has six values in 38 bytes. freeValues and bytesPerValue bound the values of a document: freeValues, and one more for each bytesPerValue bytes
-	// of it. A decoded value takes many times the bytes of an empty object.
+	// A document may have freeValues values, and one more for each bytesPerValue bytes of it, since a decoded value
+	// takes many times the bytes of an empty object. A row of a worker's report has six values in 38 bytes.
 	freeValues    = 1000
 	bytesPerValue = 5
 	// largeBody is the size from which bodies are decoded one after the other for each processor.
