peermem, instance: members of the log keep the default HTTP/2 receive buffers

Cause: the budget had made the receive buffer of an HTTP/2 connection 128 KiB. A member that catches up receives one message of several hundred KiB after the other and waits for a window update within each, which a busy leader handles late.

Change: the default of 1 MiB is kept, and reserved for each such connection; connections between instances have receive buffers of 128 KiB, which a log's messages fill.

No small test replays the catching up: open.

--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -72,7 +72,7 @@
 	}
 	controlServer := newServer(s.ControlAddress, adapters.NewControlHandler(c.operations, p.logger))
 	controlDrainer := newDrainer(controlServer)
-	p.limitServer(controlServer, "control", budget.FromExternal, true, externalMemoryDivisor)
+	p.limitServer(controlServer, "control", budget.FromExternal, true, externalMemory)
 
 	workCtx, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
--- a/internal/instance/edge.go
+++ b/internal/instance/edge.go
@@ -53,11 +53,11 @@
 	var entryListens, stopping atomic.Bool
 	entryServer := newServer(s.EntryAddress, adapters.NewEntryHandler(c.operations, p.logger))
 	entryDrainer := newDrainer(entryServer)
-	p.limitServer(entryServer, "entry", budget.FromExternal, false, externalMemoryDivisor)
+	p.limitServer(entryServer, "entry", budget.FromExternal, false, externalMemory)
 	readinessServer := newServer(s.ReadinessAddress, readinessHandler(adapters.ReadinessPath, func() bool {
 		return entryListens.Load() && !stopping.Load() && c.gateway.InContact()
 	}))
-	p.limitServer(readinessServer, "readiness", maxAuxiliaryConnections, false, auxiliaryMemoryDivisor)
+	p.limitServer(readinessServer, "readiness", maxAuxiliaryConnections, false, auxiliaryMemory)
 
 	workCtx, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
--- a/internal/instance/listen.go
+++ b/internal/instance/listen.go
@@ -28,7 +28,7 @@
 // address yet. It calls listening once it listens. The connections are
 // counted against budget.
 func listenAndServe(ctx context.Context, server *http.Server, budget *peermem.Budget, logger log.Logger, listening func()) error {
-	listener, err := listenWhenFree(ctx, server.Addr, logger)
+	listener, err := listenWhenFree(ctx, server.Addr, budget.ReceiveBuffer(), logger)
 	if err != nil {
 		if ctx.Err() != nil {
 			return nil
@@ -39,28 +39,28 @@
 	return serveListener(ctx, server, budget.Listener(listener), logger)
 }
 
-// listenConfig makes connections receive at most receiveBuffer bytes that the process hasn't read. The size of the
-// window is agreed on when a connection is opened, so that it is set on the listening socket.
-var listenConfig = net.ListenConfig{Control: func(_, _ string, socket syscall.RawConn) (err error) {
-	controlErr := socket.Control(func(fd uintptr) {
-		err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
-	})
-	return errors.CombineErrors(controlErr, err)
-}}
-
-// receiveBuffer is the size of the receive buffer of a connection. The operating system doubles it.
-const receiveBuffer = 16 << 10
+// listenConfig returns the configuration of a listener whose connections receive at most about receiveBuffer bytes
+// that the process hasn't read. The window is agreed on when a connection is opened, so that the buffer is set on the
+// listening socket.
+func listenConfig(receiveBuffer int) net.ListenConfig {
+	return net.ListenConfig{Control: func(_, _ string, socket syscall.RawConn) (err error) {
+		controlErr := socket.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+		})
+		return errors.CombineErrors(controlErr, err)
+	}}
+}
 
 // listenWhenFree listens on a TCP address as soon as the machine has it and no other socket uses
 // it. Any other error is returned at once.
-func listenWhenFree(ctx context.Context, address string, logger log.Logger) (net.Listener, error) {
+func listenWhenFree(ctx context.Context, address string, receiveBuffer int, logger log.Logger) (net.Listener, error) {
 	if address == "" {
 		return nil, errors.New("no address to listen on")
 	}
-	started := time.Now()
+	started, config := time.Now(), listenConfig(receiveBuffer)
 	var lastLogged time.Time
 	for {
-		listener, err := listenConfig.Listen(ctx, "tcp", address)
+		listener, err := config.Listen(ctx, "tcp", address)
 		if !isTemporary(err) {
 			if err == nil && !lastLogged.IsZero() {
 				_ = logger.Log("event", "listen", "address", address, "outcome", "listening", "waited", time.Since(started))
--- a/internal/instance/listen_test.go
+++ b/internal/instance/listen_test.go
@@ -62,7 +62,7 @@
 	const documentationAddress = "192.0.2.1:0" // which no machine has
 	ctx, cancel := context.WithTimeout(t.Context(), 3*listenRetryInterval)
 	defer cancel()
-	_, err := listenWhenFree(ctx, documentationAddress, log.NewNopLogger())
+	_, err := listenWhenFree(ctx, documentationAddress, 16<<10, log.NewNopLogger())
 	must.ErrorIs(t, err, context.DeadlineExceeded)
 }
 
@@ -88,7 +88,7 @@
 	ended := make(chan error)
 	server := newServer(holder.Addr().String(), http.NewServeMux())
 	go func() {
-		ended <- listenAndServe(ctx, server, peermem.NewBudget("test", 1<<20, log.NewNopLogger(), oplog.NewMetrics()), log.NewNopLogger(), func() { close(listening) })
+		ended <- listenAndServe(ctx, server, peermem.NewBudget("test", 1<<20, 16<<10, log.NewNopLogger(), oplog.NewMetrics()), log.NewNopLogger(), func() { close(listening) })
 	}()
 	select {
 	case <-listening:
--- a/internal/instance/process.go
+++ b/internal/instance/process.go
@@ -163,16 +163,24 @@
 	return server
 }
 
-// Shares of the memory of a process that its servers hold for their clients, as divisors. A request takes up to
-// three times its size while it is decoded.
-const (
-	externalMemoryDivisor  = 8
-	internalMemoryDivisor  = 8
-	auxiliaryMemoryDivisor = 32
-	// defaultMemoryMB is assumed for a process without a memory limit.
-	defaultMemoryMB = 1024
+// memoryShare is what a server may hold for its clients: a share of the memory of the process, as a divisor, and the
+// receive buffer of each connection in bytes.
+type memoryShare struct {
+	divisor       int64
+	receiveBuffer int
+}
+
+// Shares of the servers. A request takes up to three times its size while it is decoded. Other instances send parts of
+// the log, which a member that is behind must receive faster than the log grows.
+var (
+	externalMemory  = memoryShare{divisor: 8, receiveBuffer: 16 << 10}
+	internalMemory  = memoryShare{divisor: 8, receiveBuffer: 128 << 10}
+	auxiliaryMemory = memoryShare{divisor: 32, receiveBuffer: 16 << 10}
 )
 
+// defaultMemoryMB is assumed for a process without a memory limit.
+const defaultMemoryMB = 1024
+
 // memoryRetryAfter is when a client should retry, in seconds, whose request was refused for want of memory.
 const memoryRetryAfter = "1"
 
@@ -183,10 +191,10 @@
 }
 
 // limitServer bounds the connections of a server and the memory that it holds for its clients.
-func (p *process) limitServer(server *http.Server, name string, connections int, perHost bool, memoryDivisor int64) {
+func (p *process) limitServer(server *http.Server, name string, connections int, perHost bool, memory memoryShare) {
 	descriptors.LimitServer(server, name, connections, perHost, p.metrics)
-	memory := int64(cmp.Or(p.settings.MemoryMB, defaultMemoryMB)) << 20
-	p.budgets[server] = peermem.NewBudget(name, memory/memoryDivisor, p.logger, p.metrics)
+	available := int64(cmp.Or(p.settings.MemoryMB, defaultMemoryMB)) << 20
+	p.budgets[server] = peermem.NewBudget(name, available/memory.divisor, memory.receiveBuffer, p.logger, p.metrics)
 }
 
 // serve runs a server in group until Shutdown or Close is called.
@@ -207,7 +215,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", p.metrics)
 	server := newServer(p.settings.MetricsAddress, mux)
-	p.limitServer(server, "metrics", maxAuxiliaryConnections, false, auxiliaryMemoryDivisor)
+	p.limitServer(server, "metrics", maxAuxiliaryConnections, false, auxiliaryMemory)
 	if p.settings.MetricsAddress != "" {
 		p.serve(ctx, group, server)
 	}
@@ -217,7 +225,7 @@
 // serveAPI serves the product API if the settings name an address.
 func (p *process) serveAPI(ctx context.Context, group *errgroup.Group, c *components) {
 	c.apiServer = newInternalServer(p.settings.APIAddress, nil)
-	p.limitServer(c.apiServer, "api", maxAuxiliaryConnections, false, auxiliaryMemoryDivisor)
+	p.limitServer(c.apiServer, "api", maxAuxiliaryConnections, false, auxiliaryMemory)
 	if p.settings.APIAddress == "" {
 		return
 	}
@@ -260,7 +268,7 @@
 	c.gateway.SetCounters(p.metrics)
 	c.operations = newOperations(c.gateway, p.logger)
 	c.internalServer = newInternalServer(c.internalAddress, c.mux)
-	p.limitServer(c.internalServer, "internal", budget.FromInstances, true, internalMemoryDivisor)
+	p.limitServer(c.internalServer, "internal", budget.FromInstances, true, internalMemory)
 	return c
 }
 
--- a/internal/peermem/budget.go
+++ b/internal/peermem/budget.go
@@ -20,8 +20,9 @@
 	largeShareDivisor = 4
 	// reserveStep is the least number of bytes by which a request's reservation grows.
 	reserveStep = 4 << 10
-	// http2Reservation is what an HTTP/2 connection reserves for its receive buffer, its frames and its headers.
-	http2Reservation = 256 << 10
+	// http2Reservation is what an HTTP/2 connection reserves for its receive buffer, the default of net/http. With a
+	// smaller one a member of the log that is behind waits for a window update many times while it catches up.
+	http2Reservation = 1 << 20
 	// stalledAfter is the age from which an incomplete request may be ended for another one.
 	stalledAfter = time.Second
 	// logInterval is the time between two log lines about a budget.
@@ -36,11 +37,13 @@
 // Budget bounds the bytes that a server holds for its clients. When it is used up, the oldest incomplete request
 // that has stalled is ended, or else the new one is refused. It is safe for concurrent use.
 type Budget struct {
-	name     string
-	limit    int64
-	logger   log.Logger
-	counters Counter
-	now      func() time.Time
+	name  string
+	limit int64
+	// receiveBuffer is the size in bytes of the receive buffer of each connection.
+	receiveBuffer int
+	logger        log.Logger
+	counters      Counter
+	now           func() time.Time
 
 	mu   sync.Mutex
 	used int64
@@ -51,11 +54,15 @@
 	loggedAt       time.Time
 }
 
-// NewBudget returns a budget of limit bytes. name is the prefix of its counters.
-func NewBudget(name string, limit int64, logger log.Logger, counters Counter) *Budget {
-	return &Budget{name: name, limit: limit, logger: logger, counters: counters, now: time.Now, incomplete: list.New()}
+// NewBudget returns a budget of limit bytes. receiveBuffer is the size in bytes of the receive buffer of each
+// connection, which the operating system holds beside the budget. name is the prefix of the counters.
+func NewBudget(name string, limit int64, receiveBuffer int, logger log.Logger, counters Counter) *Budget {
+	return &Budget{name: name, limit: limit, receiveBuffer: receiveBuffer, logger: logger, counters: counters, now: time.Now, incomplete: list.New()}
 }
 
+// ReceiveBuffer returns the size in bytes of the receive buffer of each connection.
+func (b *Budget) ReceiveBuffer() int { return b.receiveBuffer }
+
 // reservation is what a connection holds of a budget. The budget's mu guards it.
 type reservation struct {
 	// end makes reading of the request fail.
--- a/internal/peermem/budget_test.go
+++ b/internal/peermem/budget_test.go
@@ -15,7 +15,7 @@
 // newTestBudget returns a budget of a megabyte and a function that moves its clock.
 func newTestBudget() (b *Budget, counter testCounter, advance func(time.Duration)) {
 	counter = testCounter{}
-	b = NewBudget("test", 1<<20, log.NewNopLogger(), counter)
+	b = NewBudget("test", 1<<20, 16<<10, log.NewNopLogger(), counter)
 	now := time.Unix(1000, 0)
 	b.now = func() time.Time { return now }
 	return b, counter, func(d time.Duration) { now = now.Add(d) }
--- a/internal/peermem/server.go
+++ b/internal/peermem/server.go
@@ -30,11 +30,6 @@
 // to a request whose announced body doesn't fit into it.
 func (b *Budget) Serve(server *http.Server, refuse http.HandlerFunc) {
 	server.MaxHeaderBytes = maxHeaderBytes
-	if server.HTTP2 == nil {
-		server.HTTP2 = &http.HTTP2Config{}
-	}
-	server.HTTP2.MaxReceiveBufferPerConnection = http2Reservation / 2
-	server.HTTP2.MaxReceiveBufferPerStream = http2Reservation / 4
 	server.Handler = b.limitBodies(server.Handler, refuse)
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
 	onStateChange := server.ConnState
--- a/internal/peermem/server_test.go
+++ b/internal/peermem/server_test.go
@@ -15,7 +15,7 @@
 
 // serveBudget serves a handler with a budget of limit bytes and returns the address.
 func serveBudget(t *testing.T, limit int64, handler http.HandlerFunc) string {
-	b := NewBudget("test", limit, log.NewNopLogger(), testCounter{})
+	b := NewBudget("test", limit, 16<<10, log.NewNopLogger(), testCounter{})
 	server := &http.Server{Handler: handler}
 	b.Serve(server, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
