--- a/internal/peermem/server.go
+++ b/internal/peermem/server.go
@@ -78,7 +78,7 @@
 // http2Preface is how the preface of an HTTP/2 connection begins.
 var http2Preface = []byte("PRI * HTTP/2")
 
-// Read reads from the connection. It closes the connection if the budget has no room for what it has read.
+// Read reads from the connection. It fails if the budget has no room for what it has read.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n == 0 {
