--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/bilberryferry/bilberryferry/codec"
 	"github.com/bilberryferry/bilberryferry/fault"
 	"github.com/bilberryferry/bilberryferry/internal/descriptors"
 )
@@ -114,13 +115,13 @@
 	if e.Failed {
 		return versions, e.err()
 	}
-	return versions, errors.Wrapf(cbor.Unmarshal(e.Value, reply), "decode the response of %s", method)
+	return versions, errors.Wrapf(codec.Unmarshal(e.Value, reply), "decode the response of %s", method)
 }
 
 // exchange sends a call and reads the body of the response.
 func (c *Client) exchange(ctx context.Context, address, method string, request any) (envelope, error) {
 	var e envelope
-	body, err := cbor.Marshal(request)
+	body, err := codec.Marshal(request)
 	if err != nil {
 		return e, errors.Wrapf(err, "encode a call of %s", method)
 	}
@@ -139,7 +140,7 @@
 	if err != nil {
 		return e, fault.New(fault.Unknown, "%s: the response is incomplete: %v", method, err)
 	}
-	if err := cbor.Unmarshal(responseBody, &e); err != nil {
+	if err := codec.Unmarshal(responseBody, &e); err != nil {
 		return e, fault.New(fault.Unknown, "%s: the response with status %d can't be decoded: %v", method, response.StatusCode, err)
 	}
 	return e, nil
@@ -355,14 +356,14 @@
 // serveBody decodes the body of a request, serves it, and returns the body of the response.
 func serveBody[Request, Reply any](ctx context.Context, body []byte, serve func(context.Context, *Request) (Reply, error)) envelope {
 	request := new(Request)
-	if err := cbor.Unmarshal(body, request); err != nil {
+	if err := codec.Unmarshal(body, request); err != nil {
 		return errorEnvelope(fault.Field("body", "%v", err))
 	}
 	reply, err := serve(ctx, request)
 	if err != nil {
 		return errorEnvelope(err)
 	}
-	value, err := cbor.Marshal(reply)
+	value, err := codec.Marshal(reply)
 	if err != nil {
 		return errorEnvelope(fault.New(fault.Internal, "encode the response: %v", err))
 	}
@@ -385,7 +386,7 @@
 // writeResponse writes a response with e as its body.
 func writeResponse(w http.ResponseWriter, e envelope) {
 	w.Header().Set("Content-Type", contentType)
-	body, err := cbor.Marshal(&e)
+	body, err := codec.Marshal(&e)
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
--- a/workflow/apply.go
+++ b/workflow/apply.go
@@ -4,8 +4,8 @@
 	"slices"
 
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
 
+	"github.com/bilberryferry/bilberryferry/codec"
 	"github.com/bilberryferry/bilberryferry/customer"
 )
 
@@ -51,14 +51,14 @@
 
 // Encode returns the command as the log stores it.
 func (c *Command) Encode() ([]byte, error) {
-	encoded, err := cbor.Marshal(c)
+	encoded, err := codec.Marshal(c)
 	return encoded, errors.Wrap(err, "encode a workflow command")
 }
 
 // Decode decodes a command that Encode encoded.
 func Decode(encoded []byte) (Command, error) {
 	var c Command
-	err := cbor.Unmarshal(encoded, &c)
+	err := codec.Unmarshal(encoded, &c)
 	return c, errors.Wrap(err, "decode a workflow command")
 }
 
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
 
+	"github.com/bilberryferry/bilberryferry/codec"
 	"github.com/bilberryferry/bilberryferry/customer"
 )
 
@@ -207,14 +207,14 @@
 			flat.RunList = append(flat.RunList, run)
 		}
 	}
-	encoded, err := cbor.Marshal(&flat)
+	encoded, err := codec.Marshal(&flat)
 	return encoded, errors.Wrap(err, "encode the workflow state")
 }
 
 // Restore decodes a state that Snapshot encoded.
 func Restore(encoded []byte) (*State, error) {
 	s := NewState()
-	if err := cbor.Unmarshal(encoded, s); err != nil {
+	if err := codec.Unmarshal(encoded, s); err != nil {
 		return nil, errors.Wrap(err, "decode the workflow state")
 	}
 	s.customers = customer.NewDirectory(s.Configuration.Customers)
