--- a/internal/control/announce.go
+++ b/internal/control/announce.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/bilberryferry/bilberryferry/fault"
 	"github.com/bilberryferry/bilberryferry/replica"
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
@@ -86,6 +87,9 @@
 // Announce processes a worker's heartbeat on the leader. It acknowledges a heartbeat with
 // new content only after committing it, so that the next leader has the content too.
 func (c *Controller) Announce(ctx context.Context, r *Announcement) (AnnouncementReply, error) {
+	if err := workflow.CheckWorker(&r.Worker); err != nil {
+		return AnnouncementReply{}, fault.Field(string(err.Field), "%s", err.Message)
+	}
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	t, err := c.currentLeaderTerm(ctx)
--- a/workflow/check.go
+++ b/workflow/check.go
@@ -1,6 +1,9 @@
 package workflow
 
-import "fmt"
+import (
+	"fmt"
+	"unicode/utf8"
+)
 
 // MaxPayloadBytes, MaxTasks, MaxSteps and MaxOccurrences are the limits of a job. MaxPayloadBytes is in
 // bytes. MaxTasks follows from the memory of an instance: 100,000 tasks take 6 MB.
@@ -109,3 +112,41 @@
 	}
 	return nil
 }
+
+// Limits of a worker's announcement. Sums of the capacities of all workers fit an integer.
+const (
+	MaxWorkerTextBytes = 4096
+	MaxWorkerLabels    = 1000
+	MaxCapacity        = 1 << 40
+)
+
+// Fields of a worker's announcement.
+const (
+	FieldWorkerID       Field = "id"
+	FieldWorkerText     Field = "text"
+	FieldWorkerLabels   Field = "labels"
+	FieldWorkerCapacity Field = "capacity"
+)
+
+// CheckWorker returns why the announcement of a worker is invalid, nil if it is valid.
+func CheckWorker(w *Worker) *CheckError {
+	if w.ID == "" || !isWorkerText(w.ID) || !isWorkerText(w.Name) {
+		return &CheckError{FieldWorkerID, fmt.Sprintf("%q isn't UTF-8 text of 1 to %d bytes", w.ID, MaxWorkerTextBytes)}
+	}
+	for _, text := range append([]string{w.Service, w.Address, w.DataCentre, w.Rack}, w.Labels...) {
+		if !isWorkerText(text) {
+			return &CheckError{FieldWorkerText, fmt.Sprintf("%q isn't UTF-8 text of at most %d bytes", text, MaxWorkerTextBytes)}
+		}
+	}
+	if len(w.Labels) > MaxWorkerLabels {
+		return &CheckError{FieldWorkerLabels, fmt.Sprintf("%d labels, at most %d are allowed", len(w.Labels), MaxWorkerLabels)}
+	}
+	for _, amount := range []int64{w.Capacity.MilliCPU, w.Capacity.MemoryMB, w.Capacity.Accelerators} {
+		if amount < 0 || amount > MaxCapacity {
+			return &CheckError{FieldWorkerCapacity, fmt.Sprintf("%d isn't from 0 to %d", amount, int64(MaxCapacity))}
+		}
+	}
+	return nil
+}
+
+func isWorkerText(text string) bool { return len(text) <= MaxWorkerTextBytes && utf8.ValidString(text) }
