--- a/internal/cell/machine.go
+++ b/internal/cell/machine.go
@@ -39,11 +39,12 @@
 		panic("cell: " + err.Error())
 	}
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	result := m.state.Apply(index, command)
 	m.publishChanges(command)
 	close(m.changed)
 	m.changed = make(chan struct{})
+	// Not deferred: after a panic the state may hold a part of the command, which nobody may read.
+	m.mu.Unlock()
 	return result
 }
 
--- a/internal/cell/serve.go
+++ b/internal/cell/serve.go
@@ -105,6 +105,7 @@
 		HeartbeatTicks: int(timing.Heartbeat / timing.Tick),
 		Seed:           xxhash.Sum64String(b.Instance.ID + "/" + name),
 		Logger:         b.Logger,
+		Fatal:          b.Fatal,
 	}
 	if b.Instance.DataFolder != "" {
 		config.Folder = filepath.Join(b.Instance.DataFolder, name)
--- a/internal/control/statemachine.go
+++ b/internal/control/statemachine.go
@@ -44,6 +44,7 @@
 	m.recordAccepted(&command, result)
 	version := m.state.Configuration.Version
 	applied, configured := m.applied, m.configured
+	// Not deferred: after a panic the state may hold a part of the command, which nobody may read.
 	m.mu.Unlock()
 	applied(&command)
 	if version != before {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -107,6 +107,12 @@
 	return base, nil
 }
 
+// Fatal logs an error and ends the process at once.
+func (b *Base) Fatal(err error) {
+	_ = level.Error(b.Logger).Log("msg", "ending at once", "err", err)
+	os.Exit(ExitFailed)
+}
+
 // Traffic is the number of bytes on one kind of connections, with the overhead of HTTP
 // and without that of TCP and IP.
 type Traffic struct {
--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -59,6 +59,7 @@
 	logMember := member.New(member.Config{
 		ID: s.Address, Port: s.InternalPort, DataCentre: s.DataCentre, Seeds: s.seedHosts(), FirstStart: s.FirstStart,
 		Folder: s.DataFolder, Files: p.files, Voters: votersFor(s.ToleratedFailures), Machine: stateMachine, Work: p.work, Logger: p.logger,
+		Fatal: p.fatal,
 	}, c.client, c.mux)
 	var monitor *overload.Monitor
 	if s.LoadControl {
--- a/internal/instance/process.go
+++ b/internal/instance/process.go
@@ -63,6 +63,7 @@
 
 // process holds the settings, the log and the metrics of a running daemon.
 type process struct {
+	role     string
 	settings *Settings
 	// settingsContent is the content of the file at settingsPath that settings were read from.
 	settingsPath, settingsContent string
@@ -136,7 +137,7 @@
 	sink := oplog.NewSink(out)
 	defer sink.Close()
 	p := &process{
-		settings: settings, settingsPath: path, settingsContent: content, hangups: d.hangups,
+		role: d.role, settings: settings, settingsPath: path, settingsContent: content, hangups: d.hangups,
 		sink: sink, metrics: oplog.NewMetrics(), files: d.files, work: worktime.NewLedger(),
 		budgets: map[*http.Server]*peermem.Budget{},
 	}
@@ -144,10 +145,22 @@
 	_ = p.logger.Log("event", "start", "role", d.role, "address", settings.Address, "data_centre", settings.DataCentre,
 		"seeds", len(settings.Seeds), "first_start", settings.FirstStart, "load_control", settings.LoadControl)
 	err = d.run(ctx, p)
-	_ = p.logger.Log("event", "stop", "role", d.role, "err", err)
+	p.logStop(err)
 	return err
 }
 
+// logStop logs the end of the process; err is nil if it was asked to stop.
+func (p *process) logStop(err error) {
+	_ = p.logger.Log("event", "stop", "role", p.role, "err", err)
+}
+
+// fatal ends the process at once, after a line with the reason.
+func (p *process) fatal(err error) {
+	p.logStop(err)
+	p.sink.Close()
+	os.Exit(ExitFailed)
+}
+
 // newServer returns a server with time limits against stalled and idle connections.
 func newServer(address string, handler http.Handler) *http.Server {
 	return &http.Server{
--- a/internal/member/host.go
+++ b/internal/member/host.go
@@ -80,6 +80,8 @@
 	// Work sums up the time of the log; nil sums up nothing.
 	Work   *worktime.Ledger
 	Logger log.Logger
+	// Fatal must end the process at once; see node.Config.
+	Fatal func(error)
 }
 
 // Host is one member with its connections to the others.
@@ -130,6 +132,7 @@
 		Seed:            xxhash.Sum64String(h.cfg.ID),
 		Logger:          h.cfg.Logger,
 		Work:            h.cfg.Work,
+		Fatal:           h.cfg.Fatal,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/node/apply.go
+++ b/internal/node/apply.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/cockroachdb/errors"
 
+	"github.com/bilberryferry/bilberryferry/fault"
 	"github.com/bilberryferry/bilberryferry/replica"
 )
 
@@ -104,23 +105,47 @@
 }
 
 // apply applies committed entries to the state machine and replies to the callers that
-// proposed them.
-func (g *Group) apply(entries []replica.Entry) {
-	for _, e := range entries {
+// proposed them. Its error is ErrEntryFailed.
+func (g *Group) apply(entries []replica.Entry) error {
+	for i := range entries {
+		e := &entries[i]
 		invariant(e.Index == g.applied+1, "entry %d applied after %d", e.Index, g.applied)
-		var value any
-		if e.Kind == replica.EntryCommand {
-			value = g.cfg.Machine.Apply(e.Index, e.Data)
+		value, err := g.applyEntry(e)
+		if errors.Is(err, ErrEntryFailed) {
+			return err
 		}
 		g.applied = e.Index
 		g.snapshots.pendingBytes += len(e.Data)
-		g.completeProposal(e, value)
+		g.completeProposal(e, value, err)
 	}
 	g.counters.commits.Add(uint64(len(entries)))
+	return nil
+}
+
+// applyEntry applies one entry and returns the result for its caller. The error is ErrEntryFailed if the
+// state machine panicked, and ErrEntrySkipped if it has done so too often.
+func (g *Group) applyEntry(e *replica.Entry) (value any, err error) {
+	if e.Kind != replica.EntryCommand {
+		return nil, nil
+	}
+	if g.failed.skips(e) {
+		g.snapshots.skippedIndex = e.Index
+		g.counters.skipped.Add(1)
+		return nil, fault.New(fault.Internal, "%v", ErrEntrySkipped)
+	}
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = g.failed.record(e, cause)
+			if g.cfg.Fatal != nil {
+				g.cfg.Fatal(err)
+			}
+		}
+	}()
+	return g.cfg.Machine.Apply(e.Index, e.Data), nil
 }
 
 // completeProposal replies to the call that proposed an entry at e.Index, if any.
-func (g *Group) completeProposal(e replica.Entry, value any) {
+func (g *Group) completeProposal(e *replica.Entry, value any, err error) {
 	proposal, ok := g.proposals[e.Index]
 	if !ok {
 		return
@@ -130,7 +155,7 @@
 		proposal.call.reply(nil, unavailable(ErrNotCommitted, "another leader's entry replaced the command"))
 		return
 	}
-	proposal.call.reply(value, nil)
+	proposal.call.reply(value, err)
 }
 
 // installSnapshot replaces the state of the state machine by a snapshot from another
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -154,7 +154,9 @@
 			return err
 		}
 	}
-	g.apply(r.Committed)
+	if err := g.apply(r.Committed); err != nil {
+		return err
+	}
 	g.core.Advance(r)
 	g.barriers.confirm(r.Reads, g.applied)
 	return nil
@@ -240,12 +242,13 @@
 	return g.closeLog()
 }
 
-// stoppedStatus returns s changed to the status of a stopped member, which doesn't lead and
-// can't decide.
+// stoppedStatus returns s changed to the status of a stopped member, which doesn't lead, can't
+// decide and knows no leader. Its state machine may hold a part of the effects of an entry, so nobody may take
+// its state for that of the group.
 func stoppedStatus(s replica.Status) replica.Status {
-	s.CanDecide = false
+	s.CanDecide, s.Leader = false, ""
 	if s.Role == replica.Leader {
-		s.Role, s.Leader = replica.Follower, ""
+		s.Role = replica.Follower
 	}
 	return s
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -143,6 +143,9 @@
 	Now func() time.Time
 	// Logger receives a line for each change of role; nil logs nothing.
 	Logger log.Logger
+	// Fatal must end the process at once. It is called with an ErrEntryFailed, while the state machine may
+	// hold a part of the effects of an entry. nil lets Run return the error.
+	Fatal func(error)
 }
 
 // normalize sets the defaults. It returns an error if a required field is missing.
@@ -199,6 +202,9 @@
 	calls callQueue
 	inbox inbox
 
+	// failed are the entries that made the state machine panic. Only the goroutine of Run uses it.
+	failed *failedEntries
+
 	// lostState is true from a start without the expected state until the log has an entry.
 	lostState bool
 
@@ -295,6 +301,7 @@
 		return err
 	}
 	g.core, g.savedHardState = core, stored.HardState
+	g.failed = openFailedEntries(g.cfg.Files, g.cfg.Folder, stored.Snapshot.Index, g.logger)
 	if g.cfg.ExpectState && stored.Empty() {
 		g.lostState = true
 		_ = level.Error(g.logger).Log("event", "log_empty", "reason", "the member has run before; its log is treated as lost")
--- a/internal/node/snapshot.go
+++ b/internal/node/snapshot.go
@@ -22,6 +22,10 @@
 	// commands applied since the latest start of a snapshot. Both are in bytes.
 	lastBytes, pendingBytes int
 
+	// skippedIndex is the index of the last entry that was skipped, 0 for none. The next snapshot is due
+	// at once, so that no member receives the entry any more.
+	skippedIndex uint64
+
 	running bool
 	done    chan snapshotResult
 	// notBefore is when the next snapshot may start after one found the disk full.
@@ -60,7 +64,7 @@
 }
 
 func (g *Group) snapshotDue() bool {
-	return g.applied-g.snapshots.lastIndex >= g.cfg.SnapshotEntries ||
+	return g.snapshots.skippedIndex > g.snapshots.lastIndex || g.applied-g.snapshots.lastIndex >= g.cfg.SnapshotEntries ||
 		g.snapshots.pendingBytes >= max(g.cfg.SnapshotBytes, g.snapshots.lastBytes)
 }
 
@@ -103,6 +107,9 @@
 		}
 	}
 	g.core.Compact(r.snapshot)
+	if g.snapshots.skippedIndex > 0 && r.snapshot.Index >= g.snapshots.skippedIndex {
+		g.core.DropThrough(g.snapshots.skippedIndex)
+	}
 	g.snapshots.lastIndex = r.snapshot.Index
 	g.snapshots.lastBytes = len(r.snapshot.Data)
 	g.counters.snapshots.Add(1)
--- a/internal/node/stats.go
+++ b/internal/node/stats.go
@@ -8,7 +8,7 @@
 
 type counters struct {
 	proposals, commits, elections, snapshots, restores atomic.Uint64
-	sent, sentBytes, received, dropped                 atomic.Uint64
+	sent, sentBytes, received, dropped, skipped        atomic.Uint64
 
 	// ledTerm is the latest term that this member led.
 	ledTerm uint64
@@ -30,6 +30,8 @@
 	// Snapshots counts the snapshots taken by this member, Restores those installed
 	// from another member.
 	Snapshots, Restores uint64
+	// EntriesSkipped counts the entries that weren't applied because they make the state machine panic.
+	EntriesSkipped uint64
 	// MessagesSent and BytesSent count what was passed to the transport,
 	// MessagesReceived the messages queued for Run, and MessagesDropped those that the
 	// core refused or that exceeded the bound of the queue.
@@ -52,6 +54,7 @@
 		BytesSent:        c.sentBytes.Load(),
 		MessagesReceived: c.received.Load(),
 		MessagesDropped:  c.dropped.Load(),
+		EntriesSkipped:   c.skipped.Load(),
 	}
 	if g.wal != nil {
 		w := g.wal.Counters()
--- a/replica/ready.go
+++ b/replica/ready.go
@@ -130,3 +130,11 @@
 	}
 	c.log.compact(drop)
 }
+
+// DropThrough drops the entries up to and including index even if Config.KeepEntries would keep them. It
+// ignores an index that the stored snapshot doesn't cover.
+func (c *Core) DropThrough(index uint64) {
+	if index <= c.snapshot.Index {
+		c.log.compact(index)
+	}
+}
