instance: the next start says how a core process ended, and how many starts came in a row

What callers saw: core processes that start again and again without a line of why. A panic or a fatal error of the runtime goes to standard error as raw text, a kill leaves nothing, and no start says how the run before ended. The record that the users keep had only the lines of the starts.

Cause: nothing of a run outlives it.

Change: package lastrun keeps a record of the run in the data folder (`last_run`) and lets the runtime write the text of a crash beside it (`last_crash`, debug.SetCrashOutput). Each start of a core process logs one line, event=previous_run, with the outcome (stopped, failed, panic, killed, none, unknown), the start of that run, its error or the reason and place of its crash, and starts_without_stop, the number of runs in a row that nobody asked to stop (those that failed with an error included). No file is synced, except that a missing data folder is created with a durable name as the member does. Errors are logged (event=run_record) and change nothing else; a disk that doesn't respond delays the start by 100 ms at most. A process that is still stopping doesn't overwrite the record of its successor. With another file system than that of the operating system (the power soak) there is no text of a crash. Edge processes have no data folder and no record.

--- a/internal/instance/daemon_test.go
+++ b/internal/instance/daemon_test.go
@@ -25,6 +25,9 @@
 	daemonRoleEnv = "INSTANCE_TEST_ROLE"
 	edgeRole      = "edge"
 	coreRole      = "core"
+	// panickingRole is a core daemon that panics at its start, with clientPanic.
+	panickingRole = "panicking_core"
+	clientPanic   = "no client for tests"
 	// daemonTimeout bounds each wait for a daemon.
 	daemonTimeout = 20 * time.Second
 	readinessPath = "/ready"
@@ -36,6 +39,8 @@
 		os.Exit(Main(testEdge(), hangup.Signals))
 	case coreRole:
 		os.Exit(Main(testCore(), hangup.Signals))
+	case panickingRole:
+		os.Exit(Main(NewCore(CoreAdapters{NewDeploymentClient: newPanickingDeployment, NewControlHandler: emptyHandler}), hangup.Signals))
 	}
 	os.Exit(m.Run())
 }
@@ -45,6 +50,8 @@
 
 func newNoDeployment(DeploymentAddresses) DeploymentClient { return noDeployment{} }
 
+func newPanickingDeployment(DeploymentAddresses) DeploymentClient { panic(clientPanic) }
+
 func emptyHandler(*Operations, log.Logger) http.Handler { return http.NewServeMux() }
 
 func testEdge() Daemon {
--- a/internal/instance/process.go
+++ b/internal/instance/process.go
@@ -72,6 +72,8 @@
 	logger  log.Logger
 	metrics *oplog.Metrics
 	files   vfs.FS
+	// run is this run of the process as it is recorded in the data folder; nil without one.
+	run *recordedRun
 	// budgets bound the memory that each server holds for its clients.
 	budgets map[*http.Server]*peermem.Budget
 	// work sums up the time of a core instance's parts. The scheduling delays are measured while load control is
@@ -86,6 +88,8 @@
 	run     func(context.Context, *process) error
 	files   vfs.FS
 	hangups <-chan os.Signal
+	// ownsProcess says that the process runs nothing but this daemon.
+	ownsProcess bool
 }
 
 // WithFiles returns the daemon with another file system for its data folder than that of the
@@ -99,7 +103,7 @@
 // code. The path of the settings file is the first argument, or else SettingsEnv. Each signal
 // of hangups makes it check that file for changes.
 func Main(d Daemon, hangups <-chan os.Signal) int {
-	d.hangups = hangups
+	d.hangups, d.ownsProcess = hangups, true
 	// Otherwise a write to standard output or error ends the process once the reader is gone.
 	signal.Ignore(syscall.SIGPIPE)
 	path := os.Getenv(SettingsEnv)
@@ -143,7 +147,9 @@
 	p.logger = oplog.NewLogger(sink, settings.Instance)
 	_ = p.logger.Log("event", "start", "role", d.role, "address", settings.Address, "data_centre", settings.DataCentre,
 		"seeds", len(settings.Seeds), "first_start", settings.FirstStart, "load_control", settings.LoadControl)
+	p.beginRun(d.ownsProcess)
 	err = d.run(ctx, p)
+	p.run.end(err)
 	_ = p.logger.Log("event", "stop", "role", d.role, "err", err)
 	return err
 }
