--- a/workflow/apply.go
+++ b/workflow/apply.go
@@ -366,7 +366,7 @@
 // announce records a worker. A new incarnation doesn't replace an earlier one at the same
 // address; the earlier one ends only with a command whose GoneWorker names it. If
 // heartbeats of an incarnation are committed out of order, the one with the highest
-// Sequence is kept.
+// Sequence is kept. Its name and start are those of the first one.
 func (s *State) announce(w *Worker) {
 	known := s.Workers[w.ID]
 	if known == nil {
@@ -374,9 +374,12 @@
 		s.recordIncarnation(w)
 		return
 	}
-	if w.Sequence >= known.Sequence {
-		known.Worker = *w
+	if w.Sequence < known.Sequence {
+		return
 	}
+	name, startedAtMS := known.Name, known.StartedAtMS
+	known.Worker = *w
+	known.Name, known.StartedAtMS = name, startedAtMS
 }
 
 // recordSpeeds records which workers are slow or fast. It ignores workers that are gone.
