--- a/internal/control/leader_term.go
+++ b/internal/control/leader_term.go
@@ -428,7 +428,7 @@
 			if t.endedAt[id].IsZero() {
 				t.endedAt[id] = now
 			}
-			if now.Sub(t.endedAt[id]) > t.c.cfg.Bounds.EndedJobRetention+cleanupInterval {
+			if now.Sub(t.endedAt[id]) > t.c.cfg.Bounds.EndedJobRetention+cleanupInterval && !job.HasLiveRuns() {
 				expired = append(expired, id)
 			}
 		}
--- a/workflow/apply.go
+++ b/workflow/apply.go
@@ -289,11 +289,11 @@
 		return
 	}
 	s.removeRun(run)
-	job, step := s.step(end.Task.StepKey)
-	if job == nil {
+	task := s.Task(end.Task)
+	if task == nil {
 		return
 	}
-	task := &step.Tasks[end.Task.Index]
+	job, step := s.step(end.Task.StepKey)
 	task.Live--
 	spec := &job.Steps[end.Task.Step]
 	if end.Checkpoint != "" {
@@ -421,13 +421,19 @@
 	return sorted
 }
 
-// deleteJobs deletes the listed jobs that have ended.
+// deleteJobs deletes the listed jobs that have ended and have no run that may be alive. The end of such a run
+// would otherwise count for another job that was submitted under the same ID.
 func (s *State) deleteJobs(ids []string) {
+	deleted := map[string]bool{}
 	for _, id := range ids {
-		if job := s.Jobs[id]; job != nil && job.Ended() {
+		if job := s.Jobs[id]; job != nil && job.Ended() && !job.HasLiveRuns() {
 			delete(s.Jobs, id)
+			deleted[id] = true
 		}
 	}
+	if len(deleted) > 0 {
+		s.forgetUnresolved(deleted)
+	}
 }
 
 // configure keeps the document with the highest version and ignores older ones.
--- a/workflow/crash.go
+++ b/workflow/crash.go
@@ -1,5 +1,7 @@
 package workflow
 
+import "slices"
+
 // Suspicion is how likely it is that a run crashed the worker that it ran on.
 type Suspicion uint8
 
@@ -57,8 +59,8 @@
 	unresolved := worker.Unresolved
 	s.dropUnresolved(worker)
 	for _, end := range unresolved {
-		if job, _ := s.step(end.Task.StepKey); job != nil {
-			s.recordCrash(worker.ID, job, s.Task(end.Task), end)
+		if task := s.Task(end.Task); task != nil {
+			s.recordCrash(worker.ID, s.Jobs[end.Task.Job], task, end)
 		}
 	}
 }
@@ -73,6 +75,13 @@
 	worker.Unresolved = nil
 }
 
+// forgetUnresolved forgets the unresolved runs of deleted jobs.
+func (s *State) forgetUnresolved(jobs map[string]bool) {
+	for _, worker := range s.Workers {
+		worker.Unresolved = slices.DeleteFunc(worker.Unresolved, func(end RunEnd) bool { return jobs[end.Task.Job] })
+	}
+}
+
 // recordCrash counts a crash against a task and fails its job once the task counts as the
 // cause. A task that crashes each worker would otherwise be started again and again, and take
 // down one worker after the other with all other runs there.
--- a/workflow/load.go
+++ b/workflow/load.go
@@ -51,7 +51,7 @@
 		s.loads[run.Worker] = load
 	}
 	load.changes++
-	job := s.Jobs[run.Task.Job]
+	job, _ := s.step(run.Task.StepKey)
 	if job == nil {
 		return
 	}
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -94,6 +94,18 @@
 	return true
 }
 
+// HasLiveRuns reports whether a run of the job may be alive.
+func (j *Job) HasLiveRuns() bool {
+	for _, steps := range j.Occurrences {
+		for i := range steps {
+			if steps[i].Live() > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Phase is the progress of a job, as callers see it.
 type Phase uint8
 
