--- a/internal/control/report.go
+++ b/internal/control/report.go
@@ -186,10 +186,9 @@
 				s.t.checkpoints[r.Task] = r.Checkpoint
 			}
 			o := s.orders[r.Task]
-			if job := state.Jobs[r.Task.Job]; o == nil && job != nil {
+			if spec := stepOf(state, r.Task); o == nil && spec != nil {
 				// Runs that an earlier leader or an earlier session ordered are monitored
 				// like orders of this session.
-				spec := &job.Steps[r.Task.Step]
 				o = &runOrder{run: run, usesSpareCPU: spec.UsesSpareCPU, longRunning: spec.LongRunning, share: unknownShare}
 				s.orders[r.Task] = o
 			}
--- a/internal/control/throttle.go
+++ b/internal/control/throttle.go
@@ -97,11 +97,10 @@
 	worstRatio := 0.0
 	s.throttle.serving, s.throttle.spare = false, false
 	for _, r := range report.Running {
-		job := state.Jobs[r.Task.Job]
-		if job == nil {
+		spec := stepOf(state, r.Task)
+		if spec == nil {
 			continue
 		}
-		spec := &job.Steps[r.Task.Step]
 		s.throttle.spare = s.throttle.spare || spec.UsesSpareCPU
 		if spec.LatencyObjectiveMS > 0 {
 			s.throttle.serving = true
@@ -123,6 +122,16 @@
 	}
 }
 
+// stepOf returns the step of a task that a worker reports; nil if there is no such job, or it has no such step. The run
+// may belong to an earlier job with the same ID.
+func stepOf(state *workflow.State, task workflow.TaskKey) *workflow.Step {
+	job := state.Jobs[task.Job]
+	if job == nil || task.Step >= len(job.Steps) {
+		return nil
+	}
+	return &job.Steps[task.Step]
+}
+
 // applyShare sends the worker's current share for a run whose acknowledged share differs,
 // unless a change is in flight. t.mu must be held.
 func (s *workerSession) applyShare(o *runOrder) {
