--- a/maintenance/maintenance.go
+++ b/maintenance/maintenance.go
@@ -106,8 +106,11 @@
 		return w.MaxDown
 	}
 	timePerMachine := w.MachineDowntime + orderMargin + drainGrace
-	needed := int(math.Ceil(float64(n) * float64(timePerMachine) / float64(w.Remaining)))
-	return min(max(needed, 1), w.MaxDown)
+	needed := math.Ceil(float64(n) * float64(timePerMachine) / float64(w.Remaining))
+	if needed >= float64(w.MaxDown) {
+		return w.MaxDown
+	}
+	return max(int(needed), 1)
 }
 
 // drainTimeout returns how long a machine may stay cordoned before its runs are stopped, if n
@@ -116,6 +119,6 @@
 	if n == 0 || concurrent == 0 {
 		return 0
 	}
-	rounds := (n + concurrent - 1) / concurrent
+	rounds := (n-1)/concurrent + 1
 	return max(w.Remaining/time.Duration(rounds)-w.MachineDowntime-orderMargin, 0)
 }
