--- a/replica/clock_step_test.go
+++ b/replica/clock_step_test.go
@@ -127,3 +127,18 @@
 		s.awaitFollower(t, restarted)
 	}
 }
+
+// Guards against a member that ends at each start: it was recovering when it stopped, and its snapshot
+// names a later incarnation of it.
+func TestStoredSnapshotNamesLaterIncarnation(t *testing.T) {
+	const stored, later = 5, 20
+	members := []Member{{ID: "n0", HasDisk: true, Incarnation: later}, {ID: "n1"}, {ID: "n2"}}
+	c, err := New(Config{ID: "n0", Incarnation: 7, HasDisk: true}, StoredState{
+		HardState: HardState{Term: 3, Incarnation: stored, Recovering: true},
+		Snapshot:  Snapshot{Index: 4, Term: 3, Members: members},
+	})
+	must.NoError(t, err)
+	must.Eq(t, Recovering, c.role)
+	must.Greater(t, later, c.incarnation)
+	must.Eq(t, c.incarnation, c.Ready().HardState.Incarnation)
+}
--- a/replica/core.go
+++ b/replica/core.go
@@ -129,13 +129,13 @@
 		c.incarnation = c.cfg.Incarnation
 	}
 	c.incarnations.merge(MemberIncarnation{ID: c.cfg.ID, Incarnation: c.incarnation})
-	c.recordMemberIncarnations(stored.Snapshot.Members)
 	if stored.Empty() || stored.HardState.Recovering {
 		c.role = Recovering
 	}
 	if !stored.Empty() {
 		c.savedState = stored.HardState
 	}
+	c.recordMemberIncarnations(stored.Snapshot.Members)
 }
 
 // recordMemberIncarnations records the incarnations that a snapshot's members carry.
