replica: a cold start of recovering voters keeps the entries that one of them applied

Cause: when all voters are recovering, a cold start took the one with a disk, else the lowest ID, whatever their logs held. A recovering voter receives and applies committed entries before its recovery ends. A leader with an empty log then wrote other entries at the same indexes, and the states of the members differed from there on, silently.

Ruled out: that it takes no more losses than a group tolerates. A majority must have lost its state while another member recovers, so this doesn't explain the incident.

Change: among recovering voters too, the more complete log precedes. Voters without any log are ordered as before.

Evidence: TestColdStartOfRecoveringVotersKeepsCommittedEntries fails on the code before ("state after ... differs") and passes now; go test ./replica is green but for the known red TestMemberSurvivesLaterIncarnationThatFewKnow.

--- a/replica/coldstart.go
+++ b/replica/coldstart.go
@@ -150,9 +150,10 @@
 }
 
 // coldStartLeader returns the ID of the voter with the most complete log among those that
-// kept their state. If no voter did, voters with a disk precede the others. Among voters
-// that are equal in this order, the lowest ID precedes. Witnesses never lead. All voters
-// with the same replies get the same result.
+// kept their state, or among all voters if none did: a recovering voter may hold a log, with
+// entries that it knows to be committed. Of equal logs, those of voters with a disk precede,
+// then those of lower IDs. Witnesses never lead. All voters with the same replies get the same
+// result.
 func coldStartLeader(states []voterState) string {
 	best := -1
 	for i, s := range states {
@@ -174,9 +175,9 @@
 	switch {
 	case s.recovering != other.recovering:
 		return !s.recovering
-	case !s.recovering && s.term != other.term:
+	case s.term != other.term:
 		return s.term > other.term
-	case !s.recovering && s.index != other.index:
+	case s.index != other.index:
 		return s.index > other.index
 	case s.member.HasDisk != other.member.HasDisk:
 		return s.member.HasDisk
--- a/replica/recovery_test.go
+++ b/replica/recovery_test.go
@@ -195,3 +195,25 @@
 		c.Advance(r)
 	}
 }
+
+// Guards against states that differ: all voters have lost their state, and one without entries leads
+// although another has received, and applied, committed ones while it was recovering.
+func TestColdStartOfRecoveringVotersKeepsCommittedEntries(t *testing.T) {
+	s := newSimWithLeader(t, simOptions{voters: 3, disks: 3})
+	s.ensureLeader(t, "n1")
+	partial := s.nodes[2]
+	partial.restartUnder(0)
+	s.intercept = func(m Message) bool { return m.To == partial.id && m.Type == MsgStateReply }
+	s.run(replicationSteps)
+	must.Eq(t, Recovering, roleOf(partial))
+	must.Positive(t, partial.core.applied)
+	for _, n := range s.nodes[:2] {
+		n.restartUnder(0)
+	}
+	s.intercept = nil
+	s.inTransit = nil
+	for s.leader() != nil {
+		s.run(1)
+	}
+	s.waitForLeader(t)
+}
