replica: a member that learns of a later incarnation of itself recovers again

Cause: a start without state whose clock is ahead takes incarnation J. It tells few members, or its messages are late, and its state is lost again. The next start takes I < J and recovers with members that don't know J. Later one that does know J tells it, and a member that wasn't recovering ended, at each start again, since its disk keeps I.

Two ways were weighed. (1) The recovery asks more members, so that it learns J: it can't ask one that is down without waiting for it forever, and a late message of J can still reach anybody after the recovery. (2) This one: the member takes an incarnation after J and becomes Recovering, and keeps its term, vote, log and membership. A third, to go on under an incarnation after J without recovering, keeps more members voting, but is wrong if J took part: what J voted and acknowledged isn't in this member's memory.

Safety: to the others, the member is one that started without state under an incarnation after I and J. Messages of I and J that are still on their way are dropped by everybody who has registered the new incarnation, and the recovery registers it with a majority. The member remembers more than one without state: its term doesn't go back, its vote of the term stays spent, its log holds all that it acknowledged under I. A leader gives up its lease like one that is deposed, and refuses votes for an election timeout. No message under the new incarnation leaves before the hard state that names it and says Recovering is synced (send); a crash before that starts under I with all that I did. An only voter has nobody to ask and leads again in a new term (tickRecovering).

Open: such a member counts as recovering while it does. If so many others have lost their state at that moment that no majority is left, the group waits, as with one more lost state.

--- a/replica/config.go
+++ b/replica/config.go
@@ -27,7 +27,8 @@
 	// must not be zero. Pass the wall clock in milliseconds at process start: a cold start
 	// also derives its term from it, so that terms don't recur even when all members have
 	// lost their state. After a clock that went back, the member takes a later incarnation
-	// once another member tells it of an earlier start.
+	// once another member tells it of an earlier start. If two processes run under one ID,
+	// each makes the other recover again, and neither takes part for long.
 	Incarnation uint64
 	// HasDisk says that the caller syncs each Ready to disk and passes it back as
 	// StoredState.
--- a/replica/core.go
+++ b/replica/core.go
@@ -262,7 +262,7 @@
 	if c.peerDigest[m.To] != c.incarnations.digest || m.ColdStart {
 		m.KnownIncarnations = c.incarnations.known
 	}
-	m.afterSync = c.savedState.Incarnation == 0 || c.savedState.Recovering
+	m.afterSync = c.savedState.Incarnation != c.incarnation || c.savedState.Recovering
 	c.messages = append(c.messages, m)
 }
 
--- a/replica/recovery.go
+++ b/replica/recovery.go
@@ -1,6 +1,7 @@
 package replica
 
-// recovery is the state of a member that has lost its state and rejoins the group.
+// recovery is the state of a member that has lost its state and rejoins the group, or that has
+// learned of a later incarnation of itself (see recordOwnIncarnation) and keeps its log meanwhile.
 //
 // The member tells all members its new incarnation. It waits for the replies of a
 // majority of the voters, none of them recovering, including the leader of the
@@ -54,6 +55,10 @@
 // tickRecovering repeats the state requests and tries a cold start at each election
 // timeout.
 func (c *Core) tickRecovering() {
+	if c.onlyVoter() {
+		c.campaignAsSoleVoter()
+		return
+	}
 	if !c.hasRecentLeader() {
 		c.leader = ""
 	}
@@ -68,6 +73,13 @@
 	}
 }
 
+// onlyVoter reports whether this member is the only voter of each membership from the committed
+// one on, so that no other member could tell it anything that it must wait for.
+func (c *Core) onlyVoter() bool {
+	electorate := votersOfAll(c.members.since(c.commit))
+	return len(electorate) == 1 && electorate[0].ID == c.cfg.ID
+}
+
 // requestState sends a state request to all other members.
 func (c *Core) requestState() {
 	for _, id := range c.peers() {
--- a/replica/step.go
+++ b/replica/step.go
@@ -123,23 +123,39 @@
 	}
 }
 
-// recordOwnIncarnation handles a message that knows a later incarnation of this member
-// than the one it runs under. A wall clock that went back between two starts causes this.
-// A recovering member has given no vote or acknowledgement yet and takes an even later
-// incarnation, which differs from that of another start that learned of the same one; a delayed
-// vote of that start would otherwise count as this member's. On any other member the message
-// means that the same ID runs twice, and the process stops.
+// recordOwnIncarnation handles a message that knows a later incarnation of this member than the
+// one it runs under. A wall clock that went back between two starts causes this. The member takes
+// an even later incarnation, which differs from that of another start that learned of the same
+// one; a delayed vote of that start would otherwise count as this member's.
+//
+// A recovering member has given no vote or acknowledgement yet and only repeats its requests. Any
+// other member recovers again: it doesn't know which votes and acknowledgements the later
+// incarnation gave. It keeps its term, vote and log, so it remembers more than a member that has
+// lost its state, for which the recovery is safe.
 func (c *Core) recordOwnIncarnation(incarnation uint64) {
 	if incarnation <= c.incarnation {
 		return
 	}
-	invariant(c.role == Recovering, "%s: runs under incarnation %d, but incarnation %d is known: the ID may run twice", c.cfg.ID, c.incarnation, incarnation)
 	c.incarnation = incarnation + 1 + c.startDigest()%maxIncarnationSkip
 	c.incarnations.merge(MemberIncarnation{ID: c.cfg.ID, Incarnation: c.incarnation})
+	if c.role != Recovering {
+		c.recoverAgain()
+	}
 	c.recovery = recovery{}
 	c.campaign = campaign{}
 }
 
+// recoverAgain makes a member that holds state Recovering.
+func (c *Core) recoverAgain() {
+	leader := c.leader
+	if c.role == Leader {
+		leader = ""
+	}
+	c.follow(c.term, leader)
+	c.role = Recovering
+	c.logFetch = logFetch{}
+}
+
 // maxIncarnationSkip bounds the distance between the incarnation that a member learns of and the
 // later one that it takes, in milliseconds of the wall clock. It is short, so that the incarnations
 // of a member that starts again and again don't run ahead of its clock.
--- a/replica/types.go
+++ b/replica/types.go
@@ -50,11 +50,11 @@
 	Term   uint64 `cbor:"1,keyasint"`
 	Vote   string `cbor:"2,keyasint,omitempty"`
 	Commit uint64 `cbor:"3,keyasint,omitempty"`
-	// Incarnation is the member's last start without stored state. A restart that
-	// finds its state keeps it.
+	// Incarnation is the member's last start without stored state, or a later number after
+	// it has learned of a later incarnation. A restart that finds its state keeps it.
 	Incarnation uint64 `cbor:"4,keyasint,omitempty"`
-	// Recovering says that the member started without stored state and no longer
-	// knows which votes and acknowledgements it gave before.
+	// Recovering says that the member started without stored state, or learned of a later
+	// incarnation of itself, and doesn't know which votes and acknowledgements it gave before.
 	Recovering bool `cbor:"5,keyasint,omitempty"`
 	// KnownIncarnations holds the latest known incarnation of each member, ordered by
 	// ID.
@@ -90,8 +90,9 @@
 // Role is the current role of a member in its group.
 type Role uint8
 
-// Roles of a member. A Recovering member has lost its state. It neither votes nor
-// acknowledges until it holds everything that it may have acknowledged before.
+// Roles of a member. A Recovering member has lost its state, or doesn't know what a later
+// incarnation of it has done. It neither votes nor acknowledges until it holds everything that
+// it may have acknowledged before.
 const (
 	Follower Role = iota
 	Candidate
