replica: a leader or follower whose clock went back learns of its later incarnation

A member that others know under a later incarnation is cut off for as long as the leader stays: a learner drops all appends of such a leader and never campaigns, and a leader drops all acknowledgements of such a follower, which hears its heartbeats and never campaigns either. A group of three then commits with the other two only.

Cause: only a state request of an earlier incarnation was answered with the known ones. To a follower that came back under an earlier incarnation the leader's appends didn't carry them either, since the leader took the vector of the later one for its own.

Change: any message of an earlier incarnation makes the next message to its sender carry the known incarnations; an append gets an answer at once, as a state request does.

Ruled out: that a delayed message of an incarnation that is really superseded changes anything: its sender has the known incarnation or a later one, and the answer names the earlier in Nonce.

--- a/replica/clock_step_test.go
+++ b/replica/clock_step_test.go
@@ -165,6 +165,23 @@
 	}
 }
 
+// Guards against an only voter that ends, or waits for others forever, once a learner tells it of a
+// later incarnation.
+func TestOnlyVoterSurvivesLaterIncarnation(t *testing.T) {
+	s := newSimWithLeader(t, simOptions{voters: 1, disks: 2, spares: 1})
+	voter, learner := s.nodes[0], s.nodes[1]
+	_, _, err := voter.core.ProposeMembership(append(withoutMember(voter.core.members.current(), ""), Member{ID: learner.id, HasDisk: true, Learner: true}))
+	must.NoError(t, err)
+	s.waitForLeader(t)
+	s.awaitFollower(t, learner)
+	s.knowsLaterStart(voter, learner)
+	last := s.lastApplied
+	s.run(replicationSteps)
+	must.Less(t, voter.core.incarnation, laterThanAll)
+	must.Eq(t, voter.id, s.waitForLeader(t).id)
+	must.Greater(t, last, s.lastApplied)
+}
+
 // Guards against a member that ends once it is added again: while it was removed, another process ran
 // under its ID.
 func TestMemberThatIsAddedAgainSurvivesLaterIncarnation(t *testing.T) {
@@ -187,6 +204,27 @@
 	must.Eq(t, Leader, roleOf(l))
 }
 
+// Guards against a member that ends at each start, or a vote that counts twice: a new machine takes
+// over the address of a partitioned member, which comes back with its state.
+func TestMemberWhoseAddressWasTakenOverComesBack(t *testing.T) {
+	s := newSimWithLeader(t, simOptions{voters: 3, disks: 3})
+	s.ensureLeader(t, "n0")
+	n := s.nodes[2]
+	stored := n.stored
+	n.restartUnder(0)
+	s.run(1)
+	s.awaitFollower(t, n)
+	s.run(replicationSteps)
+	n.crash(true)
+	n.stored = stored
+	n.restartStep = s.step + 1
+	s.run(1)
+	s.run(maxRecoverySteps)
+	s.awaitFollower(t, n)
+	must.Greater(t, stored.HardState.Incarnation, n.core.incarnation)
+	must.Eq(t, n.core.incarnation, s.leader().core.incarnations.of(n.id))
+}
+
 // Guards against a member that ends at each start: it was recovering when it stopped, and its snapshot
 // names a later incarnation of it.
 func TestStoredSnapshotNamesLaterIncarnation(t *testing.T) {
--- a/replica/step.go
+++ b/replica/step.go
@@ -86,15 +86,17 @@
 }
 
 // onEarlierIncarnation drops a message of an incarnation of the sender that is earlier than the
-// known one. If it requests state, the sender may be the latest process after all, whose
-// wall clock went back. It gets the known incarnations in reply, so that it takes a later one
-// (see recordOwnIncarnation); otherwise nobody would hear it again. The reply counts for
-// nothing else: it names the earlier incarnation in Nonce.
+// known one. The sender may be the latest process after all, whose wall clock went back, and must
+// learn of the known incarnation, so that it takes a later one (see recordOwnIncarnation);
+// otherwise nobody would hear it again. The next message to the sender therefore carries the known
+// incarnations. A member that recovers and a leader get a reply at once, as they may never get
+// another message of this member. The reply counts for nothing else: it names the earlier
+// incarnation in Nonce.
 func (c *Core) onEarlierIncarnation(m Message) {
-	if m.Type != MsgState {
+	c.peerDigest[m.From] = m.IncarnationDigest
+	if m.Type != MsgState && m.Type != MsgAppend {
 		return
 	}
-	c.peerDigest[m.From] = m.IncarnationDigest
 	c.send(Message{Type: MsgStateReply, To: m.From, Term: c.term, Nonce: m.Incarnation, Recovering: c.role == Recovering})
 }
 
