replica: the simulation plays clocks that step ahead, late starts, and power lost with disks

Cause: the random faults set clocks back only, delivered no message of a start whose state is lost, and never erased a disk of a group that also loses power, though final faults do both.

Change: ten groups more. In those with "ahead" a start may take a clock that is ahead or back, and the state request of a later start of a running member may reach any one other. In those with "power and disks" all members have a disk, and a loss of power or a crash erases as many as the group tolerates, together with changes of membership and clocks in one group. Nothing committed may be lost there. The tolerated number counts the smallest membership in use and the members that will recover again; the groups there were draw the same random faults as before.

Not played: later starts of the few members with disks of a group that also loses power.

--- a/replica/random_test.go
+++ b/replica/random_test.go
@@ -33,6 +33,18 @@
 	"4 voters, 2 disks, clocks":     {voters: 4, disks: 2, clockSteps: true},
 	"5 voters, 2 disks, clocks":     {voters: 5, disks: 2, clockSteps: true},
 	"3 voters, changes, clocks":     {voters: 3, disks: 1, spares: 2, membershipChanges: true, clockSteps: true},
+	"3 voters, clocks ahead":        {voters: 3, disks: 3, clocksAhead: true},
+	"5 voters, no disk, ahead":      {voters: 5, clocksAhead: true},
+	"5 voters, 2 disks, ahead":      {voters: 5, disks: 2, clocksAhead: true},
+	"5 voters, power loss, ahead":   {voters: 5, disks: 2, powerLoss: true, clocksAhead: true},
+	"3 voters, changes, ahead":      {voters: 3, disks: 1, spares: 2, membershipChanges: true, clocksAhead: true},
+	"5 voters, changes, ahead":      {voters: 5, spares: 2, membershipChanges: true, clocksAhead: true},
+	"3 voters, power and disks":     {voters: 3, disks: 3, powerLoss: true, powerAndDiskLoss: true},
+	"5 voters, power and disks":     {voters: 5, disks: 5, powerLoss: true, powerAndDiskLoss: true},
+	"5 voters, power, disks, ahead": {voters: 5, disks: 5, powerLoss: true, powerAndDiskLoss: true, clocksAhead: true},
+	"3 voters, power, disks, changes, ahead": {
+		voters: 3, disks: 5, spares: 2, membershipChanges: true, powerLoss: true, powerAndDiskLoss: true, clocksAhead: true,
+	},
 }
 
 // faultOutcomeCounts are the values of simOptions.faultOutcomes that the seeds use in turn,
--- a/replica/sim_checks_test.go
+++ b/replica/sim_checks_test.go
@@ -2,9 +2,10 @@
 
 import (
 	"fmt"
+	"slices"
 )
 
-// checkStatus checks that each term has at most one leader and records the commit index.
+// checkStatus checks that each term has at most one leader and records the commit index and the role.
 func (n *simNode) checkStatus() {
 	if n.core == nil {
 		return
@@ -19,7 +20,10 @@
 			n.s.lastDurable = max(n.s.lastDurable, st.Commit)
 		}
 	}
-	n.commit = st.Commit
+	if st.Role == Recovering && n.role != Recovering {
+		n.s.counts["recoveries begun again"]++
+	}
+	n.commit, n.role = st.Commit, st.Role
 }
 
 // checkLease checks that at most one member may decide at a time.
@@ -36,7 +40,7 @@
 }
 
 // countRecovering counts the voters that have lost their state or will find none at their
-// next start.
+// next start, and those that will learn of a later start.
 func (s *sim) countRecovering() int {
 	count := 0
 	for _, n := range s.nodes {
@@ -45,13 +49,32 @@
 		}
 		hs := n.stored.HardState
 		stateLost := (n.core == nil || n.disk) && (hs.Incarnation == 0 || hs.Recovering)
-		if stateLost || n.core != nil && n.core.role == Recovering {
+		if stateLost || n.core != nil && n.core.role == Recovering || s.laterStartKnown(n) {
 			count++
 		}
 	}
 	return count
 }
 
+// laterStartKnown reports whether a member, or a message in transit, knows a later incarnation of n than
+// its own.
+func (s *sim) laterStartKnown(n *simNode) bool {
+	own := n.stored.HardState.Incarnation
+	if n.core != nil {
+		own = n.core.incarnation
+	}
+	if own == 0 || !s.opt.clocksAhead {
+		return false
+	}
+	later := func(k MemberIncarnation) bool { return k.ID == n.id && k.Incarnation > own }
+	for _, o := range s.nodes {
+		if o.core != nil && slices.ContainsFunc(o.core.incarnations.known, later) || slices.ContainsFunc(o.stored.HardState.KnownIncarnations, later) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(s.inTransit, func(m simMessage) bool { return slices.ContainsFunc(m.m.KnownIncarnations, later) })
+}
+
 // isVoterAnywhere reports whether id is a voter in the membership of any live member.
 func (s *sim) isVoterAnywhere(id string) bool {
 	for _, n := range s.nodes {
--- a/replica/sim_test.go
+++ b/replica/sim_test.go
@@ -38,7 +38,9 @@
 	// clockStepProbability is the probability that the wall clock of a member is set back
 	// before its start.
 	clockStepProbability = 0.5
-	maxDownSteps         = 60
+	// maxClockStep bounds how far a wall clock is set ahead or back if clocksAhead is set.
+	maxClockStep = 200 * incarnationsPerTerm
+	maxDownSteps = 60
 )
 
 // simOptions selects the group and the faults of a simulation.
@@ -54,6 +56,11 @@
 	membershipChanges bool
 	// clockSteps sets the wall clock of a member back before some of its starts.
 	clockSteps bool
+	// clocksAhead sets the wall clock of a member ahead or back by up to maxClockStep before
+	// some of its starts.
+	clocksAhead bool
+	// powerAndDiskLoss erases as many disks as the group tolerates at some losses of power.
+	powerAndDiskLoss bool
 }
 
 // sim simulates a group on an in-memory network and in-memory disks. All random
@@ -108,6 +115,7 @@
 	readyDoneStep int
 	stateHash     uint64
 	commit        uint64
+	role          Role
 	restartStep   int // step at which a crashed member restarts
 	// fixedIncarnation is the incarnation of the next start if it isn't 0, as after a clock
 	// that was set back.
@@ -151,6 +159,10 @@
 		n.s.counts["clocks set back"]++
 		n.incarnation = 1 + uint64(n.s.rand.Int64N(int64(n.incarnation)))
 	}
+	if n.s.opt.clocksAhead && n.s.chance(clockStepProbability) {
+		n.s.counts["clocks stepped"]++
+		n.incarnation = max(n.incarnation+uint64(n.s.rand.IntN(2*maxClockStep)), maxClockStep+1) - maxClockStep
+	}
 	if n.fixedIncarnation != 0 {
 		n.incarnation, n.fixedIncarnation = n.fixedIncarnation, 0
 	}
@@ -164,7 +176,7 @@
 		return
 	}
 	n.core, n.ready, n.paused, n.missedTicks = core, nil, false, 0
-	n.stateHash, n.commit = 0, core.commit
+	n.stateHash, n.commit, n.role = 0, core.commit, core.role
 	if stored.Snapshot.Index > 0 {
 		n.stateHash = binary.BigEndian.Uint64(stored.Snapshot.Data)
 	}
