--- a/replica/core.go
+++ b/replica/core.go
@@ -129,13 +129,13 @@
 		c.incarnation = c.cfg.Incarnation
 	}
 	c.incarnations.merge(MemberIncarnation{ID: c.cfg.ID, Incarnation: c.incarnation})
-	c.recordMemberIncarnations(stored.Snapshot.Members)
 	if stored.Empty() || stored.HardState.Recovering {
 		c.role = Recovering
 	}
 	if !stored.Empty() {
 		c.savedState = stored.HardState
 	}
+	c.recordMemberIncarnations(stored.Snapshot.Members)
 }
 
 // recordMemberIncarnations records the incarnations that a snapshot's members carry.
@@ -262,7 +262,7 @@
 	if c.peerDigest[m.To] != c.incarnations.digest || m.ColdStart {
 		m.KnownIncarnations = c.incarnations.known
 	}
-	m.afterSync = c.savedState.Incarnation == 0 || c.savedState.Recovering
+	m.afterSync = c.savedState.Incarnation != c.incarnation || c.savedState.Recovering
 	c.messages = append(c.messages, m)
 }
 
