--- a/internal/control/report.go
+++ b/internal/control/report.go
@@ -1,8 +1,12 @@
 package control
 
 import (
+	"runtime/debug"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log/level"
+
 	"github.com/bilberryferry/bilberryferry/internal/worktime"
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
@@ -10,68 +14,119 @@
 // stopRetryInterval is the time between two stops of the same run.
 const stopRetryInterval = 400 * time.Millisecond
 
-// applyReport processes a worker's report. sent is when the poll was sent. It commits the
-// ends that the report lists, and the runs that the report proves never to have started.
-// It returns whether the report lists ends that weren't committed before.
-func (s *workerSession) applyReport(report Report, sent time.Time) (listsNewEnds bool) {
+// processReport applies a worker's report and returns whether it lists ends that weren't committed before. A report that
+// makes this program panic counts as no response, and the error says why: otherwise one worker could end each leader
+// in turn.
+func (s *workerSession) processReport(report Report, sent time.Time) (listsNewEnds bool, err error) {
+	respondedAt, ready := s.responsiveness()
+	defer func() {
+		if cause := recover(); cause != nil {
+			_ = level.Error(s.t.logger).Log("event", "report_failed", "worker", s.worker.ID, "reason", cause, "stack", string(debug.Stack()))
+			s.setResponsiveness(respondedAt, ready)
+			err = errors.Newf("the report can't be processed: %v", cause)
+		}
+	}()
+	return s.applyReport(report, sent), nil
+}
+
+// responsiveness returns when the worker last responded, and whether it is ready for runs.
+func (s *workerSession) responsiveness() (respondedAt time.Time, ready bool) {
+	s.t.mu.Lock()
+	defer s.t.mu.Unlock()
+	return s.respondedAt, s.ready
+}
+
+// setResponsiveness sets when the worker last responded, and whether it is ready for runs.
+func (s *workerSession) setResponsiveness(respondedAt time.Time, ready bool) {
+	s.t.mu.Lock()
+	defer s.t.mu.Unlock()
+	s.respondedAt, s.ready = respondedAt, ready
+}
+
+// recordedReport is what the leader learned from a report.
+type recordedReport struct {
+	// first says that the worker wasn't ready before, returned that it is responsive again after its lease had expired.
+	first, returned bool
+	// listed are all ends in the report, ends those to be committed: new ones, and neverStarted. firstSeen are those
+	// that earlier reports didn't list. lastEnd is the highest position of the new ones.
+	listed, neverStarted, ends, firstSeen []workflow.RunEnd
+	lastEnd                               uint64
+	listsNewEnds                          bool
+	// unknown are the runs that the log doesn't have.
+	unknown []workflow.Run
+}
+
+// recordReport records what a report says about the worker and its runs. sent is when the poll was sent.
+func (s *workerSession) recordReport(report *Report, sent, now time.Time) (r recordedReport) {
 	t := s.t
-	now := time.Now()
-	processed := t.c.cfg.Work.Track(worktime.Report)
 	t.mu.Lock()
-	firstReport := !s.ready
+	defer t.mu.Unlock()
+	r.first = !s.ready
 	s.ready = true
-	if firstReport {
+	if r.first {
 		t.view.markChanged(s.worker.ID)
 	}
 	s.endsDelayed = sent.Sub(s.respondedAt) > maxReportGap
-	returned := firstReport && len(s.unresolvedRuns()) > 0
+	r.returned = r.first && len(s.unresolvedRuns()) > 0
 	s.reportedIdle = report.IsIdle()
 	respondedAt := s.respondedAt
-	s.recordReport(report.ClockMS, now)
-	s.confirmation.record(report, sent, s.pollWait, now)
-	listed := listedEnds(report)
-	ends, lastEnd := s.newEnds(report, now)
-	listsNewEnds = len(ends) > 0
-	neverStarted := s.neverStarted(report, listed, sent)
-	ends = append(ends, neverStarted...)
-	unknown := s.recordRunning(report, sent, now)
+	s.recordPollResponse(report.ClockMS, now)
+	s.confirmation.record(*report, sent, s.pollWait, now)
+	r.listed = listedEnds(*report)
+	r.ends, r.lastEnd = s.newEnds(*report, now)
+	r.listsNewEnds = len(r.ends) > 0
+	r.neverStarted = s.neverStarted(*report, r.listed, sent)
+	r.ends = append(r.ends, r.neverStarted...)
+	r.unknown = s.recordRunning(*report, sent, now)
 	// Marked before t.mu is unlocked, so that the runs never count as unaccounted for.
-	s.markKnownEnds(ends)
-	firstSeen := s.recordUncommittedEnds(ends)
-	s.recordEndTimings(firstSeen, &report, sent, respondedAt, now)
+	s.markKnownEnds(r.ends)
+	r.firstSeen = s.recordUncommittedEnds(r.ends)
+	s.recordEndTimings(r.firstSeen, report, sent, respondedAt, now)
 	if !report.Partial {
 		s.fullReportSentAt = sent
 	}
-	t.mu.Unlock()
-	if firstReport {
+	return r
+}
+
+// applyReport processes a worker's report. sent is when the poll was sent. It commits the
+// ends that the report lists, and the runs that the report proves never to have started.
+// It returns whether the report lists ends that weren't committed before.
+func (s *workerSession) applyReport(report Report, sent time.Time) (listsNewEnds bool) {
+	t := s.t
+	processed := t.c.cfg.Work.Track(worktime.Report)
+	r := s.recordReport(&report, sent, time.Now())
+	if r.first {
 		t.logger.Log("event", "worker_contact", "worker", s.worker.ID, "outcome", "ready",
 			"running", len(report.Running), "ended", len(report.Ended))
 	}
-	s.endPredecessorRuns(append(listed, neverStarted...))
-	if !report.Partial {
-		t.mu.Lock()
-		firstFullReport := s.predecessorsReportedAt.IsZero()
-		s.predecessorsReportedAt, s.listedRunning = sent, runningNumbers(report)
-		t.mu.Unlock()
-		if firstFullReport {
-			s.interruptPredecessors()
-		}
+	s.endPredecessorRuns(append(r.listed, r.neverStarted...))
+	if !report.Partial && s.recordFullReport(&report, sent) {
+		s.interruptPredecessors()
 	}
-	for _, run := range unknown {
+	for _, run := range r.unknown {
 		t.spawn(func() { s.stopUnknownRun(run) })
 	}
-	if returned {
+	if r.returned {
 		// Only this report shows that the worker responds again; later reports don't.
 		t.spawn(s.commitWorkerReturned)
 	}
 	processed()
-	if lastEnd > 0 || len(ends) > 0 {
-		s.logEnds(firstSeen)
-		s.commitEnds(lastEnd, ends)
-	} else if firstReport {
+	if r.lastEnd > 0 || len(r.ends) > 0 {
+		s.logEnds(r.firstSeen)
+		s.commitEnds(r.lastEnd, r.ends)
+	} else if r.first {
 		t.wake()
 	}
-	return listsNewEnds
+	return r.listsNewEnds
+}
+
+// recordFullReport records that a report lists all runs, and returns whether it is the first one.
+func (s *workerSession) recordFullReport(report *Report, sent time.Time) (first bool) {
+	s.t.mu.Lock()
+	defer s.t.mu.Unlock()
+	first = s.predecessorsReportedAt.IsZero()
+	s.predecessorsReportedAt, s.listedRunning = sent, runningNumbers(*report)
+	return first
 }
 
 // runningNumbers returns the number of the run of each task that a report lists as running.
@@ -83,9 +138,9 @@
 	return numbers
 }
 
-// recordReport records that this incarnation of the worker has just responded to a poll.
+// recordPollResponse records that this incarnation of the worker has just responded to a poll.
 // clockMS is the worker's clock in milliseconds, 0 if unknown. t.mu must be held.
-func (s *workerSession) recordReport(clockMS int64, now time.Time) {
+func (s *workerSession) recordPollResponse(clockMS int64, now time.Time) {
 	s.respondedAt, s.incarnationUnconfirmed = now, false
 	s.recordResponse(now)
 	if clockMS > 0 {
--- /dev/null
+++ b/internal/control/report_failed_test.go
@@ -0,0 +1,25 @@
+package control
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/bilberryferry/bilberryferry/workflow"
+)
+
+// Guards against one worker that ends each leader in turn: processing its reports panics. Its runs are lost with its
+// lease and start on another worker, as those of a worker that doesn't respond.
+func TestWorkerWhoseReportsPanicCountsAsUnresponsive(t *testing.T) {
+	cluster := clusterWithStartedTask(t)
+	term, err := cluster.controller.currentLeaderTerm(t.Context())
+	must.NoError(t, err)
+	term.mu.Lock()
+	// The next end that the worker lists makes recordUncommittedEnds panic.
+	term.sessions["w1"].uncommittedEnds = nil
+	term.mu.Unlock()
+	cluster.withWorker("w1", func(f *fakeWorker) { f.finish(task("a", 0), workflow.OutcomeDone) })
+	cluster.workers.add("w2")
+	cluster.announce("w2")
+	cluster.eventually("the lost run starts on another worker", func() bool { return cluster.started("w2") == 1 })
+}
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -251,6 +251,10 @@
 		}
 		sent := time.Now()
 		report, err := s.poll(sent)
+		listsNewEnds := false
+		if err == nil {
+			listsNewEnds, err = s.processReport(report, sent)
+		}
 		switch {
 		case s.t.ctx.Err() != nil:
 			return
@@ -271,7 +275,7 @@
 			}
 		default:
 			failed = 0
-			switch listsNewEnds := s.applyReport(report, sent); {
+			switch {
 			case s.isSuperseded():
 				// The poll wasn't held.
 				wait.For(s.t.ctx, supersededPollHold)
