--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/bilberryferry/bilberryferry/admission"
 	"github.com/bilberryferry/bilberryferry/fault"
 	"github.com/bilberryferry/bilberryferry/internal/link"
@@ -175,6 +177,10 @@
 	if id == "" {
 		return SubmitReply{}, fault.Field("id", "a job needs an id")
 	}
+	var invalid *workflow.CheckError
+	if errors.As(workflow.Check(r.Payload, r.Steps, r.Schedule), &invalid) {
+		return SubmitReply{}, fault.Field(string(invalid.Field), "%s", invalid.Message)
+	}
 	start := time.Now()
 	submission := workflow.Submission{
 		ID: id, Queue: queue.Identity(), Payload: r.Payload, Steps: r.Steps, Schedule: r.Schedule, Policy: queue.Policy,
--- a/workflow/apply.go
+++ b/workflow/apply.go
@@ -72,6 +72,8 @@
 	SubmitKnown
 	// SubmitConflict: the ID belongs to a job of another queue or another customer.
 	SubmitConflict
+	// SubmitInvalid: Check refuses the job.
+	SubmitInvalid
 )
 
 // Result is what Apply returns to the proposer of the command.
@@ -126,6 +128,10 @@
 		}
 		return SubmitKnown
 	}
+	// A job without steps can be applied, and ends at once.
+	if len(sub.Steps) > 0 && Check(sub.Payload, sub.Steps, sub.Schedule) != nil {
+		return SubmitInvalid
+	}
 	job := &Job{Submission: *sub, Index: index}
 	for range max(sub.Schedule.Times, 1) {
 		steps := make([]StepState, len(sub.Steps))
@@ -136,7 +142,9 @@
 		job.Occurrences = append(job.Occurrences, steps)
 	}
 	s.Jobs[sub.ID] = job
-	s.openJobs[sub.ID] = job
+	if !job.Ended() {
+		s.openJobs[sub.ID] = job
+	}
 	return SubmitAccepted
 }
 
@@ -226,10 +234,10 @@
 		return false
 	}
 	worker := s.Workers[run.Worker]
-	if worker == nil || worker.Gone || run.Task.Index >= len(step.Tasks) || s.fitCountOn(worker, spec) == 0 {
+	task := step.task(run.Task.Index)
+	if worker == nil || worker.Gone || task == nil || s.fitCountOn(worker, spec) == 0 {
 		return false
 	}
-	task := &step.Tasks[run.Task.Index]
 	if task.Done || task.AwaitsCrashOutcome() {
 		return false
 	}
@@ -249,11 +257,12 @@
 	if s.limitFitCount(job, spec) < len(runs) {
 		return false
 	}
-	members := map[string]int{}
+	members, indexes := map[string]int{}, map[int]bool{}
 	for _, run := range runs {
-		if !s.mayStart(job, step, run) {
+		if indexes[run.Task.Index] || !s.mayStart(job, step, run) {
 			return false
 		}
+		indexes[run.Task.Index] = true
 		members[run.Worker]++
 	}
 	for id, n := range members {
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -248,17 +248,28 @@
 // step returns a step and its job, nil for both if there is no such step.
 func (s *State) step(key StepKey) (*Job, *StepState) {
 	job := s.Jobs[key.Job]
-	if job == nil || key.Occurrence >= len(job.Occurrences) || key.Step >= len(job.Steps) {
+	if job == nil || !hasIndex(job.Occurrences, key.Occurrence) || !hasIndex(job.Steps, key.Step) {
 		return nil, nil
 	}
 	return job, &job.Occurrences[key.Occurrence][key.Step]
 }
 
+// hasIndex reports whether a slice has an element with an index.
+func hasIndex[T any](elements []T, index int) bool { return index >= 0 && index < len(elements) }
+
+// task returns the state of a task, nil if there is no such task.
+func (s *StepState) task(index int) *Task {
+	if !hasIndex(s.Tasks, index) {
+		return nil
+	}
+	return &s.Tasks[index]
+}
+
 // Task returns the state of a task, nil if there is no such task.
 func (s *State) Task(key TaskKey) *Task {
 	_, step := s.step(key.StepKey)
-	if step == nil || key.Index >= len(step.Tasks) {
+	if step == nil {
 		return nil
 	}
-	return &step.Tasks[key.Index]
+	return step.task(key.Index)
 }
