--- a/internal/state/change.go
+++ b/internal/state/change.go
@@ -1,8 +1,10 @@
 package state
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 
 	"github.com/bilberryferry/bilberryferry/fault"
 	"github.com/bilberryferry/bilberryferry/placement"
@@ -133,7 +135,9 @@
 			jobs = append(jobs, j)
 		}
 	}
-	slices.SortFunc(jobs, func(a, b *Job) int { return int(a.Submitted - b.Submitted) })
+	slices.SortFunc(jobs, func(a, b *Job) int {
+		return cmp.Or(cmp.Compare(a.Submitted, b.Submitted), strings.Compare(a.ID, b.ID))
+	})
 	return jobs, nil
 }
 
