--- a/internal/state/change.go
+++ b/internal/state/change.go
@@ -180,7 +180,7 @@
 	if j == nil || j.Customer != c.Customer {
 		return Result{Err: fault.New(fault.NotFound, "no job %q", c.Job)}
 	}
-	if j.Spec.Policy != placement.Service || j.Closing || j.State.Ended() {
+	if j.Spec.Policy != placement.Service || !j.startable() {
 		return Result{Err: fault.New(fault.Conflict, "job %s is not a running service", c.Job)}
 	}
 	s.resize(j, c.Tasks)
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -236,6 +236,36 @@
 	h.apply(&Command{Preempt: &Preempt{Items: []placement.Preemption{{Job: id, Task: 0, Worker: h.worker()}}}})
 }
 
+// cancelAll cancels all jobs of a customer.
+func (h *stateHarness) cancelAll() {
+	h.request++
+	customer := rapid.SampledFrom([]string{"c0", "c1"}).Draw(h.t, "customer")
+	h.apply(&Command{Cancel: &Cancel{Request: Request{ID: fmt.Sprint(h.request), Customer: customer}, Customer: customer, All: true}})
+}
+
+// scale changes the number of tasks of a job, which only services allow.
+func (h *stateHarness) scale() {
+	id := h.job()
+	j := h.a.Jobs[id]
+	if j == nil {
+		return
+	}
+	h.request++
+	tasks := rapid.IntRange(1, 4).Draw(h.t, "tasks")
+	h.apply(&Command{Scale: &Scale{Request: Request{ID: fmt.Sprint(h.request), Customer: j.Customer}, Customer: j.Customer, Job: id, Tasks: tasks}})
+}
+
+// refuse ends a job that can no longer meet its deadline.
+func (h *stateHarness) refuse() {
+	h.apply(&Command{Refuse: &Refuse{Job: h.job(), Kind: fault.Infeasible, Detail: "late"}})
+}
+
+// drain takes a worker out of placement or puts it back.
+func (h *stateHarness) drain() {
+	h.request++
+	h.apply(&Command{Drain: &Drain{Request: Request{ID: fmt.Sprint(h.request)}, Worker: h.worker(), Undo: rapid.Bool().Draw(h.t, "undo")}})
+}
+
 // snapshot replaces the second replica by one restored from a snapshot of the
 // first.
 func (h *stateHarness) snapshot() {
@@ -247,6 +277,7 @@
 
 // checkInvariants checks the invariants that must hold after every step.
 func (h *stateHarness) checkInvariants() {
+	must.Eq(h.t, h.a.canonical(h.t), h.b.canonical(h.t))
 	used := make(map[string]int64)
 	for id, worker := range h.a.Workers {
 		var sum placement.Resources
@@ -296,7 +327,7 @@
 		for name, step := range map[string]func(){
 			"submit": h.submit, "plan": h.applyRandomPlan, "deliver": h.deliver, "report": h.report, "lose": h.expireLease,
 			"restart": func() { h.startWorker(h.worker()) }, "cancel": h.cancel, "handover": h.handover,
-			"preempt": h.preempt, "snapshot": h.snapshot,
+			"preempt": h.preempt, "snapshot": h.snapshot, "cancel all": h.cancelAll, "scale": h.scale, "refuse": h.refuse, "drain": h.drain,
 		} {
 			steps[name] = func(*rapid.T) { step() }
 		}
@@ -356,6 +387,21 @@
 	must.True(t, s.Jobs[job].HandoverDone)
 }
 
+// Guards against a service that runs in two data centres: scaling it while it was offered to another one put
+// it back into the queue of this one.
+func TestServiceIsNotScaledDuringHandover(t *testing.T) {
+	s := New("home")
+	spec := Spec{Name: "desk", Policy: placement.Service, Tasks: 1, Need: placement.Resources{CPU: 1, Memory: 1}, Idempotent: true}
+	job := s.Apply(1, &Command{Submit: &Submit{Request: Request{ID: "r"}, Customer: "c", Spec: spec, HandoverTo: "other"}}).Job
+	for _, accepted := range []bool{false, true} {
+		result := s.Apply(2, &Command{Scale: &Scale{Request: Request{ID: fmt.Sprint(accepted)}, Customer: "c", Job: job, Tasks: 2}})
+		must.Error(t, result.Err)
+		must.Eq(t, fault.Conflict, fault.KindOf(result.Err))
+		must.Eq(t, JobPendingHandover, s.Jobs[job].State)
+		s.Apply(3, &Command{RecordHandoverAnswer: &RecordHandoverAnswer{Job: job, To: "other", Accepted: true}})
+	}
+}
+
 // A resent request must not create its job if the first copy was refused. A request
 // with other content must not be taken for a duplicate because it has the same ID.
 func TestResentRequestGetsFirstResponse(t *testing.T) {
