--- a/internal/control/admit.go
+++ b/internal/control/admit.go
@@ -59,8 +59,8 @@
 }
 
 // beginSubmission records that a job is being committed, until the caller calls done. It returns a
-// fault of kind Overloaded for a new job that is estimated to be worth nothing when it ends; see
-// package admission.
+// fault of kind Overloaded for a new job that doesn't fit into memory, or that is estimated to be worth nothing when it
+// ends; see package admission.
 //
 // The estimate counts an accepted job before t.mu is unlocked: calls that wait for t.mu while a
 // decision is made would otherwise all be accepted for the same room.
@@ -68,9 +68,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.pendingSubmits[job.ID] == 0 && !t.isCommitted(job.ID) {
+		if err := t.admitWithinMemory(job); err != nil {
+			return nil, err
+		}
 		if err := t.admitByEstimate(job, now); err != nil {
 			return nil, err
 		}
+		t.jobMemory.bytes += job.MemoryBytes()
 		t.submissionsOf(job.Customer).Admitted++
 	}
 	t.pendingSubmits[job.ID]++
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -46,6 +46,8 @@
 	// LoadControl switches on admission by what can end in time, and connections to the adviser that
 	// are kept for the shortest queries.
 	LoadControl bool
+	// MemoryBytes is the memory that the process may use, in bytes; 0 for the default.
+	MemoryBytes int64
 	// SchedulingDelay returns the mean scheduling delay of this process since it was last called; nil counts as
 	// no delay. With load control, new jobs are refused while it is long.
 	SchedulingDelay func() time.Duration
--- a/internal/control/leader_term.go
+++ b/internal/control/leader_term.go
@@ -132,6 +132,8 @@
 	acceptedAt map[string]time.Time
 	// pendingSubmits counts the submit calls in progress, by job ID.
 	pendingSubmits map[string]int
+	// jobMemory is counted again in each round of cleanupLoop.
+	jobMemory jobMemory
 	// loggedEnds holds the jobs whose end has been logged.
 	loggedEnds map[string]bool
 	// endWaits holds the callers that wait for the end of a job.
@@ -420,6 +422,7 @@
 func (t *leaderTerm) expireEndedJobs(now time.Time) (expired []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.countJobMemory()
 	t.c.state.read(func(s *workflow.State) {
 		for id, job := range s.Jobs {
 			if !job.Ended() {
--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -115,7 +115,7 @@
 		Address: c.internalAddress, PublicAddress: s.ControlAddress, Workers: c.deployment, Adviser: c.deployment, Client: c.client,
 		Logger: p.logger, Counters: p.metrics, Leader: logMember.Leader, Members: logMember.Addresses,
 		Bounds: s.controlBounds(), Disabled: s.DisabledMechanisms, Instance: s.Instance, LoadControl: s.LoadControl, OrdersByHeartbeat: s.WorkerOrders == ordersHeartbeat,
-		Work: p.work, SchedulingDelay: p.delayForLeader.Take,
+		Work: p.work, SchedulingDelay: p.delayForLeader.Take, MemoryBytes: int64(s.MemoryMB) << 20,
 	}
 	if s.MachineListAddress != "" {
 		cfg.Machines = c.deployment
