instance: a panic of a goroutine is one line before the process ends

What callers saw: a process that a panic ends leaves text of many lines on standard error, without time and instance, and no line of its own. The last lines of its log may be lost besides: they wait in the sink.

Cause: nothing recovers a panic, and the sink has no way to write a last line.

Change: package panics has Handle, which a goroutine defers: it reports the panic and panics again with the original value, so that the runtime's text ("[recovered, repanicked]") and exit code 2 stay. Group is an errgroup whose functions do so; the comment of x/sync on panics in groups is kept, as the panic isn't carried to another goroutine. The daemons report event=panic with reason and place in one bounded line, which the sink writes after all queued lines whatever its limits say, and wait for 50 ms at most until it is written, since other goroutines still run meanwhile. The line `stop` is written the same way. Covered are Run, the groups of internal/instance and internal/member, and the goroutines and timers of internal/control, internal/carrier and internal/gateway; not those of internal/node, internal/peer and of the libraries, whose panics the next start of a core process still tells.

Evidence: on the code before, TestNextStartTellsReasonAndPlaceOfPanic fails (no event=panic; real processes) and TestLastLineIsWrittenBeyondLimits fails (last line dropped, with CloseWith written as Write and Close). Both pass now, and TestPanicIsReportedAndEndsProcessAsUsual.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -11,6 +11,7 @@
 	"github.com/bilberryferry/bilberryferry/internal/boottime"
 	"github.com/bilberryferry/bilberryferry/internal/control"
 	"github.com/bilberryferry/bilberryferry/internal/link"
+	"github.com/bilberryferry/bilberryferry/internal/panics"
 )
 
 const (
@@ -126,6 +127,7 @@
 
 // execute makes an order's call to the worker, unless the order has expired, and stores the outcome.
 func (c *Carrier) execute(ctx context.Context, term uint64, order *Order) {
+	defer panics.Handle()
 	outcome, err := c.callOnce(ctx, order)
 	for err == nil && outcome.Report != nil && outcome.Report.IsIdle() && c.repeats(term, order.ID) {
 		outcome, err = c.call(ctx, order, order.CallTimeout)
--- a/internal/carrier/forwarder.go
+++ b/internal/carrier/forwarder.go
@@ -13,6 +13,7 @@
 
 	"github.com/bilberryferry/bilberryferry/internal/boottime"
 	"github.com/bilberryferry/bilberryferry/internal/control"
+	"github.com/bilberryferry/bilberryferry/internal/panics"
 	"github.com/bilberryferry/bilberryferry/internal/wait"
 	"github.com/bilberryferry/bilberryferry/internal/worktime"
 )
@@ -131,6 +132,7 @@
 // routes at the end.
 func (t *termRoutes) run() {
 	defer t.forwarder.setRoutes(t, nil)
+	defer panics.Handle()
 	for wait.For(t.ctx, membershipInterval) {
 		delay := t.forwarder.cfg.SchedulingDelay()
 		t.refresh(delay)
--- a/internal/carrier/route.go
+++ b/internal/carrier/route.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bilberryferry/bilberryferry/internal/link"
+	"github.com/bilberryferry/bilberryferry/internal/panics"
 	"github.com/bilberryferry/bilberryferry/internal/wait"
 	"github.com/bilberryferry/bilberryferry/internal/worktime"
 )
@@ -217,6 +218,7 @@
 
 // sendLoop sends queued orders until ctx ends.
 func (r *route) sendLoop(ctx context.Context) {
+	defer panics.Handle()
 	for {
 		select {
 		case <-ctx.Done():
@@ -260,6 +262,7 @@
 // the orders fail with errNotForwarded, and the leader calls their workers itself. If it may
 // have arrived, the orders fail with errNoResponse.
 func (r *route) sendBatch(ctx context.Context, batch []*Order, withdrawn []uint64) {
+	defer panics.Handle()
 	ctx, cancel := context.WithTimeout(ctx, roundTripTimeout)
 	defer cancel()
 	call, ok := r.newCarryCall(batch, withdrawn)
@@ -311,6 +314,7 @@
 // collectLoop collects outcomes and heartbeats until ctx ends. When a collect call fails or
 // the carrier has restarted, the orders that it may have received fail.
 func (r *route) collectLoop(ctx context.Context) {
+	defer panics.Handle()
 	var last CollectReply
 	for ctx.Err() == nil {
 		reply, err := r.collectOnce(ctx, &last)
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -12,6 +12,7 @@
 	"github.com/bilberryferry/bilberryferry/fault"
 	"github.com/bilberryferry/bilberryferry/internal/link"
 	"github.com/bilberryferry/bilberryferry/internal/node"
+	"github.com/bilberryferry/bilberryferry/internal/panics"
 	"github.com/bilberryferry/bilberryferry/internal/wait"
 	"github.com/bilberryferry/bilberryferry/internal/worktime"
 	"github.com/bilberryferry/bilberryferry/replica"
@@ -202,6 +203,7 @@
 // endOnLeadershipLoss calls end as soon as this member no longer leads in term.
 func (c *Controller) endOnLeadershipLoss(ctx context.Context, term uint64, end func()) {
 	defer end()
+	defer panics.Handle()
 	for ctx.Err() == nil {
 		changed := c.log.Changed()
 		status := c.log.Status()
--- a/internal/control/goroutines.go
+++ b/internal/control/goroutines.go
@@ -1,6 +1,10 @@
 package control
 
-import "sync"
+import (
+	"sync"
+
+	"github.com/bilberryferry/bilberryferry/internal/panics"
+)
 
 // goroutineGroup runs the goroutines of a leader term. After wait has been called it
 // starts none: a heartbeat that arrives while the leader term ends would otherwise add to
@@ -16,7 +20,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !g.closed {
-		g.group.Go(f)
+		g.group.Go(func() {
+			defer panics.Handle()
+			f()
+		})
 	}
 }
 
--- a/internal/control/incarnations.go
+++ b/internal/control/incarnations.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/bilberryferry/bilberryferry/internal/panics"
 	"github.com/bilberryferry/bilberryferry/internal/wait"
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
@@ -156,7 +157,11 @@
 	var stops errgroup.Group
 	stops.SetLimit(maxConcurrentStarts)
 	for _, run := range runs {
-		stops.Go(func() error { s.stopAtSuccessor(run, started.Add(unresponsiveWorkerTimeout)); return nil })
+		stops.Go(func() error {
+			defer panics.Handle()
+			s.stopAtSuccessor(run, started.Add(unresponsiveWorkerTimeout))
+			return nil
+		})
 	}
 	_ = stops.Wait()
 	listed := s.awaitSuccessorReport(runs, started.Add(unresponsiveWorkerTimeout))
--- a/internal/control/starts.go
+++ b/internal/control/starts.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bilberryferry/bilberryferry/internal/panics"
 	"github.com/bilberryferry/bilberryferry/workflow"
 )
 
@@ -46,7 +47,10 @@
 	second := make(chan error, 1)
 	var retry *time.Timer
 	if s.t.c.heartbeats == nil && !s.t.disabled.ResentStarts {
-		retry = time.AfterFunc(s.overdueAfter(), func() { second <- s.callStart(o, payload, checkpoint) })
+		retry = time.AfterFunc(s.overdueAfter(), func() {
+			defer panics.Handle()
+			second <- s.callStart(o, payload, checkpoint)
+		})
 	}
 	first := s.callStart(o, payload, checkpoint)
 	concurrent := retry != nil && !retry.Stop()
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -10,6 +10,7 @@
 	"github.com/bilberryferry/bilberryferry/internal/boottime"
 	"github.com/bilberryferry/bilberryferry/internal/control"
 	"github.com/bilberryferry/bilberryferry/internal/link"
+	"github.com/bilberryferry/bilberryferry/internal/panics"
 	"github.com/bilberryferry/bilberryferry/internal/wait"
 )
 
@@ -92,6 +93,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	probeTimer := time.AfterFunc(probeAfter, func() {
+		defer panics.Handle()
 		c.g.probeForNewLeader(ctx, leader)
 		if wait.Closed(ctx, leaderChanged) {
 			cancel()
@@ -159,6 +161,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
+		defer panics.Handle()
 		if !wait.Closed(ctx, leaderChanged) {
 			return
 		}
--- a/internal/gateway/search.go
+++ b/internal/gateway/search.go
@@ -12,6 +12,7 @@
 	"github.com/bilberryferry/bilberryferry/fault"
 	"github.com/bilberryferry/bilberryferry/internal/control"
 	"github.com/bilberryferry/bilberryferry/internal/link"
+	"github.com/bilberryferry/bilberryferry/internal/panics"
 	"github.com/bilberryferry/bilberryferry/internal/wait"
 )
 
@@ -130,6 +131,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	s := &sendTracker{cancel: cancel}
 	s.timer = time.AfterFunc(time.Until(deadline), func() {
+		defer panics.Handle()
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if !s.sent {
--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/go-kit/log"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/bilberryferry/bilberryferry/internal/carrier"
 	"github.com/bilberryferry/bilberryferry/internal/control"
@@ -14,6 +13,7 @@
 	"github.com/bilberryferry/bilberryferry/internal/member"
 	replicatedlog "github.com/bilberryferry/bilberryferry/internal/node"
 	"github.com/bilberryferry/bilberryferry/internal/overload"
+	"github.com/bilberryferry/bilberryferry/internal/panics"
 )
 
 // DeploymentClient calls the workers, the adviser and the machine list of a
@@ -76,7 +76,7 @@
 
 	workCtx, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
-	group, groupCtx := errgroup.WithContext(workCtx)
+	group, groupCtx := panics.NewGroup(workCtx)
 	p.serveComponents(groupCtx, group, c, func(next *Settings) {
 		c.gateway.SetSeeds(next.seedAddresses())
 		logMember.SetSeeds(next.seedHosts())
@@ -122,7 +122,7 @@
 	}
 	controller := p.newController(cfg, stateMachine, replicatedLog, c)
 	c.operations.setLocalController(controller)
-	group, ctx := errgroup.WithContext(workCtx)
+	group, ctx := panics.NewGroup(workCtx)
 	group.Go(func() error { return controller.Run(ctx) })
 	group.Go(func() error { return c.gateway.AnnounceToLeader(ctx) })
 	group.Go(func() error { return logMember.Run(ctx) })
--- a/internal/instance/edge.go
+++ b/internal/instance/edge.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"github.com/go-kit/log"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/bilberryferry/bilberryferry/internal/descriptors"
+	"github.com/bilberryferry/bilberryferry/internal/panics"
 	"github.com/bilberryferry/bilberryferry/internal/wait"
 )
 
@@ -61,7 +61,7 @@
 
 	workCtx, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
-	group, groupCtx := errgroup.WithContext(workCtx)
+	group, groupCtx := panics.NewGroup(workCtx)
 	p.serveComponents(groupCtx, group, c, func(next *Settings) { c.gateway.SetSeeds(next.seedAddresses()) })
 	p.serveAndNotify(groupCtx, group, entryServer, func() { entryListens.Store(true) })
 	p.serve(groupCtx, group, readinessServer)
--- a/internal/instance/process.go
+++ b/internal/instance/process.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"fmt"
@@ -14,7 +15,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/bilberryferry/bilberryferry/internal/apiserver"
 	"github.com/bilberryferry/bilberryferry/internal/control"
@@ -23,6 +23,7 @@
 	"github.com/bilberryferry/bilberryferry/internal/link"
 	"github.com/bilberryferry/bilberryferry/internal/oplog"
 	"github.com/bilberryferry/bilberryferry/internal/overload"
+	"github.com/bilberryferry/bilberryferry/internal/panics"
 	"github.com/bilberryferry/bilberryferry/internal/peermem"
 	"github.com/bilberryferry/bilberryferry/internal/rpc"
 	"github.com/bilberryferry/bilberryferry/internal/settings"
@@ -63,6 +64,7 @@
 
 // process holds the settings, the log and the metrics of a running daemon.
 type process struct {
+	role     string
 	settings *Settings
 	// settingsContent is the content of the file at settingsPath that settings were read from.
 	settingsPath, settingsContent string
@@ -138,8 +140,8 @@
 		debug.SetMemoryLimit(int64(settings.MemoryMB) << 20 * memoryLimitPercent / 100)
 	}
 	sink := oplog.NewSink(out)
-	defer sink.Close()
 	p := &process{
+		role:     d.role,
 		settings: settings, settingsPath: path, settingsContent: content, hangups: d.hangups,
 		sink: sink, metrics: oplog.NewMetrics(), files: d.files, work: worktime.NewLedger(),
 		budgets: map[*http.Server]*peermem.Budget{},
@@ -147,13 +149,39 @@
 	p.logger = oplog.NewLogger(sink, settings.Instance)
 	_ = p.logger.Log("event", "start", "role", d.role, "address", settings.Address, "data_centre", settings.DataCentre,
 		"seeds", len(settings.Seeds), "first_start", settings.FirstStart, "load_control", settings.LoadControl)
+	if d.ownsProcess {
+		panics.SetReporter(p.logPanic)
+	}
+	defer panics.Handle()
 	p.beginRun(d.ownsProcess)
 	err = d.run(ctx, p)
 	p.run.end(err)
-	_ = p.logger.Log("event", "stop", "role", d.role, "err", err)
+	p.logStop(err)
 	return err
 }
 
+// logStop logs the end of the process as its last line; err is nil if it was asked to stop.
+func (p *process) logStop(err error) {
+	p.logLast(oplog.CloseTimeout, "event", "stop", "role", p.role, "err", err)
+}
+
+// panicLogTimeout bounds how long a panic waits for its line to be written. Other goroutines still
+// run meanwhile, with whatever state the panic has left.
+const panicLogTimeout = 50 * time.Millisecond
+
+// logPanic logs a panic, which ends the process, as its last line.
+func (p *process) logPanic(report panics.Report) {
+	p.logLast(panicLogTimeout, "event", "panic", "role", p.role, "reason", report.Reason, "place", report.Place)
+}
+
+// logLast logs the last line of the process, whatever the limits of the log say, and waits for
+// timeout at most until all lines are written.
+func (p *process) logLast(timeout time.Duration, fields ...any) {
+	var line bytes.Buffer
+	_ = oplog.NewLogger(&line, p.settings.Instance).Log(fields...)
+	p.sink.CloseWith(line.Bytes(), timeout)
+}
+
 // newServer returns a server with time limits against stalled and idle connections.
 func newServer(address string, handler http.Handler) *http.Server {
 	return &http.Server{
@@ -204,12 +232,12 @@
 }
 
 // serve runs a server in group until Shutdown or Close is called.
-func (p *process) serve(ctx context.Context, group *errgroup.Group, server *http.Server) {
+func (p *process) serve(ctx context.Context, group *panics.Group, server *http.Server) {
 	p.serveAndNotify(ctx, group, server, func() {})
 }
 
 // serveAndNotify is like serve and calls listening once the server listens.
-func (p *process) serveAndNotify(ctx context.Context, group *errgroup.Group, server *http.Server, listening func()) {
+func (p *process) serveAndNotify(ctx context.Context, group *panics.Group, server *http.Server, listening func()) {
 	budget := p.budgets[server]
 	budget.Serve(server, refuseForMemory)
 	group.Go(func() error { return listenAndServe(ctx, server, budget, p.logger, listening) })
@@ -217,7 +245,7 @@
 
 // serveMetrics serves the metrics if the settings name an address. It returns the server
 // in either case.
-func (p *process) serveMetrics(ctx context.Context, group *errgroup.Group) *http.Server {
+func (p *process) serveMetrics(ctx context.Context, group *panics.Group) *http.Server {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", p.metrics)
 	server := newServer(p.settings.MetricsAddress, mux)
@@ -229,7 +257,7 @@
 }
 
 // serveAPI serves the product API if the settings name an address.
-func (p *process) serveAPI(ctx context.Context, group *errgroup.Group, c *components) {
+func (p *process) serveAPI(ctx context.Context, group *panics.Group, c *components) {
 	c.apiServer = newInternalServer(p.settings.APIAddress, nil)
 	p.limitServer(c.apiServer, "api", maxAuxiliaryConnections, false, auxiliaryMemory)
 	if p.settings.APIAddress == "" {
@@ -280,7 +308,7 @@
 
 // serveComponents serves other instances, the metrics and the product API, and calls changed
 // with changed settings.
-func (p *process) serveComponents(ctx context.Context, group *errgroup.Group, c *components, changed func(*Settings)) {
+func (p *process) serveComponents(ctx context.Context, group *panics.Group, c *components, changed func(*Settings)) {
 	p.serve(ctx, group, c.internalServer)
 	c.metricsServer = p.serveMetrics(ctx, group)
 	p.serveAPI(ctx, group, c)
@@ -293,7 +321,7 @@
 func (c *components) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), internalCloseTimeout)
 	defer cancel()
-	var closing errgroup.Group
+	closing, _ := panics.NewGroup(ctx)
 	for _, server := range []*http.Server{c.internalServer, c.metricsServer, c.apiServer} {
 		closing.Go(func() error { return errors.CombineErrors(server.Shutdown(ctx), server.Close()) })
 	}
--- a/internal/instance/recorded_run.go
+++ b/internal/instance/recorded_run.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/bilberryferry/bilberryferry/internal/lastrun"
+	"github.com/bilberryferry/bilberryferry/internal/panics"
 	"github.com/bilberryferry/bilberryferry/internal/vfs"
 )
 
@@ -41,6 +42,7 @@
 // begin records the begin of the run and logs how the previous one ended.
 func (r *recordedRun) begin(cfg lastrun.Config) {
 	defer close(r.begun)
+	defer panics.Handle()
 	run, previous, err := lastrun.Begin(cfg)
 	r.run = run
 	logPreviousRun(r.logger, previous)
@@ -70,6 +72,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
+		defer panics.Handle()
 		<-r.begun
 		r.logFailure(r.run.End(err))
 	}()
--- a/internal/instance/recorded_run_test.go
+++ b/internal/instance/recorded_run_test.go
@@ -42,14 +42,18 @@
 	expected("outcome=stopped starts_without_stop=0 started=")
 }
 
-// Guards against a panic whose reason and place are only on standard error.
+// Guards against a panic whose reason and place are only on standard error, as text of many lines.
 func TestNextStartTellsReasonAndPlaceOfPanic(t *testing.T) {
 	path := writeSettings(t, newDaemonSettings(t, coreRole).text())
-	startDaemon(t, panickingRole, path).awaitEnd(t)
-	startDaemon(t, panickingRole, path).awaitEnd(t)
+	for range 2 {
+		panicked := startDaemon(t, panickingRole, path)
+		must.Eq(t, "exit status 2", panicked.awaitEnd(t).String())
+		panicked.awaitLog(t, `event=panic role=core reason="`+clientPanic+`" place="internal/instance.newPanickingDeployment daemon_test.go:`)
+		must.StrContains(t, panicked.output.String(), "panic: "+clientPanic)
+	}
 	d := startDaemon(t, coreRole, path)
 	d.awaitLog(t, "event=previous_run outcome=panic starts_without_stop=2 started=")
-	d.awaitLog(t, ` reason="panic: `+clientPanic+`" place="internal/instance.newPanickingDeployment daemon_test.go:`)
+	d.awaitLog(t, ` reason="panic: `+clientPanic+` [recovered, repanicked]" place="internal/instance.newPanickingDeployment daemon_test.go:`)
 	d.stop(t)
 }
 
--- a/internal/lastrun/lastrun.go
+++ b/internal/lastrun/lastrun.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bilberryferry/bilberryferry/internal/panics"
 	"github.com/bilberryferry/bilberryferry/internal/vfs"
 )
 
@@ -21,9 +22,6 @@
 	crashFile  = "last_crash"
 )
 
-// maxErrorBytes bounds the text of an error in a record.
-const maxErrorBytes = 500
-
 // Outcome says how a run ended.
 type Outcome string
 
@@ -52,7 +50,7 @@
 	// Err is the error of a run that failed.
 	Err string
 	// Crash describes the end of a run with outcome Panic.
-	Crash Crash
+	Crash panics.Report
 	// StartsWithoutStop is the number of runs in a row, up to this one, that nobody asked to
 	// stop.
 	StartsWithoutStop int
@@ -118,7 +116,7 @@
 }
 
 // describe returns what a record and the text of a crash say about the run before.
-func describe(last record, readErr error, crash Crash) Previous {
+func describe(last record, readErr error, crash panics.Report) Previous {
 	previous := Previous{Started: last.Started, Err: last.Err, StartsWithoutStop: last.StartsWithoutStop + 1}
 	switch {
 	case readErr == nil && !last.Ended.IsZero() && last.Err == "":
@@ -155,7 +153,7 @@
 	}
 	r.own.Ended = time.Now().UTC()
 	if err != nil {
-		r.own.Err = shorten(err.Error(), maxErrorBytes)
+		r.own.Err = panics.OneLine(err.Error())
 	}
 	return r.write(r.own)
 }
@@ -203,11 +201,3 @@
 	_, err = f.Write(data)
 	return errors.CombineErrors(err, f.Close())
 }
-
-// shorten cuts a text to a number of bytes.
-func shorten(text string, limit int) string {
-	if len(text) <= limit {
-		return text
-	}
-	return text[:limit] + "..."
-}
--- a/internal/lastrun/lastrun_test.go
+++ b/internal/lastrun/lastrun_test.go
@@ -3,7 +3,6 @@
 import (
 	"os"
 	"path/filepath"
-	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/shoenig/test/must"
 
+	"github.com/bilberryferry/bilberryferry/internal/panics"
 	"github.com/bilberryferry/bilberryferry/internal/vfs"
 	"github.com/bilberryferry/bilberryferry/internal/vfs/faulty"
 )
@@ -137,22 +137,14 @@
 
 // Guards against a crash whose reason and place aren't in the line of the next start.
 func TestCrashIsToldByReasonAndPlace(t *testing.T) {
-	must.Eq(t, Crash{
+	must.Eq(t, panics.Report{
 		Reason: "panic: control: log entry 8 can't be decoded:; invalid UTF-8 string [recovered, repanicked]",
 		Place:  "internal/control.(*StateMachine).Apply statemachine.go:57 < internal/node.(*Group).Run.func2 loop.go:12",
 	}, parseCrash(crashOfApply))
-	must.Eq(t, Crash{Reason: "fatal error: concurrent map writes"}, parseCrash("fatal error: concurrent map writes\n\ngoroutine 1 [running]:\n"))
-	must.Eq(t, Crash{
+	must.Eq(t, panics.Report{Reason: "fatal error: concurrent map writes"}, parseCrash("fatal error: concurrent map writes\n\ngoroutine 1 [running]:\n"))
+	must.Eq(t, panics.Report{
 		Reason: "fatal error: runtime: out of memory",
 		Place:  "replica.(*Core).Step core.go:7",
 	}, parseCrash(outOfMemory))
-	must.Eq(t, Crash{}, parseCrash(""))
-}
-
-// Guards against a crash whose description has no bound.
-func TestDescriptionOfCrashIsBounded(t *testing.T) {
-	frame := "github.com/bilberryferry/bilberryferry/replica.Step()\n\t/replica/core.go:1 +0x1\n"
-	crash := parseCrash("panic: " + strings.Repeat("x\n", 10*maxReasonBytes) + "\ngoroutine 1 [running]:\n" + strings.Repeat(frame, 100))
-	must.LessEq(t, maxReasonBytes+len("..."), len(crash.Reason))
-	must.Eq(t, maxPlaceFrames-1, strings.Count(crash.Place, " < "))
+	must.Eq(t, panics.Report{}, parseCrash(""))
 }
--- a/internal/member/host.go
+++ b/internal/member/host.go
@@ -17,11 +17,11 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/twitchtv/twirp"
-	"golang.org/x/sync/errgroup"
 
 	apiv1 "github.com/bilberryferry/bilberryferry/api/v1"
 	"github.com/bilberryferry/bilberryferry/internal/link"
 	"github.com/bilberryferry/bilberryferry/internal/node"
+	"github.com/bilberryferry/bilberryferry/internal/panics"
 	"github.com/bilberryferry/bilberryferry/internal/peer"
 	"github.com/bilberryferry/bilberryferry/internal/vfs"
 	"github.com/bilberryferry/bilberryferry/internal/wal"
@@ -154,7 +154,7 @@
 
 // Run runs the member until ctx ends or a part of it fails.
 func (h *Host) Run(ctx context.Context) error {
-	running, ctx := errgroup.WithContext(ctx)
+	running, ctx := panics.NewGroup(ctx)
 	running.Go(func() error { return h.transport.Run(ctx) })
 	running.Go(func() error { return h.group.Run(ctx) })
 	running.Go(func() error { return h.announce(ctx) })
--- a/internal/oplog/oplog.go
+++ b/internal/oplog/oplog.go
@@ -34,6 +34,8 @@
 	// dropped is the number of lines dropped since TakeDropped was last called.
 	dropped int
 	closed  bool
+	// last is the line after all queued ones.
+	last []byte
 }
 
 // NewSink returns a sink that writes to w until Close is called.
@@ -57,6 +59,9 @@
 		}
 		_, _ = w.Write(batch)
 	}
+	if s.last != nil {
+		_, _ = w.Write(s.last)
+	}
 }
 
 // Write queues one line. It drops the line when the rate limit is reached, the
@@ -90,25 +95,29 @@
 	return n
 }
 
-// closeTimeout bounds how long Close waits for a blocked writer.
-const closeTimeout = 200 * time.Millisecond
+// CloseTimeout bounds how long Close waits for a blocked writer.
+const CloseTimeout = 200 * time.Millisecond
 
 // Close ends the sink, which drops later lines. It waits until the queued lines are
-// written, for closeTimeout at most.
-func (s *Sink) Close() {
+// written, for CloseTimeout at most.
+func (s *Sink) Close() { s.CloseWith(nil, CloseTimeout) }
+
+// CloseWith is like Close and writes one more line after the queued ones, which no limit drops. It
+// waits for timeout at most. A sink that is closed already drops the line.
+func (s *Sink) CloseWith(last []byte, timeout time.Duration) {
 	s.mu.Lock()
 	if !s.closed {
-		s.closed = true
+		s.closed, s.last = true, last
 		close(s.lines)
 	}
 	s.mu.Unlock()
 	select {
 	case <-s.done:
-	case <-time.After(closeTimeout):
+	case <-time.After(timeout):
 	}
 }
 
-// NewLogger returns a logger that writes logfmt lines with time and instance to s.
-func NewLogger(s *Sink, instance string) log.Logger {
-	return log.With(log.NewLogfmtLogger(s), "ts", log.DefaultTimestampUTC, "instance", instance)
+// NewLogger returns a logger that writes logfmt lines with time and instance to w, such as a Sink.
+func NewLogger(w io.Writer, instance string) log.Logger {
+	return log.With(log.NewLogfmtLogger(w), "ts", log.DefaultTimestampUTC, "instance", instance)
 }
--- a/internal/oplog/oplog_test.go
+++ b/internal/oplog/oplog_test.go
@@ -74,3 +74,16 @@
 	m.ServeHTTP(w, nil)
 	must.Eq(t, `bilberry_running{customer="a\"\n\\"} 2`+"\n"+`bilberry_running{customer="b"} 3`+"\n", w.Body.String())
 }
+
+// Guards against a process whose last line, which says why it ends, is dropped since it wrote too many lines before.
+func TestLastLineIsWrittenBeyondLimits(t *testing.T) {
+	var out bytes.Buffer
+	s := NewSink(&out)
+	for range 2 * maxLinesPerSecond {
+		_, err := s.Write([]byte("line\n"))
+		must.NoError(t, err)
+	}
+	must.Positive(t, s.TakeDropped())
+	s.CloseWith([]byte("last\n"), time.Minute)
+	must.StrHasSuffix(t, "\nlast\n", out.String())
+}
