instance: messages of the HTTP servers, and panics of their handlers, are lines of the log

What callers saw: a handler that panics ends the request without a response, and its text goes to standard error in many lines without time and instance; so do other messages of net/http.

Cause: no server has an ErrorLog.

The log's limits bound their rate.

--- a/internal/instance/process.go
+++ b/internal/instance/process.go
@@ -239,6 +239,7 @@
 // serveAndNotify is like serve and calls listening once the server listens.
 func (p *process) serveAndNotify(ctx context.Context, group *panics.Group, server *http.Server, listening func()) {
 	budget := p.budgets[server]
+	logServerErrors(server, p.logger)
 	budget.Serve(server, refuseForMemory)
 	group.Go(func() error { return listenAndServe(ctx, server, budget, p.logger, listening) })
 }
