instance: the line of a stop says what asked for it

What callers saw: event=stop err=null, from which nobody learns whether the platform, an operator or a part of the process ended it.

Change: the line has cause, the signal by its name ("terminated signal received") or "failure".

Evidence: TestStopLineTellsWhatAskedForIt (SIGTERM and SIGINT on both daemons, and a start that fails; real processes) fails on the code before (no cause) and passes now.

--- a/internal/instance/process.go
+++ b/internal/instance/process.go
@@ -156,13 +156,22 @@
 	p.beginRun(d.ownsProcess)
 	err = d.run(ctx, p)
 	p.run.end(err)
-	p.logStop(err)
+	p.logStop(stopCause(ctx), err)
 	return err
 }
 
-// logStop logs the end of the process as its last line; err is nil if it was asked to stop.
-func (p *process) logStop(err error) {
-	p.logLast(oplog.CloseTimeout, "event", "stop", "role", p.role, "err", err)
+// stopCause returns what asked the process to stop, such as a signal by its name; if nothing has, a
+// part of the process failed.
+func stopCause(ctx context.Context) string {
+	if ctx.Err() == nil {
+		return "failure"
+	}
+	return context.Cause(ctx).Error()
+}
+
+// logStop logs the end of the process, which cause asked for, as its last line.
+func (p *process) logStop(cause string, err error) {
+	p.logLast(oplog.CloseTimeout, "event", "stop", "role", p.role, "cause", cause, "err", err)
 }
 
 // panicLogTimeout bounds how long a panic waits for its line to be written. Other goroutines still
--- a/internal/instance/recorded_run_test.go
+++ b/internal/instance/recorded_run_test.go
@@ -70,3 +70,20 @@
 	d.awaitLog(t, "event=join")
 	d.stop(t)
 }
+
+// Guards against an end without a line that says what asked for it.
+func TestStopLineTellsWhatAskedForIt(t *testing.T) {
+	causes := map[syscall.Signal]string{syscall.SIGTERM: "terminated", syscall.SIGINT: "interrupt"}
+	for _, role := range []string{coreRole, edgeRole} {
+		for signal, name := range causes {
+			d := startDaemon(t, role, writeSettings(t, newDaemonSettings(t, role).text()))
+			d.awaitLog(t, "event=start")
+			must.True(t, d.signal(signal))
+			must.Eq(t, "exit status 0", d.awaitEnd(t).String())
+			d.awaitLog(t, "event=stop role="+role+` cause="`+name+` signal received" err=null`)
+		}
+	}
+	failing := startDaemon(t, edgeRole, writeSettings(t, newDaemonSettings(t, edgeRole).text("max_files = 16")))
+	must.Eq(t, "exit status 1", failing.awaitEnd(t).String())
+	failing.awaitLog(t, "event=stop role=edge cause=failure err=")
+}
