--- a/internal/instance/process.go
+++ b/internal/instance/process.go
@@ -141,8 +141,7 @@
 	}
 	sink := oplog.NewSink(out)
 	p := &process{
-		role:     d.role,
-		settings: settings, settingsPath: path, settingsContent: content, hangups: d.hangups,
+		role: d.role, settings: settings, settingsPath: path, settingsContent: content, hangups: d.hangups,
 		sink: sink, metrics: oplog.NewMetrics(), files: d.files, work: worktime.NewLedger(),
 		budgets: map[*http.Server]*peermem.Budget{},
 	}
@@ -155,25 +154,34 @@
 	defer panics.Handle()
 	p.beginRun(d.ownsProcess)
 	err = d.run(ctx, p)
-	p.run.end(err)
-	p.logStop(stopCause(ctx), err)
+	p.recordEnd(stopCause(ctx), err)
 	return err
 }
 
+// causeFailure is the cause of a stop that nothing asked for.
+const causeFailure = "failure"
+
 // stopCause returns what asked the process to stop, such as a signal by its name; if nothing has, a
 // part of the process failed.
 func stopCause(ctx context.Context) string {
 	if ctx.Err() == nil {
-		return "failure"
+		return causeFailure
 	}
 	return context.Cause(ctx).Error()
 }
 
-// logStop logs the end of the process, which cause asked for, as its last line.
-func (p *process) logStop(cause string, err error) {
+// recordEnd records the end of the process, which cause asked for, and logs it as the last line.
+func (p *process) recordEnd(cause string, err error) {
+	p.run.end(err)
 	p.logLast(oplog.CloseTimeout, "event", "stop", "role", p.role, "cause", cause, "err", err)
 }
 
+// fatal ends the process at once, after a line with the reason.
+func (p *process) fatal(err error) {
+	p.recordEnd(causeFailure, err)
+	os.Exit(ExitFailed)
+}
+
 // panicLogTimeout bounds how long a panic waits for its line to be written. Other goroutines still
 // run meanwhile, with whatever state the panic has left.
 const panicLogTimeout = 50 * time.Millisecond
--- a/workflow/apply.go
+++ b/workflow/apply.go
@@ -4,8 +4,8 @@
 	"slices"
 
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
 
+	"github.com/bilberryferry/bilberryferry/codec"
 	"github.com/bilberryferry/bilberryferry/customer"
 )
 
@@ -51,14 +51,14 @@
 
 // Encode returns the command as the log stores it.
 func (c *Command) Encode() ([]byte, error) {
-	encoded, err := cbor.Marshal(c)
+	encoded, err := codec.Marshal(c)
 	return encoded, errors.Wrap(err, "encode a workflow command")
 }
 
 // Decode decodes a command that Encode encoded.
 func Decode(encoded []byte) (Command, error) {
 	var c Command
-	err := cbor.Unmarshal(encoded, &c)
+	err := codec.Unmarshal(encoded, &c)
 	return c, errors.Wrap(err, "decode a workflow command")
 }
 
@@ -289,11 +289,11 @@
 		return
 	}
 	s.removeRun(run)
-	job, step := s.step(end.Task.StepKey)
-	if job == nil {
+	task := s.Task(end.Task)
+	if task == nil {
 		return
 	}
-	task := &step.Tasks[end.Task.Index]
+	job, step := s.step(end.Task.StepKey)
 	task.Live--
 	spec := &job.Steps[end.Task.Step]
 	if end.Checkpoint != "" {
@@ -366,7 +366,7 @@
 // announce records a worker. A new incarnation doesn't replace an earlier one at the same
 // address; the earlier one ends only with a command whose GoneWorker names it. If
 // heartbeats of an incarnation are committed out of order, the one with the highest
-// Sequence is kept.
+// Sequence is kept. Its name and start are those of the first one.
 func (s *State) announce(w *Worker) {
 	known := s.Workers[w.ID]
 	if known == nil {
@@ -374,9 +374,12 @@
 		s.recordIncarnation(w)
 		return
 	}
-	if w.Sequence >= known.Sequence {
-		known.Worker = *w
+	if w.Sequence < known.Sequence {
+		return
 	}
+	name, startedAtMS := known.Name, known.StartedAtMS
+	known.Worker = *w
+	known.Name, known.StartedAtMS = name, startedAtMS
 }
 
 // recordSpeeds records which workers are slow or fast. It ignores workers that are gone.
@@ -418,13 +421,19 @@
 	return sorted
 }
 
-// deleteJobs deletes the listed jobs that have ended.
+// deleteJobs deletes the listed jobs that have ended and have no run that may be alive. The end of such a run
+// would otherwise count for another job that was submitted under the same ID.
 func (s *State) deleteJobs(ids []string) {
+	deleted := map[string]bool{}
 	for _, id := range ids {
-		if job := s.Jobs[id]; job != nil && job.Ended() {
+		if job := s.Jobs[id]; job != nil && job.Ended() && !job.HasLiveRuns() {
 			delete(s.Jobs, id)
+			deleted[id] = true
 		}
 	}
+	if len(deleted) > 0 {
+		s.forgetUnresolved(deleted)
+	}
 }
 
 // configure keeps the document with the highest version and ignores older ones.
