A core process beside a disk that refuses writes waits instead of ending again and again

Cause: only a full disk (ENOSPC, EDQUOT, EFBIG) was waited for.

Change: vfs.IsRefused names the errors after which a disk may accept the operation later: a full disk, EIO, EROFS, ENXIO, ETIMEDOUT, ENOMEM. What waited for a full disk waits for these, by the same argument: no part of the record was acknowledged, it is truncated, and the log is as before the write. The truncation may be refused as well and is then tried again before the next write. The member acknowledges nothing meanwhile and its lease ends by its own clock. Other errors stay final (EBADF: TestOtherFailuresOfWritesAreFinal), and so does EAGAIN, the sign of a lock that another process has. The wait logs event=disk outcome=refuses with the error, again each 10 s. A disk that refuses for good keeps its process waiting; the others go on without it.

Names: vfs.SpaceWaiter is vfs.RetryWaiter, wal.ErrDiskFull is wal.ErrDiskRefuses; the lines for a full disk are the same.

Not in this change: a failed sync, and what a start reads, removes and syncs.

Evidence: TestSaveRetriesWhileDiskIsFaulty, TestFirstStartWaitsWhileDiskIsFaulty and the new errors in TestOpenWaitsWhileDiskIsFull, TestSaveSnapshotRetriesWhileDiskIsFull and TestStartWaitsWhileDiskIsFull (node) fail with "input/output error" on a copy whose IsRefused names the errors of a full disk only, and pass now, with all tests of internal/wal, vfs, member, node and cell.

--- a/internal/cell/serve.go
+++ b/internal/cell/serve.go
@@ -50,7 +50,7 @@
 		}
 	}
 	c, err := p.openGroups(ctx)
-	if ctx.Err() != nil && errors.IsAny(err, wal.ErrDiskFull, vfs.ErrLocked) {
+	if ctx.Err() != nil && errors.IsAny(err, wal.ErrDiskRefuses, vfs.ErrLocked) {
 		return nil
 	}
 	if err != nil {
--- a/internal/member/disk_full_test.go
+++ b/internal/member/disk_full_test.go
@@ -47,6 +47,21 @@
 	}
 }
 
+// Guards against a first start that ends because a faulty disk refuses writes, and against one that
+// doesn't say what it waits for.
+func TestFirstStartWaitsWhileDiskIsFaulty(t *testing.T) {
+	for at := range 3 {
+		var lines bytes.Buffer
+		files := faulty.New(vfs.OS{}, at, refusedWrites, syscall.EIO)
+		h := newLoggedHost(files, t.TempDir()+"/data", true, &lines)
+		members, _, err := h.initialMembers(t.Context())
+		must.NoError(t, err, must.Sprintf("refused at write %d", at))
+		must.Len(t, 3, members)
+		must.Eq(t, 1, strings.Count(lines.String(), "outcome=refuses"))
+		must.Eq(t, 1, strings.Count(lines.String(), `outcome="accepts again"`))
+	}
+}
+
 // Guards against a member that can't be stopped while it waits for its full disk at its first start.
 func TestFirstStartBesideFullDiskEndsWithContext(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), stopDelay)
--- a/internal/member/host.go
+++ b/internal/member/host.go
@@ -313,16 +313,16 @@
 }
 
 // saveMembers makes the file of the initial membership durable, with its name, before the log
-// is opened. While the disk is full, it waits until a write succeeds or ctx ends.
+// is opened. While the disk refuses, it waits until a write succeeds or ctx ends.
 func (h *Host) saveMembers(ctx context.Context, path string, members []replica.Member) error {
-	space := vfs.SpaceWaiter{Logger: h.cfg.Logger}
+	retry := vfs.RetryWaiter{Logger: h.cfg.Logger}
 	for {
 		err := h.writeMembers(path, members)
 		if err == nil {
-			space.Succeeded()
+			retry.Succeeded()
 			return nil
 		}
-		if !vfs.IsDiskFull(err) || !space.Wait(ctx) {
+		if !vfs.IsRefused(err) || !retry.Wait(ctx, err) {
 			return err
 		}
 	}
--- a/internal/node/disk_full_test.go
+++ b/internal/node/disk_full_test.go
@@ -32,12 +32,14 @@
 	}
 }
 
-// Guards against a member that ends at each start while its disk is full.
+// Guards against a member that ends at each start while its disk is full or faulty.
 func TestStartWaitsWhileDiskIsFull(t *testing.T) {
-	files := faulty.New(vfs.OS{}, 1, refusedWrites, syscall.ENOSPC)
-	g, err := Open(t.Context(), soleMemberConfig(files, t.TempDir()))
-	must.NoError(t, err)
-	must.NoError(t, g.closeLog())
+	for _, refusal := range []error{syscall.ENOSPC, syscall.EIO, syscall.EROFS} {
+		files := faulty.New(vfs.OS{}, 1, refusedWrites, refusal)
+		g, err := Open(t.Context(), soleMemberConfig(files, t.TempDir()))
+		must.NoError(t, err)
+		must.NoError(t, g.closeLog())
+	}
 }
 
 // Guards against a member that can't be stopped while it waits for its full disk at its start.
@@ -46,6 +48,6 @@
 	ctx, cancel := context.WithTimeout(t.Context(), stopDelay)
 	defer cancel()
 	_, err := Open(ctx, soleMemberConfig(files, t.TempDir()))
-	must.True(t, errors.Is(err, wal.ErrDiskFull), must.Sprint(err))
+	must.True(t, errors.Is(err, wal.ErrDiskRefuses), must.Sprint(err))
 	must.Error(t, ctx.Err())
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -36,7 +36,7 @@
 func (g *Group) loop(ctx context.Context, ticks <-chan time.Time) error {
 	for {
 		err := g.trackRound()
-		if errors.Is(err, wal.ErrDiskFull) && ctx.Err() != nil {
+		if errors.Is(err, wal.ErrDiskRefuses) && ctx.Err() != nil {
 			return nil
 		}
 		if err != nil {
@@ -188,7 +188,7 @@
 		if err != nil {
 			return err
 		}
-		g.diskSpace.Succeeded()
+		g.diskRetry.Succeeded()
 	}
 	if r.HardState != nil {
 		g.savedHardState = *r.HardState
@@ -220,14 +220,14 @@
 	return g.wal.SaveSnapshot(*r.Snapshot)
 }
 
-// waitForDiskSpace waits before the next attempt to write to a full disk. It returns
-// false when the member must stop.
+// waitForDisk waits before the next attempt at an operation that the disk refused with err. It
+// returns false when the member must stop.
 //
-// A disk may be full only for a short time. If the member failed instead of waiting, its
-// process would exit, and fail again after each restart, ten times within 5 s. While the
-// member waits, it acknowledges nothing and its leader lease expires by its own clock, as
-// on a disk that stalls.
-func (g *Group) waitForDiskSpace() bool { return g.diskSpace.Wait(g.runCtx) }
+// A disk may be full or faulty only for a short time. If the member failed instead of waiting,
+// its process would exit, and fail again after each restart while it lasts. While the member
+// waits, it acknowledges nothing and its leader lease expires by its own clock, as on a disk
+// that stalls.
+func (g *Group) waitForDisk(err error) bool { return g.diskRetry.Wait(g.runCtx, err) }
 
 // stop ends the member: pending calls fail, and the log is synced and closed.
 func (g *Group) stop() error {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -191,9 +191,9 @@
 	wal    *wal.WAL
 	logger log.Logger
 	// runCtx ends when the member must stop: that of Open, then that of Run. Only Open and Run
-	// use diskSpace.
+	// use diskRetry.
 	runCtx    context.Context
-	diskSpace vfs.SpaceWaiter
+	diskRetry vfs.RetryWaiter
 	// diskTime is the time that this round has spent on the disk. Only Run uses it.
 	diskTime time.Duration
 
@@ -227,8 +227,8 @@
 }
 
 // Open reads the member's log, if it has one, and restores the state machine from the
-// snapshot in it. Run applies the entries after the snapshot. While the disk is full or another
-// process has the log locked, Open waits until ctx ends; then the error is wal.ErrDiskFull or
+// snapshot in it. Run applies the entries after the snapshot. While the disk refuses writes or another
+// process has the log locked, Open waits until ctx ends; then the error is wal.ErrDiskRefuses or
 // vfs.ErrLocked.
 func Open(ctx context.Context, cfg Config) (*Group, error) {
 	if err := cfg.normalize(); err != nil {
@@ -242,7 +242,7 @@
 		done:      make(chan struct{}),
 		runCtx:    ctx,
 	}
-	g.diskSpace.Logger = g.logger
+	g.diskRetry.Logger = g.logger
 	stored, err := g.openLog()
 	if err != nil {
 		return nil, err
@@ -262,18 +262,18 @@
 	if g.cfg.Folder == "" {
 		return replica.StoredState{}, nil
 	}
-	w, stored, err := wal.Open(g.cfg.Files, g.cfg.Folder, g.waitForDiskSpace)
+	w, stored, err := wal.Open(g.cfg.Files, g.cfg.Folder, g.waitForDisk)
 	if errors.Is(err, vfs.ErrLocked) {
 		_ = g.logger.Log("event", "log_open", "outcome", "locked", "err", err)
 	}
 	for errors.Is(err, vfs.ErrLocked) && wait.For(g.runCtx, lockRetryInterval) {
-		w, stored, err = wal.Open(g.cfg.Files, g.cfg.Folder, g.waitForDiskSpace)
+		w, stored, err = wal.Open(g.cfg.Files, g.cfg.Folder, g.waitForDisk)
 	}
 	if err != nil {
 		return stored, errors.Wrapf(err, "log of group %s", g.cfg.Group)
 	}
 	g.wal = w
-	g.diskSpace.Succeeded()
+	g.diskRetry.Succeeded()
 	return stored, nil
 }
 
--- a/internal/node/snapshot.go
+++ b/internal/node/snapshot.go
@@ -8,8 +8,8 @@
 	"github.com/bilberryferry/bilberryferry/replica"
 )
 
-// snapshotRetryDelay is the minimum delay before the next snapshot after one that found
-// the disk full.
+// snapshotRetryDelay is the minimum delay before the next snapshot after one that the
+// disk refused.
 const snapshotRetryDelay = time.Second
 
 // snapshotter takes one snapshot at a time. A separate goroutine writes the snapshot, and
@@ -28,7 +28,7 @@
 
 	running bool
 	done    chan snapshotResult
-	// notBefore is when the next snapshot may start after one found the disk full.
+	// notBefore is when the next snapshot may start after the disk refused one.
 	notBefore time.Time
 	writers   sync.WaitGroup
 }
@@ -88,7 +88,7 @@
 // snapshot that is older than one received from another member.
 func (g *Group) completeSnapshot(r snapshotResult) error {
 	g.snapshots.running = false
-	if vfs.IsDiskFull(r.err) {
+	if vfs.IsRefused(r.err) {
 		// The log continues without this snapshot, and a later snapshot covers its
 		// entries.
 		_ = g.logger.Log("event", "snapshot", "outcome", "failed", "err", r.err)
--- a/internal/wal/disk_full_test.go
+++ b/internal/wal/disk_full_test.go
@@ -26,6 +26,18 @@
 type limitedFile struct {
 	vfs.File
 	freeBytes int
+	// refusal is the error of a write for which there is no space; nil means ENOSPC. Truncate fails
+	// with it truncateRefusals times.
+	refusal          error
+	truncateRefusals int
+}
+
+func (f *limitedFile) Truncate(size int64) error {
+	if f.truncateRefusals > 0 {
+		f.truncateRefusals--
+		return f.refusal
+	}
+	return f.File.Truncate(size)
 }
 
 func (f *limitedFile) Write(p []byte) (int, error) {
@@ -38,6 +50,9 @@
 	if err != nil {
 		return n, err
 	}
+	if f.refusal != nil {
+		return n, f.refusal
+	}
 	return n, syscall.ENOSPC
 }
 
@@ -51,7 +66,7 @@
 	full := &limitedFile{File: w.file, freeBytes: partialRecordBytes}
 	w.file = full
 	waits := 0
-	w.onDiskFull = func() bool {
+	w.onRefused = func(error) bool {
 		waits++
 		if waits == 3 {
 			full.freeBytes = freedBytes
@@ -64,6 +79,41 @@
 	must.Eq(t, entryRange(1, 6, 1), readBack(t, folder).Entries)
 }
 
+// Guards against a process that ends because a faulty disk refuses writes for some seconds, and also
+// refuses to truncate the partial record.
+func TestSaveRetriesWhileDiskIsFaulty(t *testing.T) {
+	for _, refusal := range refusals {
+		folder := t.TempDir()
+		w, _ := mustOpen(t, folder, oneSegmentBytes)
+		saveOneByOne(t, w, &replica.HardState{Term: 1}, entryRange(1, 3, 1))
+		faulty := &limitedFile{File: w.file, freeBytes: partialRecordBytes, refusal: refusal, truncateRefusals: refusedWrites}
+		w.file = faulty
+		waits := 0
+		w.onRefused = func(err error) bool {
+			must.ErrorIs(t, err, refusal)
+			waits++
+			if waits == refusedWrites {
+				faulty.freeBytes = freedBytes
+			}
+			return true
+		}
+		saveOneByOne(t, w, nil, entryRange(4, 6, 1))
+		must.Eq(t, refusedWrites, waits)
+		must.NoError(t, w.Close())
+		must.Eq(t, entryRange(1, 6, 1), readBack(t, folder).Entries)
+	}
+}
+
+// Guards against a failure that is waited for although it can't pass.
+func TestOtherFailuresOfWritesAreFinal(t *testing.T) {
+	w, _ := mustOpen(t, t.TempDir(), oneSegmentBytes)
+	w.file = &limitedFile{File: w.file, refusal: syscall.EBADF}
+	w.onRefused = func(error) bool { return true }
+	must.ErrorIs(t, w.Save(&replica.HardState{Term: 1}, nil, true), syscall.EBADF)
+	must.ErrorIs(t, w.Save(&replica.HardState{Term: 1}, nil, true), syscall.EBADF)
+	must.ErrorIs(t, w.Close(), syscall.EBADF)
+}
+
 // The process is told to stop while its disk is full. Close must succeed, and a
 // restart must read nothing of the record that didn't fit.
 func TestCloseSucceedsWithFullDisk(t *testing.T) {
@@ -71,10 +121,10 @@
 	w, _ := mustOpen(t, folder, oneSegmentBytes)
 	saveOneByOne(t, w, &replica.HardState{Term: 1}, entryRange(1, 3, 1))
 	w.file = &limitedFile{File: w.file, freeBytes: partialRecordBytes}
-	w.onDiskFull = func() bool { return false }
+	w.onRefused = func(error) bool { return false }
 	for range 2 {
 		err := w.Save(nil, entryRange(4, 4, 1), true)
-		must.True(t, errors.Is(err, ErrDiskFull), must.Sprint(err))
+		must.True(t, errors.Is(err, ErrDiskRefuses), must.Sprint(err))
 	}
 	must.NoError(t, w.Close())
 	must.Eq(t, entryRange(1, 3, 1), readBack(t, folder).Entries)
@@ -91,12 +141,12 @@
 // refusedWrites is how often a disk refuses a write before it has free space again.
 const refusedWrites = 3
 
-// fullDiskErrors are the errors of a write that finds no space.
-var fullDiskErrors = []error{syscall.ENOSPC, syscall.EDQUOT, syscall.EFBIG}
+// refusals are the errors of a write that finds no space, and of one that a faulty disk refuses.
+var refusals = []error{syscall.ENOSPC, syscall.EDQUOT, syscall.EFBIG, syscall.EIO, syscall.EROFS, syscall.ENXIO}
 
-// Guards against a process that ends at each start while its disk is full.
+// Guards against a process that ends at each start while its disk is full or faulty.
 func TestOpenWaitsWhileDiskIsFull(t *testing.T) {
-	for _, full := range fullDiskErrors {
+	for _, full := range refusals {
 		for at := 0; ; at++ {
 			folder := t.TempDir()
 			// A new log, then one with a snapshot, which Open adopts again.
@@ -120,7 +170,7 @@
 // how often the log waited, and how many writes were accepted.
 func openBesideFullDisk(t *testing.T, folder string, at int, full error) (waits, accepted int) {
 	files := faulty.New(vfs.OS{}, at, refusedWrites, full)
-	w, _, err := open(files, folder, smallSegmentBytes, func() bool { waits++; return true })
+	w, _, err := open(files, folder, smallSegmentBytes, func(error) bool { waits++; return true })
 	must.NoError(t, err, must.Sprintf("full at write %d", at))
 	accepted = files.Accepted()
 	must.NoError(t, w.Close())
@@ -141,22 +191,24 @@
 func TestOpenBesideFullDiskCanBeStopped(t *testing.T) {
 	folder := t.TempDir()
 	files := faulty.New(vfs.OS{}, 0, refusedWrites, syscall.ENOSPC)
-	_, _, err := open(files, folder, smallSegmentBytes, func() bool { return false })
-	must.True(t, errors.Is(err, ErrDiskFull), must.Sprint(err))
+	_, _, err := open(files, folder, smallSegmentBytes, func(error) bool { return false })
+	must.True(t, errors.Is(err, ErrDiskRefuses), must.Sprint(err))
 	must.SliceEmpty(t, readBack(t, folder).Entries)
 }
 
-// Guards against a member that ends because its disk is full when it installs the snapshot of
+// Guards against a member that ends because its disk is full or faulty when it installs the snapshot of
 // another member.
 func TestSaveSnapshotRetriesWhileDiskIsFull(t *testing.T) {
-	folder := t.TempDir()
-	w, _ := mustOpen(t, folder, oneSegmentBytes)
-	saveOneByOne(t, w, &replica.HardState{Term: 1}, entryRange(1, 3, 1))
-	waits := 0
-	w.files = faulty.New(vfs.OS{}, 1, refusedWrites, syscall.ENOSPC)
-	w.onDiskFull = func() bool { waits++; return true }
-	must.NoError(t, w.SaveSnapshot(replica.Snapshot{Index: 9, Term: 1}))
-	must.Eq(t, refusedWrites, waits)
-	must.NoError(t, w.Close())
-	must.Eq(t, 9, readBack(t, folder).Snapshot.Index)
+	for _, refusal := range refusals {
+		folder := t.TempDir()
+		w, _ := mustOpen(t, folder, oneSegmentBytes)
+		saveOneByOne(t, w, &replica.HardState{Term: 1}, entryRange(1, 3, 1))
+		waits := 0
+		w.files = faulty.New(vfs.OS{}, 1, refusedWrites, refusal)
+		w.onRefused = func(error) bool { waits++; return true }
+		must.NoError(t, w.SaveSnapshot(replica.Snapshot{Index: 9, Term: 1}))
+		must.Eq(t, refusedWrites, waits)
+		must.NoError(t, w.Close())
+		must.Eq(t, 9, readBack(t, folder).Snapshot.Index)
+	}
 }
--- a/internal/wal/snapshot.go
+++ b/internal/wal/snapshot.go
@@ -66,9 +66,9 @@
 }
 
 // SaveSnapshot makes a snapshot durable and replaces the log up to its entry. It retries while
-// the disk is full, see Open.
+// the disk refuses, see Open.
 func (w *WAL) SaveSnapshot(s replica.Snapshot) error {
-	if err := w.retryWhileFull(func() error { return w.WriteSnapshot(s) }); err != nil {
+	if err := w.retryWhileRefused(func() error { return w.WriteSnapshot(s) }); err != nil {
 		return w.setErr(err)
 	}
 	return w.AdoptSnapshot(s)
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -25,7 +25,7 @@
 // WAL is an open log. Its methods are not safe for concurrent use, except
 // WriteSnapshot and Counters. After a failed write or sync every further call fails,
 // because data that the kernel has dropped from its cache can't be synced again. A
-// write to a full disk is the exception, see Open.
+// write that the disk refuses is the exception, see Open.
 type WAL struct {
 	files        vfs.FS
 	folder       string
@@ -43,19 +43,22 @@
 	buffer bytes.Buffer
 	// err is the first failure, or says that the log is closed.
 	err error
-	// onDiskFull waits before the next write to a full disk, see Open; it may be nil.
-	onDiskFull func() bool
+	// partial says that a failed write has left part of a record after length.
+	partial bool
+	// onRefused waits before the next attempt at an operation that the disk refuses, see Open; it
+	// may be nil.
+	onRefused func(error) bool
 
 	counters counters
 }
 
-// ErrDiskFull marks the error of a write to a full disk after the callback of Open
+// ErrDiskRefuses marks the error of an operation that the disk refused, after the callback of Open
 // returned false. Earlier records are whole.
-var ErrDiskFull = errors.New("the disk is full")
+var ErrDiskRefuses = errors.New("the disk refuses the operation")
 
-// retryWhileFull runs write again as long as it finds the disk full and the callback allows
-// another attempt.
-func (w *WAL) retryWhileFull(write func() error) error {
+// retryWhileRefused runs write again as long as the disk refuses it and the callback allows another
+// attempt.
+func (w *WAL) retryWhileRefused(write func() error) error {
 	for {
 		err := write()
 		if err == nil {
@@ -70,44 +73,50 @@
 // waitToRetry waits after a failed write and returns nil if the caller must retry the write.
 func (w *WAL) waitToRetry(err error) error {
 	switch {
-	case !vfs.IsDiskFull(err) || w.onDiskFull == nil:
+	case !vfs.IsRefused(err) || w.onRefused == nil:
 		return err
-	case !w.onDiskFull():
-		return errors.Mark(err, ErrDiskFull)
+	case !w.onRefused(err):
+		return errors.Mark(err, ErrDiskRefuses)
 	}
 	return nil
 }
 
-// truncateFailedWrite removes the partial record that a failed write has left.
-func (w *WAL) truncateFailedWrite() error {
+// truncatePartial removes the partial record that a failed write has left, if any.
+func (w *WAL) truncatePartial() error {
+	if !w.partial {
+		return nil
+	}
 	if err := w.file.Truncate(w.length); err != nil {
 		return errors.Wrap(err, "truncate a partial record")
 	}
-	_, err := w.file.Seek(w.length, io.SeekStart)
-	return errors.Wrap(err, "seek to the end of the log")
+	if _, err := w.file.Seek(w.length, io.SeekStart); err != nil {
+		return errors.Wrap(err, "seek to the end of the log")
+	}
+	w.partial = false
+	return nil
 }
 
 // Open opens the log in a folder of a file system, which it creates if it is missing, and returns
 // the stored state, which it has made durable. A *DamageError means that a file doesn't contain
 // what was written to it; in this case Open has changed nothing.
 //
-// onDiskFull is a callback for writes that find the disk full, those of Open included. It
-// blocks until the next attempt and returns true to retry, or false to fail with ErrDiskFull.
-// Without a callback a write to a full disk fails like any other write.
+// onRefused is a callback for writes that the disk refuses (see vfs.IsRefused), those of Open
+// included. It blocks until the next attempt and returns true to retry, or false to fail with
+// ErrDiskRefuses. Without a callback such a write fails like any other write.
 //
-// A disk that is full for some seconds must not stop the member. No part of the record
-// was acknowledged yet, so the log truncates the partial record and is as before the
+// A disk that is full or faulty for some seconds must not stop the member. No part of the
+// record was acknowledged yet, so the log truncates the partial record and is as before the
 // write. A failed sync of the log is never retried.
-func Open(files vfs.FS, folder string, onDiskFull func() bool) (*WAL, replica.StoredState, error) {
-	return open(files, folder, DefaultSegmentBytes, onDiskFull)
+func Open(files vfs.FS, folder string, onRefused func(error) bool) (*WAL, replica.StoredState, error) {
+	return open(files, folder, DefaultSegmentBytes, onRefused)
 }
 
-func open(files vfs.FS, folder string, segmentBytes int64, onDiskFull func() bool) (*WAL, replica.StoredState, error) {
-	w := &WAL{files: files, folder: folder, segmentBytes: segmentBytes, onDiskFull: onDiskFull}
+func open(files vfs.FS, folder string, segmentBytes int64, onRefused func(error) bool) (*WAL, replica.StoredState, error) {
+	w := &WAL{files: files, folder: folder, segmentBytes: segmentBytes, onRefused: onRefused}
 	if err := w.createFolder(); err != nil {
 		return nil, replica.StoredState{}, err
 	}
-	if err := w.retryWhileFull(w.lockFolder); err != nil {
+	if err := w.retryWhileRefused(w.lockFolder); err != nil {
 		return nil, replica.StoredState{}, err
 	}
 	stored, err := w.load()
@@ -138,7 +147,7 @@
 // createFolder creates the folder of the log and its missing parents, with durable names:
 // without them, a loss of power removes the log with everything synced in it.
 func (w *WAL) createFolder() error {
-	if err := w.retryWhileFull(func() error { return vfs.MkdirAllDurable(w.files, w.folder) }); err != nil {
+	if err := w.retryWhileRefused(func() error { return vfs.MkdirAllDurable(w.files, w.folder) }); err != nil {
 		return errors.Wrap(err, "create the log folder")
 	}
 	return errors.Wrap(w.files.SyncFolder(filepath.Dir(w.folder)), "sync the folder above the log")
@@ -258,7 +267,7 @@
 	return nil
 }
 
-// write appends a record to the segment. It retries while the disk is full, see Open; any
+// write appends a record to the segment. It retries while the disk refuses, see Open; any
 // other failure is final.
 func (w *WAL) write(r *record) error {
 	if w.err != nil {
@@ -268,20 +277,26 @@
 	if err := encodeFrame(&w.buffer, r, w.salt, w.length); err != nil {
 		return w.setErr(err)
 	}
-	for {
-		n, err := w.file.Write(w.buffer.Bytes())
-		if err == nil {
-			w.length += int64(n)
-			w.counters.bytes.Add(uint64(n))
-			return nil
-		}
-		if truncateErr := w.truncateFailedWrite(); truncateErr != nil {
-			return w.setErr(errors.CombineErrors(errors.Wrap(err, "write to the log"), truncateErr))
-		}
-		if err := w.waitToRetry(err); err != nil {
-			return w.setErr(errors.Wrap(err, "write to the log"))
-		}
+	if err := w.retryWhileRefused(w.appendBuffer); err != nil {
+		return w.setErr(errors.Wrap(err, "write to the log"))
+	}
+	return nil
+}
+
+// appendBuffer makes one attempt to append the buffer to the segment. If it fails, it removes what
+// has been written, or leaves that to the next attempt.
+func (w *WAL) appendBuffer() error {
+	if err := w.truncatePartial(); err != nil {
+		return err
 	}
+	n, err := w.file.Write(w.buffer.Bytes())
+	if err != nil {
+		w.partial = true
+		return errors.CombineErrors(err, w.truncatePartial())
+	}
+	w.length += int64(n)
+	w.counters.bytes.Add(uint64(n))
+	return nil
 }
 
 // sync makes all written records durable. A failure is final.
@@ -325,7 +340,7 @@
 	}
 	path := numberedPath(w.folder, next, segmentSuffix)
 	var f vfs.File
-	err := w.retryWhileFull(func() (err error) {
+	err := w.retryWhileRefused(func() (err error) {
 		f, err = vfs.WriteAtomically(w.files, path, head.encode(), w.buffer.Bytes())
 		return err
 	})
@@ -355,8 +370,8 @@
 // Close makes everything saved durable and closes the files.
 func (w *WAL) Close() error {
 	err := w.sync()
-	if errors.Is(err, ErrDiskFull) {
-		// No part of the record that didn't fit on the disk was acknowledged.
+	if errors.Is(err, ErrDiskRefuses) {
+		// No part of the record that the disk refused was acknowledged.
 		err = nil
 	}
 	return errors.CombineErrors(err, w.closeFiles())
