wal: a refused sync of the log is waited for, with the segment written anew

Cause: a failed sync was final, since nothing of a file that wasn't synced may be trusted after it: the kernel may have dropped the data from its cache, and the next sync succeeds without it. That holds for the file, not for the log.

Change: after a sync that the disk refuses, the log waits as for a refused write, and writes the segment anew under a temporary name, synced and renamed over the old one. Of the old file it uses the part that an earlier sync covered, whose records it checks; the rest it still has in memory (unsynced, empty after each sync). A crash meanwhile leaves the old file, as after any crash before a sync, or the whole new one. Any other error of a sync stays final.

Ruled out: to repeat the sync on the same file. To end the process and let it open its log again isn't safer: it reads from the same cache.

Open: a process that is killed while it waits leaves a segment whose end may be only in the kernel's cache, and the next start can't tell. Nothing of it was acknowledged before the kill; it takes a loss of power after the next acknowledgements and before the next segment.

Evidence: TestSavedEntriesSurviveRefusedOperation (each of the operations refused in turn, then a loss of power) and TestCloseSucceedsWhileSyncIsRefused fail on the code before with "sync the log: input/output error" and pass now; internal/wal, node and member are green.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -30,16 +30,15 @@
 	ticker := time.NewTicker(g.cfg.TickInterval)
 	defer ticker.Stop()
 	err := g.loop(ctx, ticker.C)
+	if errors.Is(err, wal.ErrDiskRefuses) && ctx.Err() != nil {
+		err = nil
+	}
 	return errors.CombineErrors(err, g.stop())
 }
 
 func (g *Group) loop(ctx context.Context, ticks <-chan time.Time) error {
 	for {
-		err := g.trackRound()
-		if errors.Is(err, wal.ErrDiskRefuses) && ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
+		if err := g.trackRound(); err != nil {
 			return err
 		}
 		if g.core.HasReady() {
--- /dev/null
+++ b/internal/wal/disk_faulty_test.go
@@ -0,0 +1,55 @@
+package wal
+
+import (
+	"math/rand/v2"
+	"syscall"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+
+	"github.com/bilberryferry/bilberryferry/internal/vfs/faulty"
+	"github.com/bilberryferry/bilberryferry/internal/vfs/powerloss"
+	"github.com/bilberryferry/bilberryferry/replica"
+)
+
+// always is a callback that allows another attempt.
+func always(error) bool { return true }
+
+// Guards against a process that ends because its disk refuses a sync, and against entries that are lost
+// since a sync was repeated on the same file: each operation in turn is refused, then the power is lost.
+func TestSavedEntriesSurviveRefusedOperation(t *testing.T) {
+	for at, refusing := 0, false; !refusing; at++ {
+		memory := powerloss.NewMemory(newDataDisk(t), powerloss.Unlimited)
+		files := faulty.NewBroken(memory, syscall.EIO)
+		w, _, err := open(files, powerLossFolder, smallSegmentBytes, always)
+		must.NoError(t, err)
+		files.RefuseAfter(at, refusedWrites)
+		user := new(logUser)
+		for next := uint64(1); next < 40; next += 3 {
+			must.NoError(t, w.Save(&replica.HardState{Term: next}, entryRange(next, next+1, 1), false))
+			must.NoError(t, w.Save(nil, entryRange(next+2, next+2, 1), true), must.Sprintf("refused at operation %d", at))
+			user.synced, user.term = next+2, next
+		}
+		random := rand.New(rand.NewPCG(6, uint64(at)))
+		for range lossesPerOperation {
+			user.check(t, memory.LosePower(random))
+		}
+		refusing = files.Refusing()
+	}
+}
+
+// Guards against a member that can't be stopped while its disk refuses a sync, and against a record that
+// wasn't acknowledged and makes the log unreadable.
+func TestCloseSucceedsWhileSyncIsRefused(t *testing.T) {
+	memory := powerloss.NewMemory(newDataDisk(t), powerloss.Unlimited)
+	files := faulty.NewBroken(memory, syscall.EIO)
+	w, _, err := open(files, powerLossFolder, oneSegmentBytes, func(error) bool { return false })
+	must.NoError(t, err)
+	saveOneByOne(t, w, &replica.HardState{Term: 1}, entryRange(1, 3, 1))
+	files.RefuseAfter(1, refusedWrites)
+	err = w.Save(nil, entryRange(4, 4, 1), true)
+	must.True(t, errors.Is(err, ErrDiskRefuses), must.Sprint(err))
+	must.NoError(t, w.Close())
+	(&logUser{synced: 3, term: 1}).check(t, memory.LosePower(rand.New(rand.NewPCG(7, 1))))
+}
--- a/internal/wal/powerloss_test.go
+++ b/internal/wal/powerloss_test.go
@@ -40,12 +40,14 @@
 	term uint64
 	// snapshot is the last snapshot that was adopted.
 	snapshot uint64
+	// onRefused is the log's callback.
+	onRefused func(error) bool
 }
 
 // run opens the log, saves entries in several segments and replaces them by snapshots, until an
 // operation fails.
-func (u *logUser) run(files *powerloss.Memory) error {
-	w, stored, err := open(files, powerLossFolder, smallSegmentBytes, nil)
+func (u *logUser) run(files vfs.FS) error {
+	w, stored, err := open(files, powerLossFolder, smallSegmentBytes, u.onRefused)
 	if err != nil {
 		return err
 	}
--- a/internal/wal/recover.go
+++ b/internal/wal/recover.go
@@ -22,11 +22,12 @@
 	snapshot replica.Snapshot
 	// snapshotPath is the file of snapshot.
 	snapshotPath string
-	// salt is the salt of the last segment. length is the segment's length in bytes up to
-	// the end of its last whole record; torn is true when bytes follow that record.
-	salt   uint64
-	length int64
-	torn   bool
+	// salt is the salt of the last segment. content is the segment up to the end of its last whole
+	// record, and length its length in bytes; torn is true when bytes follow that record.
+	salt    uint64
+	content []byte
+	length  int64
+	torn    bool
 	// replaced are the files of segments before a gap, which the snapshot replaces.
 	replaced []string
 }
@@ -91,6 +92,7 @@
 		return err
 	}
 	r.salt, r.length, r.torn = head.salt, end, end < int64(len(file))
+	r.content = file[:end]
 	return nil
 }
 
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -23,9 +23,8 @@
 const DefaultSegmentBytes = 4 << 20
 
 // WAL is an open log. Its methods are not safe for concurrent use, except
-// WriteSnapshot and Counters. After a failed write or sync every further call fails,
-// because data that the kernel has dropped from its cache can't be synced again. A
-// write that the disk refuses is the exception, see Open.
+// WriteSnapshot and Counters. After a failed write or sync every further call fails.
+// What the disk refuses is the exception, see Open.
 type WAL struct {
 	files        vfs.FS
 	folder       string
@@ -40,7 +39,9 @@
 	salt   uint64
 	length int64
 	synced int64
-	buffer bytes.Buffer
+	// unsynced are the bytes of the segment from synced to length.
+	unsynced bytes.Buffer
+	buffer   bytes.Buffer
 	// err is the first failure, or says that the log is closed.
 	err error
 	// partial says that a failed write has left part of a record after length.
@@ -106,7 +107,9 @@
 //
 // A disk that is full or faulty for some seconds must not stop the member. No part of the
 // record was acknowledged yet, so the log truncates the partial record and is as before the
-// write. A failed sync of the log is never retried.
+// write. A failed sync is never repeated on the same file: the kernel may have dropped the data
+// from its cache, and the next sync succeeds without it. The log writes the segment anew instead,
+// see rewriteSegment.
 func Open(files vfs.FS, folder string, onRefused func(error) bool) (*WAL, replica.StoredState, error) {
 	return open(files, folder, DefaultSegmentBytes, onRefused)
 }
@@ -199,6 +202,7 @@
 		return errors.Wrap(err, "open the last segment")
 	}
 	w.file, w.salt, w.length = f, found.salt, found.length
+	w.unsynced.Write(found.content)
 	if found.torn {
 		w.counters.tornTails.Add(1)
 		if err := f.Truncate(found.length); err != nil {
@@ -295,11 +299,13 @@
 		return errors.CombineErrors(err, w.truncatePartial())
 	}
 	w.length += int64(n)
+	w.unsynced.Write(w.buffer.Bytes())
 	w.counters.bytes.Add(uint64(n))
 	return nil
 }
 
-// sync makes all written records durable. A failure is final.
+// sync makes all written records durable. While the disk refuses, it writes the segment anew, see
+// Open; any other failure is final.
 func (w *WAL) sync() error {
 	if w.err != nil {
 		return w.err
@@ -307,14 +313,33 @@
 	if w.synced == w.length {
 		return nil
 	}
-	if err := w.file.Sync(); err != nil {
+	err := w.file.Sync()
+	if err != nil {
+		err = w.waitToRetry(err)
+		if err == nil {
+			err = w.retryWhileRefused(w.rewriteSegment)
+		}
+	}
+	if err != nil {
 		return w.setErr(errors.Wrap(err, "sync the log"))
 	}
-	w.synced = w.length
+	w.setSynced()
 	w.counters.syncs.Add(1)
 	return nil
 }
 
+// maxKeptBuffer is the largest buffer that is kept for the next records, in bytes.
+const maxKeptBuffer = 256 << 10
+
+// setSynced records that the whole segment is durable.
+func (w *WAL) setSynced() {
+	w.synced = w.length
+	w.unsynced.Reset()
+	if w.unsynced.Cap() > maxKeptBuffer {
+		w.unsynced = bytes.Buffer{}
+	}
+}
+
 // setErr stores err as the failure of the log unless there was an earlier one, and returns
 // err.
 func (w *WAL) setErr(err error) error {
@@ -352,7 +377,7 @@
 	}
 	w.file, w.salt = f, head.salt
 	w.length = headerSize + int64(w.buffer.Len())
-	w.synced = w.length
+	w.setSynced()
 	w.segments = append(w.segments, segment{path: path, sequence: next})
 	return nil
 }
