wal: a start beside a disk that refuses reads, removals or syncs waits

Cause: Open tried again only its writes. Its reads, removals and syncs of folders were final.

Change: Open begins anew, with no file open and its lock released, as long as the disk refuses and the callback allows it. A *DamageError and other errors end it as before.

--- a/internal/wal/disk_faulty_test.go
+++ b/internal/wal/disk_faulty_test.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/shoenig/test/must"
 
+	"github.com/bilberryferry/bilberryferry/internal/vfs"
 	"github.com/bilberryferry/bilberryferry/internal/vfs/faulty"
 	"github.com/bilberryferry/bilberryferry/internal/vfs/powerloss"
 	"github.com/bilberryferry/bilberryferry/replica"
@@ -53,3 +54,39 @@
 	must.NoError(t, w.Close())
 	(&logUser{synced: 3, term: 1}).check(t, memory.LosePower(rand.New(rand.NewPCG(7, 1))))
 }
+
+// Guards against a process that ends at each start while its disk refuses reads, removals or syncs: each
+// operation of a start in turn is refused, then the power is lost.
+func TestOpenWaitsWhileDiskIsFaulty(t *testing.T) {
+	for at, refusing := 0, false; !refusing; at++ {
+		memory := powerloss.NewMemory(newDataDisk(t), powerloss.Unlimited)
+		files := faulty.NewBroken(memory, syscall.EIO)
+		user := new(logUser)
+		must.NoError(t, user.run(files))
+		_, err := files.Create(powerLossFolder + "/1" + vfs.TemporarySuffix)
+		must.NoError(t, err)
+		files.RefuseAfter(at, refusedWrites)
+		waits := 0
+		w, stored, err := open(files, powerLossFolder, smallSegmentBytes, func(error) bool { waits++; return true })
+		must.NoError(t, err, must.Sprintf("refused at operation %d", at))
+		must.Eq(t, user.snapshot, stored.Snapshot.Index)
+		refusing = files.Refusing()
+		must.True(t, refusing || waits > 0)
+		must.NoError(t, w.Close())
+		random := rand.New(rand.NewPCG(8, uint64(at)))
+		for range lossesPerOperation {
+			user.check(t, memory.LosePower(random))
+		}
+	}
+}
+
+// Guards against a member that can't be stopped while its disk refuses the reads of its start.
+func TestOpenBesideFaultyDiskCanBeStopped(t *testing.T) {
+	files := faulty.NewBroken(powerloss.NewMemory(newDataDisk(t), powerloss.Unlimited), syscall.EIO)
+	must.NoError(t, new(logUser).run(files))
+	for at := range 12 {
+		files.RefuseAfter(at, refusedWrites)
+		_, _, err := open(files, powerLossFolder, smallSegmentBytes, func(error) bool { return false })
+		must.True(t, errors.Is(err, ErrDiskRefuses), must.Sprint(at, err))
+	}
+}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -101,9 +101,9 @@
 // the stored state, which it has made durable. A *DamageError means that a file doesn't contain
 // what was written to it; in this case Open has changed nothing.
 //
-// onRefused is a callback for writes that the disk refuses (see vfs.IsRefused), those of Open
-// included. It blocks until the next attempt and returns true to retry, or false to fail with
-// ErrDiskRefuses. Without a callback such a write fails like any other write.
+// onRefused is a callback for what the disk refuses (see vfs.IsRefused), reads of Open included.
+// It blocks until the next attempt and returns true to retry, or false to fail with
+// ErrDiskRefuses. Without a callback a refused operation fails like any other.
 //
 // A disk that is full or faulty for some seconds must not stop the member. No part of the
 // record was acknowledged yet, so the log truncates the partial record and is as before the
@@ -115,19 +115,35 @@
 }
 
 func open(files vfs.FS, folder string, segmentBytes int64, onRefused func(error) bool) (*WAL, replica.StoredState, error) {
-	w := &WAL{files: files, folder: folder, segmentBytes: segmentBytes, onRefused: onRefused}
+	for {
+		w := &WAL{files: files, folder: folder, segmentBytes: segmentBytes, onRefused: onRefused}
+		stored, err := w.tryOpen()
+		if err == nil {
+			return w, stored, nil
+		}
+		if errors.Is(err, ErrDiskRefuses) {
+			return nil, replica.StoredState{}, err
+		}
+		if err := w.waitToRetry(err); err != nil {
+			return nil, replica.StoredState{}, err
+		}
+	}
+}
+
+// tryOpen makes one attempt to open the log. After a failure no file is open.
+func (w *WAL) tryOpen() (replica.StoredState, error) {
 	if err := w.createFolder(); err != nil {
-		return nil, replica.StoredState{}, err
+		return replica.StoredState{}, err
 	}
 	if err := w.retryWhileRefused(w.lockFolder); err != nil {
-		return nil, replica.StoredState{}, err
+		return replica.StoredState{}, err
 	}
 	stored, err := w.load()
 	if err != nil {
 		_ = w.closeFiles()
-		return nil, replica.StoredState{}, err
+		return replica.StoredState{}, err
 	}
-	return w, stored, nil
+	return stored, nil
 }
 
 // Read returns the stored state of a log, which is the zero value if the folder is missing. It
