member: a start beside a disk that refuses reads waits, and keeps its stored members

Cause: a refused read of the file of members counted as an unreadable file, so the start went on to the log, and a refused read there ended the process. If only the first read was refused and the log had no committed members, an instance that is no seed would have joined as a new one and replaced its file.

Change: a read that the disk refuses is tried again like a write of a start.

Evidence: TestStartWaitsWhileDiskRefusesReads and TestStartWaitsWhileDiskRefusesToReadLog fail on the code before with "list the log folder: input/output error" and pass now; internal/member is green.

--- a/internal/member/disk_full_test.go
+++ b/internal/member/disk_full_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"os"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -14,6 +16,8 @@
 	"github.com/bilberryferry/bilberryferry/internal/link"
 	"github.com/bilberryferry/bilberryferry/internal/vfs"
 	"github.com/bilberryferry/bilberryferry/internal/vfs/faulty"
+	"github.com/bilberryferry/bilberryferry/internal/wal"
+	"github.com/bilberryferry/bilberryferry/replica"
 )
 
 const (
@@ -62,6 +66,45 @@
 	}
 }
 
+// Guards against a start that ends, or takes other members than those it stored, because a faulty disk
+// refuses a read: the member is no seed, so it would join as a new one.
+func TestStartWaitsWhileDiskRefusesReads(t *testing.T) {
+	stored := []replica.Member{{ID: "10.0.0.1", HasDisk: true}, {ID: "10.0.0.9", HasDisk: true}}
+	folder := t.TempDir()
+	h := newLoggedHost(vfs.OS{}, folder, false, new(bytes.Buffer))
+	must.NoError(t, h.saveMembers(t.Context(), filepath.Join(folder, membersFile), stored))
+	files := faulty.NewBroken(vfs.OS{}, syscall.EIO)
+	files.RefuseAfter(0, refusedWrites)
+	var lines bytes.Buffer
+	h = newLoggedHost(files, folder, false, &lines)
+	members, found, err := h.initialMembers(t.Context())
+	must.NoError(t, err)
+	must.True(t, found)
+	must.Eq(t, stored, members)
+	must.Eq(t, 1, strings.Count(lines.String(), "outcome=refuses"))
+}
+
+// Guards against a start without its file of members that ends because a faulty disk refuses to read the log.
+func TestStartWaitsWhileDiskRefusesToReadLog(t *testing.T) {
+	folder := t.TempDir()
+	w, _, err := wal.Open(vfs.OS{}, filepath.Join(folder, logFolder), nil)
+	must.NoError(t, err)
+	stored := []replica.Member{{ID: "10.0.0.1", HasDisk: true}, {ID: "10.0.0.9", HasDisk: true}}
+	must.NoError(t, w.Save(&replica.HardState{Term: 1, Incarnation: 1}, nil, true))
+	must.NoError(t, w.SaveSnapshot(replica.Snapshot{Index: 4, Term: 1, Members: stored}))
+	must.NoError(t, w.Close())
+	for at := 1; at < 4; at++ {
+		files := faulty.NewBroken(vfs.OS{}, syscall.EIO)
+		files.RefuseAfter(at, refusedWrites)
+		h := newLoggedHost(files, folder, false, new(bytes.Buffer))
+		members, found, err := h.initialMembers(t.Context())
+		must.NoError(t, err, must.Sprint(at))
+		must.True(t, found)
+		must.Eq(t, stored, members)
+		must.NoError(t, os.Remove(filepath.Join(folder, membersFile)))
+	}
+}
+
 // Guards against a member that can't be stopped while it waits for its full disk at its first start.
 func TestFirstStartBesideFullDiskEndsWithContext(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), stopDelay)
--- a/internal/member/host.go
+++ b/internal/member/host.go
@@ -237,12 +237,13 @@
 // has stored the membership or the log.
 func (h *Host) initialMembers(ctx context.Context) (members []replica.Member, stored bool, err error) {
 	path := filepath.Join(h.cfg.Folder, membersFile)
-	if members := h.readMembers(path); members != nil {
-		return members, true, nil
-	}
-	members, stored, err = h.membersOfLog()
-	if err != nil {
-		return nil, stored, err
+	var complete bool
+	err = h.retryWhileRefused(ctx, func() (err error) {
+		members, stored, complete, err = h.storedMembers(path)
+		return err
+	})
+	if err != nil || complete {
+		return members, stored, err
 	}
 	if members == nil {
 		members = h.seedMembers()
@@ -255,11 +256,26 @@
 	return members, stored, h.saveMembers(ctx, path, members)
 }
 
-// readMembers returns the membership in a file, or nil if the file is missing or unreadable.
-func (h *Host) readMembers(path string) []replica.Member {
+// storedMembers returns the membership that the disk has, or nil for none. complete is true if it is in its
+// file and needn't be saved again; stored is as for initialMembers.
+func (h *Host) storedMembers(path string) (members []replica.Member, stored, complete bool, err error) {
+	members, err = h.readMembers(path)
+	if err != nil || members != nil {
+		return members, true, true, err
+	}
+	members, stored, err = h.membersOfLog()
+	return members, stored, false, err
+}
+
+// readMembers returns the membership in a file, or nil if the file is missing or unreadable. A read that
+// the disk refuses is an error: the file may be whole.
+func (h *Host) readMembers(path string) ([]replica.Member, error) {
 	data, err := h.cfg.Files.ReadFile(path)
-	if errors.Is(err, os.ErrNotExist) {
-		return nil
+	switch {
+	case errors.Is(err, os.ErrNotExist):
+		return nil, nil
+	case vfs.IsRefused(err):
+		return nil, errors.Wrap(err, "read the members")
 	}
 	var members []replica.Member
 	if err == nil {
@@ -267,9 +283,9 @@
 	}
 	if err != nil || len(members) == 0 {
 		_ = level.Error(h.cfg.Logger).Log("event", "members_file", "outcome", "unreadable", "err", err)
-		return nil
+		return nil, nil
 	}
-	return members
+	return members, nil
 }
 
 // membersOfLog returns the last membership that the log knows to be committed, or nil if there is
@@ -315,9 +331,14 @@
 // saveMembers makes the file of the initial membership durable, with its name, before the log
 // is opened. While the disk refuses, it waits until a write succeeds or ctx ends.
 func (h *Host) saveMembers(ctx context.Context, path string, members []replica.Member) error {
+	return h.retryWhileRefused(ctx, func() error { return h.writeMembers(path, members) })
+}
+
+// retryWhileRefused makes attempts until the disk doesn't refuse or ctx ends.
+func (h *Host) retryWhileRefused(ctx context.Context, attempt func() error) error {
 	retry := vfs.RetryWaiter{Logger: h.cfg.Logger}
 	for {
-		err := h.writeMembers(path, members)
+		err := attempt()
 		if err == nil {
 			retry.Succeeded()
 			return nil
