wal: a refused removal of old files doesn't end the process

The segments stay in the list until their files are gone, so that they are tried again.

Evidence: TestSnapshotsSurviveRefusedOperation fails on the code before (operation 155, "list the log folder: input/output error") and passes now. It also checks that the next start removes what was left.

--- a/internal/wal/disk_faulty_test.go
+++ b/internal/wal/disk_faulty_test.go
@@ -40,6 +40,30 @@
 	}
 }
 
+// Guards against a process that ends because its disk refuses to remove what a snapshot replaces, and
+// against files that stay for good: each operation of a log with snapshots in turn is refused.
+func TestSnapshotsSurviveRefusedOperation(t *testing.T) {
+	for at, refusing := 0, false; !refusing; at++ {
+		memory := powerloss.NewMemory(newDataDisk(t), powerloss.Unlimited)
+		files := faulty.NewBroken(memory, syscall.EIO)
+		files.RefuseAfter(at, refusedWrites)
+		user := &logUser{onRefused: always}
+		must.NoError(t, user.run(files), must.Sprintf("refused at operation %d", at))
+		refusing = files.Refusing()
+		random := rand.New(rand.NewPCG(9, uint64(at)))
+		user.check(t, memory.LosePower(random))
+
+		files.RefuseAfter(0, 0)
+		w, _, err := open(files, powerLossFolder, smallSegmentBytes, nil)
+		must.NoError(t, err)
+		must.NoError(t, w.Close())
+		listed, err := listFiles(memory, powerLossFolder)
+		must.NoError(t, err)
+		must.Len(t, 1, listed.snapshots)
+		must.SliceEmpty(t, listed.temporaries)
+	}
+}
+
 // Guards against a member that can't be stopped while its disk refuses a sync, and against a record that
 // wasn't acknowledged and makes the log unreadable.
 func TestCloseSucceedsWhileSyncIsRefused(t *testing.T) {
--- a/internal/wal/snapshot.go
+++ b/internal/wal/snapshot.go
@@ -62,7 +62,10 @@
 	if err := w.sync(); err != nil {
 		return err
 	}
-	return w.setErr(w.removeOld())
+	if err := w.removeOld(); err != nil && !vfs.IsRefused(err) {
+		return w.setErr(err)
+	}
+	return nil
 }
 
 // SaveSnapshot makes a snapshot durable and replaces the log up to its entry. It retries while
@@ -75,7 +78,8 @@
 }
 
 // removeOld deletes the files that the newest snapshot replaces. The snapshot and the
-// record that names it are durable by now, so a crash meanwhile loses nothing.
+// record that names it are durable by now, so a crash meanwhile loses nothing. Files that it can't
+// delete are left to the next snapshot or start.
 func (w *WAL) removeOld() error {
 	files, err := listFiles(w.files, w.folder)
 	if err != nil {
@@ -87,9 +91,14 @@
 			old = append(old, path)
 		}
 	}
-	for len(w.segments) > 1 && w.segments[0].highestIndex <= w.state.snapshot.Index {
-		old = append(old, w.segments[0].path)
-		w.segments = w.segments[1:]
+	kept := w.segments
+	for len(kept) > 1 && kept[0].highestIndex <= w.state.snapshot.Index {
+		old = append(old, kept[0].path)
+		kept = kept[1:]
+	}
+	if err := removeFiles(w.files, old); err != nil {
+		return err
 	}
-	return removeFiles(w.files, old)
+	w.segments = kept
+	return nil
 }
