node: test of a running member whose disk refuses operations

Guards the two commits on refused writes and syncs at the member: proposals commit again after each refusal, and a member that is told to stop meanwhile stops without an error.

--- a/internal/node/disk_full_test.go
+++ b/internal/node/disk_full_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"syscall"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 
 	"github.com/bilberryferry/bilberryferry/internal/vfs"
 	"github.com/bilberryferry/bilberryferry/internal/vfs/faulty"
+	"github.com/bilberryferry/bilberryferry/internal/wait"
 	"github.com/bilberryferry/bilberryferry/internal/wal"
 	"github.com/bilberryferry/bilberryferry/replica"
 )
@@ -51,3 +53,37 @@
 	must.True(t, errors.Is(err, wal.ErrDiskRefuses), must.Sprint(err))
 	must.Error(t, ctx.Err())
 }
+
+// Guards against a running member that ends because its disk refuses operations for some time, a sync among
+// them, and against one that doesn't go on afterwards.
+func TestRunningMemberWaitsWhileDiskIsFaulty(t *testing.T) {
+	files := faulty.NewBroken(vfs.OS{}, syscall.EIO)
+	cfg := soleMemberConfig(files, t.TempDir())
+	cfg.SnapshotEntries = 4
+	g, err := Open(t.Context(), cfg)
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- g.Run(ctx) }()
+	propose := func(key string) error {
+		for {
+			_, err := g.Propose(ctx, encodeSet(key, "v"))
+			if !errors.Is(err, ErrNotLeader) || !wait.For(ctx, DefaultTickInterval) {
+				return err
+			}
+		}
+	}
+	must.NoError(t, propose("before"))
+	for at := range 6 {
+		files.RefuseAfter(at, refusedWrites)
+		must.NoError(t, propose(fmt.Sprint("during", at)))
+		must.NoError(t, propose(fmt.Sprint("after", at)))
+	}
+	files.RefuseAfter(0, endlessRefusals)
+	stopping, stop := context.WithTimeout(ctx, stopDelay)
+	defer stop()
+	_, err = g.Propose(stopping, encodeSet("refused", "v"))
+	must.Error(t, err)
+	cancel()
+	must.NoError(t, <-ended)
+}
