--- a/internal/control/job_memory.go
+++ b/internal/control/job_memory.go
@@ -10,7 +10,7 @@
 const (
 	// jobMemoryDivisor gives the share of the memory of the process that jobs may take. Writing or restoring a snapshot
 	// takes several times what the jobs take.
-	jobMemoryDivisor = 4
+	jobMemoryDivisor = 3
 	// defaultMemoryBytes is assumed for a process without a memory limit.
 	defaultMemoryBytes = 1 << 30
 	// jobMemoryRetryAfter is the retry delay sent to a caller whose job is refused because jobs take too much memory.
--- a/internal/control/job_memory_test.go
+++ b/internal/control/job_memory_test.go
@@ -23,7 +23,7 @@
 // Guards against accepted work that takes the memory of every member at once: jobs that are due later aren't in the
 // queue, and were accepted without bound.
 func TestJobsThatDontFitMemoryAreRefused(t *testing.T) {
-	cluster := newTestCluster(t, func(cluster *testCluster) { cluster.controller.cfg.MemoryBytes = 16 << 20 })
+	cluster := newTestCluster(t, func(cluster *testCluster) { cluster.controller.cfg.MemoryBytes = 12 << 20 })
 	submit := func(i int) error {
 		_, err := cluster.controller.Submit(context.Background(), lateJob(fmt.Sprint("j", i)))
 		return err
@@ -45,7 +45,7 @@
 // Guards against a new leader that accepts as much again, and against memory that is never free again.
 func TestJobMemoryFollowsTheState(t *testing.T) {
 	cluster := newTestCluster(t, func(cluster *testCluster) {
-		cluster.controller.cfg.MemoryBytes = 16 << 20
+		cluster.controller.cfg.MemoryBytes = 12 << 20
 		for i := range 4 {
 			cluster.commit(&workflow.Command{Submit: &workflow.Submission{ID: fmt.Sprint("j", i), Queue: "h/q/", Steps: lateJob("").Steps, Schedule: lateJob("").Schedule}})
 		}
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -197,8 +197,11 @@
 		t.logger.Log("event", "submit", "job", id, "queue", queue.Name, "outcome", fault.KindOf(err), "err", err)
 		return SubmitReply{}, err
 	}
-	if result.Submit == workflow.SubmitConflict {
+	switch result.Submit {
+	case workflow.SubmitConflict:
 		return SubmitReply{}, fault.New(fault.Conflict, "the id %s is taken", id)
+	case workflow.SubmitInvalid:
+		return SubmitReply{}, fault.Field("job", "refused by the replicated state")
 	}
 	known := result.Submit == workflow.SubmitKnown
 	if !known {
