--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -23,6 +23,10 @@
 	// ErrSequenceGap: a sequence number is missing, so one side has lost its
 	// state. An operator must start a new generation.
 	ErrSequenceGap = errors.New("quota: transfer is not the next in sequence")
+	// ErrOverlap: the transfer has a slot that is already owned, because two data centres
+	// disagree on the initial owners or one has lost its state. An operator must start a new
+	// generation.
+	ErrOverlap = errors.New("quota: transfer has a slot that is already owned")
 	// ErrOtherGeneration: the request or transfer isn't of the generation in force in
 	// this data centre. A message of a newer generation can be processed once its
 	// configuration has arrived; a message of an older generation is invalid.
@@ -327,7 +331,7 @@
 
 // Credit commits a received transfer. If it returns nil or ErrDuplicate, the caller
 // sends an acknowledgement. On an error nothing has changed. The errors are
-// ErrWrongDataCentre, ErrOtherGeneration, ErrDuplicate and ErrSequenceGap.
+// ErrWrongDataCentre, ErrOtherGeneration, ErrDuplicate, ErrSequenceGap and ErrOverlap.
 //
 // Guards against crediting a duplicated transfer twice, which would give a
 // customer more than its limit. Only the sequence number after the last credited
@@ -347,23 +351,45 @@
 	if t.Sequence != last+1 {
 		return ErrSequenceGap
 	}
+	credited, ok := l.creditAll(t.Customers)
+	if !ok {
+		return ErrOverlap
+	}
 	l.state.LastReceived[t.From] = t.Sequence
-	for _, slots := range t.Customers {
-		l.creditCustomer(slots)
+	for customer, slots := range credited {
+		l.state.Owned[customer] = slots
+		l.refreshCustomer(customer)
 	}
 	return nil
 }
 
-// creditCustomer adds the slots of one customer to the owned slots.
-func (l *Ledger) creditCustomer(credited CustomerSlots) {
-	slots := l.owned(credited.Customer)
-	overlap := slots.CPU.overlaps(credited.CPU) || slots.Memory.overlaps(credited.Memory) || slots.Accelerators.overlaps(credited.Accelerators)
-	invariant(!overlap, "a transfer has a slot of customer %s that is already owned", credited.Customer)
-	slots.CPU.addAll(credited.CPU)
-	slots.Memory.addAll(credited.Memory)
-	slots.Accelerators.addAll(credited.Accelerators)
-	l.state.Owned[credited.Customer] = &slots
-	l.refreshCustomer(credited.Customer)
+// creditAll returns the slots of each customer of a transfer that the data centre owns once the transfer is
+// credited. It returns false if one of the transferred slots is owned already.
+func (l *Ledger) creditAll(customers []CustomerSlots) (map[string]*ownedSlots, bool) {
+	credited := map[string]*ownedSlots{}
+	for _, transferred := range customers {
+		slots := credited[transferred.Customer]
+		if slots == nil {
+			owned := l.owned(transferred.Customer)
+			slots = &owned
+			credited[transferred.Customer] = slots
+		}
+		if !slots.credit(transferred) {
+			return nil, false
+		}
+	}
+	return credited, true
+}
+
+// credit adds transferred slots. It returns false if one of them is owned already.
+func (s *ownedSlots) credit(t CustomerSlots) bool {
+	if s.CPU.overlaps(t.CPU) || s.Memory.overlaps(t.Memory) || s.Accelerators.overlaps(t.Accelerators) {
+		return false
+	}
+	s.CPU.addAll(t.CPU)
+	s.Memory.addAll(t.Memory)
+	s.Accelerators.addAll(t.Accelerators)
+	return true
 }
 
 // Acknowledge commits the acknowledgement that every request carries: it drops the
