--- a/internal/state/apply.go
+++ b/internal/state/apply.go
@@ -111,6 +111,9 @@
 		s.recordEvent("job refused", c.Kind.String()+": "+c.Detail, c.Customer, c.Spec.Name)
 		return Result{Err: fault.Retry(c.Kind, c.RetryAfter, "%s", c.Detail)}
 	}
+	if err := c.Spec.check(); err != nil {
+		return Result{Err: err}
+	}
 	j := s.newJob(s.newID(), c.Customer, c.Spec, now)
 	if c.HandoverTo != "" {
 		j.State = JobPendingHandover
--- a/internal/state/change.go
+++ b/internal/state/change.go
@@ -183,6 +183,9 @@
 	if j.Spec.Policy != placement.Service || !j.startable() {
 		return Result{Err: fault.New(fault.Conflict, "job %s is not a running service", c.Job)}
 	}
+	if !isTaskCount(c.Tasks) {
+		return Result{Err: fault.Field("tasks", "%d isn't from 0 to %d", c.Tasks, maxTasks)}
+	}
 	s.resize(j, c.Tasks)
 	s.recordResponse(c.Request, now, RequestRecord{Job: j.ID})
 	s.recordEvent("service scaled", fmt.Sprintf("to %d", c.Tasks), j.ID)
@@ -294,6 +297,9 @@
 	if record, ok := s.HandoverAnswers[c.Job]; ok {
 		return record.result(c.Job)
 	}
+	if err := c.Spec.check(); err != nil {
+		return Result{Err: err}
+	}
 	record := HandoverAnswerRecord{Accepted: !c.Refused, Kind: c.Kind, Detail: c.Detail, At: now}
 	s.HandoverAnswers[c.Job] = record
 	if record.Accepted {
--- a/internal/state/start.go
+++ b/internal/state/start.go
@@ -17,7 +17,7 @@
 	for _, item := range c.Items {
 		j := s.Jobs[item.Job]
 		switch {
-		case j == nil:
+		case j == nil || !item.isPossible():
 		case j.Spec.Policy != placement.Gang:
 			if started, ok := s.startTask(now, j, item); ok {
 				r.Started = append(r.Started, started)
@@ -30,12 +30,15 @@
 	return r
 }
 
+// isPossible reports whether a task may need what the item reserves.
+func (i *StartItem) isPossible() bool { return i.RaisedNeed == nil || isNeed(*i.RaisedNeed) }
+
 // startGang starts all queued tasks of a gang on the workers of the plan, or none.
 // A part of a gang would occupy workers while the rest waits for resources.
 func (s *State) startGang(now int64, j *Job, items []StartItem) []StartedAttempt {
 	var gangItems []StartItem
 	for _, item := range items {
-		if item.Job == j.ID {
+		if item.Job == j.ID && item.isPossible() {
 			gangItems = append(gangItems, item)
 		}
 	}
