jsonbody: an object counts for several values, so that bodies of empty objects stay within the memory

What callers see: twelve submissions of legal size with 43,000 empty steps take an edge instance over its memory, six configurations of 2 MB with empty routes or customers take a core instance to three times its memory. The limit of the machine ends the process without a line, and again when the same bodies come to the next one.

Seen: TestBodiesOfManySpacedStepsLeaveEdgeInItsMemory, as it was, with daemons on all 8 processors: 11 of 13 runs over 64 MB (67 to 86 MB); on 1 processor 2 of 6 (67 and 69 MB), on 2 and 4 none of 3.

Cause: a decoded step or route takes some 150 bytes where 6 stand in the body, and the check of a document before it is decoded counts an empty object as one value of five bytes. Large bodies are decoded one after the other for each processor, so several processors decode several of them at once.

Ruled out: fewer places for decoding alone, since one processor is one place and fails as well; fewer values for the size of a document, since reports of workers need them; a list that is cut off while it is decoded (written and dropped: it mends steps only).

Change: an object counts as nine values, and 10,000 values are free, so that a job of 1,000 steps with one field each still passes. The rows of workers' reports are arrays, which count as before.

--- a/internal/jsonbody/jsonbody.go
+++ b/internal/jsonbody/jsonbody.go
@@ -76,9 +76,12 @@
 	// maxDepth bounds how deeply arrays and objects are nested. Each level takes many times the bytes of its brackets.
 	maxDepth = 32
 	// A document may have freeValues values, and one more for each bytesPerValue bytes of it, since a decoded value
-	// takes many times the bytes of an empty object. A row of a worker's report has six values in 38 bytes.
-	freeValues    = 1000
-	bytesPerValue = 5
+	// takes many times the bytes of an empty one. A row of a worker's report has six values in 38 bytes. An object
+	// counts as valuesPerObject, since its decoded form has all fields, however few the object names. A job of 1000
+	// short steps needs most of freeValues.
+	freeValues      = 10_000
+	bytesPerValue   = 5
+	valuesPerObject = 9
 	// largeBody is the size from which bodies are decoded one after the other for each processor.
 	largeBody = 16 << 10
 )
@@ -115,13 +118,14 @@
 }
 
 func (c *documentCheck) checkValue() error {
-	if c.valuesLeft--; c.valuesLeft < 0 {
-		return errTooManyValues
-	}
 	token, err := c.decoder.Token()
 	if err != nil {
 		return err
 	}
+	c.valuesLeft -= valueCount(token)
+	if c.valuesLeft < 0 {
+		return errTooManyValues
+	}
 	switch token {
 	case json.Delim('{'):
 		return c.nested(c.checkObject)
@@ -131,6 +135,14 @@
 	return nil
 }
 
+// valueCount returns as how many values the value that begins with a token counts.
+func valueCount(first json.Token) int {
+	if first == json.Delim('{') {
+		return valuesPerObject
+	}
+	return 1
+}
+
 // nested checks the rest of an array or object, one level deeper.
 func (c *documentCheck) nested(check func() error) error {
 	if c.depth++; c.depth > maxDepth {
