--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -12,6 +12,7 @@
 	"github.com/bilberryferry/bilberryferry/fault"
 	"github.com/bilberryferry/bilberryferry/internal/link"
 	"github.com/bilberryferry/bilberryferry/internal/node"
+	"github.com/bilberryferry/bilberryferry/internal/panics"
 	"github.com/bilberryferry/bilberryferry/internal/wait"
 	"github.com/bilberryferry/bilberryferry/internal/worktime"
 	"github.com/bilberryferry/bilberryferry/replica"
@@ -46,6 +47,8 @@
 	// LoadControl switches on admission by what can end in time, and connections to the adviser that
 	// are kept for the shortest queries.
 	LoadControl bool
+	// MemoryBytes is the memory that the process may use, in bytes; 0 for the default.
+	MemoryBytes int64
 	// SchedulingDelay returns the mean scheduling delay of this process since it was last called; nil counts as
 	// no delay. With load control, new jobs are refused while it is long.
 	SchedulingDelay func() time.Duration
@@ -202,6 +205,7 @@
 // endOnLeadershipLoss calls end as soon as this member no longer leads in term.
 func (c *Controller) endOnLeadershipLoss(ctx context.Context, term uint64, end func()) {
 	defer end()
+	defer panics.Handle()
 	for ctx.Err() == nil {
 		changed := c.log.Changed()
 		status := c.log.Status()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -143,6 +143,9 @@
 	Now func() time.Time
 	// Logger receives a line for each change of role; nil logs nothing.
 	Logger log.Logger
+	// Fatal must end the process at once. It is called with an ErrEntryFailed, while the state machine may
+	// hold a part of the effects of an entry. nil lets Run return the error.
+	Fatal func(error)
 }
 
 // normalize sets the defaults. It returns an error if a required field is missing.
@@ -188,9 +191,9 @@
 	wal    *wal.WAL
 	logger log.Logger
 	// runCtx ends when the member must stop: that of Open, then that of Run. Only Open and Run
-	// use diskSpace.
+	// use diskRetry.
 	runCtx    context.Context
-	diskSpace vfs.SpaceWaiter
+	diskRetry vfs.RetryWaiter
 	// diskTime is the time that this round has spent on the disk. Only Run uses it.
 	diskTime time.Duration
 
@@ -199,6 +202,9 @@
 	calls callQueue
 	inbox inbox
 
+	// failed are the entries that made the state machine panic. Only the goroutine of Run uses it.
+	failed *failedEntries
+
 	// lostState is true from a start without the expected state until the log has an entry.
 	lostState bool
 
@@ -221,8 +227,8 @@
 }
 
 // Open reads the member's log, if it has one, and restores the state machine from the
-// snapshot in it. Run applies the entries after the snapshot. While the disk is full or another
-// process has the log locked, Open waits until ctx ends; then the error is wal.ErrDiskFull or
+// snapshot in it. Run applies the entries after the snapshot. While the disk refuses writes or another
+// process has the log locked, Open waits until ctx ends; then the error is wal.ErrDiskRefuses or
 // vfs.ErrLocked.
 func Open(ctx context.Context, cfg Config) (*Group, error) {
 	if err := cfg.normalize(); err != nil {
@@ -236,7 +242,7 @@
 		done:      make(chan struct{}),
 		runCtx:    ctx,
 	}
-	g.diskSpace.Logger = g.logger
+	g.diskRetry.Logger = g.logger
 	stored, err := g.openLog()
 	if err != nil {
 		return nil, err
@@ -256,18 +262,18 @@
 	if g.cfg.Folder == "" {
 		return replica.StoredState{}, nil
 	}
-	w, stored, err := wal.Open(g.cfg.Files, g.cfg.Folder, g.waitForDiskSpace)
+	w, stored, err := wal.Open(g.cfg.Files, g.cfg.Folder, g.waitForDisk)
 	if errors.Is(err, vfs.ErrLocked) {
 		_ = g.logger.Log("event", "log_open", "outcome", "locked", "err", err)
 	}
 	for errors.Is(err, vfs.ErrLocked) && wait.For(g.runCtx, lockRetryInterval) {
-		w, stored, err = wal.Open(g.cfg.Files, g.cfg.Folder, g.waitForDiskSpace)
+		w, stored, err = wal.Open(g.cfg.Files, g.cfg.Folder, g.waitForDisk)
 	}
 	if err != nil {
 		return stored, errors.Wrapf(err, "log of group %s", g.cfg.Group)
 	}
 	g.wal = w
-	g.diskSpace.Succeeded()
+	g.diskRetry.Succeeded()
 	return stored, nil
 }
 
@@ -295,6 +301,7 @@
 		return err
 	}
 	g.core, g.savedHardState = core, stored.HardState
+	g.failed = openFailedEntries(g.cfg.Files, g.cfg.Folder, stored.Snapshot.Index, g.logger)
 	if g.cfg.ExpectState && stored.Empty() {
 		g.lostState = true
 		_ = level.Error(g.logger).Log("event", "log_empty", "reason", "the member has run before; its log is treated as lost")
