--- a/internal/cell/serve.go
+++ b/internal/cell/serve.go
@@ -106,6 +106,7 @@
 		Seed:           xxhash.Sum64String(b.Instance.ID + "/" + name),
 		Logger:         b.Logger,
 		Fatal:          b.Fatal,
+		Now:            b.LogClock,
 	}
 	if b.Instance.DataFolder != "" {
 		config.Folder = filepath.Join(b.Instance.DataFolder, name)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -67,6 +67,8 @@
 	Dial rpc.Dial
 	// Listener, if set, is served instead of the address in the settings.
 	Listener net.Listener
+	// LogClock is the clock of the replicated logs; see node.Config.Now.
+	LogClock func() time.Time
 	// ForceStart is true if an operator has decided that the missing members of the
 	// data centre's log won't come back.
 	ForceStart bool
--- a/internal/dev/deployment.go
+++ b/internal/dev/deployment.go
@@ -128,7 +128,7 @@
 	if err != nil {
 		return err
 	}
-	daemonBase.Listener = listener
+	daemonBase.Listener, daemonBase.LogClock = listener, d.network.LogClock()
 	serve := map[string]func(context.Context, *daemon.Base) error{"cell": cell.Serve, "entry": entry.Serve}[role]
 	ctx, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
--- a/internal/dev/memory_test.go
+++ b/internal/dev/memory_test.go
@@ -37,6 +37,10 @@
 	hopDelay = 5 * time.Millisecond
 )
 
+// LogClock returns the virtual clock of the bubble. The default of package node is a clock of the machine, which hardly
+// moves while a bubble plays seconds.
+func (n *memoryNetwork) LogClock() func() time.Time { return time.Now }
+
 func (n *memoryNetwork) Listen() (net.Listener, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/dev/network.go
+++ b/internal/dev/network.go
@@ -12,6 +12,8 @@
 	Listen() (net.Listener, error)
 	// Dial opens a connection to the address of a listener.
 	Dial(ctx context.Context, network, address string) (net.Conn, error)
+	// LogClock returns the clock of the replicated logs, nil for the default of package node.
+	LogClock() func() time.Time
 }
 
 // Loopback is the Network of TCP connections over the loopback interface.
@@ -26,5 +28,8 @@
 	return dialer.DialContext(ctx, network, address)
 }
 
+// LogClock returns nil.
+func (Loopback) LogClock() func() time.Time { return nil }
+
 // dialTimeout bounds the time in which Loopback.Dial opens a connection.
 const dialTimeout = time.Second
