replica: a wrong append before the first entry doesn't keep a member busy for good

Cause: conflictHint counted down from the index before 0, through all indexes, when an append named another term than 0 of the entry before the first. No correct member sends that.

Change: there is nothing before the first entry.

Evidence: TestAppendBeforeFirstEntryIsRejected doesn't end within 10 s on the code before (the test of arbitrary messages ran 10 minutes in the same loop), and passes now.

--- a/replica/log.go
+++ b/replica/log.go
@@ -120,6 +120,9 @@
 // skips the whole term of the conflicting entry, so that a log that diverged by many
 // entries costs one round trip for each term, not one for each entry.
 func (l *entryLog) conflictHint(prev uint64) uint64 {
+	if prev == 0 {
+		return 0
+	}
 	if prev > l.last() {
 		return l.last()
 	}
