replica: a log that contradicts committed entries is rejected

Cause: a member skips entries up to its commit index, since a leader's log has the same. After an operator's ForceStart, or more lost states than a group tolerates, it needn't. The member then took the leader's entries after its own and acknowledged the whole, so that its state differed from the others' for good, without a sign. The invariant that should have caught it (mergeEntries) can't be reached, and the comment of ForceStart promised a panic.

The member stays behind, acknowledges nothing and goes on serving as before; ending it would only repeat at each start. The leader may not know the term of an entry that it has compacted (0); that contradicts nothing.

Open: nothing reports such a member but its commit index, which stays behind.

Evidence: TestLogThatContradictsCommittedEntriesIsRejected fails on the code before (the member commits entry 4 after another entry 3) and passes now; go test ./replica is green.

--- a/replica/append.go
+++ b/replica/append.go
@@ -1,5 +1,7 @@
 package replica
 
+import "slices"
+
 // learnersPerTick is how many learners get their entries at the same tick. A leader thus
 // sends learners a bounded number of messages a tick, however many learners and proposals
 // there are.
@@ -177,10 +179,13 @@
 
 // appendMissing appends the missing entries of m and returns the last index at which
 // the log matches the sender's. It returns false when the entry before them doesn't
-// match.
+// match, or when m contradicts committed entries.
 func (c *Core) appendMissing(m Message) (uint64, bool) {
 	prev, term, entries := m.Index, m.LogTerm, m.unpack()
 	if prev < c.commit {
+		if c.contradictsCommitted(prev, term, entries) {
+			return 0, false
+		}
 		// Committed entries are also in the leader's log, so only later entries can be
 		// missing or conflict.
 		skip := min(uint64(len(entries)), c.commit-prev)
@@ -198,6 +203,24 @@
 	return prev + uint64(len(entries)), true
 }
 
+// contradictsCommitted reports whether a leader's log has other entries than this member at indexes up to
+// the commit index: the entry prev of a term, or one of the entries after it. That can happen only
+// after an operator's ForceStart, or after more members have lost their state than the group
+// tolerates. If the member took the leader's later entries, its state would differ from the others'
+// without a sign. A term of zero is one that the leader doesn't know any more.
+func (c *Core) contradictsCommitted(prev, term uint64, entries []Entry) bool {
+	if c.committedDiffers(prev, term) {
+		return true
+	}
+	return slices.ContainsFunc(entries, func(e Entry) bool { return c.committedDiffers(e.Index, e.Term) })
+}
+
+// committedDiffers reports whether the log holds a committed entry at index, of another term.
+func (c *Core) committedDiffers(index, term uint64) bool {
+	held, ok := c.log.term(index)
+	return ok && index <= c.commit && term != 0 && held != term
+}
+
 // mergeEntries replaces the tail of the log from the first conflicting entry on. A
 // tail that matches stays: otherwise a delayed, shorter append would remove entries
 // that were acknowledged.
@@ -222,7 +245,7 @@
 // already.
 func (c *Core) onSnapshot(m Message) {
 	s := m.Snapshot
-	if s == nil || checkMembers(s.Members) != nil {
+	if s == nil || checkMembers(s.Members) != nil || c.committedDiffers(s.Index, s.Term) {
 		return
 	}
 	c.recordLeaderContact(m.From)
--- a/replica/coldstart.go
+++ b/replica/coldstart.go
@@ -262,7 +262,8 @@
 // the other members must not continue on their own. It is allowed on a member with a
 // disk, and on a sole voter without state, if no leader has made contact for an election
 // timeout; otherwise it returns ErrForceStart. A member whose log contradicts the new
-// leader's log panics when it rejoins, and must then be started without stored state.
+// leader's log rejects its appends when it rejoins, and must then be started without stored
+// state.
 func (c *Core) ForceStart() error {
 	self, ok := c.members.find(c.cfg.ID)
 	switch {
--- a/replica/safety_test.go
+++ b/replica/safety_test.go
@@ -193,3 +193,34 @@
 	must.Eq(t, 3, c.log.lastTerm())
 	must.Eq(t, 3, c.log.last())
 }
+
+// Guards against a member whose state differs from the others' without a sign: a leader, which an operator
+// has forced, has other entries than those that this member knows to be committed.
+func TestLogThatContradictsCommittedEntriesIsRejected(t *testing.T) {
+	const term = 9
+	follower := func() *Core {
+		c := candidateCore(t, "n0", "n1", "n2")
+		stepFromPeer(t, c, Message{Type: MsgAppend, From: "n1", Term: 4, Index: 2, LogTerm: 2, Commit: 3, Entries: []Entry{{Term: 4}}})
+		must.Eq(t, 3, c.commit)
+		return c
+	}
+	for name, m := range map[string]Message{
+		"entry":          {Type: MsgAppend, Index: 1, LogTerm: 1, Entries: []Entry{{Term: 2}, {Term: 5}, {Term: term}}},
+		"entry before":   {Type: MsgAppend, Index: 2, LogTerm: 1, Entries: []Entry{{Term: 5}, {Term: term}}},
+		"last committed": {Type: MsgAppend, Index: 3, LogTerm: 5, Entries: []Entry{{Term: term}}},
+		"snapshot":       {Type: MsgSnapshot, Snapshot: &Snapshot{Index: 3, Term: 5, Members: []Member{{ID: "n1"}}}},
+	} {
+		c := follower()
+		m.From, m.Term, m.Commit = "n1", term, 4
+		queued := len(c.messages)
+		stepFromPeer(t, c, m)
+		must.Eq(t, 3, c.log.last(), must.Sprint(name))
+		must.Eq(t, 3, c.commit, must.Sprint(name))
+		for _, reply := range c.messages[queued:] {
+			must.True(t, reply.Reject, must.Sprint(name))
+		}
+	}
+	c := follower()
+	stepFromPeer(t, c, Message{Type: MsgAppend, From: "n1", Term: term, Index: 1, LogTerm: 1, Commit: 4, Entries: []Entry{{Term: 2}, {Term: 4}, {Term: term}}})
+	must.Eq(t, 4, c.commit)
+}
