replica: a membership with text that isn't UTF-8 is refused

Cause: a leader checked IDs for being empty or double only. A membership whose ID, address or data centre isn't UTF-8 would end each member that gets its entry, and the leader at its next start.

Ruled out, by reading: that today's callers can bring it about. Join requests are decoded strictly, and addresses follow from IDs.

Change: ProposeMembership, and New for the initial one, return ErrConfig.

Evidence: TestMembershipThatIsNotUTF8IsRefused fails on the code before (no error) and passes now.

--- a/replica/members.go
+++ b/replica/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
@@ -150,8 +151,8 @@
 	return s.Snapshot.Members, nil
 }
 
-// checkMembers returns ErrConfig for a membership with an empty or duplicate ID or
-// without a voter that may lead.
+// checkMembers returns ErrConfig for a membership with an empty or duplicate ID, with text that isn't
+// valid UTF-8 or without a voter that may lead.
 func checkMembers(members []Member) error {
 	seen := make(map[string]bool, len(members))
 	leaders := 0
@@ -159,6 +160,10 @@
 		if m.ID == "" || seen[m.ID] {
 			return errors.Wrapf(ErrConfig, "member ID %q is empty or duplicate", m.ID)
 		}
+		// Such text can be encoded but not decoded.
+		if !utf8.ValidString(m.ID) || !utf8.ValidString(m.Address) || !utf8.ValidString(m.DataCentre) {
+			return errors.Wrapf(ErrConfig, "member %q has text that isn't valid UTF-8", m.ID)
+		}
 		seen[m.ID] = true
 		if !m.Learner && !m.Witness {
 			leaders++
--- a/replica/safety_test.go
+++ b/replica/safety_test.go
@@ -224,3 +224,17 @@
 	stepFromPeer(t, c, Message{Type: MsgAppend, From: "n1", Term: term, Index: 1, LogTerm: 1, Commit: 4, Entries: []Entry{{Term: 2}, {Term: 4}, {Term: term}}})
 	must.Eq(t, 4, c.commit)
 }
+
+// Guards against a membership that no member can decode: each that received it would end, and again at each
+// start.
+func TestMembershipThatIsNotUTF8IsRefused(t *testing.T) {
+	const invalid = "\xff\xfe"
+	c := leaderCore(t, "n0", "n1", "n2")
+	ackAll(t, c, "n1", c.now)
+	c.Advance(c.Ready())
+	for _, m := range []Member{{ID: invalid}, {ID: "n3", Address: invalid}, {ID: "n3", DataCentre: invalid}} {
+		m.Learner = true
+		_, _, err := c.ProposeMembership(append(withoutMember(c.members.current(), ""), m))
+		must.ErrorIs(t, err, ErrConfig)
+	}
+}
