--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/go-kit/log"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/bilberryferry/bilberryferry/internal/carrier"
 	"github.com/bilberryferry/bilberryferry/internal/control"
@@ -14,6 +13,7 @@
 	"github.com/bilberryferry/bilberryferry/internal/member"
 	replicatedlog "github.com/bilberryferry/bilberryferry/internal/node"
 	"github.com/bilberryferry/bilberryferry/internal/overload"
+	"github.com/bilberryferry/bilberryferry/internal/panics"
 )
 
 // DeploymentClient calls the workers, the adviser and the machine list of a
@@ -77,7 +77,7 @@
 
 	workCtx, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
-	group, groupCtx := errgroup.WithContext(workCtx)
+	group, groupCtx := panics.NewGroup(workCtx)
 	p.serveComponents(groupCtx, group, c, func(next *Settings) {
 		c.gateway.SetSeeds(next.seedAddresses())
 		logMember.SetSeeds(next.seedHosts())
@@ -116,14 +116,14 @@
 		Address: c.internalAddress, PublicAddress: s.ControlAddress, Workers: c.deployment, Adviser: c.deployment, Client: c.client,
 		Logger: p.logger, Counters: p.metrics, Leader: logMember.Leader, Members: logMember.Addresses,
 		Bounds: s.controlBounds(), Disabled: s.DisabledMechanisms, Instance: s.Instance, LoadControl: s.LoadControl, OrdersByHeartbeat: s.WorkerOrders == ordersHeartbeat,
-		Work: p.work, SchedulingDelay: p.delayForLeader.Take,
+		Work: p.work, SchedulingDelay: p.delayForLeader.Take, MemoryBytes: int64(s.MemoryMB) << 20,
 	}
 	if s.MachineListAddress != "" {
 		cfg.Machines = c.deployment
 	}
 	controller := p.newController(cfg, stateMachine, replicatedLog, c)
 	c.operations.setLocalController(controller)
-	group, ctx := errgroup.WithContext(workCtx)
+	group, ctx := panics.NewGroup(workCtx)
 	group.Go(func() error { return controller.Run(ctx) })
 	group.Go(func() error { return c.gateway.AnnounceToLeader(ctx) })
 	group.Go(func() error { return logMember.Run(ctx) })
