--- a/internal/cell/serve.go
+++ b/internal/cell/serve.go
@@ -50,7 +50,7 @@
 		}
 	}
 	c, err := p.openGroups(ctx)
-	if ctx.Err() != nil && errors.IsAny(err, wal.ErrDiskFull, vfs.ErrLocked) {
+	if ctx.Err() != nil && errors.IsAny(err, wal.ErrDiskRefuses, vfs.ErrLocked) {
 		return nil
 	}
 	if err != nil {
@@ -105,6 +105,7 @@
 		HeartbeatTicks: int(timing.Heartbeat / timing.Tick),
 		Seed:           xxhash.Sum64String(b.Instance.ID + "/" + name),
 		Logger:         b.Logger,
+		Fatal:          b.Fatal,
 	}
 	if b.Instance.DataFolder != "" {
 		config.Folder = filepath.Join(b.Instance.DataFolder, name)
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/bilberryferry/bilberryferry/admission"
 	"github.com/bilberryferry/bilberryferry/fault"
 	"github.com/bilberryferry/bilberryferry/internal/link"
@@ -175,6 +177,10 @@
 	if id == "" {
 		return SubmitReply{}, fault.Field("id", "a job needs an id")
 	}
+	var invalid *workflow.CheckError
+	if errors.As(workflow.Check(r.Payload, r.Steps, r.Schedule), &invalid) {
+		return SubmitReply{}, fault.Field(string(invalid.Field), "%s", invalid.Message)
+	}
 	start := time.Now()
 	submission := workflow.Submission{
 		ID: id, Queue: queue.Identity(), Payload: r.Payload, Steps: r.Steps, Schedule: r.Schedule, Policy: queue.Policy,
@@ -191,8 +197,11 @@
 		t.logger.Log("event", "submit", "job", id, "queue", queue.Name, "outcome", fault.KindOf(err), "err", err)
 		return SubmitReply{}, err
 	}
-	if result.Submit == workflow.SubmitConflict {
+	switch result.Submit {
+	case workflow.SubmitConflict:
 		return SubmitReply{}, fault.New(fault.Conflict, "the id %s is taken", id)
+	case workflow.SubmitInvalid:
+		return SubmitReply{}, fault.Field("job", "refused by the replicated state")
 	}
 	known := result.Submit == workflow.SubmitKnown
 	if !known {
--- a/internal/instance/process.go
+++ b/internal/instance/process.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"fmt"
@@ -14,7 +15,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/bilberryferry/bilberryferry/internal/apiserver"
 	"github.com/bilberryferry/bilberryferry/internal/control"
@@ -23,6 +23,7 @@
 	"github.com/bilberryferry/bilberryferry/internal/link"
 	"github.com/bilberryferry/bilberryferry/internal/oplog"
 	"github.com/bilberryferry/bilberryferry/internal/overload"
+	"github.com/bilberryferry/bilberryferry/internal/panics"
 	"github.com/bilberryferry/bilberryferry/internal/peermem"
 	"github.com/bilberryferry/bilberryferry/internal/rpc"
 	"github.com/bilberryferry/bilberryferry/internal/settings"
@@ -63,6 +64,7 @@
 
 // process holds the settings, the log and the metrics of a running daemon.
 type process struct {
+	role     string
 	settings *Settings
 	// settingsContent is the content of the file at settingsPath that settings were read from.
 	settingsPath, settingsContent string
@@ -72,6 +74,8 @@
 	logger  log.Logger
 	metrics *oplog.Metrics
 	files   vfs.FS
+	// run is this run of the process as it is recorded in the data folder; nil without one.
+	run *recordedRun
 	// budgets bound the memory that each server holds for its clients.
 	budgets map[*http.Server]*peermem.Budget
 	// work sums up the time of a core instance's parts. The scheduling delays are measured while load control is
@@ -86,6 +90,8 @@
 	run     func(context.Context, *process) error
 	files   vfs.FS
 	hangups <-chan os.Signal
+	// ownsProcess says that the process runs nothing but this daemon.
+	ownsProcess bool
 }
 
 // WithFiles returns the daemon with another file system for its data folder than that of the
@@ -99,7 +105,7 @@
 // code. The path of the settings file is the first argument, or else SettingsEnv. Each signal
 // of hangups makes it check that file for changes.
 func Main(d Daemon, hangups <-chan os.Signal) int {
-	d.hangups = hangups
+	d.hangups, d.ownsProcess = hangups, true
 	// Otherwise a write to standard output or error ends the process once the reader is gone.
 	signal.Ignore(syscall.SIGPIPE)
 	path := os.Getenv(SettingsEnv)
@@ -134,20 +140,65 @@
 		debug.SetMemoryLimit(int64(settings.MemoryMB) << 20 * memoryLimitPercent / 100)
 	}
 	sink := oplog.NewSink(out)
-	defer sink.Close()
 	p := &process{
-		settings: settings, settingsPath: path, settingsContent: content, hangups: d.hangups,
+		role: d.role, settings: settings, settingsPath: path, settingsContent: content, hangups: d.hangups,
 		sink: sink, metrics: oplog.NewMetrics(), files: d.files, work: worktime.NewLedger(),
 		budgets: map[*http.Server]*peermem.Budget{},
 	}
 	p.logger = oplog.NewLogger(sink, settings.Instance)
 	_ = p.logger.Log("event", "start", "role", d.role, "address", settings.Address, "data_centre", settings.DataCentre,
 		"seeds", len(settings.Seeds), "first_start", settings.FirstStart, "load_control", settings.LoadControl)
+	if d.ownsProcess {
+		panics.SetReporter(p.logPanic)
+	}
+	defer panics.Handle()
+	p.beginRun(d.ownsProcess)
 	err = d.run(ctx, p)
-	_ = p.logger.Log("event", "stop", "role", d.role, "err", err)
+	p.recordEnd(stopCause(ctx), err)
 	return err
 }
 
+// causeFailure is the cause of a stop that nothing asked for.
+const causeFailure = "failure"
+
+// stopCause returns what asked the process to stop, such as a signal by its name; if nothing has, a
+// part of the process failed.
+func stopCause(ctx context.Context) string {
+	if ctx.Err() == nil {
+		return causeFailure
+	}
+	return context.Cause(ctx).Error()
+}
+
+// recordEnd records the end of the process, which cause asked for, and logs it as the last line.
+func (p *process) recordEnd(cause string, err error) {
+	p.run.end(err)
+	p.logLast(oplog.CloseTimeout, "event", "stop", "role", p.role, "cause", cause, "err", err)
+}
+
+// fatal ends the process at once, after a line with the reason.
+func (p *process) fatal(err error) {
+	p.recordEnd(causeFailure, err)
+	os.Exit(ExitFailed)
+}
+
+// panicLogTimeout bounds how long a panic waits for its line to be written. Other goroutines still
+// run meanwhile, with whatever state the panic has left.
+const panicLogTimeout = 50 * time.Millisecond
+
+// logPanic logs a panic, which ends the process, as its last line.
+func (p *process) logPanic(report panics.Report) {
+	p.logLast(panicLogTimeout, "event", "panic", "role", p.role, "reason", report.Reason, "place", report.Place)
+}
+
+// logLast logs the last line of the process, whatever the limits of the log say, and waits for
+// timeout at most until all lines are written.
+func (p *process) logLast(timeout time.Duration, fields ...any) {
+	var line bytes.Buffer
+	_ = oplog.NewLogger(&line, p.settings.Instance).Log(fields...)
+	p.sink.CloseWith(line.Bytes(), timeout)
+}
+
 // newServer returns a server with time limits against stalled and idle connections.
 func newServer(address string, handler http.Handler) *http.Server {
 	return &http.Server{
@@ -198,20 +249,21 @@
 }
 
 // serve runs a server in group until Shutdown or Close is called.
-func (p *process) serve(ctx context.Context, group *errgroup.Group, server *http.Server) {
+func (p *process) serve(ctx context.Context, group *panics.Group, server *http.Server) {
 	p.serveAndNotify(ctx, group, server, func() {})
 }
 
 // serveAndNotify is like serve and calls listening once the server listens.
-func (p *process) serveAndNotify(ctx context.Context, group *errgroup.Group, server *http.Server, listening func()) {
+func (p *process) serveAndNotify(ctx context.Context, group *panics.Group, server *http.Server, listening func()) {
 	budget := p.budgets[server]
+	logServerErrors(server, p.logger)
 	budget.Serve(server, refuseForMemory)
 	group.Go(func() error { return listenAndServe(ctx, server, budget, p.logger, listening) })
 }
 
 // serveMetrics serves the metrics if the settings name an address. It returns the server
 // in either case.
-func (p *process) serveMetrics(ctx context.Context, group *errgroup.Group) *http.Server {
+func (p *process) serveMetrics(ctx context.Context, group *panics.Group) *http.Server {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", p.metrics)
 	server := newServer(p.settings.MetricsAddress, mux)
@@ -223,7 +275,7 @@
 }
 
 // serveAPI serves the product API if the settings name an address.
-func (p *process) serveAPI(ctx context.Context, group *errgroup.Group, c *components) {
+func (p *process) serveAPI(ctx context.Context, group *panics.Group, c *components) {
 	c.apiServer = newInternalServer(p.settings.APIAddress, nil)
 	p.limitServer(c.apiServer, "api", maxAuxiliaryConnections, false, auxiliaryMemory)
 	if p.settings.APIAddress == "" {
@@ -274,7 +326,7 @@
 
 // serveComponents serves other instances, the metrics and the product API, and calls changed
 // with changed settings.
-func (p *process) serveComponents(ctx context.Context, group *errgroup.Group, c *components, changed func(*Settings)) {
+func (p *process) serveComponents(ctx context.Context, group *panics.Group, c *components, changed func(*Settings)) {
 	p.serve(ctx, group, c.internalServer)
 	c.metricsServer = p.serveMetrics(ctx, group)
 	p.serveAPI(ctx, group, c)
@@ -287,7 +339,7 @@
 func (c *components) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), internalCloseTimeout)
 	defer cancel()
-	var closing errgroup.Group
+	closing, _ := panics.NewGroup(ctx)
 	for _, server := range []*http.Server{c.internalServer, c.metricsServer, c.apiServer} {
 		closing.Go(func() error { return errors.CombineErrors(server.Shutdown(ctx), server.Close()) })
 	}
--- a/internal/node/snapshot.go
+++ b/internal/node/snapshot.go
@@ -8,8 +8,8 @@
 	"github.com/bilberryferry/bilberryferry/replica"
 )
 
-// snapshotRetryDelay is the minimum delay before the next snapshot after one that found
-// the disk full.
+// snapshotRetryDelay is the minimum delay before the next snapshot after one that the
+// disk refused.
 const snapshotRetryDelay = time.Second
 
 // snapshotter takes one snapshot at a time. A separate goroutine writes the snapshot, and
@@ -22,9 +22,13 @@
 	// commands applied since the latest start of a snapshot. Both are in bytes.
 	lastBytes, pendingBytes int
 
+	// skippedIndex is the index of the last entry that was skipped, 0 for none. The next snapshot is due
+	// at once, so that no member receives the entry any more.
+	skippedIndex uint64
+
 	running bool
 	done    chan snapshotResult
-	// notBefore is when the next snapshot may start after one found the disk full.
+	// notBefore is when the next snapshot may start after the disk refused one.
 	notBefore time.Time
 	writers   sync.WaitGroup
 }
@@ -60,7 +64,7 @@
 }
 
 func (g *Group) snapshotDue() bool {
-	return g.applied-g.snapshots.lastIndex >= g.cfg.SnapshotEntries ||
+	return g.snapshots.skippedIndex > g.snapshots.lastIndex || g.applied-g.snapshots.lastIndex >= g.cfg.SnapshotEntries ||
 		g.snapshots.pendingBytes >= max(g.cfg.SnapshotBytes, g.snapshots.lastBytes)
 }
 
@@ -84,7 +88,7 @@
 // snapshot that is older than one received from another member.
 func (g *Group) completeSnapshot(r snapshotResult) error {
 	g.snapshots.running = false
-	if vfs.IsDiskFull(r.err) {
+	if vfs.IsRefused(r.err) {
 		// The log continues without this snapshot, and a later snapshot covers its
 		// entries.
 		_ = g.logger.Log("event", "snapshot", "outcome", "failed", "err", r.err)
@@ -103,6 +107,9 @@
 		}
 	}
 	g.core.Compact(r.snapshot)
+	if g.snapshots.skippedIndex > 0 && r.snapshot.Index >= g.snapshots.skippedIndex {
+		g.core.DropThrough(g.snapshots.skippedIndex)
+	}
 	g.snapshots.lastIndex = r.snapshot.Index
 	g.snapshots.lastBytes = len(r.snapshot.Data)
 	g.counters.snapshots.Add(1)
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
 
+	"github.com/bilberryferry/bilberryferry/codec"
 	"github.com/bilberryferry/bilberryferry/customer"
 )
 
@@ -94,6 +94,18 @@
 	return true
 }
 
+// HasLiveRuns reports whether a run of the job may be alive.
+func (j *Job) HasLiveRuns() bool {
+	for _, steps := range j.Occurrences {
+		for i := range steps {
+			if steps[i].Live() > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Phase is the progress of a job, as callers see it.
 type Phase uint8
 
@@ -207,14 +219,14 @@
 			flat.RunList = append(flat.RunList, run)
 		}
 	}
-	encoded, err := cbor.Marshal(&flat)
+	encoded, err := codec.Marshal(&flat)
 	return encoded, errors.Wrap(err, "encode the workflow state")
 }
 
 // Restore decodes a state that Snapshot encoded.
 func Restore(encoded []byte) (*State, error) {
 	s := NewState()
-	if err := cbor.Unmarshal(encoded, s); err != nil {
+	if err := codec.Unmarshal(encoded, s); err != nil {
 		return nil, errors.Wrap(err, "decode the workflow state")
 	}
 	s.customers = customer.NewDirectory(s.Configuration.Customers)
@@ -236,17 +248,28 @@
 // step returns a step and its job, nil for both if there is no such step.
 func (s *State) step(key StepKey) (*Job, *StepState) {
 	job := s.Jobs[key.Job]
-	if job == nil || key.Occurrence >= len(job.Occurrences) || key.Step >= len(job.Steps) {
+	if job == nil || !hasIndex(job.Occurrences, key.Occurrence) || !hasIndex(job.Steps, key.Step) {
 		return nil, nil
 	}
 	return job, &job.Occurrences[key.Occurrence][key.Step]
 }
 
+// hasIndex reports whether a slice has an element with an index.
+func hasIndex[T any](elements []T, index int) bool { return index >= 0 && index < len(elements) }
+
+// task returns the state of a task, nil if there is no such task.
+func (s *StepState) task(index int) *Task {
+	if !hasIndex(s.Tasks, index) {
+		return nil
+	}
+	return &s.Tasks[index]
+}
+
 // Task returns the state of a task, nil if there is no such task.
 func (s *State) Task(key TaskKey) *Task {
 	_, step := s.step(key.StepKey)
-	if step == nil || key.Index >= len(step.Tasks) {
+	if step == nil {
 		return nil
 	}
-	return &step.Tasks[key.Index]
+	return step.task(key.Index)
 }
