--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -114,7 +114,7 @@
 
 // emptyFitCount returns how many tasks of s would fit on w if it ran nothing else.
 func emptyFitCount(s *Step, w *Worker) int {
-	n := s.Spec.Demand().FitCount(w.Capacity)
+	n := min(s.Spec.Demand().FitCount(w.Capacity), MaxRunsPerWorker)
 	if s.Spec.MaxPerWorker > 0 {
 		n = min(n, s.Spec.MaxPerWorker)
 	}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -407,9 +407,13 @@
 	if s.Spec.MaxPerWorker > 0 {
 		n = min(n, s.Spec.MaxPerWorker-s.Placed[w.ID])
 	}
-	return max(n, 0)
+	return max(min(n, MaxRunsPerWorker-w.Runs-w.plannedStarts), 0)
 }
 
+// MaxRunsPerWorker bounds the runs on a worker. Tasks that demand nothing would otherwise all start on one worker, whose
+// reports would be too long, and the leader has memory for the calls and orders of each start.
+const MaxRunsPerWorker = 2000
+
 // startTasks starts as many tasks of s as possible, one by one, and returns how many remain.
 func (p *planner) startTasks(s *Step) int {
 	candidates := p.candidates(s)
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -33,6 +33,8 @@
 	claimedMilliCPU int64
 	// plannedStarts counts the starts that the plan has placed on the worker.
 	plannedStarts int
+	// Runs counts the runs that may be alive on the worker, with the starts that are being committed.
+	Runs int
 	// Serving says that tasks with a latency objective run on the worker.
 	Serving bool
 	// SpareRuns counts the runs on the worker that use only spare CPU, which the other runs
--- a/internal/control/workers.go
+++ b/internal/control/workers.go
@@ -29,15 +29,18 @@
 	suspects map[string]bool
 	// proposed are the resources of starts that are being committed, by worker.
 	proposed map[string]workflow.Resources
+	// proposedRuns counts these starts.
+	proposedRuns map[string]int
 }
 
 // newWorkerGathering returns a gathering for a decision at the given time. t.mu must be held.
 func (t *leaderTerm) newWorkerGathering(s *workflow.State, now time.Time) *workerGathering {
-	g := &workerGathering{t: t, s: s, now: now, suspects: t.suspectedDataCentres(now), proposed: map[string]workflow.Resources{}}
+	g := &workerGathering{t: t, s: s, now: now, suspects: t.suspectedDataCentres(now), proposed: map[string]workflow.Resources{}, proposedRuns: map[string]int{}}
 	t.recordSuspectedDataCentres(g.suspects, now)
 	for task, worker := range t.proposedStarts {
 		if job := s.Jobs[task.Job]; job != nil && s.Runs[worker][task].Number == 0 {
 			g.proposed[worker] = g.proposed[worker].Plus(job.Steps[task.Step].Demand())
+			g.proposedRuns[worker]++
 		}
 	}
 	return g
@@ -85,7 +88,7 @@
 	_, changes := g.s.Used(id)
 	summary := g.t.summarizeRuns(g.s, session, changes, g.now)
 	return dispatch.Worker{
-		Worker: state.Worker, Free: free, FreeBeforePlan: free, Releases: summary.releases, Penalty: session.penalty(), Earmarked: g.t.earmarked[id],
+		Worker: state.Worker, Free: free, FreeBeforePlan: free, Runs: len(g.s.Runs[id]) + g.proposedRuns[id], Releases: summary.releases, Penalty: session.penalty(), Earmarked: g.t.earmarked[id],
 		SpeedClass: session.speedClass(), SpeedPercent: session.speed.Percent(),
 		Serving: summary.serving, SpareRuns: summary.spareRuns, SpareCPUPercent: session.throttle.share,
 	}, true
