--- a/customer/customer.go
+++ b/customer/customer.go
@@ -53,10 +53,14 @@
 	return fmt.Sprintf("customer %q: %s: %s", e.Customer, e.Field, e.Message)
 }
 
+// MaxKeys is how many keys all customers may have together. A process keeps some hundred bytes for each.
+const MaxKeys = 50_000
+
 // Check returns an *InvalidError for the first customer that can't be configured, nil if there is
 // none: each needs a name of its own, keys that no other customer has, a weight of 0 or more and no
-// negative limit.
+// negative limit, and all together have MaxKeys keys at most.
 func Check(customers []Customer) error {
+	keys := 0
 	names := make(map[string]bool, len(customers))
 	owners := map[Digest]string{}
 	for i := range customers {
@@ -68,6 +72,9 @@
 			return &InvalidError{FieldName, c.Name, "two customers have this name"}
 		}
 		names[c.Name] = true
+		if keys += len(c.Keys); keys > MaxKeys {
+			return &InvalidError{FieldKeys, c.Name, fmt.Sprintf("more than %d keys of all customers", MaxKeys)}
+		}
 		for _, key := range c.Keys {
 			if owner, taken := owners[key]; taken && owner != c.Name {
 				return &InvalidError{FieldKeys, c.Name, fmt.Sprintf("customer %q has the same key", owner)}
--- a/workflow/check.go
+++ b/workflow/check.go
@@ -150,3 +150,6 @@
 }
 
 func isWorkerText(text string) bool { return len(text) <= MaxWorkerTextBytes && utf8.ValidString(text) }
+
+// MaxServices is how many services a configuration may have.
+const MaxServices = 10_000
