--- a/replica/step.go
+++ b/replica/step.go
@@ -9,8 +9,8 @@
 
 // Step handles a message from another member. It drops messages of superseded
 // incarnations, for another incarnation of this member, and of past terms without an
-// error. It returns ErrBadMessage for a message that isn't addressed to this member
-// or has an unknown type.
+// error. It returns ErrBadMessage for a message that isn't addressed to this member,
+// has an unknown type, or has a term or an incarnation that no member reaches.
 //
 // A message may be meant for an earlier incarnation of this member, which has lost its
 // state since, and reach the current one. Each type is safe for its own reason:
@@ -43,6 +43,9 @@
 	if m.To != c.cfg.ID || m.From == "" || m.From == c.cfg.ID {
 		return errors.Wrapf(ErrBadMessage, "from %q to %q", m.From, m.To)
 	}
+	if err := c.checkExtremes(&m); err != nil {
+		return err
+	}
 	if m.Incarnation < c.incarnations.of(m.From) {
 		c.onEarlierIncarnation(m)
 		return nil
@@ -85,6 +88,31 @@
 	return nil
 }
 
+const (
+	// maxIncarnation bounds the incarnations in messages. They are wall clocks in milliseconds.
+	maxIncarnation = 1 << 53
+	// maxTermStep bounds how far the term of a message may be ahead. The first term of a group follows from the
+	// highest incarnation, and each election adds one.
+	maxTermStep = 2 * maxIncarnation / incarnationsPerTerm
+)
+
+// checkExtremes returns ErrBadMessage for a message with a term or an incarnation that no member reaches. A member that
+// took the highest term from a message could hold no further election, at none of its starts.
+func (c *Core) checkExtremes(m *Message) error {
+	if m.Term > c.term && m.Term-c.term > maxTermStep {
+		return errors.Wrapf(ErrBadMessage, "term %d after term %d", m.Term, c.term)
+	}
+	if m.Incarnation > maxIncarnation {
+		return errors.Wrapf(ErrBadMessage, "incarnation %d", m.Incarnation)
+	}
+	for _, k := range m.KnownIncarnations {
+		if k.Incarnation > maxIncarnation {
+			return errors.Wrapf(ErrBadMessage, "incarnation %d of %q", k.Incarnation, k.ID)
+		}
+	}
+	return nil
+}
+
 // onEarlierIncarnation drops a message of an incarnation of the sender that is earlier than the
 // known one. The sender may be the latest process after all, whose wall clock went back, and must
 // learn of the known incarnation, so that it takes a later one (see recordOwnIncarnation);
