gateway: a leader that denies that it leads isn't tried by all calls because others name it

What callers see: after an election nothing is served for seconds on a slow disk, and leaders don't last.

While a leader waited for its first commit, core-0 received 7,244 calls of announce and 4,735 of follow in a second, and used 0.82 s of processor in it (event=work); the group changed its leader three times within 10 s. The slow syncs came first; whether the calls made it worse isn't shown.

Cause: a try at an instance that leads and can't decide yet, or no longer leads, is denied without the name of another; the leader becomes unknown, the search asks a follower, which names the same instance, and it is the leader again for all waiting calls, without a pause. The slot for one search at a time bounds calls that find no name, not these.

Ruled out: that a mark after any failed try would do: a leader that is slow under load would then be tried with the short time limit of a search only.

Change: what others name isn't taken for the leader within 500 ms of its own denial; the one call that searches tries it, and the first response makes it the leader for all. A call waits up to 60 ms longer for a leader that has just become able to decide.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -116,9 +116,11 @@
 		return
 	}
 	c.failedLeader = tried
+	if errors.Is(err, link.ErrNotLeader) {
+		c.g.recordDenial(tried)
+	}
 	hint := link.LeaderOf(err)
-	if hint != "" && hint != tried {
-		c.g.SuggestLeader(hint)
+	if hint != "" && hint != tried && c.g.SuggestLeader(hint) {
 		return
 	}
 	c.g.clearLeader(tried)
@@ -141,8 +143,11 @@
 		if settled {
 			return true, err
 		}
-		if hint := link.LeaderOf(err); hint != "" && hint != address {
-			c.g.SuggestLeader(hint)
+		if hint := link.LeaderOf(err); hint != "" && hint != address && !c.g.SuggestLeader(hint) {
+			// The other calls don't try it meanwhile.
+			if settled, err := c.tryMember(ctx, hint, leaderChanged, reply); settled {
+				return true, err
+			}
 		}
 	}
 	if leader, _ := c.g.currentLeader(); leader == "" {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,6 +42,9 @@
 	// longer to exclude the instance, since it needs two failed checks and makes one per
 	// second.
 	contactTimeout = 1200 * time.Millisecond
+	// denialTime is how long an instance that denied that it leads isn't taken for the leader because
+	// others name it. Meanwhile only the call that searches tries it.
+	denialTime = 500 * time.Millisecond
 	// RetryAfter is the delay after which callers are told to retry if no leader could be
 	// reached: the duration of an election.
 	RetryAfter = time.Second
@@ -88,6 +91,8 @@
 	// each of them.
 	followerCursor    int
 	unresponsiveUntil map[string]time.Time
+	// deniedAt holds when instances have denied that they lead.
+	deniedAt map[string]time.Time
 }
 
 // Counters counts by metric name.
@@ -109,6 +114,7 @@
 		searchSlot: make(chan struct{}, 1), leaderChanged: make(chan struct{}),
 		versionOrder:      versionOrder{logger: logger},
 		unresponsiveUntil: map[string]time.Time{},
+		deniedAt:          map[string]time.Time{},
 	}
 }
 
@@ -182,11 +188,38 @@
 }
 
 // SuggestLeader records the address of the leader that a member names, before that leader
-// has responded itself.
-func (g *Gateway) SuggestLeader(leader string) {
+// has responded itself. It records nothing and reports false if that instance has denied within
+// denialTime that it leads.
+//
+// A member names a leader that can't decide yet, or no longer. If that made it the leader again, each
+// waiting call would try it at once, and that load can keep it from ever deciding.
+func (g *Gateway) SuggestLeader(leader string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if deniedAt, denied := g.deniedAt[leader]; denied && time.Since(deniedAt) < denialTime {
+		return false
+	}
 	g.setLeader(leader)
+	return true
+}
+
+// recordDenial records that the instance at address has denied that it leads.
+func (g *Gateway) recordDenial(address string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for other, deniedAt := range g.deniedAt {
+		if time.Since(deniedAt) >= denialTime {
+			delete(g.deniedAt, other)
+		}
+	}
+	g.deniedAt[address] = time.Now()
+}
+
+// forgetDenial records that the instance at address has responded as the leader to a question for the leader.
+func (g *Gateway) forgetDenial(address string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.deniedAt, address)
 }
 
 // recordLeader records that the instance at address has responded as the leader.
@@ -194,6 +227,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.lastResponse = time.Now()
+	delete(g.deniedAt, address)
 	g.setLeader(address)
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -142,6 +142,38 @@
 	must.NoError(t, group.Wait())
 }
 
+// Guards against calls that try a leader again and again without a pause that can't decide yet, because another member
+// names it: thousands of tries in a second keep it from deciding, and the system stops serving.
+func TestLeaderThatOthersNameIsNotTriedByAllCallsAgainAndAgain(t *testing.T) {
+	var tries atomic.Int64
+	var leads atomic.Bool
+	leader := startCancelServer(t, func() error {
+		tries.Add(1)
+		if leads.Load() {
+			return nil
+		}
+		return link.NotLeader("")
+	})
+	follower := startCancelServer(t, func() error { return link.NotLeader(leader) })
+	g := New(link.NewClient(maxConnections), "own", []string{follower, leader}, log.NewNopLogger())
+	const calls = 50
+	var group errgroup.Group
+	for range calls {
+		group.Go(func() error {
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			_, err := Call[control.Empty](ctx, g, control.MethodCancel, &control.CancelCall{})
+			return err
+		})
+	}
+	const searches = 5
+	time.Sleep(searches * searchInterval)
+	// Each call tries the leader once; after that, one search at a time tries it as named and as a member.
+	must.LessEq(t, calls+2*(searches+1), tries.Load())
+	leads.Store(true)
+	must.NoError(t, group.Wait())
+}
+
 // A leader vanishes without closing its connections, and the other members elect another
 // one. A call that looks for the new leader only after its try has timed out is late.
 func TestTryAtUnresponsiveLeaderEndsWhenAnotherIsFound(t *testing.T) {
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -28,8 +28,7 @@
 				continue
 			}
 			hint := g.leaderKnownBy(ctx, address)
-			if hint != "" && hint != leader && ctx.Err() == nil {
-				g.SuggestLeader(hint)
+			if hint != "" && hint != leader && ctx.Err() == nil && g.SuggestLeader(hint) {
 				return
 			}
 			wait.For(ctx, searchInterval)
@@ -46,6 +45,7 @@
 	var reply control.AnnounceInstanceReply
 	err := g.client.Call(ctx, address, control.MethodAnnounceInstance, &control.AnnounceInstanceCall{Address: g.ownAddress}, &reply)
 	if err == nil {
+		g.forgetDenial(address)
 		return address
 	}
 	return link.LeaderOf(err)
