--- a/workflow/apply.go
+++ b/workflow/apply.go
@@ -128,8 +128,7 @@
 		}
 		return SubmitKnown
 	}
-	// A job without steps can be applied, and ends at once.
-	if len(sub.Steps) > 0 && Check(sub.Payload, sub.Steps, sub.Schedule) != nil {
+	if !sub.canBeApplied() {
 		return SubmitInvalid
 	}
 	job := &Job{Submission: *sub, Index: index}
@@ -148,6 +147,14 @@
 	return SubmitAccepted
 }
 
+// canBeApplied reports whether the state can hold the job. A job without steps ends at once.
+func (s *Submission) canBeApplied() bool {
+	if len(s.Steps) == 0 {
+		return s.Schedule.Times >= 0 && s.Schedule.Times <= MaxOccurrences
+	}
+	return Check(s.Payload, s.Steps, s.Schedule) == nil
+}
+
 // cancel cancels a job and reports whether it exists.
 func (s *State) cancel(id string) bool {
 	job := s.Jobs[id]
--- a/workflow/fuzz_test.go
+++ b/workflow/fuzz_test.go
@@ -37,6 +37,7 @@
 	return []*Command{
 		{}, {Cancel: "j"}, {DeleteJobs: []string{"j", "j", ""}}, {GoneWorker: "w1", Crashed: true},
 		{Submit: &Submission{ID: "l", Steps: []Step{{Count: -1}}, Schedule: Schedule{Times: math.MaxInt}}},
+		{Submit: &Submission{ID: "l", Schedule: Schedule{Times: math.MaxInt}}},
 		{Submit: &Submission{ID: "l", Steps: []Step{{Count: 1, DependsOn: []int{1}}}}},
 		{Start: []Run{run, impossible}}, {Start: []Run{{Task: key(1, 0), Worker: "w2"}, {Task: key(1, 0), Worker: "w2"}}},
 		{Ends: &RunEnds{Worker: "w1", LastEnd: math.MaxUint64, Ends: []RunEnd{end, end}, Returned: true, Unmonitored: true}},
--- a/workflow/malformed_test.go
+++ b/workflow/malformed_test.go
@@ -32,6 +32,7 @@
 		"fewer than no tasks":        {Steps: []Step{smallStep(-1)}},
 		"too many tasks":             {Steps: []Step{smallStep(math.MaxInt)}},
 		"too many occurrences":       {Steps: []Step{smallStep(1)}, Schedule: Schedule{Times: math.MaxInt}},
+		"too many, each empty":       {Schedule: Schedule{Times: math.MaxInt}},
 		"fewer than no occurrences":  {Steps: []Step{smallStep(1)}, Schedule: Schedule{Times: -1}},
 		"a dependency out of range":  {Steps: []Step{dependent}},
 		"a step that waits for self": {Steps: []Step{itself}},
