--- a/replica/members.go
+++ b/replica/members.go
@@ -5,6 +5,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/bilberryferry/bilberryferry/codec"
 )
 
 // membershipHistory holds the memberships in the log, so that truncating an
@@ -132,7 +134,7 @@
 
 func decodeMembers(data []byte) ([]Member, error) {
 	var members []Member
-	if err := cbor.Unmarshal(data, &members); err != nil {
+	if err := codec.Unmarshal(data, &members); err != nil {
 		return nil, errors.Wrap(err, "decode membership entry")
 	}
 	return members, nil
