--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -115,7 +115,7 @@
 	if e.Failed {
 		return versions, e.err()
 	}
-	return versions, errors.Wrapf(codec.Unmarshal(e.Value, reply), "decode the response of %s", method)
+	return versions, errors.Wrapf(codec.UnmarshalMessage(e.Value, reply), "decode the response of %s", method)
 }
 
 // exchange sends a call and reads the body of the response.
@@ -140,7 +140,7 @@
 	if err != nil {
 		return e, fault.New(fault.Unknown, "%s: the response is incomplete: %v", method, err)
 	}
-	if err := codec.Unmarshal(responseBody, &e); err != nil {
+	if err := codec.UnmarshalMessage(responseBody, &e); err != nil {
 		return e, fault.New(fault.Unknown, "%s: the response with status %d can't be decoded: %v", method, response.StatusCode, err)
 	}
 	return e, nil
@@ -356,7 +356,7 @@
 // serveBody decodes the body of a request, serves it, and returns the body of the response.
 func serveBody[Request, Reply any](ctx context.Context, body []byte, serve func(context.Context, *Request) (Reply, error)) envelope {
 	request := new(Request)
-	if err := codec.Unmarshal(body, request); err != nil {
+	if err := codec.UnmarshalMessage(body, request); err != nil {
 		return errorEnvelope(fault.Field("body", "%v", err))
 	}
 	reply, err := serve(ctx, request)
