--- a/internal/vfs/faulty/faulty.go
+++ b/internal/vfs/faulty/faulty.go
@@ -16,6 +16,8 @@
 
 	// all says that operations of all kinds may be refused, not only those that need space.
 	all bool
+	// refuses, when set, says whether operations are refused now.
+	refuses func() bool
 
 	mu       sync.Mutex
 	accepted int
@@ -36,6 +38,12 @@
 // what it couldn't write from its cache.
 func NewBroken(files vfs.FS, err error) *FS { return &FS{FS: files, err: err, all: true} }
 
+// NewSwitched returns a file system like that of NewBroken that refuses operations while refuses returns
+// true.
+func NewSwitched(files vfs.FS, err error, refuses func() bool) *FS {
+	return &FS{FS: files, err: err, all: true, refuses: refuses}
+}
+
 // RefuseAfter makes the disk refuse operations, as many as refusals, after it has accepted a number of
 // further ones.
 func (f *FS) RefuseAfter(accepted, refusals int) {
@@ -71,6 +79,9 @@
 func (f *FS) check() error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.refuses != nil && f.refuses() {
+		return f.err
+	}
 	if f.accepted >= f.acceptLimit && f.refusals > 0 {
 		f.refusals--
 		return f.err
