--- a/replica/members.go
+++ b/replica/members.go
@@ -162,7 +162,7 @@
 		if m.ID == "" || seen[m.ID] {
 			return errors.Wrapf(ErrConfig, "member ID %q is empty or duplicate", m.ID)
 		}
-		// Such text can be encoded but not decoded.
+		// Few decoders accept such text.
 		if !utf8.ValidString(m.ID) || !utf8.ValidString(m.Address) || !utf8.ValidString(m.DataCentre) {
 			return errors.Wrapf(ErrConfig, "member %q has text that isn't valid UTF-8", m.ID)
 		}
