--- a/replica/recovery.go
+++ b/replica/recovery.go
@@ -21,6 +21,9 @@
 // needed a quorum of the committed membership first, so a majority of the latter shares a
 // member with every such quorum (the model spec/membership.pml checks this).
 type recovery struct {
+	// keepsLog says that the member recovers again and its log holds all that it acknowledged. The log of
+	// any other recovering member may end at a membership that the group has left since.
+	keepsLog         bool
 	replies          map[string]stateReply
 	requestCountdown int
 	// memberships are the memberships in the reply of the leader, empty before the leader
@@ -55,7 +58,7 @@
 // tickRecovering repeats the state requests and tries a cold start at each election
 // timeout.
 func (c *Core) tickRecovering() {
-	if c.onlyVoter() {
+	if c.recovery.keepsLog && c.onlyVoter() {
 		c.campaignAsSoleVoter()
 		return
 	}
--- a/replica/step.go
+++ b/replica/step.go
@@ -168,10 +168,12 @@
 	}
 	c.incarnation = incarnation + 1 + c.startDigest()%maxIncarnationSkip
 	c.incarnations.merge(MemberIncarnation{ID: c.cfg.ID, Incarnation: c.incarnation})
+	keepsLog := c.recovery.keepsLog
 	if c.role != Recovering {
 		c.recoverAgain()
+		keepsLog = true
 	}
-	c.recovery = recovery{}
+	c.recovery = recovery{keepsLog: keepsLog}
 	c.campaign = campaign{}
 }
 
