--- a/internal/node/failed_entries.go
+++ b/internal/node/failed_entries.go
@@ -7,10 +7,10 @@
 	"runtime/debug"
 
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/bilberryferry/bilberryferry/codec"
 	"github.com/bilberryferry/bilberryferry/internal/vfs"
 	"github.com/bilberryferry/bilberryferry/replica"
 )
@@ -67,7 +67,7 @@
 	}
 	var stored []failedEntry
 	if err == nil {
-		err = cbor.Unmarshal(data, &stored)
+		err = codec.Unmarshal(data, &stored)
 	}
 	if err != nil {
 		_ = level.Error(logger).Log("event", "failed_entries", "outcome", "unreadable", "err", err)
@@ -121,7 +121,7 @@
 	if f.path == "" {
 		return nil
 	}
-	data, err := cbor.Marshal(f.entries)
+	data, err := codec.Marshal(f.entries)
 	if err != nil {
 		return errors.Wrap(err, "encode the failed entries")
 	}
