--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 
@@ -174,12 +175,8 @@
 		return SubmitReply{}, err
 	}
 	queue, id := called.queue, called.id
-	if id == "" {
-		return SubmitReply{}, fault.Field("id", "a job needs an id")
-	}
-	var invalid *workflow.CheckError
-	if errors.As(workflow.Check(r.Payload, r.Steps, r.Schedule), &invalid) {
-		return SubmitReply{}, fault.Field(string(invalid.Field), "%s", invalid.Message)
+	if err := checkSubmission(id, r); err != nil {
+		return SubmitReply{}, err
 	}
 	start := time.Now()
 	submission := workflow.Submission{
@@ -213,6 +210,22 @@
 	return SubmitReply{Known: known}, nil
 }
 
+// checkSubmission returns a fault for a job that can't be accepted. Instances check what their callers send, in their
+// callers' terms; this check also bounds what the log holds of the calls of any other process.
+func checkSubmission(id string, r *SubmitCall) error {
+	if id == "" {
+		return fault.Field("id", "a job needs an id")
+	}
+	if len(id) > workflow.MaxIDBytes || !utf8.ValidString(id) {
+		return fault.Field("id", "not UTF-8 text of at most %d bytes", workflow.MaxIDBytes)
+	}
+	var invalid *workflow.CheckError
+	if errors.As(workflow.Check(r.Payload, r.Steps, r.Schedule), &invalid) {
+		return fault.Field(string(invalid.Field), "%s", invalid.Message)
+	}
+	return nil
+}
+
 // countTasks returns the number of tasks of all steps.
 func countTasks(steps []workflow.Step) (tasks int) {
 	for i := range steps {
@@ -388,6 +401,9 @@
 		return Empty{}, err
 	}
 	wave := r.Wave
+	if invalid := workflow.CheckWave(&wave); invalid != nil {
+		return Empty{}, fault.Field(string(invalid.Field), "%s", invalid.Message)
+	}
 	wave.AcceptedAtMS = time.Now().UnixMilli()
 	_, err = c.propose(ctx, &workflow.Command{Wave: &wave})
 	t.logger.Log("event", "wave", "wave", wave.ID, "machines", len(wave.Machines), "at_once", wave.MaxDown,
--- a/workflow/check.go
+++ b/workflow/check.go
@@ -151,5 +151,8 @@
 
 func isWorkerText(text string) bool { return len(text) <= MaxWorkerTextBytes && utf8.ValidString(text) }
 
+// MaxIDBytes bounds the ID of a job.
+const MaxIDBytes = 256
+
 // MaxServices is how many services a configuration may have.
 const MaxServices = 10_000
