--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -27,9 +27,9 @@
 	// takes a few milliseconds, and the operating system resends a lost first packet
 	// only after 1 s.
 	dialTimeout = 500 * time.Millisecond
-	// maxBodyBytes bounds the body of a request or response; a configuration with several
-	// thousand routes fits.
-	maxBodyBytes = 8 << 20
+	// maxBodyBytes bounds the body of a request or response. The longest request has a configuration of 8 MiB and its
+	// parsed form.
+	maxBodyBytes = 20 << 20
 	// maxIdlePerHost is the number of idle connections kept open per host: the usual
 	// number of concurrent calls.
 	maxIdlePerHost = 16
@@ -343,10 +343,13 @@
 
 // serveRequest reads the body of a request, serves it, and returns the body of the response.
 func (m *Mux) serveRequest(ctx context.Context, w http.ResponseWriter, r *http.Request, serve func(context.Context, []byte) envelope) envelope {
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes+1))
 	if err != nil {
 		return errorEnvelope(fault.New(fault.Unavailable, "the call can't be read: %v", err))
 	}
+	if len(body) > maxBodyBytes {
+		return errorEnvelope(fault.New(fault.Unavailable, "the call is longer than %d bytes", maxBodyBytes))
+	}
 	if m.gate.Load() != nil {
 		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	}
