--- a/replica/members.go
+++ b/replica/members.go
@@ -2,9 +2,12 @@
 
 import (
 	"slices"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/bilberryferry/bilberryferry/codec"
 )
 
 // membershipHistory holds the memberships in the log, so that truncating an
@@ -132,7 +135,7 @@
 
 func decodeMembers(data []byte) ([]Member, error) {
 	var members []Member
-	if err := cbor.Unmarshal(data, &members); err != nil {
+	if err := codec.Unmarshal(data, &members); err != nil {
 		return nil, errors.Wrap(err, "decode membership entry")
 	}
 	return members, nil
@@ -150,8 +153,8 @@
 	return s.Snapshot.Members, nil
 }
 
-// checkMembers returns ErrConfig for a membership with an empty or duplicate ID or
-// without a voter that may lead.
+// checkMembers returns ErrConfig for a membership with an empty or duplicate ID, with text that isn't
+// valid UTF-8 or without a voter that may lead.
 func checkMembers(members []Member) error {
 	seen := make(map[string]bool, len(members))
 	leaders := 0
@@ -159,6 +162,10 @@
 		if m.ID == "" || seen[m.ID] {
 			return errors.Wrapf(ErrConfig, "member ID %q is empty or duplicate", m.ID)
 		}
+		// Such text can be encoded but not decoded.
+		if !utf8.ValidString(m.ID) || !utf8.ValidString(m.Address) || !utf8.ValidString(m.DataCentre) {
+			return errors.Wrapf(ErrConfig, "member %q has text that isn't valid UTF-8", m.ID)
+		}
 		seen[m.ID] = true
 		if !m.Learner && !m.Witness {
 			leaders++
