--- a/internal/control/adviser_pool.go
+++ b/internal/control/adviser_pool.go
@@ -227,5 +227,5 @@
 // queryDuration returns how long the adviser is expected to take for a query about a
 // number of workers.
 func queryDuration(policy *workflow.AdvicePolicy, workers int) time.Duration {
-	return time.Duration((policy.BaseMS + policy.PerWorkerMS*float64(workers)) * float64(time.Millisecond))
+	return boundedDuration(policy.BaseMS + policy.PerWorkerMS*float64(workers))
 }
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -264,19 +264,30 @@
 }
 
 func objectiveFor(policy *workflow.Policy, criticalPathMS int64) time.Duration {
-	ms := policy.Stretch*float64(criticalPathMS) + float64(policy.ObjectiveMS)
-	return time.Duration(ms * float64(time.Millisecond))
+	return boundedDuration(policy.Stretch*float64(criticalPathMS) + float64(policy.ObjectiveMS))
 }
 
+// longestDuration bounds durations that are computed from what callers and configurations name. Small
+// multiples of it are still durations.
+const longestDuration = 10 * 365 * 24 * time.Hour
+
+// boundedDuration returns a number of milliseconds as a duration, longestDuration if it is more.
+func boundedDuration(ms float64) time.Duration {
+	return time.Duration(min(ms*float64(time.Millisecond), float64(longestDuration)))
+}
+
+// longestChainMS is longestDuration in milliseconds.
+const longestChainMS = int64(longestDuration / time.Millisecond)
+
 // criticalPathMS returns the estimated length of the longest chain of dependent steps, in
-// milliseconds.
+// milliseconds, at most longestChainMS.
 func criticalPathMS(steps []workflow.Step) (criticalPath int64) {
 	finish := make([]int64, len(steps))
 	for i := range steps {
 		for _, before := range steps[i].DependsOn {
 			finish[i] = max(finish[i], finish[before])
 		}
-		finish[i] += steps[i].EstimateMS
+		finish[i] = min(finish[i]+min(steps[i].EstimateMS, longestChainMS), longestChainMS)
 		criticalPath = max(criticalPath, finish[i])
 	}
 	return criticalPath
