--- a/internal/control/simulation_replica_test.go
+++ b/internal/control/simulation_replica_test.go
@@ -20,6 +20,8 @@
 	mu     sync.Mutex
 	random *rand.Rand
 	state  *StateMachine
+	// member applies the same commands.
+	member *simMember
 	index  uint64
 	// lastAt is when the last command is committed. Commands are committed in order.
 	lastAt time.Time
@@ -53,13 +55,20 @@
 	return at
 }
 
+// apply applies a committed command on both members and returns its result. s.mu must be held.
+func (s *simStore) apply(encoded []byte) any {
+	s.index++
+	result := s.state.Apply(s.index, encoded)
+	s.member.apply(s.index, encoded, s.state, result)
+	return result
+}
+
 // resolveUnknownOutcomes commits half of the commands with an unknown outcome and drops
 // the others. s.mu must be held.
 func (s *simStore) resolveUnknownOutcomes() {
 	for _, encoded := range s.unknownOutcome {
 		if oneIn(s.random, 2) {
-			s.index++
-			s.state.Apply(s.index, encoded)
+			s.apply(encoded)
 		}
 	}
 	s.unknownOutcome = nil
@@ -201,8 +210,7 @@
 		s.addUnknownOutcome(encoded)
 		return nil, unknownOutcomeError()
 	}
-	s.index++
-	applied := s.state.Apply(s.index, encoded)
+	applied := s.apply(encoded)
 	if result, ok := applied.(workflow.Result); ok && len(result.Started) > 0 && s.onStarts != nil {
 		s.onStarts(result.Started)
 	}
@@ -233,8 +241,7 @@
 		s.addUnknownOutcome(encoded)
 		return
 	}
-	s.index++
-	s.state.Apply(s.index, encoded)
+	s.apply(encoded)
 }
 
 func (r *simReplica) Barrier(ctx context.Context) error {
--- a/internal/control/simulation_test.go
+++ b/internal/control/simulation_test.go
@@ -74,7 +74,7 @@
 		startedAt: time.Now(), steps: map[string][]workflow.Step{}, leaveInterval: meanLeaveInterval,
 	}
 	sim.customers = newSimCustomers(sim, seed)
-	sim.store = &simStore{random: rand.New(rand.NewPCG(seed, simStoreStream)), state: sim.state}
+	sim.store = &simStore{random: rand.New(rand.NewPCG(seed, simStoreStream)), state: sim.state, member: newSimMember()}
 	sim.workers = &simWorkers{
 		checkLimits: sim.customers.checkLimits,
 		params:      sim.params, seed: seed, stepOf: sim.stepOf, eventLog: sim.eventLog, current: map[string]*simWorker{}, conns: map[string]*simWorker{}, calls: map[string]int{},
@@ -221,7 +221,9 @@
 	if err != nil {
 		sim.t.Fatal(err)
 	}
-	sim.state.Apply(0, encoded)
+	sim.store.mu.Lock()
+	defer sim.store.mu.Unlock()
+	sim.store.apply(encoded)
 }
 
 // run runs the simulation, and returns the violations found, nil for none.
@@ -259,7 +261,25 @@
 	if len(found) > 0 {
 		return found
 	}
-	return sim.awaitCompletion()
+	if difference := sim.memberDifference(); difference != "" {
+		return []string{difference}
+	}
+	found = sim.awaitCompletion()
+	if difference := sim.memberDifference(); difference != "" {
+		found = append(found, difference)
+	}
+	return found
+}
+
+// memberDifference says how another member that applied the same commands differs, empty if it doesn't.
+func (sim *simulation) memberDifference() string {
+	sim.store.mu.Lock()
+	defer sim.store.mu.Unlock()
+	sim.store.member.compare(sim.store.index, sim.state)
+	if sim.store.member.difference == "" {
+		return ""
+	}
+	return "the members differ: " + sim.store.member.difference
 }
 
 // advisedQueue returns the first queue that needs permits, nil if there is none.
