--- a/internal/node/apply.go
+++ b/internal/node/apply.go
@@ -21,6 +21,10 @@
 	for _, c := range pending {
 		switch c.kind {
 		case callPropose:
+			if g.failed.refuses(c.command) {
+				c.reply(nil, errSkipped())
+				continue
+			}
 			proposals = append(proposals, c)
 		case callBarrier:
 			barriers = append(barriers, c)
@@ -131,7 +135,7 @@
 	if g.failed.skips(e) {
 		g.snapshots.skippedIndex = e.Index
 		g.counters.skipped.Add(1)
-		return nil, fault.New(fault.Internal, "%v", ErrEntrySkipped)
+		return nil, errSkipped()
 	}
 	defer func() {
 		if cause := recover(); cause != nil {
@@ -144,6 +148,11 @@
 	return g.cfg.Machine.Apply(e.Index, e.Data), nil
 }
 
+// errSkipped returns the error of a command that changes nothing because it can't be applied.
+func errSkipped() error {
+	return errors.Mark(fault.New(fault.Internal, "%v", ErrEntrySkipped), ErrEntrySkipped)
+}
+
 // completeProposal replies to the call that proposed an entry at e.Index, if any.
 func (g *Group) completeProposal(e *replica.Entry, value any, err error) {
 	proposal, ok := g.proposals[e.Index]
--- a/internal/node/failed_entries.go
+++ b/internal/node/failed_entries.go
@@ -5,7 +5,9 @@
 	"os"
 	"path/filepath"
 	"runtime/debug"
+	"slices"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -21,8 +23,9 @@
 	// maxApplyAttempts is how often an entry may make the state machine panic before it is skipped.
 	// Each attempt after the first one starts from the state on disk.
 	maxApplyAttempts = 3
-	// maxReasonBytes bounds the stored text of a panic.
-	maxReasonBytes = 1000
+	// maxReasonBytes bounds the stored text of a panic, maxFailedEntries the entries that are stored.
+	maxReasonBytes   = 1000
+	maxFailedEntries = 64
 )
 
 // ErrEntryFailed marks the error of Run after an entry has made the state machine panic. The state
@@ -33,17 +36,18 @@
 // machine panic.
 var ErrEntrySkipped = errors.New("the command can't be applied")
 
-// failedEntry is an entry that made the state machine panic.
+// failedEntry is an entry that made the state machine panic. Digest is that of its command.
 type failedEntry struct {
 	Index    uint64 `cbor:"1,keyasint"`
 	Term     uint64 `cbor:"2,keyasint"`
 	Attempts int    `cbor:"3,keyasint"`
 	Reason   string `cbor:"4,keyasint"`
+	Digest   uint64 `cbor:"5,keyasint"`
 }
 
-// failedEntries are the entries that made the state machine panic since the member's snapshot. They are
-// kept on disk, so that a later start skips an entry that fails at each attempt. Without that, one such
-// entry would end every member of the group, and again at each start.
+// failedEntries are the latest entries that made the state machine panic. They are kept on disk, so that a
+// later start skips an entry that fails at each attempt. Without that, one such entry would end every
+// member of the group, and again at each start.
 //
 // Apply is deterministic, so all members that run the same program skip the same entries.
 type failedEntries struct {
@@ -53,9 +57,9 @@
 	entries []failedEntry
 }
 
-// openFailedEntries reads the failed entries of a log folder after the entry of its snapshot. The list is
-// empty and isn't stored if folder is empty.
-func openFailedEntries(files vfs.FS, folder string, snapshotIndex uint64, logger log.Logger) *failedEntries {
+// openFailedEntries reads the failed entries of a log folder. The list is empty and isn't stored if folder is
+// empty.
+func openFailedEntries(files vfs.FS, folder string, logger log.Logger) *failedEntries {
 	f := &failedEntries{files: files, logger: logger}
 	if folder == "" {
 		return f
@@ -72,11 +76,7 @@
 	if err != nil {
 		_ = level.Error(logger).Log("event", "failed_entries", "outcome", "unreadable", "err", err)
 	}
-	for _, e := range stored {
-		if e.Index > snapshotIndex {
-			f.entries = append(f.entries, e)
-		}
-	}
+	f.entries = stored
 	return f
 }
 
@@ -100,12 +100,21 @@
 	return true
 }
 
+// refuses reports whether a command is one that is skipped: a caller that got no response to it sends it again.
+func (f *failedEntries) refuses(command []byte) bool {
+	if len(f.entries) == 0 {
+		return false
+	}
+	digest := xxhash.Sum64(command)
+	return slices.ContainsFunc(f.entries, func(e failedEntry) bool { return e.Attempts >= maxApplyAttempts && e.Digest == digest })
+}
+
 // record stores that an entry has made the state machine panic, and returns the error of Run.
 func (f *failedEntries) record(e *replica.Entry, cause any) error {
 	reason := fmt.Sprint(cause)
 	failed := f.find(e)
 	if failed == nil {
-		f.entries = append(f.entries, failedEntry{Index: e.Index, Term: e.Term})
+		f.entries = append(f.entries[max(0, len(f.entries)-maxFailedEntries+1):], failedEntry{Index: e.Index, Term: e.Term, Digest: xxhash.Sum64(e.Data)})
 		failed = &f.entries[len(f.entries)-1]
 	}
 	failed.Attempts++
--- a/internal/node/failed_entries_test.go
+++ b/internal/node/failed_entries_test.go
@@ -59,6 +59,18 @@
 	must.LessEq(t, maxApplyAttempts*3, lines.count("event=entry_failed"))
 }
 
+// Guards against a caller that ends every member again and again, as it repeats the command to which it got no response.
+func TestRepeatedCommandThatCannotBeAppliedIsRefused(t *testing.T) {
+	c := newCluster(t, "abc", Config{})
+	c.survivePoison()
+	c.setMany("after", 10)
+	for range 5 {
+		_, err := c.leader().Propose(t.Context(), poison)
+		must.True(t, errors.Is(err, ErrEntrySkipped), must.Sprint(err))
+	}
+	c.converged(3)
+}
+
 // Guards against members that disagree on an entry that was skipped: one of them starts without state, and all of them
 // start again.
 func TestSkippedEntryStaysSkipped(t *testing.T) {
--- a/internal/node/failed_reason_test.go
+++ b/internal/node/failed_reason_test.go
@@ -22,11 +22,11 @@
 		logger := log.NewLogfmtLogger(lines)
 		entry := replica.Entry{Index: 5, Term: 2}
 		for range maxApplyAttempts {
-			f := openFailedEntries(vfs.OS{}, folder, 0, logger)
+			f := openFailedEntries(vfs.OS{}, folder, logger)
 			must.False(t, f.skips(&entry), must.Sprint(name))
 			must.Error(t, f.record(&entry, reason))
 		}
-		f := openFailedEntries(vfs.OS{}, folder, 0, logger)
+		f := openFailedEntries(vfs.OS{}, folder, logger)
 		must.True(t, f.skips(&entry), must.Sprint(name))
 		must.NotEq(t, "", f.find(&entry).Reason, must.Sprint(name))
 		must.Zero(t, lines.count("unreadable"), must.Sprint(name))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -301,7 +301,7 @@
 		return err
 	}
 	g.core, g.savedHardState = core, stored.HardState
-	g.failed = openFailedEntries(g.cfg.Files, g.cfg.Folder, stored.Snapshot.Index, g.logger)
+	g.failed = openFailedEntries(g.cfg.Files, g.cfg.Folder, g.logger)
 	if g.cfg.ExpectState && stored.Empty() {
 		g.lostState = true
 		_ = level.Error(g.logger).Log("event", "log_empty", "reason", "the member has run before; its log is treated as lost")
