--- a/internal/control/run_ends.go
+++ b/internal/control/run_ends.go
@@ -73,14 +73,19 @@
 	} else if !s.t.commitWithRetry(command) {
 		return
 	}
+	s.t.logEndedJobs(ends, s.forgetRuns(ends))
+	s.t.wake()
+}
+
+// forgetRuns forgets the runs whose ends are committed, and returns their timings.
+func (s *workerSession) forgetRuns(ends []workflow.RunEnd) map[workflow.TaskKey]runTiming {
 	s.t.mu.Lock()
+	defer s.t.mu.Unlock()
 	timings := s.takeTimings(ends)
 	for _, end := range ends {
 		s.forgetRun(end)
 	}
-	s.t.mu.Unlock()
-	s.t.logEndedJobs(ends, timings)
-	s.t.wake()
+	return timings
 }
 
 // trackEndCommit counts ends as being committed until done is called.
