--- a/internal/control/invalid_call_test.go
+++ b/internal/control/invalid_call_test.go
@@ -45,3 +45,17 @@
 	must.Error(t, err)
 	must.Eq(t, fault.Invalid, fault.KindOf(err))
 }
+
+// Guards against a configuration that takes the memory of every process that holds it: it had any number of services.
+func TestConfigurationOfTooManyServicesIsRefused(t *testing.T) {
+	cluster := newTestCluster(t, nil)
+	configure := func(version uint64, services int) error {
+		document := workflow.Document{Version: version, Source: []byte("{}"), Services: make([]workflow.Service, services)}
+		_, err := cluster.controller.Configure(context.Background(), &ConfigureCall{Document: document})
+		return err
+	}
+	must.NoError(t, configure(2, workflow.MaxServices))
+	refused := configure(3, workflow.MaxServices+1)
+	must.Error(t, refused)
+	must.Eq(t, fault.Invalid, fault.KindOf(refused))
+}
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -359,6 +359,9 @@
 
 // Configure commits a version of the configuration.
 func (c *Controller) Configure(ctx context.Context, r *ConfigureCall) (Empty, error) {
+	if len(r.Document.Services) > workflow.MaxServices {
+		return Empty{}, fault.Field("services", "%d services, at most %d are allowed", len(r.Document.Services), workflow.MaxServices)
+	}
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	t, err := c.currentLeaderTerm(ctx)
