--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -28,7 +28,7 @@
 				continue
 			}
 			hint := g.leaderKnownBy(ctx, address)
-			if hint != "" && hint != leader && ctx.Err() == nil && g.SuggestLeader(hint) {
+			if hint != "" && hint != leader && ctx.Err() == nil && g.adoptLeader(ctx, hint) {
 				return
 			}
 			wait.For(ctx, searchInterval)
@@ -51,6 +51,15 @@
 	return link.LeaderOf(err)
 }
 
+// adoptLeader records the leader that a member names, and reports whether it did. An instance that has denied lately that
+// it leads is asked itself.
+func (g *Gateway) adoptLeader(ctx context.Context, leader string) bool {
+	if g.SuggestLeader(leader) {
+		return true
+	}
+	return g.leaderKnownBy(ctx, leader) == leader && g.SuggestLeader(leader)
+}
+
 // Version returns the highest configuration version that a response of another instance
 // has named, 0 for none.
 func (g *Gateway) Version() uint64 { return g.client.Version() }
--- a/internal/gateway/search.go
+++ b/internal/gateway/search.go
@@ -66,7 +66,7 @@
 			if leader, _ := c.g.currentLeader(); leader != "" || ctx.Err() != nil {
 				return
 			}
-			if hint := c.probeMember(ctx, address); hint != "" && c.g.SuggestLeader(hint) {
+			if hint := c.probeMember(ctx, address); hint != "" && c.g.adoptLeader(ctx, hint) {
 				return
 			}
 		}
