--- a/internal/node/apply.go
+++ b/internal/node/apply.go
@@ -21,7 +21,7 @@
 	for _, c := range pending {
 		switch c.kind {
 		case callPropose:
-			if g.failed.refuses(c.command) {
+			if g.failed.refuses(c.command, g.applied) {
 				c.reply(nil, errSkipped())
 				continue
 			}
--- a/internal/node/failed_entries.go
+++ b/internal/node/failed_entries.go
@@ -26,6 +26,8 @@
 	// maxReasonBytes bounds the stored text of a panic, maxFailedEntries the entries that are stored.
 	maxReasonBytes   = 1000
 	maxFailedEntries = 64
+	// refusedEntries is for how many entries after a skipped one its command is refused.
+	refusedEntries = 10_000
 )
 
 // ErrEntryFailed marks the error of Run after an entry has made the state machine panic. The state
@@ -100,13 +102,16 @@
 	return true
 }
 
-// refuses reports whether a command is one that is skipped: a caller that got no response to it sends it again.
-func (f *failedEntries) refuses(command []byte) bool {
+// refuses reports whether a command is one that was skipped lately, as of the last entry that was applied: a caller that
+// got no response to it sends it again. Later the state may be another one, in which the command can be applied.
+func (f *failedEntries) refuses(command []byte, applied uint64) bool {
 	if len(f.entries) == 0 {
 		return false
 	}
 	digest := xxhash.Sum64(command)
-	return slices.ContainsFunc(f.entries, func(e failedEntry) bool { return e.Attempts >= maxApplyAttempts && e.Digest == digest })
+	return slices.ContainsFunc(f.entries, func(e failedEntry) bool {
+		return e.Attempts >= maxApplyAttempts && e.Digest == digest && applied < e.Index+refusedEntries
+	})
 }
 
 // record stores that an entry has made the state machine panic, and returns the error of Run.
