--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -244,8 +244,6 @@
 	Reason Reason
 	// Label is the worker label that the step requires.
 	Label string
-	// Customer is the owner of the step's job.
-	Customer string
 }
 
 // Limits bound one plan.
--- a/internal/control/admit.go
+++ b/internal/control/admit.go
@@ -25,26 +25,22 @@
 
 // setQueueLength records how many steps the last decision found queued, speculative copies
 // excluded. Steps that wait only for their customer's limit count for their customer, but not for
-// all: they take no part in decisions, and must not make the queue full for others. Nor do more than
-// maxQueuedSteps of one customer: a job that is repeated thousands of times would otherwise shut out all customers.
-// It also records the capacity of the usable workers.
+// all: they take no part in decisions, and must not make the queue full for others. It also records
+// the capacity of the usable workers.
 func (t *leaderTerm) setQueueLength(input *planInput, plan *dispatch.Plan) {
-	byCustomer, atLimit := map[string]int{}, map[string]int{}
+	queued, byCustomer := 0, map[string]int{}
 	totals, _ := t.totalsOf(input)
 	for i := range input.steps {
 		if s := &input.steps[i]; !s.Copy {
+			queued++
 			byCustomer[s.Customer]++
 		}
 	}
 	for i := range plan.Waiting {
-		if w := &plan.Waiting[i]; w.Reason == dispatch.ReasonCustomerLimit {
-			atLimit[w.Customer]++
+		if plan.Waiting[i].Reason == dispatch.ReasonCustomerLimit {
+			queued--
 		}
 	}
-	queued := 0
-	for name, own := range byCustomer {
-		queued += min(own-atLimit[name], maxQueuedSteps)
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.queuedSteps, t.queuedByCustomer, t.usableCapacity = queued, byCustomer, totals.capacity
