--- a/dispatch/extreme_test.go
+++ b/dispatch/extreme_test.go
@@ -30,7 +30,9 @@
 	return workflow.Resources{MilliCPU: e.amount("cpu"), MemoryMB: e.amount("memory"), Accelerators: e.amount("accelerators")}
 }
 
-func (e extremes) free(what string) int64 { return drawn[int64](e, what, -1<<40, 0, 1, 2000, 3000, 3000, 1<<40, 1<<40) }
+func (e extremes) free(what string) int64 {
+	return drawn[int64](e, what, -1<<40, 0, 1, 2000, 3000, 3000, 1<<40, 1<<40)
+}
 
 func (e extremes) room() workflow.Resources {
 	return workflow.Resources{MilliCPU: e.free("cpu"), MemoryMB: e.free("memory"), Accelerators: e.free("accelerators")}
