--- a/internal/node/failed_entries_test.go
+++ b/internal/node/failed_entries_test.go
@@ -11,8 +11,8 @@
 	"github.com/shoenig/test/must"
 )
 
-// poison is a command that makes the state machine panic.
-var poison = []byte("not a command")
+// badCommand is a command that makes the state machine panic.
+var badCommand = []byte("not a command")
 
 // restartEnded starts the members again that have ended by an entry that can't be applied.
 func (c *cluster) restartEnded() {
@@ -28,11 +28,11 @@
 	}
 }
 
-// survivePoison commits a command that can't be applied, and waits until a leader commits commands again. Members
+// commitAndSkipBadCommand commits a command that can't be applied, and waits until a leader commits commands again. Members
 // that end are started again.
-func (c *cluster) survivePoison() {
+func (c *cluster) commitAndSkipBadCommand() {
 	c.t.Helper()
-	_, err := c.leader().Propose(c.t.Context(), poison)
+	_, err := c.leader().Propose(c.t.Context(), badCommand)
 	must.True(c.t, errors.Is(err, ErrOutcomeUnknown), must.Sprint(err))
 	skipped := func() bool {
 		c.restartEnded()
@@ -52,7 +52,7 @@
 	lines := new(lineBuffer)
 	c := newCluster(t, "abc", Config{Logger: log.NewLogfmtLogger(lines)})
 	c.setMany("before", 10)
-	c.survivePoison()
+	c.commitAndSkipBadCommand()
 	c.setMany("after", 10)
 	c.converged(3)
 	must.Eq(t, "9", c.leader().machine.get("before9"))
@@ -62,10 +62,10 @@
 // Guards against a caller that ends every member again and again, as it repeats the command to which it got no response.
 func TestRepeatedCommandThatCannotBeAppliedIsRefused(t *testing.T) {
 	c := newCluster(t, "abc", Config{})
-	c.survivePoison()
+	c.commitAndSkipBadCommand()
 	c.setMany("after", 10)
 	for range 5 {
-		_, err := c.leader().Propose(t.Context(), poison)
+		_, err := c.leader().Propose(t.Context(), badCommand)
 		must.True(t, errors.Is(err, ErrEntrySkipped), must.Sprint(err))
 	}
 	c.converged(3)
@@ -76,7 +76,7 @@
 func TestSkippedEntryStaysSkipped(t *testing.T) {
 	c := newCluster(t, "abc", Config{})
 	c.setMany("before", 10)
-	c.survivePoison()
+	c.commitAndSkipBadCommand()
 	c.setMany("after", 10)
 	c.converged(3)
 	c.stop("a")
