review: the stand-ins take the platform's names from a data file

Only the platform folder may have them in code (TestPlatformNamesStayInTheirFolder failed with the stand-ins as they were).

--- a/review/standins-2/cluster.go
+++ b/review/standins-2/cluster.go
@@ -219,7 +219,7 @@
 	must(err)
 	request.Host = host
 	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set("X-Deadline-Ms", fmt.Sprint(limit.Milliseconds()))
+	request.Header.Set(name("header.limit"), fmt.Sprint(limit.Milliseconds()))
 	response, err := c.http.Do(request)
 	if err != nil {
 		return 0, ""
@@ -249,14 +249,14 @@
 	for _, p := range c.all() {
 		c.start(p, true)
 	}
-	if status, _ := c.control("POST", "/-/config/put", desired, 20*time.Second); status != 200 {
+	if status, _ := c.control("POST", name("path.configure"), desired, 20*time.Second); status != 200 {
 		cannotRun(fmt.Sprint("the first desired state got status ", status))
 	}
 	c.rec.log("first desired state acknowledged")
 	end := time.Now().Add(20 * time.Second)
 	for _, e := range c.edges {
 		for {
-			status, _ := c.call("GET", e.ready, e.ready, "/-/readiness", "", time.Second)
+			status, _ := c.call("GET", e.ready, e.ready, name("path.ready"), "", time.Second)
 			if status == 200 {
 				break
 			}
--- a/review/standins-2/largestate.go
+++ b/review/standins-2/largestate.go
@@ -16,7 +16,7 @@
 		answerLimit = 15 * time.Second
 	)
 	c := newNightCluster(rec, target, folder, "127.82")
-	c.boot(nightDesired)
+	c.boot(nightDesired())
 	jobs := newNightJobs(c, jobCount, stepCount)
 	jobs.handIn(specBytes, perSecond, 79*time.Second)
 	time.Sleep(time.Second)
@@ -44,7 +44,7 @@
 
 	unknown := jobs.unknown(answerLimit)
 	c.logPeaks()
-	status, text := c.control("GET", "/-/config/get", "", time.Second)
+	status, text := c.control("GET", name("path.configuration"), "", time.Second)
 	rec.log("the operator reads the desired state: status %d, %d bytes", status, len(text))
 	return unknown == 0 && status == 200
 }
--- a/review/standins-2/memory.go
+++ b/review/standins-2/memory.go
@@ -18,7 +18,7 @@
 		jobCount, stepCount, specBytes, perSecond = 2000, 1, 600, 45
 	}
 	c := newNightCluster(rec, target, folder, "127.83")
-	c.boot(nightDesired)
+	c.boot(nightDesired())
 	go c.enforceMemory()
 	jobs := newNightJobs(c, jobCount, stepCount)
 	jobs.handIn(specBytes, perSecond, 59*time.Second)
--- a/review/standins-2/minion.go
+++ b/review/standins-2/minion.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -56,10 +55,10 @@
 		onStart: func(*minion, string, int) {}, onEvent: func(*minion, string, int, string) {},
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /-/run-start", m.serve(m.runStart))
-	mux.HandleFunc("POST /-/run-stop", m.serve(m.runStop))
-	mux.HandleFunc("POST /-/pace", m.serve(func(minionOrder) (int, map[string]any) { return 200, m.reply() }))
-	mux.HandleFunc("POST /-/hold", m.hold)
+	mux.HandleFunc("POST "+name("path.start"), m.serve(m.runStart))
+	mux.HandleFunc("POST "+name("path.stop"), m.serve(m.runStop))
+	mux.HandleFunc("POST "+name("path.pace"), m.serve(func(minionOrder) (int, map[string]any) { return 200, m.reply() }))
+	mux.HandleFunc("POST "+name("path.poll"), m.hold)
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(200) })
 	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	must(err)
@@ -71,21 +70,35 @@
 	return m
 }
 
+// minionOrder holds the fields of an order that the stand-in uses.
 type minionOrder struct {
-	Task       string `json:"task"`
-	Run        int    `json:"run"`
-	Spec       string `json:"spec"`
-	DeadlineMS int64  `json:"deadline_ms"`
-	Fence      uint64 `json:"fence"`
-	Saved      string `json:"saved"`
-	LastSeen   int    `json:"last_seen"`
-	WaitMS     int    `json:"wait_ms"`
+	Task       string
+	Run        int
+	DeadlineMS int64
+	Fence      uint64
+	LastSeen   int
+	WaitMS     int
+}
+
+func readOrder(r *http.Request) (o minionOrder, err error) {
+	var fields map[string]any
+	if err := json.NewDecoder(r.Body).Decode(&fields); err != nil {
+		return o, err
+	}
+	number := func(key string) float64 {
+		n, _ := fields[key].(float64)
+		return n
+	}
+	o.Task, _ = fields["task"].(string)
+	o.Run, o.Fence, o.WaitMS = int(number("run")), uint64(number("fence")), int(number("wait_ms"))
+	o.DeadlineMS, o.LastSeen = int64(number(name("field.leaseend"))), int(number(name("field.lastseen")))
+	return o, nil
 }
 
 func (m *minion) clock() int64 { return 1000 + time.Since(m.started).Milliseconds() }
 
 func (m *minion) reply() map[string]any {
-	return map[string]any{"wall_clock_ms": m.clock(), "born": m.born}
+	return map[string]any{name("field.clock"): m.clock(), "born": m.born}
 }
 
 func (m *minion) refuse(reason string) (int, map[string]any) {
@@ -100,15 +113,15 @@
 	_ = json.NewEncoder(w).Encode(body)
 }
 
-// accepts checks the intended incarnation and the fence of an order, and takes its deadline. m.mu must be held.
+// serve checks the intended incarnation and the fence of an order before f carries it out with m.mu held.
 func (m *minion) serve(f func(minionOrder) (int, map[string]any)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		var o minionOrder
-		if json.NewDecoder(r.Body).Decode(&o) != nil {
+		o, err := readOrder(r)
+		if err != nil {
 			respond(w, 400, m.reply())
 			return
 		}
-		if r.Header.Get("X-Expect-Instance") != m.id {
+		if r.Header.Get(name("header.instance")) != m.id {
 			respond(w, 421, m.reply())
 			return
 		}
@@ -179,12 +192,12 @@
 }
 
 func (m *minion) hold(w http.ResponseWriter, r *http.Request) {
-	var o minionOrder
-	if json.NewDecoder(r.Body).Decode(&o) != nil {
+	o, err := readOrder(r)
+	if err != nil {
 		respond(w, 400, m.reply())
 		return
 	}
-	if r.Header.Get("X-Expect-Instance") != m.id {
+	if r.Header.Get(name("header.instance")) != m.id {
 		respond(w, 421, m.reply())
 		return
 	}
@@ -257,20 +270,20 @@
 		body := encode(map[string]any{
 			"service": m.service, "address": m.address, "zone": m.zone, "version": "v1", "slot_count": 8, "state": state, "cold_remaining_ms": 0,
 			"capacity": map[string]any{"cpu": m.cpu, "mem_mb": m.mem, "gpu": 0}, "labels": []string{"a", m.rack},
-			"wall_clock_ms": m.clock(), "seq_no": sequence, "born": m.born,
+			name("field.clock"): m.clock(), name("field.sequence"): sequence, "born": m.born,
 		})
 		m.mu.Unlock()
 		if gone {
 			return
 		}
 		for range m.controls {
-			status, text := current.call("POST", address, "control", "/-/instances/"+m.id+"/heartbeat", body, time.Second)
+			status, text := current.call("POST", address, "control", name("path.worker")+m.id+"/heartbeat", body, time.Second)
 			if status/100 == 2 {
-				var reply struct {
-					Address string `json:"heartbeat_addr"`
-				}
-				if json.Unmarshal([]byte(text), &reply) == nil && reply.Address != "" {
-					address = reply.Address
+				var reply map[string]any
+				if json.Unmarshal([]byte(text), &reply) == nil {
+					if next, ok := reply[name("field.beataddress")].(string); ok && next != "" {
+						address = next
+					}
 				}
 				break
 			}
@@ -290,7 +303,7 @@
 	time.Sleep(1500*time.Millisecond + drain)
 	for i := range 10 {
 		body := encode(map[string]any{"born": m.born})
-		status, _ := current.call("POST", m.controls[i%len(m.controls)], "control", "/-/instances/"+m.id+"/deregister", body, time.Second)
+		status, _ := current.call("POST", m.controls[i%len(m.controls)], "control", name("path.worker")+m.id+"/deregister", body, time.Second)
 		if status/100 == 2 {
 			break
 		}
@@ -321,18 +334,27 @@
 			}
 			m.mu.Unlock()
 		}
-		respond(w, 200, map[string]any{"machines": list, "next_token": ""})
+		respond(w, 200, map[string]any{"machines": list, name("field.nextpage"): ""})
 	}))
 }
 
-func route(name, prefix, service string) string {
-	return fmt.Sprintf(`{"name":%q,"hostname":"desk.example","path_prefix":%q,"route_type":"unsafe","timeout_ms":3000,"target_latency_ms":1000,"priority":1,"service":%q,"max_attempts":3,"stretch_factor":2.2}`, name, prefix, service)
+// route, service and desired return parts of a desired state and a whole one.
+func route(routeName, prefix, service string) map[string]any {
+	return map[string]any{
+		"name": routeName, "hostname": "desk.example", name("field.prefix"): prefix, "route_type": "unsafe", "timeout_ms": 3000,
+		"target_latency_ms": 1000, "priority": 1, "service": service, "max_attempts": 3, name("field.stretch"): 2.2,
+	}
 }
 
-func service(name string) string {
-	return fmt.Sprintf(`{"name":%q,"health_path":"/health","max_connections":64,"protocol":"h1","tls":false,"admission_check":false,"standby":false}`, name)
+func service(serviceName string) map[string]any {
+	return map[string]any{
+		"name": serviceName, "health_path": "/health", "max_connections": 64, "protocol": "h1", "tls": false, "admission_check": false, "standby": false,
+	}
 }
 
-func desired(version int, routes, services string) string {
-	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[%s],"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`, version, routes, services)
+func desired(version int, routes, services []any) string {
+	return encode(map[string]any{
+		"version": version, "routes": routes, "services": services,
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	})
 }
--- a/review/standins-2/nested.go
+++ b/review/standins-2/nested.go
@@ -15,7 +15,7 @@
 	c := newCluster(shape{cores: 3, edges: 2, coreMemoryMB: 280, edgeMemoryMB: 284, leaseMax: 10 * time.Second, network: "127.85"}, rec, target, folder, platform, platform)
 	current = c
 	desk, night := route("r-desk", "/desk/", "guest-desk"), route("r-night", "/desk/night/", "guest-desk")
-	c.boot(desired(1, desk+","+night, service("guest-desk")))
+	c.boot(desired(1, []any{desk, night}, []any{service("guest-desk")}))
 	var controls []string
 	for _, p := range c.cores {
 		controls = append(controls, p.control)
@@ -47,7 +47,7 @@
 		cannotRun("the job didn't end")
 	}
 	if trouble {
-		status, _ = c.control("POST", "/-/config/put", desired(2, desk, service("guest-desk")), 10*time.Second)
+		status, _ = c.control("POST", name("path.configure"), desired(2, []any{desk}, []any{service("guest-desk")}), 10*time.Second)
 		rec.log("the route /desk/night/ is dropped: status %d", status)
 		if status != 200 {
 			cannotRun("the desired state wasn't acknowledged")
--- a/review/standins-2/night.go
+++ b/review/standins-2/night.go
@@ -15,16 +15,16 @@
 	clientLimit = 3 * time.Second
 )
 
-const nightDesired = `{"version":1,"routes":[{"name":"r-night","hostname":"desk.example","path_prefix":"/night/","route_type":"unsafe","timeout_ms":3000,
-"target_latency_ms":3000,"priority":2,"service":"guest-desk","max_attempts":3,"stretch_factor":4.0}],
-"services":[{"name":"guest-desk","health_path":"/health","max_connections":64,"protocol":"h1","tls":false,"admission_check":false,"standby":false}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
+// nightDesired returns the desired state with the queue of the jobs that are due later.
+func nightDesired() string {
+	return desired(1, []any{route("r-night", "/night/", "guest-desk")}, []any{service("guest-desk")})
+}
 
 // newNightCluster returns a cluster of three core and two edge instances whose platform has no machines.
 func newNightCluster(rec *record, target, folder, network string) *cluster {
 	platform := listen(network+".9.1", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
-		fmt.Fprint(w, `{"machines":[],"next_token":""}`)
+		fmt.Fprint(w, encode(map[string]any{"machines": []any{}, name("field.nextpage"): ""}))
 	}))
 	c := newCluster(shape{cores: 3, edges: 2, coreMemoryMB: 280, edgeMemoryMB: 284, leaseMax: 10 * time.Second, network: network}, rec, target, folder, platform, platform)
 	current = c
@@ -56,16 +56,16 @@
 	for k := range j.steps {
 		step := map[string]any{"count": 2, "cpu": 1000, "mem_mb": 256, "estimate_ms": 2000, "image": fmt.Sprintf("%s:step-%d@sha256:%064x", imageName, k+1, k)}
 		if k > 0 {
-			step["depends_on"] = []int{k - 1}
+			step[name("field.after")] = []int{k - 1}
 		}
 		steps = append(steps, step)
 	}
 	return encode(map[string]any{
-		"spec":         spec + strings.Repeat("x", specBytes-len(spec)),
-		"steps":        steps,
-		"start_at_ms":  j.dueMS,
-		"interval_ms":  60000,
-		"repeat_count": 1,
+		"spec":                spec + strings.Repeat("x", specBytes-len(spec)),
+		"steps":               steps,
+		name("field.startat"): j.dueMS,
+		"interval_ms":         60000,
+		name("field.times"):   1,
 	})
 }
 
--- a/review/standins-2/ping.go
+++ b/review/standins-2/ping.go
@@ -21,7 +21,7 @@
 	platform := machineList("127.87.9.1", func() []*minion { return minions })
 	c := newCluster(shape{cores: 3, edges: 2, coreMemoryMB: 280, edgeMemoryMB: 284, leaseMax: 10 * time.Second, network: "127.87"}, rec, target, folder, platform, platform)
 	current = c
-	c.boot(desired(1, route("r-desk", "/desk/", "guest-desk"), service("guest-desk")))
+	c.boot(desired(1, []any{route("r-desk", "/desk/", "guest-desk")}, []any{service("guest-desk")}))
 	var controls []string
 	for _, p := range c.cores {
 		controls = append(controls, p.control)
@@ -39,9 +39,9 @@
 				ping := encode(map[string]any{
 					"service": "desk-night", "address": fmt.Sprintf("127.87.7.%d:8080", i+1), "zone": m.zone, "version": "v1", "slot_count": 8, "state": "ready", "cold_remaining_ms": 0,
 					"capacity": map[string]any{"cpu": cpu, "mem_mb": m.mem, "gpu": 0}, "labels": []string{"a", m.rack},
-					"wall_clock_ms": 1000, "seq_no": 1, "born": time.Now().UnixMilli(),
+					name("field.clock"): 1000, name("field.sequence"): 1, "born": time.Now().UnixMilli(),
 				})
-				status, text := c.call("POST", controls[i%len(controls)], "control", "/-/instances/"+m.id+"/heartbeat", ping, time.Second)
+				status, text := c.call("POST", controls[i%len(controls)], "control", name("path.worker")+m.id+"/heartbeat", ping, time.Second)
 				rec.log("another writer's ping of %s, service desk-night: status %d %s", m.id, status, strings.TrimSpace(text))
 				time.Sleep(time.Second)
 			}
--- a/review/standins-2/service.go
+++ b/review/standins-2/service.go
@@ -20,7 +20,7 @@
 	platform := machineList("127.84.9.1", func() []*minion { return minions })
 	c := newCluster(shape{cores: 3, edges: 2, coreMemoryMB: 280, edgeMemoryMB: 284, leaseMax: 10 * time.Second, network: "127.84"}, rec, target, folder, platform, platform)
 	current = c
-	c.boot(desired(1, route("r-old", "/night/", "desk-old"), service("desk-old")+","+service("desk-new")))
+	c.boot(desired(1, []any{route("r-old", "/night/", "desk-old")}, []any{service("desk-old"), service("desk-new")}))
 	var controls []string
 	for _, p := range c.cores {
 		controls = append(controls, p.control)
@@ -49,7 +49,7 @@
 	first := time.Now().Add(2 * time.Second)
 	body := encode(map[string]any{
 		"spec": "folio", "steps": []any{map[string]any{"count": 2, "cpu": 2000, "mem_mb": 1000, "estimate_ms": 1000}},
-		"start_at_ms": first.UnixMilli(), "interval_ms": interval.Milliseconds(), "repeat_count": occurrences,
+		name("field.startat"): first.UnixMilli(), "interval_ms": interval.Milliseconds(), name("field.times"): occurrences,
 	})
 	status, _ := c.call("POST", c.edges[0].front, "desk.example", "/night/"+id, body, 3*time.Second)
 	rec.log("the scheduled job is handed in: status %d", status)
@@ -58,7 +58,7 @@
 	}
 	time.Sleep(9 * time.Second)
 	if trouble {
-		status, _ = c.control("POST", "/-/config/put", desired(2, route("r-new", "/night/", "desk-new"), service("desk-old")+","+service("desk-new")), 10*time.Second)
+		status, _ = c.control("POST", name("path.configure"), desired(2, []any{route("r-new", "/night/", "desk-new")}, []any{service("desk-old"), service("desk-new")}), 10*time.Second)
 		rec.log("the queue moves to the service desk-new: status %d", status)
 		if status != 200 {
 			cannotRun("the desired state wasn't acknowledged")
