--- a/review/standins-2/largestate.go
+++ b/review/standins-2/largestate.go
@@ -6,8 +6,8 @@
 // that the jobs must still be known.
 func largeState(rec *record, target, folder string, trouble bool) bool {
 	const (
-		// 7,700 jobs of 3 steps and 4,000 bytes of spec fit into the memory of a core instance. The site's 44 jobs a
-		// second, times 2.3 as in its bursts, are 102.
+		// 7,700 jobs of 3 steps and 4,000 bytes of spec fit into the memory of a core instance. They come at some 2.3 times
+		// the site's usual rate of 44 a second, for longer than its bursts, with the disruption and without.
 		jobCount, stepCount, specBytes, perSecond = 7700, 3, 4000, 100
 		// betweenLosses is the time from the return of one machine to the loss of the next: catch_up_s is 4 s and
 		// contact_ms 3 s.
