--- a/internal/control/admission_test.go
+++ b/internal/control/admission_test.go
@@ -150,7 +150,7 @@
 	step := oneTask
 	step.EstimateMS = 1000
 	_, err = cluster.controller.Submit(context.Background(), &SubmitCall{
-		Address: JobAddress{Host: "h", Path: "/q/a"}, Payload: "payload", Steps: []workflow.Step{step},
+		Address: JobAddress{Host: "h", Path: "/q/a", ID: "a"}, Payload: "payload", Steps: []workflow.Step{step},
 	})
 	must.Error(t, err)
 	must.Positive(t, queuedDuringCommit)
--- a/internal/control/admit_test.go
+++ b/internal/control/admit_test.go
@@ -38,7 +38,7 @@
 	must.NoError(t, err)
 	call := func() error {
 		_, err := cluster.controller.Submit(context.Background(), &SubmitCall{
-			Address: JobAddress{Host: "h", Path: "/q/a"}, Payload: "payload", Steps: []workflow.Step{oneTask},
+			Address: JobAddress{Host: "h", Path: "/q/a", ID: "a"}, Payload: "payload", Steps: []workflow.Step{oneTask},
 		})
 		return err
 	}
--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/bilberryferry/bilberryferry/customer"
@@ -10,13 +11,35 @@
 )
 
 // JobAddress identifies a queue, and a job of it if it names one. It holds either the
-// host and the path to which a caller's request was sent, or the name of the queue and
-// the ID of the job.
+// host and the path to which a caller's request was sent, or the name of the queue.
 type JobAddress struct {
 	Host  string `cbor:"1,keyasint,omitempty"`
 	Path  string `cbor:"2,keyasint,omitempty"`
 	Queue string `cbor:"3,keyasint,omitempty"`
-	ID    string `cbor:"4,keyasint,omitempty"`
+	// ID is the ID of the job, empty if there is none. With a path, it is what the path ends with: the
+	// interface that received the request knows the form of an ID, and the configuration where the
+	// prefix of a queue ends. The address names a job only if the ID follows the prefix.
+	ID string `cbor:"4,keyasint,omitempty"`
+}
+
+// Prefix returns the path without the ID of the job.
+func (a *JobAddress) Prefix() string { return strings.TrimSuffix(a.Path, a.ID) }
+
+// find returns the queue and the ID of the job that the address names, a nil queue if there is none and
+// an empty ID for the queue itself.
+//
+// What follows the longest prefix must be an ID. A path below a queue that was removed begins with the
+// prefix of a shorter one too, and the rest of it would be taken for the ID of another job.
+func (a *JobAddress) find(d *workflow.Document) (queue *workflow.Queue, id string) {
+	if a.Queue != "" {
+		queue, _ = d.Queue(a.Queue)
+		return queue, a.ID
+	}
+	queue, rest, _ := d.Resolve(a.Host, a.Path)
+	if rest != "" && rest != a.ID {
+		return nil, ""
+	}
+	return queue, rest
 }
 
 // Principal is on whose behalf a call is made. The zero value is a caller without a key.
--- a/internal/control/chaos_test.go
+++ b/internal/control/chaos_test.go
@@ -218,7 +218,7 @@
 	chaos.workers.specs[id] = step
 	chaos.workers.mu.Unlock()
 	_, err := chaos.controller.Submit(context.Background(), &SubmitCall{
-		Address: JobAddress{Host: "h", Path: "/q/" + id}, Payload: "p", Steps: []workflow.Step{step},
+		Address: JobAddress{Host: "h", Path: "/q/" + id, ID: id}, Payload: "p", Steps: []workflow.Step{step},
 	})
 	must.NoError(chaos.t, err)
 }
--- a/internal/control/crash_test.go
+++ b/internal/control/crash_test.go
@@ -67,7 +67,7 @@
 	c := newCrashingTask(t)
 	for !c.crashNext(0) {
 	}
-	reply, err := c.cluster.controller.Explain(context.Background(), &ExplainCall{Address: JobAddress{Host: "h", Path: "/q/a"}})
+	reply, err := c.cluster.controller.Explain(context.Background(), &ExplainCall{Address: JobAddress{Host: "h", Path: "/q/a", ID: "a"}})
 	must.NoError(t, err)
 	must.Eq(t, []TaskCrashes{{Task: 0, Workers: []string{"w1", "w2", "w3"}, GivenUp: true}}, reply.Steps[0].Crashes)
 }
--- a/internal/control/customers_test.go
+++ b/internal/control/customers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -30,17 +31,22 @@
 	return c
 }
 
+// addressOf returns the address of a path whose queue ends with a slash.
+func addressOf(path string) JobAddress {
+	return JobAddress{Host: "h", Path: path, ID: path[strings.LastIndexByte(path, '/')+1:]}
+}
+
 // submitWith submits a job of one step with a key.
 func (cluster *testCluster) submitWith(key, path string, step workflow.Step) error {
 	_, err := cluster.controller.Submit(context.Background(), &SubmitCall{
-		Address: JobAddress{Host: "h", Path: path}, Payload: "payload", Steps: []workflow.Step{step}, Principal: principalWith(key),
+		Address: addressOf(path), Payload: "payload", Steps: []workflow.Step{step}, Principal: principalWith(key),
 	})
 	return err
 }
 
 // queryWith requests the state of a job or a queue.
 func (cluster *testCluster) queryWith(principal Principal, path string) error {
-	_, err := cluster.controller.State(context.Background(), &StateCall{Address: JobAddress{Host: "h", Path: path}, Principal: principal})
+	_, err := cluster.controller.State(context.Background(), &StateCall{Address: addressOf(path), Principal: principal})
 	return err
 }
 
@@ -72,11 +78,11 @@
 	foreign, unknown := cluster.queryWith(principalWith("b1"), "/q/x"), cluster.queryWith(principalWith("b1"), "/q/y")
 	must.Eq(t, fault.Cancelled, fault.KindOf(foreign))
 	must.Eq(t, fmt.Sprint(unknown), fmt.Sprint(foreign)[:len(fmt.Sprint(foreign))-1]+"y")
-	_, err := cluster.controller.Cancel(context.Background(), &CancelCall{Address: JobAddress{Host: "h", Path: "/q/x"}, Principal: principalWith("b1")})
+	_, err := cluster.controller.Cancel(context.Background(), &CancelCall{Address: JobAddress{Host: "h", Path: "/q/x", ID: "x"}, Principal: principalWith("b1")})
 	must.Eq(t, fault.Cancelled, fault.KindOf(err))
 	must.Eq(t, fault.Conflict, fault.KindOf(cluster.submitWith("b1", "/q/x", oneTask)))
 	must.StrNotContains(t, fmt.Sprint(cluster.submitWith("b1", "/q/x", oneTask)), "customer")
-	reply, err := cluster.controller.Ended(context.Background(), &EndedCall{Address: JobAddress{Host: "h", Path: "/q/x"}, Principal: principalWith("b1")})
+	reply, err := cluster.controller.Ended(context.Background(), &EndedCall{Address: JobAddress{Host: "h", Path: "/q/x", ID: "x"}, Principal: principalWith("b1")})
 	must.NoError(t, err)
 	must.False(t, reply.Known)
 	must.NoError(t, cluster.queryWith(Principal{Operator: true}, "/q/x"))
@@ -118,7 +124,7 @@
 	must.NoError(t, cluster.submitWith("b1", "/q/y", wide))
 	cluster.eventually("both run as much as they may", func() bool { return cluster.started("w1") == 7 })
 	cluster.eventually("the reason is told", func() bool {
-		reply, err := cluster.controller.Explain(context.Background(), &ExplainCall{Address: JobAddress{Host: "h", Path: "/q/x"}, Principal: principalWith("a1")})
+		reply, err := cluster.controller.Explain(context.Background(), &ExplainCall{Address: JobAddress{Host: "h", Path: "/q/x", ID: "x"}, Principal: principalWith("a1")})
 		return err == nil && len(reply.Waiting) == 1 && reply.Waiting[0].Reason == "its customer is at its limit"
 	})
 	cluster.withWorker("w1", func(f *fakeWorker) { f.finish(task("x", 0), workflow.OutcomeDone) })
--- a/internal/control/end_wait_test.go
+++ b/internal/control/end_wait_test.go
@@ -12,7 +12,7 @@
 
 // stateOf returns what a caller is shown of a job.
 func (cluster *testCluster) stateOf(job string) workflow.Phase {
-	reply, err := cluster.controller.State(context.Background(), &StateCall{Address: JobAddress{Host: "h", Path: "/q/" + job}})
+	reply, err := cluster.controller.State(context.Background(), &StateCall{Address: JobAddress{Host: "h", Path: "/q/" + job, ID: job}})
 	must.NoError(cluster.t, err)
 	return reply.Phase
 }
--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -470,7 +470,7 @@
 // submit submits a job of one step.
 func (cluster *testCluster) submit(id string, step workflow.Step) {
 	_, err := cluster.controller.Submit(context.Background(), &SubmitCall{
-		Address: JobAddress{Host: "h", Path: "/q/" + id}, Payload: "payload", Steps: []workflow.Step{step},
+		Address: JobAddress{Host: "h", Path: "/q/" + id, ID: id}, Payload: "payload", Steps: []workflow.Step{step},
 	})
 	must.NoError(cluster.t, err)
 }
--- a/internal/control/heartbeat_transport_test.go
+++ b/internal/control/heartbeat_transport_test.go
@@ -128,7 +128,7 @@
 	cluster.eventually("the job is done", func() bool { return cluster.phase("a") == workflow.PhaseDone })
 	cluster.submit("b", oneTask)
 	cluster.eventually("the task starts", func() bool { return cluster.started("w1") == 2 })
-	_, err := cluster.controller.Cancel(context.Background(), &CancelCall{Address: JobAddress{Host: "h", Path: "/q/b"}})
+	_, err := cluster.controller.Cancel(context.Background(), &CancelCall{Address: JobAddress{Host: "h", Path: "/q/b", ID: "b"}})
 	must.NoError(t, err)
 	cluster.eventually("the run of the cancelled job is stopped", func() bool {
 		stopped := 0
--- a/internal/control/invalid_call_test.go
+++ b/internal/control/invalid_call_test.go
@@ -17,7 +17,7 @@
 	cluster := newTestCluster(t, nil)
 	submit := func(id string, step workflow.Step, schedule workflow.Schedule) error {
 		_, err := cluster.controller.Submit(context.Background(), &SubmitCall{
-			Address: JobAddress{Host: "h", Path: "/q/" + id}, Payload: "payload", Steps: []workflow.Step{step}, Schedule: schedule,
+			Address: JobAddress{Host: "h", Path: "/q/" + id, ID: id}, Payload: "payload", Steps: []workflow.Step{step}, Schedule: schedule,
 		})
 		return err
 	}
--- a/internal/control/job_memory_test.go
+++ b/internal/control/job_memory_test.go
@@ -15,7 +15,7 @@
 // lateJob returns the submission of a job of many tasks that is due in a day.
 func lateJob(id string) *SubmitCall {
 	return &SubmitCall{
-		Address: JobAddress{Host: "h", Path: "/q/" + id}, Steps: []workflow.Step{{Count: 10_000, Need: workflow.Resources{MilliCPU: 1}}},
+		Address: JobAddress{Host: "h", Path: "/q/" + id, ID: id}, Steps: []workflow.Step{{Count: 10_000, Need: workflow.Resources{MilliCPU: 1}}},
 		Schedule: workflow.Schedule{FirstAtMS: time.Now().Add(24 * time.Hour).UnixMilli(), Times: 1},
 	}
 }
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -121,18 +121,14 @@
 			err = fault.Retry(fault.Unavailable, noConfigurationRetryAfter, "no configuration yet")
 			return
 		}
-		queue, remaining, ok := s.Configuration.Resolve(address.Host, address.Path)
-		if address.Queue != "" {
-			queue, ok = s.Configuration.Queue(address.Queue)
-			remaining = address.ID
-		}
+		queue, id := address.find(&s.Configuration)
 		versions := versionsOf(s, queue, address, principal)
 		link.RecordVersions(ctx, versions)
-		if !ok {
+		if queue == nil {
 			err = fault.New(fault.NotFound, "no queue at %s%s%s", address.Host, address.Path, address.Queue)
 			return
 		}
-		found = target{queue: *queue, id: remaining, operator: principal.Operator, versions: versions}
+		found = target{queue: *queue, id: id, operator: principal.Operator, versions: versions}
 		found.customer, err = identify(s, queue, principal)
 	})
 	return found, err
--- a/internal/control/serve_version_test.go
+++ b/internal/control/serve_version_test.go
@@ -32,11 +32,11 @@
 	_, err := c.Configure(t.Context(), &ConfigureCall{Document: document})
 	must.NoError(t, err)
 	submit := func(alikeSince uint64) error {
-		_, err := c.Submit(t.Context(), &SubmitCall{Address: JobAddress{Host: "h", Path: "/added/1"}, Steps: []workflow.Step{{Count: 1}}, AlikeSince: alikeSince})
+		_, err := c.Submit(t.Context(), &SubmitCall{Address: JobAddress{Host: "h", Path: "/added/1", ID: "1"}, Steps: []workflow.Step{{Count: 1}}, AlikeSince: alikeSince})
 		return err
 	}
 	must.Eq(t, fault.Unavailable, fault.KindOf(submit(version-1)))
-	_, err = c.State(t.Context(), &StateCall{Address: JobAddress{Host: "h", Path: "/added/1"}})
+	_, err = c.State(t.Context(), &StateCall{Address: JobAddress{Host: "h", Path: "/added/1", ID: "1"}})
 	must.Eq(t, fault.Cancelled, fault.KindOf(err))
 	must.NoError(t, submit(version))
 	must.NoError(t, submit(0))
--- a/internal/control/settle_test.go
+++ b/internal/control/settle_test.go
@@ -121,7 +121,7 @@
 	s := term.sessions["w1"]
 	term.mu.Unlock()
 	s.commitEnds(0, []workflow.RunEnd{{Task: task("a", 0), Number: 1, Outcome: workflow.OutcomeLeaseExpired}})
-	_, err = cluster.controller.Cancel(context.Background(), &CancelCall{Address: JobAddress{Host: "h", Path: "/q/a"}})
+	_, err = cluster.controller.Cancel(context.Background(), &CancelCall{Address: JobAddress{Host: "h", Path: "/q/a", ID: "a"}})
 	must.NoError(t, err)
 	cluster.eventually("the second run is stopped", func() bool {
 		running := 1
--- a/internal/control/simulation_customers_test.go
+++ b/internal/control/simulation_customers_test.go
@@ -274,7 +274,7 @@
 	}
 	sentAt := time.Now()
 	_, err := c.sim.controller().State(context.Background(), &StateCall{
-		Address: JobAddress{Host: simHost, Path: queue.Prefix + job}, Principal: principalWith(key),
+		Address: JobAddress{Host: simHost, Path: queue.Prefix + job, ID: job}, Principal: principalWith(key),
 	})
 	c.checkCall("a query", key, sentAt, err)
 	if err != nil {
--- a/internal/control/simulation_test.go
+++ b/internal/control/simulation_test.go
@@ -206,7 +206,7 @@
 	key, sentAt := sim.customers.drawKey(sim.customers.submitRandom), time.Now()
 	go func() {
 		_, err := c.Submit(context.Background(), &SubmitCall{
-			Address: JobAddress{Host: simHost, Path: queue.Prefix + id}, Payload: "p", Steps: steps, Principal: principalWith(key),
+			Address: JobAddress{Host: simHost, Path: queue.Prefix + id, ID: id}, Payload: "p", Steps: steps, Principal: principalWith(key),
 		})
 		sim.customers.checkCall("a submission", key, sentAt, err)
 		if err == nil {
--- a/internal/control/stops_test.go
+++ b/internal/control/stops_test.go
@@ -54,7 +54,7 @@
 // Guards against this failure: the run of a cancelled job keeps occupying resources.
 func TestRunsOfCancelledJobAreStopped(t *testing.T) {
 	cluster := clusterWithStartedTask(t)
-	_, err := cluster.controller.Cancel(context.Background(), &CancelCall{Address: JobAddress{Host: "h", Path: "/q/a"}})
+	_, err := cluster.controller.Cancel(context.Background(), &CancelCall{Address: JobAddress{Host: "h", Path: "/q/a", ID: "a"}})
 	must.NoError(t, err)
 	start := time.Now()
 	cluster.eventually("the run has ended", func() bool {
--- a/internal/control/submission_test.go
+++ b/internal/control/submission_test.go
@@ -21,7 +21,7 @@
 		"a dependency on a step that isn't there": {Count: 1, DependsOn: []int{3}},
 	} {
 		_, err := cluster.controller.Submit(context.Background(), &SubmitCall{
-			Address: JobAddress{Host: "h", Path: "/q/a"}, Steps: []workflow.Step{step},
+			Address: JobAddress{Host: "h", Path: "/q/a", ID: "a"}, Steps: []workflow.Step{step},
 		})
 		must.Eq(t, fault.Invalid, fault.KindOf(err), must.Sprint(name))
 	}
--- a/internal/instance/loadcontrol.go
+++ b/internal/instance/loadcontrol.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"math/rand/v2"
-	"strings"
 	"sync"
 	"time"
 
@@ -106,11 +105,9 @@
 	l.counters.Set("submissions_in_progress", int64(l.inFlight.Total()))
 }
 
-// throttleKey returns the key by which a submission is counted. The path of a queue ends before the ID of
-// the job.
+// throttleKey returns the key by which a submission is counted.
 func throttleKey(p control.Principal, address control.JobAddress) ingress.ThrottleKey {
-	prefix := address.Path[:strings.LastIndexByte(address.Path, '/')+1]
-	key := ingress.ThrottleKey{Caller: ingress.Caller{Operator: p.Operator}, Queue: cmp.Or(address.Queue, address.Host+prefix)}
+	key := ingress.ThrottleKey{Caller: ingress.Caller{Operator: p.Operator}, Queue: cmp.Or(address.Queue, address.Host+address.Prefix())}
 	if p.Key != nil {
 		key.Caller.Key = *p.Key
 	}
