--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -374,7 +374,7 @@
 		// The tasks already run; only their speculative copies wait.
 		return
 	}
-	p.plan.Waiting = append(p.plan.Waiting, Waiting{Step: s.Key, Tasks: tasks, Reason: reason, Label: s.Spec.Label})
+	p.plan.Waiting = append(p.plan.Waiting, Waiting{Step: s.Key, Tasks: tasks, Reason: reason, Service: s.Service, Label: s.Spec.Label})
 }
 
 // mayStartOn reports whether a start of s on w would be accepted now.
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -242,8 +242,8 @@
 	Step   workflow.StepKey
 	Tasks  int
 	Reason Reason
-	// Label is the worker label that the step requires.
-	Label string
+	// Service is the pool whose workers may run the step, Label the worker label that it requires.
+	Service, Label string
 }
 
 // Limits bound one plan.
--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -198,6 +198,9 @@
 	successor *fakeWorker
 	// polls are the polls that arrived.
 	polls []PollOrder
+	// needsTicket means that starts without a ticket are refused; unticketed counts them.
+	needsTicket bool
+	unticketed  int
 }
 
 // current returns the incarnation that orders reach.
@@ -249,6 +252,10 @@
 		w.delayStarts = w.refuseNextStart == ""
 		return 0, errNoResponse
 	}
+	if w.needsTicket && order.Ticket == "" {
+		w.unticketed++
+		return 0, &RefusedError{RefusedTicket}
+	}
 	if reason := w.refuseNextStart; reason != "" {
 		w.refuseNextStart = ""
 		return 0, &RefusedError{reason}
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -160,9 +160,32 @@
 			}
 		}
 	}
+	moveDemandOfRuns(demand, s)
 	return demand
 }
 
+// moveDemandOfRuns counts runs that began before their queue moved to another service for the service on
+// whose workers they are.
+func moveDemandOfRuns(demand map[string]int64, s *workflow.State) {
+	open := s.OpenJobs()
+	for id, runs := range s.Runs {
+		worker := s.Workers[id]
+		if worker == nil {
+			continue
+		}
+		service := worker.Service
+		for key := range runs {
+			job := open[key.Job]
+			if job == nil || job.Policy.Service == service || s.Task(key).Done {
+				continue
+			}
+			milliCPU := job.Steps[key.Step].Demand().MilliCPU
+			demand[job.Policy.Service] -= milliCPU
+			demand[service] += milliCPU
+		}
+	}
+}
+
 // updateDurations sets for how long a pool has been short of machines and for how long it
 // has had idle ones.
 func (p *poolMoves) updateDurations(pool *fleet.Pool, now time.Time) {
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -324,8 +324,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c.state.read(func(s *workflow.State) {
-		for id, job := range s.OpenJobs() {
-			if job.Queue == queue && !job.Started && !t.startedJobs[id] {
+		for id, job := range s.OpenJobsOf(queue) {
+			if !job.Started && !t.startedJobs[id] {
 				n++
 			}
 		}
--- a/internal/control/waiting.go
+++ b/internal/control/waiting.go
@@ -128,7 +128,7 @@
 		return
 	}
 	state.loggedReason, state.loggedAt = state.reason, now
-	t.logger.Log("event", "step_waiting", "step", w.Step, "tasks", w.Tasks, "reason", state.reason, "label", w.Label,
+	t.logger.Log("event", "step_waiting", "step", w.Step, "tasks", w.Tasks, "reason", state.reason, "service", w.Service, "label", w.Label,
 		"waited_ms", now.Sub(state.since).Milliseconds(), "earlier", state.formatEarlierWaits())
 }
 
@@ -167,7 +167,7 @@
 		if lines++; lines > maxBacklogLogLinesPerSecond {
 			continue
 		}
-		t.logWaiting(&dispatch.Waiting{Step: s.Key, Tasks: len(s.Pending), Label: s.Spec.Label}, state, now)
+		t.logWaiting(&dispatch.Waiting{Step: s.Key, Tasks: len(s.Pending), Service: s.Service, Label: s.Spec.Label}, state, now)
 	}
 	for key := range t.waiting {
 		if !ready[key] {
--- a/workflow/apply.go
+++ b/workflow/apply.go
@@ -132,6 +132,8 @@
 		return SubmitInvalid
 	}
 	job := &Job{Submission: *sub, Index: index}
+	// The configuration may have changed since the submission was proposed.
+	s.followQueue(job)
 	for range max(sub.Schedule.Times, 1) {
 		steps := make([]StepState, len(sub.Steps))
 		for i := range sub.Steps {
@@ -142,7 +144,7 @@
 	}
 	s.Jobs[sub.ID] = job
 	if !job.Ended() {
-		s.openJobs[sub.ID] = job
+		s.addOpenJob(job)
 	}
 	return SubmitAccepted
 }
@@ -170,7 +172,7 @@
 
 // closeJob removes a job from the open jobs and drops its payload.
 func (s *State) closeJob(job *Job) {
-	delete(s.openJobs, job.ID)
+	s.removeOpenJob(job)
 	job.Payload = ""
 }
 
@@ -461,7 +463,10 @@
 	// everybody.
 	next := *d
 	next.KeysRequired = d.KeysRequired || s.Configuration.KeysRequired
-	s.Changes.record(&s.Configuration, &next)
+	previous := s.queues
+	s.queues = next.queuesByIdentity()
+	s.Changes.record(&s.Configuration, &next, previous, s.queues)
 	s.Configuration = next
+	s.followChangedQueues(previous)
 	s.customers = customer.NewDirectory(s.Configuration.Customers)
 }
--- a/workflow/changes.go
+++ b/workflow/changes.go
@@ -24,34 +24,32 @@
 	Forgotten uint64 `cbor:"5,keyasint,omitempty"`
 }
 
-// record records what a version changes. It sets Since of the queues of next.
-func (c *Changes) record(previous, next *Document) {
+// record records what a version changes. previousQueues and queues are the queues of both documents by
+// identity. It sets Since of the queues of next.
+func (c *Changes) record(previous, next *Document, previousQueues, queues map[string]*Queue) {
 	if next.KeysRequired && !previous.KeysRequired {
 		c.KeysRequired = next.Version
 	}
-	c.recordQueues(previous, next)
+	c.recordQueues(next.Version, previousQueues, queues)
 	c.recordKeys(previous, next)
 }
 
-func (c *Changes) recordQueues(previous, next *Document) {
-	removed := make(map[string]*Queue, len(previous.Queues))
-	for i := range previous.Queues {
-		removed[previous.Queues[i].Identity()] = &previous.Queues[i]
-	}
-	for i := range next.Queues {
-		queue := &next.Queues[i]
-		queue.Since = next.Version
-		if known := removed[queue.Identity()]; known != nil && known.handlesAlike(queue) {
+func (c *Changes) recordQueues(version uint64, previous, queues map[string]*Queue) {
+	for identity, queue := range queues {
+		queue.Since = version
+		if known := previous[identity]; known != nil && known.handlesAlike(queue) {
 			queue.Since = known.Since
 		}
-		delete(removed, queue.Identity())
-		delete(c.RemovedQueues, queue.Identity())
+		delete(c.RemovedQueues, identity)
 	}
-	for identity := range removed {
+	for identity := range previous {
+		if queues[identity] != nil {
+			continue
+		}
 		if c.RemovedQueues == nil {
 			c.RemovedQueues = map[string]uint64{}
 		}
-		c.RemovedQueues[identity] = next.Version
+		c.RemovedQueues[identity] = version
 	}
 	c.Forgotten = max(c.Forgotten, forgetOldest(c.RemovedQueues))
 }
--- a/workflow/configuration.go
+++ b/workflow/configuration.go
@@ -71,6 +71,15 @@
 	Customers    []customer.Customer `cbor:"6,keyasint,omitempty"`
 }
 
+// queuesByIdentity returns the queues of the document by identity.
+func (d *Document) queuesByIdentity() map[string]*Queue {
+	queues := make(map[string]*Queue, len(d.Queues))
+	for i := range d.Queues {
+		queues[d.Queues[i].Identity()] = &d.Queues[i]
+	}
+	return queues
+}
+
 // Queue returns the queue with a name; ok is false if there is none.
 func (d *Document) Queue(name string) (queue *Queue, ok bool) {
 	for i := range d.Queues {
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -104,7 +104,8 @@
 	Payload  string   `cbor:"3,keyasint,omitempty"`
 	Steps    []Step   `cbor:"4,keyasint"`
 	Schedule Schedule `cbor:"5,keyasint,omitempty"`
-	// Policy is the policy of the queue when the job was accepted.
+	// Policy is the policy of the queue when the job was accepted. Of an accepted job, some parts follow
+	// the queue; see Policy.follow.
 	Policy Policy `cbor:"12,keyasint"`
 	// Customer is the name of the job's owner; empty if the job belongs to nobody, because it was
 	// submitted without a key to an open queue or before the system knew customers.
--- a/workflow/replay_test.go
+++ b/workflow/replay_test.go
@@ -93,9 +93,15 @@
 	for id, job := range s.Jobs {
 		must.Eq(t, !job.Ended(), s.openJobs[id] == job, must.Sprintf("job %s ended=%v", id, job.Ended()))
 	}
-	for id := range s.openJobs {
+	byQueue := 0
+	for id, job := range s.openJobs {
 		must.NotNil(t, s.Jobs[id], must.Sprintf("open job %s isn't in the state", id))
+		must.True(t, s.OpenJobsOf(job.Queue)[id] == job, must.Sprintf("open job %s isn't among those of its queue", id))
 	}
+	for _, jobs := range s.openJobsByQueue {
+		byQueue += len(jobs)
+	}
+	must.Eq(t, len(s.openJobs), byQueue)
 }
 
 // applyEncoded applies a command as a member reads it from the log.
@@ -170,12 +176,19 @@
 		steps = append(steps, step)
 	}
 	return &Command{Submit: &Submission{
-		ID: c.job(), Queue: "q", Steps: steps, Customer: c.customer(),
-		Schedule: Schedule{Times: c.number("occurrences", 0, 2)},
-		Policy:   Policy{Service: "s", MaxAttempts: c.number("attempts", 0, 2)},
+		ID: c.job(), Queue: "h" + c.job(), Steps: steps, Customer: c.customer(),
+		Schedule: Schedule{Times: c.number("occurrences", 0, 2)}, Policy: c.policy(),
 	}}
 }
 
+func (c *commandSource) policy() Policy {
+	p := Policy{Service: pick(c, "service", "s", "r"), Priority: c.number("priority", 0, 1), MaxAttempts: c.number("attempts", 0, 2)}
+	if c.oneIn(2) {
+		p.Advice = &AdvicePolicy{TicketValidityMS: int64(c.number("validity", 0, 1))}
+	}
+	return p
+}
+
 // startOfRuns returns a start of one task or of all tasks of a step.
 func (c *commandSource) startOfRuns() *Command {
 	ids := slices.Sorted(maps.Keys(c.s.openJobs))
@@ -238,7 +251,7 @@
 
 func (c *commandSource) configuration() *Command {
 	c.sequence++
-	document := &Document{Version: c.sequence, Source: []byte{}, KeysRequired: c.oneIn(3), Queues: []Queue{{Name: "q", Host: "h", Prefix: c.job()}}}
+	document := &Document{Version: c.sequence, Source: []byte{}, KeysRequired: c.oneIn(3), Queues: []Queue{{Name: "q", Host: "h", Prefix: c.job(), Policy: c.policy()}}}
 	for _, name := range []string{"x", "y"} {
 		limit := Resources{MilliCPU: int64(c.number("limit", 0, 8)), MemoryMB: int64(c.number("limit", 0, 8))}
 		document.Customers = append(document.Customers, customer.Customer{Name: name, Keys: []customer.Digest{customer.DigestOf(name + c.job())}, Weight: 1, Limit: limit})
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -187,21 +187,23 @@
 
 	// newestByName holds the latest incarnation of each worker, by name.
 	newestByName map[string]string
-	// openJobs holds the jobs that have not ended.
-	openJobs map[string]*Job
+	// openJobs holds the jobs that have not ended, openJobsByQueue the same jobs by the identity of their queue.
+	openJobs        map[string]*Job
+	openJobsByQueue map[string]map[string]*Job
 	// loads and placed are derived from Runs; see Used and Placed.
 	loads  map[string]*workerLoad
 	placed map[StepKey]map[string]int
-	// usage is derived from Runs, customers from Configuration.
+	// usage is derived from Runs, customers and queues, by identity, from Configuration.
 	usage     customer.Usage
 	customers *customer.Directory
+	queues    map[string]*Queue
 }
 
 // NewState returns the state before the first command.
 func NewState() *State {
 	return &State{
 		Jobs: map[string]*Job{}, Workers: map[string]*WorkerState{},
-		Runs: map[string]map[TaskKey]Run{}, Waves: map[int64]*WaveState{}, openJobs: map[string]*Job{}, newestByName: map[string]string{},
+		Runs: map[string]map[TaskKey]Run{}, Waves: map[int64]*WaveState{}, openJobs: map[string]*Job{}, openJobsByQueue: map[string]map[string]*Job{}, newestByName: map[string]string{},
 		loads: map[string]*workerLoad{}, placed: map[StepKey]map[string]int{},
 		usage: customer.Usage{}, customers: customer.NewDirectory(nil),
 	}
@@ -210,6 +212,28 @@
 // OpenJobs returns the jobs that have not ended, by ID. The caller must not change the map.
 func (s *State) OpenJobs() map[string]*Job { return s.openJobs }
 
+// OpenJobsOf returns the jobs of a queue that have not ended, by ID. The caller must not change the map.
+func (s *State) OpenJobsOf(queue string) map[string]*Job { return s.openJobsByQueue[queue] }
+
+func (s *State) addOpenJob(job *Job) {
+	s.openJobs[job.ID] = job
+	jobs := s.openJobsByQueue[job.Queue]
+	if jobs == nil {
+		jobs = map[string]*Job{}
+		s.openJobsByQueue[job.Queue] = jobs
+	}
+	jobs[job.ID] = job
+}
+
+func (s *State) removeOpenJob(job *Job) {
+	delete(s.openJobs, job.ID)
+	jobs := s.openJobsByQueue[job.Queue]
+	delete(jobs, job.ID)
+	if len(jobs) == 0 {
+		delete(s.openJobsByQueue, job.Queue)
+	}
+}
+
 // Snapshot encodes the state.
 func (s *State) Snapshot() ([]byte, error) {
 	flat := *s
@@ -230,6 +254,7 @@
 		return nil, errors.Wrap(err, "decode the workflow state")
 	}
 	s.customers = customer.NewDirectory(s.Configuration.Customers)
+	s.queues = s.Configuration.queuesByIdentity()
 	for _, run := range s.RunList {
 		s.addRun(run)
 	}
@@ -237,9 +262,11 @@
 	for _, worker := range s.Workers {
 		s.recordIncarnation(&worker.Worker)
 	}
-	for id, job := range s.Jobs {
+	for _, job := range s.Jobs {
 		if !job.Ended() {
-			s.openJobs[id] = job
+			s.addOpenJob(job)
+			// A program whose jobs kept the policy of their acceptance may have made the snapshot.
+			s.followQueue(job)
 		}
 	}
 	return s, nil
