control: a worker that refuses starts of a step again and again gets them after a pause

Cause: a refused start is committed as not started and its task is ready at once; the next decision chooses the same worker, which looks the most free.

Ruled out: the adviser (it wasn't asked), the commit of the ends.

Change: refusals in a row are counted by step and worker; from the second on the worker gets no start of the step for 20 ms, doubling up to 1 s, until it accepts one. Decisions leave it out for that step alone.

Red before: TestRefusedStartsAreNotRepeatedWithoutPause (841 starts in 2 s, at most 10 allowed), TestTaskStartsOnAnotherWorkerWhileOneRefusesIt (the last five of ten tasks never start). Green now, with the tests of control and dispatch (-short).

Conclusion: a refusal is something that the next decision knows.

--- a/dispatch/select.go
+++ b/dispatch/select.go
@@ -7,6 +7,9 @@
 	"slices"
 )
 
+// acceptsStarts reports whether w hasn't just refused starts of s.
+func acceptsStarts(s *Step, w *Worker) bool { return !s.Paused[w.ID] }
+
 // filters are the requirements that a worker must meet for a step, regardless of the
 // worker's free resources.
 var filters = []struct {
@@ -16,6 +19,7 @@
 	{ReasonLabel, hasLabel},
 	{ReasonSize, hasCapacity},
 	{ReasonSpareShare, hasEnoughSpareCPU},
+	{ReasonStartsRefused, acceptsStarts},
 }
 
 // filter returns the workers that meet the requirements of s, regardless of their free
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -150,6 +150,8 @@
 	// Suspects are the indexes of the pending tasks that are crash suspects: a worker has
 	// crashed while it ran the task.
 	Suspects map[int]bool
+	// Paused is the set of the workers that get no start of the step now, because they have refused some.
+	Paused map[string]bool
 	// LastReason is why the step waited according to an earlier decision, empty if unknown.
 	LastReason Reason
 	// dataCentre is the data centre whose workers the step prefers, empty for none.
@@ -208,6 +210,7 @@
 	ReasonLabel         Reason = "the worker doesn't carry the label"
 	ReasonSize          Reason = "the worker is too small"
 	ReasonSpareShare    Reason = "serving tasks leave too little of the worker"
+	ReasonStartsRefused Reason = "the worker has just refused starts of the step"
 	ReasonRunPresent    Reason = "a run of the task is there"
 	ReasonWorkerFull    Reason = "no room on the worker now"
 	ReasonWorkerRefused Reason = "the adviser refuses the worker"
--- a/internal/control/leader_term.go
+++ b/internal/control/leader_term.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -119,6 +120,8 @@
 	// carry out such a call.
 	openStarts map[string]map[workflow.Run]time.Time
 	permits    map[workflow.StepKey]*stepPermits
+	// refusals holds the steps of which workers have refused starts.
+	refusals map[workflow.StepKey]stepRefusals
 	// grantRates is the moving mean of the share of workers that the adviser permits, by
 	// queue.
 	grantRates map[string]movingMean
@@ -182,6 +185,7 @@
 		sessions:              map[string]*workerSession{},
 		openStarts:            map[string]map[workflow.Run]time.Time{},
 		permits:               map[workflow.StepKey]*stepPermits{},
+		refusals:              map[workflow.StepKey]stepRefusals{},
 		grantRates:            map[string]movingMean{},
 		dataCentreRespondedAt: map[string]time.Time{},
 		dataCentreSuspectedAt: map[string]time.Time{},
@@ -435,11 +439,12 @@
 				expired = append(expired, id)
 			}
 		}
-		for key := range t.permits {
-			if job := s.Jobs[key.Job]; job == nil || job.Ended() {
-				delete(t.permits, key)
-			}
+		hasEnded := func(key workflow.StepKey) bool {
+			job := s.Jobs[key.Job]
+			return job == nil || job.Ended()
 		}
+		maps.DeleteFunc(t.permits, func(key workflow.StepKey, _ *stepPermits) bool { return hasEnded(key) })
+		maps.DeleteFunc(t.refusals, func(key workflow.StepKey, _ stepRefusals) bool { return hasEnded(key) })
 	})
 	for _, id := range expired {
 		delete(t.endedAt, id)
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -181,6 +181,7 @@
 	step := dispatch.Step{
 		Key: key, Spec: &job.Steps[key.Step], Service: job.Policy.Service, Queue: job.Queue, Customer: job.Customer, Priority: job.Policy.Priority,
 		Due: objectiveStart.Add(objective).Sub(t.started), Stretch: job.Policy.Stretch, Pending: pending, Placed: runsPerWorker,
+		Paused: t.refusals[key].paused(now),
 	}
 	switch age := now.Sub(objectiveStart); {
 	case age > admission.WorthlessAfterObjectives*objective:
--- a/internal/control/starts.go
+++ b/internal/control/starts.go
@@ -143,12 +143,12 @@
 	t.c.cfg.Counters.Add("starts_refused_"+string(reason), 1)
 	t.logger.Log("event", "start", "task", o.run.Task, "run", o.run.Number, "worker", s.worker.ID,
 		"outcome", "refused", "reason", reason)
-	if reason != RefusedTicket {
-		return
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.invalidateTicket(o.run.Task.StepKey, s.worker.ID)
+	t.addRefusal(o.run.Task.StepKey, s.worker.ID, time.Now())
+	if reason == RefusedTicket {
+		t.invalidateTicket(o.run.Task.StepKey, s.worker.ID)
+	}
 }
 
 // acquireStartSlot waits until a start may be sent. It returns a cause, and acquires no
@@ -260,6 +260,7 @@
 	}
 	s.recordClock(clockMS, now)
 	t.recordResponseTime(now.Sub(sent))
+	t.clearRefusals(o.run.Task.StepKey, s.worker.ID)
 	o.unanswered = false
 	if o.startedAt.IsZero() {
 		o.startedAt = now
