--- a/dispatch/select.go
+++ b/dispatch/select.go
@@ -7,9 +7,6 @@
 	"slices"
 )
 
-// acceptsStarts reports whether w hasn't just refused starts of s.
-func acceptsStarts(s *Step, w *Worker) bool { return !s.Paused[w.ID] }
-
 // filters are the requirements that a worker must meet for a step, regardless of the
 // worker's free resources.
 var filters = []struct {
@@ -68,6 +65,9 @@
 	return !s.Spec.UsesSpareCPU || !w.Serving || w.SpareCPUPercent >= minSpareCPUPercent
 }
 
+// acceptsStarts reports whether w hasn't just refused starts of s.
+func acceptsStarts(s *Step, w *Worker) bool { return !s.Paused[w.ID] }
+
 // interference ranks how much a task of s and the runs on w disturb each other. While
 // other workers have free resources, tasks that use spare CPU are kept apart from tasks
 // with a latency objective and from each other.
--- a/workflow/changes.go
+++ b/workflow/changes.go
@@ -24,32 +24,34 @@
 	Forgotten uint64 `cbor:"5,keyasint,omitempty"`
 }
 
-// record records what a version changes. previousQueues and queues are the queues of both documents by
-// identity. It sets Since of the queues of next.
-func (c *Changes) record(previous, next *Document, previousQueues, queues map[string]*Queue) {
+// record records what a version changes. before and after are the queues of previous and next by identity.
+// It sets Since of the queues of next.
+func (c *Changes) record(previous, next *Document, before, after map[string]*Queue) {
 	if next.KeysRequired && !previous.KeysRequired {
 		c.KeysRequired = next.Version
 	}
-	c.recordQueues(next.Version, previousQueues, queues)
+	c.recordQueues(next, before, after)
 	c.recordKeys(previous, next)
 }
 
-func (c *Changes) recordQueues(version uint64, previous, queues map[string]*Queue) {
-	for identity, queue := range queues {
-		queue.Since = version
-		if known := previous[identity]; known != nil && known.handlesAlike(queue) {
+func (c *Changes) recordQueues(next *Document, before, after map[string]*Queue) {
+	for i := range next.Queues {
+		queue := &next.Queues[i]
+		identity := queue.Identity()
+		queue.Since = next.Version
+		if known := before[identity]; known != nil && known.handlesAlike(queue) {
 			queue.Since = known.Since
 		}
 		delete(c.RemovedQueues, identity)
 	}
-	for identity := range previous {
-		if queues[identity] != nil {
+	for identity := range before {
+		if after[identity] != nil {
 			continue
 		}
 		if c.RemovedQueues == nil {
 			c.RemovedQueues = map[string]uint64{}
 		}
-		c.RemovedQueues[identity] = version
+		c.RemovedQueues[identity] = next.Version
 	}
 	c.Forgotten = max(c.Forgotten, forgetOldest(c.RemovedQueues))
 }
--- a/workflow/state.go
+++ b/workflow/state.go
@@ -203,7 +203,8 @@
 func NewState() *State {
 	return &State{
 		Jobs: map[string]*Job{}, Workers: map[string]*WorkerState{},
-		Runs: map[string]map[TaskKey]Run{}, Waves: map[int64]*WaveState{}, openJobs: map[string]*Job{}, openJobsByQueue: map[string]map[string]*Job{}, newestByName: map[string]string{},
+		Runs: map[string]map[TaskKey]Run{}, Waves: map[int64]*WaveState{}, newestByName: map[string]string{},
+		openJobs: map[string]*Job{}, openJobsByQueue: map[string]map[string]*Job{},
 		loads: map[string]*workerLoad{}, placed: map[StepKey]map[string]int{},
 		usage: customer.Usage{}, customers: customer.NewDirectory(nil),
 	}
