--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -40,6 +40,9 @@
 	NewControlHandler func(operations *Operations, logger log.Logger) http.Handler
 }
 
+// transferMemoryDivisor gives the share of the memory that a snapshot of another member may take while it arrives.
+const transferMemoryDivisor = 2
+
 // NewCore returns the daemon of a core instance, which has a disk and is a member
 // of the log.
 func NewCore(adapters CoreAdapters) Daemon {
@@ -59,7 +62,7 @@
 	logMember := member.New(member.Config{
 		ID: s.Address, Port: s.InternalPort, DataCentre: s.DataCentre, Seeds: s.seedHosts(), FirstStart: s.FirstStart,
 		Folder: s.DataFolder, Files: p.files, Voters: votersFor(s.ToleratedFailures), Machine: stateMachine, Work: p.work, Logger: p.logger,
-		Fatal: p.fatal,
+		Fatal: p.fatal, MaxTransferBytes: int64(s.MemoryMB) << 20 / transferMemoryDivisor,
 	}, c.client, c.mux)
 	var monitor *overload.Monitor
 	if s.LoadControl {
--- a/internal/member/host.go
+++ b/internal/member/host.go
@@ -19,6 +19,7 @@
 	"github.com/twitchtv/twirp"
 
 	apiv1 "github.com/bilberryferry/bilberryferry/api/v1"
+	"github.com/bilberryferry/bilberryferry/fault"
 	"github.com/bilberryferry/bilberryferry/internal/link"
 	"github.com/bilberryferry/bilberryferry/internal/node"
 	"github.com/bilberryferry/bilberryferry/internal/panics"
@@ -77,6 +78,8 @@
 	// Voters is the number of voting members once enough have joined.
 	Voters  int
 	Machine node.Machine
+	// MaxTransferBytes bounds a snapshot that this member accepts from another one; 0 for the default.
+	MaxTransferBytes int64
 	// Work sums up the time of the log; nil sums up nothing.
 	Work   *worktime.Ledger
 	Logger log.Logger
@@ -106,7 +109,7 @@
 	if cfg.Files == nil {
 		cfg.Files = vfs.OS{}
 	}
-	config := peer.Config{ID: cfg.ID}
+	config := peer.Config{ID: cfg.ID, MaxTransferBytes: cfg.MaxTransferBytes, Logger: cfg.Logger}
 	h := &Host{cfg: cfg, seeds: cfg.Seeds, client: client, transport: peer.New(config), mux: peer.NewMux(config), liveness: newLivenessTracker()}
 	mux.HandleHTTP(apiv1.PeerPathPrefix, apiv1.NewPeerServer(exchangeOnly{h.mux, h.recordSender}))
 	link.Handle(mux, MethodJoin, h.serveJoin)
@@ -381,7 +384,7 @@
 	if err == nil {
 		e.recordSender(r.From)
 	}
-	return response, err
+	return response, fault.ToTwirp(err)
 }
 
 // Offer is not served.
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -42,13 +42,16 @@
 	// for all calls in flight.
 	results chan bool
 
+	// transfers passes large payloads to runTransfers.
+	transfers chan queuedPayload
+
 	// wake has a buffer of one. A buffered value makes run send the next batch.
 	wake     chan struct{}
 	counters counters
 }
 
 func newPeerLink(cfg Config, id string) *peerLink {
-	l := &peerLink{cfg: cfg, id: id, session: rand.Uint32() | 1, wake: make(chan struct{}, 1), results: make(chan bool, maxCalls)}
+	l := &peerLink{cfg: cfg, id: id, session: rand.Uint32() | 1, wake: make(chan struct{}, 1), transfers: make(chan queuedPayload), results: make(chan bool, maxCalls)}
 	l.http = rpc.NewClient(l.dial)
 	return l
 }
@@ -126,6 +129,9 @@
 func (l *peerLink) run(ctx context.Context) error {
 	defer l.http.CloseIdleConnections()
 	defer l.awaitInFlight()
+	var transfers sync.WaitGroup
+	transfers.Go(func() { l.runTransfers(ctx) })
+	defer transfers.Wait()
 	backoff := time.Duration(0)
 	for {
 		wake := l.wake
@@ -179,12 +185,16 @@
 	go func() { l.results <- l.exchange(ctx, client, request, len(batch), size) }()
 }
 
+// timeoutFor returns the timeout of a call whose payloads have size bytes.
+func timeoutFor(size int) time.Duration {
+	return callTimeout + time.Duration(size)*time.Second/minBytesPerSecond
+}
+
 // exchange makes one call with a batch of payloads of size bytes, and reports whether the
 // call succeeded. The batch of a failed call is dropped: the logs resend what still
 // matters, and resending an old batch would only delay newer payloads.
 func (l *peerLink) exchange(ctx context.Context, client apiv1.Peer, request *apiv1.ExchangeRequest, payloads, size int) bool {
-	timeout := callTimeout + time.Duration(size)*time.Second/minBytesPerSecond
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, timeoutFor(size))
 	defer cancel()
 	ctx, err := rpc.WithBearer(ctx, l.cfg.Bearer)
 	if err == nil {
--- a/internal/peer/mux.go
+++ b/internal/peer/mux.go
@@ -16,6 +16,8 @@
 // Mux passes received payloads to the handlers of their groups. A daemon embeds it in
 // its implementation of apiv1.Peer, behind its check of bearer tokens.
 type Mux struct {
+	cfg          Config
+	parts        *assembler
 	id           string
 	clock        Clock
 	blockedPeers *BlockedPeers
@@ -28,9 +30,9 @@
 	received, refused atomic.Uint64
 }
 
-// NewMux returns a Mux without groups. It uses ID, Clock and BlockedPeers of cfg.
+// NewMux returns a Mux without groups. It uses all of cfg but Bearer and Dial.
 func NewMux(cfg Config) *Mux {
-	return &Mux{id: cfg.ID, clock: cfg.Clock, blockedPeers: cfg.BlockedPeers, groups: map[string]PayloadHandler{}, sequencers: map[string]*sequencer{}}
+	return &Mux{cfg: cfg, parts: newAssembler(cfg.MaxTransferBytes), id: cfg.ID, clock: cfg.Clock, blockedPeers: cfg.BlockedPeers, groups: map[string]PayloadHandler{}, sequencers: map[string]*sequencer{}}
 }
 
 // Register sets the handler of a group and replaces an earlier one; nil removes the
@@ -49,7 +51,7 @@
 // groups, in the order of the sender's calls where possible. It may return before the
 // handlers are called. The error is of kind Invalid if the call has another format version
 // or is meant for another instance, as happens when a new instance gets the address of an
-// old one. Payloads of unknown groups and those that a handler refuses are counted and
+// old one, or of the kind of assembler.add if a part of a payload is refused. Payloads of unknown groups and those that a handler refuses are counted and
 // dropped.
 func (m *Mux) Exchange(_ context.Context, r *apiv1.ExchangeRequest) (*apiv1.ExchangeResponse, error) {
 	if r.FormatVersion != FormatVersion {
@@ -58,6 +60,9 @@
 	if r.To != m.id {
 		return nil, fault.Field("to", "meant for %q, this is %q", r.To, m.id)
 	}
+	if group, encoded, ok := partOf(r); ok {
+		return &apiv1.ExchangeResponse{}, m.acceptPart(r, group, encoded)
+	}
 	if r.Session == 0 || r.Sequence == 0 {
 		m.deliverCall(r)
 	} else {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -5,7 +5,8 @@
 // All groups that two instances share use one sequence of calls. While maxCalls calls are
 // in flight, further payloads wait in a queue and share the next call. The receiver
 // processes calls in the order in which they were made, but waits only briefly for a lost
-// call. A full queue drops its oldest payloads; the logs resend what still matters.
+// call. A full queue drops its oldest payloads; the logs resend what still matters. A payload that is too
+// large for one call is sent in parts, beside the calls of the queue.
 package peer
 
 import (
@@ -13,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-kit/log"
 	"golang.org/x/sync/errgroup"
 
 	apiv1 "github.com/bilberryferry/bilberryferry/api/v1"
@@ -27,8 +29,8 @@
 const (
 	maxQueuePayloads = 4096
 	maxQueueBytes    = 8 << 20
-	// maxBatchBytes bounds the payloads of one Exchange call, unless a single payload,
-	// such as a snapshot, is larger.
+	// maxBatchBytes bounds the payloads of one Exchange call, unless a single payload is
+	// larger.
 	maxBatchBytes = 1 << 20
 
 	// maxCalls bounds the calls in flight to one peer. With one call, each message
@@ -67,6 +69,17 @@
 	Dial rpc.Dial
 	// BlockedPeers simulates network partitions in tests; nil otherwise.
 	BlockedPeers *BlockedPeers
+	// MaxTransferBytes bounds a payload that a Mux accepts in parts; 0 for the default.
+	MaxTransferBytes int64
+	// Logger logs the transfers of payloads in parts; nil for no log.
+	Logger log.Logger
+}
+
+// log writes a log line if there is a logger.
+func (c *Config) log(keyvals ...any) {
+	if c.Logger != nil {
+		_ = c.Logger.Log(keyvals...)
+	}
 }
 
 // Transport sends payloads to peers. It is safe for concurrent use.
@@ -136,7 +149,11 @@
 	t.mu.Lock()
 	l := t.links[to]
 	t.mu.Unlock()
-	if l != nil {
+	switch {
+	case l == nil:
+	case len(payload) > maxWholePayload:
+		l.startTransfer(queuedPayload{group, payload})
+	default:
 		l.enqueue(queuedPayload{group, payload})
 	}
 }
