peer: a large payload is dropped only while another one is being sent

The payload was handed over before runTransfers waited for it, so that it was dropped although none was being sent.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	apiv1 "github.com/bilberryferry/bilberryferry/api/v1"
@@ -42,8 +43,10 @@
 	// for all calls in flight.
 	results chan bool
 
-	// transfers passes large payloads to runTransfers.
-	transfers chan queuedPayload
+	// transfers passes large payloads to runTransfers, one at a time: transferring says that one is being sent. It
+	// has a buffer of one, so that the sender doesn't wait for runTransfers.
+	transfers    chan queuedPayload
+	transferring atomic.Bool
 
 	// wake has a buffer of one. A buffered value makes run send the next batch.
 	wake     chan struct{}
@@ -51,7 +54,7 @@
 }
 
 func newPeerLink(cfg Config, id string) *peerLink {
-	l := &peerLink{cfg: cfg, id: id, session: rand.Uint32() | 1, wake: make(chan struct{}, 1), transfers: make(chan queuedPayload), results: make(chan bool, maxCalls)}
+	l := &peerLink{cfg: cfg, id: id, session: rand.Uint32() | 1, wake: make(chan struct{}, 1), transfers: make(chan queuedPayload, 1), results: make(chan bool, maxCalls)}
 	l.http = rpc.NewClient(l.dial)
 	return l
 }
--- a/internal/peer/transfer.go
+++ b/internal/peer/transfer.go
@@ -20,11 +20,11 @@
 // startTransfer hands a large payload to runTransfers, unless one is being sent. It is dropped then: the logs send a
 // snapshot again until it has arrived, and each would take as long as the one in progress.
 func (l *peerLink) startTransfer(p queuedPayload) {
-	select {
-	case l.transfers <- p:
-	default:
+	if !l.transferring.CompareAndSwap(false, true) {
 		l.counters.dropped.Add(1)
+		return
 	}
+	l.transfers <- p
 }
 
 // runTransfers sends large payloads in parts until ctx ends.
@@ -36,19 +36,25 @@
 		case p := <-l.transfers:
 			start := time.Now()
 			err := l.transfer(ctx, p)
-			outcome := "sent"
-			if err != nil {
-				outcome = "failed"
-				l.counters.dropped.Add(1)
-			} else {
-				l.counters.payloads.Add(1)
-			}
-			l.cfg.log("event", "transfer", "to", l.id, "group", p.group, "outcome", outcome, "bytes", len(p.payload),
-				"ms", time.Since(start).Milliseconds(), "err", err)
+			l.transferring.Store(false)
+			l.recordTransfer(p, time.Since(start), err)
 		}
 	}
 }
 
+// recordTransfer counts and logs a transfer that has ended.
+func (l *peerLink) recordTransfer(p queuedPayload, took time.Duration, err error) {
+	outcome := "sent"
+	if err != nil {
+		outcome = "failed"
+		l.counters.dropped.Add(1)
+	} else {
+		l.counters.payloads.Add(1)
+	}
+	l.cfg.log("event", "transfer", "to", l.id, "group", p.group, "outcome", outcome, "bytes", len(p.payload),
+		"ms", took.Milliseconds(), "err", err)
+}
+
 // transfer sends a payload in parts. After a call without a response it sends the part again. It begins again if the
 // receiver doesn't have the parts before, because it has restarted.
 func (l *peerLink) transfer(ctx context.Context, p queuedPayload) error {
