control: a refused ticket that a start carried doesn't count towards the pause, nor does one of several starts refused together

Cause: tasks of a step are started together; when their tickets have run out, all are refused, and the worker was left out of the step for up to a second, also for the query that renews them. The query paces such starts already.

Change: a refusal for a ticket that the start carried is not counted, and one that arrives during a pause neither.

--- a/internal/control/refusals.go
+++ b/internal/control/refusals.go
@@ -23,10 +23,13 @@
 // stepRefusals holds the refusals of a step by worker.
 type stepRefusals map[string]startRefusals
 
-// add records a refusal at the given time. The first one causes no pause: most are over at once, such as that of a ticket
-// which has just expired.
+// add records a refusal at the given time. The first one causes no pause, since most refusals are over at once. One that
+// arrives during a pause belongs to a start that was sent before it.
 func (r stepRefusals) add(worker string, now time.Time) {
 	refusals := r[worker]
+	if now.Before(refusals.until) {
+		return
+	}
 	refusals.count++
 	if refusals.count > 1 {
 		refusals.until = now.Add(refusalPause(refusals.count))
--- a/internal/control/refusals_test.go
+++ b/internal/control/refusals_test.go
@@ -60,9 +60,14 @@
 	longest := time.Duration(0)
 	for range 100 {
 		r.add("w1", now)
-		longest = max(longest, r["w1"].until.Sub(now))
+		until := r["w1"].until
+		longest = max(longest, until.Sub(now))
 		must.MapContainsKey(t, r.paused(now), "w1")
-		must.MapEmpty(t, r.paused(r["w1"].until))
+		must.MapEmpty(t, r.paused(until))
+		// Further refusals of starts that were sent at the same time change nothing.
+		r.add("w1", now)
+		must.Eq(t, until, r["w1"].until)
+		now = until
 	}
 	must.Eq(t, maxRefusalPause, longest)
 }
--- a/internal/control/starts.go
+++ b/internal/control/starts.go
@@ -145,10 +145,12 @@
 		"outcome", "refused", "reason", reason)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.addRefusal(o.run.Task.StepKey, s.worker.ID, time.Now())
-	if reason == RefusedTicket {
+	if reason == RefusedTicket && o.ticket != "" {
+		// The adviser is asked for another ticket, which takes its time.
 		t.invalidateTicket(o.run.Task.StepKey, s.worker.ID)
+		return
 	}
+	t.addRefusal(o.run.Task.StepKey, s.worker.ID, time.Now())
 }
 
 // acquireStartSlot waits until a start may be sent. It returns a cause, and acquires no
