--- a/internal/peer/mux.go
+++ b/internal/peer/mux.go
@@ -51,8 +51,8 @@
 // groups, in the order of the sender's calls where possible. It may return before the
 // handlers are called. The error is of kind Invalid if the call has another format version
 // or is meant for another instance, as happens when a new instance gets the address of an
-// old one, or of the kind of assembler.add if a part of a payload is refused. Payloads of unknown groups and those that a handler refuses are counted and
-// dropped.
+// old one, or of the kind of assembler.add if a part of a payload is refused. Payloads of unknown groups and
+// those that a handler refuses are counted and dropped.
 func (m *Mux) Exchange(_ context.Context, r *apiv1.ExchangeRequest) (*apiv1.ExchangeResponse, error) {
 	if r.FormatVersion != FormatVersion {
 		return nil, fault.Field("format_version", "%d, this program supports %d", r.FormatVersion, FormatVersion)
